--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: run test check generate binary clean
+
+$(VENV)/runtime: requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $@
+
+$(VENV)/development: requirements-dev.txt requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $(VENV)/runtime $@
+
+# Starts one node on the quick start's settings.
+run: $(VENV)/runtime
+	test -e run/quick-start/data/voter.json || $(BIN)/python -m filbertglade init-control --settings examples/quick-start.toml
+	$(BIN)/python -m filbertglade node --settings examples/quick-start.toml
+
+test: $(VENV)/development
+	$(BIN)/python -m pytest
+
+check: $(VENV)/development
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 filbertglade tests benchmarks
+	$(BIN)/mypy
+
+# Writes the inner protocol's Python modules again.
+generate: $(VENV)/development
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
+		--plugin=protoc-gen-grpclib_python=$(BIN)/protoc-gen-grpclib_python \
+		--grpclib_python_out=. filbertglade/inner/*.proto
+
+binary: $(VENV)/development
+	rm -rf build/site dist && mkdir -p dist
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --target build/site . -r requirements.txt
+	$(BIN)/shiv --compressed --console-script filbertglade \
+		--site-packages build/site --output-file dist/filbertglade
+
+clean:
+	rm -rf $(VENV) build dist run
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, one script each."""
--- /dev/null
+++ b/filbertglade/administration/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards operators."""
--- /dev/null
+++ b/filbertglade/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Customers' limits, queues and deadlines."""
--- /dev/null
+++ b/filbertglade/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line's commands, one module each."""
--- /dev/null
+++ b/filbertglade/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' document: model and validation."""
--- /dev/null
+++ b/filbertglade/control/__init__.py
@@ -0,0 +1,1 @@
+"""Agreed state: the replicated log and what it carries."""
--- /dev/null
+++ b/filbertglade/control/failures.py
@@ -0,0 +1,41 @@
+"""Failures of the agreed state's layer."""
+
+import enum
+
+from filbertglade import failures
+
+
+class SubmitReason(enum.Enum):
+    """Why a command has no result."""
+
+    # No control host could be reached, or none knows a leader.
+    NO_LEADER = 'no-leader'
+    # The leader lost its quorum, or its lease, before the commit.
+    LEADER_LOST = 'leader-lost'
+    # The deadline passed.
+    TIMED_OUT = 'timed-out'
+    # Too many commands wait already.
+    OVERLOADED = 'overloaded'
+    # The process is shutting down.
+    CLOSING = 'closing'
+
+
+class SubmitFailure(failures.Failure):
+    """A command that has no result.
+
+    :param may_have_applied: whether it may have been written to the log, and
+        so may yet take effect.
+    """
+
+    __slots__ = ('may_have_applied',)
+
+    may_have_applied: bool
+
+    def __init__(
+        self,
+        reason: SubmitReason,
+        detail: str = '',
+        may_have_applied: bool = False,
+    ) -> None:
+        super().__init__(reason, detail)
+        object.__setattr__(self, 'may_have_applied', may_have_applied)
--- /dev/null
+++ b/filbertglade/control/submitter.py
@@ -0,0 +1,22 @@
+"""The interface through which the other parts change the agreed state."""
+
+import abc
+
+from filbertglade.control import failures
+from filbertglade.inner import commands_pb2
+
+
+class Submitter(abc.ABC):
+    """Takes commands for the replicated log."""
+
+    @abc.abstractmethod
+    async def submit(
+        self, command: commands_pb2.Command, timeout_ms: int
+    ) -> commands_pb2.CommandResult | failures.SubmitFailure:
+        """Commit a command and return what it did.
+
+        :param command: the command; the leader stamps it.
+        :param timeout_ms: how long to wait for the commit.
+        :returns: the result, after the commit; or the failure, which says
+            whether the command may have been applied.
+        """
--- /dev/null
+++ b/filbertglade/control/tables/__init__.py
@@ -0,0 +1,1 @@
+"""The tables of the agreed state, changed only by commands."""
--- /dev/null
+++ b/filbertglade/entry/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and endpoints."""
--- /dev/null
+++ b/filbertglade/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of hosts: formation, orders, repair."""
--- /dev/null
+++ b/filbertglade/inner/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between the system's own processes."""
--- /dev/null
+++ b/filbertglade/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Presence of hosts and nodes, and what they report."""
--- /dev/null
+++ b/filbertglade/node/__init__.py
@@ -0,0 +1,1 @@
+"""The long-running process and its parts."""
--- /dev/null
+++ b/filbertglade/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the time line of events."""
--- /dev/null
+++ b/filbertglade/observability/logs.py
@@ -0,0 +1,89 @@
+"""Structured logs: one line for each change of state.
+
+Lines are eliot messages in JSON. Each names the process that wrote it, so
+that ``filbertglade timeline`` can join the logs of many processes.
+"""
+
+import os
+import pathlib
+import typing
+
+import eliot
+
+FLUSH_LINE_BYTES = 1
+
+_process: dict[str, str] = {}
+
+
+class Log:
+    """A module's log."""
+
+    def __init__(self, module: str) -> None:
+        self._module = module
+
+    def change(self, event: str, **fields: object) -> None:
+        """Write a change of state.
+
+        :param event: dotted name of the event, as in ``leader.elected``.
+        :param fields: what the reader needs to know; never a secret.
+        """
+        self._write(event, 'change', fields)
+
+    def error(self, event: str, **fields: object) -> None:
+        """Write a failure that nobody expected.
+
+        :param event: dotted name of the event.
+        :param fields: what the reader needs to know; never a secret.
+        """
+        self._write(event, 'error', fields)
+
+    def _write(
+        self, event: str, level: str, fields: dict[str, object]
+    ) -> None:
+        plain = {name: _as_plain(value) for name, value in fields.items()}
+        eliot.log_message(
+            event,
+            level=level,
+            module=self._module,
+            **_process,
+            **plain,
+        )
+
+
+def _as_plain(value: object) -> object:
+    if value is None or isinstance(value, bool | int | float | str):
+        return value
+    if isinstance(value, list | tuple):
+        return [_as_plain(item) for item in value]
+    if isinstance(value, BaseException):
+        return f'{type(value).__name__}: {value}'
+    return str(value)
+
+
+def get_log(module: str) -> Log:
+    """Return the log of a module.
+
+    :param module: the module's ``__name__``.
+    :returns: its log.
+    """
+    return Log(module)
+
+
+def open_log(node: str, data_centre: str, path: pathlib.Path | None) -> None:
+    """Send the process's log to a file, or to standard error.
+
+    :param node: name of the node, put on every line.
+    :param data_centre: its data centre, put on every line.
+    :param path: the file, appended to; None for standard error.
+    :raises OSError: the file can't be opened.
+    """
+    _process['node'] = node
+    _process['data_centre'] = data_centre
+    _process['process'] = str(os.getpid())
+    stream: typing.Any
+    if path is None:
+        stream = open(2, 'a', closefd=False)
+    else:
+        path.parent.mkdir(parents=True, exist_ok=True)
+        stream = open(path, 'a', buffering=FLUSH_LINE_BYTES)
+    eliot.to_file(stream)
--- /dev/null
+++ b/filbertglade/observability/metrics.py
@@ -0,0 +1,104 @@
+"""Counters, gauges and latency histograms of the process.
+
+Histograms are high dynamic range ones, in microseconds.
+"""
+
+from collections import abc
+
+from hdrh import histogram
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 95.0, 99.0, 100.0)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """All metrics of a process, by name and labels."""
+
+    def __init__(self) -> None:
+        self._counters: dict[tuple[str, Labels], int] = {}
+        self._gauges: dict[str, abc.Callable[[], float]] = {}
+        self._histograms: dict[str, histogram.HdrHistogram] = {}
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Add to a counter.
+
+        :param name: the counter's name.
+        :param amount: what to add.
+        :param labels: few, of few values each.
+        """
+        key = (name, tuple(sorted(labels.items())))
+        self._counters[key] = self._counters.get(key, 0) + amount
+
+    def counter(self, name: str, **labels: str) -> int:
+        """Return a counter's value.
+
+        :param name: the counter's name.
+        :param labels: the labels it was counted with.
+        :returns: its value; 0 if it was never counted.
+        """
+        return self._counters.get((name, tuple(sorted(labels.items()))), 0)
+
+    def set_gauge(self, name: str, read: abc.Callable[[], float]) -> None:
+        """Register a gauge.
+
+        :param name: the gauge's name.
+        :param read: called for its value whenever metrics are read.
+        """
+        self._gauges[name] = read
+
+    def record_ms(self, name: str, value_ms: float) -> None:
+        """Record a duration.
+
+        :param name: the histogram's name.
+        :param value_ms: the duration in milliseconds.
+        """
+        found = self._histograms.get(name)
+        if found is None:
+            found = histogram.HdrHistogram(
+                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+            )
+            self._histograms[name] = found
+        value_us = int(value_ms * 1000)
+        found.record_value(min(max(value_us, LOWEST_US), HIGHEST_US))
+
+    def percentile_ms(self, name: str, percentile: float) -> float:
+        """Return a percentile of a histogram.
+
+        :param name: the histogram's name.
+        :param percentile: from 0 to 100.
+        :returns: milliseconds; 0 if nothing was recorded.
+        """
+        found = self._histograms.get(name)
+        if found is None:
+            return 0.0
+        return float(found.get_value_at_percentile(percentile)) / 1000
+
+    def render_text(self) -> str:
+        """Return all metrics in the Prometheus text format.
+
+        :returns: one line a value.
+        """
+        lines = [
+            f'filbertglade_{name}{_render_labels(labels)} {value}'
+            for (name, labels), value in sorted(self._counters.items())
+        ]
+        for name, read in sorted(self._gauges.items()):
+            lines.append(f'filbertglade_{name} {read():g}')
+        for name, found in sorted(self._histograms.items()):
+            for percentile in PERCENTILES:
+                value = self.percentile_ms(name, percentile)
+                label = f'{{quantile="{percentile / 100:g}"}}'
+                lines.append(f'filbertglade_{name}_ms{label} {value:g}')
+            count = found.get_total_count()
+            lines.append(f'filbertglade_{name}_ms_count {count}')
+        return '\n'.join(lines) + '\n'
+
+
+def _render_labels(labels: Labels) -> str:
+    if not labels:
+        return ''
+    return '{' + ','.join(f'{name}="{value}"' for name, value in labels) + '}'
--- /dev/null
+++ b/filbertglade/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Life of a request from its claim to its outcome."""
--- /dev/null
+++ b/filbertglade/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the endpoint that runs a request."""
--- /dev/null
+++ b/filbertglade/settings/__init__.py
@@ -0,0 +1,1 @@
+"""A node's settings: one checked TOML file."""
--- /dev/null
+++ b/filbertglade/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of engines and services."""
--- /dev/null
+++ b/filbertglade/tasks.py
@@ -0,0 +1,46 @@
+"""Background tasks that are kept by reference and whose errors are seen."""
+
+import asyncio
+from collections import abc
+import typing
+
+from filbertglade.observability import logs
+
+log = logs.get_log(__name__)
+
+
+class TaskGroup:
+    """Owns background tasks until they end or the owner closes."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+
+    def start(
+        self, work: abc.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> asyncio.Task[typing.Any]:
+        """Run a coroutine in the background.
+
+        :param work: the coroutine; an exception that leaves it is logged.
+        :returns: its task.
+        """
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        return task
+
+    def _finish(self, task: asyncio.Task[typing.Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            log.error('task.failed', task=task.get_coro(), error=error)
+
+    async def close(self) -> None:
+        """Cancel what still runs and wait for it."""
+        current = asyncio.current_task()
+        tasks = [task for task in self._tasks if task is not current]
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in the order of the packages."""
