Write the thin path: attachments, groups, entry, administration, stand-in

Cause: nothing serves a request yet. Change: a first, thin version of every part on the way from caller to endpoint, in separate modules that are deepened side by side.

--- /dev/null
+++ b/filbertglade/cli.py
@@ -0,0 +1,186 @@
+"""The command line: it parses and hands on to the commands."""
+
+import pathlib
+import typing
+
+import typer
+
+app = typer.Typer(
+    name='filbertglade',
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help='Serve models whose every replica spans several hosts.',
+)
+config_app = typer.Typer(
+    no_args_is_help=True, help="Show and change the operators' document."
+)
+app.add_typer(config_app, name='config')
+
+SettingsPath = typing.Annotated[
+    pathlib.Path, typer.Option('--settings', help='The TOML settings file.')
+]
+AdministrationUrl = typing.Annotated[
+    str,
+    typer.Option(
+        '--url',
+        envvar='FILBERTGLADE_URL',
+        help="A node's administration API.",
+    ),
+]
+DEFAULT_URL = 'http://127.0.0.1:8081'
+
+
+@app.command()
+def node(settings: SettingsPath) -> None:
+    """Run a node until it is told to stop."""
+    from filbertglade.commands import node as command
+
+    raise typer.Exit(command.run_node(settings))
+
+
+@app.command('init-control')
+def init_control(settings: SettingsPath) -> None:
+    """Mark an empty data folder as a founding voter, once."""
+    from filbertglade.commands import init_control as command
+
+    raise typer.Exit(command.init_control(settings))
+
+
+@app.command('check-settings')
+def check_settings(path: pathlib.Path) -> None:
+    """Check a settings file and print every error."""
+    from filbertglade.commands import check as command
+
+    raise typer.Exit(command.check_settings(path))
+
+
+@app.command('check-config')
+def check_config(path: pathlib.Path) -> None:
+    """Check a document and print every error."""
+    from filbertglade.commands import check as command
+
+    raise typer.Exit(command.check_document(path))
+
+
+@config_app.command('show')
+def show_config(url: AdministrationUrl = DEFAULT_URL) -> None:
+    """Print the document in force."""
+    from filbertglade.commands import config as command
+
+    raise typer.Exit(command.show(url, '/v1/config'))
+
+
+@config_app.command('status')
+def show_config_status(url: AdministrationUrl = DEFAULT_URL) -> None:
+    """Print the document's number on each node."""
+    from filbertglade.commands import config as command
+
+    raise typer.Exit(command.show(url, '/v1/config/status'))
+
+
+@config_app.command('history')
+def show_config_history(url: AdministrationUrl = DEFAULT_URL) -> None:
+    """Print the accepted changes."""
+    from filbertglade.commands import config as command
+
+    raise typer.Exit(command.show(url, '/v1/config/history'))
+
+
+@config_app.command('apply')
+def apply_config(
+    path: pathlib.Path,
+    url: AdministrationUrl = DEFAULT_URL,
+    wait: typing.Annotated[
+        bool, typer.Option(help='Wait until it is in force everywhere.')
+    ] = False,
+) -> None:
+    """Commit a document."""
+    from filbertglade.commands import config as command
+
+    raise typer.Exit(command.apply(url, path, wait))
+
+
+@app.command()
+def status(
+    url: AdministrationUrl = DEFAULT_URL,
+    as_json: typing.Annotated[
+        bool, typer.Option('--json', help='Print JSON.')
+    ] = False,
+) -> None:
+    """Print nodes, groups and hosts."""
+    from filbertglade.commands import status as command
+
+    raise typer.Exit(command.show_status(url, as_json))
+
+
+@app.command()
+def standin(
+    entry: typing.Annotated[
+        list[str], typer.Option(help='Entry URLs to announce to.')
+    ],
+    hosts: typing.Annotated[int, typer.Option(help='Hosts of engines.')] = 4,
+    fabric_domain: typing.Annotated[
+        str, typer.Option(help='Their fabric domain.')
+    ] = 'fabric-1',
+    region: typing.Annotated[str, typer.Option()] = 'central',
+    data_centre: typing.Annotated[str, typer.Option()] = 'north',
+    prefix: typing.Annotated[
+        str, typer.Option(help="Start of the hosts' names.")
+    ] = 'host',
+    service: typing.Annotated[
+        str, typer.Option(help='A plain service in place of engines.')
+    ] = '',
+    slots: typing.Annotated[
+        int, typer.Option(help='Requests that run at once.')
+    ] = 8,
+    token_ms: typing.Annotated[
+        float, typer.Option(help='Time of one token.')
+    ] = 5.0,
+    load_ms: typing.Annotated[
+        int, typer.Option(help="Time to load a model's weights.")
+    ] = 200,
+    ignore_fencing: typing.Annotated[
+        bool, typer.Option(help='Do not check fencing numbers.')
+    ] = False,
+    record: typing.Annotated[
+        str, typer.Option(help='JSON lines of orders and requests taken.')
+    ] = '',
+) -> None:
+    """Run stand-ins of endpoints, to try the system out."""
+    from filbertglade.commands import standin as command
+    from filbertglade.standin import settings as standin_settings
+
+    settings = standin_settings.StandinSettings(
+        entries=entry,
+        hosts=hosts,
+        fabric_domain=fabric_domain,
+        region=region,
+        data_centre=data_centre,
+        prefix=prefix,
+        service=service,
+        slots=slots,
+        token_ms=token_ms,
+        load_ms=load_ms,
+        checks_fencing=not ignore_fencing,
+        record_file=record,
+    )
+    raise typer.Exit(command.run_standin(settings))
+
+
+@app.command()
+def timeline(
+    paths: typing.Annotated[list[pathlib.Path], typer.Argument(help='Logs.')],
+    html: typing.Annotated[
+        pathlib.Path | None, typer.Option(help='Write one HTML page.')
+    ] = None,
+) -> None:
+    """Join the logs of many processes into one time line."""
+    from filbertglade.commands import timeline as command
+
+    raise typer.Exit(command.show_timeline(paths, html))
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/filbertglade/entry/application.py
@@ -0,0 +1,87 @@
+"""The HTTP application towards callers and endpoints."""
+
+from collections import abc
+import typing
+
+from tornado import httpserver
+from tornado import web
+
+from filbertglade.entry import announcing
+from filbertglade.entry import handlers
+from filbertglade.entry import health
+from filbertglade.inner import channels
+from filbertglade.membership import announcements
+from filbertglade.membership import view
+from filbertglade.observability import metrics
+from filbertglade.requests import runner
+from filbertglade.settings import model
+
+
+def build_application(
+    settings: model.NodeSettings,
+    fleet: view.FleetView,
+    inbox: announcements.AnnouncementInbox,
+    requests: runner.RequestRunner,
+    counters: metrics.Metrics,
+    find_obstacle: abc.Callable[[], str],
+) -> web.Application:
+    """Build the application.
+
+    :param settings: the node's settings.
+    :param fleet: the node's view.
+    :param inbox: where announcements go.
+    :param requests: what runs requests.
+    :param counters: the process's metrics.
+    :param find_obstacle: returns why no request is taken, or ''.
+    :returns: the application.
+    """
+    run: dict[str, typing.Any] = {
+        'fleet': fleet,
+        'requests': requests,
+        'counters': counters,
+    }
+    announce = {
+        'inbox': inbox,
+        'announce_ms': settings.timings.announce_ms,
+    }
+    return web.Application(
+        [
+            (r'/v1/chat/completions', handlers.ModelHandler, run),
+            (r'/v1/completions', handlers.ModelHandler, run),
+            (r'/services/([^/]+)(/.*)?', handlers.ServiceHandler, run),
+            (r'/v1/announce', announcing.AnnounceHandler, announce),
+            (r'/healthz', health.HealthHandler),
+            (
+                r'/readyz',
+                health.ReadyHandler,
+                {'find_obstacle': find_obstacle},
+            ),
+            (r'/metrics', health.MetricsHandler, {'counters': counters}),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+def listen(
+    settings: model.NodeSettings, application: web.Application, address: str
+) -> httpserver.HTTPServer:
+    """Serve an application within the settings' bounds.
+
+    :param settings: the node's settings.
+    :param application: the application.
+    :param address: ``host:port`` to listen on.
+    :returns: the server; the caller stops it.
+    :raises OSError: the address can't be listened on.
+    """
+    timeout_s = settings.timings.header_timeout_ms / 1000
+    server = httpserver.HTTPServer(
+        application,
+        max_header_size=settings.limits.header_bytes,
+        max_body_size=settings.limits.body_bytes,
+        max_buffer_size=settings.limits.body_bytes,
+        body_timeout=timeout_s,
+        idle_connection_timeout=timeout_s,
+    )
+    host, port = channels.split_address(address)
+    server.listen(port, host)
+    return server
--- /dev/null
+++ b/filbertglade/groups/orders.py
@@ -0,0 +1,104 @@
+"""Orders to the hosts of a group, over HTTP."""
+
+import dataclasses
+import enum
+import json
+
+from tornado import httpclient
+
+from filbertglade import failures
+
+ORDER_PATH = '/v1/order'
+PARALLEL_ORDERS = 64
+
+
+class OrderAction(enum.StrEnum):
+    """What a host is told to do."""
+
+    # Load the model and serve in the group.
+    LOAD = 'load'
+    # Leave the group and hold no model.
+    RELEASE = 'release'
+
+
+class OrderReason(enum.Enum):
+    """Why an order was not carried out."""
+
+    UNREACHABLE = 'unreachable'
+    # The host has seen a higher fencing number.
+    FENCED = 'fenced'
+    REFUSED = 'refused'
+
+
+@dataclasses.dataclass(slots=True)
+class Order:
+    """An order to one host; giving it again changes nothing.
+
+    :param action: what to do.
+    :param fencing_number: a host that checks it refuses a lower one than it
+        has seen.
+    :param group: the group.
+    :param epoch: its epoch.
+    :param deployment: its deployment's name.
+    :param model: the model to load.
+    :param adapter: the adapter to load over it, or empty.
+    :param version: the model's version.
+    :param hosts: hosts of the group; the first takes the requests.
+    """
+
+    action: OrderAction
+    fencing_number: int
+    group: str
+    epoch: int
+    deployment: str = ''
+    model: str = ''
+    adapter: str = ''
+    version: str = ''
+    hosts: list[str] = dataclasses.field(default_factory=list)
+
+
+class OrderClient:
+    """Sends orders."""
+
+    def __init__(self, timeout_ms: int) -> None:
+        """Prepare to send.
+
+        :param timeout_ms: time-out of one order.
+        """
+        self._timeout_s = timeout_ms / 1000
+        self._client = httpclient.AsyncHTTPClient(
+            force_instance=True, max_clients=PARALLEL_ORDERS
+        )
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def send(
+        self, address: str, order: Order
+    ) -> None | failures.Failure:
+        """Send one order.
+
+        :param address: the host's order address.
+        :param order: the order.
+        :returns: None once the host took it, or the failure.
+        """
+        request = httpclient.HTTPRequest(
+            f'http://{address}{ORDER_PATH}',
+            method='POST',
+            headers={'Content-Type': 'application/json'},
+            body=json.dumps(dataclasses.asdict(order)),
+            connect_timeout=self._timeout_s,
+            request_timeout=self._timeout_s,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except OSError as error:
+            return failures.Failure(OrderReason.UNREACHABLE, str(error))
+        if response.code == 200:
+            return None
+        if response.code == 409:
+            return failures.Failure(OrderReason.FENCED, address)
+        if response.code == 599:
+            return failures.Failure(OrderReason.UNREACHABLE, address)
+        return failures.Failure(OrderReason.REFUSED, f'{response.code}')
--- /dev/null
+++ b/filbertglade/membership/hops.py
@@ -0,0 +1,34 @@
+"""Proof of how old a frame is, by clock values that the peer echoes."""
+
+from filbertglade import clock
+from filbertglade.inner import membership_pb2
+
+
+class HopClock:
+    """This side's clock on one stream to a peer.
+
+    A frame cannot have been sent before the peer saw the clock value that
+    it echoes, so the time since that value bounds the frame's age, however
+    long the frame was buffered.
+    """
+
+    def __init__(self) -> None:
+        self._peer_sent_ms = 0
+
+    def stamp(self) -> membership_pb2.Clock:
+        """Return the clock part of a frame to be sent now."""
+        return membership_pb2.Clock(
+            sent_ms=clock.now_ms(), echoed_ms=self._peer_sent_ms
+        )
+
+    def observe(self, received: membership_pb2.Clock) -> int | None:
+        """Note the clock part of a frame that arrived.
+
+        :param received: the frame's clock part.
+        :returns: upper bound of the frame's age in milliseconds; None while
+            the peer has echoed nothing, so that nothing is proven.
+        """
+        self._peer_sent_ms = received.sent_ms
+        if not received.echoed_ms:
+            return None
+        return max(0, clock.now_ms() - received.echoed_ms)
--- /dev/null
+++ b/filbertglade/membership/view.py
@@ -0,0 +1,172 @@
+"""A node's view of the fleet: groups, workers and the document in force."""
+
+import dataclasses
+
+from filbertglade import clock
+from filbertglade.configuration import model
+from filbertglade.configuration import validation
+from filbertglade.inner import membership_pb2
+from filbertglade.observability import logs
+from filbertglade.settings import model as settings_model
+
+log = logs.get_log(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class SeenGroup:
+    """A group's newest line.
+
+    :param line: what the control host said.
+    :param proven_ms: local clock less the oldest proven age of its hosts.
+    :param load_ms: local clock at which its load was current.
+    """
+
+    line: membership_pb2.GroupLine
+    proven_ms: int
+    load_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class SeenWorker:
+    """A service worker's newest line.
+
+    :param line: what the control host said.
+    :param proven_ms: local clock less its proven age.
+    """
+
+    line: membership_pb2.WorkerLine
+    proven_ms: int
+
+
+class FleetView:
+    """What routing and admission on a node go by."""
+
+    def __init__(self, settings: settings_model.NodeSettings) -> None:
+        self._limit_ms = settings.timings.presence_limit_ms
+        self._groups: dict[str, SeenGroup] = {}
+        self._workers: dict[str, SeenWorker] = {}
+        self._lost: dict[tuple[str, int], int] = {}
+        self._lost_workers: dict[tuple[str, str], int] = {}
+        self.document: model.Document | None = None
+        self.document_text = b''
+        # True once a control host that hears the leader gave or confirmed
+        # the document since this process started.
+        self.is_confirmed = False
+
+    @property
+    def number(self) -> int:
+        """Number of the document in force; 0 before the first."""
+        return self.document.number if self.document else 0
+
+    def put_in_force(self, update: membership_pb2.ConfigurationUpdate) -> None:
+        """Put a document in force if it is newer than the present one.
+
+        :param update: the document.
+        """
+        if update.number <= self.number:
+            return
+        document, problems = validation.parse_document(update.document)
+        if document is None:
+            log.error(
+                'configuration.unreadable',
+                number=update.number,
+                problems=[str(problem) for problem in problems],
+            )
+            return
+        self.document = document
+        self.document_text = update.document
+        log.change('configuration.in_force', number=update.number)
+
+    def note_group(
+        self, line: membership_pb2.GroupLine, hop_age_ms: int
+    ) -> None:
+        """Take a group's line in.
+
+        :param line: what arrived.
+        :param hop_age_ms: upper bound of the time since it was sent.
+        """
+        known = self._groups.get(line.group)
+        if known is not None and known.line.epoch > line.epoch:
+            return
+        now_ms = clock.now_ms()
+        self._groups[line.group] = SeenGroup(
+            line, now_ms - line.age_ms - hop_age_ms, now_ms - hop_age_ms
+        )
+
+    def note_worker(
+        self, line: membership_pb2.WorkerLine, hop_age_ms: int
+    ) -> None:
+        """Take a worker's line in.
+
+        :param line: what arrived.
+        :param hop_age_ms: upper bound of the time since it was sent.
+        """
+        proven_ms = clock.now_ms() - line.age_ms - hop_age_ms
+        self._workers[line.host] = SeenWorker(line, proven_ms)
+
+    def forget(self, groups: list[str], workers: list[str]) -> None:
+        """Drop lines that no longer stand.
+
+        :param groups: names of groups.
+        :param workers: names of workers' hosts.
+        """
+        for group in groups:
+            self._groups.pop(group, None)
+        for worker in workers:
+            self._workers.pop(worker, None)
+
+    def mark_group_lost(self, group: str, epoch: int) -> None:
+        """Route nothing to a group until it has proven itself again.
+
+        :param group: its name.
+        :param epoch: the epoch at which a connection to it failed.
+        """
+        self._lost[group, epoch] = clock.now_ms()
+
+    def mark_worker_lost(self, host: str, run: str) -> None:
+        """Route nothing to a worker until it has proven itself again.
+
+        :param host: its host.
+        :param run: the run to which a connection failed.
+        """
+        self._lost_workers[host, run] = clock.now_ms()
+
+    def list_groups(self, deployment: str) -> list[SeenGroup]:
+        """Return the groups that may take requests.
+
+        :param deployment: the deployment's name.
+        :returns: complete groups, proven within the presence limit.
+        """
+        oldest_ms = clock.now_ms() - self._limit_ms
+        return [
+            seen
+            for seen in self._groups.values()
+            if seen.line.deployment == deployment
+            and seen.line.complete
+            and seen.proven_ms >= oldest_ms
+            and self._is_proven_since_loss(seen)
+        ]
+
+    def _is_proven_since_loss(self, seen: SeenGroup) -> bool:
+        lost_ms = self._lost.get((seen.line.group, seen.line.epoch))
+        return lost_ms is None or seen.proven_ms > lost_ms
+
+    def list_workers(self, service: str) -> list[SeenWorker]:
+        """Return the workers that may take a service's calls.
+
+        :param service: the service's name.
+        :returns: workers proven within the presence limit and not leaving.
+        """
+        oldest_ms = clock.now_ms() - self._limit_ms
+        return [
+            seen
+            for seen in self._workers.values()
+            if seen.line.service == service
+            and not seen.line.leaving
+            and seen.proven_ms >= oldest_ms
+            and self._is_worker_proven_since_loss(seen)
+        ]
+
+    def _is_worker_proven_since_loss(self, seen: SeenWorker) -> bool:
+        lost_ms = self._lost_workers.get((seen.line.host, seen.line.run))
+        return lost_ms is None or seen.proven_ms > lost_ms
--- /dev/null
+++ b/filbertglade/node/node.py
@@ -0,0 +1,201 @@
+"""The long-running process: its parts, started and stopped in order."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import uuid
+
+from grpclib import server as grpc_server
+from tornado import httpserver
+
+from filbertglade.administration import application as administration
+from filbertglade.administration import reader
+from filbertglade.control import agreement
+from filbertglade.control import state
+from filbertglade.control import storage
+from filbertglade.control import submission
+from filbertglade.control import submitter
+from filbertglade.entry import application as entry
+from filbertglade import failures
+from filbertglade.groups import controller
+from filbertglade.inner import channels
+from filbertglade.membership import announcements
+from filbertglade.membership import attachment
+from filbertglade.membership import hub
+from filbertglade.membership import view
+from filbertglade.observability import logs
+from filbertglade.observability import metrics
+from filbertglade.requests import runner
+from filbertglade.settings import model
+
+log = logs.get_log(__name__)
+
+DRAIN_POLL_S = 0.05
+
+
+class ControlRole:
+    """What a control host runs beside what every node runs."""
+
+    def __init__(
+        self,
+        settings: model.NodeSettings,
+        channel_factory: channels.ChannelFactory,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        agreed = state.AgreedState()
+        folder = pathlib.Path(settings.control.data_folder)
+        self.voters = agreement.Agreement(
+            settings,
+            agreed,
+            storage.FileStorage(folder),
+            channel_factory,
+            counters,
+            rng,
+        )
+        self.hub = hub.Hub(
+            settings, agreed, self.voters, channel_factory, counters
+        )
+        self.groups = controller.GroupController(
+            settings, agreed, self.voters, self.hub.presence
+        )
+        self.commands = submission.CommandsServicer(
+            settings, self.voters, channel_factory, counters
+        )
+        self.reader = reader.AdministrationServicer(
+            settings, agreed, self.voters, self.hub.presence, channel_factory
+        )
+
+    async def start(self) -> None | failures.Failure:
+        """Start the parts.
+
+        :returns: None, or why the host cannot take part.
+        """
+        failure = await self.voters.start()
+        if failure is not None:
+            return failure
+        await self.hub.start()
+        await self.groups.start()
+        return None
+
+    async def close(self) -> None:
+        """Stop the parts."""
+        await self.groups.close()
+        await self.hub.close()
+        await self.commands.close()
+        await self.voters.close()
+
+
+class Node:
+    """One node of the system."""
+
+    def __init__(
+        self,
+        settings: model.NodeSettings,
+        channel_factory: channels.ChannelFactory,
+    ) -> None:
+        self._settings = settings
+        self._run = uuid.uuid4().hex
+        rng = random.Random(settings.seed)
+        counters = metrics.Metrics()
+        self._inbox = announcements.AnnouncementInbox(self._run)
+        self._fleet = view.FleetView(settings)
+        self._control: ControlRole | None = None
+        if settings.is_control_host:
+            self._control = ControlRole(
+                settings, channel_factory, counters, rng
+            )
+        self._attachment = attachment.Attachment(
+            settings,
+            self._run,
+            self._inbox,
+            self._fleet,
+            channel_factory,
+            counters,
+        )
+        self._commands = submission.RemoteSubmitter(
+            settings, channel_factory, counters
+        )
+        self._requests = runner.RequestRunner(
+            settings, self._fleet, self._attachment, counters, rng
+        )
+        self._entry = entry.build_application(
+            settings,
+            self._fleet,
+            self._inbox,
+            self._requests,
+            counters,
+            self._find_obstacle,
+        )
+        commands: submitter.Submitter = self._commands
+        self._administration = administration.build_application(
+            settings, self._fleet, commands, channel_factory
+        )
+        self._http: list[httpserver.HTTPServer] = []
+        self._inner: grpc_server.Server | None = None
+        self._stopping = asyncio.Event()
+
+    def _find_obstacle(self) -> str:
+        if self._stopping.is_set():
+            return 'shutting down'
+        if not self._fleet.is_confirmed or self._fleet.document is None:
+            return 'no confirmed configuration yet'
+        return ''
+
+    async def start(self) -> None | failures.Failure:
+        """Start all parts.
+
+        :returns: None, or why the node cannot start.
+        :raises OSError: an address can't be listened on.
+        """
+        services: list[object] = []
+        if self._control is not None:
+            services = [
+                self._control.voters.servicer,
+                self._control.hub,
+                self._control.commands,
+                self._control.reader,
+            ]
+        self._inner = grpc_server.Server(services)  # type: ignore[arg-type]
+        host, port = channels.split_address(self._settings.listen.inner)
+        await self._inner.start(host, port)
+        if self._control is not None:
+            failure = await self._control.start()
+            if failure is not None:
+                return failure
+        await self._commands.start()
+        await self._attachment.start()
+        listen = self._settings.listen
+        for application, address in (
+            (self._entry, listen.callers),
+            (self._administration, listen.administration),
+        ):
+            self._http.append(
+                entry.listen(self._settings, application, address)
+            )
+        log.change('node.started', run=self._run)
+        return None
+
+    async def run_until_stopped(self) -> None:
+        """Run until SIGTERM or SIGINT, then finish what is in flight."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        await self._stopping.wait()
+        log.change('node.draining')
+        self._attachment.is_draining = True
+
+    async def close(self) -> None:
+        """Stop all parts."""
+        for server in self._http:
+            server.stop()
+        await self._requests.close()
+        await self._attachment.close()
+        await self._commands.close()
+        if self._control is not None:
+            await self._control.close()
+        if self._inner is not None:
+            self._inner.close()
+            await self._inner.wait_closed()
+        log.change('node.stopped')
--- /dev/null
+++ b/filbertglade/requests/outcomes.py
@@ -0,0 +1,74 @@
+"""The three outcomes of a request, and the reasons behind them."""
+
+import dataclasses
+import enum
+
+from filbertglade import failures
+
+OUTCOME_HEADER = 'X-Outcome'
+
+
+class Outcome(enum.StrEnum):
+    """What a caller is told became of its request."""
+
+    # The whole answer was given.
+    COMPLETE = 'complete'
+    # The request certainly did not run.
+    NOT_RUN = 'not_run'
+    # The request may have run.
+    UNKNOWN = 'unknown'
+
+
+class RefusalReason(enum.Enum):
+    """Why a request got no whole answer."""
+
+    UNAUTHENTICATED = 'unauthenticated'
+    FORBIDDEN = 'forbidden'
+    BAD_REQUEST = 'bad-request'
+    TOO_LARGE = 'too-large'
+    NO_SUCH_MODEL = 'no-such-model'
+    NO_SUCH_SERVICE = 'no-such-service'
+    LIMIT_REACHED = 'limit-reached'
+    OVERLOADED = 'overloaded'
+    DEADLINE = 'deadline'
+    NO_ENDPOINT = 'no-endpoint'
+    NOT_CONFIGURED = 'not-configured'
+    NO_QUORUM = 'no-quorum'
+    SHUTTING_DOWN = 'shutting-down'
+    KEY_REUSED = 'key-reused'
+    STRUCK = 'struck'
+    ENDPOINT_FAILED = 'endpoint-failed'
+    OWNER_GONE = 'owner-gone'
+
+
+STATUS_BY_REASON = {
+    RefusalReason.UNAUTHENTICATED: 401,
+    RefusalReason.FORBIDDEN: 403,
+    RefusalReason.BAD_REQUEST: 400,
+    RefusalReason.TOO_LARGE: 413,
+    RefusalReason.NO_SUCH_MODEL: 404,
+    RefusalReason.NO_SUCH_SERVICE: 404,
+    RefusalReason.LIMIT_REACHED: 429,
+    RefusalReason.OVERLOADED: 503,
+    RefusalReason.DEADLINE: 503,
+    RefusalReason.NO_ENDPOINT: 503,
+    RefusalReason.NOT_CONFIGURED: 503,
+    RefusalReason.NO_QUORUM: 503,
+    RefusalReason.SHUTTING_DOWN: 503,
+    RefusalReason.KEY_REUSED: 422,
+    RefusalReason.STRUCK: 503,
+    RefusalReason.ENDPOINT_FAILED: 504,
+    RefusalReason.OWNER_GONE: 409,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal(failures.Failure):
+    """A request that got no whole answer.
+
+    :param outcome: whether it certainly did not run.
+    :param retry_after_ms: when to come back; 0 if that would not help.
+    """
+
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after_ms: int = 0
--- /dev/null
+++ b/filbertglade/standin/fleet.py
@@ -0,0 +1,175 @@
+"""Stand-in hosts in one process, each with listeners of its own."""
+
+import asyncio
+import json
+import typing
+import uuid
+
+from tornado import httpclient
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from filbertglade.standin import engine
+from filbertglade.standin import service
+from filbertglade.standin import settings as standin_settings
+from filbertglade import tasks
+
+ANNOUNCE_TIMEOUT_S = 2.0
+FIRST_INTERVAL_MS = 100
+
+
+class Recorder:
+    """Writes down what hosts took, for tests to judge by."""
+
+    def __init__(self, path: str) -> None:
+        self._file = open(path, 'a', buffering=1) if path else None
+
+    def write(self, kind: str, **fields: object) -> None:
+        """Write one line.
+
+        :param kind: ``order``, ``request`` or ``answer``.
+        :param fields: what was taken.
+        """
+        if self._file is not None:
+            self._file.write(json.dumps({'kind': kind, **fields}) + '\n')
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._file is not None:
+            self._file.close()
+
+
+class StandinHost:
+    """One host: it announces itself, takes orders and requests."""
+
+    def __init__(
+        self,
+        settings: standin_settings.StandinSettings,
+        name: str,
+        recorder: Recorder,
+    ) -> None:
+        self._settings = settings
+        self.name = name
+        self._run = uuid.uuid4().hex
+        self._sequence = 0
+        self._token = ''
+        self._recorder = recorder
+        self._tasks = tasks.TaskGroup()
+        self.engine = engine.Engine(settings, name, recorder.write)
+        self._server: httpserver.HTTPServer | None = None
+        self._client = httpclient.AsyncHTTPClient(force_instance=True)
+        self._entry = 0
+        self.address = ''
+        self.is_leaving = False
+
+    async def start(self) -> None:
+        """Listen and begin to announce."""
+        handlers: list[tuple[typing.Any, ...]]
+        if self._settings.service:
+            parts = {
+                'settings': self._settings,
+                'host': self.name,
+                'record': self._recorder.write,
+            }
+            handlers = [(r'/.*', service.ServiceHandler, parts)]
+        else:
+            handlers = [
+                (
+                    r'/v1/(?:chat/)?completions',
+                    engine.CompletionHandler,
+                    {'engine': self.engine},
+                ),
+                (r'/v1/order', engine.OrderHandler, {'engine': self.engine}),
+            ]
+        application = web.Application(handlers, log_function=lambda _: None)
+        sockets = netutil.bind_sockets(0, '127.0.0.1')
+        self._server = httpserver.HTTPServer(application)
+        self._server.add_sockets(sockets)
+        self.address = f'127.0.0.1:{sockets[0].getsockname()[1]}'
+        self._tasks.start(self._announce())
+
+    async def close(self) -> None:
+        """Stop at once, as a host that dies."""
+        await self._tasks.close()
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+        self._client.close()
+
+    async def _announce(self) -> None:
+        interval_ms = FIRST_INTERVAL_MS
+        while True:
+            reply = await self._announce_once()
+            if reply is not None:
+                self._token = str(reply['token'])
+                if self._sequence > 1:
+                    interval_ms = int(str(reply['interval_ms']))
+            else:
+                self._entry += 1
+            await asyncio.sleep(interval_ms / 1000)
+
+    async def _announce_once(self) -> dict[str, object] | None:
+        entries = self._settings.entries
+        url = entries[self._entry % len(entries)]
+        self._sequence += 1
+        request = httpclient.HTTPRequest(
+            f'{url}/v1/announce',
+            method='POST',
+            headers={'Content-Type': 'application/json'},
+            body=json.dumps(self._build_announcement()),
+            request_timeout=ANNOUNCE_TIMEOUT_S,
+        )
+        try:
+            response = await self._client.fetch(request)
+        except (OSError, httpclient.HTTPClientError):
+            return None
+        found: dict[str, object] = json.loads(response.body)
+        return found
+
+    def _build_announcement(self) -> dict[str, object]:
+        settings = self._settings
+        announcement: dict[str, object] = {
+            'host': self.name,
+            'run': self._run,
+            'sequence': self._sequence,
+            'region': settings.region,
+            'data_centre': settings.data_centre,
+            'address': self.address,
+            'token': self._token,
+            'leaving': self.is_leaving,
+        }
+        if settings.service:
+            announcement['service'] = settings.service
+            return announcement
+        announcement.update(
+            fabric_domain=settings.fabric_domain,
+            order_address=self.address,
+            group=self.engine.group,
+            epoch=self.engine.epoch,
+            ready=self.engine.is_ready,
+            load=self.engine.read_load(),
+        )
+        return announcement
+
+
+class StandinFleet:
+    """All stand-in hosts of the process."""
+
+    def __init__(self, settings: standin_settings.StandinSettings) -> None:
+        self._recorder = Recorder(settings.record_file)
+        self.hosts = [
+            StandinHost(settings, f'{settings.prefix}-{i + 1}', self._recorder)
+            for i in range(settings.hosts)
+        ]
+
+    async def start(self) -> None:
+        """Start the hosts."""
+        for host in self.hosts:
+            await host.start()
+
+    async def close(self) -> None:
+        """Stop the hosts."""
+        for host in self.hosts:
+            await host.close()
+        self._recorder.close()
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,237 @@
+"""Clusters of real node processes for tests."""
+
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import httpx
+
+WAIT_LIMIT_S = 60.0
+WAIT_STEP_S = 0.05
+DATA_CENTRES = ('north', 'east', 'south')
+KEY = 'test-key'
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that nobody listens on."""
+    with contextlib.ExitStack() as stack:
+        sockets = []
+        for _ in range(count):
+            found = stack.enter_context(socket.socket())
+            found.bind(('127.0.0.1', 0))
+            sockets.append(found)
+        return [found.getsockname()[1] for found in sockets]
+
+
+def wait_until(
+    test: typing.Callable[[], typing.Any],
+    what: str,
+    limit_s: float = WAIT_LIMIT_S,
+) -> typing.Any:
+    """Wait until a test gives something true, and return that."""
+    end_s = time.monotonic() + limit_s
+    while True:
+        found = test()
+        if found:
+            return found
+        if time.monotonic() > end_s:
+            raise AssertionError(f'not within {limit_s} s: {what}')
+        time.sleep(WAIT_STEP_S)
+
+
+@dataclasses.dataclass(slots=True)
+class NodeProcess:
+    """One node of a cluster: its files, addresses and process."""
+
+    name: str
+    data_centre: str
+    folder: pathlib.Path
+    callers: str
+    administration: str
+    inner: str
+    is_control: bool
+    process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def settings_path(self) -> pathlib.Path:
+        return self.folder / 'node.toml'
+
+    @property
+    def data_folder(self) -> pathlib.Path:
+        return self.folder / 'data'
+
+    @property
+    def log_path(self) -> pathlib.Path:
+        return self.folder / 'node.log'
+
+    @property
+    def url(self) -> str:
+        return f'http://{self.callers}'
+
+    @property
+    def administration_url(self) -> str:
+        return f'http://{self.administration}'
+
+    def start(self) -> None:
+        errors = open(self.folder / 'stderr.txt', 'ab')
+        self.process = subprocess.Popen(
+            [*program(), 'node', '--settings', str(self.settings_path)],
+            stderr=errors,
+            stdout=errors,
+        )
+        errors.close()
+
+    def send_signal(self, number: int) -> None:
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+    def stop(self) -> int:
+        assert self.process is not None
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(WAIT_LIMIT_S)
+
+    def get(self, path: str) -> dict[str, typing.Any] | None:
+        """Return the administration API's answer, or None without one."""
+        try:
+            answer = httpx.get(self.administration_url + path, timeout=5)
+        except httpx.HTTPError:
+            return None
+        return answer.json() if answer.status_code == 200 else None
+
+    def is_ready(self) -> bool:
+        try:
+            return httpx.get(f'{self.url}/readyz').status_code == 200
+        except httpx.HTTPError:
+            return False
+
+
+def program() -> list[str]:
+    """Return the command that runs the program.
+
+    FILBERTGLADE_PROGRAM names another one, such as the one-file binary.
+    """
+    named = os.environ.get('FILBERTGLADE_PROGRAM')
+    return [named] if named else [sys.executable, '-m', 'filbertglade']
+
+
+class Cluster:
+    """Node and stand-in processes that end with the test."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self.nodes: list[NodeProcess] = []
+        self._standins: list[subprocess.Popen[bytes]] = []
+
+    def lay_out(
+        self, control: int, others: int, extra: str = ''
+    ) -> list[NodeProcess]:
+        """Write the settings of nodes; start none yet.
+
+        :param control: how many are control hosts.
+        :param others: how many are not.
+        :param extra: further TOML tables for each node.
+        """
+        ports = iter(find_free_ports(3 * (control + others)))
+        for position in range(control + others):
+            name = f'node-{position + 1}'
+            folder = self._folder / name
+            folder.mkdir(parents=True)
+            self.nodes.append(
+                NodeProcess(
+                    name=name,
+                    data_centre=DATA_CENTRES[position % len(DATA_CENTRES)],
+                    folder=folder,
+                    callers=f'127.0.0.1:{next(ports)}',
+                    administration=f'127.0.0.1:{next(ports)}',
+                    inner=f'127.0.0.1:{next(ports)}',
+                    is_control=position < control,
+                )
+            )
+        for node in self.nodes:
+            self._write_settings(node, extra)
+        return self.nodes
+
+    def _write_settings(self, node: NodeProcess, extra: str) -> None:
+        control = [node for node in self.nodes if node.is_control]
+        lines = [
+            f'name = "{node.name}"',
+            'region = "central"',
+            f'data_centre = "{node.data_centre}"',
+            f'log_file = "{node.log_path}"',
+            '[listen]',
+            f'callers = "{node.callers}"',
+            f'administration = "{node.administration}"',
+            f'inner = "{node.inner}"',
+            '[control]',
+        ]
+        if node.is_control:
+            lines.append(f'data_folder = "{node.data_folder}"')
+        for host in control:
+            lines += [
+                '[[control.hosts]]',
+                f'name = "{host.name}"',
+                f'address = "{host.inner}"',
+                f'data_centre = "{host.data_centre}"',
+            ]
+        node.settings_path.write_text('\n'.join(lines) + '\n' + extra)
+
+    def found(self) -> None:
+        """Mark the control hosts' folders and start all nodes."""
+        for node in self.nodes:
+            if node.is_control:
+                run_command(
+                    'init-control', '--settings', str(node.settings_path)
+                )
+        for node in self.nodes:
+            node.start()
+
+    def start_standin(self, *options: str) -> subprocess.Popen[bytes]:
+        """Start a stand-in process that announces to every node."""
+        entries: list[str] = []
+        for node in self.nodes:
+            entries += ['--entry', node.url]
+        process = subprocess.Popen([*program(), 'standin', *entries, *options])
+        self._standins.append(process)
+        return process
+
+    def find_leader(self) -> NodeProcess | None:
+        """Return the acting leader as the running nodes tell it."""
+        for node in self.nodes:
+            if node.process is None or node.process.poll() is not None:
+                continue
+            status = node.get('/v1/status')
+            if status is not None:
+                return self.node(status['leader'])
+        return None
+
+    def node(self, name: str) -> NodeProcess:
+        return next(node for node in self.nodes if node.name == name)
+
+    def close(self) -> None:
+        for node in self.nodes:
+            node.kill()
+        for process in self._standins:
+            process.kill()
+            process.wait()
+
+
+def run_command(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run the program to its end."""
+    return subprocess.run(
+        [*program(), *arguments],
+        capture_output=True,
+        text=True,
+        timeout=WAIT_LIMIT_S,
+    )
