Replicate the log: elections, commits, restarts, commands from nodes

The agreed tables had no log to carry them.

Shown by tests over the inner protocol for 1, 3 and 5 voters in virtual time, and over sockets with real files for 1 and 3.

--- a/filbertglade/control/failures.py
+++ b/filbertglade/control/failures.py
@@ -39,3 +39,26 @@
     ) -> None:
         super().__init__(reason, detail)
         object.__setattr__(self, 'may_have_applied', may_have_applied)
+
+
+class StorageReason(enum.Enum):
+    """Why the data folder can't be used."""
+
+    # The folder holds something already.
+    NOT_EMPTY = 'not-empty'
+    # Another process uses the folder.
+    IN_USE = 'in-use'
+    # The folder belongs to another node.
+    WRONG_NODE = 'wrong-node'
+    # What was once synced is missing or damaged.
+    BROKEN = 'broken'
+    # The operating system refused a read.
+    READ_FAILED = 'read-failed'
+    # The operating system refused a write, or couldn't sync it.
+    WRITE_FAILED = 'write-failed'
+
+
+class StorageFailure(failures.Failure):
+    """A data folder that can't be used."""
+
+    __slots__ = ()
--- /dev/null
+++ b/filbertglade/control/replication.py
@@ -0,0 +1,318 @@
+"""The leader's side towards one other voter."""
+
+import asyncio
+import typing
+
+from grpclib import client
+from grpclib import exceptions
+
+from filbertglade import clock
+from filbertglade.control import failures
+from filbertglade.control import quorum
+from filbertglade.inner import agreement_grpc
+from filbertglade.inner import agreement_pb2
+from filbertglade.observability import logs
+from filbertglade.settings import model
+
+if typing.TYPE_CHECKING:
+    from filbertglade.control import leadership
+    from filbertglade.control import member
+
+# Requests with records sent ahead of their replies.
+WINDOW = 8
+BATCH_BYTES = 1 << 20
+BATCH_ENTRIES = 1024
+SNAPSHOT_REPLY_MS = 60_000
+
+STREAM_ERRORS = (
+    exceptions.GRPCError,
+    exceptions.ProtocolError,
+    exceptions.StreamTerminatedError,
+    OSError,
+    TimeoutError,
+)
+
+Stream = client.Stream[agreement_pb2.AppendRequest, agreement_pb2.AppendReply]
+
+log = logs.get_log(__name__)
+
+
+class Replicator:
+    """Keeps one voter's log equal to the leader's.
+
+    :param voter: the voter that leads.
+    :param leading: its term of leading.
+    :param host: the voter to replicate to.
+    :ivar match_index: index up to which its durable log is known to match.
+    :ivar answered_sent_ms: when the newest request that it answered was
+        sent; NEVER if none was.
+    :ivar incarnation: the life of the data folder that answered.
+    :ivar founding: whether that was marked as a founding voter's.
+    """
+
+    def __init__(
+        self,
+        voter: 'member.Member',
+        leading: 'leadership.Leadership',
+        host: model.ControlHostSettings,
+    ) -> None:
+        self._voter = voter
+        self._leading = leading
+        self._host = host
+        self.match_index = 0
+        self.answered_sent_ms = quorum.NEVER
+        self.incarnation = ''
+        self.founding = False
+        self._next_index = voter.journal.last_index + 1
+        self._sequence = 0
+        # Replies to requests before this one tell nothing new of the log.
+        self._first_of_try = 0
+        self._sent_ms: dict[int, int] = {}
+        self._last_sent_ms = 0
+        self._woken = asyncio.Event()
+        self._transfer: asyncio.Task[None] | None = None
+
+    @property
+    def name(self) -> str:
+        """The other voter's name."""
+        return self._host.name
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the voter answered lately."""
+        if self.answered_sent_ms == quorum.NEVER:
+            return False
+        age_ms = clock.now_ms() - self.answered_sent_ms
+        return age_ms < self._voter.settings.control.election_ms
+
+    def answer(self, value: int) -> quorum.Answer:
+        """Return an answer of the voter.
+
+        :param value: how far it got.
+        """
+        return quorum.Answer(self.incarnation, self.founding, value)
+
+    def wake(self) -> None:
+        """Look for something to send."""
+        self._woken.set()
+
+    async def run(self) -> None:
+        """Keep one stream to the voter, over and over."""
+        pause_ms = self._voter.settings.control.heartbeat_ms
+        while True:
+            channel = self._voter.channel_factory.open_channel(
+                self._host.address
+            )
+            try:
+                await self._serve(channel)
+            except STREAM_ERRORS:
+                self._voter.counters.count(
+                    'agreement_stream_breaks', peer=self.name
+                )
+            finally:
+                await self._end_transfer()
+                channel.close()
+            pause = pause_ms * (0.5 + self._voter.rng.random())
+            await asyncio.sleep(pause / 1000)
+
+    async def _serve(self, channel: client.Channel) -> None:
+        self._sent_ms.clear()
+        self._first_of_try = self._sequence + 1
+        self._next_index = self._voter.journal.last_index + 1
+        if self.match_index:
+            self._next_index = self.match_index + 1
+        stub = agreement_grpc.AgreementStub(channel)
+        async with stub.Append.open() as stream:
+            async with asyncio.timeout(self._patience_s()):
+                await stream.send_request()
+            reader = self._voter.tasks.start(self._read(stream))
+            try:
+                await self._send(stream, channel, reader)
+                raise ConnectionError('the peer ended the stream')
+            finally:
+                reader.cancel()
+                await asyncio.wait([reader])
+
+    def _patience_s(self) -> float:
+        return self._voter.settings.control.election_ms / 1000
+
+    # Sending
+
+    async def _send(
+        self,
+        stream: Stream,
+        channel: client.Channel,
+        reader: asyncio.Task[None],
+    ) -> None:
+        """Send records as they come, and heartbeats between them."""
+        while not reader.done():
+            self._check_patience()
+            self._check_transfer(channel)
+            if self._can_send_entries() or self._heartbeat_wait_ms() <= 0:
+                async with asyncio.timeout(self._patience_s()):
+                    await stream.send_message(self._next_request())
+                continue
+            self._woken.clear()
+            try:
+                async with asyncio.timeout(self._heartbeat_wait_ms() / 1000):
+                    await self._woken.wait()
+            except TimeoutError:
+                continue
+
+    def _heartbeat_wait_ms(self) -> int:
+        interval_ms = self._voter.settings.control.heartbeat_ms
+        return self._last_sent_ms + interval_ms - clock.now_ms()
+
+    def _check_patience(self) -> None:
+        oldest_ms = next(iter(self._sent_ms.values()), None)
+        limit_ms = self._voter.settings.control.election_ms
+        if oldest_ms is not None and clock.now_ms() - oldest_ms > limit_ms:
+            raise TimeoutError
+
+    def _can_send_entries(self) -> bool:
+        return (
+            self._next_index <= self._voter.journal.last_index
+            and len(self._sent_ms) < WINDOW
+            and self._transfer is None
+        )
+
+    def _next_request(self) -> agreement_pb2.AppendRequest:
+        """Return the next records, or a heartbeat."""
+        journal = self._voter.journal
+        previous_index = self._next_index - 1
+        if self._transfer is not None:
+            previous_index = journal.last_index
+        entries = []
+        if self._can_send_entries():
+            entries = journal.read(
+                self._next_index, BATCH_BYTES, BATCH_ENTRIES
+            )
+            self._next_index += len(entries)
+        self._sequence += 1
+        self._last_sent_ms = clock.now_ms()
+        self._sent_ms[self._sequence] = self._last_sent_ms
+        return agreement_pb2.AppendRequest(
+            term=self._leading.term,
+            leader=self._voter.name,
+            sequence=self._sequence,
+            previous_index=previous_index,
+            previous_term=journal.term_at(previous_index) or 0,
+            entries=entries,
+            committed_index=self._voter.committed_index,
+            log_clock_ms=self._voter.log_clock_ms(),
+        )
+
+    # Replies
+
+    async def _read(self, stream: Stream) -> None:
+        try:
+            while True:
+                reply = await stream.recv_message()
+                if reply is None:
+                    return
+                self._take_reply(reply)
+        except STREAM_ERRORS:
+            # The sending side sees the end of this task.
+            return
+        finally:
+            self.wake()
+
+    def _take_reply(self, reply: agreement_pb2.AppendReply) -> None:
+        if reply.term > self._leading.term:
+            self._voter.observe_term(reply.term)
+            return
+        sent_ms = self._sent_ms.pop(reply.sequence, None)
+        if sent_ms is None:
+            return
+        if reply.incarnation != self.incarnation:
+            self.match_index = 0
+            self.answered_sent_ms = quorum.NEVER
+        self.incarnation = reply.incarnation
+        self.founding = reply.founding
+        self.answered_sent_ms = max(self.answered_sent_ms, sent_ms)
+        if reply.accepted:
+            self._take_match(reply.match_index)
+        elif reply.sequence >= self._first_of_try:
+            self._first_of_try = self._sequence + 1
+            self._next_index = max(1, reply.retry_index)
+        self._leading.note_reply()
+        self.wake()
+
+    def _take_match(self, match_index: int) -> None:
+        if match_index > self.match_index:
+            self.match_index = match_index
+            self._next_index = max(self._next_index, match_index + 1)
+            self._leading.note_progress()
+
+    # Snapshots
+
+    def _check_transfer(self, channel: client.Channel) -> None:
+        """Send a snapshot if the records needed are cut off."""
+        journal = self._voter.journal
+        if self._transfer is not None:
+            if not self._transfer.done():
+                return
+            self._transfer = None
+            self._next_index = journal.last_index + 1
+            self._first_of_try = self._sequence + 1
+        if journal.term_at(self._next_index - 1) is None:
+            self._transfer = self._voter.tasks.start(
+                self._send_snapshot(channel)
+            )
+
+    async def _end_transfer(self) -> None:
+        if self._transfer is not None:
+            self._transfer.cancel()
+            await asyncio.wait([self._transfer])
+            self._transfer = None
+
+    async def _send_snapshot(self, channel: client.Channel) -> None:
+        reader = await self._voter.storage.read_snapshot()
+        if reader is None or isinstance(reader, failures.StorageFailure):
+            log.error('snapshot.unreadable', reason=str(reader))
+            return
+        log.change(
+            'snapshot.sending', peer=self.name, index=reader.point.index
+        )
+        stub = agreement_grpc.AgreementStub(channel)
+        try:
+            async with stub.InstallSnapshot.open() as stream:
+                await self._send_chunks(stream, reader)
+                async with asyncio.timeout(SNAPSHOT_REPLY_MS / 1000):
+                    reply = await stream.recv_message()
+        except STREAM_ERRORS:
+            self._voter.counters.count('agreement_snapshot_breaks')
+            return
+        finally:
+            reader.close()
+            self.wake()
+        if reply is not None:
+            self._voter.observe_term(reply.term)
+
+    async def _send_chunks(
+        self,
+        stream: client.Stream[
+            agreement_pb2.SnapshotChunk, agreement_pb2.SnapshotReply
+        ],
+        reader: typing.Any,
+    ) -> None:
+        number = 0
+        while True:
+            data = await reader.read()
+            if isinstance(data, failures.StorageFailure):
+                log.error('snapshot.unreadable', reason=str(data))
+                raise TimeoutError
+            chunk = agreement_pb2.SnapshotChunk(
+                term=self._leading.term,
+                leader=self._voter.name,
+                last_index=reader.point.index,
+                last_term=reader.point.term,
+                offset=number,
+                data=data,
+                last=not data,
+            )
+            async with asyncio.timeout(SNAPSHOT_REPLY_MS / 1000):
+                await stream.send_message(chunk, end=not data)
+            if not data:
+                return
+            number += 1
--- a/filbertglade/control/state.py
+++ b/filbertglade/control/state.py
@@ -7,10 +7,12 @@
 from filbertglade.control.tables import claims
 from filbertglade.control.tables import configuration
 from filbertglade.control.tables import groups
+from filbertglade.control.tables import voters
 from filbertglade.inner import commands_pb2
 
 _HEADER = struct.Struct('>QQ')
-_LENGTH = struct.Struct('>Q')
+# Stands for the header where other parts name their table.
+_HEADER_TABLE = 255
 
 Listener = abc.Callable[[commands_pb2.Command], None]
 
@@ -28,6 +30,7 @@
         self.configuration = configuration.ConfigurationTable()
         self.groups = groups.GroupTable()
         self.claims = claims.ClaimTable()
+        self.voters = voters.VoterTable()
         self._listeners: list[Listener] = []
 
     def add_listener(self, listener: Listener) -> None:
@@ -64,34 +67,58 @@
                 command.claim_changes, self.log_clock_ms
             )
             result.claims.CopyFrom(settled)
+        elif kind in ('voter_founding', 'voter_exchange'):
+            result.voter.done = self.voters.apply(command)
         self._notify(command)
         return result
 
-    def dump(self) -> bytes:
-        """Return the whole state for a snapshot."""
-        parts = [_HEADER.pack(self.applied_index, self.log_clock_ms)]
-        for table in self._tables():
-            data = table.dump()
-            parts += (_LENGTH.pack(len(data)), data)
-        return b''.join(parts)
+    def dump(self) -> abc.Iterator[bytes]:
+        """Return the whole state for a snapshot, in parts.
 
-    def load(self, data: bytes) -> None:
-        """Replace the whole state by a snapshot's.
+        The call itself freezes what the parts will hold.
+        """
+        dumps = [table.dump() for table in self._tables()]
+        return _join_dumps(
+            _HEADER.pack(self.applied_index, self.log_clock_ms), dumps
+        )
+
+    def load_chunk(self, chunk: bytes) -> None:
+        """Add one part of a snapshot to a fresh state.
 
-        :param data: what :meth:`dump` gave.
+        :param chunk: a part that :meth:`dump` gave; all come in order.
         """
-        self.applied_index, self.log_clock_ms = _HEADER.unpack_from(data)
-        position = _HEADER.size
-        for table in self._tables():
-            (length,) = _LENGTH.unpack_from(data, position)
-            position += _LENGTH.size
-            table.load(data[position : position + length])
-            position += length
+        table = chunk[0]
+        if table == _HEADER_TABLE:
+            header = _HEADER.unpack_from(chunk, 1)
+            self.applied_index, self.log_clock_ms = header
+            return
+        self._tables()[table].load_chunk(chunk[1:])
+
+    def adopt(self, other: 'AgreedState') -> None:
+        """Take a loaded state's content, all at once.
+
+        :param other: the loaded state, which is used no more.
+        """
+        self.applied_index = other.applied_index
+        self.log_clock_ms = other.log_clock_ms
+        for table, loaded in zip(self._tables(), other._tables(), strict=True):
+            table.adopt(loaded)
         self._notify(commands_pb2.Command())
 
     def _tables(self) -> tuple[base.Table, ...]:
-        return (self.configuration, self.groups, self.claims)
+        # The order is the snapshots' format.
+        return (self.configuration, self.groups, self.claims, self.voters)
 
     def _notify(self, command: commands_pb2.Command) -> None:
         for listener in self._listeners:
             listener(command)
+
+
+def _join_dumps(
+    header: bytes, dumps: list[abc.Iterator[bytes]]
+) -> abc.Iterator[bytes]:
+    yield bytes((_HEADER_TABLE,)) + header
+    for table, dump in enumerate(dumps):
+        prefix = bytes((table,))
+        for chunk in dump:
+            yield prefix + chunk
--- /dev/null
+++ b/filbertglade/control/submit_stream.py
@@ -0,0 +1,203 @@
+"""One long stream of commands to a control host."""
+
+import asyncio
+import collections
+import dataclasses
+
+from grpclib import client
+
+from filbertglade.control import failures
+from filbertglade.control import replication
+from filbertglade.inner import channels
+from filbertglade.inner import commands_grpc
+from filbertglade.inner import commands_pb2
+from filbertglade.settings import model
+from filbertglade import tasks
+
+MAXIMUM_OUTSTANDING = 1024
+
+Reason = failures.SubmitReason
+Result = commands_pb2.CommandResult | failures.SubmitFailure
+Stream = client.Stream[commands_pb2.SubmitRequest, commands_pb2.SubmitReply]
+
+
+@dataclasses.dataclass(slots=True)
+class _Outstanding:
+    """A command that has no answer yet."""
+
+    future: asyncio.Future[Result]
+    sent: bool = False
+
+
+class SubmitStream:
+    """Sends commands to one control host, many at a time.
+
+    The stream is opened with the first command, and again after a break.
+
+    :param settings: the node's settings.
+    :param address: the control host's inner address.
+    :param channel_factory: opens the channel.
+    :param forwarded: whether a control host passes the commands on.
+    """
+
+    def __init__(
+        self,
+        settings: model.NodeSettings,
+        address: str,
+        channel_factory: channels.ChannelFactory,
+        forwarded: bool = False,
+    ) -> None:
+        self._settings = settings
+        self._address = address
+        self._channel_factory = channel_factory
+        self._forwarded = forwarded
+        self._tasks = tasks.TaskGroup()
+        self._runner: asyncio.Task[None] | None = None
+        self._sequence = 0
+        self._outstanding: dict[int, _Outstanding] = {}
+        self._queue: collections.deque[commands_pb2.SubmitRequest] = (
+            collections.deque()
+        )
+        self._woken = asyncio.Event()
+        self._closed = False
+
+    @property
+    def address(self) -> str:
+        """The control host's inner address."""
+        return self._address
+
+    async def submit(
+        self, command: commands_pb2.Command, timeout_ms: int
+    ) -> Result:
+        """Send a command and wait for its answer.
+
+        :param command: the command.
+        :param timeout_ms: how long to wait.
+        :returns: the result, or the failure.
+        """
+        if self._closed:
+            return failures.SubmitFailure(Reason.CLOSING)
+        if len(self._outstanding) >= MAXIMUM_OUTSTANDING:
+            return failures.SubmitFailure(
+                Reason.OVERLOADED, 'too many commands wait'
+            )
+        self._sequence += 1
+        sequence = self._sequence
+        waiting = _Outstanding(asyncio.get_running_loop().create_future())
+        self._outstanding[sequence] = waiting
+        self._queue.append(
+            commands_pb2.SubmitRequest(
+                sequence=sequence,
+                command=command,
+                forwarded=self._forwarded,
+                timeout_ms=timeout_ms,
+            )
+        )
+        self._ensure_runs()
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await waiting.future
+        except TimeoutError:
+            return failures.SubmitFailure(
+                Reason.TIMED_OUT,
+                f'no answer from {self._address}',
+                may_have_applied=waiting.sent,
+            )
+        finally:
+            self._outstanding.pop(sequence, None)
+            waiting.future.cancel()
+
+    def _ensure_runs(self) -> None:
+        self._woken.set()
+        if self._runner is None or self._runner.done():
+            self._runner = self._tasks.start(self._run())
+
+    async def retire(self) -> None:
+        """Wait for the answers still to come, then close."""
+        waiting = [item.future for item in self._outstanding.values()]
+        if waiting:
+            # Each of them is bounded by its own time-out.
+            await asyncio.wait(waiting)
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the stream; commands without an answer fail."""
+        self._closed = True
+        await self._tasks.close()
+        self._fail_all(Reason.CLOSING, 'closing')
+
+    async def _run(self) -> None:
+        """Keep one stream until it breaks."""
+        channel = self._channel_factory.open_channel(self._address)
+        detail = f'{self._address} ended the stream'
+        try:
+            await self._serve(channel)
+        except replication.STREAM_ERRORS as error:
+            kind = type(error).__name__
+            detail = f'{self._address} is out of reach: {kind}'
+        finally:
+            channel.close()
+            self._fail_all(Reason.NO_LEADER, detail)
+
+    async def _serve(self, channel: client.Channel) -> None:
+        limit_s = self._settings.timings.connect_timeout_ms / 1000
+        stub = commands_grpc.CommandsStub(channel)
+        async with stub.Submit.open() as stream:
+            async with asyncio.timeout(limit_s):
+                await stream.send_request()
+            reader = self._tasks.start(self._read(stream))
+            try:
+                while not reader.done():
+                    await self._send_queued(stream)
+                raise ConnectionError('the peer ended the stream')
+            finally:
+                reader.cancel()
+                await asyncio.wait([reader])
+
+    async def _send_queued(self, stream: Stream) -> None:
+        limit_s = self._settings.timings.connect_timeout_ms / 1000
+        while self._queue:
+            request = self._queue.popleft()
+            waiting = self._outstanding.get(request.sequence)
+            if waiting is None:
+                continue
+            # From here on it may have reached the host.
+            waiting.sent = True
+            async with asyncio.timeout(limit_s):
+                await stream.send_message(request)
+        self._woken.clear()
+        await self._woken.wait()
+
+    async def _read(self, stream: Stream) -> None:
+        try:
+            while (reply := await stream.recv_message()) is not None:
+                waiting = self._outstanding.get(reply.sequence)
+                if waiting is not None and not waiting.future.done():
+                    waiting.future.set_result(_read_reply(reply))
+        except replication.STREAM_ERRORS:
+            # The sending side sees the end of this task.
+            return
+        finally:
+            self._woken.set()
+
+    def _fail_all(self, reason: Reason, detail: str) -> None:
+        self._queue.clear()
+        for waiting in self._outstanding.values():
+            if not waiting.future.done():
+                lost = waiting.sent and reason is Reason.NO_LEADER
+                waiting.future.set_result(
+                    failures.SubmitFailure(
+                        Reason.LEADER_LOST if lost else reason,
+                        detail,
+                        may_have_applied=waiting.sent,
+                    )
+                )
+
+
+def _read_reply(reply: commands_pb2.SubmitReply) -> Result:
+    if reply.WhichOneof('answer') == 'result':
+        return reply.result
+    failure = reply.failure
+    return failures.SubmitFailure(
+        Reason(failure.reason), failure.detail, failure.may_have_applied
+    )
--- a/filbertglade/control/tables/base.py
+++ b/filbertglade/control/tables/base.py
@@ -1,6 +1,8 @@
 """What the tables of the agreed state have in common."""
 
 import abc
+import collections.abc
+import typing
 
 
 class Table(abc.ABC):
@@ -11,12 +13,23 @@
     """
 
     @abc.abstractmethod
-    def dump(self) -> bytes:
-        """Return the whole table for a snapshot."""
+    def dump(self) -> collections.abc.Iterator[bytes]:
+        """Return the whole table for a snapshot, in parts.
+
+        The call itself freezes what the parts will hold, so that the table
+        may change while they are read.
+        """
 
     @abc.abstractmethod
-    def load(self, data: bytes) -> None:
-        """Replace the whole table by a snapshot's.
+    def load_chunk(self, chunk: bytes) -> None:
+        """Add one part of a snapshot to a fresh table.
+
+        :param chunk: a part that :meth:`dump` gave; all come in order.
+        """
+
+    def adopt(self, other: typing.Self) -> None:
+        """Take the content of another table, which is used no more.
 
-        :param data: what :meth:`dump` gave.
+        :param other: a table of the same kind.
         """
+        vars(self).update(vars(other))
--- a/filbertglade/control/tables/configuration.py
+++ b/filbertglade/control/tables/configuration.py
@@ -1,6 +1,7 @@
 """The accepted configuration documents."""
 
 import collections
+from collections import abc
 import json
 
 from filbertglade.control.tables import base
@@ -20,6 +21,8 @@
         self._changes: collections.OrderedDict[
             str, commands_pb2.PutConfiguration
         ] = collections.OrderedDict()
+        # Whether the history was loaded, so that the document comes next.
+        self._loads_current = False
 
     def history(self) -> list[commands_pb2.PutConfiguration]:
         """Return the accepted changes without documents, oldest first."""
@@ -69,7 +72,7 @@
                 return change
         return None
 
-    def dump(self) -> bytes:
+    def dump(self) -> abc.Iterator[bytes]:
         """Return the whole table for a snapshot."""
         history = [
             [item.number, item.change_id, item.digest]
@@ -77,20 +80,21 @@
         ]
         text = json.dumps(history).encode()
         current = self.current.SerializeToString()
-        return len(text).to_bytes(8, 'big') + text + current
+        return iter((text, current))
 
-    def load(self, data: bytes) -> None:
-        """Replace the whole table by a snapshot's.
+    def load_chunk(self, chunk: bytes) -> None:
+        """Add one part of a snapshot to a fresh table.
 
-        :param data: what :meth:`dump` gave.
+        :param chunk: a part that :meth:`dump` gave; all come in order.
         """
-        end = 8 + int.from_bytes(data[:8], 'big')
-        self._changes.clear()
-        for number, change_id, digest in json.loads(data[8:end]):
-            self._changes[change_id] = commands_pb2.PutConfiguration(
-                number=number, change_id=change_id, digest=digest
-            )
-        self.current = commands_pb2.PutConfiguration.FromString(data[end:])
+        if not self._loads_current:
+            self._loads_current = True
+            for number, change_id, digest in json.loads(chunk):
+                self._changes[change_id] = commands_pb2.PutConfiguration(
+                    number=number, change_id=change_id, digest=digest
+                )
+            return
+        self.current = commands_pb2.PutConfiguration.FromString(chunk)
 
 
 def _result(
--- a/filbertglade/control/tables/groups.py
+++ b/filbertglade/control/tables/groups.py
@@ -1,5 +1,7 @@
 """The groups of hosts and their epochs."""
 
+from collections import abc
+
 from filbertglade.control.tables import base
 from filbertglade.inner import commands_pb2
 
@@ -88,28 +90,17 @@
         for host in record.hosts:
             del self.group_of_host[host]
 
-    def dump(self) -> bytes:
-        """Return the whole table for a snapshot."""
-        parts = []
-        for record in self.groups.values():
-            data = record.SerializeToString()
-            parts.append(len(data).to_bytes(4, 'big') + data)
-        return b''.join(parts)
+    def dump(self) -> abc.Iterator[bytes]:
+        """Return the whole table for a snapshot, a part for each group."""
+        parts = [item.SerializeToString() for item in self.groups.values()]
+        return iter(parts)
 
-    def load(self, data: bytes) -> None:
-        """Replace the whole table by a snapshot's.
+    def load_chunk(self, chunk: bytes) -> None:
+        """Add one part of a snapshot to a fresh table.
 
-        :param data: what :meth:`dump` gave.
+        :param chunk: a part that :meth:`dump` gave.
         """
-        self.groups.clear()
-        self.group_of_host.clear()
-        position = 0
-        while position < len(data):
-            start = position + 4
-            position = start + int.from_bytes(data[position:start], 'big')
-            self._keep(
-                commands_pb2.GroupRecord.FromString(data[start:position])
-            )
+        self._keep(commands_pb2.GroupRecord.FromString(chunk))
 
 
 def _result(
--- /dev/null
+++ b/tests/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the agreed state."""
--- /dev/null
+++ b/tests/control/cluster.py
@@ -0,0 +1,227 @@
+"""Voters in one event loop with virtual time, over the inner protocol."""
+
+import asyncio
+import random
+
+import async_solipsism
+from grpclib import server
+
+from filbertglade.control import agreement
+from filbertglade.control import failures
+from filbertglade.control import state
+from filbertglade.control import submission
+from filbertglade.inner import commands_pb2
+from filbertglade.observability import metrics
+from filbertglade.settings import model
+from tests.control import memory_storage
+from tests.control import network
+
+NAMES = ('one', 'two', 'three', 'four', 'five', 'six', 'seven')
+
+
+def run(coroutine):
+    """Run a test's coroutine in virtual time."""
+    loop = async_solipsism.EventLoop()
+    try:
+        asyncio.set_event_loop(loop)
+        return loop.run_until_complete(asyncio.wait_for(coroutine, 3600))
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+def make_settings(name, names, folder='memory', **control):
+    hosts = [
+        model.ControlHostSettings(host, f'127.0.0.1:{9000 + place}', 'north')
+        for place, host in enumerate(names)
+    ]
+    listen = model.ListenSettings('127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3')
+    return model.NodeSettings(
+        name=name,
+        region='central',
+        data_centre='north',
+        listen=listen,
+        control=model.ControlSettings(hosts, folder, **control),
+    )
+
+
+class Node:
+    """One control host of a test."""
+
+    def __init__(self, cluster, name):
+        self.cluster = cluster
+        self.name = name
+        self.disk = memory_storage.Disk()
+        self.agreement = None
+        # Every (index, command) that any life of the node applied.
+        self.applied = []
+        self.acting_log = []
+
+    def make_storage(self):
+        return memory_storage.MemoryStorage(self.disk)
+
+    async def start(self):
+        cluster = self.cluster
+        self.settings = make_settings(
+            self.name, cluster.names, **cluster.control
+        )
+        self.state = state.AgreedState()
+        self.counters = metrics.Metrics()
+        self.storage = self.make_storage()
+        self.channels = cluster.make_channels(self.name)
+        self.agreement = agreement.Agreement(
+            self.settings,
+            self.state,
+            self.storage,
+            self.channels,
+            self.counters,
+            cluster.rng,
+        )
+        self.agreement.add_leadership_listener(self.acting_log.append)
+        self.state.add_listener(self._record)
+        failure = await self.agreement.start()
+        if failure is not None:
+            self.agreement = None
+            return failure
+        self.local = submission.LocalSubmitter(
+            self.settings, self.agreement, self.channels
+        )
+        commands = submission.CommandsServicer(self.agreement, self.local)
+        self.server = server.Server([self.agreement.servicer, commands])
+        cluster.port += 1
+        await self.server.start('127.0.0.1', cluster.port)
+        cluster.network.ports[self.name] = cluster.port
+        return None
+
+    def _record(self, command):
+        self.applied.append(
+            (self.state.applied_index, command.SerializeToString())
+        )
+        self.cluster.check_applied(self)
+
+    @property
+    def is_up(self):
+        return self.agreement is not None
+
+    async def stop(self):
+        """End it as a crash would: no more is written or sent."""
+        if self.agreement is None:
+            return
+        self.storage.crashed.set()
+        self.cluster.network.ports.pop(self.name, None)
+        self.cluster.network.reset(self.name)
+        stopped, self.agreement = self.agreement, None
+        self.server.close()
+        await self.server.wait_closed()
+        await self.local.close()
+        await stopped.close()
+
+    async def restart(self):
+        await self.stop()
+        return await self.start()
+
+
+class Cluster:
+    """Control hosts, founded together."""
+
+    def __init__(self, count, seed=1, **control):
+        self.names = NAMES[:count]
+        self.control = control
+        self.rng = random.Random(seed)
+        self.network = network.Network()
+        self.port = 20000
+        # The command applied at each index, by whichever node was first.
+        self.history = {}
+        self.nodes = {name: Node(self, name) for name in self.names}
+
+    def make_channels(self, name):
+        names = {
+            f'127.0.0.1:{9000 + place}': host
+            for place, host in enumerate(self.names)
+        }
+        return network.Channels(self.network, name, names)
+
+    async def start(self):
+        for node in self.nodes.values():
+            node.disk.found(node.name)
+            assert await node.start() is None
+        return self
+
+    async def stop(self):
+        for node in self.nodes.values():
+            await node.stop()
+
+    async def __aenter__(self):
+        return await self.start()
+
+    async def __aexit__(self, *error):
+        await self.stop()
+
+    @property
+    def up(self):
+        return [node for node in self.nodes.values() if node.is_up]
+
+    @property
+    def acting(self):
+        return [node for node in self.up if node.agreement.is_leader]
+
+    def check_applied(self, node):
+        """What is applied at an index is the same on every node."""
+        index, data = node.applied[-1]
+        if data:
+            assert self.history.setdefault(index, data) == data
+
+    def check(self):
+        """At no moment do two nodes act as leader."""
+        assert len(self.acting) <= 1
+
+    async def until(self, condition, limit_s=60.0):
+        """Let time pass until a condition holds."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + limit_s
+        while not condition():
+            assert loop.time() < end_s, 'waited in vain'
+            self.check()
+            await asyncio.sleep(0.01)
+
+    async def pass_time(self, seconds):
+        end_s = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end_s:
+            self.check()
+            await asyncio.sleep(0.01)
+
+    async def leader(self):
+        await self.until(lambda: self.acting)
+        return self.acting[0]
+
+    async def followers(self):
+        leader = await self.leader()
+        return [node for node in self.up if node is not leader]
+
+    async def level(self):
+        """Wait until all that run have applied the leader's whole log."""
+
+        def is_level():
+            if not self.acting:
+                return False
+            last = self.acting[0].agreement.status().last_index
+            return all(node.state.applied_index >= last for node in self.up)
+
+        await self.until(is_level)
+
+
+def put(number, change_id=None, size=10):
+    return commands_pb2.Command(
+        put_configuration=commands_pb2.PutConfiguration(
+            number=number,
+            change_id=change_id or f'change-{number}',
+            document=b'x' * size,
+            digest=f'digest-{number}',
+        )
+    )
+
+
+async def submit(node, command, timeout_ms=5000):
+    result = await node.local.submit(command, timeout_ms)
+    assert not isinstance(result, failures.SubmitFailure), str(result)
+    return result
--- /dev/null
+++ b/tests/control/memory_storage.py
@@ -0,0 +1,168 @@
+"""A data folder in memory that keeps only what was synced."""
+
+import asyncio
+import dataclasses
+
+from filbertglade.control import failures
+from filbertglade.control import store
+
+WRITE_FAILED = failures.StorageFailure(
+    failures.StorageReason.WRITE_FAILED, 'no space left on device'
+)
+
+
+@dataclasses.dataclass
+class Disk:
+    """What outlives a crash."""
+
+    identity: store.Identity | None = None
+    vote: store.Vote = store.Vote()
+    entries: list = dataclasses.field(default_factory=list)
+    committed_index: int = 0
+    point: store.SnapshotPoint = store.SnapshotPoint()
+    chunks: list = dataclasses.field(default_factory=list)
+    lives: int = 0
+    # Writes until a crash: at it nothing more is written, or answered.
+    writes_left: int | None = None
+    # Whether the write at which it crashes still becomes durable.
+    last_write_stays: bool = False
+    fails_writes: bool = False
+    write_s: float = 0.001
+
+    def found(self, name):
+        self.lives += 1
+        self.identity = store.Identity(name, f'{name}-{self.lives}', True)
+
+    def wipe(self):
+        self.__init__(lives=self.lives, write_s=self.write_s)
+
+
+class MemoryStorage(store.Storage):
+    """One process's use of a disk; a crash ends it."""
+
+    def __init__(self, disk: Disk) -> None:
+        self.disk = disk
+        self.crashed = asyncio.Event()
+
+    async def _write(self, change):
+        if self.crashed.is_set():
+            await asyncio.Future()
+        await asyncio.sleep(self.disk.write_s)
+        if self.crashed.is_set():
+            await asyncio.Future()
+        if self.disk.fails_writes:
+            return WRITE_FAILED
+        if self.disk.writes_left is not None:
+            self.disk.writes_left -= 1
+            if self.disk.writes_left <= 0:
+                self.disk.writes_left = None
+                if self.disk.last_write_stays:
+                    change()
+                self.crashed.set()
+                await asyncio.Future()
+        change()
+        return None
+
+    async def open(self, name):
+        disk = self.disk
+        if disk.identity is None:
+            disk.lives += 1
+            incarnation = f'{name}-{disk.lives}'
+            disk.identity = store.Identity(name, incarnation, False)
+        entries = list(disk.entries)
+        position = disk.point.index - entries[0].index if entries else 0
+        if entries and (
+            entries[-1].index < disk.point.index
+            or (position >= 0 and entries[position].term != disk.point.term)
+        ):
+            entries = []
+        disk.entries = entries
+        return store.Stored(
+            disk.identity,
+            disk.vote,
+            disk.point,
+            list(entries),
+            max(disk.committed_index, disk.point.index),
+        )
+
+    async def save_vote(self, vote):
+        return await self._write(lambda: setattr(self.disk, 'vote', vote))
+
+    async def append(self, entries, committed_index):
+        def change():
+            disk = self.disk
+            if disk.entries:
+                assert entries[0].index == disk.entries[-1].index + 1
+            disk.entries.extend(entries)
+            disk.committed_index = max(
+                disk.committed_index,
+                min(committed_index, entries[0].index - 1),
+            )
+
+        return await self._write(change)
+
+    async def truncate(self, first_index):
+        def change():
+            self.disk.entries = [
+                entry
+                for entry in self.disk.entries
+                if entry.index < first_index
+            ]
+
+        return await self._write(change)
+
+    async def cut(self, first_kept):
+        def change():
+            self.disk.entries = [
+                entry
+                for entry in self.disk.entries
+                if entry.index >= first_kept
+            ]
+
+        return await self._write(change)
+
+    async def begin_snapshot(self, point):
+        return _Writer(self, point)
+
+    async def read_snapshot(self):
+        if not self.disk.point.index:
+            return None
+        return _Reader(self.disk.point, list(self.disk.chunks))
+
+    async def close(self):
+        self.crashed.set()
+
+    async def write_snapshot(self, point, chunks):
+        def change():
+            self.disk.point = point
+            self.disk.chunks = chunks
+
+        return await self._write(change)
+
+
+class _Writer(store.SnapshotWriter):
+    def __init__(self, storage, point):
+        self._storage = storage
+        self._point = point
+        self._chunks = []
+
+    async def write(self, chunk):
+        self._chunks.append(chunk)
+
+    async def commit(self):
+        return await self._storage.write_snapshot(self._point, self._chunks)
+
+    async def abort(self):
+        pass
+
+
+class _Reader(store.SnapshotReader):
+    def __init__(self, point, chunks):
+        self.point = point
+        self._chunks = chunks
+
+    async def read(self):
+        return self._chunks.pop(0) if self._chunks else b''
+
+    def close(self):
+        pass
--- /dev/null
+++ b/tests/control/network.py
@@ -0,0 +1,163 @@
+"""Links between the voters of a test, with faults at the channel's seam."""
+
+import asyncio
+import dataclasses
+
+from grpclib import client
+from grpclib import protocol
+
+from filbertglade.inner import channels
+
+
+@dataclasses.dataclass
+class Link:
+    """The way from one node to another, and back for its replies."""
+
+    passes_requests: bool = True
+    passes_replies: bool = True
+    delay_s: float = 0.0005
+
+    def cut(self):
+        self.passes_requests = self.passes_replies = False
+
+
+class Network:
+    """Where the nodes listen, and the links between them."""
+
+    def __init__(self):
+        self.ports = {}
+        self._links = {}
+        self._channels = []
+
+    def link(self, source, target):
+        return self._links.setdefault((source, target), Link())
+
+    def cut(self, source, target):
+        self.link(source, target).cut()
+        self.link(target, source).cut()
+
+    def isolate(self, name, names):
+        for other in names:
+            if other != name:
+                self.cut(name, other)
+
+    def heal(self):
+        """Make all links whole; connections that lost bytes are reset."""
+        self._links.clear()
+        for channel in self._channels:
+            if channel.lost_bytes:
+                channel.abort()
+
+    def reset(self, name):
+        """Reset all connections of a node."""
+        for channel in self._channels:
+            if name in (channel.source, channel.target):
+                channel.abort()
+        self._channels = [item for item in self._channels if not item.dead]
+
+
+class Channels(channels.ChannelFactory):
+    """Opens channels from one node."""
+
+    def __init__(self, network, source, names):
+        self._network = network
+        self._source = source
+        # Names by address.
+        self._names = names
+
+    def open_channel(self, address):
+        channel = _Channel(self._network, self._source, self._names[address])
+        self._network._channels.append(channel)
+        return channel
+
+
+class _Channel(client.Channel):
+    def __init__(self, network, source, target):
+        super().__init__('127.0.0.1', 1)
+        self.source = source
+        self.target = target
+        self.lost_bytes = False
+        self.dead = False
+        self._network = network
+        self._transport = None
+
+    @property
+    def link(self):
+        return self._network.link(self.source, self.target)
+
+    async def _create_connection(self):
+        await asyncio.sleep(self.link.delay_s)
+        if not (self.link.passes_requests and self.link.passes_replies):
+            await asyncio.Future()
+        port = self._network.ports.get(self.target)
+        if port is None or self.source not in self._network.ports:
+            raise ConnectionRefusedError
+        _, made = await self._loop.create_connection(
+            lambda: _Protocol(self), '127.0.0.1', port
+        )
+        return made
+
+    def abort(self):
+        self.dead = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self):
+        super().close()
+        self.dead = True
+
+
+class _Protocol(protocol.H2Protocol):
+    def __init__(self, channel):
+        super().__init__(client.Handler(), channel._config, channel._h2_config)
+        self._channel = channel
+        self._free_s = 0.0
+
+    def connection_made(self, transport):
+        self._channel._transport = transport
+        super().connection_made(_Transport(transport, self._channel))
+
+    def data_received(self, data):
+        if not self._channel.link.passes_replies:
+            self._channel.lost_bytes = True
+        if not self._channel.lost_bytes:
+            self._free_s = _call_in_order(
+                self._channel, self._free_s, super().data_received, data
+            )
+
+
+class _Transport:
+    def __init__(self, transport, channel):
+        self._transport = transport
+        self._channel = channel
+        self._free_s = 0.0
+
+    def __getattr__(self, name):
+        return getattr(self._transport, name)
+
+    def write(self, data):
+        if not self._channel.link.passes_requests:
+            self._channel.lost_bytes = True
+        if not self._channel.lost_bytes:
+            self._free_s = _call_in_order(
+                self._channel,
+                self._free_s,
+                self._transport.write,
+                bytes(data),
+            )
+
+    def writelines(self, parts):
+        self.write(b''.join(parts))
+
+
+def _call_in_order(channel, free_s, function, data):
+    """Call after the link's delay, never before an earlier call."""
+    loop = asyncio.get_running_loop()
+    when_s = max(free_s, loop.time() + channel.link.delay_s)
+
+    def call():
+        if not channel.dead and not channel.lost_bytes:
+            function(data)
+
+    loop.call_at(when_s, call)
+    return when_s
--- /dev/null
+++ b/tests/control/test_agreement.py
@@ -0,0 +1,69 @@
+"""Elections, commits and restarts."""
+
+import pytest
+
+from filbertglade.control import failures
+from tests.control import cluster
+
+
+@pytest.mark.parametrize('count', [1, 3, 5])
+def test_commits_and_applies_everywhere(count):
+    async def scenario():
+        async with cluster.Cluster(count) as group:
+            leader = await group.leader()
+            for number in range(1, 11):
+                result = await cluster.submit(leader, cluster.put(number))
+                assert result.configuration.verdict == 0
+            await group.level()
+            for node in group.up:
+                assert node.state.configuration.current.number == 10
+                assert node.agreement.leader == leader.name
+                assert node.agreement.leader_age_ms() < 300
+
+    cluster.run(scenario())
+
+
+def test_follower_passes_commands_on():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            follower = (await group.followers())[0]
+            await cluster.submit(follower, cluster.put(1))
+            direct = await follower.agreement.submit(cluster.put(2), 1000)
+            assert isinstance(direct, failures.SubmitFailure)
+            assert direct.reason is failures.SubmitReason.NO_LEADER
+            assert not direct.may_have_applied
+
+    cluster.run(scenario())
+
+
+def test_all_restart_from_their_logs():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            for number in range(1, 21):
+                await cluster.submit(leader, cluster.put(number))
+            for node in group.up:
+                await node.stop()
+            for node in group.nodes.values():
+                await node.start()
+            await group.leader()
+            await group.level()
+            for node in group.up:
+                assert node.state.configuration.current.number == 20
+
+    cluster.run(scenario())
+
+
+def test_new_leader_within_three_seconds():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            await cluster.submit(leader, cluster.put(1))
+            await leader.stop()
+            await group.until(lambda: group.acting, limit_s=3)
+            await cluster.submit(group.acting[0], cluster.put(2))
+            await leader.start()
+            await group.level()
+            assert leader.state.configuration.current.number == 2
+
+    cluster.run(scenario())
--- /dev/null
+++ b/tests/control/test_submission.py
@@ -0,0 +1,129 @@
+"""Commands from nodes to the leader, over sockets and real files."""
+
+import asyncio
+import pathlib
+import random
+import socket
+
+from grpclib import server
+
+from filbertglade.control import agreement
+from filbertglade.control import failures
+from filbertglade.control import state
+from filbertglade.control import storage
+from filbertglade.control import submission
+from filbertglade.inner import channels
+from filbertglade.observability import metrics
+from filbertglade.settings import model
+from tests.control import cluster
+
+
+def find_ports(count):
+    listeners = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
+    ports = [listener.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    return ports
+
+
+class Host:
+    def __init__(self, settings):
+        self.settings = settings
+        self.state = state.AgreedState()
+
+    async def start(self):
+        factory = channels.SocketChannels()
+        folder = self.settings.control.data_folder
+        self.agreement = agreement.Agreement(
+            self.settings,
+            self.state,
+            storage.FileStorage(pathlib.Path(folder)),
+            factory,
+            metrics.Metrics(),
+            random.Random(1),
+        )
+        assert await self.agreement.start() is None
+        self.local = submission.LocalSubmitter(
+            self.settings, self.agreement, factory
+        )
+        commands = submission.CommandsServicer(self.agreement, self.local)
+        self.server = server.Server([self.agreement.servicer, commands])
+        port = int(self.settings.listen.inner.rpartition(':')[2])
+        await self.server.start('127.0.0.1', port)
+
+    async def stop(self):
+        self.server.close()
+        await self.local.close()
+        await self.agreement.close()
+
+
+def make_hosts(tmp_path, count):
+    names = cluster.NAMES[:count]
+    hosts = [
+        model.ControlHostSettings(name, f'127.0.0.1:{port}', 'north')
+        for name, port in zip(names, find_ports(count), strict=True)
+    ]
+    found = []
+    for host in hosts:
+        settings = cluster.make_settings(host.name, names)
+        settings.control.hosts = hosts
+        settings.control.data_folder = tmp_path / host.name
+        settings.listen.inner = host.address
+        assert storage.init_control(settings) is None
+        found.append(Host(settings))
+    return found
+
+
+async def until(condition):
+    async with asyncio.timeout(30):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+async def test_three_hosts_take_commands_through_a_node(tmp_path):
+    hosts = make_hosts(tmp_path, 3)
+    for host in hosts:
+        await host.start()
+    node = submission.RemoteSubmitter(
+        cluster.make_settings('node', cluster.NAMES[:3], ''),
+        channels.SocketChannels(),
+        metrics.Metrics(),
+    )
+    node._addresses = [host.settings.listen.inner for host in hosts]
+    await node.start()
+    results = await asyncio.gather(
+        *(node.submit(cluster.put(1, f'race-{n}'), 20_000) for n in range(20))
+    )
+    verdicts = [result.configuration.verdict for result in results]
+    assert sorted(verdicts) == [0] + [1] * 19
+    await until(
+        lambda: all(h.state.configuration.current.number for h in hosts)
+    )
+    await node.close()
+    for host in hosts:
+        await host.stop()
+
+
+async def test_one_host_restarts_from_its_folder(tmp_path):
+    (host,) = make_hosts(tmp_path, 1)
+    await host.start()
+    await until(lambda: host.agreement.is_leader)
+    for number in range(1, 6):
+        await host.local.submit(cluster.put(number), 5000)
+    await host.stop()
+    again = Host(host.settings)
+    await again.start()
+    await until(lambda: again.state.configuration.current.number == 5)
+    await again.stop()
+
+
+async def test_no_control_host_was_never_sent(tmp_path):
+    node = submission.RemoteSubmitter(
+        cluster.make_settings('node', cluster.NAMES[:3], ''),
+        channels.SocketChannels(),
+        metrics.Metrics(),
+    )
+    result = await node.submit(cluster.put(1), 300)
+    assert isinstance(result, failures.SubmitFailure)
+    assert not result.may_have_applied
+    await node.close()
