Draw election time-outs by name as well as by seed

Voters given the same seed drew the same time-outs and split every vote: a run of three over sockets took 15 s to elect.

--- a/filbertglade/control/member.py
+++ b/filbertglade/control/member.py
@@ -75,7 +75,9 @@
         self.snapshot = stored.snapshot
         self.channel_factory = channel_factory
         self.counters = counters
-        self.rng = rng
+        # Voters that were given the same seed must not draw the same
+        # election time-outs: they would split every vote.
+        self.rng = random.Random(f'{rng.getrandbits(64)} {settings.name}')
         self.mutex = asyncio.Lock()
         self.snapshot_lock = asyncio.Lock()
         self.leader = ''
