--- a/filbertglade/control/submission.py
+++ b/filbertglade/control/submission.py
@@ -210,15 +210,31 @@
 class CommandsServicer(commands_grpc.CommandsBase):
     """Takes commands from the nodes on a control host.
 
+    :param settings: the node's settings.
     :param voter: this host's part in the log.
-    :param local: passes on what this host can't commit.
+    :param channel_factory: opens the channel to the leader.
+    :param counters: the process's metrics.
     """
 
     def __init__(
-        self, voter: agreement.Agreement, local: LocalSubmitter
+        self,
+        settings: model.NodeSettings,
+        voter: agreement.Agreement,
+        channel_factory: channels.ChannelFactory,
+        counters: metrics.Metrics,
     ) -> None:
         self._voter = voter
-        self._local = local
+        self._local = LocalSubmitter(settings, voter, channel_factory)
+        self._counters = counters
+
+    @property
+    def local(self) -> LocalSubmitter:
+        """The way of this host's own commands."""
+        return self._local
+
+    async def close(self) -> None:
+        """Stop passing commands on."""
+        await self._local.close()
 
     async def Submit(  # noqa: N802
         self,
@@ -235,6 +251,7 @@
         count = _Count()
         try:
             async for request in stream:
+                self._counters.count('commands_received')
                 if count.value >= MAXIMUM_WAITING:
                     await stream.send_message(_refuse_overload(request))
                     continue
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -83,10 +83,10 @@
         if failure is not None:
             self.agreement = None
             return failure
-        self.local = submission.LocalSubmitter(
-            self.settings, self.agreement, self.channels
+        commands = submission.CommandsServicer(
+            self.settings, self.agreement, self.channels, metrics.Metrics()
         )
-        commands = submission.CommandsServicer(self.agreement, self.local)
+        self.local = commands.local
         self.server = server.Server([self.agreement.servicer, commands])
         cluster.port += 1
         await self.server.start('127.0.0.1', cluster.port)
--- a/tests/control/test_submission.py
+++ b/tests/control/test_submission.py
@@ -43,10 +43,10 @@
             random.Random(1),
         )
         assert await self.agreement.start() is None
-        self.local = submission.LocalSubmitter(
-            self.settings, self.agreement, factory
+        commands = submission.CommandsServicer(
+            self.settings, self.agreement, factory, metrics.Metrics()
         )
-        commands = submission.CommandsServicer(self.agreement, self.local)
+        self.local = commands.local
         self.server = server.Server([self.agreement.servicer, commands])
         port = int(self.settings.listen.inner.rpartition(':')[2])
         await self.server.start('127.0.0.1', port)
