--- /dev/null
+++ b/filbertglade/admission/permits.py
@@ -0,0 +1,73 @@
+"""Permits of requests that may run."""
+
+from collections import abc
+import dataclasses
+import types
+
+from filbertglade.admission import tickets
+
+
+@dataclasses.dataclass(slots=True)
+class Usage:
+    """What a request turned out to use.
+
+    :param first_token_ms: from its permit to its first token; None if there
+        was none.
+    :param tokens: tokens that it gave.
+    """
+
+    first_token_ms: float | None = None
+    tokens: int = 0
+
+
+class Permit:
+    """The right to run one request; it must be released."""
+
+    __slots__ = ('ticket', 'usage', '_on_release')
+
+    def __init__(
+        self,
+        ticket: tickets.Ticket,
+        on_release: abc.Callable[['Permit'], None],
+    ) -> None:
+        self.ticket = ticket
+        self.usage = Usage()
+        self._on_release: abc.Callable[[Permit], None] | None = on_release
+
+    def __enter__(self) -> 'Permit':
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self.release()
+
+    @property
+    def is_released(self) -> bool:
+        """Whether the permit was given back."""
+        return self._on_release is None
+
+    def note_first_token(self, first_token_ms: float) -> None:
+        """Note the first token.
+
+        :param first_token_ms: time since the permit was given.
+        """
+        self.usage.first_token_ms = first_token_ms
+
+    def note_tokens(self, count: int) -> None:
+        """Note tokens given.
+
+        :param count: how many more.
+        """
+        self.usage.tokens += count
+
+    def release(self) -> None:
+        """Give the permit back; only the first call counts."""
+        on_release = self._on_release
+        if on_release is None:
+            return
+        self._on_release = None
+        on_release(self)
--- /dev/null
+++ b/filbertglade/admission/tickets.py
@@ -0,0 +1,24 @@
+"""What admission needs to know of a request."""
+
+import dataclasses
+
+from filbertglade.configuration import model as configuration_model
+
+
+@dataclasses.dataclass(slots=True)
+class Ticket:
+    """A request that asks to be run.
+
+    :param customer: who calls, with its weight and limits.
+    :param target: the deployment's or service's name.
+    :param is_service: whether the target is a plain service.
+    :param deadline_ms: local clock by which the answer must begin.
+    :param expected_tokens: tokens that the request is expected to cost; the
+        fair queue charges them to the customer.
+    """
+
+    customer: configuration_model.Customer
+    target: str
+    is_service: bool
+    deadline_ms: int
+    expected_tokens: int = 1
--- a/filbertglade/settings/model.py
+++ b/filbertglade/settings/model.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import enum
 import typing
 
 import annotated_types
@@ -120,6 +121,7 @@
     :param header_bytes: largest headers of a request.
     :param requests_in_flight: requests at once on this node.
     :param queued_requests: requests that wait on this node.
+    :param queue_wait_ms: longest expected wait of a request.
     :param kept_answer_bytes: answers kept in memory for resent requests.
     :param kept_answer_ms: how long an answer is kept.
     """
@@ -130,10 +132,35 @@
     header_bytes: Count = 65_536
     requests_in_flight: Count = 512
     queued_requests: Count = 1024
+    queue_wait_ms: Duration = 10_000
     kept_answer_bytes: Count = 16_777_216
     kept_answer_ms: Duration = 600_000
 
 
+class SelectionPolicy(enum.StrEnum):
+    """How endpoints are chosen."""
+
+    # Two choices by expected wait, prefix affinity, stragglers held back.
+    EXPECTED_WAIT = 'expected-wait'
+    LEAST_LOAD = 'least-load'
+    RANDOM = 'random'
+    ROUND_ROBIN = 'round-robin'
+
+
+@dataclasses.dataclass(slots=True)
+class RoutingSettings:
+    """Choice of endpoints.
+
+    :param policy: how endpoints are chosen.
+    :param prefix_entries: prompt blocks remembered by where they are cached.
+    """
+
+    __pydantic_config__ = schema.STRICT
+
+    policy: SelectionPolicy = SelectionPolicy.EXPECTED_WAIT
+    prefix_entries: Count = 65_536
+
+
 @dataclasses.dataclass(slots=True)
 class NodeSettings:
     """All settings of one node.
@@ -145,6 +172,7 @@
     :param control: the control hosts.
     :param timings: time-outs and intervals.
     :param limits: bounds of memory and work.
+    :param routing: choice of endpoints.
     :param log_file: where the log goes; standard error if empty.
     :param seed: seed of the process's random numbers; None for a fresh one.
     """
@@ -158,6 +186,9 @@
     control: ControlSettings
     timings: TimingSettings = dataclasses.field(default_factory=TimingSettings)
     limits: LimitSettings = dataclasses.field(default_factory=LimitSettings)
+    routing: RoutingSettings = dataclasses.field(
+        default_factory=RoutingSettings
+    )
     log_file: str = ''
     seed: int | None = None
 
