Batch the stand-in engine's requests, cache their prefixes

Cause: the stand-in ran each request by a timer of its own and knew neither priorities nor prompts, so that neither choice nor admission could be judged on it.

--- a/filbertglade/cli.py
+++ b/filbertglade/cli.py
@@ -140,6 +140,30 @@
     load_ms: typing.Annotated[
         int, typer.Option(help="Time to load a model's weights.")
     ] = 200,
+    prefill_ms: typing.Annotated[
+        float, typer.Option(help='Time of one uncached prompt block.')
+    ] = 0.0,
+    cache_blocks: typing.Annotated[
+        int, typer.Option(help='Prompt blocks that an engine caches.')
+    ] = 1024,
+    event_lag_ms: typing.Annotated[
+        int, typer.Option(help='Age at which cache events are published.')
+    ] = 0,
+    event_loss: typing.Annotated[
+        float, typer.Option(help='Part of the cache events that is lost.')
+    ] = 0.0,
+    load_lag_ms: typing.Annotated[
+        int, typer.Option(help='Age of a load report.')
+    ] = 0,
+    slow_hosts: typing.Annotated[
+        int, typer.Option(help='How many hosts are stragglers.')
+    ] = 0,
+    slow_factor: typing.Annotated[
+        float, typer.Option(help='How much slower the stragglers are.')
+    ] = 1.0,
+    seed: typing.Annotated[
+        int, typer.Option(help='Seed of what happens at random.')
+    ] = 0,
     ignore_fencing: typing.Annotated[
         bool, typer.Option(help='Do not check fencing numbers.')
     ] = False,
@@ -162,6 +186,14 @@
         slots=slots,
         token_ms=token_ms,
         load_ms=load_ms,
+        prefill_ms=prefill_ms,
+        cache_blocks=cache_blocks,
+        event_lag_ms=event_lag_ms,
+        event_loss=event_loss,
+        load_lag_ms=load_lag_ms,
+        slow_hosts=slow_hosts,
+        slow_factor=slow_factor,
+        seed=seed,
         checks_fencing=not ignore_fencing,
         record_file=record,
     )
--- a/filbertglade/standin/engine.py
+++ b/filbertglade/standin/engine.py
@@ -1,18 +1,26 @@
 """Stand-in of a model engine: one part of it runs on each host."""
 
 import asyncio
+import collections
 from collections import abc
 import hashlib
 import json
+import random
 import typing
 
 from tornado import iostream
 from tornado import web
 
+from filbertglade import clock
+from filbertglade.routing import prefixes
+from filbertglade.standin import batching
+from filbertglade.standin import caching
 from filbertglade.standin import settings as standin_settings
 
 CONFLICT = 409
 DEFAULT_TOKENS = 16
+LOADS_KEPT = 64
+PRIORITY_HEADER = 'X-Priority'
 VOCABULARY = ('bean', 'pea', 'leek', 'dill', 'kale', 'beet', 'rye', 'oat')
 
 
@@ -32,20 +40,33 @@
         self.epoch = 0
         self.is_ready = False
         self._highest_fencing = 0
-        self._slots = asyncio.Semaphore(settings.slots)
-        self._active = 0
-        self._queued = 0
+        rng = random.Random(f'{settings.seed}/{host}')
+        self.cache = caching.PrefixCache(settings, rng)
+        self.batch = batching.Batch(settings, self.cache)
+        self._loads: collections.deque[tuple[int, dict[str, int]]] = (
+            collections.deque(maxlen=LOADS_KEPT)
+        )
         self._loading: asyncio.Task[None] | None = None
 
     def read_load(self) -> dict[str, int]:
-        """Return the load for an announcement."""
-        return {
+        """Return the load for an announcement, as old as settings say."""
+        now_ms = clock.now_ms()
+        load = {
             'slots': self.settings.slots,
-            'active': self._active,
-            'queued': self._queued,
-            'first_token_ms': int(self.settings.token_ms),
-            'between_tokens_us': int(self.settings.token_ms * 1000),
+            'active': self.batch.active,
+            'queued': self.batch.queued,
+            'first_token_ms': int(self.batch.first_token_ms),
+            'between_tokens_us': int(self.batch.step_ms * 1000),
         }
+        self._loads.append((now_ms, load))
+        newest_ms = now_ms - self.settings.load_lag_ms
+        while len(self._loads) > 1 and self._loads[1][0] <= newest_ms:
+            self._loads.popleft()
+        return self._loads[0][1]
+
+    async def close(self) -> None:
+        """Stop all work."""
+        await self.batch.close()
 
     def take_order(self, order: dict[str, typing.Any]) -> bool:
         """Carry an order out.
@@ -83,24 +104,29 @@
         self.is_ready = True
 
     async def generate(
-        self, prompt: str, count: int
-    ) -> abc.AsyncIterator[str]:
+        self, prompt: str, count: int, priority: int = 0, offset: int = 0
+    ) -> abc.AsyncGenerator[str, None]:
         """Generate a text that depends on the prompt alone.
 
+        Closing the generator gives its slot back.
+
         :param prompt: the prompt.
-        :param count: tokens to generate.
+        :param count: tokens of the whole text.
+        :param priority: a higher one gets a slot first.
+        :param offset: tokens of the text that are not wanted again.
         :returns: the tokens.
         """
-        self._queued += 1
-        async with self._slots:
-            self._queued -= 1
-            self._active += 1
-            try:
-                for token in expected_tokens(prompt, count):
-                    await asyncio.sleep(self.settings.token_ms / 1000)
-                    yield token
-            finally:
-                self._active -= 1
+        tokens = expected_tokens(prompt, count)[offset:]
+        if not tokens:
+            return
+        hashes = prefixes.hash_prefixes(prompt)
+        sequence = self.batch.join(hashes, priority, len(tokens))
+        try:
+            for token in tokens:
+                await sequence.take_token()
+                yield token
+        finally:
+            self.batch.leave(sequence)
 
 
 def expected_tokens(prompt: str, count: int) -> list[str]:
@@ -142,6 +168,12 @@
         :param engine: the engine's part on this host.
         """
         self._engine = engine
+        self._task: asyncio.Task[None] | None = None
+
+    def on_connection_close(self) -> None:
+        """Cancel the call of a node that left."""
+        if self._task is not None:
+            self._task.cancel()
 
     async def post(self) -> None:
         """Answer one call, whole or as a stream of events."""
@@ -161,14 +193,18 @@
             self.set_header('X-Outcome', 'not_run')
             self.finish({'error': {'message': 'not serving'}})
             return
-        tokens = engine.generate(prompt, count)
+        self._task = asyncio.current_task()
+        priority = int(self.request.headers.get(PRIORITY_HEADER, '0'))
+        tokens = engine.generate(prompt, count, priority)
         try:
             if body.get('stream'):
                 await self._write_stream(body['model'], tokens)
             else:
                 await self._write_whole(body['model'], tokens)
-        except iostream.StreamClosedError:
+        except (asyncio.CancelledError, iostream.StreamClosedError):
             engine.record('left', host=engine.host, prompt=prompt)
+        finally:
+            await tokens.aclose()
 
     async def _write_whole(
         self, model: str, tokens: abc.AsyncIterator[str]
--- a/filbertglade/standin/fleet.py
+++ b/filbertglade/standin/fleet.py
@@ -92,6 +92,7 @@
     async def close(self) -> None:
         """Stop at once, as a host that dies."""
         await self._tasks.close()
+        await self.engine.close()
         if self._server is not None:
             self._server.stop()
             await self._server.close_all_connections()
@@ -162,6 +163,8 @@
             StandinHost(settings, f'{settings.prefix}-{i + 1}', self._recorder)
             for i in range(settings.hosts)
         ]
+        for host in self.hosts[: settings.slow_hosts]:
+            host.engine.batch.slow_factor = settings.slow_factor
 
     async def start(self) -> None:
         """Start the hosts."""
--- a/filbertglade/standin/settings.py
+++ b/filbertglade/standin/settings.py
@@ -16,10 +16,18 @@
     :param service: a plain service's name, in place of engines.
     :param slots: requests that an engine runs at once.
     :param token_ms: time of one token.
+    :param prefill_ms: time of one uncached block of a prompt.
+    :param cache_blocks: prompt blocks that an engine keeps cached.
+    :param event_lag_ms: age at which cache events are published.
+    :param event_loss: part of the cache events that is never published.
+    :param load_lag_ms: age of a load report.
+    :param slow_factor: how much slower than others the slow hosts are.
+    :param slow_hosts: how many hosts are slow, from the first.
     :param load_ms: time to load a model's weights.
     :param checks_fencing: whether orders with old fencing numbers are
         refused.
     :param record_file: JSON lines of orders and requests taken.
+    :param seed: seed of what happens at random.
     """
 
     entries: list[str]
@@ -31,6 +39,14 @@
     service: str = ''
     slots: int = 8
     token_ms: float = 5.0
+    prefill_ms: float = 0.0
+    cache_blocks: int = 1024
+    event_lag_ms: int = 0
+    event_loss: float = 0.0
+    load_lag_ms: int = 0
+    slow_factor: float = 1.0
+    slow_hosts: int = 0
     load_ms: int = 200
     checks_fencing: bool = True
     record_file: str = ''
+    seed: int = 0
