--- a/filbertglade/requests/runner.py
+++ b/filbertglade/requests/runner.py
@@ -12,6 +12,7 @@
 from filbertglade.requests import endpoints
 from filbertglade.requests import outcomes
 from filbertglade.routing import candidates
+from filbertglade.routing import policies
 from filbertglade.routing import selection
 from filbertglade.settings import model
 
@@ -103,7 +104,9 @@
         self._attached = attached
         self._counters = counters
         self._pool = endpoints.EndpointPool(settings)
-        self._selector: selection.Selector = selection.LeastLoadSelector(rng)
+        self._selector: selection.Selector = policies.build_selector(
+            settings, fleet, rng
+        )
 
     async def close(self) -> None:
         """Close the connections to endpoints."""
--- /dev/null
+++ b/filbertglade/routing/expected_wait.py
@@ -0,0 +1,254 @@
+"""The product's policy: two choices by expected wait."""
+
+import collections
+import dataclasses
+import math
+import random
+import statistics
+
+from filbertglade import clock
+from filbertglade.inner import membership_pb2
+from filbertglade.routing import history
+from filbertglade.routing import prefill
+from filbertglade.routing import prefixes
+from filbertglade.routing import selection
+from filbertglade.routing import stragglers
+from filbertglade.settings import model
+
+CHOICES = 2
+HOLDERS_TRIED = 2
+SAMPLES_DRAWN = 6
+PEERS_KEPT_MS = 100
+REPORT_LAG_MS = 500
+FIRST_SERVICE_MS = 1000.0
+LEAST_SPREAD = 0.5
+TARGETS_KEPT = 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Peers:
+    """What the endpoints of one deployment have in common.
+
+    :param read_ms: local clock when it was read.
+    :param count: how many endpoints there were.
+    :param mean_load: requests that run or wait at each, as reported.
+    :param ratios: how many times slower each straggler is.
+    """
+
+    read_ms: int
+    count: int
+    mean_load: float
+    ratios: stragglers.Ratios
+
+
+class TargetStatistics:
+    """What this node has learned of one deployment or service."""
+
+    __slots__ = ('service_ms', 'prefill', 'peers')
+
+    def __init__(self) -> None:
+        self.service_ms = history.Average()
+        self.prefill = prefill.PrefillCost()
+        self.peers: Peers | None = None
+
+    def read_service_ms(self) -> float:
+        """Return how long a request usually takes once it is sent."""
+        if not self.service_ms.samples:
+            return FIRST_SERVICE_MS
+        return max(1.0, self.service_ms.value)
+
+
+class ExpectedWaitSelector(selection.Selector):
+    """Takes the best of two random endpoints and of those with the prefix.
+
+    The best is that with the least expected wait, less the time that a
+    cached prefix saves; stragglers are drawn seldom and rated as slow as
+    they are.
+    """
+
+    def __init__(
+        self, settings: model.NodeSettings, rng: random.Random
+    ) -> None:
+        self._rng = rng
+        self._history = history.History()
+        self._targets: collections.OrderedDict[str, TargetStatistics] = (
+            collections.OrderedDict()
+        )
+        self.index = prefixes.PrefixIndex(settings.routing.prefix_entries)
+
+    def take_cache_event(self, event: membership_pb2.CacheEvent) -> None:
+        """Take an event of a group's cache in.
+
+        :param event: the event.
+        """
+        self.index.take_event(event)
+
+    def choose(
+        self, candidates: list[selection.Candidate], work: selection.Work
+    ) -> selection.Candidate | None:
+        """Choose the endpoint with the least expected time.
+
+        :param candidates: those that may run the request.
+        :param work: the request.
+        :returns: the choice; None if there is no candidate.
+        """
+        if not candidates:
+            return None
+        target = self._open_target(work.target)
+        peers = self._read_peers(target, candidates)
+        tried = self._draw(candidates, peers)
+        tried += self._find_holders(candidates, work, peers)
+        return min(
+            tried, key=lambda item: self._rate(item, work, target, peers)
+        )
+
+    def note_started(
+        self, candidate: selection.Candidate, work: selection.Work
+    ) -> None:
+        """Note that a request was sent.
+
+        :param candidate: where to.
+        :param work: the request.
+        """
+        key = candidate.key
+        hashes = work.prefix_hashes
+        uncached = len(hashes) - self.index.count_blocks(key, hashes)
+        self._history.open(key).note_started(work.target, uncached)
+        if hashes:
+            self.index.note_sent(key, hashes)
+
+    def note_first_token(
+        self, candidate: selection.Candidate, first_token_ms: float
+    ) -> None:
+        """Note a request's first token.
+
+        :param candidate: where it ran.
+        :param first_token_ms: time since it was sent.
+        """
+        key = candidate.key
+        sent = self._history.open(key).note_first_token(first_token_ms)
+        if sent is not None:
+            target = self._open_target(sent.target)
+            target.prefill.add(sent.uncached_blocks, first_token_ms)
+
+    def note_finished(
+        self,
+        candidate: selection.Candidate,
+        work: selection.Work,
+        tokens: int,
+        took_ms: float,
+    ) -> None:
+        """Note that a request ended, whatever its outcome.
+
+        :param candidate: where it ran.
+        :param work: the request.
+        :param tokens: how many tokens it gave.
+        :param took_ms: time since it was sent.
+        """
+        self._history.open(candidate.key).note_finished(tokens, took_ms)
+        if tokens:
+            self._open_target(work.target).service_ms.add(took_ms)
+
+    def _open_target(self, name: str) -> TargetStatistics:
+        found = self._targets.get(name)
+        if found is None:
+            found = self._targets[name] = TargetStatistics()
+            if len(self._targets) > TARGETS_KEPT:
+                self._targets.popitem(last=False)
+        return found
+
+    def _read_peers(
+        self, target: TargetStatistics, candidates: list[selection.Candidate]
+    ) -> Peers:
+        now_ms = clock.now_ms()
+        known = target.peers
+        if (
+            known is not None
+            and known.count == len(candidates)
+            and now_ms - known.read_ms <= PEERS_KEPT_MS
+        ):
+            return known
+        target.peers = Peers(
+            read_ms=now_ms,
+            count=len(candidates),
+            mean_load=statistics.fmean(map(_read_load, candidates)),
+            ratios=stragglers.find_stragglers(candidates, self._history),
+        )
+        return target.peers
+
+    def _draw(
+        self, candidates: list[selection.Candidate], peers: Peers
+    ) -> list[selection.Candidate]:
+        count = min(len(candidates), SAMPLES_DRAWN)
+        drawn = self._rng.sample(candidates, count)
+        accepted = [item for item in drawn if self._accepts(item, peers)]
+        return (accepted or drawn)[:CHOICES]
+
+    def _accepts(self, item: selection.Candidate, peers: Peers) -> bool:
+        ratio = peers.ratios.get(item.key)
+        return ratio is None or self._rng.random() < ratio**-2
+
+    def _find_holders(
+        self,
+        candidates: list[selection.Candidate],
+        work: selection.Work,
+        peers: Peers,
+    ) -> list[selection.Candidate]:
+        if not work.prefix_hashes:
+            return []
+        holders = self.index.find_holders(work.prefix_hashes, HOLDERS_TRIED)
+        return [
+            item
+            for item in candidates
+            if item.key in holders and item.key not in peers.ratios
+        ]
+
+    def _rate(
+        self,
+        item: selection.Candidate,
+        work: selection.Work,
+        target: TargetStatistics,
+        peers: Peers,
+    ) -> float:
+        """Return the time in milliseconds that a request would cost."""
+        key = item.key
+        service_ms = target.read_service_ms()
+        load = self._estimate_load(item, service_ms, peers)
+        slots = max(1, item.load.slots)
+        excess = _soften(load - slots + 1, LEAST_SPREAD * math.sqrt(slots))
+        wait_ms = excess * service_ms / slots
+        held = self.index.count_blocks(key, work.prefix_hashes)
+        uncached = len(work.prefix_hashes) - held
+        prefill_ms = uncached * target.prefill.ms_per_block
+        ratio = peers.ratios.get(key, 1.0)
+        return ratio * (wait_ms + prefill_ms + service_ms)
+
+    def _estimate_load(
+        self, item: selection.Candidate, service_ms: float, peers: Peers
+    ) -> float:
+        """Return how many requests an endpoint has by now.
+
+        What was reported fades towards the mean, since other nodes send and
+        requests end; what this node itself sent since then is known.
+        """
+        reported = _read_load(item)
+        known = self._history.read(item.key)
+        age_ms = item.load_age_ms + REPORT_LAG_MS
+        trust = math.exp(-age_ms / service_ms)
+        load = peers.mean_load + trust * (reported - peers.mean_load)
+        if known is None:
+            return load
+        load += known.count_net_since(clock.now_ms() - age_ms)
+        return max(load, known.in_flight)
+
+
+def _read_load(item: selection.Candidate) -> int:
+    return item.load.active + item.load.queued
+
+
+def _soften(excess: float, spread: float) -> float:
+    """Return the mean of what is above zero of an uncertain value."""
+    scaled = excess / spread
+    if scaled > 30:
+        return excess
+    return spread * math.log1p(math.exp(scaled))
--- a/filbertglade/routing/selection.py
+++ b/filbertglade/routing/selection.py
@@ -2,11 +2,22 @@
 
 import abc
 import dataclasses
-import random
 
 from filbertglade.inner import membership_pb2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointKey:
+    """Names what runs requests for as long as it stays the same.
+
+    :param name: a group, or a plain service's host.
+    :param epoch: the group's epoch; 0 for a plain service.
+    """
+
+    name: str
+    epoch: int
+
+
 @dataclasses.dataclass(slots=True)
 class Candidate:
     """An endpoint that may run a request.
@@ -30,6 +41,11 @@
     load: membership_pb2.Load
     load_age_ms: int
 
+    @property
+    def key(self) -> EndpointKey:
+        """What names it in the records of the past."""
+        return EndpointKey(self.name, self.epoch)
+
 
 @dataclasses.dataclass(slots=True)
 class Work:
@@ -38,11 +54,13 @@
     :param customer: the customer's name.
     :param body: the request's body.
     :param prefix_hashes: hashes of the prompt's prefixes, shortest first.
+    :param target: the deployment's or service's name.
     """
 
     customer: str
     body: bytes
     prefix_hashes: list[int] = dataclasses.field(default_factory=list)
+    target: str = ''
 
 
 class Selector(abc.ABC):
@@ -85,30 +103,3 @@
         :param tokens: how many tokens it gave.
         :param took_ms: time since it was sent.
         """
-
-
-class LeastLoadSelector(Selector):
-    """Takes the least reported load; ties are broken at random."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-
-    def choose(
-        self, candidates: list[Candidate], work: Work
-    ) -> Candidate | None:
-        """Choose the endpoint with the least reported load.
-
-        :param candidates: those that may run the request.
-        :param work: the request.
-        :returns: the choice; None if there is no candidate.
-        """
-        if not candidates:
-            return None
-        return min(
-            candidates,
-            key=lambda item: (
-                (item.load.active + item.load.queued)
-                / max(1, item.load.slots),
-                self._rng.random(),
-            ),
-        )
