Admit by limits, deadlines and a fair queue

Cause: every request went to an endpoint at once, so that queues stood in the engines, where one customer's burst goes before everybody else. Change: limits by this node's share of a customer's demand; slots that endpoints report divided by the demand of the target's customers; start-time fair queueing by customer's weight; priority classes with every sixteenth turn for a lower one; what can't be in time is refused at once with when to come back, also when slots are lost later.

--- a/filbertglade/admission/admission.py
+++ b/filbertglade/admission/admission.py
@@ -1,28 +1,27 @@
 """Admission of requests: limits, queues and deadlines."""
 
-import dataclasses
+import asyncio
+import math
 import random
 
+from filbertglade.admission import fairness
+from filbertglade.admission import limits
 from filbertglade.admission import permits
+from filbertglade.admission import scheduling
+from filbertglade.admission import target as targets
 from filbertglade.admission import tickets
+from filbertglade import clock
 from filbertglade.membership import view
 from filbertglade.observability import metrics
 from filbertglade.requests import outcomes
 from filbertglade.settings import model
+from filbertglade import tasks
 
+SWEEP_MS = 100
+LEAST_RETRY_MS = 250
+RETRY_SPREAD = 0.25
 
-@dataclasses.dataclass(slots=True)
-class Demand:
-    """What a customer asks of this node.
-
-    :param customer: its name.
-    :param requests_per_s: requests that arrived, refused ones included.
-    :param tokens_per_s: tokens that they were expected to cost.
-    """
-
-    customer: str
-    requests_per_s: float
-    tokens_per_s: float
+Reason = outcomes.RefusalReason
 
 
 class Admission:
@@ -35,16 +34,38 @@
         counters: metrics.Metrics,
         rng: random.Random,
     ) -> None:
-        self._settings = settings
-        self._fleet = fleet
+        self._limits = settings.limits
         self._counters = counters
         self._rng = rng
+        self._tasks = tasks.TaskGroup()
+        self._customers = limits.CustomerLimits(fleet)
+        self._schedule = scheduling.Schedule(settings, fleet, self._customers)
+        self._is_closed = False
+        counters.set_gauge(
+            'queued_requests', lambda: float(self._schedule.waiting)
+        )
+        counters.set_gauge(
+            'permitted_requests', lambda: float(self._schedule.running)
+        )
 
     async def start(self) -> None:
         """Begin to reconsider waiting requests from time to time."""
+        self._tasks.start(self._keep_sweeping())
 
     async def close(self) -> None:
         """Stop, and refuse what still waits."""
+        self._is_closed = True
+        await self._tasks.close()
+        for target in self._schedule.list_targets():
+            for waiter in list(target.queue):
+                self._refuse_waiter(target, waiter, Reason.SHUTTING_DOWN, 0)
+
+    def demand(self) -> list[limits.Demand]:
+        """Return what each customer asks of this node.
+
+        :returns: one entry a customer that called lately.
+        """
+        return self._customers.demand()
 
     async def admit(
         self, ticket: tickets.Ticket
@@ -55,11 +76,178 @@
         :returns: a permit, which the caller must release; or a refusal,
             given as soon as it is known that the request won't run.
         """
-        return permits.Permit(ticket, lambda permit: None)
+        customer = ticket.customer
+        target = self._schedule.open(ticket)
+        self._customers.note_arrival(customer.name, ticket.expected_tokens)
+        target.capacity.note_arrival(customer.name)
+        if self._is_closed:
+            return self._refuse(Reason.SHUTTING_DOWN, 0)
+        wait_ms = self._customers.enter(customer)
+        if wait_ms:
+            return self._refuse(Reason.LIMIT_REACHED, wait_ms)
+        if self._schedule.has_room_now(target):
+            target.queue.charge(ticket)
+            return self._grant(target, ticket)
+        refusal = self._check_wait(target, ticket)
+        if refusal is not None:
+            self._customers.leave(customer.name)
+            return refusal
+        return await self._wait(target, ticket)
 
-    def demand(self) -> list[Demand]:
-        """Return what each customer asks of this node.
+    def _check_wait(
+        self, target: targets.Target, ticket: tickets.Ticket
+    ) -> outcomes.Refusal | None:
+        own = target.queue.count_waiting(ticket.customer.name)
+        wait_ms = target.estimate_wait_ms(ticket, own)
+        refusal = self._check_estimate(target, ticket, wait_ms)
+        if refusal is not None:
+            return refusal
+        if self._schedule.waiting < self._limits.queued_requests:
+            return None
+        if self._displace_for(ticket, own):
+            return None
+        return self._refuse(Reason.OVERLOADED, wait_ms)
 
-        :returns: one entry a customer that called lately.
+    def _check_estimate(
+        self, target: targets.Target, ticket: tickets.Ticket, wait_ms: float
+    ) -> outcomes.Refusal | None:
+        left_ms = ticket.deadline_ms - clock.now_ms() - target.first_token_ms
+        if wait_ms > left_ms:
+            return self._refuse(Reason.DEADLINE, wait_ms - left_ms)
+        if wait_ms > self._limits.queue_wait_ms:
+            over_ms = wait_ms - self._limits.queue_wait_ms
+            return self._refuse(Reason.OVERLOADED, over_ms)
+        return None
+
+    def _displace_for(self, ticket: tickets.Ticket, own: int) -> bool:
+        """Refuse the newest request of who holds most for its weight.
+
+        :param ticket: the request that needs a place.
+        :param own: how many of its customer's requests wait.
+        :returns: whether there is a place now.
         """
-        return []
+        found = self._schedule.find_longest()
+        if found is None:
+            return False
+        target, flow = found
+        if (own + 1) / ticket.customer.weight >= (
+            len(flow.waiters) / flow.weight
+        ):
+            return False
+        waiter = flow.waiters[-1]
+        wait_ms = target.estimate_wait_ms(waiter.ticket, len(flow.waiters) - 1)
+        self._refuse_waiter(target, waiter, Reason.OVERLOADED, wait_ms)
+        return True
+
+    async def _wait(
+        self, target: targets.Target, ticket: tickets.Ticket
+    ) -> permits.Permit | outcomes.Refusal:
+        now_ms = clock.now_ms()
+        waiter = fairness.Waiter(
+            ticket=ticket,
+            decided=asyncio.get_running_loop().create_future(),
+            arrived_ms=now_ms,
+            latest_ms=min(
+                now_ms + 2 * self._limits.queue_wait_ms, ticket.deadline_ms
+            ),
+        )
+        self._schedule.push(target, waiter)
+        self._counters.count('requests_queued')
+        try:
+            return await waiter.decided
+        except asyncio.CancelledError:
+            self._abandon(target, waiter)
+            raise
+
+    def _abandon(
+        self, target: targets.Target, waiter: fairness.Waiter
+    ) -> None:
+        if self._schedule.remove(target, waiter):
+            self._customers.leave(waiter.ticket.customer.name)
+            return
+        if waiter.decided.done() and not waiter.decided.cancelled():
+            given = waiter.decided.result()
+            if isinstance(given, permits.Permit):
+                given.release()
+
+    def _grant(
+        self, target: targets.Target, ticket: tickets.Ticket
+    ) -> permits.Permit:
+        started_ms = clock.now_ms()
+        self._schedule.note_started(target)
+        self._counters.count('requests_admitted')
+
+        def release(permit: permits.Permit) -> None:
+            held_ms = clock.now_ms() - started_ms
+            self._schedule.note_released(target, permit, held_ms)
+            self._customers.leave(ticket.customer.name)
+            self._serve_waiters()
+
+        return permits.Permit(ticket, release)
+
+    def _serve_waiters(self) -> None:
+        while True:
+            target = self._schedule.find_next()
+            if target is None:
+                return
+            waiter = self._schedule.pop(target)
+            self._counters.record_ms('queue_wait', waiter.read_wait_ms())
+            waiter.decided.set_result(self._grant(target, waiter.ticket))
+
+    def _refuse_waiter(
+        self,
+        target: targets.Target,
+        waiter: fairness.Waiter,
+        reason: outcomes.RefusalReason,
+        retry_ms: float,
+    ) -> None:
+        self._schedule.remove(target, waiter)
+        self._customers.leave(waiter.ticket.customer.name)
+        waiter.decided.set_result(self._refuse(reason, retry_ms))
+
+    def _refuse(
+        self, reason: outcomes.RefusalReason, retry_ms: float
+    ) -> outcomes.Refusal:
+        self._counters.count('requests_refused', reason=reason.value)
+        spread = 1 + RETRY_SPREAD * self._rng.random()
+        retry_after_ms = math.ceil(max(LEAST_RETRY_MS, retry_ms) * spread)
+        return outcomes.Refusal(
+            reason, DETAILS[reason], retry_after_ms=retry_after_ms
+        )
+
+    async def _keep_sweeping(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_MS / 1000)
+            for target in self._schedule.list_targets():
+                self._sweep(target)
+            self._serve_waiters()
+            self._customers.forget_idle()
+            self._schedule.forget_idle()
+
+    def _sweep(self, target: targets.Target) -> None:
+        """Refuse the waiting requests that can't be served in time."""
+        target.capacity.adjust(len(target.queue) > 0)
+        for flow in target.queue.list_flows():
+            for own, waiter in enumerate(list(flow.waiters)):
+                self._reconsider(target, waiter, own)
+
+    def _reconsider(
+        self, target: targets.Target, waiter: fairness.Waiter, own: int
+    ) -> None:
+        wait_ms = target.estimate_wait_ms(waiter.ticket, own)
+        # The estimate does not see how far what runs has come, and it was
+        # in time when the request was queued.
+        worse_ms = max(0.0, wait_ms - target.hold_ms)
+        starts_ms = clock.now_ms() + worse_ms
+        if starts_ms + target.first_token_ms > waiter.ticket.deadline_ms:
+            self._refuse_waiter(target, waiter, Reason.DEADLINE, wait_ms)
+        elif starts_ms > waiter.latest_ms:
+            self._refuse_waiter(target, waiter, Reason.OVERLOADED, wait_ms)
+
+
+DETAILS = {
+    Reason.LIMIT_REACHED: "the customer's limit is reached",
+    Reason.DEADLINE: 'the deadline cannot be met',
+    Reason.OVERLOADED: 'too many requests wait',
+    Reason.SHUTTING_DOWN: 'the node is shutting down',
+}
--- /dev/null
+++ b/filbertglade/admission/capacity.py
@@ -0,0 +1,108 @@
+"""How many requests of a deployment or service this node may run."""
+
+import math
+
+from filbertglade.admission import limits
+from filbertglade.admission import rates
+from filbertglade.admission import tickets
+from filbertglade import clock
+from filbertglade.membership import view
+
+READ_MS = 100
+PACE_MS = 250
+PACE_STEP = 0.03
+LEAST_PACE = 0.8
+MOST_PACE = 2.0
+FIRST_PACE = 1.1
+LEAST_QUEUED = 0.03
+MOST_QUEUED = 0.1
+
+
+class Capacity:
+    """This node's part of the slots that endpoints report.
+
+    The part follows the demand of the customers that call the target here.
+    A pace corrects it slowly by what endpoints report to be queued: it rises
+    while requests wait here and none there, and falls while many wait there.
+    """
+
+    def __init__(
+        self,
+        fleet: view.FleetView,
+        customers: limits.CustomerLimits,
+        ticket: tickets.Ticket,
+    ) -> None:
+        self._fleet = fleet
+        self._customers = customers
+        self._target = ticket.target
+        self._is_service = ticket.is_service
+        self._demand: dict[str, rates.Rate] = {}
+        self._slots = 0
+        self._queued = 0
+        self._read_ms: int | None = None
+        self._paced_ms = clock.now_ms()
+        self._pace = FIRST_PACE
+
+    def note_arrival(self, customer: str) -> None:
+        """Note a request, whatever becomes of it.
+
+        :param customer: who sent it.
+        """
+        rate = self._demand.get(customer)
+        if rate is None:
+            rate = self._demand[customer] = rates.Rate()
+        rate.add()
+
+    def read_limit(self) -> int | None:
+        """Return how many requests may run from here.
+
+        :returns: the number; None if nothing is known of the endpoints.
+        """
+        self._read_fleet()
+        if not self._slots:
+            return None
+        share = self._find_share()
+        return max(1, math.ceil(self._slots * share * self._pace))
+
+    def adjust(self, is_waiting: bool) -> None:
+        """Adjust the pace to what endpoints report.
+
+        :param is_waiting: whether requests wait here.
+        """
+        now_ms = clock.now_ms()
+        if now_ms - self._paced_ms < PACE_MS:
+            return
+        self._paced_ms = now_ms
+        self._read_fleet()
+        if self._queued > MOST_QUEUED * self._slots:
+            self._pace = max(LEAST_PACE, self._pace * (1 - PACE_STEP))
+        elif is_waiting and self._queued < LEAST_QUEUED * self._slots:
+            self._pace = min(MOST_PACE, self._pace * (1 + PACE_STEP))
+
+    def forget_idle(self) -> None:
+        """Drop customers whose demand has faded."""
+        for name, rate in list(self._demand.items()):
+            if rate.read() < 0.001:
+                del self._demand[name]
+
+    def _read_fleet(self) -> None:
+        now_ms = clock.now_ms()
+        if self._read_ms is not None and now_ms - self._read_ms < READ_MS:
+            return
+        self._read_ms = now_ms
+        if self._is_service:
+            workers = self._fleet.list_workers(self._target)
+            loads = [seen.line.load for seen in workers]
+        else:
+            groups = self._fleet.list_groups(self._target)
+            loads = [seen.line.load for seen in groups]
+        self._slots = sum(load.slots for load in loads)
+        self._queued = sum(load.queued for load in loads)
+
+    def _find_share(self) -> float:
+        own = total = 0.0
+        for customer, rate in self._demand.items():
+            demand = rate.read()
+            own += demand
+            total += demand / max(0.001, self._customers.read_share(customer))
+        return own / total if total else 1.0
--- /dev/null
+++ b/filbertglade/admission/fairness.py
@@ -0,0 +1,168 @@
+"""Weighted fair queue by customer."""
+
+import asyncio
+import collections
+from collections import abc
+import dataclasses
+
+from filbertglade.admission import permits
+from filbertglade.admission import tickets
+from filbertglade import clock
+from filbertglade.requests import outcomes
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiter:
+    """A request that waits for its permit.
+
+    :param ticket: the request.
+    :param decided: gets the permit or the refusal.
+    :param arrived_ms: local clock when it came.
+    :param latest_ms: local clock by which it must start.
+    """
+
+    ticket: tickets.Ticket
+    decided: asyncio.Future[permits.Permit | outcomes.Refusal]
+    arrived_ms: int
+    latest_ms: int
+
+    def read_wait_ms(self) -> int:
+        """Return how long it has waited."""
+        return clock.now_ms() - self.arrived_ms
+
+
+class Flow:
+    """One customer's requests, in the order they came."""
+
+    __slots__ = ('customer', 'weight', 'start', 'finish', 'waiters')
+
+    def __init__(self, customer: str) -> None:
+        self.customer = customer
+        self.weight = 1.0
+        self.start = 0.0
+        self.finish = 0.0
+        self.waiters: collections.deque[Waiter] = collections.deque()
+
+
+class FairQueue:
+    """Start-time fair queueing: the flow with the least start tag is next.
+
+    A customer that asks for more than its share only makes its own requests
+    wait; one that was idle gets no credit for it.
+    """
+
+    def __init__(self) -> None:
+        self._flows: dict[str, Flow] = {}
+        self._virtual = 0.0
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def push(self, waiter: Waiter) -> None:
+        """Put a request at its customer's end.
+
+        :param waiter: the request.
+        """
+        flow = self._open(waiter.ticket)
+        if not flow.waiters:
+            flow.start = max(self._virtual, flow.finish)
+        flow.waiters.append(waiter)
+        self._length += 1
+
+    def pop(self) -> Waiter:
+        """Take the request that is next.
+
+        :returns: the request.
+        :raises ValueError: the queue is empty.
+        """
+        flow = min(self.list_flows(), key=lambda item: item.start)
+        waiter = flow.waiters.popleft()
+        self._length -= 1
+        self._virtual = flow.start
+        self._charge(flow, waiter.ticket)
+        return waiter
+
+    def charge(self, ticket: tickets.Ticket) -> None:
+        """Charge a request that did not have to wait.
+
+        :param ticket: the request.
+        """
+        flow = self._open(ticket)
+        flow.start = max(self._virtual, flow.finish)
+        self._virtual = flow.start
+        self._charge(flow, ticket)
+
+    def remove(self, waiter: Waiter) -> bool:
+        """Take a request out, wherever it stands.
+
+        :param waiter: the request.
+        :returns: whether it was in the queue.
+        """
+        flow = self._flows.get(waiter.ticket.customer.name)
+        if flow is None or waiter not in flow.waiters:
+            return False
+        flow.waiters.remove(waiter)
+        self._length -= 1
+        return True
+
+    def list_flows(self) -> list[Flow]:
+        """Return the flows of customers that wait."""
+        return [flow for flow in self._flows.values() if flow.waiters]
+
+    def find_longest(self) -> Flow | None:
+        """Return the flow that holds most for its weight, if any."""
+        return max(
+            self.list_flows(),
+            key=lambda flow: len(flow.waiters) / flow.weight,
+            default=None,
+        )
+
+    def count_waiting(self, customer: str) -> int:
+        """Return how many requests of a customer wait.
+
+        :param customer: its name.
+        """
+        flow = self._flows.get(customer)
+        return len(flow.waiters) if flow is not None else 0
+
+    def count_ahead(self, customer: str, weight: float, own: int) -> float:
+        """Return about how many requests go before a customer's next one.
+
+        :param customer: its name.
+        :param weight: its weight.
+        :param own: how many of its own requests go before that one.
+        """
+        turns = (own + 1) / weight
+        ahead = float(own)
+        for flow in self._flows.values():
+            if flow.waiters and flow.customer != customer:
+                ahead += min(len(flow.waiters), turns * flow.weight)
+        return ahead
+
+    def forget_idle(self) -> None:
+        """Drop customers that wait for nothing and owe nothing."""
+        idle = [
+            name
+            for name, flow in self._flows.items()
+            if not flow.waiters and flow.finish <= self._virtual
+        ]
+        for name in idle:
+            del self._flows[name]
+
+    def __iter__(self) -> abc.Iterator[Waiter]:
+        for flow in self._flows.values():
+            yield from flow.waiters
+
+    def _open(self, ticket: tickets.Ticket) -> Flow:
+        name = ticket.customer.name
+        flow = self._flows.get(name)
+        if flow is None:
+            flow = self._flows[name] = Flow(name)
+        flow.weight = ticket.customer.weight
+        return flow
+
+    def _charge(self, flow: Flow, ticket: tickets.Ticket) -> None:
+        cost = max(1, ticket.expected_tokens) / ticket.customer.weight
+        flow.finish = flow.start + cost
+        flow.start = flow.finish
--- /dev/null
+++ b/filbertglade/admission/rates.py
@@ -0,0 +1,56 @@
+"""Rates that fade with time, and averages."""
+
+import math
+
+from filbertglade import clock
+
+MEMORY_MS = 5000
+
+
+class Rate:
+    """Events a second, the older ones counting less."""
+
+    __slots__ = ('_value', '_updated_ms')
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._updated_ms = clock.now_ms()
+
+    def add(self, amount: float = 1.0) -> None:
+        """Add events that happen now.
+
+        :param amount: how many.
+        """
+        self._fade()
+        self._value += amount * 1000 / MEMORY_MS
+
+    def read(self) -> float:
+        """Return the rate in events a second."""
+        self._fade()
+        return self._value
+
+    def _fade(self) -> None:
+        now_ms = clock.now_ms()
+        self._value *= math.exp((self._updated_ms - now_ms) / MEMORY_MS)
+        self._updated_ms = now_ms
+
+
+class SmoothedTime:
+    """A smoothed duration in milliseconds."""
+
+    __slots__ = ('value_ms', '_samples')
+
+    SMOOTHING = 0.05
+
+    def __init__(self, first_ms: float) -> None:
+        self.value_ms = first_ms
+        self._samples = 0
+
+    def add(self, value_ms: float) -> None:
+        """Add a sample.
+
+        :param value_ms: the sample in milliseconds.
+        """
+        self._samples += 1
+        weight = max(self.SMOOTHING, 1 / self._samples)
+        self.value_ms += weight * (value_ms - self.value_ms)
--- a/filbertglade/membership/view.py
+++ b/filbertglade/membership/view.py
@@ -47,6 +47,7 @@
         self._workers: dict[str, SeenWorker] = {}
         self._lost: dict[tuple[str, int], int] = {}
         self._lost_workers: dict[tuple[str, str], int] = {}
+        self.shares: dict[str, float] = {}
         self.document: model.Document | None = None
         self.document_text = b''
         # True once a control host that hears the leader gave or confirmed
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,85 @@
+"""Small fakes at the interfaces between packages."""
+
+import dataclasses
+
+from filbertglade import clock
+from filbertglade.configuration import model as configuration_model
+from filbertglade.inner import membership_pb2
+from filbertglade.routing import selection
+from filbertglade.settings import model
+
+
+@dataclasses.dataclass
+class FakeSeen:
+    """A group or worker with the load it reported."""
+
+    line: membership_pb2.GroupLine
+
+
+class FakeFleet:
+    """A view whose groups are always present."""
+
+    def __init__(self, **slots: int) -> None:
+        self.document: configuration_model.Document | None = None
+        self.shares: dict[str, float] = {}
+        self.loads = {
+            name: membership_pb2.Load(slots=count)
+            for name, count in slots.items()
+        }
+
+    def list_groups(self, deployment: str) -> list[FakeSeen]:
+        load = self.loads.get(deployment)
+        if load is None:
+            return []
+        return [FakeSeen(membership_pb2.GroupLine(load=load))]
+
+    def list_workers(self, service: str) -> list[FakeSeen]:
+        return self.list_groups(service)
+
+
+def build_settings(**limits: int) -> model.NodeSettings:
+    """Return a node's settings with some limits."""
+    return model.NodeSettings(
+        name='one',
+        region='central',
+        data_centre='north',
+        listen=model.ListenSettings('127.0.0.1:1', '127.0.0.1:2', '[::1]:3'),
+        control=model.ControlSettings(hosts=[]),
+        limits=model.LimitSettings(**limits),
+        seed=1,
+    )
+
+
+def build_customer(name: str, **fields: float) -> configuration_model.Customer:
+    """Return a customer whose limits are far away unless given."""
+    fields = {
+        'requests_per_s': 1e6,
+        'concurrent_requests': 1_000_000,
+        **fields,
+    }
+    return configuration_model.Customer(name, 'a' * 64, **fields)
+
+
+def build_deployment(
+    name: str, priority: int
+) -> configuration_model.Deployment:
+    """Return a deployment of one host."""
+    return configuration_model.Deployment(
+        name, 'model', '1', [], [], 1, 1, priority=priority
+    )
+
+
+def build_candidate(
+    name: str, active: int = 0, slots: int = 8, **fields: int
+) -> selection.Candidate:
+    """Return an endpoint that reported a load just now."""
+    age_ms = fields.pop('age_ms', 0)
+    load = membership_pb2.Load(slots=slots, active=active, **fields)
+    return selection.Candidate(
+        name, 1, name, 'run', '127.0.0.1:9', 'north', load, age_ms
+    )
+
+
+def build_deadline(left_ms: int = 600_000) -> int:
+    """Return a deadline by the running loop's clock."""
+    return clock.now_ms() + left_ms
