Report every fault of settings and documents in one run

Cause: checks that span keys ran only once every key was of its own shape, TOML dates passed as strings, NaN, infinite and huge numbers passed, a JSON key could stand twice, and os.access tells a privileged process that every folder can be written.

Change: faulty keys are taken out and the rest is checked across keys in the same run; addresses and names have rules with messages; folders are probed with an unnamed file; settings and documents have warnings, printed and not fatal. test_names_must_be_known held that the cross-key faults stay hidden while a key is unknown; test_every_problem_is_reported_at_once replaces it and asks for all of them.

--- a/filbertglade/commands/check.py
+++ b/filbertglade/commands/check.py
@@ -4,9 +4,11 @@
 
 import typer
 
+from filbertglade.configuration import model as document_model
 from filbertglade.configuration import validation
 from filbertglade import schema
 from filbertglade.settings import loader
+from filbertglade.settings import model
 
 EXIT_INVALID = 2
 
@@ -22,6 +24,15 @@
     return EXIT_INVALID if problems else 0
 
 
+def print_warnings(warnings: list[schema.Problem]) -> None:
+    """Print warnings to standard error.
+
+    :param warnings: the warnings.
+    """
+    for warning in warnings:
+        typer.echo(f'warning: {warning}', err=True)
+
+
 def print_failure(message: str, code: int) -> int:
     """Print one failure to standard error.
 
@@ -33,14 +44,57 @@
     return code
 
 
+def read_settings(path: pathlib.Path) -> model.NodeSettings | None:
+    """Read a settings file; print what is wrong or odd with it.
+
+    :param path: the TOML file.
+    :returns: the settings, or None if a problem was printed.
+    """
+    settings, problems = loader.load_settings(path)
+    if settings is None:
+        print_problems(problems)
+        return None
+    print_warnings(loader.find_warnings(settings))
+    return settings
+
+
+def read_document(
+    path: pathlib.Path,
+) -> tuple[document_model.Document, bytes] | None:
+    """Read a document; print what is wrong or odd with it.
+
+    :param path: the JSON file.
+    :returns: the document and its text, or None if a problem was printed.
+    """
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        print_failure(f'{path}: {error.strerror}', EXIT_INVALID)
+        return None
+    document, problems = validation.parse_document(text)
+    if document is None:
+        print_problems(problems)
+        return None
+    print_warnings(validation.find_warnings(document))
+    return document, text
+
+
 def check_settings(path: pathlib.Path) -> int:
     """Check a settings file.
 
     :param path: the TOML file.
     :returns: exit code.
     """
-    _, problems = loader.load_settings(path)
-    return print_problems(problems)
+    settings = read_settings(path)
+    if settings is None:
+        return EXIT_INVALID
+    role = 'control host' if settings.is_control_host else 'node'
+    typer.echo(
+        f'{path}: good; {role} {settings.name!r} in data centre '
+        f'{settings.data_centre!r}, {len(settings.control.hosts)} control '
+        'hosts'
+    )
+    return 0
 
 
 def check_document(path: pathlib.Path) -> int:
@@ -49,9 +103,14 @@
     :param path: the JSON file.
     :returns: exit code.
     """
-    try:
-        text = path.read_bytes()
-    except OSError as error:
-        return print_failure(f'{path}: {error.strerror}', EXIT_INVALID)
-    _, problems = validation.parse_document(text)
-    return print_problems(problems)
+    found = read_document(path)
+    if found is None:
+        return EXIT_INVALID
+    document, _ = found
+    typer.echo(
+        f'{path}: good; number {document.number}, '
+        f'{len(document.customers)} customers, '
+        f'{len(document.deployments)} deployments, '
+        f'{len(document.services)} services'
+    )
+    return 0
--- a/filbertglade/commands/init_control.py
+++ b/filbertglade/commands/init_control.py
@@ -4,7 +4,6 @@
 
 from filbertglade.commands import check
 from filbertglade.control import storage
-from filbertglade.settings import loader
 
 
 def init_control(path: pathlib.Path) -> int:
@@ -13,9 +12,14 @@
     :param path: the settings file.
     :returns: exit code.
     """
-    settings, problems = loader.load_settings(path)
+    settings = check.read_settings(path)
     if settings is None:
-        return check.print_problems(problems)
+        return check.EXIT_INVALID
+    if not settings.is_control_host:
+        return check.print_failure(
+            f'control.data_folder: {settings.name!r} is no control host',
+            check.EXIT_INVALID,
+        )
     failure = storage.init_control(settings)
     if failure is not None:
         return check.print_failure(str(failure), check.EXIT_INVALID)
--- a/filbertglade/commands/node.py
+++ b/filbertglade/commands/node.py
@@ -7,7 +7,6 @@
 from filbertglade.inner import channels
 from filbertglade.node import node
 from filbertglade.observability import logs
-from filbertglade.settings import loader
 from filbertglade.settings import model
 
 EXIT_FAILURE = 1
@@ -20,9 +19,9 @@
     :returns: exit code: 0 after a stop that was asked for, 1 if the node
         could not start, 2 if the settings are wrong.
     """
-    settings, problems = loader.load_settings(path)
+    settings = check.read_settings(path)
     if settings is None:
-        return check.print_problems(problems)
+        return check.EXIT_INVALID
     log_file = pathlib.Path(settings.log_file) if settings.log_file else None
     try:
         logs.open_log(settings.name, settings.data_centre, log_file)
--- a/filbertglade/configuration/model.py
+++ b/filbertglade/configuration/model.py
@@ -10,12 +10,33 @@
 from filbertglade import schema
 from filbertglade.settings import model as settings_model
 
+HIGHEST_NUMBER = 2**53 - 1  # the largest that every JSON reader keeps
+
 Name = settings_model.Name
-Positive = typing.Annotated[int, annotated_types.Ge(1)]
-Weight = typing.Annotated[float, annotated_types.Gt(0)]
+Sha256 = settings_model.Sha256
+Positive = settings_model.Count
+Duration = settings_model.Duration
+Weight = typing.Annotated[
+    float, annotated_types.Gt(0), annotated_types.Le(1e9)
+]
 Priority = typing.Annotated[int, annotated_types.Ge(0), annotated_types.Le(9)]
-Sha256 = typing.Annotated[
-    str, pydantic.StringConstraints(pattern=r'^[0-9a-f]{64}$')
+Number = typing.Annotated[
+    int, annotated_types.Ge(1), annotated_types.Le(HIGHEST_NUMBER)
+]
+ChangeId = typing.Annotated[
+    str, pydantic.StringConstraints(pattern=r'^[!-~]{1,128}$')
+]
+OptionalName = typing.Annotated[
+    str,
+    pydantic.AfterValidator(
+        lambda text: text and settings_model.check_name(text)
+    ),
+]
+Method = typing.Annotated[
+    str, pydantic.StringConstraints(pattern=r'^(\*|[A-Z]{1,16})$')
+]
+PathPrefix = typing.Annotated[
+    str, pydantic.StringConstraints(pattern=r'^/', max_length=1024)
 ]
 
 
@@ -80,10 +101,12 @@
     fabric_domains: list[Name]
     hosts_per_replica: Positive
     replicas: Positive
-    adapter: str = ''
+    adapter: OptionalName = ''
     priority: Priority = 5
     objective: Objective = Objective.DOWNTIME
-    spare_hosts: typing.Annotated[int, annotated_types.Ge(0)] = 1
+    spare_hosts: typing.Annotated[
+        int, annotated_types.Ge(0), annotated_types.Le(1000)
+    ] = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,8 +119,8 @@
 
     __pydantic_config__ = schema.STRICT
 
-    method: str
-    path_prefix: str = '/'
+    method: Method
+    path_prefix: PathPrefix = '/'
 
 
 @dataclasses.dataclass(slots=True)
@@ -144,8 +167,8 @@
     __pydantic_config__ = schema.STRICT
 
     loads_at_once: Positive = 8
-    claim_kept_ms: Positive = 86_400_000
-    default_deadline_ms: Positive = 120_000
+    claim_kept_ms: Duration = 86_400_000
+    default_deadline_ms: Duration = 120_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -158,10 +181,8 @@
 
     __pydantic_config__ = schema.STRICT
 
-    number: Positive
-    change_id: typing.Annotated[
-        str, pydantic.StringConstraints(min_length=1, max_length=128)
-    ]
+    number: Number
+    change_id: ChangeId
     customers: list[Customer] = dataclasses.field(default_factory=list)
     deployments: list[Deployment] = dataclasses.field(default_factory=list)
     services: list[Service] = dataclasses.field(default_factory=list)
--- a/filbertglade/configuration/validation.py
+++ b/filbertglade/configuration/validation.py
@@ -4,8 +4,11 @@
 import json
 
 from filbertglade.configuration import model
+from filbertglade.configuration import reading
 from filbertglade import schema
 
+DOCUMENT_BYTES = 1_048_576
+
 
 def parse_document(
     text: bytes,
@@ -15,14 +18,16 @@
     :param text: the JSON text.
     :returns: the document, or None, and every problem found.
     """
-    try:
-        data = json.loads(text)
-    except ValueError as error:
-        return None, [schema.Problem('(document)', f'not valid JSON: {error}')]
-    document, problems = schema.decode(model.Document, data)
-    if document is None:
+    if len(text) > DOCUMENT_BYTES:
+        message = f'{len(text)} bytes; at most {DOCUMENT_BYTES} are allowed'
+        return None, [schema.Problem(schema.WHOLE, message)]
+    data, problems = reading.read_json(text)
+    if data is None and problems:
         return None, problems
-    problems = check_document(document)
+    document, faults = schema.decode_what_fits(model.Document, data)
+    problems += faults
+    if document is not None:
+        problems = schema.join_problems(problems, check_document(document))
     return (None if problems else document), problems
 
 
@@ -32,20 +37,15 @@
     :param document: a document of the right shape.
     :returns: every problem found.
     """
-    customers = [item.name for item in document.customers]
-    domains = [item.name for item in document.fabric_domains]
-    deployments = [item.name for item in document.deployments]
-    services = [item.name for item in document.services]
     find = schema.find_duplicates
-    problems = find(customers, 'customers', 'name')
-    problems += find(
-        [item.key_sha256 for item in document.customers],
-        'customers',
-        'key_sha256',
-    )
-    problems += find(domains, 'fabric_domains', 'name')
-    problems += find(deployments, 'deployments', 'name')
-    problems += find(services, 'services', 'name')
+    keys = [item.key_sha256 for item in document.customers]
+    problems = find(_names(document.customers), 'customers', 'name')
+    problems += find(keys, 'customers', 'key_sha256')
+    problems += find(_names(document.fabric_domains), 'fabric_domains', 'name')
+    problems += find(_names(document.deployments), 'deployments', 'name')
+    problems += find(_names(document.services), 'services', 'name')
+    customers = set(_names(document.customers))
+    domains = set(_names(document.fabric_domains))
     for position, deployment in enumerate(document.deployments):
         path = f'deployments[{position}]'
         problems += _check_names(
@@ -58,23 +58,63 @@
             'fabric domain',
         )
     for position, service in enumerate(document.services):
+        path = f'services[{position}].customers'
         problems += _check_names(
-            service.customers,
-            customers,
-            f'services[{position}].customers',
-            'customer',
+            service.customers, customers, path, 'customer'
         )
     return problems
 
 
+def _names(
+    items: list[model.Customer]
+    | list[model.FabricDomain]
+    | list[model.Deployment]
+    | list[model.Service],
+) -> list[str]:
+    return [item.name for item in items]
+
+
 def _check_names(
-    names: list[str], known: list[str], path: str, what: str
+    names: list[str], known: set[str], path: str, what: str
 ) -> list[schema.Problem]:
-    return [
+    unknown = [
         schema.Problem(f'{path}[{position}]', f'unknown {what} {name!r}')
         for position, name in enumerate(names)
         if name not in known
     ]
+    return unknown + schema.find_duplicates(names, path, '')
+
+
+def find_warnings(document: model.Document) -> list[schema.Problem]:
+    """Find what is allowed but seldom meant.
+
+    :param document: a document that passed every check.
+    :returns: what to warn of.
+    """
+    warnings = []
+    used: set[str] = set()
+    for position, deployment in enumerate(document.deployments):
+        path = f'deployments[{position}]'
+        used.update(deployment.customers)
+        if not deployment.customers:
+            warnings.append(_nobody(f'{path}.customers'))
+        if not deployment.fabric_domains:
+            message = 'empty: no group can be formed'
+            warnings.append(schema.Problem(f'{path}.fabric_domains', message))
+    for position, service in enumerate(document.services):
+        used.update(service.customers)
+        if not service.customers:
+            warnings.append(_nobody(f'services[{position}].customers'))
+    for position, customer in enumerate(document.customers):
+        if customer.name not in used:
+            path = f'customers[{position}].name'
+            message = f'{customer.name!r} may call nothing'
+            warnings.append(schema.Problem(path, message))
+    return warnings
+
+
+def _nobody(path: str) -> schema.Problem:
+    return schema.Problem(path, 'empty: nobody may call it')
 
 
 def canonical_text(text: bytes) -> bytes:
--- a/filbertglade/schema.py
+++ b/filbertglade/schema.py
@@ -4,6 +4,7 @@
 type and a value out of bounds are each a problem of their own.
 """
 
+import copy
 import dataclasses
 import json
 import typing
@@ -12,13 +13,22 @@
 
 Model = typing.TypeVar('Model')
 
+Location = tuple[int | str, ...]
+
 # Set as ``__pydantic_config__`` on every class of a schema.
-STRICT: pydantic.ConfigDict = {'extra': 'forbid', 'strict': True}
+STRICT: pydantic.ConfigDict = {
+    'extra': 'forbid',
+    'strict': True,
+    'allow_inf_nan': False,
+}
+
+WHOLE = '(document)'
+MESSAGE_PREFIX = 'Value error, '
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
-    """One thing wrong with the data.
+    """One thing wrong with the data, or worth a warning.
 
     :param key: path of the key, as in ``listen.callers``.
     :param message: what is wrong with its value.
@@ -51,26 +61,75 @@
     :param data: what a TOML or JSON reader gave.
     :returns: the object, or None, and the problems found.
     """
+    found, problems, _ = _decode(model, data)
+    return found, problems
+
+
+def decode_what_fits(
+    model: type[Model], data: object
+) -> tuple[Model | None, list[Problem]]:
+    """Check data against a schema, and keep what is left without its faults.
+
+    Checks that span several keys can so be made in the same run.
+
+    :param model: the data class that declares the schema.
+    :param data: what a TOML or JSON reader gave.
+    :returns: the object, with defaults in place of faulty values, or None
+        if a faulty value has no default; and the problems found.
+    """
+    found, problems, locations = _decode(model, data)
+    if found is not None or () in locations:
+        return found, problems
+    data = copy.deepcopy(data)
+    for location in locations:
+        _remove(data, location)
+    found, _, _ = _decode(model, data)
+    return found, problems
+
+
+def _decode(
+    model: type[Model], data: object
+) -> tuple[Model | None, list[Problem], list[Location]]:
     try:
         # Only JSON input lets strict checks take a mapping for an object.
-        text = json.dumps(data, default=str)
-        return _get_adapter(model).validate_json(text), []
+        text = json.dumps(data, default=_hide_type)
+        return _get_adapter(model).validate_json(text), [], []
     except pydantic.ValidationError as error:
+        items = error.errors(include_url=False, include_input=False)
         problems = [
-            Problem(_key_path(item['loc']), _message(item))
-            for item in error.errors(include_url=False, include_input=False)
+            Problem(key_path(item['loc']), _message(item)) for item in items
         ]
-        return None, problems
+        return None, problems, [item['loc'] for item in items]
+
+
+def _hide_type(_: object) -> list[object]:
+    # Dates and times of TOML: no schema wants them, nor an empty list where
+    # a single value stands.
+    return []
+
 
+def _remove(data: typing.Any, location: Location) -> None:
+    for part in location[:-1]:
+        try:
+            data = data[part]
+        except (KeyError, IndexError, TypeError):
+            return
+    if isinstance(data, dict):
+        data.pop(location[-1], None)
 
-def _key_path(location: tuple[int | str, ...]) -> str:
+
+def key_path(location: Location) -> str:
+    """Return a key's path as people read it.
+
+    :param location: the keys and positions that lead to it.
+    """
     path = ''
     for part in location:
         if isinstance(part, int):
             path += f'[{part}]'
         else:
             path += f'.{part}' if path else part
-    return path or '(document)'
+    return path or WHOLE
 
 
 def _message(item: typing.Any) -> str:
@@ -79,23 +138,51 @@
         return 'unknown key'
     if kind in ('missing', 'missing_argument'):
         return 'required key is missing'
-    text = str(item['msg'])
+    text = str(item['msg']).removeprefix(MESSAGE_PREFIX)
     return text[:1].lower() + text[1:]
 
 
+def join_problems(
+    first: list[Problem], second: list[Problem]
+) -> list[Problem]:
+    """Join problems of single keys with those that span several.
+
+    :param first: problems of single keys.
+    :param second: problems of the rest; one about a key that the first list
+        names, or about a part of it, is left out.
+    :returns: both, in this order.
+    """
+    named = [problem.key for problem in first]
+    kept = [
+        problem
+        for problem in second
+        if not any(_overlap(problem.key, key) for key in named)
+    ]
+    return first + kept
+
+
+def _overlap(one: str, other: str) -> bool:
+    shorter, longer = sorted((one, other), key=len)
+    return longer == shorter or longer.startswith(
+        (f'{shorter}.', f'{shorter}[')
+    )
+
+
 def find_duplicates(names: list[str], path: str, key: str) -> list[Problem]:
     """Report names that stand twice in a list.
 
     :param names: the names, in the list's order.
     :param path: key path of the list.
-    :param key: the key that holds the name in each item.
+    :param key: the key that holds the name in each item; empty if the items
+        are the names.
     :returns: a problem for each repetition.
     """
     seen: set[str] = set()
     problems = []
     for position, name in enumerate(names):
         if name in seen:
-            where = f'{path}[{position}].{key}'
+            where = f'{path}[{position}]'
+            where += f'.{key}' if key else ''
             problems.append(Problem(where, f'duplicate name {name!r}'))
         seen.add(name)
     return problems
--- a/filbertglade/settings/loader.py
+++ b/filbertglade/settings/loader.py
@@ -1,14 +1,15 @@
 """Reading and checking of a settings file."""
 
-import os
 import pathlib
+import tempfile
 import tomllib
 
 from filbertglade import schema
 from filbertglade.settings import model
 
 CONTROL_HOST_COUNTS = (1, 3, 5, 7)
-PORT_LIMIT = 65_535
+LOOPBACK_PREFIXES = ('127.', '[::1]')
+ANY_HOSTS = ('0.0.0.0', '[::]')
 
 
 def load_settings(
@@ -26,17 +27,16 @@
         return None, [
             schema.Problem(str(path), error.strerror or 'unreadable')
         ]
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
         return None, [schema.Problem(str(path), f'not valid TOML: {error}')]
-    settings, problems = schema.decode(model.NodeSettings, data)
-    if settings is None:
-        return None, problems
-    problems = check_settings(settings)
+    settings, problems = schema.decode_what_fits(model.NodeSettings, data)
+    if settings is not None:
+        problems = schema.join_problems(problems, check_settings(settings))
     return (None if problems else settings), problems
 
 
 def check_settings(settings: model.NodeSettings) -> list[schema.Problem]:
-    """Check what spans several keys.
+    """Check what spans several keys, or needs a look at the host.
 
     :param settings: settings of the right shape.
     :returns: every problem found.
@@ -45,28 +45,74 @@
     problems += _check_control_hosts(settings)
     problems += _check_timings(settings)
     if settings.is_control_host:
-        problems += _check_data_folder(settings)
+        problems += _check_folder(
+            'control.data_folder', pathlib.Path(settings.control.data_folder)
+        )
+    if settings.log_file:
+        problems += _check_log_file(pathlib.Path(settings.log_file))
     return problems
 
 
+def find_warnings(settings: model.NodeSettings) -> list[schema.Problem]:
+    """Find what is allowed but seldom meant.
+
+    :param settings: settings that passed every check.
+    :returns: what to warn of.
+    """
+    warnings = []
+    if len(settings.control.hosts) == 1:
+        warnings.append(
+            schema.Problem(
+                'control.hosts',
+                'one control host: its loss stops every change, and the '
+                'loss of its disk loses the agreed state',
+            )
+        )
+    if not settings.log_file:
+        warnings.append(
+            schema.Problem('log_file', 'not set: the log goes to stderr')
+        )
+    listen = settings.listen.administration
+    if not (
+        settings.administration.key_sha256
+        or listen.startswith(LOOPBACK_PREFIXES)
+    ):
+        warnings.append(
+            schema.Problem(
+                'administration.key_sha256',
+                f'not set: whoever reaches {listen} may change everything',
+            )
+        )
+    return warnings
+
+
 def _check_addresses(settings: model.NodeSettings) -> list[schema.Problem]:
     listen = settings.listen
-    named = [
-        ('listen.callers', listen.callers),
-        ('listen.administration', listen.administration),
-        ('listen.inner', listen.inner),
-    ]
-    for position, host in enumerate(settings.control.hosts):
-        named.append((f'control.hosts[{position}].address', host.address))
+    own = {
+        'listen.callers': listen.callers,
+        'listen.administration': listen.administration,
+        'listen.inner': listen.inner,
+    }
     problems = []
-    for key, address in named:
-        if not 0 < int(address.rpartition(':')[2]) <= PORT_LIMIT:
-            problems.append(schema.Problem(key, 'port is out of range'))
-    own = [address for _, address in named[:3]]
-    if len(set(own)) < len(own):
+    if len(set(own.values())) < len(own):
         problems.append(
             schema.Problem('listen', 'the three addresses must differ')
         )
+    if listen.inner.rpartition(':')[0] in ANY_HOSTS:
+        problems.append(
+            schema.Problem(
+                'listen.inner', 'must name the IP number that peers reach'
+            )
+        )
+    for position, host in enumerate(settings.control.hosts):
+        for key in ('listen.callers', 'listen.administration'):
+            if host.address == own[key]:
+                problems.append(
+                    schema.Problem(
+                        f'control.hosts[{position}].address',
+                        f'is also {key}',
+                    )
+                )
     return problems
 
 
@@ -83,25 +129,35 @@
                 'control.hosts', f'{len(hosts)} hosts; need 1, 3, 5 or 7'
             )
         )
-    own = [host for host in hosts if host.name == settings.name]
-    if settings.is_control_host and not own:
+    return problems + _check_own_entry(settings)
+
+
+def _check_own_entry(settings: model.NodeSettings) -> list[schema.Problem]:
+    control = settings.control
+    own = [host for host in control.hosts if host.name == settings.name]
+    if not own and settings.is_control_host:
+        message = f'{settings.name!r} has a data folder but is not listed'
+        return [schema.Problem('control.hosts', message)]
+    if not own:
+        return []
+    problems = []
+    if not settings.is_control_host:
         problems.append(
             schema.Problem(
-                'control.hosts',
-                f'{settings.name!r} has a data folder but is not listed',
+                'control.data_folder',
+                'a listed control host needs a data folder',
             )
         )
-    if own and not settings.is_control_host:
+    if own[0].address != settings.listen.inner:
         problems.append(
             schema.Problem(
-                'control.data_folder',
-                'a listed control host needs a data folder',
+                'listen.inner', "differs from this host's listed address"
             )
         )
-    if own and own[0].address != settings.listen.inner:
+    if own[0].data_centre != settings.data_centre:
         problems.append(
             schema.Problem(
-                'listen.inner', "differs from this host's listed address"
+                'data_centre', "differs from this host's listed data centre"
             )
         )
     return problems
@@ -135,15 +191,23 @@
     return problems
 
 
-def _check_data_folder(settings: model.NodeSettings) -> list[schema.Problem]:
-    folder = pathlib.Path(settings.control.data_folder)
+def _check_log_file(path: pathlib.Path) -> list[schema.Problem]:
+    if path.is_dir():
+        return [schema.Problem('log_file', f'{path} is a folder')]
+    return _check_folder('log_file', path.parent)
+
+
+def _check_folder(key: str, folder: pathlib.Path) -> list[schema.Problem]:
     existing = folder
     while not existing.exists() and existing != existing.parent:
         existing = existing.parent
     if not existing.is_dir():
-        message = f'{existing} is not a folder'
-    elif not os.access(existing, os.W_OK | os.X_OK):
-        message = f'{existing} cannot be written'
-    else:
-        return []
-    return [schema.Problem('control.data_folder', message)]
+        return [schema.Problem(key, f'{existing} is not a folder')]
+    try:
+        # Permission bits tell a privileged process nothing: only a write
+        # shows whether the file system takes one. The file has no name.
+        with tempfile.TemporaryFile(dir=existing):
+            return []
+    except OSError as error:
+        message = f'{existing} cannot be written: {error.strerror}'
+        return [schema.Problem(key, message)]
--- a/filbertglade/settings/model.py
+++ b/filbertglade/settings/model.py
@@ -4,6 +4,8 @@
 """
 
 import dataclasses
+import ipaddress
+import re
 import typing
 
 import annotated_types
@@ -11,18 +13,67 @@
 
 from filbertglade import schema
 
-Name = typing.Annotated[
-    str,
-    pydantic.StringConstraints(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'),
+NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+NAME_RULE = (
+    "must be 1 to 63 letters, digits, '.', '_' or '-', and begin with a "
+    'letter or a digit'
+)
+ADDRESS_RULE = "must be an IP number and a port, as in '127.0.0.1:8080'"
+PORT_LIMIT = 65_535
+DURATION_LIMIT_MS = 30 * 86_400_000
+COUNT_LIMIT = 2**40
+
+
+def check_name(text: str) -> str:
+    """Check a name.
+
+    :param text: the name.
+    :returns: the name.
+    :raises ValueError: it breaks the rule for names.
+    """
+    if NAME_PATTERN.fullmatch(text) is None:
+        raise ValueError(NAME_RULE)
+    return text
+
+
+def check_address(text: str) -> str:
+    """Check an address.
+
+    :param text: ``host:port``; an IPv6 host stands in brackets.
+    :returns: the address.
+    :raises ValueError: it breaks the rule for addresses.
+    """
+    host, _, port = text.rpartition(':')
+    if host.startswith('[') and host.endswith(']'):
+        ipaddress.IPv6Address(host[1:-1])
+    elif not _is_ipv4(host):
+        raise ValueError(ADDRESS_RULE)
+    if not (port.isascii() and port.isdecimal()):
+        raise ValueError(ADDRESS_RULE)
+    if not 0 < int(port) <= PORT_LIMIT:
+        raise ValueError('port is out of range')
+    return text
+
+
+def _is_ipv4(host: str) -> bool:
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
+Name = typing.Annotated[str, pydantic.AfterValidator(check_name)]
+Address = typing.Annotated[str, pydantic.AfterValidator(check_address)]
+Duration = typing.Annotated[
+    int, annotated_types.Ge(1), annotated_types.Le(DURATION_LIMIT_MS)
+]
+Count = typing.Annotated[
+    int, annotated_types.Ge(1), annotated_types.Le(COUNT_LIMIT)
 ]
-Address = typing.Annotated[
-    str,
-    pydantic.StringConstraints(
-        pattern=r'^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$'
-    ),
+Sha256 = typing.Annotated[
+    str, pydantic.StringConstraints(pattern=r'^[0-9a-f]{64}$')
 ]
-Duration = typing.Annotated[int, annotated_types.Ge(1)]
-Count = typing.Annotated[int, annotated_types.Ge(1)]
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +92,21 @@
     inner: Address
 
 
+@dataclasses.dataclass(slots=True)
+class AdministrationSettings:
+    """Access to the administration API.
+
+    :param key_sha256: SHA-256 of the operators' key, hexadecimal; empty if
+        whoever reaches the listener may use it.
+    """
+
+    __pydantic_config__ = schema.STRICT
+
+    key_sha256: typing.Annotated[
+        str, pydantic.StringConstraints(pattern=r'^([0-9a-f]{64})?$')
+    ] = ''
+
+
 @dataclasses.dataclass(slots=True)
 class ControlHostSettings:
     """A control host as every node knows it.
@@ -143,6 +209,7 @@
     :param data_centre: its data centre.
     :param listen: addresses it listens on.
     :param control: the control hosts.
+    :param administration: access to the administration API.
     :param timings: time-outs and intervals.
     :param limits: bounds of memory and work.
     :param log_file: where the log goes; standard error if empty.
@@ -156,6 +223,9 @@
     data_centre: Name
     listen: ListenSettings
     control: ControlSettings
+    administration: AdministrationSettings = dataclasses.field(
+        default_factory=AdministrationSettings
+    )
     timings: TimingSettings = dataclasses.field(default_factory=TimingSettings)
     limits: LimitSettings = dataclasses.field(default_factory=LimitSettings)
     log_file: str = ''
--- a/tests/configuration/test_validation.py
+++ b/tests/configuration/test_validation.py
@@ -2,33 +2,145 @@
 
 import json
 
+import pytest
+
 from filbertglade.configuration import validation
 
+HASH = '0' * 64
+GOOD = {
+    'number': 1,
+    'change_id': 'a',
+    'customers': [{'name': 'x', 'key_sha256': HASH}],
+    'fabric_domains': [{'name': 'f', 'data_centre': 'north'}],
+    'deployments': [
+        {
+            'name': 'd',
+            'model': 'm',
+            'version': '1',
+            'customers': ['x'],
+            'fabric_domains': ['f'],
+            'hosts_per_replica': 4,
+            'replicas': 2,
+        }
+    ],
+    'services': [{'name': 's', 'customers': ['x']}],
+}
+
+
+def _find_keys(data):
+    text = data if isinstance(data, bytes) else json.dumps(data).encode()
+    document, problems = validation.parse_document(text)
+    assert (document is None) == bool(problems)
+    return sorted(problem.key for problem in problems)
+
 
-def test_names_must_be_known():
+def test_good_document():
+    assert _find_keys(GOOD) == []
+
+
+def test_every_problem_is_reported_at_once():
     text = json.dumps(
         {
             'number': 1,
             'change_id': 'a',
-            'customers': [{'name': 'x', 'key_sha256': '0' * 64}] * 2,
+            'customers': [{'name': 'x', 'key_sha256': HASH}] * 2,
             'services': [{'name': 's', 'customers': ['y'], 'extra': 1}],
+            'limits': {'loads_at_once': 'many'},
         }
     )
-    document, problems = validation.parse_document(text.encode())
-    assert document is None
-    assert [problem.key for problem in problems] == ['services[0].extra']
-    document, problems = validation.parse_document(
-        text.replace(', "extra": 1', '').encode()
-    )
-    assert document is None
-    assert sorted(problem.key for problem in problems) == [
+    assert _find_keys(text.encode()) == [
         'customers[1].key_sha256',
         'customers[1].name',
+        'limits.loads_at_once',
         'services[0].customers[0]',
+        'services[0].extra',
     ]
 
 
-def test_text_that_is_no_json():
-    document, problems = validation.parse_document(b'{')
+@pytest.mark.parametrize(
+    'path, value',
+    [
+        ('number', 0),
+        ('number', 2**53),
+        ('number', '1'),
+        ('number', 1.0),
+        ('number', True),
+        ('change_id', ''),
+        ('change_id', 'a b'),
+        ('change_id', 'a' * 129),
+        ('customers[0].name', 'a/b'),
+        ('customers[0].key_sha256', 'A' * 64),
+        ('customers[0].weight', 0),
+        ('customers[0].weight', -1.5),
+        ('customers[0].requests_per_s', None),
+        ('customers[0].concurrent_requests', 10**30),
+        ('deployments[0].hosts_per_replica', 0),
+        ('deployments[0].priority', 10),
+        ('deployments[0].objective', 'both'),
+        ('deployments[0].adapter', 'a b'),
+        ('deployments[0].spare_hosts', -1),
+        ('deployments[0].customers[0]', 'nobody'),
+        ('deployments[0].fabric_domains[0]', 'nowhere'),
+        ('services[0].not_repeatable', {}),
+        ('fabric_domains[0].fencing', 'maybe'),
+        ('limits.claim_kept_ms', 10**12),
+        ('unknown', 1),
+    ],
+)
+def test_value_that_is_refused(path, value):
+    data = json.loads(json.dumps(GOOD)) | {'limits': {}}
+    *outer, last = path.replace('[', '.').replace(']', '').split('.')
+    place = data
+    for part in outer:
+        place = place[int(part) if part.isdecimal() else part]
+    place[int(last) if last.isdecimal() else last] = value
+    assert _find_keys(data) == [path]
+
+
+def test_name_that_stands_twice_in_a_deployment():
+    data = json.loads(json.dumps(GOOD))
+    data['deployments'][0]['fabric_domains'] *= 2
+    assert _find_keys(data) == ['deployments[0].fabric_domains[1]']
+
+
+@pytest.mark.parametrize(
+    'text, message',
+    [
+        (b'{', 'not valid JSON'),
+        (b'\xff', 'not valid JSON'),
+        (b'{"number": NaN}', 'NaN is no number'),
+        (b'[' * 100_000, 'nested too deeply'),
+        (b' ' * (validation.DOCUMENT_BYTES + 1), 'at most'),
+    ],
+)
+def test_text_that_is_no_document(text, message):
+    document, problems = validation.parse_document(text)
     assert document is None
-    assert 'not valid JSON' in problems[0].message
+    assert problems[0].key == '(document)'
+    assert message in problems[0].message
+
+
+def test_number_that_overflows():
+    text = json.dumps(GOOD).replace(
+        '"key_sha256"', '"weight":1e999,"key_sha256"'
+    )
+    assert _find_keys(text.encode()) == ['customers[0].weight']
+
+
+def test_key_that_stands_twice():
+    text = json.dumps(GOOD).replace('"model"', '"model": "n", "model"')
+    assert _find_keys(text.encode()) == ['deployments[0].model']
+
+
+def test_warnings():
+    data = json.loads(json.dumps(GOOD))
+    data['deployments'][0]['customers'] = []
+    data['deployments'][0]['fabric_domains'] = []
+    data['services'][0]['customers'] = []
+    document, _ = validation.parse_document(json.dumps(data).encode())
+    assert [item.key for item in validation.find_warnings(document)] == [
+        'deployments[0].customers',
+        'deployments[0].fabric_domains',
+        'services[0].customers',
+        'customers[0].name',
+    ]
