Answer each operator's error by type and message; guard the API by a key

Cause: an unknown path gave an HTML page, a conflict carried no message, a commit that met a change of leader was given up at the first failure, and whoever reached the administration listener could change everything.

--- a/filbertglade/administration/application.py
+++ b/filbertglade/administration/application.py
@@ -1,10 +1,15 @@
 """The administration API."""
 
+import asyncio
+import hashlib
+import hmac
 import typing
 
 from tornado import web
 
 from filbertglade.administration import reader
+from filbertglade import clock
+from filbertglade.configuration import model as document_model
 from filbertglade.configuration import validation
 from filbertglade.control import failures
 from filbertglade.control import submitter
@@ -12,18 +17,26 @@
 from filbertglade.inner import channels
 from filbertglade.inner import commands_pb2
 from filbertglade.membership import view
+from filbertglade.observability import logs
+from filbertglade import schema
 from filbertglade.settings import model
 
-SUBMIT_TIMEOUT_MS = 5000
+log = logs.get_log(__name__)
+
+COMMIT_LIMIT_MS = 10_000  # longest wait for a commit, over all tries
+COMMIT_TRY_MS = 3_000
+RETRY_PAUSE_MS = 100
 RETRY_AFTER_S = '1'
+BEARER = 'Bearer '
 
 Verdict = commands_pb2.ConfigurationResult
 
-STATUS_BY_VERDICT = {
-    Verdict.ACCEPTED: 200,
-    Verdict.NUMBER_TAKEN: 409,
-    Verdict.CHANGE_ID_REUSED: 409,
-    Verdict.NUMBER_OUT_OF_ORDER: 409,
+MESSAGES = {
+    Verdict.NUMBER_TAKEN: 'another change took this number first',
+    Verdict.CHANGE_ID_REUSED: (
+        'this change_id was accepted before with another document'
+    ),
+    Verdict.NUMBER_OUT_OF_ORDER: 'the number must be the current one plus 1',
 }
 
 
@@ -49,6 +62,21 @@
         self._commands = commands
         self._channels = channel_factory
 
+    def prepare(self) -> None:
+        """Refuse whoever has no operators' key, if the settings name one."""
+        wanted = self._settings.administration.key_sha256
+        if not wanted:
+            return
+        given = self.request.headers.get('Authorization', '')
+        secret = given.removeprefix(BEARER).strip()
+        hashed = hashlib.sha256(secret.encode()).hexdigest()
+        if given.startswith(BEARER) and hmac.compare_digest(hashed, wanted):
+            return
+        self.set_header('WWW-Authenticate', 'Bearer')
+        self.give_error(
+            401, 'unauthenticated', "the operators' Bearer key is required"
+        )
+
     def set_default_headers(self) -> None:
         """Name no server software."""
         self.clear_header('Server')
@@ -58,9 +86,9 @@
 
         :param status_code: the HTTP status.
         """
-        self.finish({'error': {'message': self._reason, 'type': 'http-error'}})
+        self.give_error(status_code, 'http-error', self._reason)
 
-    def give_error(self, status: int, kind: str, message: object) -> None:
+    def give_error(self, status: int, kind: str, message: str) -> None:
         """Answer with an error.
 
         :param status: the HTTP status.
@@ -90,6 +118,14 @@
         self.give_error(503, 'no-leader', 'no control host knows a leader')
 
 
+class UnknownHandler(OperatorHandler):
+    """Paths that the API doesn't have."""
+
+    def prepare(self) -> None:
+        """Answer that there is no such path."""
+        self.give_error(404, 'no-such-path', 'the API has no such path')
+
+
 class ConfigurationHandler(OperatorHandler):
     """The document."""
 
@@ -102,32 +138,61 @@
         self.finish(self._fleet.document_text)
 
     async def put(self) -> None:
-        """Commit a document."""
-        document, problems = validation.parse_document(self.request.body)
-        if document is None:
+        """Commit a document; answer once it is committed."""
+        body = self.request.body
+        if len(body) > validation.DOCUMENT_BYTES:
             self.give_error(
-                400,
-                'invalid-document',
-                [
-                    {'key': problem.key, 'message': problem.message}
-                    for problem in problems
-                ],
+                413,
+                'document-too-large',
+                f'at most {validation.DOCUMENT_BYTES} bytes are allowed',
             )
             return
-        text = validation.canonical_text(self.request.body)
-        change = commands_pb2.PutConfiguration(
-            number=document.number,
-            change_id=document.change_id,
-            document=text,
-            digest=validation.digest(text),
-        )
-        command = commands_pb2.Command(put_configuration=change)
-        result = await self._commands.submit(command, SUBMIT_TIMEOUT_MS)
+        document, problems = validation.parse_document(body)
+        if document is None:
+            self._give_problems(problems)
+            return
+        result = await self._commit(_build_change(document, body))
         if isinstance(result, failures.SubmitFailure):
             self._give_failure(result)
             return
         self._give_verdict(result.configuration)
 
+    def _give_problems(self, problems: list[schema.Problem]) -> None:
+        self.set_status(400)
+        self.finish(
+            {
+                'error': {
+                    'type': 'invalid-document',
+                    'message': f'{len(problems)} problems; none of it is used',
+                    'problems': [
+                        {'key': problem.key, 'message': problem.message}
+                        for problem in problems
+                    ],
+                }
+            }
+        )
+
+    async def _commit(
+        self, change: commands_pb2.PutConfiguration
+    ) -> commands_pb2.CommandResult | failures.SubmitFailure:
+        """Commit a change; its identity lets each failed try be repeated."""
+        command = commands_pb2.Command(put_configuration=change)
+        deadline_ms = clock.now_ms() + COMMIT_LIMIT_MS
+        may_have_applied = False
+        while True:
+            left_ms = deadline_ms - clock.now_ms()
+            result = await self._commands.submit(
+                command, max(1, min(left_ms, COMMIT_TRY_MS))
+            )
+            if not isinstance(result, failures.SubmitFailure):
+                return result
+            may_have_applied |= result.may_have_applied
+            if deadline_ms - clock.now_ms() <= RETRY_PAUSE_MS:
+                break
+            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+        reason = failures.SubmitReason(result.reason.value)
+        return failures.SubmitFailure(reason, result.detail, may_have_applied)
+
     def _give_failure(self, failure: failures.SubmitFailure) -> None:
         self.set_header('Retry-After', RETRY_AFTER_S)
         if failure.may_have_applied:
@@ -138,19 +203,40 @@
                 'same change_id',
             )
         else:
-            self.give_error(503, str(failure.reason.value), failure.detail)
+            kind = str(failure.reason.value)
+            self.give_error(503, kind, failure.detail or kind)
 
     def _give_verdict(self, result: commands_pb2.ConfigurationResult) -> None:
         name = Verdict.Verdict.Name(result.verdict).lower().replace('_', '-')
-        self.set_status(STATUS_BY_VERDICT[result.verdict])
-        self.finish(
-            {
-                'verdict': name,
-                'number': result.number,
-                'change_id': result.change_id,
-                'digest': result.digest,
-            }
-        )
+        answer: dict[str, object] = {
+            'verdict': name,
+            'number': result.number,
+            'change_id': result.change_id,
+            'digest': result.digest,
+        }
+        if result.verdict == Verdict.ACCEPTED:
+            log.change(
+                'configuration.accepted',
+                number=result.number,
+                change_id=result.change_id,
+            )
+        else:
+            message = MESSAGES[result.verdict]
+            answer['error'] = {'type': name, 'message': message}
+            self.set_status(409)
+        self.finish(answer)
+
+
+def _build_change(
+    document: document_model.Document, body: bytes
+) -> commands_pb2.PutConfiguration:
+    text = validation.canonical_text(body)
+    return commands_pb2.PutConfiguration(
+        number=document.number,
+        change_id=document.change_id,
+        document=text,
+        digest=validation.digest(text),
+    )
 
 
 class ConfigurationStatusHandler(OperatorHandler):
@@ -204,5 +290,7 @@
             (r'/v1/config/history', ConfigurationHistoryHandler, parts),
             (r'/v1/status', ClusterHandler, parts),
         ],
+        default_handler_class=UnknownHandler,
+        default_handler_args=parts,
         log_function=lambda handler: None,
     )
--- /dev/null
+++ b/filbertglade/commands/client.py
@@ -0,0 +1,84 @@
+"""The commands' client of the administration API."""
+
+import json
+import os
+import typing
+
+from tornado import httpclient
+
+from filbertglade.commands import check
+
+EXIT_FAILURE = 1
+REQUEST_TIMEOUT_S = 15
+KEY_VARIABLE = 'FILBERTGLADE_KEY'
+NO_ANSWER = 599
+
+
+def fetch(
+    url: str, method: str = 'GET', body: bytes | None = None
+) -> httpclient.HTTPResponse:
+    """Ask the administration API.
+
+    The operators' key, if one is needed, comes from the environment, so that
+    it shows in no list of processes.
+
+    :param url: what to ask for.
+    :param method: the HTTP method.
+    :param body: the body to send.
+    :returns: the response, whatever its status; 599 if there was none.
+    """
+    key = os.environ.get(KEY_VARIABLE, '')
+    headers = {'Authorization': f'Bearer {key}'} if key else {}
+    client = httpclient.HTTPClient()
+    try:
+        return client.fetch(
+            url,
+            method=method,
+            body=body,
+            headers=headers,
+            raise_error=False,
+            request_timeout=REQUEST_TIMEOUT_S,
+        )
+    except (OSError, ValueError) as error:
+        request = httpclient.HTTPRequest(url)
+        return httpclient.HTTPResponse(request, NO_ANSWER, reason=str(error))
+    finally:
+        client.close()
+
+
+def fetch_json(url: str) -> dict[str, typing.Any] | None:
+    """Ask the administration API for an object; print it if it refuses.
+
+    :param url: what to ask for.
+    :returns: the object, or None if a refusal was printed.
+    """
+    response = fetch(url)
+    if response.code != 200:
+        print_refusal(response)
+        return None
+    found: dict[str, typing.Any] = json.loads(response.body)
+    return found
+
+
+def print_refusal(response: httpclient.HTTPResponse) -> int:
+    """Print an answer that is no success to standard error.
+
+    :param response: the answer.
+    :returns: exit code: 2 if the document is wrong, else 1.
+    """
+    if response.code == NO_ANSWER:
+        message = f'no answer: {response.reason}'
+        return check.print_failure(message, EXIT_FAILURE)
+    text = response.body.decode(errors='replace')
+    try:
+        error = json.loads(text)['error']
+        problems = error.get('problems', [])
+        text = f'{error["type"]}: {error["message"]}'
+    except (ValueError, KeyError, TypeError, AttributeError):
+        problems = []
+    check.print_failure(f'{response.code} {text}'.strip(), EXIT_FAILURE)
+    for problem in problems:
+        check.print_failure(
+            f'{problem["key"]}: {problem["message"]}', check.EXIT_INVALID
+        )
+    return check.EXIT_INVALID if problems else EXIT_FAILURE
--- a/filbertglade/commands/config.py
+++ b/filbertglade/commands/config.py
@@ -8,37 +8,14 @@
 import typer
 
 from filbertglade.commands import check
+from filbertglade.commands import client
+from filbertglade.configuration import model
 
-EXIT_FAILURE = 1
-REQUEST_TIMEOUT_S = 10
+TRIES = 5
+RETRY_PAUSE_S = 0.5
 WAIT_LIMIT_S = 60
-WAIT_STEP_S = 0.2
-
-
-def fetch(
-    url: str, method: str = 'GET', body: bytes | None = None
-) -> httpclient.HTTPResponse:
-    """Ask the administration API.
-
-    :param url: what to ask for.
-    :param method: the HTTP method.
-    :param body: the body to send.
-    :returns: the response, whatever its status; 599 if there was none.
-    """
-    client = httpclient.HTTPClient()
-    try:
-        return client.fetch(
-            url,
-            method=method,
-            body=body,
-            raise_error=False,
-            request_timeout=REQUEST_TIMEOUT_S,
-        )
-    except (OSError, ValueError) as error:
-        request = httpclient.HTTPRequest(url)
-        return httpclient.HTTPResponse(request, 599, reason=str(error))
-    finally:
-        client.close()
+WAIT_STEP_S = 0.1
+TRY_AGAIN = (client.NO_ANSWER, 503, 504)
 
 
 def show(url: str, path: str) -> int:
@@ -48,55 +25,73 @@
     :param path: what to ask for.
     :returns: exit code.
     """
-    response = fetch(url + path)
-    if response.code != 200:
-        return print_refusal(response)
-    typer.echo(json.dumps(json.loads(response.body), indent=2))
+    found = client.fetch_json(url + path)
+    if found is None:
+        return client.EXIT_FAILURE
+    typer.echo(json.dumps(found, indent=2))
     return 0
 
 
-def print_refusal(response: httpclient.HTTPResponse) -> int:
-    """Print an answer that is no success to standard error.
-
-    :param response: the answer.
-    :returns: exit code 1.
-    """
-    text = response.body.decode(errors='replace') if response.buffer else ''
-    message = f'{response.code} {response.reason}'
-    return check.print_failure(f'{message} {text}'.strip(), EXIT_FAILURE)
-
-
 def apply(url: str, path: pathlib.Path, wait: bool) -> int:
     """Commit a document.
 
     :param url: the node's administration API.
     :param path: the JSON file.
     :param wait: whether to wait until it is in force everywhere.
-    :returns: exit code.
+    :returns: exit code: 0 if it was accepted, 1 if not or if that is not
+        known, 2 if the document is wrong.
     """
-    code = check.check_document(path)
-    if code:
-        return code
-    body = path.read_bytes()
-    response = fetch(f'{url}/v1/config', 'PUT', body)
+    found = check.read_document(path)
+    if found is None:
+        return check.EXIT_INVALID
+    document, text = found
+    response = _put(f'{url}/v1/config', text)
+    if response.code == 409:
+        return _print_conflict(response, document)
     if response.code != 200:
-        return print_refusal(response)
-    typer.echo(response.body.decode())
+        return client.print_refusal(response)
+    typer.echo(f'accepted: number {document.number}, {document.change_id}')
     if not wait:
         return 0
-    return _wait_in_force(url, json.loads(response.body)['number'])
+    return _wait_in_force(url, document.number)
+
+
+def _put(url: str, text: bytes) -> httpclient.HTTPResponse:
+    # The change's identity makes a resend safe.
+    for _ in range(TRIES - 1):
+        response = client.fetch(url, 'PUT', text)
+        if response.code not in TRY_AGAIN:
+            return response
+        time.sleep(RETRY_PAUSE_S)
+    return client.fetch(url, 'PUT', text)
+
+
+def _print_conflict(
+    response: httpclient.HTTPResponse, document: model.Document
+) -> int:
+    answer = json.loads(response.body)
+    message = (
+        f'{answer["verdict"]}: {answer["error"]["message"]}; yours is number '
+        f'{document.number}, {document.change_id}; there is number '
+        f'{answer["number"]}, {answer["change_id"]}'
+    )
+    return check.print_failure(message, client.EXIT_FAILURE)
 
 
 def _wait_in_force(url: str, number: int) -> int:
     end_s = time.monotonic() + WAIT_LIMIT_S
+    behind = ''
     while time.monotonic() < end_s:
-        response = fetch(f'{url}/v1/config/status')
+        response = client.fetch(f'{url}/v1/config/status')
         if response.code == 200:
             status = json.loads(response.body)
             if status['number'] >= number and status['in_force_everywhere']:
-                typer.echo(f'document {status["number"]} in force everywhere')
+                count = len(status['nodes'])
+                typer.echo(f'in force on all {count} nodes')
                 return 0
+            behind = ', '.join(status['behind'])
         time.sleep(WAIT_STEP_S)
     return check.print_failure(
-        f'not in force everywhere after {WAIT_LIMIT_S} s', EXIT_FAILURE
+        f'not in force everywhere after {WAIT_LIMIT_S} s; behind: {behind}',
+        client.EXIT_FAILURE,
     )
--- a/filbertglade/commands/status.py
+++ b/filbertglade/commands/status.py
@@ -1,11 +1,35 @@
 """The operator's view of the cluster."""
 
-import json
+import typing
 
 import typer
 
+from filbertglade.commands import client
 from filbertglade.commands import config
 
+TABLES = {
+    'voters': ('name', 'incarnation', 'match_index'),
+    'nodes': (
+        'name',
+        'data_centre',
+        'configuration_number',
+        'draining',
+        'age_ms',
+    ),
+    'groups': ('name', 'epoch', 'deployment', 'phase', 'hosts'),
+    'hosts': (
+        'name',
+        'fabric_domain',
+        'service',
+        'group',
+        'epoch',
+        'ready',
+        'leaving',
+        'present',
+    ),
+    'customers': ('name', 'requests_per_s'),
+}
+
 
 def show_status(url: str, as_json: bool) -> int:
     """Print the cluster's state.
@@ -16,23 +40,24 @@
     """
     if as_json:
         return config.show(url, '/v1/status')
-    response = config.fetch(f'{url}/v1/status')
-    if response.code != 200:
-        return config.print_refusal(response)
-    status = json.loads(response.body)
-    typer.echo(f'leader {status["leader"]}  term {status["term"]}')
-    for title, columns in (
-        ('nodes', ('name', 'data_centre', 'configuration_number', 'age_ms')),
-        ('groups', ('name', 'epoch', 'deployment', 'phase', 'hosts')),
-        ('hosts', ('name', 'fabric_domain', 'service', 'group', 'present')),
-    ):
+    status = client.fetch_json(f'{url}/v1/status')
+    if status is None:
+        return client.EXIT_FAILURE
+    current = status['configuration']
+    typer.echo(
+        f'leader {status["leader"]}  term {status["term"]}  '
+        f'configuration {current["number"]} {current["change_id"]}'.rstrip()
+    )
+    if status['silent_nodes']:
+        typer.echo(f'silent nodes: {_render(status["silent_nodes"])}')
+    for title, columns in TABLES.items():
         typer.echo('')
         _print_table(title, columns, status[title])
     return 0
 
 
 def _print_table(
-    title: str, columns: tuple[str, ...], rows: list[dict[str, object]]
+    title: str, columns: tuple[str, ...], rows: list[dict[str, typing.Any]]
 ) -> None:
     cells = [list(columns)]
     cells += [[_render(row[column]) for column in columns] for row in rows]
@@ -46,6 +71,8 @@
 
 
 def _render(value: object) -> str:
+    if isinstance(value, bool):
+        return 'yes' if value else 'no'
     if isinstance(value, list):
         return ','.join(str(item) for item in value)
-    return str(value)
+    return str(value) or '-'
