--- a/filbertglade/cli.py
+++ b/filbertglade/cli.py
@@ -174,11 +174,15 @@
     html: typing.Annotated[
         pathlib.Path | None, typer.Option(help='Write one HTML page.')
     ] = None,
+    event: typing.Annotated[
+        list[str] | None,
+        typer.Option(help="Only events whose names begin so, as 'leader'."),
+    ] = None,
 ) -> None:
     """Join the logs of many processes into one time line."""
     from filbertglade.commands import timeline as command
 
-    raise typer.Exit(command.show_timeline(paths, html))
+    raise typer.Exit(command.show_timeline(paths, event or [], html))
 
 
 def main() -> None:
--- a/filbertglade/commands/timeline.py
+++ b/filbertglade/commands/timeline.py
@@ -6,21 +6,28 @@
 
 from filbertglade.commands import check
 from filbertglade.observability import timeline
+from filbertglade.observability import timeline_pages
 
 
-def show_timeline(paths: list[pathlib.Path], html: pathlib.Path | None) -> int:
+def show_timeline(
+    paths: list[pathlib.Path], names: list[str], html: pathlib.Path | None
+) -> int:
     """Print a time line, or write it as an HTML page.
 
     :param paths: the processes' logs.
+    :param names: names of events, or their beginnings; empty for all.
     :param html: the page to write.
     :returns: exit code.
     """
     try:
         events = timeline.read_events(paths)
+        events = timeline.select_events(events, names)
         if html is not None:
-            html.write_text(timeline.render_html(events), encoding='utf-8')
+            page = timeline_pages.render_html(events)
+            html.write_text(page, encoding='utf-8')
     except OSError as error:
-        return check.print_failure(str(error), check.EXIT_INVALID)
+        message = f'{error.filename}: {error.strerror}'
+        return check.print_failure(message, check.EXIT_INVALID)
     if html is None:
-        typer.echo(timeline.render_text(events), nl=False)
+        typer.echo(timeline_pages.render_text(events), nl=False)
     return 0
--- a/filbertglade/observability/timeline.py
+++ b/filbertglade/observability/timeline.py
@@ -1,8 +1,13 @@
-"""One time line of events from the logs of many processes."""
+"""One time line of events from the logs of many processes.
+
+Wall clocks of hosts differ. Events of one log keep the order in which they
+were written, whatever its clock did; events of different logs stand in the
+order of their writers' clocks, so two that lie closer together than these
+clocks agree may stand either way round.
+"""
 
 import dataclasses
-import datetime
-import html
+import heapq
 import json
 import pathlib
 
@@ -20,19 +25,6 @@
     )
 )
 
-PAGE = """<!doctype html>
-<html lang="en"><head><meta charset="utf-8"><title>Time line</title><style>
-body {{ font: 13px/1.5 sans-serif; margin: 2em }}
-table {{ border-collapse: collapse }}
-td, th {{ border-bottom: 1px solid #ddd; padding: 2px 10px; text-align: left }}
-tr.error {{ background: #fdd }}
-</style></head><body><h1>Time line</h1><table>
-<tr><th>time (UTC)</th><th>node</th><th>data centre</th><th>event</th>
-<th>fields</th></tr>
-{rows}
-</table></body></html>
-"""
-
 
 @dataclasses.dataclass(slots=True)
 class Event:
@@ -55,6 +47,11 @@
     level: str
     fields: dict[str, object]
 
+    @property
+    def family(self) -> str:
+        """The part of the name before the first dot."""
+        return self.name.partition('.')[0]
+
 
 def read_events(paths: list[pathlib.Path]) -> list[Event]:
     """Read logs and put their events in order of time.
@@ -66,16 +63,36 @@
     :returns: the events, oldest first.
     :raises OSError: a log can't be read.
     """
+    logs = [_place(read_log(path)) for path in paths]
+    return [event for _, event in heapq.merge(*logs, key=lambda item: item[0])]
+
+
+def read_log(path: pathlib.Path) -> list[Event]:
+    """Read one log.
+
+    :param path: the log.
+    :returns: its events as they were written.
+    :raises OSError: the log can't be read.
+    """
     events = []
-    for path in paths:
-        for line in path.read_text(errors='replace').splitlines():
+    with path.open(encoding='utf-8', errors='replace') as lines:
+        for line in lines:
             event = _read_event(line)
             if event is not None:
                 events.append(event)
-    events.sort(key=lambda event: event.timestamp_s)
     return events
 
 
+def _place(events: list[Event]) -> list[tuple[float, Event]]:
+    """Give each event a place in time that never falls within its log."""
+    placed = []
+    latest_s = 0.0
+    for event in events:
+        latest_s = max(latest_s, event.timestamp_s)
+        placed.append((latest_s, event))
+    return placed
+
+
 def _read_event(line: str) -> Event | None:
     try:
         data = json.loads(line)
@@ -96,47 +113,14 @@
         return None
 
 
-def render_text(events: list[Event]) -> str:
-    """Return a time line as text.
+def select_events(events: list[Event], names: list[str]) -> list[Event]:
+    """Keep the events of some names.
 
-    :param events: the events, oldest first.
-    :returns: one line an event.
+    :param events: the events.
+    :param names: names or beginnings of names, as in ``leader``; empty for
+        all.
+    :returns: those that begin with one of the names, in the same order.
     """
-    lines = [
-        f'{_render_time(event)} {event.node:<12} {event.name:<24} '
-        f'{_render_fields(event)}'.rstrip()
-        for event in events
-    ]
-    return ''.join(f'{line}\n' for line in lines)
-
-
-def render_html(events: list[Event]) -> str:
-    """Return a time line as one HTML page.
-
-    :param events: the events, oldest first.
-    :returns: the page.
-    """
-    rows = []
-    for event in events:
-        cells = (
-            _render_time(event),
-            event.node,
-            event.data_centre,
-            event.name,
-            _render_fields(event),
-        )
-        text = ''.join(f'<td>{html.escape(cell)}</td>' for cell in cells)
-        rows.append(f'<tr class="{html.escape(event.level)}">{text}</tr>')
-    return PAGE.format(rows='\n'.join(rows))
-
-
-def _render_time(event: Event) -> str:
-    moment = datetime.datetime.fromtimestamp(event.timestamp_s, datetime.UTC)
-    return moment.strftime('%Y-%m-%dT%H:%M:%S.%f')[:-3]
-
-
-def _render_fields(event: Event) -> str:
-    return ' '.join(
-        f'{name}={json.dumps(value) if isinstance(value, list) else value}'
-        for name, value in event.fields.items()
-    )
+    if not names:
+        return events
+    return [event for event in events if event.name.startswith(tuple(names))]
