--- /dev/null
+++ b/filbertglade/administration/asking.py
@@ -0,0 +1,35 @@
+"""Questions to control hosts."""
+
+from filbertglade.inner import administration_grpc
+from filbertglade.inner import administration_pb2
+from filbertglade.inner import channels
+from filbertglade.membership import attachment
+
+
+async def ask(
+    channel_factory: channels.ChannelFactory,
+    address: str,
+    subject: administration_pb2.Subject,
+    timeout_ms: int,
+    forwarded: bool = False,
+) -> administration_pb2.ReadReply:
+    """Ask a control host a question.
+
+    :param channel_factory: opens the channel.
+    :param address: the control host's inner address.
+    :param subject: what is asked.
+    :param timeout_ms: how long to wait.
+    :param forwarded: whether the question must not be passed on again.
+    :returns: the answer; empty if it has none or can't be reached.
+    """
+    channel = channel_factory.open_channel(address)
+    try:
+        stub = administration_grpc.AdministrationStub(channel)
+        request = administration_pb2.ReadRequest(
+            subject=subject, forwarded=forwarded
+        )
+        return await stub.Read(request, timeout=timeout_ms / 1000)
+    except attachment.LinkErrors:
+        return administration_pb2.ReadReply()
+    finally:
+        channel.close()
--- a/filbertglade/administration/reader.py
+++ b/filbertglade/administration/reader.py
@@ -2,13 +2,13 @@
 
 from grpclib import server
 
+from filbertglade.administration import asking
 from filbertglade.administration import rendering
 from filbertglade.control import agreement
 from filbertglade.control import state
 from filbertglade.inner import administration_grpc
 from filbertglade.inner import administration_pb2
 from filbertglade.inner import channels
-from filbertglade.membership import attachment
 from filbertglade.membership import presence
 from filbertglade.settings import model
 
@@ -55,7 +55,7 @@
             return administration_pb2.ReadReply()
         for host in self._settings.control.hosts:
             if host.name == self._voters.leader:
-                return await ask(
+                return await asking.ask(
                     self._channels,
                     host.address,
                     request.subject,
@@ -63,32 +63,3 @@
                     forwarded=True,
                 )
         return administration_pb2.ReadReply()
-
-
-async def ask(
-    channel_factory: channels.ChannelFactory,
-    address: str,
-    subject: administration_pb2.Subject,
-    timeout_ms: int,
-    forwarded: bool = False,
-) -> administration_pb2.ReadReply:
-    """Ask a control host a question.
-
-    :param channel_factory: opens the channel.
-    :param address: the control host's inner address.
-    :param subject: what is asked.
-    :param timeout_ms: how long to wait.
-    :param forwarded: whether the question must not be passed on again.
-    :returns: the answer; empty if it has none or can't be reached.
-    """
-    channel = channel_factory.open_channel(address)
-    try:
-        stub = administration_grpc.AdministrationStub(channel)
-        request = administration_pb2.ReadRequest(
-            subject=subject, forwarded=forwarded
-        )
-        return await stub.Read(request, timeout=timeout_ms / 1000)
-    except attachment.LinkErrors:
-        return administration_pb2.ReadReply()
-    finally:
-        channel.close()
