--- a/filbertglade/observability/logs.py
+++ b/filbertglade/observability/logs.py
@@ -55,6 +55,8 @@
         return value
     if isinstance(value, list | tuple):
         return [_as_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {str(name): _as_plain(item) for name, item in value.items()}
     if isinstance(value, BaseException):
         return f'{type(value).__name__}: {value}'
     return str(value)
--- a/filbertglade/observability/timeline_pages.py
+++ b/filbertglade/observability/timeline_pages.py
@@ -118,11 +118,14 @@
     return ' '.join(
         f'{name}={_render_value(value)}'
         for name, value in event.fields.items()
+        if value not in ('', [], {}, None)
     )
 
 
 def _render_value(value: object) -> str:
     if isinstance(value, list):
-        return ','.join(str(item) for item in value) or '-'
+        return ','.join(str(item) for item in value)
+    if isinstance(value, dict):
+        return ','.join(f'{key}:{item}' for key, item in value.items())
     text = str(value)
-    return json.dumps(text) if ' ' in text or not text else text
+    return json.dumps(text) if ' ' in text else text
--- a/filbertglade/schema.py
+++ b/filbertglade/schema.py
@@ -4,6 +4,7 @@
 type and a value out of bounds are each a problem of their own.
 """
 
+from collections import abc
 import copy
 import dataclasses
 import json
@@ -24,6 +25,18 @@
 
 WHOLE = '(document)'
 MESSAGE_PREFIX = 'Value error, '
+# What stands for a faulty value that has no default, by the kinds of values
+# that schemas hold; texts begin so, that problems which name one are known.
+PLACEHOLDER_NAME = 'placeholder-'
+PLACEHOLDER_HOST = '127.255.255.'
+PLACEHOLDERS: tuple[abc.Callable[[int], object], ...] = (
+    lambda number: f'{PLACEHOLDER_NAME}{number}',
+    lambda number: f'{PLACEHOLDER_HOST}{number % 256}:{number % 65_535 + 1}',
+    lambda number: f'{number:064x}',
+    lambda number: 1,
+    lambda number: [],
+    lambda number: {},
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,14 +81,16 @@
 def decode_what_fits(
     model: type[Model], data: object
 ) -> tuple[Model | None, list[Problem]]:
-    """Check data against a schema, and keep what is left without its faults.
+    """Check data against a schema, and make an object of it all the same.
 
-    Checks that span several keys can so be made in the same run.
+    Checks that span several keys can so be made in the same run: unknown
+    keys are left out, faulty values replaced by their defaults or by
+    placeholders.
 
     :param model: the data class that declares the schema.
     :param data: what a TOML or JSON reader gave.
-    :returns: the object, with defaults in place of faulty values, or None
-        if a faulty value has no default; and the problems found.
+    :returns: the object, or None if the data is too far from the schema;
+        and the problems found.
     """
     found, problems, locations = _decode(model, data)
     if found is not None or () in locations:
@@ -83,7 +98,14 @@
     data = copy.deepcopy(data)
     for location in locations:
         _remove(data, location)
-    found, _, _ = _decode(model, data)
+    for make_placeholder in PLACEHOLDERS:
+        found, _, locations = _decode(model, data)
+        if found is not None or () in locations:
+            break
+        for number, location in enumerate(locations, 1):
+            _put(data, location, make_placeholder(number))
+    else:
+        found, _, _ = _decode(model, data)
     return found, problems
 
 
@@ -109,13 +131,24 @@
 
 
 def _remove(data: typing.Any, location: Location) -> None:
+    holder = _find_holder(data, location)
+    if isinstance(holder, dict):
+        holder.pop(location[-1], None)
+
+
+def _put(data: typing.Any, location: Location, value: object) -> None:
+    holder = _find_holder(data, location)
+    if isinstance(holder, dict | list):
+        holder[location[-1]] = value  # type: ignore[call-overload]
+
+
+def _find_holder(data: typing.Any, location: Location) -> object:
     for part in location[:-1]:
         try:
             data = data[part]
         except (KeyError, IndexError, TypeError):
-            return
-    if isinstance(data, dict):
-        data.pop(location[-1], None)
+            return None
+    return data
 
 
 def key_path(location: Location) -> str:
@@ -149,7 +182,7 @@
 
     :param first: problems of single keys.
     :param second: problems of the rest; one about a key that the first list
-        names, or about a part of it, is left out.
+        names, or about a part of it, or about a placeholder, is left out.
     :returns: both, in this order.
     """
     named = [problem.key for problem in first]
@@ -157,6 +190,8 @@
         problem
         for problem in second
         if not any(_overlap(problem.key, key) for key in named)
+        and PLACEHOLDER_NAME not in problem.message
+        and PLACEHOLDER_HOST not in problem.message
     ]
     return first + kept
 
--- a/filbertglade/settings/loader.py
+++ b/filbertglade/settings/loader.py
@@ -151,13 +151,15 @@
     if own[0].address != settings.listen.inner:
         problems.append(
             schema.Problem(
-                'listen.inner', "differs from this host's listed address"
+                'listen.inner',
+                f"differs from this host's listed {own[0].address!r}",
             )
         )
     if own[0].data_centre != settings.data_centre:
         problems.append(
             schema.Problem(
-                'data_centre', "differs from this host's listed data centre"
+                'data_centre',
+                f"differs from this host's listed {own[0].data_centre!r}",
             )
         )
     return problems
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -48,6 +48,27 @@
     ]
 
 
+def test_faults_of_required_keys_do_not_hide_those_that_span_keys(
+    settings_file, settings_text
+):
+    text = settings_text.replace('name = "one"\nregion = "central"', 'x = 1')
+    text = text.replace('data_folder = "data"', 'data_folder = "/proc/data"')
+    text += settings_text[settings_text.index('[[control') :]
+    text += '[[control.hosts]]\nname = "two"\naddress = "localhost:1"\n'
+    settings, keys = _load(settings_file, text)
+    assert settings is None
+    assert sorted(keys) == [
+        'control.data_folder',
+        'control.hosts[1].address',
+        'control.hosts[1].name',
+        'control.hosts[2].address',
+        'control.hosts[2].data_centre',
+        'name',
+        'region',
+        'x',
+    ]
+
+
 @pytest.mark.parametrize(
     'old, new, key',
     [
