--- a/filbertglade/schema.py
+++ b/filbertglade/schema.py
@@ -137,9 +137,9 @@
 
 
 def _put(data: typing.Any, location: Location, value: object) -> None:
-    holder = _find_holder(data, location)
+    holder: typing.Any = _find_holder(data, location)
     if isinstance(holder, dict | list):
-        holder[location[-1]] = value  # type: ignore[call-overload]
+        holder[location[-1]] = value
 
 
 def _find_holder(data: typing.Any, location: Location) -> object:
