--- a/filbertglade/schema.py
+++ b/filbertglade/schema.py
@@ -137,9 +137,11 @@
 
 
 def _put(data: typing.Any, location: Location, value: object) -> None:
-    holder: typing.Any = _find_holder(data, location)
-    if isinstance(holder, dict | list):
-        holder[location[-1]] = value
+    holder = _find_holder(data, location)
+    if not isinstance(holder, dict | list):
+        return
+    changed: typing.Any = holder
+    changed[location[-1]] = value
 
 
 def _find_holder(data: typing.Any, location: Location) -> object:
