--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: run test check generate binary clean
+.PHONY: run test check generate binary test-binary clean
 
 $(VENV)/runtime: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -38,7 +38,12 @@
 	rm -rf build/site dist && mkdir -p dist
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation --target build/site . -r requirements.txt
 	$(BIN)/shiv --compressed --console-script filbertglade \
+		--python '/usr/bin/env python3' \
 		--site-packages build/site --output-file dist/filbertglade
 
+# Runs the whole session with the one-file program.
+test-binary: binary
+	FILBERTGLADE_PROGRAM=dist/filbertglade $(BIN)/python -m pytest tests/test_session.py
+
 clean:
 	rm -rf $(VENV) build dist run
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -8,13 +8,16 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 import typing
 
 import httpx
+import psutil
 
 WAIT_LIMIT_S = 60.0
 WAIT_STEP_S = 0.05
+WATCH_STEP_S = 0.2
 DATA_CENTRES = ('north', 'east', 'south')
 KEY = 'test-key'
 
@@ -123,7 +126,11 @@
     FILBERTGLADE_PROGRAM names another one, such as the one-file binary.
     """
     named = os.environ.get('FILBERTGLADE_PROGRAM')
-    return [named] if named else [sys.executable, '-m', 'filbertglade']
+    return (
+        [os.path.abspath(named)]
+        if named
+        else [sys.executable, '-m', 'filbertglade']
+    )
 
 
 class Cluster:
@@ -227,6 +234,32 @@
             process.wait()
 
 
+class ChildWatcher:
+    """Looks again and again for processes that some processes started."""
+
+    def __init__(self, pids: list[int]) -> None:
+        self._pids = pids
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._watch, daemon=True)
+        self.looks = 0
+        self.found: list[str] = []
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._stopping.set()
+        self._thread.join()
+
+    def _watch(self) -> None:
+        while not self._stopping.wait(WATCH_STEP_S):
+            for pid in self._pids:
+                with contextlib.suppress(psutil.Error):
+                    children = psutil.Process(pid).children(recursive=True)
+                    self.found += [str(child) for child in children]
+            self.looks += 1
+
+
 def run_command(*arguments: str) -> subprocess.CompletedProcess[str]:
     """Run the program to its end."""
     return subprocess.run(
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -6,6 +6,7 @@
 
 import httpx
 import openai
+import psutil
 import pytest
 
 from filbertglade.standin import engine
@@ -50,6 +51,21 @@
     }
 
 
+@pytest.fixture(scope='module')
+def watcher(running):
+    watching = clusters.ChildWatcher(
+        [node.process.pid for node in running.nodes]
+    )
+    watching.start()
+    yield watching
+    watching.stop()
+
+
+@pytest.fixture(scope='module', autouse=True)
+def _watch_from_the_start(watcher):
+    """Watches during every test of this module."""
+
+
 @pytest.fixture(scope='module')
 def running(tmp_path_factory):
     cluster = clusters.Cluster(tmp_path_factory.mktemp('cluster'))
@@ -233,3 +249,12 @@
     page = tmp_path / 'timeline.html'
     clusters.run_command('timeline', *paths, '--html', str(page))
     assert page.read_text().count('<tr class="change') == len(lines)
+
+
+def test_nodes_start_no_other_process(running, watcher):
+    looks = watcher.looks
+    clusters.wait_until(lambda: watcher.looks > looks + 3, 'a few looks')
+    assert watcher.found == []
+    for node in running.nodes:
+        shown = psutil.Process(node.process.pid).cmdline()
+        assert clusters.program()[-1] in shown
