Prove the age of every hop, and send nodes only what changed

Cause: an announcement without a node's token was void for good, a frame's age counted the time its sender had merely held the echoed clock value, a control host that hears the leader but lags in applying confirmed an old document, a loss was undone by an announcement made before it, and every control host relayed all it knew to all others. The hub had grown to hold attachments, relays and lines in one file.

Change: stamps say how long the echoed value was held, announcements likewise (held_ms), so that an age is a round trip; the inbox voids announcements without a token after a pause of the process; the acting leader names its document's number in relays, and a control host confirms only a document no older than that; a node takes a confirmation only for what it has in force itself. Relays pass on what their own nodes said, and what others said only to a peer that doesn't hear those. Nodes get whole lines only for what changed, loads by themselves, one shared age for the rest, and other regions' groups only where their own has none. Losses, strikes, cache events and demand travel bounded, by events.EventBuffer.

Proved by tests/membership in virtual time.

--- a/filbertglade/membership/announcements.py
+++ b/filbertglade/membership/announcements.py
@@ -7,9 +7,12 @@
 
 from filbertglade import clock
 from filbertglade.inner import membership_pb2
+from filbertglade.membership import pauses
 from filbertglade import schema
 from filbertglade.settings import model as settings_model
 
+WAITING_HOSTS = 4096
+
 Natural = typing.Annotated[int, annotated_types.Ge(0)]
 
 
@@ -31,6 +34,7 @@
     """An announcement's JSON body.
 
     :param token: what the reply to the last announcement carried.
+    :param held_ms: time since that reply came, by the host's clock.
     """
 
     __pydantic_config__ = schema.STRICT
@@ -50,14 +54,25 @@
     leaving: bool = False
     load: LoadForm = dataclasses.field(default_factory=LoadForm)
     token: str = ''
+    held_ms: Natural = 0
 
 
 class AnnouncementInbox:
-    """Keeps the newest announcement of each host until it is relayed."""
+    """Keeps the newest announcement of each host until it is relayed.
+
+    The reply to an announcement carries a token that holds this node's clock
+    and the name of its run; the host's next announcement brings it back, so
+    that its age is bounded however long it was buffered. A host that never
+    brings a token back is taken to have announced when it was read, unless
+    this process was paused meanwhile.
+
+    :ivar pauses: watches this process for pauses.
+    """
 
     def __init__(self, run: str) -> None:
         self._run = run
         self._waiting: dict[str, tuple[membership_pb2.Announcement, int]] = {}
+        self.pauses = pauses.PauseDetector()
 
     def accept(self, form: AnnouncementForm) -> str:
         """Take an announcement in.
@@ -65,18 +80,26 @@
         :param form: the checked body.
         :returns: the token for the host's next announcement.
         """
+        proven_ms = self._prove(form)
+        if proven_ms is not None and self._is_newest(form):
+            self._waiting[form.host] = (_to_message(form), proven_ms)
+        return f'{self._run}:{clock.now_ms()}'
+
+    def _prove(self, form: AnnouncementForm) -> int | None:
+        """Return a time before which the announcement was not made."""
         now_ms = clock.now_ms()
-        sent_ms = self._read_token(form.token)
-        if sent_ms is not None:
-            message = _to_message(form)
-            self._waiting[form.host] = (message, sent_ms)
-        return f'{self._run}:{now_ms}'
-
-    def _read_token(self, token: str) -> int | None:
-        run, _, sent_ms = token.rpartition(':')
+        if not form.token:
+            return None if self.pauses.may_be_stale() else now_ms
+        run, _, sent_ms = form.token.rpartition(':')
         if run != self._run or not sent_ms.isdecimal():
             return None
-        return min(int(sent_ms), clock.now_ms())
+        return min(int(sent_ms) + form.held_ms, now_ms)
+
+    def _is_newest(self, form: AnnouncementForm) -> bool:
+        if form.host not in self._waiting:
+            return len(self._waiting) < WAITING_HOSTS
+        known, _ = self._waiting[form.host]
+        return known.run != form.run or known.sequence < form.sequence
 
     def take(self) -> list[membership_pb2.Announcement]:
         """Return what arrived since the last call, each with its age."""
@@ -93,7 +116,7 @@
     fields = {
         field.name: getattr(form, field.name)
         for field in dataclasses.fields(form)
-        if field.name not in ('token', 'load')
+        if field.name not in ('token', 'held_ms', 'load')
     }
     load = membership_pb2.Load(**dataclasses.asdict(form.load))
     return membership_pb2.Announcement(load=load, **fields)
--- a/filbertglade/membership/attachment.py
+++ b/filbertglade/membership/attachment.py
@@ -1,10 +1,10 @@
 """A node's attachment: one long stream to one control host."""
 
 import asyncio
-import collections
+from collections import abc
 
 from grpclib import client
-from grpclib import exceptions
+import xxhash
 
 from filbertglade import clock
 from filbertglade.inner import channels
@@ -12,6 +12,9 @@
 from filbertglade.inner import membership_pb2
 from filbertglade.membership import announcements
 from filbertglade.membership import hops
+from filbertglade.membership import line_reader
+from filbertglade.membership import links
+from filbertglade.membership import outbox
 from filbertglade.membership import view
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
@@ -20,16 +23,13 @@
 
 log = logs.get_log(__name__)
 
-WAITING_EVENTS = 1000
+FORGET_INTERVAL_MS = 1000
+# Presence limits without a leader until another control host is tried.
+LEADERLESS_LIMITS = 2
 
-LinkErrors = (
-    OSError,
-    EOFError,
-    TimeoutError,
-    exceptions.GRPCError,
-    exceptions.StreamTerminatedError,
-    exceptions.ProtocolError,
-)
+LinkErrors = links.LinkErrors
+
+Stream = client.Stream[membership_pb2.NodeFrame, membership_pb2.ControlFrame]
 
 
 class Attachment:
@@ -53,15 +53,15 @@
         self._tasks = tasks.TaskGroup()
         self._sequence = 0
         self._started_ms = 0
-        self._losses: collections.deque[membership_pb2.HostLoss] = (
-            collections.deque(maxlen=WAITING_EVENTS)
-        )
+        self._outbox = outbox.ReportOutbox(settings.name)
         self.is_draining = False
         self.control_host = ''
 
     async def start(self) -> None:
         """Begin to attach."""
         self._started_ms = clock.now_ms()
+        self._tasks.start(self._inbox.pauses.run())
+        self._tasks.start(self._forget_old())
         self._tasks.start(self._keep_attached())
 
     async def close(self) -> None:
@@ -74,10 +74,57 @@
         :param host: its name.
         :param run: the run of it that was lost.
         """
-        loss = membership_pb2.HostLoss(
-            host=host, run=run, node=self._settings.name
+        self._outbox.add_loss(host, run)
+
+    def report_strike(self, digest: bytes, group: str) -> None:
+        """Tell the others that an endpoint crashed under a request.
+
+        :param digest: names the request.
+        :param group: the group that ran it.
+        """
+        strike = self._outbox.add_strike(digest, group)
+        self._fleet.note_strike(strike, 0)
+
+    def report_demand(
+        self, customer: str, requests_per_s: float, tokens_per_s: float
+    ) -> None:
+        """Tell how much a customer asks of this node.
+
+        :param customer: its name.
+        :param requests_per_s: requests a second that came in.
+        :param tokens_per_s: tokens a second that they ask for.
+        """
+        self._outbox.set_demand(customer, requests_per_s, tokens_per_s)
+
+    def report_cache_event(
+        self,
+        group: str,
+        epoch: int,
+        sequence: int,
+        stored: abc.Sequence[int] = (),
+        evicted: abc.Sequence[int] = (),
+    ) -> None:
+        """Tell the others what a group's prefix cache took in or let go.
+
+        :param group: the group.
+        :param epoch: its epoch.
+        :param sequence: the event's number, as the engine counts.
+        :param stored: hashes of prefixes taken in.
+        :param evicted: hashes of prefixes let go.
+        """
+        event = membership_pb2.CacheEvent(
+            group=group,
+            epoch=epoch,
+            sequence=sequence,
+            stored=stored,
+            evicted=evicted,
         )
-        self._losses.append(loss)
+        self._outbox.add_cache_event(event)
+
+    async def _forget_old(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_INTERVAL_MS / 1000)
+            self._fleet.forget_old()
 
     async def _keep_attached(self) -> None:
         relay_s = self._settings.timings.relay_ms / 1000
@@ -87,12 +134,20 @@
                 await asyncio.sleep(relay_s)
 
     def _ordered_hosts(self) -> list[model.ControlHostSettings]:
+        """Return the control hosts, the nearest first.
+
+        Among those of one data centre each node has an order of its own, so
+        that the nodes spread over them.
+        """
         settings = self._settings
         return sorted(
             settings.control.hosts,
             key=lambda host: (
                 host.name != settings.name,
                 host.data_centre != settings.data_centre,
+                xxhash.xxh64_intdigest(
+                    f'{settings.name}/{host.name}'.encode()
+                ),
             ),
         )
 
@@ -111,15 +166,11 @@
             self.control_host = ''
             channel.close()
 
-    async def _run_stream(
-        self,
-        stream: client.Stream[
-            membership_pb2.NodeFrame, membership_pb2.ControlFrame
-        ],
-        host: str,
-    ) -> None:
+    async def _run_stream(self, stream: Stream, host: str) -> None:
         timings = self._settings.timings
         hop = hops.HopClock()
+        reader = line_reader.LineReader(self._fleet)
+        heard_leader_ms = clock.now_ms()
         await asyncio.wait_for(
             stream.send_message(self._build_frame(hop)),
             timings.connect_timeout_ms / 1000,
@@ -132,17 +183,30 @@
                 )
                 if frame is None:
                     return
-                self._take(frame, hop, host)
+                self._note_attached(host)
+                self._take(frame, hop, reader)
+                if frame.leader_known:
+                    heard_ms = clock.now_ms() - frame.leader_age_ms
+                    heard_leader_ms = max(heard_leader_ms, heard_ms)
+                if self._is_cut_off(heard_leader_ms):
+                    log.change('attachment.without_leader', control_host=host)
+                    return
         finally:
             sender.cancel()
 
-    async def _send_frames(
-        self,
-        stream: client.Stream[
-            membership_pb2.NodeFrame, membership_pb2.ControlFrame
-        ],
-        hop: hops.HopClock,
-    ) -> None:
+    def _note_attached(self, host: str) -> None:
+        if not self.control_host:
+            self.control_host = host
+            log.change('attachment.made', control_host=host)
+
+    def _is_cut_off(self, heard_leader_ms: int) -> bool:
+        """Tell whether another control host should be tried for a leader."""
+        if len(self._settings.control.hosts) == 1:
+            return False
+        limit_ms = LEADERLESS_LIMITS * self._settings.timings.presence_limit_ms
+        return clock.now_ms() - heard_leader_ms > limit_ms
+
+    async def _send_frames(self, stream: Stream, hop: hops.HopClock) -> None:
         timings = self._settings.timings
         try:
             while True:
@@ -167,35 +231,41 @@
             configuration_number=self._fleet.number,
             draining=self.is_draining,
         )
-        losses = list(self._losses)
-        self._losses.clear()
-        return membership_pb2.NodeFrame(
-            clock=hop.stamp(),
-            report=report,
-            announcements=self._inbox.take(),
-            losses=losses,
-        )
+        frame = membership_pb2.NodeFrame(clock=hop.stamp(), report=report)
+        # Before the control host has echoed a clock value, it can prove the
+        # age of nothing in a frame.
+        if hop.has_heard:
+            frame.announcements.extend(self._inbox.take())
+            self._outbox.write(frame)
+        return frame
 
     def _take(
         self,
         frame: membership_pb2.ControlFrame,
         hop: hops.HopClock,
-        host: str,
+        reader: line_reader.LineReader,
     ) -> None:
         age_ms = hop.observe(frame.clock)
-        if not self.control_host:
-            self.control_host = host
-            log.change('attachment.made', control_host=host)
         if frame.HasField('configuration'):
             self._fleet.put_in_force(frame.configuration)
         if age_ms is None:
             return
-        heard_ms = clock.now_ms() - age_ms - frame.leader_age_ms
-        if frame.leader_known and heard_ms >= self._started_ms:
-            self._fleet.is_confirmed = True
-        for line in frame.groups:
-            self._fleet.note_group(line, age_ms)
-        for worker in frame.workers:
-            self._fleet.note_worker(worker, age_ms)
-        self._fleet.forget(list(frame.gone_groups), list(frame.gone_workers))
+        self._confirm(frame, age_ms)
+        reader.read(frame, age_ms)
+        self._fleet.note_shares(frame.shares)
+        for strike in frame.strikes:
+            self._fleet.note_strike(strike, age_ms)
+        for event in frame.cache_events:
+            self._fleet.note_cache_event(event)
         self._counters.count('control_frames_received')
+
+    def _confirm(
+        self, frame: membership_pb2.ControlFrame, age_ms: int
+    ) -> None:
+        """Note whether the document in force is proven to be the newest."""
+        if not frame.leader_known:
+            return
+        proven_ms = clock.now_ms() - age_ms - frame.leader_age_ms
+        is_newest = self._fleet.number >= frame.configuration_number
+        if is_newest and proven_ms >= self._started_ms:
+            self._fleet.is_confirmed = True
--- /dev/null
+++ b/filbertglade/membership/gathered.py
@@ -0,0 +1,100 @@
+"""Soft state of a control host: what nodes reported, the newest of each."""
+
+from collections import abc
+
+from filbertglade.inner import membership_pb2
+from filbertglade.membership import events
+from filbertglade.membership import presence
+from filbertglade.observability import logs
+
+log = logs.get_log(__name__)
+
+KEPT_LOSSES = 1000
+KEPT_LOSS_MS = 5_000
+KEPT_STRIKES = 1000
+KEPT_STRIKE_MS = 600_000
+KEPT_CACHE_EVENTS = 2000
+KEPT_CACHE_EVENT_MS = 5_000
+
+
+class GatheredState:
+    """Hosts, nodes and events, as this control host has heard of them.
+
+    :param name: this control host's name.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self.presence = presence.PresenceTable()
+        self.losses: events.EventBuffer[membership_pb2.HostLoss] = (
+            events.EventBuffer(KEPT_LOSSES, KEPT_LOSS_MS)
+        )
+        self.strikes: events.EventBuffer[membership_pb2.Strike] = (
+            events.EventBuffer(KEPT_STRIKES, KEPT_STRIKE_MS)
+        )
+        self.cache_events: events.EventBuffer[membership_pb2.CacheEvent] = (
+            events.EventBuffer(KEPT_CACHE_EVENTS, KEPT_CACHE_EVENT_MS)
+        )
+
+    def take_node_frame(
+        self, frame: membership_pb2.NodeFrame, age_ms: int
+    ) -> None:
+        """Take in what an attached node sent.
+
+        :param frame: the node's frame.
+        :param age_ms: upper bound of its age.
+        """
+        self.presence.note_node(frame.report, age_ms, self._name)
+        self._take_hosts(frame.announcements, age_ms, self._name)
+        self._take_events(frame, age_ms, self._name)
+
+    def take_relay_frame(
+        self, frame: membership_pb2.RelayFrame, age_ms: int
+    ) -> None:
+        """Take in what another control host relayed.
+
+        :param frame: the peer's frame.
+        :param age_ms: upper bound of its age.
+        """
+        for report in frame.reports:
+            self.presence.note_node(report, age_ms, frame.sender)
+        self._take_hosts(frame.announcements, age_ms, frame.sender)
+        self._take_events(frame, age_ms, frame.sender)
+
+    def _take_hosts(
+        self,
+        announcements: abc.Iterable[membership_pb2.Announcement],
+        age_ms: int,
+        origin: str,
+    ) -> None:
+        for announcement in announcements:
+            is_known = announcement.host in self.presence.hosts
+            taken = self.presence.note_host(announcement, age_ms, origin)
+            if taken and not is_known:
+                log.change(
+                    'host.seen',
+                    host=announcement.host,
+                    fabric_domain=announcement.fabric_domain,
+                    service=announcement.service,
+                )
+
+    def _take_events(
+        self,
+        frame: membership_pb2.NodeFrame | membership_pb2.RelayFrame,
+        age_ms: int,
+        origin: str,
+    ) -> None:
+        for loss in frame.losses:
+            if loss.age_ms + age_ms <= KEPT_LOSS_MS:
+                self._take_loss(loss, age_ms, origin)
+        for strike in frame.strikes:
+            self.strikes.add(strike, strike.age_ms + age_ms, origin)
+        for event in frame.cache_events:
+            self.cache_events.add(event, age_ms, origin)
+
+    def _take_loss(
+        self, loss: membership_pb2.HostLoss, age_ms: int, origin: str
+    ) -> None:
+        self.losses.add(loss, loss.age_ms + age_ms, origin)
+        if self.presence.note_loss(loss):
+            log.change('host.lost', host=loss.host, reported_by=loss.node)
--- a/filbertglade/membership/hops.py
+++ b/filbertglade/membership/hops.py
@@ -8,17 +8,27 @@
     """This side's clock on one stream to a peer.
 
     A frame cannot have been sent before the peer saw the clock value that
-    it echoes, so the time since that value bounds the frame's age, however
-    long the frame was buffered.
+    it echoes and then held it for as long as it says. The time since bounds
+    the frame's age, however long the frame was buffered; only the rates of
+    the two clocks must agree.
     """
 
     def __init__(self) -> None:
         self._peer_sent_ms = 0
+        self._heard_ms = 0
+
+    @property
+    def has_heard(self) -> bool:
+        """Whether the peer's clock was heard, so that stamps prove an age."""
+        return self._peer_sent_ms > 0
 
     def stamp(self) -> membership_pb2.Clock:
         """Return the clock part of a frame to be sent now."""
+        now_ms = clock.now_ms()
         return membership_pb2.Clock(
-            sent_ms=clock.now_ms(), echoed_ms=self._peer_sent_ms
+            sent_ms=now_ms,
+            echoed_ms=self._peer_sent_ms,
+            held_ms=now_ms - self._heard_ms if self.has_heard else 0,
         )
 
     def observe(self, received: membership_pb2.Clock) -> int | None:
@@ -28,7 +38,10 @@
         :returns: upper bound of the frame's age in milliseconds; None while
             the peer has echoed nothing, so that nothing is proven.
         """
-        self._peer_sent_ms = received.sent_ms
+        now_ms = clock.now_ms()
+        if received.sent_ms > self._peer_sent_ms:
+            self._peer_sent_ms = received.sent_ms
+            self._heard_ms = now_ms
         if not received.echoed_ms:
             return None
-        return max(0, clock.now_ms() - received.echoed_ms)
+        return max(0, now_ms - received.echoed_ms - received.held_ms)
--- /dev/null
+++ b/filbertglade/membership/node_link.py
@@ -0,0 +1,163 @@
+"""A control host's side of one node's attachment."""
+
+import asyncio
+
+from grpclib import server
+
+from filbertglade.control import state
+from filbertglade.inner import membership_pb2
+from filbertglade.membership import currency
+from filbertglade.membership import gathered
+from filbertglade.membership import hops
+from filbertglade.membership import lines
+from filbertglade.membership import links
+from filbertglade.membership import shares
+from filbertglade.observability import logs
+from filbertglade.observability import metrics
+from filbertglade.settings import model
+
+log = logs.get_log(__name__)
+
+STRIKES_PER_FRAME = 32
+CACHE_EVENTS_PER_FRAME = 16
+
+Stream = server.Stream[membership_pb2.NodeFrame, membership_pb2.ControlFrame]
+
+
+class NodeSource:
+    """What a control host gives to the nodes attached to it.
+
+    :param settings: the node's settings.
+    :param agreed: the agreed state.
+    :param heard: what nodes reported.
+    :param confirmed: whether the configuration here is the newest.
+    :param counters: the process's metrics.
+    """
+
+    def __init__(
+        self,
+        settings: model.NodeSettings,
+        agreed: state.AgreedState,
+        heard: gathered.GatheredState,
+        confirmed: currency.ConfigurationCurrency,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.settings = settings
+        self.agreed = agreed
+        self.heard = heard
+        self.currency = confirmed
+        self.counters = counters
+        limit_ms = settings.timings.presence_limit_ms
+        self.lines = lines.LineBook(agreed, heard.presence, limit_ms)
+        self.shares = shares.ShareTable()
+
+    def refresh(self) -> None:
+        """Condense what was heard, once for all nodes."""
+        limit_ms = self.settings.timings.presence_limit_ms
+        self.lines.refresh()
+        self.shares.refresh(
+            seen.report for seen in self.heard.presence.list_nodes(limit_ms)
+        )
+
+
+class NodeLink:
+    """One node's stream.
+
+    :param source: what the node is given.
+    :param stream: the node's stream.
+    """
+
+    def __init__(self, source: NodeSource, stream: Stream) -> None:
+        self._source = source
+        self._stream = stream
+        self._hop = hops.HopClock()
+        self._node = ''
+        self._node_number = 0
+        self._version = 0
+        self._strikes_read = 0
+        self._cache_events_read = source.heard.cache_events.end
+        self._first_heard = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve the node until its stream ends or falls silent."""
+        sender = asyncio.get_running_loop().create_task(self._send_frames())
+        try:
+            await self._receive_frames(sender)
+        except TimeoutError:
+            log.change('node.silent', node=self._node)
+        finally:
+            sender.cancel()
+            await asyncio.wait([sender])
+
+    async def _receive_frames(self, sender: asyncio.Task[None]) -> None:
+        timings = self._source.settings.timings
+        while not sender.done():
+            frame = await asyncio.wait_for(
+                self._stream.recv_message(), timings.presence_limit_ms / 1000
+            )
+            if frame is None:
+                return
+            self._take(frame)
+
+    def _take(self, frame: membership_pb2.NodeFrame) -> None:
+        self._source.counters.count('node_frames_received')
+        self._node_number = frame.report.configuration_number
+        self._node = frame.report.node
+        age_ms = self._hop.observe(frame.clock)
+        if age_ms is not None:
+            self._source.heard.take_node_frame(frame, age_ms)
+        self._region = frame.report.region
+        self._first_heard.set()
+
+    async def _send_frames(self) -> None:
+        timings = self._source.settings.timings
+        await self._first_heard.wait()
+        book = self._source.lines.open_region(self._region)
+        writer = shares.ShareWriter(self._source.shares, self._node)
+        while True:
+            frame = self._build_frame(book, writer)
+            try:
+                await asyncio.wait_for(
+                    self._stream.send_message(frame),
+                    timings.presence_limit_ms / 1000,
+                )
+            except links.LinkErrors:
+                return
+            await asyncio.sleep(timings.relay_ms / 1000)
+
+    def _build_frame(
+        self, book: lines.RegionBook, writer: shares.ShareWriter
+    ) -> membership_pb2.ControlFrame:
+        frame = membership_pb2.ControlFrame(clock=self._hop.stamp())
+        self._write_configuration(frame)
+        book.write(frame, self._version)
+        self._version = book.version
+        writer.write(frame)
+        self._write_events(frame)
+        return frame
+
+    def _write_configuration(self, frame: membership_pb2.ControlFrame) -> None:
+        leader_age_ms = self._source.currency.age_ms()
+        if leader_age_ms is not None:
+            frame.leader_known = True
+            frame.leader_age_ms = leader_age_ms
+        current = self._source.agreed.configuration.current
+        frame.configuration_number = current.number
+        if current.number > self._node_number:
+            frame.configuration.number = current.number
+            frame.configuration.change_id = current.change_id
+            frame.configuration.document = current.document
+
+    def _write_events(self, frame: membership_pb2.ControlFrame) -> None:
+        heard = self._source.heard
+        for strike in heard.strikes.read_after(
+            self._strikes_read, STRIKES_PER_FRAME
+        ):
+            frame.strikes.append(strike.message)
+            frame.strikes[-1].age_ms = strike.age_ms
+            self._strikes_read = strike.position
+        for event in heard.cache_events.read_after(
+            self._cache_events_read, CACHE_EVENTS_PER_FRAME
+        ):
+            frame.cache_events.append(event.message)
+            self._cache_events_read = event.position
--- /dev/null
+++ b/filbertglade/membership/outbox.py
@@ -0,0 +1,112 @@
+"""What a node has to report, bounded, until its next frame."""
+
+import collections
+import typing
+
+from filbertglade import clock
+from filbertglade.inner import membership_pb2
+
+WAITING_EVENTS = 1000
+EVENTS_PER_FRAME = 32
+CACHE_HASHES_PER_FRAME = 64
+REPORTED_CUSTOMERS = 1000
+
+Message = typing.TypeVar('Message')
+
+
+class ReportOutbox:
+    """Losses, strikes, cache events and demand of one node.
+
+    Where more waits than fits, the oldest gives way.
+
+    :param node: the node's name.
+    """
+
+    def __init__(self, node: str) -> None:
+        self._node = node
+        self._losses: collections.deque[
+            tuple[int, membership_pb2.HostLoss]
+        ] = collections.deque(maxlen=WAITING_EVENTS)
+        self._strikes: collections.deque[tuple[int, membership_pb2.Strike]] = (
+            collections.deque(maxlen=WAITING_EVENTS)
+        )
+        self._cache_events: collections.deque[membership_pb2.CacheEvent] = (
+            collections.deque(maxlen=WAITING_EVENTS)
+        )
+        self._demand: dict[str, membership_pb2.CustomerDemand] = {}
+
+    def add_loss(self, host: str, run: str) -> None:
+        """Report a failed connection.
+
+        :param host: the host.
+        :param run: the run of it that was lost.
+        """
+        loss = membership_pb2.HostLoss(host=host, run=run, node=self._node)
+        self._losses.append((clock.now_ms(), loss))
+
+    def add_strike(self, digest: bytes, group: str) -> membership_pb2.Strike:
+        """Report an endpoint's crash under a request.
+
+        :param digest: names the request.
+        :param group: the group that ran it.
+        :returns: the strike.
+        """
+        strike = membership_pb2.Strike(
+            digest=digest, group=group, node=self._node
+        )
+        self._strikes.append((clock.now_ms(), strike))
+        return strike
+
+    def add_cache_event(self, event: membership_pb2.CacheEvent) -> None:
+        """Report an event of a group's prefix cache.
+
+        :param event: the event.
+        """
+        self._cache_events.append(event)
+
+    def set_demand(
+        self, customer: str, requests_per_s: float, tokens_per_s: float
+    ) -> None:
+        """Report a customer's demand, in place of what was said before.
+
+        :param customer: its name.
+        :param requests_per_s: requests a second; 0 with no tokens to end.
+        :param tokens_per_s: tokens a second.
+        """
+        if not requests_per_s and not tokens_per_s:
+            self._demand.pop(customer, None)
+        elif customer in self._demand or (
+            len(self._demand) < REPORTED_CUSTOMERS
+        ):
+            self._demand[customer] = membership_pb2.CustomerDemand(
+                customer=customer,
+                requests_per_s=requests_per_s,
+                tokens_per_s=tokens_per_s,
+            )
+
+    def write(self, frame: membership_pb2.NodeFrame) -> None:
+        """Move into a frame what fits.
+
+        :param frame: the frame to fill.
+        """
+        now_ms = clock.now_ms()
+        frame.report.demand.extend(self._demand.values())
+        for noted_ms, loss in _take(self._losses):
+            loss.age_ms = now_ms - noted_ms
+            frame.losses.append(loss)
+        for noted_ms, strike in _take(self._strikes):
+            strike.age_ms = now_ms - noted_ms
+            frame.strikes.append(strike)
+        self._write_cache_events(frame)
+
+    def _write_cache_events(self, frame: membership_pb2.NodeFrame) -> None:
+        room = CACHE_HASHES_PER_FRAME
+        while self._cache_events and room > 0:
+            event = self._cache_events.popleft()
+            room -= len(event.stored) + len(event.evicted)
+            frame.cache_events.append(event)
+
+
+def _take(waiting: collections.deque[Message]) -> list[Message]:
+    count = min(EVENTS_PER_FRAME, len(waiting))
+    return [waiting.popleft() for _ in range(count)]
--- a/filbertglade/membership/presence.py
+++ b/filbertglade/membership/presence.py
@@ -1,5 +1,6 @@
 """What a process knows of hosts and nodes, each with its proven age."""
 
+from collections import abc
 import dataclasses
 
 from filbertglade import clock
@@ -13,14 +14,47 @@
     """A host's newest announcement.
 
     :param announcement: what it said.
-    :param proven_ms: local clock at which it was certainly not yet older
-        than its age.
-    :param lost: whether a connection to this run of it failed since.
+    :param proven_ms: local clock before which it certainly didn't say it.
+    :param origin: the control host that one of whose nodes heard it.
+    :param lost_ms: local clock at which a failed connection to this run of
+        it was learnt of; None if none was.
+    :param idle_since_ms: local clock since which every announcement that
+        arrived said that it serves no group and runs no request; None if
+        the newest one doesn't say so.
     """
 
     announcement: membership_pb2.Announcement
     proven_ms: int
-    lost: bool = False
+    origin: str = ''
+    lost_ms: int | None = None
+    idle_since_ms: int | None = None
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether a connection failed and it proved itself never since."""
+        return self.lost_ms is not None and self.proven_ms <= self.lost_ms
+
+    def is_proven(self, limit_ms: int) -> bool:
+        """Tell whether it is certainly there.
+
+        :param limit_ms: oldest proven age that counts.
+        """
+        age_ms = clock.now_ms() - self.proven_ms
+        return age_ms <= limit_ms and not self.is_lost
+
+    def serves(self, group: str, epoch: int) -> bool:
+        """Tell whether it says that it serves in a group.
+
+        :param group: the group.
+        :param epoch: the group's epoch.
+        """
+        said = self.announcement
+        return (
+            said.group == group
+            and said.epoch == epoch
+            and said.ready
+            and not said.leaving
+        )
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,10 +63,12 @@
 
     :param report: what it said.
     :param proven_ms: local clock less its proven age.
+    :param origin: the control host it is attached to.
     """
 
     report: membership_pb2.NodeReport
     proven_ms: int
+    origin: str = ''
 
 
 class PresenceTable:
@@ -41,38 +77,43 @@
     def __init__(self) -> None:
         self.hosts: dict[str, SeenHost] = {}
         self.nodes: dict[str, SeenNode] = {}
-        self.changes = 0
 
     def note_host(
-        self, announcement: membership_pb2.Announcement, hop_age_ms: int
+        self,
+        announcement: membership_pb2.Announcement,
+        hop_age_ms: int,
+        origin: str = '',
     ) -> bool:
         """Take an announcement in.
 
         :param announcement: what arrived; its age is that at sending.
         :param hop_age_ms: upper bound of the time since it was sent.
+        :param origin: the control host one of whose nodes heard it.
         :returns: whether it was newer than what was known.
         """
         proven_ms = clock.now_ms() - announcement.age_ms - hop_age_ms
+        seen = SeenHost(announcement, proven_ms, origin)
         known = self.hosts.get(announcement.host)
-        if known is not None and not _replaces(announcement, proven_ms, known):
-            return False
-        lost = (
-            known is not None
-            and known.lost
-            and known.announcement.run == announcement.run
-            and known.announcement.sequence >= announcement.sequence
-        )
-        self.hosts[announcement.host] = SeenHost(announcement, proven_ms, lost)
-        self.changes += 1
+        if known is not None:
+            if not _replaces(seen, known):
+                return False
+            if known.announcement.run == announcement.run:
+                seen.lost_ms = known.lost_ms
+        seen.idle_since_ms = _find_idle_since(announcement, known)
+        self.hosts[announcement.host] = seen
         return True
 
     def note_node(
-        self, report: membership_pb2.NodeReport, hop_age_ms: int
+        self,
+        report: membership_pb2.NodeReport,
+        hop_age_ms: int,
+        origin: str = '',
     ) -> bool:
         """Take a node's report in.
 
         :param report: what arrived; its age is that at sending.
         :param hop_age_ms: upper bound of the time since it was sent.
+        :param origin: the control host it is attached to.
         :returns: whether it was newer than what was known.
         """
         proven_ms = clock.now_ms() - report.age_ms - hop_age_ms
@@ -83,18 +124,20 @@
                 return False
             if not same_run and known.proven_ms >= proven_ms:
                 return False
-        self.nodes[report.node] = SeenNode(report, proven_ms)
+        self.nodes[report.node] = SeenNode(report, proven_ms, origin)
         return True
 
-    def note_loss(self, loss: membership_pb2.HostLoss) -> None:
-        """Mark a run of a host as lost until it announces itself again.
+    def note_loss(self, loss: membership_pb2.HostLoss) -> bool:
+        """Mark a run of a host as lost until it proves itself again.
 
         :param loss: which host and run.
+        :returns: whether that run is known here.
         """
         known = self.hosts.get(loss.host)
-        if known is not None and known.announcement.run == loss.run:
-            known.lost = True
-            self.changes += 1
+        if known is None or known.announcement.run != loss.run:
+            return False
+        known.lost_ms = clock.now_ms()
+        return True
 
     def is_present(self, host: str, limit_ms: int) -> bool:
         """Tell whether a host is proven to be there.
@@ -103,26 +146,50 @@
         :param limit_ms: oldest proven age that counts.
         """
         seen = self.hosts.get(host)
-        if seen is None or seen.lost:
-            return False
-        return clock.now_ms() - seen.proven_ms <= limit_ms
-
-    def forget_old(self) -> None:
-        """Drop what has not been heard of for long."""
-        oldest_ms = clock.now_ms() - FORGET_MS
-        for hosts in (self.hosts, self.nodes):
-            gone = [
-                name
-                for name, seen in hosts.items()
-                if seen.proven_ms < oldest_ms
-            ]
-            for name in gone:
-                del hosts[name]
-
-
-def _replaces(
-    announcement: membership_pb2.Announcement, proven_ms: int, known: SeenHost
-) -> bool:
-    if known.announcement.run == announcement.run:
-        return announcement.sequence > known.announcement.sequence
-    return proven_ms > known.proven_ms
+        return seen is not None and seen.is_proven(limit_ms)
+
+    def list_nodes(self, limit_ms: int) -> list[SeenNode]:
+        """Return the nodes that are proven to be there.
+
+        :param limit_ms: oldest proven age that counts.
+        """
+        oldest_ms = clock.now_ms() - limit_ms
+        return [
+            seen for seen in self.nodes.values() if seen.proven_ms >= oldest_ms
+        ]
+
+    def forget_old(self) -> list[str]:
+        """Drop what has not been heard of for long.
+
+        :returns: the hosts dropped.
+        """
+        gone = _list_old(self.hosts)
+        for name in gone:
+            del self.hosts[name]
+        for name in _list_old(self.nodes):
+            del self.nodes[name]
+        return gone
+
+
+def _list_old(table: abc.Mapping[str, SeenHost | SeenNode]) -> list[str]:
+    oldest_ms = clock.now_ms() - FORGET_MS
+    return [name for name, seen in table.items() if seen.proven_ms < oldest_ms]
+
+
+def _replaces(seen: SeenHost, known: SeenHost) -> bool:
+    said, before = seen.announcement, known.announcement
+    if before.run == said.run:
+        return said.sequence > before.sequence
+    return seen.proven_ms > known.proven_ms
+
+
+def _find_idle_since(
+    announcement: membership_pb2.Announcement, known: SeenHost | None
+) -> int | None:
+    load = announcement.load
+    is_serving = bool(announcement.group) and announcement.ready
+    if is_serving or load.active or load.queued:
+        return None
+    if known is not None and known.idle_since_ms is not None:
+        return known.idle_since_ms
+    return clock.now_ms()
--- /dev/null
+++ b/filbertglade/membership/shares.py
@@ -0,0 +1,82 @@
+"""Customers' limits divided among the nodes by the demand they report."""
+
+import typing
+
+from filbertglade.inner import membership_pb2
+
+# Part of a limit that is divided evenly, so that a node whose first request
+# of a customer has just come need not wait for a share.
+EVEN_PART = 0.2
+# A share is sent again once it has changed by this part of itself.
+RESEND_CHANGE = 0.05
+
+
+class ShareTable:
+    """Demand by customer over all nodes."""
+
+    def __init__(self) -> None:
+        self._totals: dict[str, float] = {}
+        self._demand: dict[str, dict[str, float]] = {}
+
+    def refresh(
+        self, reports: typing.Iterable[membership_pb2.NodeReport]
+    ) -> None:
+        """Add the demand up anew.
+
+        :param reports: the newest report of each node.
+        """
+        self._totals = {}
+        self._demand = {}
+        for report in reports:
+            own = self._demand.setdefault(report.node, {})
+            for demand in report.demand:
+                rate = max(0.0, demand.requests_per_s)
+                own[demand.customer] = rate
+                total = self._totals.get(demand.customer, 0.0)
+                self._totals[demand.customer] = total + rate
+
+    def divide(self, node: str) -> dict[str, float]:
+        """Return a node's fraction of each customer's limits.
+
+        :param node: the node's name.
+        :returns: fractions by customer; over all nodes they make up 1.
+        """
+        own = self._demand.get(node, {})
+        even = 1 / max(1, len(self._demand))
+        return {
+            customer: _find_fraction(own.get(customer, 0.0), total, even)
+            for customer, total in self._totals.items()
+        }
+
+
+def _find_fraction(own: float, total: float, even: float) -> float:
+    if total <= 0:
+        return even
+    return EVEN_PART * even + (1 - EVEN_PART) * own / total
+
+
+class ShareWriter:
+    """Writes the shares of one node that have changed.
+
+    :param table: the demand.
+    :param node: the node's name.
+    """
+
+    def __init__(self, table: ShareTable, node: str) -> None:
+        self._table = table
+        self._node = node
+        self._sent: dict[str, float] = {}
+
+    def write(self, frame: membership_pb2.ControlFrame) -> None:
+        """Write changed shares into a frame.
+
+        :param frame: the frame to fill.
+        """
+        fractions = self._table.divide(self._node)
+        for customer, fraction in fractions.items():
+            before = self._sent.get(customer, 0.0)
+            if abs(fraction - before) > RESEND_CHANGE * before:
+                frame.shares.add(customer=customer, fraction=fraction)
+                self._sent[customer] = fraction
+        for customer in [name for name in self._sent if name not in fractions]:
+            del self._sent[customer]
--- a/filbertglade/membership/view.py
+++ b/filbertglade/membership/view.py
@@ -1,6 +1,9 @@
 """A node's view of the fleet: groups, workers and the document in force."""
 
+import collections
+from collections import abc
 import dataclasses
+import typing
 
 from filbertglade import clock
 from filbertglade.configuration import model
@@ -11,6 +14,12 @@
 
 log = logs.get_log(__name__)
 
+Key = typing.TypeVar('Key')
+
+KEPT_STRIKES = 1000
+KEPT_STRIKE_MS = 600_000
+FORGET_MS = 60_000
+
 
 @dataclasses.dataclass(slots=True)
 class SeenGroup:
@@ -38,8 +47,34 @@
     proven_ms: int
 
 
+@dataclasses.dataclass(slots=True)
+class SeenStrike:
+    """A request that was in flight when its endpoint crashed.
+
+    :param strike: the digest, the group and the node that reported it.
+    :param struck_ms: local clock less its age.
+    """
+
+    strike: membership_pb2.Strike
+    struck_ms: int
+
+    @property
+    def age_ms(self) -> int:
+        """Upper bound of its age in milliseconds."""
+        return clock.now_ms() - self.struck_ms
+
+
+CacheListener = abc.Callable[[membership_pb2.CacheEvent], None]
+StrikeListener = abc.Callable[[SeenStrike], None]
+
+
 class FleetView:
-    """What routing and admission on a node go by."""
+    """What routing and admission on a node go by.
+
+    :ivar shares: by customer, the fraction of its limits that this node may
+        use; a customer without demand is not named.
+    :ivar strikes: the newest strikes of all nodes, oldest first.
+    """
 
     def __init__(self, settings: settings_model.NodeSettings) -> None:
         self._limit_ms = settings.timings.presence_limit_ms
@@ -47,11 +82,16 @@
         self._workers: dict[str, SeenWorker] = {}
         self._lost: dict[tuple[str, int], int] = {}
         self._lost_workers: dict[tuple[str, str], int] = {}
+        self._cache_listeners: list[CacheListener] = []
+        self._strike_listeners: list[StrikeListener] = []
         self.shares: dict[str, float] = {}
+        self.strikes: collections.deque[SeenStrike] = collections.deque(
+            maxlen=KEPT_STRIKES
+        )
         self.document: model.Document | None = None
         self.document_text = b''
-        # True once a control host that hears the leader gave or confirmed
-        # the document since this process started.
+        # True once a control host proved that the document in force is no
+        # older than the leader's at some time since this process started.
         self.is_confirmed = False
 
     @property
@@ -90,8 +130,10 @@
         if known is not None and known.line.epoch > line.epoch:
             return
         now_ms = clock.now_ms()
+        kept = membership_pb2.GroupLine()
+        kept.CopyFrom(line)
         self._groups[line.group] = SeenGroup(
-            line, now_ms - line.age_ms - hop_age_ms, now_ms - hop_age_ms
+            kept, now_ms - line.age_ms - hop_age_ms, now_ms - hop_age_ms
         )
 
     def note_worker(
@@ -103,18 +145,129 @@
         :param hop_age_ms: upper bound of the time since it was sent.
         """
         proven_ms = clock.now_ms() - line.age_ms - hop_age_ms
-        self._workers[line.host] = SeenWorker(line, proven_ms)
+        kept = membership_pb2.WorkerLine()
+        kept.CopyFrom(line)
+        self._workers[line.host] = SeenWorker(kept, proven_ms)
+
+    def note_group_load(self, group: str, load: membership_pb2.Load) -> None:
+        """Take a group's newer load in.
+
+        :param group: its name.
+        :param load: its load.
+        """
+        seen = self._groups.get(group)
+        if seen is not None:
+            seen.line.load.CopyFrom(load)
+
+    def note_group_age(self, group: str, age_ms: int) -> None:
+        """Take in that a group's line still stands.
+
+        :param group: its name.
+        :param age_ms: upper bound of its hosts' oldest proven age.
+        """
+        seen = self._groups.get(group)
+        if seen is not None:
+            seen.proven_ms = clock.now_ms() - age_ms
+            seen.load_ms = seen.proven_ms
 
-    def forget(self, groups: list[str], workers: list[str]) -> None:
-        """Drop lines that no longer stand.
+    def note_worker_load(self, worker: str, load: membership_pb2.Load) -> None:
+        """Take a worker's newer load in.
 
-        :param groups: names of groups.
-        :param workers: names of workers' hosts.
+        :param worker: its host.
+        :param load: its load.
         """
-        for group in groups:
-            self._groups.pop(group, None)
-        for worker in workers:
-            self._workers.pop(worker, None)
+        seen = self._workers.get(worker)
+        if seen is not None:
+            seen.line.load.CopyFrom(load)
+
+    def note_worker_age(self, worker: str, age_ms: int) -> None:
+        """Take in that a worker's line still stands.
+
+        :param worker: its host.
+        :param age_ms: upper bound of its proven age.
+        """
+        seen = self._workers.get(worker)
+        if seen is not None:
+            seen.proven_ms = clock.now_ms() - age_ms
+
+    def forget_group(self, group: str) -> None:
+        """Drop a group that no longer stands.
+
+        :param group: its name.
+        """
+        self._groups.pop(group, None)
+
+    def forget_worker(self, worker: str) -> None:
+        """Drop a worker that no longer stands.
+
+        :param worker: its host.
+        """
+        self._workers.pop(worker, None)
+
+    def forget_old(self) -> None:
+        """Drop what has not been proven for long."""
+        oldest_ms = clock.now_ms() - FORGET_MS
+        for table in (self._groups, self._workers):
+            for name in [
+                name
+                for name, seen in table.items()
+                if seen.proven_ms < oldest_ms
+            ]:
+                del table[name]
+        _drop_before(self._lost, oldest_ms)
+        _drop_before(self._lost_workers, oldest_ms)
+        struck_ms = clock.now_ms() - KEPT_STRIKE_MS
+        while self.strikes and self.strikes[0].struck_ms < struck_ms:
+            self.strikes.popleft()
+
+    def note_shares(
+        self, shares: abc.Iterable[membership_pb2.CustomerShare]
+    ) -> None:
+        """Take in this node's parts of customers' limits.
+
+        :param shares: those that have changed.
+        """
+        for share in shares:
+            self.shares[share.customer] = share.fraction
+
+    def add_strike_listener(self, listener: StrikeListener) -> None:
+        """Call a function for each strike that arrives.
+
+        :param listener: called on the event loop; it must not block.
+        """
+        self._strike_listeners.append(listener)
+
+    def note_strike(
+        self, strike: membership_pb2.Strike, hop_age_ms: int
+    ) -> None:
+        """Take a strike in, once.
+
+        :param strike: what arrived.
+        :param hop_age_ms: upper bound of the time since it was sent.
+        """
+        if any(_is_same_strike(seen.strike, strike) for seen in self.strikes):
+            return
+        struck_ms = clock.now_ms() - strike.age_ms - hop_age_ms
+        seen = SeenStrike(strike, struck_ms)
+        self.strikes.append(seen)
+        for listener in self._strike_listeners:
+            listener(seen)
+
+    def add_cache_listener(self, listener: CacheListener) -> None:
+        """Call a function for each cache event that arrives.
+
+        :param listener: called on the event loop; it must not block. Events
+            come late, with gaps, and now and then twice.
+        """
+        self._cache_listeners.append(listener)
+
+    def note_cache_event(self, event: membership_pb2.CacheEvent) -> None:
+        """Pass a cache event on.
+
+        :param event: what arrived.
+        """
+        for listener in self._cache_listeners:
+            listener(event)
 
     def mark_group_lost(self, group: str, epoch: int) -> None:
         """Route nothing to a group until it has proven itself again.
@@ -171,3 +324,18 @@
     def _is_worker_proven_since_loss(self, seen: SeenWorker) -> bool:
         lost_ms = self._lost_workers.get((seen.line.host, seen.line.run))
         return lost_ms is None or seen.proven_ms > lost_ms
+
+
+def _is_same_strike(
+    one: membership_pb2.Strike, other: membership_pb2.Strike
+) -> bool:
+    return (one.digest, one.group, one.node) == (
+        other.digest,
+        other.group,
+        other.node,
+    )
+
+
+def _drop_before(lost: dict[Key, int], oldest_ms: int) -> None:
+    for key in [key for key, at_ms in lost.items() if at_ms < oldest_ms]:
+        del lost[key]
--- a/filbertglade/standin/fleet.py
+++ b/filbertglade/standin/fleet.py
@@ -10,6 +10,7 @@
 from tornado import netutil
 from tornado import web
 
+from filbertglade import clock
 from filbertglade.standin import engine
 from filbertglade.standin import service
 from filbertglade.standin import settings as standin_settings
@@ -54,6 +55,7 @@
         self._run = uuid.uuid4().hex
         self._sequence = 0
         self._token = ''
+        self._token_ms = 0
         self._recorder = recorder
         self._tasks = tasks.TaskGroup()
         self.engine = engine.Engine(settings, name, recorder.write)
@@ -104,6 +106,7 @@
             reply = await self._announce_once()
             if reply is not None:
                 self._token = str(reply['token'])
+                self._token_ms = clock.now_ms()
                 if self._sequence > 1:
                     interval_ms = int(str(reply['interval_ms']))
             else:
@@ -138,6 +141,7 @@
             'data_centre': settings.data_centre,
             'address': self.address,
             'token': self._token,
+            'held_ms': clock.now_ms() - self._token_ms if self._token else 0,
             'leaving': self.is_leaving,
         }
         if settings.service:
--- /dev/null
+++ b/tests/membership/test_lines.py
@@ -0,0 +1,143 @@
+"""Lines toward nodes: only what has changed, only the node's region."""
+
+import asyncio
+
+from filbertglade.inner import membership_pb2
+from filbertglade.membership import presence
+from tests.membership import fakes
+
+NODES = ('node-1', 'node-2')
+
+
+def _run(test):
+    async def main():
+        cluster = fakes.Cluster(control=('one',))
+        await cluster.start(NODES)
+        try:
+            await test(cluster)
+        finally:
+            await cluster.close()
+
+    fakes.run(main())
+
+
+def _write(cluster, version, region='central'):
+    book = cluster.control['one'].hub._source.lines.open_region(region)
+    frame = membership_pb2.ControlFrame()
+    book.write(frame, version)
+    return frame, book.version
+
+
+def test_an_unchanged_line_costs_no_more_than_a_shared_age():
+    async def test(cluster):
+        cluster.add_group(NODES)
+        await asyncio.sleep(3)
+        frame, version = _write(cluster, 0)
+        assert [line.group for line in frame.groups] == ['writer-1']
+        assert frame.groups[0].complete
+        await asyncio.sleep(3)
+        frame, _ = _write(cluster, version)
+        assert not frame.groups and not frame.loads and not frame.gone
+        assert 0 < frame.shared_age_ms < 2000
+
+    _run(test)
+
+
+def test_a_changed_load_is_sent_alone():
+    async def test(cluster):
+        names = cluster.add_group(NODES)
+        await asyncio.sleep(3)
+        _, version = _write(cluster, 0)
+        load = cluster.hosts[names[0]].build_form().load
+        load.active = 5
+        cluster.hosts[names[0]].said['load'] = load
+        node = cluster.nodes['node-2']
+        await fakes.wait_until(
+            lambda: node.fleet.list_groups('writer')[0].line.load.active == 5,
+            3,
+        )
+        frame, _ = _write(cluster, version)
+        assert not frame.groups
+        assert [update.load.active for update in frame.loads] == [5]
+
+    _run(test)
+
+
+def test_one_silent_group_ages_no_other():
+    async def test(cluster):
+        for number in range(10):
+            cluster.add_group(NODES, group=f'writer-{number}')
+        await asyncio.sleep(3)
+        cluster.hosts['writer-3-host-2'].is_silent = True
+        await asyncio.sleep(10)
+        node = cluster.nodes['node-1']
+        assert len(node.routes_to()) == 9
+        assert 'writer-3' not in node.routes_to()
+
+    _run(test)
+
+
+def test_only_the_nodes_region_unless_none_serves_there():
+    async def test(cluster):
+        cluster.add_group(NODES, group='near-1')
+        far = cluster.add_group(NODES, group='far-1', region='eastern')
+        await asyncio.sleep(3)
+        frame, _ = _write(cluster, 0)
+        assert [line.group for line in frame.groups] == ['near-1']
+        cluster.hosts['near-1-host-1'].said['leaving'] = True
+        node = cluster.nodes['node-1']
+        await fakes.wait_until(lambda: node.routes_to() == ['far-1'], 4)
+        assert len(far) == 4
+
+    _run(test)
+
+
+def test_a_released_group_is_forgotten_by_nodes():
+    async def test(cluster):
+        cluster.add_group(NODES)
+        node = cluster.nodes['node-1']
+        await fakes.wait_until(lambda: node.routes_to(), 5)
+        table = cluster.control['one'].agreed.groups
+        table._forget(table.groups['writer-1'])
+        await fakes.wait_until(lambda: not node.fleet._groups, 1)
+
+    _run(test)
+
+
+def make_announcement(sequence, run='run-1', **said):
+    return membership_pb2.Announcement(
+        host='host-1', run=run, sequence=sequence, **said
+    )
+
+
+def test_idleness_counts_from_the_first_idle_announcement():
+    async def main():
+        table = presence.PresenceTable()
+        serving = {'group': 'writer-1', 'epoch': 1, 'ready': True}
+        table.note_host(make_announcement(1, **serving), 0)
+        assert table.hosts['host-1'].idle_since_ms is None
+        await asyncio.sleep(1)
+        busy = membership_pb2.Load(active=1)
+        table.note_host(make_announcement(2, load=busy), 0)
+        assert table.hosts['host-1'].idle_since_ms is None
+        await asyncio.sleep(1)
+        table.note_host(make_announcement(3), 0)
+        await asyncio.sleep(1)
+        table.note_host(make_announcement(4), 0)
+        assert table.hosts['host-1'].idle_since_ms == 2000
+
+    fakes.run(main())
+
+
+def test_older_announcements_replace_no_newer_ones():
+    async def main():
+        await asyncio.sleep(100)
+        table = presence.PresenceTable()
+        assert table.note_host(make_announcement(5), 0)
+        assert not table.note_host(make_announcement(4), 0)
+        assert not table.note_host(make_announcement(9, run='run-0'), 3000)
+        assert table.note_host(make_announcement(1, run='run-2'), 0) is False
+        await asyncio.sleep(1)
+        assert table.note_host(make_announcement(1, run='run-2'), 0)
+
+    fakes.run(main())
--- /dev/null
+++ b/tests/membership/test_reports.py
@@ -0,0 +1,126 @@
+"""Strikes, cache events and demand on their way through control hosts."""
+
+import asyncio
+
+from filbertglade.membership import events
+from filbertglade.membership import outbox
+from filbertglade.membership import shares
+from tests.membership import fakes
+
+NODES = ('node-1', 'node-2', 'node-3')
+
+
+def _run(test):
+    async def main():
+        cluster = fakes.Cluster()
+        await cluster.start(NODES)
+        try:
+            await test(cluster)
+        finally:
+            await cluster.close()
+
+    fakes.run(main())
+
+
+def _digests(node):
+    return [seen.strike.digest for seen in node.fleet.strikes]
+
+
+def test_a_strike_reaches_every_node_once_and_later_ones_too():
+    async def test(cluster):
+        cluster.nodes['node-1'].attachment.report_strike(b'one', 'writer-1')
+        await fakes.wait_until(
+            lambda: all(
+                _digests(node) == [b'one'] for node in cluster.nodes.values()
+            ),
+            3,
+        )
+        await asyncio.sleep(10)
+        late = await cluster.start_node('node-4')
+        await fakes.wait_until(lambda: _digests(late) == [b'one'], 3)
+        assert 10_000 <= late.fleet.strikes[0].age_ms < 14_000
+        assert all(
+            _digests(node) == [b'one'] for node in cluster.nodes.values()
+        )
+
+    _run(test)
+
+
+def test_cache_events_reach_listeners():
+    async def test(cluster):
+        taken = {name: [] for name in NODES}
+        for name, node in cluster.nodes.items():
+            node.fleet.add_cache_listener(taken[name].append)
+        await asyncio.sleep(2)
+        cluster.nodes['node-2'].attachment.report_cache_event(
+            'writer-1', 7, 1, stored=(11, 12), evicted=(13,)
+        )
+        await fakes.wait_until(lambda: all(taken.values()), 3)
+        for events_taken in taken.values():
+            (event,) = events_taken
+            assert (event.group, event.epoch) == ('writer-1', 7)
+            assert list(event.stored) == [11, 12]
+
+    _run(test)
+
+
+def test_shares_follow_demand_and_leave_a_newcomer_a_floor():
+    async def test(cluster):
+        first, second, third = cluster.nodes.values()
+        first.attachment.report_demand('telecom', 30.0, 0.0)
+        second.attachment.report_demand('telecom', 10.0, 0.0)
+        await fakes.wait_until(lambda: 'telecom' in third.fleet.shares, 3)
+        await asyncio.sleep(2)
+        found = [node.fleet.shares['telecom'] for node in (first, second)]
+        even = shares.EVEN_PART / 3
+        assert abs(found[0] - even - (1 - shares.EVEN_PART) * 0.75) < 0.05
+        assert abs(found[1] - even - (1 - shares.EVEN_PART) * 0.25) < 0.05
+        assert abs(third.fleet.shares['telecom'] - even) < 0.01
+
+    _run(test)
+
+
+def test_shares_of_all_nodes_make_up_the_whole():
+    table = shares.ShareTable()
+    report = outbox.membership_pb2.NodeReport
+    demand = outbox.membership_pb2.CustomerDemand
+    table.refresh(
+        report(
+            node=f'node-{i}',
+            demand=[demand(customer='telecom', requests_per_s=float(i))],
+        )
+        for i in range(9)
+    )
+    total = sum(table.divide(f'node-{i}')['telecom'] for i in range(9))
+    assert abs(total - 1) < 1e-9
+
+
+def test_events_are_bounded_and_read_once():
+    async def main():
+        buffer = events.EventBuffer(limit=10, kept_ms=5000)
+        for number in range(25):
+            buffer.add(number)
+        read = buffer.read_after(0, 100)
+        assert [kept.message for kept in read] == list(range(15, 25))
+        assert buffer.read_after(read[-1].position, 100) == []
+        newest = buffer.read_after(0, 3)
+        assert [kept.message for kept in newest] == [22, 23, 24]
+        await asyncio.sleep(6)
+        assert buffer.read_after(0, 100) == []
+
+    fakes.run(main())
+
+
+def test_what_waits_to_be_reported_is_bounded():
+    async def main():
+        waiting = outbox.ReportOutbox('node-1')
+        for number in range(5000):
+            waiting.add_loss(f'host-{number}', 'run-1')
+            waiting.set_demand(f'customer-{number}', 1.0, 0.0)
+        frame = outbox.membership_pb2.NodeFrame()
+        waiting.write(frame)
+        assert len(frame.losses) == outbox.EVENTS_PER_FRAME
+        assert frame.losses[0].host == 'host-4000'
+        assert len(frame.report.demand) == outbox.REPORTED_CUSTOMERS
+
+    fakes.run(main())
