Keep strikes on a board, found by a request's digest

Cause: the part that refuses struck requests looks them up by digest and by endpoint; a list of strikes gave neither.

--- a/filbertglade/membership/attachment.py
+++ b/filbertglade/membership/attachment.py
@@ -80,10 +80,10 @@
         """Tell the others that an endpoint crashed under a request.
 
         :param digest: names the request.
-        :param group: the group that ran it.
+        :param group: the group, or the worker's host, that ran it.
         """
         strike = self._outbox.add_strike(digest, group)
-        self._fleet.note_strike(strike, 0)
+        self._fleet.strikes.note(strike, 0)
 
     def report_demand(
         self, customer: str, requests_per_s: float, tokens_per_s: float
@@ -254,7 +254,7 @@
         reader.read(frame, age_ms)
         self._fleet.note_shares(frame.shares)
         for strike in frame.strikes:
-            self._fleet.note_strike(strike, age_ms)
+            self._fleet.strikes.note(strike, age_ms)
         for event in frame.cache_events:
             self._fleet.note_cache_event(event)
         self._counters.count('control_frames_received')
--- a/filbertglade/membership/gathered.py
+++ b/filbertglade/membership/gathered.py
@@ -5,6 +5,7 @@
 from filbertglade.inner import membership_pb2
 from filbertglade.membership import events
 from filbertglade.membership import presence
+from filbertglade.membership import strikes
 from filbertglade.observability import logs
 
 log = logs.get_log(__name__)
@@ -12,7 +13,6 @@
 KEPT_LOSSES = 1000
 KEPT_LOSS_MS = 5_000
 KEPT_STRIKES = 1000
-KEPT_STRIKE_MS = 600_000
 KEPT_CACHE_EVENTS = 2000
 KEPT_CACHE_EVENT_MS = 5_000
 
@@ -30,7 +30,7 @@
             events.EventBuffer(KEPT_LOSSES, KEPT_LOSS_MS)
         )
         self.strikes: events.EventBuffer[membership_pb2.Strike] = (
-            events.EventBuffer(KEPT_STRIKES, KEPT_STRIKE_MS)
+            events.EventBuffer(KEPT_STRIKES, strikes.KEPT_MS)
         )
         self.cache_events: events.EventBuffer[membership_pb2.CacheEvent] = (
             events.EventBuffer(KEPT_CACHE_EVENTS, KEPT_CACHE_EVENT_MS)
--- a/filbertglade/membership/view.py
+++ b/filbertglade/membership/view.py
@@ -1,6 +1,5 @@
 """A node's view of the fleet: groups, workers and the document in force."""
 
-import collections
 from collections import abc
 import dataclasses
 import typing
@@ -9,6 +8,7 @@
 from filbertglade.configuration import model
 from filbertglade.configuration import validation
 from filbertglade.inner import membership_pb2
+from filbertglade.membership import strikes
 from filbertglade.observability import logs
 from filbertglade.settings import model as settings_model
 
@@ -16,8 +16,6 @@
 
 Key = typing.TypeVar('Key')
 
-KEPT_STRIKES = 1000
-KEPT_STRIKE_MS = 600_000
 FORGET_MS = 60_000
 
 
@@ -47,25 +45,7 @@
     proven_ms: int
 
 
-@dataclasses.dataclass(slots=True)
-class SeenStrike:
-    """A request that was in flight when its endpoint crashed.
-
-    :param strike: the digest, the group and the node that reported it.
-    :param struck_ms: local clock less its age.
-    """
-
-    strike: membership_pb2.Strike
-    struck_ms: int
-
-    @property
-    def age_ms(self) -> int:
-        """Upper bound of its age in milliseconds."""
-        return clock.now_ms() - self.struck_ms
-
-
 CacheListener = abc.Callable[[membership_pb2.CacheEvent], None]
-StrikeListener = abc.Callable[[SeenStrike], None]
 
 
 class FleetView:
@@ -73,7 +53,7 @@
 
     :ivar shares: by customer, the fraction of its limits that this node may
         use; a customer without demand is not named.
-    :ivar strikes: the newest strikes of all nodes, oldest first.
+    :ivar strikes: the newest strikes of all nodes.
     """
 
     def __init__(self, settings: settings_model.NodeSettings) -> None:
@@ -83,11 +63,8 @@
         self._lost: dict[tuple[str, int], int] = {}
         self._lost_workers: dict[tuple[str, str], int] = {}
         self._cache_listeners: list[CacheListener] = []
-        self._strike_listeners: list[StrikeListener] = []
         self.shares: dict[str, float] = {}
-        self.strikes: collections.deque[SeenStrike] = collections.deque(
-            maxlen=KEPT_STRIKES
-        )
+        self.strikes = strikes.StrikeBoard()
         self.document: model.Document | None = None
         self.document_text = b''
         # True once a control host proved that the document in force is no
@@ -216,9 +193,7 @@
                 del table[name]
         _drop_before(self._lost, oldest_ms)
         _drop_before(self._lost_workers, oldest_ms)
-        struck_ms = clock.now_ms() - KEPT_STRIKE_MS
-        while self.strikes and self.strikes[0].struck_ms < struck_ms:
-            self.strikes.popleft()
+        self.strikes.forget_old()
 
     def note_shares(
         self, shares: abc.Iterable[membership_pb2.CustomerShare]
@@ -230,29 +205,6 @@
         for share in shares:
             self.shares[share.customer] = share.fraction
 
-    def add_strike_listener(self, listener: StrikeListener) -> None:
-        """Call a function for each strike that arrives.
-
-        :param listener: called on the event loop; it must not block.
-        """
-        self._strike_listeners.append(listener)
-
-    def note_strike(
-        self, strike: membership_pb2.Strike, hop_age_ms: int
-    ) -> None:
-        """Take a strike in, once.
-
-        :param strike: what arrived.
-        :param hop_age_ms: upper bound of the time since it was sent.
-        """
-        if any(_is_same_strike(seen.strike, strike) for seen in self.strikes):
-            return
-        struck_ms = clock.now_ms() - strike.age_ms - hop_age_ms
-        seen = SeenStrike(strike, struck_ms)
-        self.strikes.append(seen)
-        for listener in self._strike_listeners:
-            listener(seen)
-
     def add_cache_listener(self, listener: CacheListener) -> None:
         """Call a function for each cache event that arrives.
 
@@ -326,16 +278,6 @@
         return lost_ms is None or seen.proven_ms > lost_ms
 
 
-def _is_same_strike(
-    one: membership_pb2.Strike, other: membership_pb2.Strike
-) -> bool:
-    return (one.digest, one.group, one.node) == (
-        other.digest,
-        other.group,
-        other.node,
-    )
-
-
 def _drop_before(lost: dict[Key, int], oldest_ms: int) -> None:
     for key in [key for key, at_ms in lost.items() if at_ms < oldest_ms]:
         del lost[key]
