--- a/filbertglade/membership/view.py
+++ b/filbertglade/membership/view.py
@@ -1,16 +1,23 @@
 """A node's view of the fleet: groups, workers and the document in force."""
 
+from collections import abc
 import dataclasses
+import typing
 
 from filbertglade import clock
 from filbertglade.configuration import model
 from filbertglade.configuration import validation
 from filbertglade.inner import membership_pb2
+from filbertglade.membership import strikes
 from filbertglade.observability import logs
 from filbertglade.settings import model as settings_model
 
 log = logs.get_log(__name__)
 
+Key = typing.TypeVar('Key')
+
+FORGET_MS = 60_000
+
 
 @dataclasses.dataclass(slots=True)
 class SeenGroup:
@@ -38,8 +45,16 @@
     proven_ms: int
 
 
+CacheListener = abc.Callable[[membership_pb2.CacheEvent], None]
+
+
 class FleetView:
-    """What routing and admission on a node go by."""
+    """What routing and admission on a node go by.
+
+    :ivar shares: by customer, the fraction of its limits that this node may
+        use; a customer without demand is not named.
+    :ivar strikes: the newest strikes of all nodes.
+    """
 
     def __init__(self, settings: settings_model.NodeSettings) -> None:
         self._limit_ms = settings.timings.presence_limit_ms
@@ -47,11 +62,13 @@
         self._workers: dict[str, SeenWorker] = {}
         self._lost: dict[tuple[str, int], int] = {}
         self._lost_workers: dict[tuple[str, str], int] = {}
+        self._cache_listeners: list[CacheListener] = []
         self.shares: dict[str, float] = {}
+        self.strikes = strikes.StrikeBoard()
         self.document: model.Document | None = None
         self.document_text = b''
-        # True once a control host that hears the leader gave or confirmed
-        # the document since this process started.
+        # True once a control host proved that the document in force is no
+        # older than the leader's at some time since this process started.
         self.is_confirmed = False
 
     @property
@@ -90,8 +107,10 @@
         if known is not None and known.line.epoch > line.epoch:
             return
         now_ms = clock.now_ms()
+        kept = membership_pb2.GroupLine()
+        kept.CopyFrom(line)
         self._groups[line.group] = SeenGroup(
-            line, now_ms - line.age_ms - hop_age_ms, now_ms - hop_age_ms
+            kept, now_ms - line.age_ms - hop_age_ms, now_ms - hop_age_ms
         )
 
     def note_worker(
@@ -103,18 +122,104 @@
         :param hop_age_ms: upper bound of the time since it was sent.
         """
         proven_ms = clock.now_ms() - line.age_ms - hop_age_ms
-        self._workers[line.host] = SeenWorker(line, proven_ms)
+        kept = membership_pb2.WorkerLine()
+        kept.CopyFrom(line)
+        self._workers[line.host] = SeenWorker(kept, proven_ms)
+
+    def note_group_load(self, group: str, load: membership_pb2.Load) -> None:
+        """Take a group's newer load in.
+
+        :param group: its name.
+        :param load: its load.
+        """
+        seen = self._groups.get(group)
+        if seen is not None:
+            seen.line.load.CopyFrom(load)
+
+    def note_group_age(self, group: str, age_ms: int) -> None:
+        """Take in that a group's line still stands.
+
+        :param group: its name.
+        :param age_ms: upper bound of its hosts' oldest proven age.
+        """
+        seen = self._groups.get(group)
+        if seen is not None:
+            seen.proven_ms = clock.now_ms() - age_ms
+            seen.load_ms = seen.proven_ms
 
-    def forget(self, groups: list[str], workers: list[str]) -> None:
-        """Drop lines that no longer stand.
+    def note_worker_load(self, worker: str, load: membership_pb2.Load) -> None:
+        """Take a worker's newer load in.
 
-        :param groups: names of groups.
-        :param workers: names of workers' hosts.
+        :param worker: its host.
+        :param load: its load.
         """
-        for group in groups:
-            self._groups.pop(group, None)
-        for worker in workers:
-            self._workers.pop(worker, None)
+        seen = self._workers.get(worker)
+        if seen is not None:
+            seen.line.load.CopyFrom(load)
+
+    def note_worker_age(self, worker: str, age_ms: int) -> None:
+        """Take in that a worker's line still stands.
+
+        :param worker: its host.
+        :param age_ms: upper bound of its proven age.
+        """
+        seen = self._workers.get(worker)
+        if seen is not None:
+            seen.proven_ms = clock.now_ms() - age_ms
+
+    def forget_group(self, group: str) -> None:
+        """Drop a group that no longer stands.
+
+        :param group: its name.
+        """
+        self._groups.pop(group, None)
+
+    def forget_worker(self, worker: str) -> None:
+        """Drop a worker that no longer stands.
+
+        :param worker: its host.
+        """
+        self._workers.pop(worker, None)
+
+    def forget_old(self) -> None:
+        """Drop what has not been proven for long."""
+        oldest_ms = clock.now_ms() - FORGET_MS
+        for table in (self._groups, self._workers):
+            for name in [
+                name
+                for name, seen in table.items()
+                if seen.proven_ms < oldest_ms
+            ]:
+                del table[name]
+        _drop_before(self._lost, oldest_ms)
+        _drop_before(self._lost_workers, oldest_ms)
+        self.strikes.forget_old()
+
+    def note_shares(
+        self, shares: abc.Iterable[membership_pb2.CustomerShare]
+    ) -> None:
+        """Take in this node's parts of customers' limits.
+
+        :param shares: those that have changed.
+        """
+        for share in shares:
+            self.shares[share.customer] = share.fraction
+
+    def add_cache_listener(self, listener: CacheListener) -> None:
+        """Call a function for each cache event that arrives.
+
+        :param listener: called on the event loop; it must not block. Events
+            come late, with gaps, and now and then twice.
+        """
+        self._cache_listeners.append(listener)
+
+    def note_cache_event(self, event: membership_pb2.CacheEvent) -> None:
+        """Pass a cache event on.
+
+        :param event: what arrived.
+        """
+        for listener in self._cache_listeners:
+            listener(event)
 
     def mark_group_lost(self, group: str, epoch: int) -> None:
         """Route nothing to a group until it has proven itself again.
@@ -171,3 +276,8 @@
     def _is_worker_proven_since_loss(self, seen: SeenWorker) -> bool:
         lost_ms = self._lost_workers.get((seen.line.host, seen.line.run))
         return lost_ms is None or seen.proven_ms > lost_ms
+
+
+def _drop_before(lost: dict[Key, int], oldest_ms: int) -> None:
+    for key in [key for key, at_ms in lost.items() if at_ms < oldest_ms]:
+        del lost[key]
