Split the group controller: watch, orders, placement, rollout, repair

Cause: one loop formed groups, released them at the first silent host and ordered whatever else announced itself, without rest, drain, spares, load limit, rolling changes, or care for hosts that ignore fencing numbers.

Change: modules of one job each. Hosts serve nothing else before they were drained, seen idle and rested; orders carry the index of the record that last changed the group (a new field of it); hosts that ignore fencing numbers get orders only under a lease that outlasts them; loads go by priority under the document's limit; changed deployments roll one group at a time, with one group more if hosts are free; two repair policies behind RepairPolicy. The order time-out falls to 400 ms, so that it fits into the lease of 900 ms. The stand-in takes drain orders.

--- a/filbertglade/control/tables/groups.py
+++ b/filbertglade/control/tables/groups.py
@@ -10,7 +10,11 @@
 
 # Phases that may follow each phase.
 FOLLOWERS = {
-    commands_pb2.FORMING: (commands_pb2.SERVING, commands_pb2.RELEASED),
+    commands_pb2.FORMING: (
+        commands_pb2.SERVING,
+        commands_pb2.DRAINING,
+        commands_pb2.RELEASED,
+    ),
     commands_pb2.SERVING: (commands_pb2.DRAINING, commands_pb2.RELEASED),
     commands_pb2.DRAINING: (commands_pb2.RELEASED,),
     commands_pb2.RELEASED: (),
@@ -31,13 +35,13 @@
 
         :param change: the change.
         :param index: the log record's index; it becomes the epoch of a
-            group that is formed.
+            group that is formed, and the fencing number of orders.
         :param stamped_ms: log clock of the change.
         :returns: the verdict.
         """
         if change.HasField('form'):
             return self._form(change.form, index, stamped_ms)
-        return self._move(change.move, stamped_ms)
+        return self._move(change.move, index, stamped_ms)
 
     def _form(
         self, wanted: commands_pb2.GroupRecord, index: int, stamped_ms: int
@@ -58,13 +62,14 @@
         record = commands_pb2.GroupRecord()
         record.CopyFrom(wanted)
         record.epoch = index
+        record.fencing_number = index
         record.phase = commands_pb2.FORMING
         record.changed_ms = stamped_ms
         self._keep(record)
         return _result(Verdict.DONE, index)
 
     def _move(
-        self, move: commands_pb2.GroupMove, stamped_ms: int
+        self, move: commands_pb2.GroupMove, index: int, stamped_ms: int
     ) -> commands_pb2.GroupResult:
         record = self.groups.get(move.group)
         if record is None or record.epoch != move.epoch:
@@ -77,6 +82,7 @@
             self._forget(record)
         else:
             record.phase = move.phase
+            record.fencing_number = index
             record.changed_ms = stamped_ms
         return _result(Verdict.DONE, record.epoch)
 
--- /dev/null
+++ b/filbertglade/groups/loads.py
@@ -0,0 +1,68 @@
+"""Loads of weights at a time, and how long one takes."""
+
+import collections
+import statistics
+
+from filbertglade import clock
+
+KEPT_LOADS = 50
+# Taken for a load's time until one was seen.
+FIRST_GUESS_MS = 30_000
+
+
+class LoadLedger:
+    """Counts the hosts that load weights and times the loads."""
+
+    def __init__(self) -> None:
+        self._started: dict[str, tuple[int, int]] = {}
+        self._taken_ms: collections.deque[int] = collections.deque(
+            maxlen=KEPT_LOADS
+        )
+
+    def is_loading(self, host: str, epoch: int) -> bool:
+        """Tell whether a host was let load for a group at this epoch.
+
+        :param host: its name.
+        :param epoch: the group's epoch.
+        """
+        started = self._started.get(host)
+        return started is not None and started[0] == epoch
+
+    @property
+    def count(self) -> int:
+        """Hosts that load now."""
+        return len(self._started)
+
+    def start(self, host: str, epoch: int) -> None:
+        """Note that a host was let load.
+
+        :param host: its name.
+        :param epoch: its group's epoch.
+        """
+        self._started[host] = (epoch, clock.now_ms())
+
+    def finish(self, host: str) -> None:
+        """Note that a host has loaded.
+
+        :param host: its name.
+        """
+        started = self._started.pop(host, None)
+        if started is not None:
+            self._taken_ms.append(clock.now_ms() - started[1])
+
+    def drop(self, host: str) -> None:
+        """Note that a host loads no more, and has not loaded.
+
+        :param host: its name.
+        """
+        self._started.pop(host, None)
+
+    def list_hosts(self) -> list[str]:
+        """Return the hosts that load."""
+        return list(self._started)
+
+    def expect_ms(self) -> float:
+        """Return how long a load is likely to take."""
+        if not self._taken_ms:
+            return FIRST_GUESS_MS
+        return statistics.median(self._taken_ms)
--- a/filbertglade/groups/orders.py
+++ b/filbertglade/groups/orders.py
@@ -1,5 +1,6 @@
-"""Orders to the hosts of a group, over HTTP."""
+"""Orders to the hosts of a group."""
 
+import abc
 import dataclasses
 import enum
 import json
@@ -7,6 +8,7 @@
 from tornado import httpclient
 
 from filbertglade import failures
+from filbertglade.inner import commands_pb2
 
 ORDER_PATH = '/v1/order'
 PARALLEL_ORDERS = 64
@@ -17,6 +19,8 @@
 
     # Load the model and serve in the group.
     LOAD = 'load'
+    # Announce that it serves no more, but go on with what still comes.
+    DRAIN = 'drain'
     # Leave the group and hold no model.
     RELEASE = 'release'
 
@@ -57,14 +61,50 @@
     hosts: list[str] = dataclasses.field(default_factory=list)
 
 
-class OrderClient:
-    """Sends orders."""
+def build_load(record: commands_pb2.GroupRecord) -> Order:
+    """Return the order to load a group's model and serve in it.
 
-    def __init__(self, timeout_ms: int) -> None:
-        """Prepare to send.
+    :param record: the group.
+    """
+    return Order(
+        action=OrderAction.LOAD,
+        fencing_number=record.fencing_number,
+        group=record.group,
+        epoch=record.epoch,
+        deployment=record.deployment,
+        model=record.model,
+        adapter=record.adapter,
+        version=record.version,
+        hosts=list(record.hosts),
+    )
+
+
+class OrderClient(abc.ABC):
+    """Sends orders to hosts."""
+
+    @abc.abstractmethod
+    async def send(
+        self, address: str, order: Order
+    ) -> None | failures.Failure:
+        """Send one order.
 
-        :param timeout_ms: time-out of one order.
+        :param address: the host's order address.
+        :param order: the order.
+        :returns: None once the host took it, or the failure.
         """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close the connections."""
+
+
+class HttpOrderClient(OrderClient):
+    """Sends orders over HTTP.
+
+    :param timeout_ms: time-out of one order.
+    """
+
+    def __init__(self, timeout_ms: int) -> None:
         self._timeout_s = timeout_ms / 1000
         self._client = httpclient.AsyncHTTPClient(
             force_instance=True, max_clients=PARALLEL_ORDERS
--- /dev/null
+++ b/filbertglade/groups/placement.py
@@ -0,0 +1,121 @@
+"""Where new groups stand, and which spare hosts are left alone."""
+
+from filbertglade.configuration import model as configuration_model
+from filbertglade.control import state
+from filbertglade.groups import changes
+from filbertglade.groups import downtime
+from filbertglade.groups import hosts
+from filbertglade.groups import policies
+from filbertglade.groups import stranded
+from filbertglade.inner import commands_pb2
+
+POLICIES: dict[configuration_model.Objective, policies.RepairPolicy] = {
+    configuration_model.Objective.DOWNTIME: downtime.DowntimeFirst(),
+    configuration_model.Objective.STRANDED: stranded.StrandedFirst(),
+}
+
+
+class Placement:
+    """Finds hosts for groups.
+
+    :param agreed: the agreed state.
+    :param watch: what hosts say.
+    """
+
+    def __init__(
+        self, agreed: state.AgreedState, watch: hosts.HostWatch
+    ) -> None:
+        self._agreed = agreed
+        self._watch = watch
+
+    def list_records(self, deployment: str) -> list[commands_pb2.GroupRecord]:
+        """Return a deployment's groups that are not draining.
+
+        :param deployment: the deployment's name.
+        """
+        return [
+            record
+            for record in self._agreed.groups.groups.values()
+            if record.deployment == deployment
+            and record.phase != commands_pb2.DRAINING
+        ]
+
+    def list_available(
+        self,
+        deployment: configuration_model.Deployment,
+        domain: str,
+        document: configuration_model.Document,
+    ) -> list[str]:
+        """Return the hosts that a deployment's groups may take.
+
+        :param deployment: the deployment.
+        :param domain: the fabric domain.
+        :param document: the document in force.
+        :returns: free hosts, less the spares of deployments that go first.
+        """
+        free = self._watch.list_free(domain)
+        reserved = sum(
+            POLICIES[other.objective].count_spares(other)
+            for other in document.deployments
+            if other.priority > deployment.priority
+            and self._stands_in(other, domain)
+        )
+        return free[: max(0, len(free) - reserved)]
+
+    def _stands_in(
+        self, deployment: configuration_model.Deployment, domain: str
+    ) -> bool:
+        return any(
+            record.fabric_domain == domain
+            for record in self.list_records(deployment.name)
+        )
+
+    def find_place(
+        self,
+        deployment: configuration_model.Deployment,
+        document: configuration_model.Document,
+        without: str = '',
+    ) -> tuple[str, list[str]] | None:
+        """Find the hosts of a new group.
+
+        Domains that keep the deployment's own spares go first.
+
+        :param deployment: the deployment.
+        :param document: the document in force.
+        :param without: a fabric domain to leave out.
+        :returns: the fabric domain and the hosts; None if there are too few.
+        """
+        policy = POLICIES[deployment.objective]
+        available = {
+            domain: self.list_available(deployment, domain, document)
+            for domain in deployment.fabric_domains
+            if domain != without
+        }
+        spares = policy.count_spares(deployment)
+        counts = {name: len(found) for name, found in available.items()}
+        roomy = {
+            name: count - spares
+            if self._stands_in(deployment, name)
+            else count
+            for name, count in counts.items()
+        }
+        needed = deployment.hosts_per_replica
+        domain = policy.choose_domain(roomy, needed)
+        if domain is None:
+            domain = policy.choose_domain(counts, needed)
+        if domain is None:
+            return None
+        return domain, available[domain][:needed]
+
+    def count_wanted(self, deployment: configuration_model.Deployment) -> int:
+        """Return how many groups a deployment may have now.
+
+        :param deployment: the deployment.
+        :returns: its replicas; one more while it has outdated ones, so that
+            the capacity stays whole.
+        """
+        has_outdated = any(
+            changes.is_outdated(record, deployment)
+            for record in self.list_records(deployment.name)
+        )
+        return deployment.replicas + has_outdated
--- a/filbertglade/membership/hub.py
+++ b/filbertglade/membership/hub.py
@@ -79,6 +79,8 @@
     async def _refresh(self) -> None:
         interval_ms = self._settings.timings.relay_ms / 2
         while True:
+            unheard = self._peers.list_unheard()
+            self.presence.quiet_origins = frozenset(unheard)
             self._source.refresh()
             await asyncio.sleep(interval_ms / 1000)
 
--- a/filbertglade/membership/presence.py
+++ b/filbertglade/membership/presence.py
@@ -72,9 +72,14 @@
 
 
 class PresenceTable:
-    """Newest announcements and reports; older ones never replace newer."""
+    """Newest announcements and reports; older ones never replace newer.
+
+    :ivar quiet_origins: control hosts that are not heard, so that what
+        their nodes say may be on its way by another control host.
+    """
 
     def __init__(self) -> None:
+        self.quiet_origins: frozenset[str] = frozenset()
         self.hosts: dict[str, SeenHost] = {}
         self.nodes: dict[str, SeenNode] = {}
 
--- a/filbertglade/settings/model.py
+++ b/filbertglade/settings/model.py
@@ -104,7 +104,7 @@
     presence_limit_ms: Duration = 4000
     presence_margin_ms: Duration = 1000
     relay_ms: Duration = 250
-    order_timeout_ms: Duration = 1000
+    order_timeout_ms: Duration = 400
     connect_timeout_ms: Duration = 1000
     first_byte_timeout_ms: Duration = 60000
     idle_timeout_ms: Duration = 20000
--- a/filbertglade/standin/engine.py
+++ b/filbertglade/standin/engine.py
@@ -39,6 +39,7 @@
         self.group = ''
         self.epoch = 0
         self.is_ready = False
+        self.is_draining = False
         self._highest_fencing = 0
         rng = random.Random(f'{settings.seed}/{host}')
         self.cache = caching.PrefixCache(settings, rng)
@@ -81,9 +82,14 @@
         if not taken:
             return False
         self._highest_fencing = max(number, self._highest_fencing)
-        if order['action'] == 'release':
+        is_same = (self.group, self.epoch) == (order['group'], order['epoch'])
+        if order['action'] == 'drain':
+            self.is_draining = self.is_draining or is_same
+        elif order['action'] == 'release':
             self._release()
-        elif (self.group, self.epoch) != (order['group'], order['epoch']):
+        elif is_same:
+            self.is_draining = False
+        else:
             self._release()
             self.group = str(order['group'])
             self.epoch = int(order['epoch'])
@@ -98,6 +104,7 @@
         self.group = ''
         self.epoch = 0
         self.is_ready = False
+        self.is_draining = False
 
     async def _load(self) -> None:
         await asyncio.sleep(self.settings.load_ms / 1000)
--- a/filbertglade/standin/fleet.py
+++ b/filbertglade/standin/fleet.py
@@ -152,7 +152,7 @@
             order_address=self.address,
             group=self.engine.group,
             epoch=self.engine.epoch,
-            ready=self.engine.is_ready,
+            ready=self.engine.is_ready and not self.engine.is_draining,
             load=self.engine.read_load(),
         )
         return announcement
