Prove formation, repair, draining and rolling change with fake hosts

Cause found while proving: a rolling change with room for one group more drained its second group while the first one's hosts still rested, because hosts that rest were not counted as room. Two orders to one host could overtake each other.

Change: a group is drained for want of room only if no host of its domains is resting or draining; an order to a host waits for the one before. Hosts in tests/groups write down what they took and a router sends requests to what a node would believe whole, from announcements up to 1 s late.

--- a/filbertglade/groups/dispatch.py
+++ b/filbertglade/groups/dispatch.py
@@ -41,6 +41,9 @@
         self._acting_ms: int | None = None
         # By host: the order given last, and when it may be given again.
         self._given: dict[str, tuple[orders.Order, int]] = {}
+        # Hosts to which an order is on its way; the next waits for it, so
+        # that no two overtake each other.
+        self._in_flight: set[str] = set()
 
     def begin(self) -> None:
         """Note that this host has begun to act as leader."""
@@ -85,8 +88,9 @@
         given = self._given.get(host)
         if given is not None and given[0] == order and now_ms < given[1]:
             return True
-        if not self.may_order(fencing):
+        if host in self._in_flight or not self.may_order(fencing):
             return False
+        self._in_flight.add(host)
         self._given[host] = (order, now_ms + REPEAT_MS)
         self._tasks.start(self._send(host, address, order))
         return True
@@ -94,18 +98,22 @@
     async def _send(
         self, host: str, address: str, order: orders.Order
     ) -> None:
-        failure = await self._client.send(address, order)
-        if failure is not None:
-            if failure.reason is not orders.OrderReason.UNREACHABLE:
-                log.change(
-                    'order.refused',
-                    host=host,
-                    action=order.action,
-                    fencing_number=order.fencing_number,
-                    failure=failure,
-                )
-            again_ms = clock.now_ms() + self._order_timeout_ms
-            self._given[host] = (order, again_ms)
+        try:
+            failure = await self._client.send(address, order)
+        finally:
+            self._in_flight.discard(host)
+        if failure is None:
+            return
+        again_ms = clock.now_ms() + self._order_timeout_ms
+        self._given[host] = (order, again_ms)
+        if failure.reason is not orders.OrderReason.UNREACHABLE:
+            log.change(
+                'order.refused',
+                host=host,
+                action=order.action,
+                fencing_number=order.fencing_number,
+                failure=failure,
+            )
 
     def forget(self, present: set[str]) -> None:
         """Drop what was given to hosts that are not there.
--- a/filbertglade/groups/hosts.py
+++ b/filbertglade/groups/hosts.py
@@ -193,21 +193,41 @@
         """
         return [host for host in record.hosts if self.is_gone(host)]
 
+    def _list_unbound(self, domain: str) -> list[str]:
+        """Return the hosts of a domain that belong to no group."""
+        return [
+            name
+            for name in self.list_names()
+            if self._seen.hosts[name].announcement.fabric_domain == domain
+            and not self._seen.hosts[name].announcement.leaving
+            and not self.is_member(name)
+        ]
+
+    def count_unbound(self, domain: str) -> int:
+        """Count the hosts that belong to no group, or will soon.
+
+        :param domain: the fabric domain.
+        """
+        return len(self._list_unbound(domain))
+
+    def has_resting(self, domain: str) -> bool:
+        """Tell whether hosts that belong to no group have yet to rest.
+
+        :param domain: the fabric domain.
+        """
+        return any(
+            not self._is_free(name) for name in self._list_unbound(domain)
+        )
+
     def list_free(self, domain: str) -> list[str]:
         """Return the hosts of a fabric domain that can join a group now.
 
         :param domain: the fabric domain.
         """
         return [
-            name for name in self.list_names() if self._is_free(name, domain)
+            name for name in self._list_unbound(domain) if self._is_free(name)
         ]
 
-    def _is_free(self, host: str, domain: str) -> bool:
-        said = self._seen.hosts[host].announcement
-        return (
-            said.fabric_domain == domain
-            and not said.group
-            and not said.leaving
-            and not self.is_member(host)
-            and self.is_rested(host)
-        )
+    def _is_free(self, host: str) -> bool:
+        group = self._seen.hosts[host].announcement.group
+        return not group and self.is_rested(host)
--- a/filbertglade/groups/rollout.py
+++ b/filbertglade/groups/rollout.py
@@ -95,11 +95,29 @@
         whole_count = sum(1 for item in records if self._watch.is_whole(item))
         if whole_count > deployment.replicas:
             return outdated[0]
-        is_forming = len(records) > whole_count
-        can_form = self._places.find_place(deployment, document) is not None
-        if whole_count == deployment.replicas and not (is_forming or can_form):
-            return outdated[0]
-        return None
+        if whole_count < deployment.replicas or len(records) > whole_count:
+            return None
+        return None if self._can_add(deployment, document) else outdated[0]
+
+    def _can_add(
+        self,
+        deployment: configuration_model.Deployment,
+        document: configuration_model.Document,
+    ) -> bool:
+        """Tell whether a group more can be formed now, or once hosts rest."""
+        if self._places.find_place(deployment, document) is not None:
+            return True
+        if any(
+            record.deployment == deployment.name
+            for record in self._agreed.groups.groups.values()
+            if record.phase == commands_pb2.DRAINING
+        ):
+            return True
+        return any(
+            self._watch.count_unbound(domain) >= deployment.hosts_per_replica
+            for domain in deployment.fabric_domains
+            if self._watch.has_resting(domain)
+        )
 
     def has_drained(self, record: commands_pb2.GroupRecord) -> bool:
         """Tell whether a draining group can be released.
--- /dev/null
+++ b/tests/groups/fakes.py
@@ -0,0 +1,438 @@
+"""Leaders, hosts and a router in one event loop with virtual time.
+
+Hosts write down every order and request that they took, so that a test
+judges from the hosts' own point of view.
+"""
+
+import asyncio
+import dataclasses
+import json
+import random
+
+from filbertglade import clock
+from filbertglade.control import failures as control_failures
+from filbertglade.control import state
+from filbertglade import failures
+from filbertglade.groups import controller
+from filbertglade.groups import orders
+from filbertglade.inner import commands_pb2
+from filbertglade.inner import membership_pb2
+from filbertglade.membership import lines
+from filbertglade.membership import presence
+from filbertglade.settings import model
+
+LEADERS = ('one', 'two')
+ANNOUNCE_S = 0.5
+LEASE_MS = 900
+
+
+def build_document(number, deployments, domains, loads_at_once=8):
+    """Return a document; deployments and domains are lists of fields."""
+    document = {
+        'number': number,
+        'change_id': f'change-{number}',
+        'fabric_domains': [
+            {'name': name, 'data_centre': 'north', 'fencing': fencing}
+            for name, fencing in domains.items()
+        ],
+        'deployments': [
+            {
+                'model': 'writer',
+                'version': '1',
+                'customers': [],
+                'fabric_domains': list(domains),
+                'hosts_per_replica': 4,
+                **deployment,
+            }
+            for deployment in deployments
+        ],
+        'limits': {'loads_at_once': loads_at_once},
+    }
+    return json.dumps(document).encode()
+
+
+def make_settings(name):
+    listen = model.ListenSettings('127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3')
+    hosts = [
+        model.ControlHostSettings(leader, f'127.0.0.1:{9000 + i}', 'north')
+        for i, leader in enumerate(LEADERS)
+    ]
+    return model.NodeSettings(
+        name=name,
+        region='central',
+        data_centre='north',
+        listen=listen,
+        control=model.ControlSettings(hosts, 'memory', lease_ms=LEASE_MS),
+    )
+
+
+@dataclasses.dataclass
+class Taken:
+    """What a host took."""
+
+    at_ms: int
+    kind: str
+    number: int
+    group: str
+    epoch: int
+
+
+class FakeHost:
+    """A host of model engines."""
+
+    def __init__(self, world, name, domain, checks_fencing, load_s):
+        self.world = world
+        self.name = name
+        self.domain = domain
+        self.checks_fencing = checks_fencing
+        self.load_s = load_s
+        self.is_alive = True
+        self.is_paused = False
+        self.is_leaving = False
+        self.runs = 1
+        self.sequence = 0
+        self.active = 0
+        self.taken = []
+        self.buffered = []
+        self.highest = 0
+        self._reset()
+
+    def _reset(self):
+        self.group, self.epoch = '', 0
+        self.is_loaded = self.is_draining = False
+        self.model = ''
+        self.loaded_at_s = None
+
+    def die(self):
+        self.is_alive = False
+        self.buffered.clear()
+        self._reset()
+
+    def come_back(self):
+        if not self.is_alive:
+            self.is_alive = True
+            self.runs += 1
+            self.sequence = 0
+        self.is_paused = False
+        buffered, self.buffered = self.buffered, []
+        for order in buffered:
+            self.take_order(order)
+
+    @property
+    def holds(self):
+        """The group and epoch that it physically serves in."""
+        self._finish_load()
+        return (self.group, self.epoch) if self.is_loaded else ('', 0)
+
+    def _finish_load(self):
+        if self.is_paused or self.loaded_at_s is None:
+            return
+        if asyncio.get_running_loop().time() >= self.loaded_at_s:
+            self.is_loaded = True
+            self.loaded_at_s = None
+
+    def take_order(self, order):
+        if self.is_paused:
+            self.buffered.append(order)
+            return failures.Failure(orders.OrderReason.UNREACHABLE)
+        if self.checks_fencing and order.fencing_number < self.highest:
+            return failures.Failure(orders.OrderReason.FENCED)
+        self.highest = max(self.highest, order.fencing_number)
+        self.taken.append(
+            Taken(
+                clock.now_ms(),
+                order.action.value,
+                order.fencing_number,
+                order.group,
+                order.epoch,
+            )
+        )
+        is_same = (self.group, self.epoch) == (order.group, order.epoch)
+        if order.action is orders.OrderAction.DRAIN:
+            self.is_draining = self.is_draining or is_same
+        elif order.action is orders.OrderAction.RELEASE:
+            self._reset()
+        elif is_same:
+            self.is_draining = False
+        else:
+            self._load(order)
+        return None
+
+    def _load(self, order):
+        wanted = f'{order.model}/{order.adapter}/{order.version}'
+        takes_s = 1.0 if self.model == wanted else self.load_s
+        self._reset()
+        self.model = wanted
+        self.group, self.epoch = order.group, order.epoch
+        now_s = asyncio.get_running_loop().time()
+        self.loaded_at_s = now_s + takes_s
+        self.world.loading_peak = max(
+            self.world.loading_peak, self.world.count_loading()
+        )
+
+    async def announce(self):
+        await asyncio.sleep(self.world.rng.uniform(0, ANNOUNCE_S))
+        while True:
+            if self.is_alive and not self.is_paused:
+                self._finish_load()
+                self.sequence += 1
+                said = membership_pb2.Announcement(
+                    host=self.name,
+                    run=f'run-{self.runs}',
+                    sequence=self.sequence,
+                    fabric_domain=self.domain,
+                    address=self.name,
+                    order_address=self.name,
+                    group=self.group,
+                    epoch=self.epoch,
+                    ready=self.is_loaded and not self.is_draining,
+                    leaving=self.is_leaving,
+                    load=membership_pb2.Load(active=self.active),
+                )
+                self.world.announce(said)
+            await asyncio.sleep(ANNOUNCE_S)
+
+
+class FakeVoters:
+    """One leader's part in a log that both leaders share."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.listeners = []
+        self.lease_end_ms = 0
+
+    @property
+    def is_leader(self):
+        return self.lease_remaining_ms() > 0
+
+    def lease_remaining_ms(self):
+        return max(0, self.lease_end_ms - clock.now_ms())
+
+    def leader_age_ms(self):
+        return 0
+
+    def add_leadership_listener(self, listener):
+        self.listeners.append(listener)
+
+    async def submit(self, command, timeout_ms):
+        await asyncio.sleep(0.002)
+        if not self.is_leader or self.world.leader != self.name:
+            return control_failures.SubmitFailure(
+                control_failures.SubmitReason.LEADER_LOST
+            )
+        return self.world.commit(command)
+
+
+class FakeOrderClient(orders.OrderClient):
+    """Carries one leader's orders to the hosts."""
+
+    def __init__(self, world, name, timeout_ms):
+        self.world = world
+        self.name = name
+        self.timeout_s = timeout_ms / 1000
+
+    def close(self):
+        pass
+
+    async def send(self, address, order):
+        world = self.world
+        host = world.hosts[address]
+        delay_s = world.rng.uniform(0, 0.05)
+        if self.name in world.stuck_leaders:
+            # Frozen between the check of its lease and the write.
+            world.stuck_orders.append((host, order))
+            await asyncio.sleep(self.timeout_s)
+            return failures.Failure(orders.OrderReason.UNREACHABLE)
+        await asyncio.sleep(delay_s)
+        if not host.is_alive or address in world.cut_hosts:
+            return failures.Failure(orders.OrderReason.UNREACHABLE)
+        return host.take_order(order)
+
+
+class World:
+    """Everything of one test."""
+
+    def __init__(self, domains, hosts_per_domain, seed=1, load_s=10.0):
+        self.rng = random.Random(seed)
+        self.index = 0
+        self.domains = domains
+        self.number = 0
+        self.states = {name: state.AgreedState() for name in LEADERS}
+        self.routed = state.AgreedState()
+        self.route_lag_s = 0.0
+        self.tables = {name: presence.PresenceTable() for name in LEADERS}
+        self.view = presence.PresenceTable()
+        self.voters = {name: FakeVoters(self, name) for name in LEADERS}
+        self.leader = ''
+        self.stuck_leaders = set()
+        self.stuck_orders = []
+        self.cut_hosts = set()
+        self.loading_peak = 0
+        self.requests = 0
+        self.faults = []
+        self.epochs = []
+        self.hosts = {}
+        for domain, fencing in domains.items():
+            for i in range(hosts_per_domain):
+                name = f'{domain}-{i + 1:02}'
+                self.hosts[name] = FakeHost(
+                    self, name, domain, fencing == 'checked', load_s
+                )
+        self.tasks = []
+
+    def count_loading(self):
+        return sum(
+            1 for host in self.hosts.values() if host.loaded_at_s is not None
+        )
+
+    async def start(self):
+        self.controllers = {}
+        for name in LEADERS:
+            settings = make_settings(name)
+            client = FakeOrderClient(
+                self, name, settings.timings.order_timeout_ms
+            )
+            self.controllers[name] = controller.GroupController(
+                settings,
+                self.states[name],
+                self.voters[name],
+                self.tables[name],
+                client,
+            )
+            await self.controllers[name].start()
+        for host in self.hosts.values():
+            self.tasks.append(asyncio.create_task(host.announce()))
+        self.tasks.append(asyncio.create_task(self._renew()))
+        self.tasks.append(asyncio.create_task(self._route()))
+        self.lead(LEADERS[0])
+
+    async def close(self):
+        for task in self.tasks:
+            task.cancel()
+        for item in self.controllers.values():
+            await item.close()
+
+    # Leadership and the log
+
+    def lead(self, name):
+        """Let another leader act; the one before had its lease run out."""
+        self.leader = name
+        self.voters[name].lease_end_ms = clock.now_ms() + LEASE_MS
+        for listener in self.voters[name].listeners:
+            listener(True)
+
+    async def _renew(self):
+        while True:
+            if self.leader:
+                voters = self.voters[self.leader]
+                voters.lease_end_ms = clock.now_ms() + LEASE_MS
+            await asyncio.sleep(0.15)
+
+    def commit(self, command):
+        self.index += 1
+        command.stamped_ms = clock.now_ms()
+        results = [
+            agreed.apply(self.index, command)
+            for agreed in self.states.values()
+        ]
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.route_lag_s, self.routed.apply, self.index, command
+        )
+        if command.group_change.HasField('form') and not (
+            results[0].group.verdict
+        ):
+            self.epochs.append(results[0].group.epoch)
+        return results[0]
+
+    def put(self, *deployments, **options):
+        """Put a document in force."""
+        self.number += 1
+        text = build_document(
+            self.number, deployments, self.domains, **options
+        )
+        put = commands_pb2.PutConfiguration(
+            number=self.number,
+            change_id=f'change-{self.number}',
+            document=text,
+            digest=str(self.number),
+        )
+        self.commit(commands_pb2.Command(put_configuration=put))
+
+    @property
+    def groups(self):
+        return self.states[LEADERS[0]].groups.groups
+
+    # Announcements and routing
+
+    def announce(self, said):
+        loop = asyncio.get_running_loop()
+        for table in (*self.tables.values(), self.view):
+            delay_s = self.rng.uniform(0.05, 1.0)
+            copy = membership_pb2.Announcement()
+            copy.CopyFrom(said)
+            # The proven age may overstate the true one.
+            age_ms = int(delay_s * 1000) + self.rng.randrange(400)
+            loop.call_later(delay_s, table.note_host, copy, age_ms)
+
+    def list_routable(self):
+        """Return the groups that a node believes to be whole."""
+        found = []
+        for record in self.routed.groups.groups.values():
+            if record.phase != commands_pb2.SERVING:
+                continue
+            built = lines.build_group_line(record, self.view)
+            if built.line.complete and (
+                clock.now_ms() - built.proven_ms <= 4000
+            ):
+                found.append(record)
+        return found
+
+    async def _route(self):
+        """Send a request to every group believed whole; judge it."""
+        while True:
+            for record in self.list_routable():
+                self._send_request(record)
+            await asyncio.sleep(0.1)
+
+    def _send_request(self, record):
+        first = self.hosts[record.hosts[0]]
+        wanted = (record.group, record.epoch)
+        if not first.is_alive or first.is_paused or first.holds != wanted:
+            return
+        self.requests += 1
+        for name in record.hosts:
+            host = self.hosts[name]
+            is_up = host.is_alive and not host.is_paused
+            if is_up and host.runs == 1 and host.holds != wanted:
+                self.faults.append((clock.now_ms(), wanted, name, host.holds))
+
+    def list_whole(self, deployment=None):
+        """Return the groups all of whose hosts truly serve."""
+        return [
+            record
+            for record in self.groups.values()
+            if deployment in (None, record.deployment)
+            and record.phase == commands_pb2.SERVING
+            and all(
+                self.hosts[name].is_alive
+                and not self.hosts[name].is_paused
+                and not self.hosts[name].is_draining
+                and self.hosts[name].holds == (record.group, record.epoch)
+                for name in record.hosts
+            )
+        ]
+
+    def check(self):
+        """Check what must hold at any moment."""
+        assert not self.faults, self.faults[:3]
+        assert self.epochs == sorted(set(self.epochs))
+        members = [
+            name for record in self.groups.values() for name in record.hosts
+        ]
+        assert len(members) == len(set(members))
+        for host in self.hosts.values():
+            numbers = [taken.number for taken in host.taken]
+            if host.checks_fencing:
+                assert numbers == sorted(numbers)
--- /dev/null
+++ b/tests/groups/test_controller.py
@@ -0,0 +1,229 @@
+"""Formation, repair, draining and rolling change of groups."""
+
+import asyncio
+
+import pytest
+
+from tests.groups import fakes
+from tests.membership import fakes as membership_fakes
+
+CHECKED = {'fabric-1': 'checked'}
+wait_until = membership_fakes.wait_until
+
+
+def _run(test, domains=None, hosts=8, **options):
+    async def main():
+        world = fakes.World(domains or CHECKED, hosts, **options)
+        await world.start()
+        try:
+            await test(world)
+            world.check()
+        finally:
+            await world.close()
+
+    membership_fakes.run(main())
+
+
+def _count(world, deployment=None):
+    return len(world.list_whole(deployment))
+
+
+def _writer(**changed):
+    return {'name': 'writer', 'replicas': 1, **changed}
+
+
+def test_groups_form_and_take_requests():
+    async def test(world):
+        world.put(_writer(replicas=2))
+        await wait_until(lambda: _count(world) == 2, 30)
+        await asyncio.sleep(5)
+        assert world.requests > 0
+        assert len(world.list_routable()) == 2
+
+    _run(test)
+
+
+def test_loads_keep_the_limit_and_go_by_priority():
+    async def test(world):
+        world.put(
+            _writer(replicas=2, priority=1),
+            {'name': 'desk', 'replicas': 1, 'priority': 9, 'spare_hosts': 0},
+            loads_at_once=4,
+        )
+        await wait_until(lambda: _count(world, 'desk') == 1, 30)
+        assert _count(world, 'writer') == 0
+        await wait_until(lambda: _count(world, 'writer') == 2, 60)
+        assert world.loading_peak <= 4
+
+    _run(test, hosts=12)
+
+
+def test_a_dead_host_is_replaced_by_a_spare_after_the_rest():
+    async def test(world):
+        world.put(_writer())
+        await wait_until(lambda: _count(world) == 1, 30)
+        (record,) = world.list_whole()
+        epoch, lost = record.epoch, world.hosts[record.hosts[1]]
+        lost.die()
+        await wait_until(
+            lambda: _count(world) and world.list_whole()[0].epoch > epoch, 40
+        )
+        assert lost.name not in world.list_whole()[0].hosts
+        lost.come_back()
+        await asyncio.sleep(20)
+        assert lost.holds == ('', 0)
+
+    _run(test)
+
+
+def test_a_paused_host_that_comes_back_as_if_nothing_happened():
+    async def test(world):
+        world.put(_writer())
+        await wait_until(lambda: _count(world) == 1, 30)
+        paused = world.hosts[world.list_whole()[0].hosts[2]]
+        paused.is_paused = True
+        await wait_until(lambda: _count(world) == 1, 60)
+        paused.come_back()
+        # It still believes in the old epoch; it is drained and released.
+        assert paused.holds != ('', 0)
+        await wait_until(lambda: paused.group == '', 20)
+        kinds = [taken.kind for taken in paused.taken]
+        assert kinds[-1] == 'release' and 'drain' in kinds
+        paused_free = [taken.at_ms for taken in paused.taken]
+        assert paused_free[-1] - paused_free[kinds.index('drain')] >= 5000
+
+    _run(test)
+
+
+def test_a_second_loss_during_a_repair_starts_it_at_a_new_epoch():
+    async def test(world):
+        world.put(_writer())
+        await wait_until(lambda: _count(world) == 1, 30)
+        first = world.list_whole()[0].epoch
+        world.hosts[world.list_whole()[0].hosts[0]].die()
+        await wait_until(lambda: world.epochs[-1] > first, 20)
+        second = world.epochs[-1]
+        await asyncio.sleep(3)
+        (record,) = world.groups.values()
+        world.hosts[record.hosts[-1]].die()
+        await wait_until(lambda: world.epochs[-1] > second, 20)
+        await wait_until(lambda: _count(world) == 1, 40)
+        assert world.list_whole()[0].epoch == world.epochs[-1]
+
+    _run(test)
+
+
+def test_a_dark_fabric_domain_moves_and_comes_back_as_spares():
+    async def test(world):
+        world.put(_writer())
+        await wait_until(lambda: _count(world) == 1, 30)
+        dark = world.list_whole()[0].fabric_domain
+        hosts = [host for host in world.hosts.values() if host.domain == dark]
+        for host in hosts:
+            host.is_paused = True
+        await wait_until(lambda: _count(world) == 1, 60)
+        assert world.list_whole()[0].fabric_domain != dark
+        for host in hosts:
+            host.come_back()
+        await wait_until(lambda: not any(host.group for host in hosts), 30)
+        assert _count(world) == 1
+
+    domains = {'fabric-1': 'checked', 'fabric-2': 'ignored'}
+    _run(test, domains)
+
+
+def test_a_dark_domain_without_another_serves_again_when_it_is_back():
+    async def test(world):
+        world.put(_writer(replicas=2))
+        await wait_until(lambda: _count(world) == 2, 30)
+        epochs = list(world.epochs)
+        for host in world.hosts.values():
+            host.is_paused = True
+        await asyncio.sleep(30)
+        for host in world.hosts.values():
+            host.come_back()
+        await wait_until(lambda: len(world.list_routable()) == 2, 5)
+        assert world.epochs == epochs
+
+    _run(test)
+
+
+def test_a_leaving_host_is_replaced_and_let_go():
+    async def test(world):
+        world.put(_writer())
+        await wait_until(lambda: _count(world) == 1, 30)
+        leaving = world.hosts[world.list_whole()[0].hosts[3]]
+        leaving.is_leaving = True
+        await wait_until(
+            lambda: (
+                _count(world)
+                and leaving.name not in world.list_whole()[0].hosts
+            ),
+            60,
+        )
+
+    _run(test)
+
+
+def test_a_removed_deployment_drains_before_its_hosts_are_released():
+    async def test(world):
+        world.put(_writer())
+        await wait_until(lambda: _count(world) == 1, 30)
+        hosts = [world.hosts[name] for name in world.list_whole()[0].hosts]
+        hosts[0].active = 1
+        world.put()
+        await wait_until(lambda: not world.list_routable(), 6)
+        await asyncio.sleep(20)
+        # A request still runs: the group stays as it is.
+        assert all(host.is_loaded for host in hosts)
+        hosts[0].active = 0
+        await wait_until(lambda: not any(host.group for host in hosts), 20)
+
+    _run(test)
+
+
+@pytest.mark.parametrize('hosts', [8, 12])
+def test_a_changed_version_rolls_with_the_capacity_kept(hosts):
+    async def test(world):
+        world.put(_writer(replicas=2))
+        await wait_until(lambda: _count(world) == 2, 30)
+        world.put(_writer(replicas=2, version='2'))
+        fewest = 2
+
+        def is_done():
+            nonlocal fewest
+            fewest = min(fewest, _count(world))
+            return _count(world) == 2 and all(
+                record.version == '2' for record in world.list_whole()
+            )
+
+        await wait_until(is_done, 200)
+        # With hosts for one group more, none is missed at any time.
+        assert fewest == (2 if hosts == 12 else 1)
+
+    _run(test, hosts=hosts)
+
+
+def test_incomplete_groups_of_a_domain_merge():
+    async def test(world):
+        world.put(_writer(replicas=2, objective='stranded'))
+        await wait_until(lambda: _count(world) == 2, 30)
+        for record in world.list_whole():
+            world.hosts[record.hosts[1]].die()
+        await wait_until(lambda: _count(world) == 1, 60)
+        assert len(world.groups) == 1
+
+    _run(test)
+
+
+def test_a_host_is_ordered_again_when_it_claims_what_is_not_committed():
+    async def test(world):
+        world.put(_writer())
+        await wait_until(lambda: _count(world) == 1, 30)
+        # The first host takes the requests, so that none is taken meanwhile.
+        host = world.hosts[world.list_whole()[0].hosts[0]]
+        host.group, host.epoch = 'other-1', 3
+        await wait_until(lambda: not world.list_routable(), 6)
+        await wait_until(lambda: _count(world) == 1, 40)
+
+    _run(test)
