Correct reported load by what this node knows; prove selection

Cause: faded as a whole, a report hid what this node itself had at the endpoint, and a report as old as a request lasts still drew all nodes to the same places. Change: own requests count exactly; the rest of a report fades by the square of what is left of a request's time. A first token is expected two deviations later than its mean.

--- /dev/null
+++ b/benchmarks/policies.py
@@ -0,0 +1,327 @@
+"""Selection and admission over virtual time, in one process.
+
+The stand-in's batches, the selectors and the admission of six nodes run on
+one loop with virtual time; the connections between them are left out. It
+answers in a minute what benchmarks/selection.py then confirms by processes.
+
+    python -m benchmarks.policies --seconds 30
+"""
+
+import argparse
+import asyncio
+from collections import abc
+import dataclasses
+import random
+
+import async_solipsism
+
+from benchmarks import results
+from benchmarks import workload
+from filbertglade.admission import admission
+from filbertglade.admission import tickets
+from filbertglade import clock
+from filbertglade.configuration import model as configuration_model
+from filbertglade.inner import membership_pb2
+from filbertglade.observability import metrics
+from filbertglade.requests import outcomes
+from filbertglade.routing import candidates
+from filbertglade.routing import expected_wait
+from filbertglade.routing import policies
+from filbertglade.routing import prefixes
+from filbertglade.routing import selection
+from filbertglade.settings import model
+from filbertglade.standin import engine
+from filbertglade.standin import settings as standin_settings
+
+NODES = 6
+DEPLOYMENT = 'writer'
+ANNOUNCE_MS = 500
+SHARES_MS = 1000
+WARM_UP_S = 10
+DEADLINE_MS = 2000
+LOADS = (0.5, 0.8, 0.95, 1.5)
+
+
+@dataclasses.dataclass(slots=True)
+class SeenGroup:
+    """A group as a node sees it.
+
+    :param line: what was announced.
+    :param load_ms: local clock when the load came.
+    """
+
+    line: membership_pb2.GroupLine
+    load_ms: int
+
+
+class Fleet:
+    """A view of engines that are always there."""
+
+    def __init__(self) -> None:
+        self.document: configuration_model.Document | None = None
+        self.shares: dict[str, float] = {}
+        self.groups: dict[str, SeenGroup] = {}
+
+    def list_groups(self, deployment: str) -> list[SeenGroup]:
+        """Return all groups.
+
+        :param deployment: the only one.
+        """
+        return list(self.groups.values())
+
+
+class Node:
+    """Admission and selection of one node."""
+
+    def __init__(self, policy: str, seed: int) -> None:
+        settings = model.NodeSettings(
+            name=f'node-{seed}',
+            region='central',
+            data_centre='north',
+            listen=model.ListenSettings('', '', ''),
+            control=model.ControlSettings(hosts=[]),
+            routing=model.RoutingSettings(
+                policy=model.SelectionPolicy(policy)
+            ),
+        )
+        rng = random.Random(seed)
+        self.fleet = Fleet()
+        self.admission = admission.Admission(
+            settings, self.fleet, metrics.Metrics(), rng
+        )
+        self.selector = policies.build_selector(settings, self.fleet, rng)
+
+    def take_event(self, event: membership_pb2.CacheEvent) -> None:
+        """Pass a cache event to the policy, if it wants it.
+
+        :param event: the event.
+        """
+        if isinstance(self.selector, expected_wait.ExpectedWaitSelector):
+            self.selector.take_cache_event(event)
+
+
+class Bench:
+    """Engines, nodes and callers on one loop."""
+
+    def __init__(
+        self, policy: str, engines: workload.EngineLoad, seed: int
+    ) -> None:
+        settings = standin_settings.StandinSettings(
+            entries=[],
+            hosts=engines.engines,
+            slots=engines.slots,
+            token_ms=engines.token_ms,
+            prefill_ms=engines.prefill_ms,
+            cache_blocks=engines.cache_blocks,
+            load_lag_ms=engines.load_lag_ms,
+            event_lag_ms=engines.event_lag_ms,
+            event_loss=engines.event_loss,
+            seed=seed,
+        )
+        self.engines = {
+            f'group-{i}': engine.Engine(settings, f'host-{i}', _record)
+            for i in range(engines.engines)
+        }
+        for i in range(engines.stragglers):
+            batch = self.engines[f'group-{i}'].batch
+            batch.slow_factor = engines.slow_factor
+        self.nodes = [Node(policy, seed + i) for i in range(NODES)]
+        self._background: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Begin to announce and to share demand."""
+        for position, name in enumerate(self.engines):
+            offset_s = ANNOUNCE_MS / 1000 * position / len(self.engines)
+            self._start(self._announce(name, offset_s))
+        self._start(self._share())
+        for node in self.nodes:
+            await node.admission.start()
+
+    def _start(self, work: abc.Coroutine[None, None, None]) -> None:
+        self._background.append(asyncio.create_task(work))
+
+    async def close(self) -> None:
+        """Stop all work."""
+        for task in self._background:
+            task.cancel()
+        for node in self.nodes:
+            await node.admission.close()
+        for part in self.engines.values():
+            await part.close()
+
+    async def _announce(self, name: str, offset_s: float) -> None:
+        await asyncio.sleep(offset_s)
+        part = self.engines[name]
+        while True:
+            line = membership_pb2.GroupLine(
+                group=name,
+                epoch=1,
+                hosts=[name],
+                load=membership_pb2.Load(**part.read_load()),
+            )
+            events = [
+                membership_pb2.CacheEvent(
+                    group=name,
+                    epoch=1,
+                    sequence=event.sequence,
+                    stored=event.stored,
+                    evicted=event.evicted,
+                )
+                for event in part.cache.take_events()
+            ]
+            for node in self.nodes:
+                node.fleet.groups[name] = SeenGroup(line, clock.now_ms())
+                for event in events:
+                    node.take_event(event)
+            await asyncio.sleep(ANNOUNCE_MS / 1000)
+
+    async def _share(self) -> None:
+        while True:
+            await asyncio.sleep(SHARES_MS / 1000)
+            demands = [node.admission.demand() for node in self.nodes]
+            totals: dict[str, float] = {}
+            for demand in demands:
+                for item in demand:
+                    total = totals.get(item.customer, 0.0)
+                    totals[item.customer] = total + item.requests_per_s
+            for node, demand in zip(self.nodes, demands, strict=True):
+                node.fleet.shares = {
+                    item.customer: 0.2 / NODES
+                    + 0.8 * item.requests_per_s / totals[item.customer]
+                    for item in demand
+                    if totals[item.customer]
+                }
+
+    async def run(
+        self, request: workload.Request, deadline_ms: int
+    ) -> results.Outcome:
+        """Run one request.
+
+        :param request: the request.
+        :param deadline_ms: time until its first token is due.
+        :returns: what became of it.
+        """
+        node = self.nodes[request.node]
+        asked_ms = clock.now_ms()
+        customer = configuration_model.Customer(
+            request.customer,
+            '0' * 64,
+            requests_per_s=1e6,
+            concurrent_requests=1_000_000,
+        )
+        ticket = tickets.Ticket(
+            customer,
+            DEPLOYMENT,
+            False,
+            asked_ms + deadline_ms,
+            request.tokens,
+        )
+        permit = await node.admission.admit(ticket)
+        if isinstance(permit, outcomes.Refusal):
+            return results.Outcome(request.customer, None, None, False, True)
+        work = selection.Work(
+            request.customer,
+            b'',
+            prefixes.hash_prefixes(request.prompt),
+            DEPLOYMENT,
+        )
+        started_ms = clock.now_ms()
+        with permit:
+            chosen = node.selector.choose(
+                candidates.list_group_candidates(node.fleet, DEPLOYMENT), work
+            )
+            assert chosen is not None
+            node.selector.note_started(chosen, work)
+            first_ms = 0
+            part = self.engines[chosen.name]
+            async for _ in part.generate(request.prompt, request.tokens):
+                if not first_ms:
+                    first_ms = clock.now_ms()
+                    took_ms = first_ms - started_ms
+                    permit.note_first_token(took_ms)
+                    node.selector.note_first_token(chosen, took_ms)
+            ended_ms = clock.now_ms()
+            node.selector.note_finished(
+                chosen, work, request.tokens, ended_ms - started_ms
+            )
+        return results.Outcome(
+            request.customer,
+            first_ms - asked_ms,
+            (ended_ms - first_ms) / (request.tokens - 1),
+            True,
+            False,
+        )
+
+
+def _record(*_: object, **__: object) -> None:
+    return
+
+
+async def measure(
+    policy: str,
+    rate: float,
+    engines: workload.EngineLoad,
+    seconds: int,
+    seed: int,
+) -> results.Results:
+    """Measure one policy at one rate.
+
+    :param policy: its name in the settings.
+    :param rate: requests a second.
+    :param engines: the engines.
+    :param seconds: time measured, after the warm-up.
+    :param seed: seed of all that is random.
+    :returns: the outcomes of what was sent after the warm-up.
+    """
+    bench = Bench(policy, engines, seed)
+    await bench.start()
+    await asyncio.sleep(2)
+    found = results.Results(DEADLINE_MS)
+    load = workload.Workload(rate, NODES, seed)
+    ends_ms = clock.now_ms() + (WARM_UP_S + seconds) * 1000
+    counted_ms = clock.now_ms() + WARM_UP_S * 1000
+    running = set()
+    while clock.now_ms() < ends_ms:
+        request = load.draw()
+        await asyncio.sleep(request.after_s)
+        task = asyncio.create_task(bench.run(request, DEADLINE_MS))
+        running.add(task)
+        if clock.now_ms() >= counted_ms:
+            task.add_done_callback(lambda done: found.add(done.result()))
+        task.add_done_callback(running.discard)
+    await asyncio.gather(*running)
+    await bench.close()
+    return found
+
+
+def main() -> None:
+    """Measure all policies and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=int, default=30)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--loads', type=float, nargs='+', default=LOADS)
+    parser.add_argument(
+        '--policies',
+        nargs='+',
+        default=[policy.value for policy in model.SelectionPolicy],
+    )
+    options = parser.parse_args()
+    engines = workload.EngineLoad()
+    capacity = engines.find_capacity()
+    print(f'{engines}\ncapacity {capacity:.1f} requests/s')
+    print(results.render_headings())
+    for load in options.loads:
+        for policy in options.policies:
+            work = measure(
+                policy, capacity * load, engines, options.seconds, options.seed
+            )
+            with asyncio.Runner(
+                loop_factory=async_solipsism.EventLoop
+            ) as runner:
+                found = runner.run(work)
+            row = found.render_row(policy, load, options.seconds, '-')
+            print(row, flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/workload.py
@@ -0,0 +1,112 @@
+"""The load that selection and admission are measured under.
+
+Times of tokens are scaled up and rates down against real engines, so that 50
+engines, their nodes and their callers fit one small machine.
+"""
+
+import dataclasses
+import random
+
+from filbertglade.routing import prefixes
+
+CUSTOMERS = 10
+LARGE_CUSTOMERS = 3
+LARGE_FACTOR = 4
+PREFIXES = 60
+PREFIX_BLOCKS = 8
+OWN_BLOCKS = 2
+LEAST_TOKENS = 8
+MOST_TOKENS = 56
+MEAN_TOKENS = (LEAST_TOKENS + MOST_TOKENS) / 2
+
+
+@dataclasses.dataclass(slots=True)
+class EngineLoad:
+    """The stand-in engines that are measured.
+
+    :param engines: how many there are.
+    :param stragglers: how many of them are slow.
+    :param slow_factor: how much slower those are.
+    :param slots: requests that each runs at once.
+    :param token_ms: time of one token.
+    :param prefill_ms: time of one uncached block of a prompt.
+    :param cache_blocks: blocks that each keeps cached.
+    :param load_lag_ms: age of a load report.
+    :param event_lag_ms: age of a cache event.
+    :param event_loss: part of the cache events that is lost.
+    """
+
+    engines: int = 50
+    stragglers: int = 5
+    slow_factor: float = 4.0
+    slots: int = 4
+    token_ms: float = 40.0
+    prefill_ms: float = 10.0
+    cache_blocks: int = 160
+    load_lag_ms: int = 1000
+    event_lag_ms: int = 1000
+    event_loss: float = 0.02
+
+    def find_capacity(self) -> float:
+        """Return requests a second, without stragglers and cached blocks."""
+        blocks = PREFIX_BLOCKS + OWN_BLOCKS
+        prefill_ms = self.slots * blocks * self.prefill_ms
+        service_s = (MEAN_TOKENS * self.token_ms + prefill_ms) / 1000
+        return (self.engines - self.stragglers) * self.slots / service_s
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One request of the load.
+
+    :param after_s: time since the request before it.
+    :param customer: who sends it.
+    :param prompt: its prompt.
+    :param tokens: tokens wanted.
+    :param node: position of the node that it is sent to.
+    """
+
+    after_s: float
+    customer: str
+    prompt: str
+    tokens: int
+    node: int
+
+
+class Workload:
+    """Requests at random moments, of customers of different sizes."""
+
+    def __init__(self, rate: float, nodes: int, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._rate = rate
+        self._nodes = nodes
+        self._names = [f'customer-{i}' for i in range(CUSTOMERS)]
+        self._weights = [
+            LARGE_FACTOR if i < LARGE_CUSTOMERS else 1
+            for i in range(CUSTOMERS)
+        ]
+        self._prefixes = [
+            _fill(f'prefix {i} ', PREFIX_BLOCKS) for i in range(PREFIXES)
+        ]
+        # A few prefixes are in most of the prompts.
+        self._popularity = [1 / (i + 1) for i in range(PREFIXES)]
+        self._count = 0
+
+    def draw(self) -> Request:
+        """Return the next request."""
+        rng = self._rng
+        self._count += 1
+        prefix = rng.choices(self._prefixes, self._popularity)[0]
+        return Request(
+            after_s=rng.expovariate(self._rate),
+            customer=rng.choices(self._names, self._weights)[0],
+            prompt=prefix + _fill(f'request {self._count} ', OWN_BLOCKS),
+            tokens=rng.randint(LEAST_TOKENS, MOST_TOKENS),
+            node=rng.randrange(self._nodes),
+        )
+
+
+def _fill(start: str, blocks: int) -> str:
+    length = blocks * prefixes.BLOCK_BYTES
+    repeats = length // len(start) + 1
+    return (start * repeats)[:length]
--- a/filbertglade/admission/capacity.py
+++ b/filbertglade/admission/capacity.py
@@ -11,11 +11,11 @@
 READ_MS = 100
 PACE_MS = 250
 PACE_STEP = 0.03
-LEAST_PACE = 0.8
+LEAST_PACE = 1.0
 MOST_PACE = 2.0
 FIRST_PACE = 1.1
-LEAST_QUEUED = 0.03
-MOST_QUEUED = 0.1
+LEAST_QUEUED = 0.25
+MOST_QUEUED = 0.4
 
 
 class Capacity:
@@ -23,7 +23,7 @@
 
     The part follows the demand of the customers that call the target here.
     A pace corrects it slowly by what endpoints report to be queued: it rises
-    while requests wait here and none there, and falls while many wait there.
+    while requests wait here and few there, and falls while many wait there.
     """
 
     def __init__(
--- a/filbertglade/admission/rates.py
+++ b/filbertglade/admission/rates.py
@@ -36,14 +36,15 @@
 
 
 class SmoothedTime:
-    """A smoothed duration in milliseconds."""
+    """A smoothed duration and its mean deviation, in milliseconds."""
 
-    __slots__ = ('value_ms', '_samples')
+    __slots__ = ('value_ms', 'deviation_ms', '_samples')
 
     SMOOTHING = 0.05
 
     def __init__(self, first_ms: float) -> None:
         self.value_ms = first_ms
+        self.deviation_ms = 0.0
         self._samples = 0
 
     def add(self, value_ms: float) -> None:
@@ -53,4 +54,6 @@
         """
         self._samples += 1
         weight = max(self.SMOOTHING, 1 / self._samples)
-        self.value_ms += weight * (value_ms - self.value_ms)
+        error_ms = value_ms - self.value_ms
+        self.value_ms += weight * error_ms
+        self.deviation_ms += weight * (abs(error_ms) - self.deviation_ms)
--- a/filbertglade/admission/target.py
+++ b/filbertglade/admission/target.py
@@ -11,6 +11,7 @@
 
 FIRST_HOLD_MS = 1000.0
 FIRST_TOKEN_MS = 0.0
+DEVIATIONS = 2
 
 
 class Target:
@@ -32,8 +33,9 @@
 
     @property
     def first_token_ms(self) -> float:
-        """How long after its permit a request's first token usually comes."""
-        return self._first_token.value_ms
+        """How long after its permit most first tokens have come."""
+        first = self._first_token
+        return first.value_ms + DEVIATIONS * first.deviation_ms
 
     @property
     def hold_ms(self) -> float:
--- a/filbertglade/routing/expected_wait.py
+++ b/filbertglade/routing/expected_wait.py
@@ -1,4 +1,4 @@
-"""The product's policy: two choices by expected wait."""
+"""The product's policy: few choices by expected wait."""
 
 import collections
 import dataclasses
@@ -15,13 +15,12 @@
 from filbertglade.routing import stragglers
 from filbertglade.settings import model
 
-CHOICES = 2
-HOLDERS_TRIED = 2
-SAMPLES_DRAWN = 6
+CHOICES = 4
+HOLDERS_TRIED = 4
+SAMPLES_DRAWN = 8
 PEERS_KEPT_MS = 100
-REPORT_LAG_MS = 500
 FIRST_SERVICE_MS = 1000.0
-LEAST_SPREAD = 0.5
+LOAD_SPREAD = 1.0
 TARGETS_KEPT = 1024
 
 
@@ -31,13 +30,13 @@
 
     :param read_ms: local clock when it was read.
     :param count: how many endpoints there were.
-    :param mean_load: requests that run or wait at each, as reported.
+    :param others_load: mean of the requests that other nodes have there.
     :param ratios: how many times slower each straggler is.
     """
 
     read_ms: int
     count: int
-    mean_load: float
+    others_load: float
     ratios: stragglers.Ratios
 
 
@@ -59,7 +58,7 @@
 
 
 class ExpectedWaitSelector(selection.Selector):
-    """Takes the best of two random endpoints and of those with the prefix.
+    """Takes the best of a few random endpoints and of those with the prefix.
 
     The best is that with the least expected wait, less the time that a
     cached prefix saves; stragglers are drawn seldom and rated as slow as
@@ -70,6 +69,7 @@
         self, settings: model.NodeSettings, rng: random.Random
     ) -> None:
         self._rng = rng
+        self._report_lag_ms = settings.routing.report_lag_ms
         self._history = history.History()
         self._targets: collections.OrderedDict[str, TargetStatistics] = (
             collections.OrderedDict()
@@ -168,14 +168,21 @@
             and now_ms - known.read_ms <= PEERS_KEPT_MS
         ):
             return known
+        mean_load = statistics.fmean(map(_read_load, candidates))
         target.peers = Peers(
             read_ms=now_ms,
             count=len(candidates),
-            mean_load=statistics.fmean(map(_read_load, candidates)),
+            others_load=max(0.0, mean_load - self._read_own(candidates)),
             ratios=stragglers.find_stragglers(candidates, self._history),
         )
         return target.peers
 
+    def _read_own(self, candidates: list[selection.Candidate]) -> float:
+        """Return the mean of the requests that this node has there."""
+        found = [self._history.read(item.key) for item in candidates]
+        total = sum(known.in_flight for known in found if known is not None)
+        return total / len(candidates)
+
     def _draw(
         self, candidates: list[selection.Candidate], peers: Peers
     ) -> list[selection.Candidate]:
@@ -215,7 +222,7 @@
         service_ms = target.read_service_ms()
         load = self._estimate_load(item, service_ms, peers)
         slots = max(1, item.load.slots)
-        excess = _soften(load - slots + 1, LEAST_SPREAD * math.sqrt(slots))
+        excess = _soften(load - slots + 1, LOAD_SPREAD * math.sqrt(slots))
         wait_ms = excess * service_ms / slots
         held = self.index.count_blocks(key, work.prefix_hashes)
         uncached = len(work.prefix_hashes) - held
@@ -228,18 +235,20 @@
     ) -> float:
         """Return how many requests an endpoint has by now.
 
-        What was reported fades towards the mean, since other nodes send and
-        requests end; what this node itself sent since then is known.
+        What this node has there is known. What the others had when the load
+        was reported fades towards their mean, and is worth nothing once the
+        report is as old as a request lasts.
         """
-        reported = _read_load(item)
+        age_ms = item.load_age_ms + self._report_lag_ms
+        trust = max(0.0, 1 - age_ms / service_ms) ** 2
+        own = own_then = 0
         known = self._history.read(item.key)
-        age_ms = item.load_age_ms + REPORT_LAG_MS
-        trust = math.exp(-age_ms / service_ms)
-        load = peers.mean_load + trust * (reported - peers.mean_load)
-        if known is None:
-            return load
-        load += known.count_net_since(clock.now_ms() - age_ms)
-        return max(load, known.in_flight)
+        if known is not None:
+            own = known.in_flight
+            own_then = own - known.count_net_since(clock.now_ms() - age_ms)
+        others = max(0, _read_load(item) - own_then)
+        others_now = trust * others + (1 - trust) * peers.others_load
+        return own + others_now
 
 
 def _read_load(item: selection.Candidate) -> int:
--- a/filbertglade/settings/model.py
+++ b/filbertglade/settings/model.py
@@ -206,7 +206,7 @@
 class SelectionPolicy(enum.StrEnum):
     """How endpoints are chosen."""
 
-    # Two choices by expected wait, prefix affinity, stragglers held back.
+    # Few choices by expected wait, prefix affinity, stragglers held back.
     EXPECTED_WAIT = 'expected-wait'
     LEAST_LOAD = 'least-load'
     RANDOM = 'random'
@@ -218,12 +218,14 @@
     """Choice of endpoints.
 
     :param policy: how endpoints are chosen.
+    :param report_lag_ms: age of a load when an endpoint announces it.
     :param prefix_entries: prompt blocks remembered by where they are cached.
     """
 
     __pydantic_config__ = schema.STRICT
 
     policy: SelectionPolicy = SelectionPolicy.EXPECTED_WAIT
+    report_lag_ms: Duration = 1000
     prefix_entries: Count = 65_536
 
 
