Carry engines' cache events to every node's selector

Cause: nothing read the events that engines publish, and nobody could hear of the demand that admission counts.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -22,10 +22,10 @@
 from filbertglade import clock
 from filbertglade.configuration import model as configuration_model
 from filbertglade.inner import membership_pb2
+from filbertglade.membership import view
 from filbertglade.observability import metrics
 from filbertglade.requests import outcomes
 from filbertglade.routing import candidates
-from filbertglade.routing import expected_wait
 from filbertglade.routing import policies
 from filbertglade.routing import prefixes
 from filbertglade.routing import selection
@@ -59,9 +59,17 @@
 
     def __init__(self) -> None:
         self.document: configuration_model.Document | None = None
+        self.cache_listeners: list[view.CacheListener] = []
         self.shares: dict[str, float] = {}
         self.groups: dict[str, SeenGroup] = {}
 
+    def add_cache_listener(self, listener: view.CacheListener) -> None:
+        """Register for cache events.
+
+        :param listener: called with each event.
+        """
+        self.cache_listeners.append(listener)
+
     def list_groups(self, deployment: str) -> list[SeenGroup]:
         """Return all groups.
 
@@ -91,14 +99,6 @@
         )
         self.selector = policies.build_selector(settings, self.fleet, rng)
 
-    def take_event(self, event: membership_pb2.CacheEvent) -> None:
-        """Pass a cache event to the policy, if it wants it.
-
-        :param event: the event.
-        """
-        if isinstance(self.selector, expected_wait.ExpectedWaitSelector):
-            self.selector.take_cache_event(event)
-
 
 class Bench:
     """Engines, nodes and callers on one loop."""
@@ -171,8 +171,9 @@
             ]
             for node in self.nodes:
                 node.fleet.groups[name] = SeenGroup(line, clock.now_ms())
-                for event in events:
-                    node.take_event(event)
+                for listener in node.fleet.cache_listeners:
+                    for event in events:
+                        listener(event)
             await asyncio.sleep(ANNOUNCE_MS / 1000)
 
     async def _share(self) -> None:
--- a/filbertglade/admission/admission.py
+++ b/filbertglade/admission/admission.py
@@ -1,6 +1,7 @@
 """Admission of requests: limits, queues and deadlines."""
 
 import asyncio
+from collections import abc
 import math
 import random
 
@@ -21,6 +22,7 @@
 LEAST_RETRY_MS = 250
 RETRY_SPREAD = 0.25
 
+DemandListener = abc.Callable[[str, float, float], None]
 Reason = outcomes.RefusalReason
 
 
@@ -40,6 +42,7 @@
         self._tasks = tasks.TaskGroup()
         self._customers = limits.CustomerLimits(fleet)
         self._schedule = scheduling.Schedule(settings, fleet, self._customers)
+        self._demand_listeners: list[DemandListener] = []
         self._is_closed = False
         counters.set_gauge(
             'queued_requests', lambda: float(self._schedule.waiting)
@@ -60,6 +63,14 @@
             for waiter in list(target.queue):
                 self._refuse_waiter(target, waiter, Reason.SHUTTING_DOWN, 0)
 
+    def add_demand_listener(self, listener: DemandListener) -> None:
+        """Report demand whenever it is read anew.
+
+        :param listener: called with a customer's name, requests and tokens a
+            second; with zeros once the customer is forgotten.
+        """
+        self._demand_listeners.append(listener)
+
     def demand(self) -> list[limits.Demand]:
         """Return what each customer asks of this node.
 
@@ -221,8 +232,16 @@
             for target in self._schedule.list_targets():
                 self._sweep(target)
             self._serve_waiters()
-            self._customers.forget_idle()
             self._schedule.forget_idle()
+            self._report_demand()
+
+    def _report_demand(self) -> None:
+        found = self._customers.demand()
+        for name in self._customers.forget_idle():
+            found.append(limits.Demand(name, 0.0, 0.0))
+        for listener in self._demand_listeners:
+            for item in found:
+                listener(item.customer, item.requests_per_s, item.tokens_per_s)
 
     def _sweep(self, target: targets.Target) -> None:
         """Refuse the waiting requests that can't be served in time."""
--- a/filbertglade/admission/limits.py
+++ b/filbertglade/admission/limits.py
@@ -137,8 +137,11 @@
             for name, account in self._accounts.items()
         ]
 
-    def forget_idle(self) -> None:
-        """Drop the accounts of customers that have not called for long."""
+    def forget_idle(self) -> list[str]:
+        """Drop the accounts of customers that have not called for long.
+
+        :returns: their names.
+        """
         oldest_ms = clock.now_ms() - FORGET_MS
         idle = [
             name
@@ -147,3 +150,4 @@
         ]
         for name in idle:
             del self._accounts[name]
+        return idle
--- a/filbertglade/entry/application.py
+++ b/filbertglade/entry/application.py
@@ -11,6 +11,7 @@
 from filbertglade.entry import health
 from filbertglade.inner import channels
 from filbertglade.membership import announcements
+from filbertglade.membership import attachment
 from filbertglade.membership import view
 from filbertglade.observability import metrics
 from filbertglade.requests import runner
@@ -21,6 +22,7 @@
     settings: model.NodeSettings,
     fleet: view.FleetView,
     inbox: announcements.AnnouncementInbox,
+    attached: attachment.Attachment,
     requests: runner.RequestRunner,
     counters: metrics.Metrics,
     find_obstacle: abc.Callable[[], str],
@@ -30,6 +32,7 @@
     :param settings: the node's settings.
     :param fleet: the node's view.
     :param inbox: where announcements go.
+    :param attached: where endpoints' cache events go.
     :param requests: what runs requests.
     :param counters: the process's metrics.
     :param find_obstacle: returns why no request is taken, or ''.
@@ -42,6 +45,7 @@
     }
     announce = {
         'inbox': inbox,
+        'attached': attached,
         'announce_ms': settings.timings.announce_ms,
     }
     return web.Application(
--- a/filbertglade/membership/announcements.py
+++ b/filbertglade/membership/announcements.py
@@ -4,6 +4,7 @@
 import typing
 
 import annotated_types
+import pydantic
 
 from filbertglade import clock
 from filbertglade.inner import membership_pb2
@@ -14,6 +15,9 @@
 WAITING_HOSTS = 4096
 
 Natural = typing.Annotated[int, annotated_types.Ge(0)]
+PrefixHash = typing.Annotated[
+    str, pydantic.StringConstraints(pattern=r'^[0-9a-f]{1,16}$')
+]
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,6 +33,22 @@
     between_tokens_us: Natural = 0
 
 
+@dataclasses.dataclass(slots=True)
+class CacheEventForm:
+    """A change of an engine's prefix cache as it announces it.
+
+    :param sequence: one more than the event before it.
+    :param stored: prefix hashes that were stored, hexadecimal.
+    :param evicted: prefix hashes that were evicted, hexadecimal.
+    """
+
+    __pydantic_config__ = schema.STRICT
+
+    sequence: Natural
+    stored: list[PrefixHash] = dataclasses.field(default_factory=list)
+    evicted: list[PrefixHash] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class AnnouncementForm:
     """An announcement's JSON body.
@@ -53,6 +73,9 @@
     ready: bool = False
     leaving: bool = False
     load: LoadForm = dataclasses.field(default_factory=LoadForm)
+    cache_events: list[CacheEventForm] = dataclasses.field(
+        default_factory=list
+    )
     token: str = ''
     held_ms: Natural = 0
 
@@ -116,7 +139,7 @@
     fields = {
         field.name: getattr(form, field.name)
         for field in dataclasses.fields(form)
-        if field.name not in ('token', 'held_ms', 'load')
+        if field.name not in ('token', 'held_ms', 'load', 'cache_events')
     }
     load = membership_pb2.Load(**dataclasses.asdict(form.load))
     return membership_pb2.Announcement(load=load, **fields)
--- a/filbertglade/node/node.py
+++ b/filbertglade/node/node.py
@@ -124,6 +124,7 @@
             settings,
             self._fleet,
             self._inbox,
+            self._attachment,
             self._requests,
             counters,
             self._find_obstacle,
--- a/filbertglade/routing/policies.py
+++ b/filbertglade/routing/policies.py
@@ -26,4 +26,6 @@
         return baselines.RoundRobinSelector(rng)
     if policy is model.SelectionPolicy.LEAST_LOAD:
         return baselines.LeastLoadSelector(rng)
-    return expected_wait.ExpectedWaitSelector(settings, rng)
+    selector = expected_wait.ExpectedWaitSelector(settings, rng)
+    fleet.add_cache_listener(selector.take_cache_event)
+    return selector
--- a/filbertglade/standin/fleet.py
+++ b/filbertglade/standin/fleet.py
@@ -154,9 +154,20 @@
             epoch=self.engine.epoch,
             ready=self.engine.is_ready and not self.engine.is_draining,
             load=self.engine.read_load(),
+            cache_events=self._list_cache_events(),
         )
         return announcement
 
+    def _list_cache_events(self) -> list[dict[str, object]]:
+        return [
+            {
+                'sequence': event.sequence,
+                'stored': [f'{item:x}' for item in event.stored],
+                'evicted': [f'{item:x}' for item in event.evicted],
+            }
+            for event in self.engine.cache.take_events()
+        ]
+
 
 class StandinFleet:
     """All stand-in hosts of the process."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,6 +5,7 @@
 from filbertglade import clock
 from filbertglade.configuration import model as configuration_model
 from filbertglade.inner import membership_pb2
+from filbertglade.membership import view
 from filbertglade.routing import selection
 from filbertglade.settings import model
 
@@ -21,12 +22,16 @@
 
     def __init__(self, **slots: int) -> None:
         self.document: configuration_model.Document | None = None
+        self.cache_listeners: list[view.CacheListener] = []
         self.shares: dict[str, float] = {}
         self.loads = {
             name: membership_pb2.Load(slots=count)
             for name, count in slots.items()
         }
 
+    def add_cache_listener(self, listener: view.CacheListener) -> None:
+        self.cache_listeners.append(listener)
+
     def list_groups(self, deployment: str) -> list[FakeSeen]:
         load = self.loads.get(deployment)
         if load is None:
