Prove the controller by a state machine over losses, leaders, documents

Change: an outdated group is drained whenever nothing is forming, resting or has room; a load counts until the host's own announcements show its end. The machine judges from what hosts took: no host in two groups, no request taken by a group one of whose hosts serves elsewhere, fencing numbers that never fall on hosts that check them, loads under the limit, and all that fits serving in the end.

--- a/filbertglade/control/tables/groups.py
+++ b/filbertglade/control/tables/groups.py
@@ -28,6 +28,15 @@
         self.groups: dict[str, commands_pb2.GroupRecord] = {}
         self.group_of_host: dict[str, str] = {}
 
+    def find_group(self, host: str) -> commands_pb2.GroupRecord | None:
+        """Return the group that a host belongs to.
+
+        :param host: the host's name.
+        :returns: the group; None if it belongs to none.
+        """
+        group = self.group_of_host.get(host)
+        return None if group is None else self.groups[group]
+
     def apply(
         self, change: commands_pb2.GroupChange, index: int, stamped_ms: int
     ) -> commands_pb2.GroupResult:
--- a/filbertglade/groups/loads.py
+++ b/filbertglade/groups/loads.py
@@ -25,8 +25,7 @@
         :param host: its name.
         :param epoch: the group's epoch.
         """
-        started = self._started.get(host)
-        return started is not None and started[0] == epoch
+        return self.started_epoch(host) == epoch
 
     @property
     def count(self) -> int:
@@ -57,6 +56,20 @@
         """
         self._started.pop(host, None)
 
+    def started_epoch(self, host: str) -> int:
+        """Return the epoch for which a host was let load; 0 if it wasn't.
+
+        :param host: its name.
+        """
+        return self._started.get(host, (0, 0))[0]
+
+    def started_ago_ms(self, host: str) -> int:
+        """Return the time since a host was let load.
+
+        :param host: its name; it loads.
+        """
+        return clock.now_ms() - self._started[host][1]
+
     def list_hosts(self) -> list[str]:
         """Return the hosts that load."""
         return list(self._started)
--- a/filbertglade/groups/ordering.py
+++ b/filbertglade/groups/ordering.py
@@ -11,6 +11,9 @@
 from filbertglade.inner import membership_pb2
 from filbertglade.settings import model
 
+# Time within which an order shows in the host's announcements.
+ORDER_EFFECT_MS = 10_000
+
 
 class HostOrders:
     """Gives each host that is there the order it needs, if any.
@@ -65,14 +68,8 @@
 
     def _forget(self, present: set[str]) -> None:
         self._dispatcher.forget(present)
-        groups = self._agreed.groups
         for host in self._ledger.list_hosts():
-            record = groups.groups.get(groups.group_of_host.get(host, ''))
-            if (
-                record is None
-                or host not in present
-                or not self._ledger.is_loading(host, record.epoch)
-            ):
+            if not self._still_loads(host):
                 self._ledger.drop(host)
         for host in [
             name for name in self._draining_ms if name not in present
@@ -83,6 +80,23 @@
         ]:
             del self._stray_numbers[key]
 
+    def _still_loads(self, host: str) -> bool:
+        """Tell whether a host that was let load may be loading yet.
+
+        It may even if its group has moved on meanwhile.
+        """
+        seen = self._watch.find(host)
+        if seen is None or not self._watch.is_present(host):
+            return False
+        said = seen.announcement
+        epoch = self._ledger.started_epoch(host)
+        if said.group and said.epoch == epoch:
+            record = self._agreed.groups.find_group(host)
+            return not said.ready or (
+                record is not None and record.epoch == epoch
+            )
+        return self._ledger.started_ago_ms(host) < ORDER_EFFECT_MS
+
     def _sort_records(self) -> list[commands_pb2.GroupRecord]:
         priorities = {
             deployment.name: deployment.priority
--- a/filbertglade/groups/rollout.py
+++ b/filbertglade/groups/rollout.py
@@ -95,7 +95,7 @@
         whole_count = sum(1 for item in records if self._watch.is_whole(item))
         if whole_count > deployment.replicas:
             return outdated[0]
-        if whole_count < deployment.replicas or len(records) > whole_count:
+        if len(records) > whole_count:
             return None
         return None if self._can_add(deployment, document) else outdated[0]
 
--- /dev/null
+++ b/tests/groups/test_machine.py
@@ -0,0 +1,184 @@
+"""A state machine over the controller, judged from the hosts' own records."""
+
+import asyncio
+
+import async_solipsism
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tests.groups import fakes
+from tests.membership import fakes as membership_fakes
+
+DOMAINS = {'fabric-1': 'checked', 'fabric-2': 'ignored'}
+HOSTS_PER_DOMAIN = 7
+
+positions = strategies.integers(0, 2 * HOSTS_PER_DOMAIN - 1)
+objectives = strategies.sampled_from(['downtime', 'stranded'])
+
+
+class ControllerMachine(stateful.RuleBasedStateMachine):
+    """Losses, pauses, dark domains, leaders and documents, in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = async_solipsism.EventLoop()
+        asyncio.set_event_loop(self.loop)
+        self.world = fakes.World(DOMAINS, HOSTS_PER_DOMAIN, load_s=5.0)
+        self.version = 1
+        self.objective = 'downtime'
+        self.replicas = 2
+        self.run(self.world.start())
+        self.call(self.put)
+        self.advance(12)
+
+    def run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    def call(self, function, *arguments):
+        """Call a function inside the loop, for its clock."""
+
+        async def main():
+            return function(*arguments)
+
+        return self.run(main())
+
+    def advance(self, seconds):
+        self.run(asyncio.sleep(seconds))
+
+    def put(self):
+        self.world.put(
+            {
+                'name': 'writer',
+                'replicas': self.replicas,
+                'version': str(self.version),
+                'objective': self.objective,
+                'priority': 5,
+            },
+            {
+                'name': 'batch',
+                'replicas': 1,
+                'hosts_per_replica': 2,
+                'objective': 'stranded',
+                'priority': 1,
+            },
+            loads_at_once=4,
+        )
+
+    def host(self, position):
+        return list(self.world.hosts.values())[position]
+
+    def teardown(self):
+        self.run(self.world.close())
+        asyncio.set_event_loop(None)
+        self.loop.close()
+
+    @stateful.rule(seconds=strategies.sampled_from([0.3, 2, 6, 20]))
+    def time_goes_by(self, seconds):
+        self.advance(seconds)
+
+    @stateful.rule(position=positions)
+    def host_dies(self, position):
+        self.host(position).die()
+
+    @stateful.rule(position=positions)
+    def host_pauses(self, position):
+        self.host(position).pause()
+
+    @stateful.rule(position=positions)
+    def host_comes_back(self, position):
+        self.call(self.host(position).come_back)
+
+    @stateful.rule(position=positions, active=strategies.integers(0, 2))
+    def host_runs_requests(self, position, active):
+        host = self.host(position)
+        host.active = active if host.is_loaded else 0
+
+    @stateful.rule(position=positions, cut=strategies.booleans())
+    def orders_to_a_host_are_cut(self, position, cut):
+        name = self.host(position).name
+        (self.world.cut_hosts.add if cut else self.world.cut_hosts.discard)(
+            name
+        )
+
+    @stateful.rule(domain=strategies.sampled_from(sorted(DOMAINS)))
+    def domain_goes_dark(self, domain):
+        for host in self.world.hosts.values():
+            if host.domain == domain:
+                host.pause()
+
+    @stateful.rule(domain=strategies.sampled_from(sorted(DOMAINS)))
+    def domain_comes_back(self, domain):
+        for host in self.world.hosts.values():
+            if host.domain == domain:
+                self.call(host.come_back)
+
+    @stateful.rule(freezes=strategies.booleans())
+    def leader_changes(self, freezes):
+        """The leader is lost; frozen, its orders are stuck and come late."""
+        world = self.world
+        before = world.leader
+        other = next(name for name in fakes.LEADERS if name != before)
+        if freezes:
+            world.stuck_leaders.add(before)
+            self.advance(1)
+        world.voters[before].lease_end_ms = 0
+        self.call(world.lead, other)
+        self.advance(2)
+        world.stuck_leaders.discard(before)
+        stuck, world.stuck_orders = world.stuck_orders, []
+        for host, order in stuck:
+            # Lease and time-out keep such orders from the other hosts.
+            if host.is_alive and host.checks_fencing:
+                self.call(host.take_order, order)
+
+    @stateful.rule(
+        objective=objectives,
+        replicas=strategies.integers(1, 3),
+        changes_version=strategies.booleans(),
+    )
+    def document_changes(self, objective, replicas, changes_version):
+        self.objective = objective
+        self.replicas = replicas
+        self.version += changes_version
+        self.call(self.put)
+
+    @stateful.invariant()
+    def holds(self):
+        self.world.check()
+        assert self.world.loading_peak <= 4
+
+    @stateful.rule()
+    def all_is_well_again(self):
+        """With every host there, all that fits serves in the end."""
+        world = self.world
+        world.cut_hosts.clear()
+        for host in world.hosts.values():
+            self.call(host.come_back)
+            host.active = 0
+        fitting = min(self.replicas, len(DOMAINS))
+
+        async def settle():
+            await membership_fakes.wait_until(
+                lambda: (
+                    len(world.list_whole('writer')) >= fitting
+                    and len(world.list_whole('batch')) == 1
+                    and all(
+                        record.version == str(self.version)
+                        for record in world.list_whole('writer')
+                    )
+                ),
+                400,
+                0.5,
+            )
+
+        self.run(settle())
+
+
+TestController = ControllerMachine.TestCase
+# Without shrinking, which would take longer than the suite.
+TestController.settings = hypothesis.settings(
+    max_examples=40,
+    stateful_step_count=25,
+    phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+)
