--- /dev/null
+++ b/benchmarks/configuration.py
@@ -0,0 +1,127 @@
+"""Times of the agreed configuration over real processes.
+
+Six nodes on one machine, three of them control hosts. Prints how long
+accepted changes take until they are in force on every node, and how long
+there is no leader after a kill of the leading process:
+
+    python -m benchmarks.configuration --changes 200 --kills 20
+"""
+
+import argparse
+import collections
+import math
+import pathlib
+import random
+import tempfile
+import time
+
+from filbertglade.observability import timeline
+from tests import cluster as clusters
+from tests import operators
+
+SEED = 7
+SHORTEST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.3
+
+
+def measure_changes(cluster: clusters.Cluster, count: int) -> list[float]:
+    """Return each change's time from accepted to in force everywhere."""
+    rng = random.Random(SEED)
+    accepted_s = {}
+    for number in range(1, count + 1):
+        node = cluster.nodes[number % len(cluster.nodes)]
+        change = operators.build_change(number, f'change-{number}')
+        answer = operators.put(node, change)
+        assert answer is not None and answer.status_code == 200, answer
+        accepted_s[number] = time.time()
+        time.sleep(rng.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S))
+    clusters.wait_until(
+        lambda: all(
+            (node.get('/v1/config') or {}).get('number') == count
+            for node in cluster.nodes
+        ),
+        'the last change in force',
+    )
+    reached_s = _find_times_in_force(cluster, count)
+    return [reached_s[number] - accepted_s[number] for number in accepted_s]
+
+
+def _find_times_in_force(
+    cluster: clusters.Cluster, count: int
+) -> dict[int, float]:
+    # A node may go past a number: then a higher one is in force there.
+    reached_s: dict[int, float] = collections.defaultdict(float)
+    for node in cluster.nodes:
+        number = 0
+        for event in timeline.read_log(node.log_path):
+            if event.name != 'configuration.in_force':
+                continue
+            until = int(str(event.fields['number']))
+            for passed in range(number + 1, min(until, count) + 1):
+                reached_s[passed] = max(reached_s[passed], event.timestamp_s)
+            number = max(number, until)
+    return reached_s
+
+
+def measure_kills(cluster: clusters.Cluster, count: int) -> list[float]:
+    """Return the times without a leader after kills of the leader."""
+    return [_kill_leader(cluster) for _ in range(count)]
+
+
+def _kill_leader(cluster: clusters.Cluster) -> float:
+    leader = clusters.wait_until(cluster.find_leader, 'a leader')
+    killed_s = time.time()
+    leader.kill()
+    acting_s = clusters.wait_until(
+        lambda: _find_acting(cluster, killed_s), 'a new leader'
+    )
+    leader.start()
+    clusters.wait_until(leader.is_ready, f'{leader.name} ready')
+    return acting_s - killed_s
+
+
+def _find_acting(cluster: clusters.Cluster, since_s: float) -> float:
+    times = [
+        event.timestamp_s
+        for node in cluster.nodes
+        if node.is_control
+        for event in timeline.read_log(node.log_path)
+        if event.name == 'leader.acting' and event.timestamp_s > since_s
+    ]
+    return min(times, default=0.0)
+
+
+def summarize(title: str, times_s: list[float]) -> str:
+    """Return one row of the table."""
+    ordered = sorted(times_s)
+    cells = [title, str(len(ordered))]
+    for share in (0.5, 0.95, 1.0):
+        position = math.ceil(share * len(ordered)) - 1
+        cells.append(f'{ordered[position]:.2f}')
+    return '| ' + ' | '.join(cells) + ' |'
+
+
+def main() -> None:
+    """Run the measurements and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--changes', type=int, default=200)
+    parser.add_argument('--kills', type=int, default=20)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = clusters.Cluster(pathlib.Path(folder))
+        cluster.lay_out(3, 3)
+        try:
+            cluster.found()
+            clusters.wait_until(cluster.find_leader, 'a leader')
+            changes_s = measure_changes(cluster, options.changes)
+            kills_s = measure_kills(cluster, options.kills)
+        finally:
+            cluster.close()
+    print('| measure | runs | p50 s | p95 s | max s |')
+    print('|---|---|---|---|---|')
+    print(summarize('accepted to in force on six nodes', changes_s))
+    print(summarize('without a leader after kill -9', kills_s))
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -15,6 +15,8 @@
 import httpx
 import psutil
 
+from tests import forwarding
+
 WAIT_LIMIT_S = 60.0
 WAIT_STEP_S = 0.05
 WATCH_STEP_S = 0.2
@@ -136,8 +138,11 @@
 class Cluster:
     """Node and stand-in processes that end with the test."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self, folder: pathlib.Path, links: forwarding.Links | None = None
+    ) -> None:
         self._folder = folder
+        self.links = links
         self.nodes: list[NodeProcess] = []
         self._standins: list[subprocess.Popen[bytes]] = []
 
@@ -189,11 +194,17 @@
             lines += [
                 '[[control.hosts]]',
                 f'name = "{host.name}"',
-                f'address = "{host.inner}"',
+                f'address = "{self._find_address(node, host)}"',
                 f'data_centre = "{host.data_centre}"',
             ]
         node.settings_path.write_text('\n'.join(lines) + '\n' + extra)
 
+    def _find_address(self, node: NodeProcess, host: NodeProcess) -> str:
+        """Return where a node reaches a control host."""
+        if self.links is None or node is host:
+            return host.inner
+        return self.links.add(node.name, host.name, host.inner)
+
     def found(self) -> None:
         """Mark the control hosts' folders and start all nodes."""
         for node in self.nodes:
@@ -229,6 +240,8 @@
     def close(self) -> None:
         for node in self.nodes:
             node.kill()
+        if self.links is not None:
+            self.links.close()
         for process in self._standins:
             process.kill()
             process.wait()
--- /dev/null
+++ b/tests/forwarding.py
@@ -0,0 +1,137 @@
+"""Forwarders that stand in for the links between processes, to be cut."""
+
+import asyncio
+import contextlib
+import enum
+import threading
+
+PIECE_BYTES = 65_536
+
+
+class LinkState(enum.Enum):
+    """What a link does with its connections."""
+
+    # Passes what arrives.
+    OPEN = 'open'
+    # Ends every connection, and each new one at once.
+    CUT = 'cut'
+    # Keeps connections, and holds what arrives until the link is open again.
+    SILENT = 'silent'
+
+
+class Link:
+    """One direction of opening connections: from one node to one address."""
+
+    def __init__(self, source: str, target: str, address: str) -> None:
+        self.source = source
+        self.target = target
+        self.address = ''
+        self._destination = address
+        self._state = LinkState.OPEN
+        self._opened = asyncio.Event()
+        self._opened.set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self) -> None:
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+
+    def set_state(self, state: LinkState) -> None:
+        self._state = state
+        if state == LinkState.OPEN:
+            self._opened.set()
+        else:
+            self._opened.clear()
+        if state == LinkState.CUT:
+            for writer in self._writers:
+                writer.transport.abort()
+            for task in self._tasks:
+                task.cancel()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        self._writers.add(writer)
+        try:
+            if self._state != LinkState.CUT:
+                await self._opened.wait()
+                await self._join(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _join(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, port = self._destination.split(':')
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        self._writers.add(far_writer)
+        pumps = [
+            asyncio.create_task(self._pump(reader, far_writer)),
+            asyncio.create_task(self._pump(far_reader, writer)),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            self._writers.discard(far_writer)
+            far_writer.transport.abort()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while piece := await reader.read(PIECE_BYTES):
+                await self._opened.wait()
+                writer.write(piece)
+                await writer.drain()
+
+
+class Links:
+    """All links of a cluster, on an event loop of their own."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, daemon=True
+        )
+        self._links: dict[tuple[str, str], Link] = {}
+        self._thread.start()
+
+    def add(self, source: str, target: str, address: str) -> str:
+        """Put a link before an address, and return the link's address."""
+        link = Link(source, target, address)
+        asyncio.run_coroutine_threadsafe(link.listen(), self._loop).result()
+        self._links[source, target] = link
+        return link.address
+
+    def set_between(self, one: str, other: str, state: LinkState) -> None:
+        """Change the links between two nodes, both ways."""
+        for ends in ((one, other), (other, one)):
+            if ends in self._links:
+                self._loop.call_soon_threadsafe(
+                    self._links[ends].set_state, state
+                )
+
+    def isolate(self, name: str, state: LinkState) -> None:
+        """Change every link from and to a node."""
+        others = {end for ends in self._links for end in ends} - {name}
+        for other in others:
+            self.set_between(name, other, state)
+
+    def open_all(self) -> None:
+        """Let every link pass again."""
+        for one, other in self._links:
+            self.set_between(one, other, LinkState.OPEN)
+
+    def close(self) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
