Prove the voters under crashes, lost disks and bad links

What must hold is checked on the way and after healing. The test's links first swapped bytes that fell due at one moment and so broke connections for good; each direction is a queue now.

The data folder has tests of its own for torn tails, damage and refused writes.

--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -53,6 +53,7 @@
         self.name = name
         self.disk = memory_storage.Disk()
         self.agreement = None
+        self._lock = asyncio.Lock()
         # Every (index, command) that any life of the node applied.
         self.applied = []
         self.acting_log = []
@@ -61,6 +62,10 @@
         return memory_storage.MemoryStorage(self.disk)
 
     async def start(self):
+        async with self._lock:
+            return await self._start()
+
+    async def _start(self):
         cluster = self.cluster
         self.settings = make_settings(
             self.name, cluster.names, **cluster.control
@@ -77,7 +82,8 @@
             self.counters,
             cluster.rng,
         )
-        self.agreement.add_leadership_listener(self.acting_log.append)
+        self.agreement.add_leadership_listener(self._note_acting)
+        self._number = 0
         self.state.add_listener(self._record)
         failure = await self.agreement.start()
         if failure is not None:
@@ -97,14 +103,35 @@
         self.applied.append(
             (self.state.applied_index, command.SerializeToString())
         )
+        number = self.state.configuration.current.number
+        if number < self._number:
+            self.cluster.faults.append(f'{self.name}: the number fell')
+        self._number = number
+        kind = command.WhichOneof('kind') or ''
+        if kind.startswith('voter'):
+            self.cluster.last_voter_change = max(
+                self.cluster.last_voter_change, self.state.applied_index
+            )
         self.cluster.check_applied(self)
 
+    def _note_acting(self, acting):
+        self.acting_log.append(acting)
+        if acting:
+            term = self.agreement.status().term
+            led = self.cluster.leader_of_term.setdefault(term, self.name)
+            if led != self.name:
+                self.cluster.faults.append(f'two leaders in term {term}')
+
     @property
     def is_up(self):
         return self.agreement is not None
 
     async def stop(self):
         """End it as a crash would: no more is written or sent."""
+        async with self._lock:
+            await self._stop()
+
+    async def _stop(self):
         if self.agreement is None:
             return
         self.storage.crashed.set()
@@ -132,6 +159,10 @@
         self.port = 20000
         # The command applied at each index, by whichever node was first.
         self.history = {}
+        self.leader_of_term = {}
+        self.last_voter_change = 0
+        # What was seen wrong on the way, by whichever task saw it.
+        self.faults = []
         self.nodes = {name: Node(self, name) for name in self.names}
 
     def make_channels(self, name):
@@ -168,22 +199,26 @@
     def check_applied(self, node):
         """What is applied at an index is the same on every node."""
         index, data = node.applied[-1]
-        if data:
-            assert self.history.setdefault(index, data) == data
+        if data and self.history.setdefault(index, data) != data:
+            self.faults.append(f'{node.name}: another command at {index}')
 
     def check(self):
         """At no moment do two nodes act as leader."""
         assert len(self.acting) <= 1
+        assert not self.faults
 
     async def until(self, condition, limit_s=60.0):
         """Let time pass until a condition holds."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + limit_s
         while not condition():
-            assert loop.time() < end_s, 'waited in vain'
+            assert loop.time() < end_s, self.describe()
             self.check()
             await asyncio.sleep(0.01)
 
+    def describe(self):
+        return '\n'.join(str(node.agreement.status()) for node in self.up)
+
     async def pass_time(self, seconds):
         end_s = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end_s:
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -1,6 +1,7 @@
 """Links between the voters of a test, with faults at the channel's seam."""
 
 import asyncio
+import collections
 import dataclasses
 
 from grpclib import client
@@ -111,7 +112,7 @@
     def __init__(self, channel):
         super().__init__(client.Handler(), channel._config, channel._h2_config)
         self._channel = channel
-        self._free_s = 0.0
+        self._pipe = _Pipe(channel, super().data_received)
 
     def connection_made(self, transport):
         self._channel._transport = transport
@@ -121,16 +122,14 @@
         if not self._channel.link.passes_replies:
             self._channel.lost_bytes = True
         if not self._channel.lost_bytes:
-            self._free_s = _call_in_order(
-                self._channel, self._free_s, super().data_received, data
-            )
+            self._pipe.put(data)
 
 
 class _Transport:
     def __init__(self, transport, channel):
         self._transport = transport
         self._channel = channel
-        self._free_s = 0.0
+        self._pipe = _Pipe(channel, transport.write)
 
     def __getattr__(self, name):
         return getattr(self._transport, name)
@@ -139,25 +138,31 @@
         if not self._channel.link.passes_requests:
             self._channel.lost_bytes = True
         if not self._channel.lost_bytes:
-            self._free_s = _call_in_order(
-                self._channel,
-                self._free_s,
-                self._transport.write,
-                bytes(data),
-            )
+            self._pipe.put(bytes(data))
 
     def writelines(self, parts):
         self.write(b''.join(parts))
 
 
-def _call_in_order(channel, free_s, function, data):
-    """Call after the link's delay, never before an earlier call."""
-    loop = asyncio.get_running_loop()
-    when_s = max(free_s, loop.time() + channel.link.delay_s)
+class _Pipe:
+    """Bytes on their way: each waits the link's delay, in order."""
 
-    def call():
-        if not channel.dead and not channel.lost_bytes:
-            function(data)
+    def __init__(self, channel, deliver):
+        self._channel = channel
+        self._deliver = deliver
+        self._parts = collections.deque()
+        self._free_s = 0.0
 
-    loop.call_at(when_s, call)
-    return when_s
+    def put(self, data):
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + self._channel.link.delay_s
+        self._free_s = max(self._free_s, due_s)
+        # Calls due at the same time come in any order: each takes the
+        # first part, whichever it was made for.
+        self._parts.append(data)
+        loop.call_at(self._free_s, self._take)
+
+    def _take(self):
+        data = self._parts.popleft()
+        if not self._channel.dead and not self._channel.lost_bytes:
+            self._deliver(data)
--- /dev/null
+++ b/tests/control/test_storage.py
@@ -0,0 +1,305 @@
+"""The data folder: torn tails, damage, refused writes."""
+
+import asyncio
+import os
+import pathlib
+
+import pytest
+
+from filbertglade.control import failures
+from filbertglade.control import segments
+from filbertglade.control import storage
+from filbertglade.control import store
+from filbertglade.inner import agreement_pb2
+from tests.control import cluster
+
+Reason = failures.StorageReason
+
+
+def entry(index, term=1, size=20):
+    return agreement_pb2.LogEntry(
+        index=index, term=term, command=bytes([index % 251]) * size
+    )
+
+
+@pytest.fixture
+def folder(tmp_path):
+    settings = cluster.make_settings('one', ['one'], str(tmp_path / 'data'))
+    assert storage.init_control(settings) is None
+    return tmp_path / 'data'
+
+
+async def open_folder(folder):
+    opened = storage.FileStorage(folder)
+    return opened, await opened.open('one')
+
+
+async def write(folder, batches, committed_index=0):
+    opened, _ = await open_folder(folder)
+    await opened.save_vote(store.Vote(1, 'one'))
+    index = 1
+    for count in batches:
+        batch = [entry(index + place) for place in range(count)]
+        assert await opened.append(batch, committed_index) is None
+        index += count
+    await opened.close()
+
+
+async def read(folder):
+    opened, stored = await open_folder(folder)
+    await opened.close()
+    return stored
+
+
+def log_files(folder):
+    return sorted(folder.glob('log-*'))
+
+
+async def test_keeps_what_was_synced(folder):
+    await write(folder, [1, 3, 2], committed_index=5)
+    stored = await read(folder)
+    assert [item.index for item in stored.entries] == [1, 2, 3, 4, 5, 6]
+    assert stored.vote == store.Vote(1, 'one')
+    assert stored.identity.founding
+    # The last batch says that all before it is committed.
+    assert stored.committed_index == 4
+
+
+async def test_founding_is_marked_once(folder):
+    settings = cluster.make_settings('one', ['one'], str(folder))
+    again = storage.init_control(settings)
+    assert again.reason is Reason.NOT_EMPTY
+    other = folder.parent / 'other'
+    other.mkdir()
+    (other / 'notes').write_text('x')
+    settings.control.data_folder = str(other)
+    assert storage.init_control(settings).reason is Reason.NOT_EMPTY
+
+
+async def test_empty_folder_becomes_a_learners(tmp_path):
+    first = await read(tmp_path / 'data')
+    assert not first.identity.founding
+    again = await read(tmp_path / 'data')
+    assert again.identity == first.identity
+    other = await read(tmp_path / 'other')
+    assert other.identity.incarnation != first.identity.incarnation
+
+
+async def test_another_nodes_folder_is_refused(folder):
+    failure = await storage.FileStorage(folder).open('two')
+    assert failure.reason is Reason.WRONG_NODE
+    assert "'one'" in failure.detail and "'two'" in failure.detail
+
+
+async def test_folder_in_use_is_refused(folder):
+    opened, _ = await open_folder(folder)
+    failure = await storage.FileStorage(folder).open('one')
+    assert failure.reason is Reason.IN_USE
+    await opened.close()
+    assert isinstance(await read(folder), store.Stored)
+
+
+@pytest.mark.parametrize('removed', range(1, 60, 7))
+async def test_torn_tail_is_cut_off(folder, removed):
+    await write(folder, [2, 1])
+    (path,) = log_files(folder)
+    size = path.stat().st_size
+    os.truncate(path, size - removed)
+    stored = await read(folder)
+    whole = (size - removed) // (size // 3)
+    assert [item.index for item in stored.entries] == [1, 2][:whole]
+    assert stored.cut_bytes == (size - removed) % (size // 3)
+    # What follows is appended where the tail was cut.
+    opened, stored = await open_folder(folder)
+    following = len(stored.entries) + 1
+    assert await opened.append([entry(following, term=2)], 0) is None
+    await opened.close()
+    assert (await read(folder)).entries[-1].term == 2
+
+
+async def test_torn_batch_may_miss_its_beginning(folder):
+    """A crash may leave later pages of one unsynced batch only."""
+    await write(folder, [2, 3])
+    (path,) = log_files(folder)
+    data = bytearray(path.read_bytes())
+    record = len(data) // 5
+    data[2 * record : 3 * record] = bytes(record)
+    path.write_bytes(data)
+    stored = await read(folder)
+    assert [item.index for item in stored.entries] == [1, 2]
+    assert stored.cut_bytes == 3 * record
+
+
+@pytest.mark.parametrize('place', [0, 1, 2])
+async def test_broken_middle_stops_the_voter(folder, place):
+    await write(folder, [2, 1, 1])
+    (path,) = log_files(folder)
+    data = bytearray(path.read_bytes())
+    record = len(data) // 4
+    data[place * record + record - 3] ^= 1
+    path.write_bytes(data)
+    failure = await read(folder)
+    assert failure.reason is Reason.BROKEN
+    assert f'record {place + 1} is damaged' in failure.detail
+    # It is left as it was, for whoever mends it.
+    assert path.read_bytes() == bytes(data)
+
+
+async def test_missing_segment_stops_the_voter(folder, monkeypatch):
+    monkeypatch.setattr(segments, 'SEGMENT_BYTES', 100)
+    await write(folder, [1] * 12)
+    paths = log_files(folder)
+    assert len(paths) > 3
+    paths[1].unlink()
+    failure = await read(folder)
+    assert failure.reason is Reason.BROKEN
+    paths[0].unlink()
+    assert (await read(folder)).reason is Reason.BROKEN
+
+
+@pytest.mark.parametrize('name', ['vote.json', 'voter.json'])
+async def test_damaged_or_missing_vote_stops_the_voter(folder, name):
+    await write(folder, [1])
+    path = folder / name
+    data = path.read_bytes()
+    path.write_bytes(data.replace(b'one', b'two'))
+    assert (await read(folder)).reason is Reason.BROKEN
+    path.unlink()
+    assert (await read(folder)).reason is Reason.BROKEN
+
+
+@pytest.mark.parametrize('first', [1, 2, 5, 6, 9, 13])
+async def test_conflicting_tail_is_removed(folder, first, monkeypatch):
+    monkeypatch.setattr(segments, 'SEGMENT_BYTES', 200)
+    await write(folder, [1, 2, 3, 3, 3])
+    opened, _ = await open_folder(folder)
+    assert await opened.truncate(first) is None
+    assert await opened.append([entry(first, term=2)], 0) is None
+    await opened.close()
+    stored = await read(folder)
+    assert [item.index for item in stored.entries] == list(range(1, first + 1))
+    assert stored.entries[-1].term == 2
+
+
+async def take_snapshot(opened, index, term, chunks):
+    writer = await opened.begin_snapshot(store.SnapshotPoint(index, term))
+    for chunk in chunks:
+        assert await writer.write(chunk) is None
+    return await writer.commit()
+
+
+async def read_chunks(opened):
+    reader = await opened.read_snapshot()
+    chunks = []
+    while True:
+        chunk = await reader.read()
+        if not chunk:
+            reader.close()
+            return chunks if chunk == b'' else chunk
+        chunks.append(chunk)
+
+
+async def test_snapshot_replaces_the_log_before_it(folder, monkeypatch):
+    monkeypatch.setattr(segments, 'SEGMENT_BYTES', 200)
+    await write(folder, [1] * 12)
+    before = len(log_files(folder))
+    opened, _ = await open_folder(folder)
+    assert await take_snapshot(opened, 6, 1, [b'old']) is None
+    assert await take_snapshot(opened, 9, 1, [b'a', b'b' * 9]) is None
+    assert await opened.cut(9) is None
+    assert await read_chunks(opened) == [b'a', b'b' * 9]
+    await opened.close()
+    assert len(log_files(folder)) < before
+    assert len(list(folder.glob('snapshot-*'))) == 1
+    stored = await read(folder)
+    assert stored.snapshot == store.SnapshotPoint(9, 1)
+    assert stored.entries[0].index <= 9
+    assert stored.entries[-1].index == 12
+
+
+async def test_unfinished_snapshot_is_forgotten(folder):
+    await write(folder, [3])
+    opened, _ = await open_folder(folder)
+    writer = await opened.begin_snapshot(store.SnapshotPoint(2, 1))
+    await writer.write(b'half')
+    await opened.close()
+    stored = await read(folder)
+    assert stored.snapshot.index == 0
+    assert not list(folder.glob('*.tmp'))
+
+
+@pytest.mark.parametrize(('index', 'term'), [(5, 1), (2, 9)])
+async def test_superseded_log_is_removed(folder, index, term):
+    """As after a crash between an installed snapshot and its log."""
+    await write(folder, [3])
+    opened, _ = await open_folder(folder)
+    assert await take_snapshot(opened, index, term, [b'x']) is None
+    await opened.close()
+    opened, stored = await open_folder(folder)
+    assert stored.entries == []
+    following = entry(index + 1, term=9)
+    assert await opened.append([following], 0) is None
+    await opened.close()
+    assert (await read(folder)).entries == [following]
+
+
+async def test_damaged_snapshot_is_told(folder):
+    await write(folder, [3])
+    opened, _ = await open_folder(folder)
+    await take_snapshot(opened, 2, 1, [b'abc', b'def'])
+    (path,) = folder.glob('snapshot-*')
+    whole = path.read_bytes()
+    for damaged in (whole[:-5], whole.replace(b'abc', b'abd')):
+        path.write_bytes(damaged)
+        failure = await read_chunks(opened)
+        assert failure.reason is Reason.BROKEN
+    await opened.close()
+
+
+async def test_refused_writes_are_told(folder, monkeypatch):
+    await write(folder, [1])
+    opened, _ = await open_folder(folder)
+
+    def refuse(descriptor):
+        raise OSError(5, 'Input/output error')
+
+    monkeypatch.setattr(os, 'fsync', refuse)
+    monkeypatch.setattr(os, 'fdatasync', refuse)
+    failed = [
+        await opened.append([entry(2)], 0),
+        await opened.save_vote(store.Vote(2, 'one')),
+        await take_snapshot(opened, 1, 1, [b'x']),
+    ]
+    for failure in failed:
+        assert failure.reason is Reason.WRITE_FAILED
+        assert 'Input/output error' in failure.detail
+    monkeypatch.undo()
+    await opened.close()
+    assert (await read(folder)).vote == store.Vote(1, 'one')
+
+
+async def test_syncing_does_not_block_the_loop(folder, monkeypatch):
+    await write(folder, [1])
+    opened, _ = await open_folder(folder)
+    released = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    genuine = os.fdatasync
+
+    def slow(descriptor):
+        # Ends only because the loop goes on meanwhile.
+        asyncio.run_coroutine_threadsafe(released.wait(), loop).result(20)
+        genuine(descriptor)
+
+    monkeypatch.setattr(os, 'fdatasync', slow)
+    pending = asyncio.create_task(opened.append([entry(2)], 0))
+    await asyncio.sleep(0)
+    released.set()
+    assert await pending is None
+    await opened.close()
+
+
+def test_init_makes_missing_folders(tmp_path):
+    folder = tmp_path / 'a' / 'b'
+    settings = cluster.make_settings('one', ['one'], str(folder))
+    assert storage.init_control(settings) is None
+    assert (pathlib.Path(folder) / 'voter.json').exists()
