--- a/filbertglade/cli.py
+++ b/filbertglade/cli.py
@@ -170,6 +170,9 @@
     record: typing.Annotated[
         str, typer.Option(help='JSON lines of orders and requests taken.')
     ] = '',
+    crash_marker: typing.Annotated[
+        str, typer.Option(help='Text in a body at which a host dies.')
+    ] = '',
 ) -> None:
     """Run stand-ins of endpoints, to try the system out."""
     from filbertglade.commands import standin as command
@@ -196,6 +199,7 @@
         seed=seed,
         checks_fencing=not ignore_fencing,
         record_file=record,
+        crash_marker=crash_marker,
     )
     raise typer.Exit(command.run_standin(settings))
 
--- a/filbertglade/entry/application.py
+++ b/filbertglade/entry/application.py
@@ -1,12 +1,14 @@
 """The HTTP application towards callers and endpoints."""
 
 from collections import abc
+import sys
 import typing
 
 from tornado import httpserver
 from tornado import web
 
 from filbertglade.entry import announcing
+from filbertglade.entry import bounds
 from filbertglade.entry import handlers
 from filbertglade.entry import health
 from filbertglade.inner import channels
@@ -39,6 +41,7 @@
     :returns: the application.
     """
     run: dict[str, typing.Any] = {
+        'settings': settings,
         'fleet': fleet,
         'requests': requests,
         'counters': counters,
@@ -52,7 +55,7 @@
         [
             (r'/v1/chat/completions', handlers.ModelHandler, run),
             (r'/v1/completions', handlers.ModelHandler, run),
-            (r'/services/([^/]+)(/.*)?', handlers.ServiceHandler, run),
+            (r'/services/[^/]+(?:/.*)?', handlers.ServiceHandler, run),
             (r'/v1/announce', announcing.AnnounceHandler, announce),
             (r'/healthz', health.HealthHandler),
             (
@@ -78,12 +81,12 @@
     :raises OSError: the address can't be listened on.
     """
     timeout_s = settings.timings.header_timeout_ms / 1000
+    # The bounds of a message are kept where a clear error can be given.
     server = httpserver.HTTPServer(
-        application,
-        max_header_size=settings.limits.header_bytes,
-        max_body_size=settings.limits.body_bytes,
+        bounds.BoundedServer(settings, application),
+        max_header_size=2 * settings.limits.header_bytes,
+        max_body_size=sys.maxsize,
         max_buffer_size=settings.limits.body_bytes,
-        body_timeout=timeout_s,
         idle_connection_timeout=timeout_s,
     )
     host, port = channels.split_address(address)
--- a/filbertglade/entry/handlers.py
+++ b/filbertglade/entry/handlers.py
@@ -1,6 +1,7 @@
 """HTTP handlers towards callers."""
 
 import asyncio
+import json
 
 from tornado import iostream
 
@@ -8,8 +9,30 @@
 from filbertglade.entry import responses
 from filbertglade.membership import view
 from filbertglade.observability import metrics
+from filbertglade.requests import answers
+from filbertglade.requests import caller
 from filbertglade.requests import outcomes
 from filbertglade.requests import runner
+from filbertglade.settings import model
+
+HELD_BYTES = 4_194_304
+DONE_EVENT = b'data: [DONE]\n\n'
+# Headers of one connection, or of this node's own making.
+UNPASSED_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'date',
+        'keep-alive',
+        'proxy-authenticate',
+        'server',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-outcome',
+    )
+)
 
 
 class RunHandler(responses.CallerHandler):
@@ -17,89 +40,165 @@
 
     def initialize(
         self,
+        settings: model.NodeSettings,
         fleet: view.FleetView,
         requests: runner.RequestRunner,
         counters: metrics.Metrics,
     ) -> None:
         """Take the node's parts.
 
+        :param settings: the node's settings.
         :param fleet: the node's view.
         :param requests: what runs requests.
         :param counters: the process's metrics.
         """
+        self._settings = settings
         self._fleet = fleet
         self._requests = requests
         self._counters = counters
         self._task: asyncio.Task[None] | None = None
 
+    def compute_etag(self) -> str | None:
+        """Give no entity tag of this node's own making.
+
+        :returns: None.
+        """
+        return None
+
     def on_connection_close(self) -> None:
         """Cancel the request of a caller who left."""
         if self._task is not None:
             self._task.cancel()
 
     async def run_request(
-        self, request: runner.CallerRequest | outcomes.Refusal
+        self, request: caller.CallerRequest | outcomes.Refusal
     ) -> None:
         """Run a request that was read, or refuse it.
 
         :param request: the request, or why it can't be one.
         """
         if isinstance(request, outcomes.Refusal):
-            self._count(request.outcome)
-            self.refuse(request)
+            self._refuse(request)
             return
-        self._task = asyncio.current_task()
+        try:
+            self._task = asyncio.current_task()
+            with self._requests.activity.track():
+                await self._answer(request)
+        except (
+            asyncio.CancelledError,
+            iostream.StreamClosedError,
+            TimeoutError,
+        ):
+            self._counters.count('callers_left')
+            self._drop_connection()
+        finally:
+            self._task = None
+
+    async def _answer(self, request: caller.CallerRequest) -> None:
         answer = await self._requests.start(request)
         if isinstance(answer, outcomes.Refusal):
-            self._count(answer.outcome)
-            self.refuse(answer)
+            self._refuse(answer)
             return
         try:
-            if request.is_stream:
-                await self._pass_stream(answer)
-            else:
+            if not answer.is_events:
                 await self._pass_whole(answer)
-        except (asyncio.CancelledError, iostream.StreamClosedError):
+            elif request.is_service:
+                self._copy_head(answer)
+                await self._pass_on(answer)
+            else:
+                await self._pass_events(answer)
+        finally:
             answer.close()
-            self._counters.count('callers_left')
 
-    async def _pass_stream(self, answer: runner.RunningAnswer) -> None:
+    async def _pass_events(self, answer: answers.AnswerSource) -> None:
         self._copy_head(answer)
+        self.set_header('Cache-Control', 'no-store')
         while True:
-            chunk = await answer.read()
-            if isinstance(chunk, outcomes.Refusal):
-                text = responses.render_refusal(chunk)
+            part = await answer.read()
+            if isinstance(part, outcomes.Refusal):
+                text = responses.render_refusal(part)
                 self.write(f'data: {text}\n\n')
-                self._count(chunk.outcome)
+                self._count(part.outcome)
                 return
-            if chunk is None:
+            if part is None:
                 self._count(outcomes.Outcome.COMPLETE)
+                self.write(_build_last_event())
+                self.write(DONE_EVENT)
+                return
+            self.write(part)
+            await self._flush()
+
+    async def _pass_whole(self, answer: answers.AnswerSource) -> None:
+        parts: list[bytes] = []
+        size = 0
+        while size <= HELD_BYTES:
+            part = await answer.read()
+            if isinstance(part, outcomes.Refusal):
+                self._refuse(part)
                 return
-            self.write(chunk)
-            await self.flush()
+            if part is None:
+                await self._finish_whole(answer, b''.join(parts))
+                return
+            parts.append(part)
+            size += len(part)
+        self._copy_head(answer)
+        self.write(b''.join(parts))
+        await self._flush()
+        await self._pass_on(answer)
 
-    async def _pass_whole(self, answer: runner.RunningAnswer) -> None:
-        parts = []
+    async def _finish_whole(
+        self, answer: answers.AnswerSource, body: bytes
+    ) -> None:
+        told = answer.headers.get(outcomes.OUTCOME_HEADER, '')
+        outcome = outcomes.Outcome.COMPLETE
+        if told == outcomes.Outcome.NOT_RUN.value:
+            outcome = outcomes.Outcome.NOT_RUN
+        self._copy_head(answer)
+        self.set_header(outcomes.OUTCOME_HEADER, outcome.value)
+        self._count(outcome)
+        length = answer.headers.get('Content-Length')
+        if self.request.method == 'HEAD' and length:
+            self.set_header('Content-Length', length)
+            await self._flush()
+            return
+        if body:
+            self.write(body)
+
+    async def _pass_on(self, answer: answers.AnswerSource) -> None:
+        """Pass on what is too long to hold; a cut shows as a cut."""
         while True:
-            chunk = await answer.read()
-            if isinstance(chunk, outcomes.Refusal):
-                self._count(chunk.outcome)
-                self.refuse(chunk)
+            part = await answer.read()
+            if isinstance(part, outcomes.Refusal):
+                self._count(part.outcome)
+                self._drop_connection()
                 return
-            if chunk is None:
-                break
-            parts.append(chunk)
-        self._copy_head(answer)
-        self.set_header(
-            outcomes.OUTCOME_HEADER, outcomes.Outcome.COMPLETE.value
-        )
-        self._count(outcomes.Outcome.COMPLETE)
-        self.finish(b''.join(parts))
+            if part is None:
+                self._count(outcomes.Outcome.COMPLETE)
+                return
+            self.write(part)
+            await self._flush()
+
+    async def _flush(self) -> None:
+        idle_s = self._settings.timings.idle_timeout_ms / 1000
+        await asyncio.wait_for(self.flush(), idle_s)
+
+    def _drop_connection(self) -> None:
+        connection = self.request.connection
+        stream = getattr(connection, 'stream', None)
+        if stream is not None:
+            stream.close()
 
-    def _copy_head(self, answer: runner.RunningAnswer) -> None:
+    def _copy_head(self, answer: answers.AnswerSource) -> None:
         self.set_status(answer.status)
-        kind = answer.headers.get('Content-Type', 'application/json')
-        self.set_header('Content-Type', kind)
+        self.clear_header('Content-Type')
+        for name, value in answer.headers.get_all():
+            if name.lower() not in UNPASSED_HEADERS:
+                self.add_header(name, value)
+
+    def _refuse(self, refusal: outcomes.Refusal) -> None:
+        self._count(refusal.outcome)
+        self._counters.count('refusals', reason=refusal.reason.value)
+        self.refuse(refusal)
 
     def _count(self, outcome: outcomes.Outcome) -> None:
         self._counters.count('requests', outcome=outcome.value)
@@ -120,11 +219,22 @@
 
     SUPPORTED_METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
 
-    async def _run_service(self, name: str, path: str) -> None:
-        if self.request.query:
-            path = f'{path}?{self.request.query}'
+    async def _run_service(self) -> None:
         await self.run_request(
-            parsing.read_service_call(self._fleet, self.request, name, path)
+            parsing.read_service_call(self._fleet, self.request)
         )
 
     get = head = post = put = patch = delete = _run_service
+
+
+def _build_last_event() -> bytes:
+    """Return an event that names the outcome in a form clients accept."""
+    event = {
+        'id': '',
+        'object': 'chat.completion.chunk',
+        'created': 0,
+        'model': '',
+        'choices': [],
+        'outcome': outcomes.Outcome.COMPLETE.value,
+    }
+    return f'data: {json.dumps(event)}\n\n'.encode()
--- a/filbertglade/entry/parsing.py
+++ b/filbertglade/entry/parsing.py
@@ -2,20 +2,49 @@
 
 import hashlib
 import json
+from urllib import parse
 
 from tornado import httputil
 
 from filbertglade import clock
 from filbertglade.configuration import model as configuration_model
 from filbertglade.membership import view
+from filbertglade.requests import caller
 from filbertglade.requests import endpoints
 from filbertglade.requests import outcomes
-from filbertglade.requests import runner
 
 KEY_HEADER = 'Idempotency-Key'
 KEY_LENGTH = 255
 IDEMPOTENT_HEADER = 'X-Idempotent'
+RESEND_HEADER = 'X-Resend'
+# What widely used client libraries send with their own resends.
+CLIENT_RETRY_HEADER = 'X-Stainless-Retry-Count'
 DEADLINE_HEADER = 'X-Deadline-Ms'
+MAX_DIGITS = 12
+DEADLINE_LIMIT_MS = 3_600_000
+LEAST_CLAIM_KEPT_MS = 600_000
+PROMPT_BYTES_PER_TOKEN = 16
+SERVICES_PATH = '/services/'
+UNPASSED_HEADERS = frozenset(
+    (
+        'authorization',
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-customer',
+        'x-deadline-ms',
+        'x-epoch',
+        'x-group',
+        'x-request-id',
+        'x-resume-from',
+    )
+)
 BEARER = 'Bearer '
 
 Reason = outcomes.RefusalReason
@@ -45,7 +74,7 @@
 
 def read_model_call(
     fleet: view.FleetView, request: httputil.HTTPServerRequest
-) -> runner.CallerRequest | outcomes.Refusal:
+) -> caller.CallerRequest | outcomes.Refusal:
     """Read a call of a model.
 
     :param fleet: the node's view, with the document in force.
@@ -72,23 +101,28 @@
         return outcomes.Refusal(
             Reason.NO_SUCH_MODEL, f'no model {name!r} for this customer'
         )
-    return _build_request(
-        document, customer, request, name, False, is_stream, True
-    )
+    built = _build_request(document, customer, request, name, True)
+    if isinstance(built, caller.CallerRequest):
+        built.is_stream = is_stream
+        # The node reads events; it can't if they are compressed.
+        built.call.headers.pop('Accept-Encoding', None)
+        built.expected_tokens = _estimate_tokens(body, request.body)
+    return built
+
+
+def _estimate_tokens(body: dict[str, object], text: bytes) -> int:
+    wanted = body.get('max_tokens')
+    tokens = wanted if isinstance(wanted, int) and wanted > 0 else 1
+    return tokens + len(text) // PROMPT_BYTES_PER_TOKEN
 
 
 def read_service_call(
-    fleet: view.FleetView,
-    request: httputil.HTTPServerRequest,
-    name: str,
-    path: str,
-) -> runner.CallerRequest | outcomes.Refusal:
+    fleet: view.FleetView, request: httputil.HTTPServerRequest
+) -> caller.CallerRequest | outcomes.Refusal:
     """Read a call of a plain service.
 
     :param fleet: the node's view, with the document in force.
     :param request: the HTTP request with its whole body.
-    :param name: the service's name.
-    :param path: path behind the name, with the query.
     :returns: the checked request, or a refusal.
     """
     document = _find_document(fleet)
@@ -97,26 +131,41 @@
     customer = find_customer(document, request.headers)
     if isinstance(customer, outcomes.Refusal):
         return customer
-    for service in document.services:
-        if service.name == name and customer.name in service.customers:
-            break
-    else:
+    name, path = _split_service_path(request.path)
+    service = _find_service(document, customer, name)
+    if service is None:
         return outcomes.Refusal(
             Reason.NO_SUCH_SERVICE, f'no service {name!r} for this customer'
         )
+    plain_path = parse.unquote(path)
     is_repeatable = not any(
         rule.method in ('*', request.method)
-        and path.startswith(rule.path_prefix)
+        and plain_path.startswith(rule.path_prefix)
         for rule in service.not_repeatable
     )
-    built = _build_request(
-        document, customer, request, name, True, False, is_repeatable
-    )
-    if isinstance(built, runner.CallerRequest):
-        built.call.path = path
+    built = _build_request(document, customer, request, name, is_repeatable)
+    if isinstance(built, caller.CallerRequest):
+        built.is_service = True
+        built.call.path = f'{path}?{request.query}' if request.query else path
     return built
 
 
+def _split_service_path(path: str) -> tuple[str, str]:
+    name, _, rest = path.removeprefix(SERVICES_PATH).partition('/')
+    return parse.unquote(name), f'/{rest}'
+
+
+def _find_service(
+    document: configuration_model.Document,
+    customer: configuration_model.Customer,
+    name: str,
+) -> configuration_model.Service | None:
+    for service in document.services:
+        if service.name == name and customer.name in service.customers:
+            return service
+    return None
+
+
 def _find_document(
     fleet: view.FleetView,
 ) -> configuration_model.Document | outcomes.Refusal:
@@ -124,7 +173,7 @@
         return outcomes.Refusal(
             Reason.NOT_CONFIGURED,
             'this node has no confirmed configuration yet',
-            retry_after_ms=runner.RETRY_AFTER_MS,
+            retry_after_ms=outcomes.RETRY_AFTER_MS,
         )
     return fleet.document
 
@@ -157,40 +206,64 @@
     customer: configuration_model.Customer,
     request: httputil.HTTPServerRequest,
     target: str,
-    is_service: bool,
-    is_stream: bool,
     is_repeatable: bool,
-) -> runner.CallerRequest | outcomes.Refusal:
-    key = request.headers.get(KEY_HEADER, '')
+) -> caller.CallerRequest | outcomes.Refusal:
+    headers = request.headers
+    key = headers.get(KEY_HEADER, '')
     if len(key) > KEY_LENGTH:
         return _bad(f'{KEY_HEADER} is longer than {KEY_LENGTH} characters')
-    marked = request.headers.get(IDEMPOTENT_HEADER, 'true').lower()
+    marked = headers.get(IDEMPOTENT_HEADER, 'true').lower()
     if marked not in ('true', 'false'):
         return _bad(f'{IDEMPOTENT_HEADER} must be true or false')
-    deadline = request.headers.get(
+    deadline = headers.get(
         DEADLINE_HEADER, str(document.limits.default_deadline_ms)
     )
-    if not deadline.isdecimal() or not int(deadline):
+    deadline_ms = _read_positive(deadline)
+    if deadline_ms is None:
         return _bad(f'{DEADLINE_HEADER} must be a positive whole number')
-    headers = {
-        'Content-Type': request.headers.get(
-            'Content-Type', 'application/json'
-        ),
-        'X-Customer': customer.name,
-    }
-    return runner.CallerRequest(
+    limits = document.limits
+    return caller.CallerRequest(
         customer=customer,
         target=target,
-        is_service=is_service,
+        is_service=False,
         call=endpoints.Call(
-            request.method or 'GET', request.path, headers, request.body
+            request.method or 'GET',
+            request.path,
+            _select_headers(headers, customer),
+            request.body,
         ),
-        is_stream=is_stream,
+        is_stream=False,
         is_repeatable=is_repeatable and marked == 'true',
         key=key,
-        deadline_ms=clock.now_ms() + int(deadline),
+        is_resend=_is_resend(headers),
+        deadline_ms=clock.now_ms() + min(deadline_ms, DEADLINE_LIMIT_MS),
+        claim_kept_ms=max(limits.claim_kept_ms, LEAST_CLAIM_KEPT_MS),
     )
 
 
+def _read_positive(text: str) -> int | None:
+    if not (text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS):
+        return None
+    return int(text) or None
+
+
+def _is_resend(headers: httputil.HTTPHeaders) -> bool:
+    if headers.get(RESEND_HEADER, '').lower() == 'true':
+        return True
+    return bool(_read_positive(headers.get(CLIENT_RETRY_HEADER, '')))
+
+
+def _select_headers(
+    headers: httputil.HTTPHeaders, customer: configuration_model.Customer
+) -> dict[str, str]:
+    selected = {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in UNPASSED_HEADERS
+    }
+    selected['X-Customer'] = customer.name
+    return selected
+
+
 def _bad(detail: str) -> outcomes.Refusal:
     return outcomes.Refusal(Reason.BAD_REQUEST, detail)
--- a/filbertglade/node/node.py
+++ b/filbertglade/node/node.py
@@ -31,8 +31,6 @@
 
 log = logs.get_log(__name__)
 
-DRAIN_POLL_S = 0.05
-
 
 class ControlRole:
     """What a control host runs beside what every node runs."""
@@ -118,7 +116,14 @@
             settings, channel_factory, counters
         )
         self._requests = runner.RequestRunner(
-            settings, self._fleet, self._attachment, counters, rng
+            settings,
+            self._run,
+            self._fleet,
+            self._attachment,
+            self._commands,
+            channel_factory,
+            counters,
+            rng,
         )
         self._entry = entry.build_application(
             settings,
@@ -150,9 +155,9 @@
         :returns: None, or why the node cannot start.
         :raises OSError: an address can't be listened on.
         """
-        services: list[object] = []
+        services: list[object] = [self._requests.joins]
         if self._control is not None:
-            services = [
+            services += [
                 self._control.voters.servicer,
                 self._control.hub,
                 self._control.commands,
@@ -167,6 +172,7 @@
                 return failure
         await self._commands.start()
         await self._attachment.start()
+        await self._requests.start_parts()
         listen = self._settings.listen
         for application, address in (
             (self._entry, listen.callers),
@@ -184,8 +190,21 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
         await self._stopping.wait()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        """End what is in flight; the balancer sends no more meanwhile."""
+        timings = self._settings.timings
         log.change('node.draining')
         self._attachment.is_draining = True
+        await asyncio.sleep(timings.drain_delay_ms / 1000)
+        self._requests.is_refusing = True
+        try:
+            await asyncio.wait_for(
+                self._requests.drain(), timings.drain_limit_ms / 1000
+            )
+        except TimeoutError:
+            log.change('node.drain_limit_reached')
 
     async def close(self) -> None:
         """Stop all parts."""
--- /dev/null
+++ b/filbertglade/requests/caller.py
@@ -0,0 +1,67 @@
+"""A caller's request after it was read and checked."""
+
+import dataclasses
+import hashlib
+
+from filbertglade.configuration import model as configuration_model
+from filbertglade.requests import endpoints
+from filbertglade.requests import outcomes
+from filbertglade.requests import strikes
+
+
+@dataclasses.dataclass(slots=True)
+class CallerRequest:
+    """A request as a caller sent it.
+
+    :param customer: who calls.
+    :param target: the deployment's or service's name.
+    :param is_service: whether the target is a plain service.
+    :param call: what the endpoint is to be sent.
+    :param is_stream: whether the caller wants events as they come.
+    :param is_repeatable: whether it may run more than once.
+    :param key: the idempotency key, or empty.
+    :param is_resend: whether the caller says that it sent it before.
+    :param deadline_ms: local clock by which the answer must begin.
+    :param claim_kept_ms: how long its claim is kept.
+    :param expected_tokens: what it is expected to cost.
+    """
+
+    customer: configuration_model.Customer
+    target: str
+    is_service: bool
+    call: endpoints.Call
+    is_stream: bool
+    is_repeatable: bool
+    key: str
+    is_resend: bool
+    deadline_ms: int
+    claim_kept_ms: int
+    expected_tokens: int = 1
+
+    @property
+    def needs_claim(self) -> bool:
+        """Whether it may run only under a claim."""
+        return bool(self.key) and not self.is_repeatable
+
+    @property
+    def unseen_outcome(self) -> outcomes.Outcome:
+        """What to say if it is refused before its claim could be looked up.
+
+        An earlier sending with its key may have run elsewhere.
+        """
+        if self.needs_claim and self.is_resend:
+            return outcomes.Outcome.UNKNOWN
+        return outcomes.Outcome.NOT_RUN
+
+    def digest_body(self) -> bytes:
+        """Return the digest that tells a resend from another request."""
+        digest = hashlib.sha256()
+        digest.update(f'{self.call.method} {self.call.path}\n'.encode())
+        digest.update(self.call.body)
+        return digest.digest()
+
+    def digest_for_strikes(self) -> bytes:
+        """Return the digest under which it is struck."""
+        return strikes.digest_request(
+            self.customer.name, self.key, self.call.path, self.call.body
+        )
--- /dev/null
+++ b/filbertglade/requests/calls.py
@@ -0,0 +1,76 @@
+"""What endpoints are sent for a caller's request."""
+
+import dataclasses
+import json
+import uuid
+
+from filbertglade.requests import caller
+from filbertglade.requests import endpoints
+from filbertglade.requests import streams
+from filbertglade.routing import selection
+
+REQUEST_ID_HEADER = 'X-Request-Id'
+GROUP_HEADER = 'X-Group'
+EPOCH_HEADER = 'X-Epoch'
+DEADLINE_HEADER = 'X-Deadline-Ms'
+RESUME_HEADER = 'X-Resume-From'
+CONTINUATION_FIELD = 'continuation'
+
+
+def new_request_id() -> str:
+    """Return a name for one run of a request."""
+    return uuid.uuid4().hex
+
+
+def build_call(
+    request: caller.CallerRequest,
+    candidate: selection.Candidate,
+    request_id: str,
+    left_ms: int,
+) -> endpoints.Call:
+    """Return the call of an endpoint.
+
+    :param request: the caller's request.
+    :param candidate: the endpoint.
+    :param request_id: the name of the run.
+    :param left_ms: time until the request's deadline.
+    """
+    headers = dict(request.call.headers)
+    headers[REQUEST_ID_HEADER] = request_id
+    headers[DEADLINE_HEADER] = str(max(left_ms, 1))
+    if not request.is_service:
+        headers[GROUP_HEADER] = candidate.name
+        headers[EPOCH_HEADER] = str(candidate.epoch)
+    return endpoints.Call(
+        request.call.method,
+        request.call.path,
+        headers,
+        request.call.body,
+        is_fresh=not request.is_repeatable,
+    )
+
+
+def build_resumption(call: endpoints.Call, tokens: int) -> endpoints.Call:
+    """Return the call that resumes a run on its own engine.
+
+    :param call: the first call.
+    :param tokens: how many events with text the caller has been given.
+    """
+    headers = {**call.headers, RESUME_HEADER: str(tokens)}
+    return dataclasses.replace(call, headers=headers, is_fresh=True)
+
+
+def build_continuation(
+    call: endpoints.Call, progress: streams.Progress
+) -> endpoints.Call:
+    """Return the call that lets another engine go on with a text.
+
+    :param call: the first call.
+    :param progress: what the caller has been given.
+    """
+    body = json.loads(call.body)
+    body[CONTINUATION_FIELD] = {
+        'text': progress.text,
+        'tokens': progress.tokens,
+    }
+    return dataclasses.replace(call, body=json.dumps(body).encode())
--- a/filbertglade/requests/endpoints.py
+++ b/filbertglade/requests/endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections import abc
 import dataclasses
 import enum
 import typing
@@ -17,7 +18,12 @@
 
 IDLE_CONNECTIONS = 8
 CHUNK_BYTES = 65_536
+WAITING_CHUNKS = 4
 BODY_BYTES = 1 << 40
+POOLED_ADDRESSES = 1024
+CONTINUE_LIMIT = 200
+TRAILING_LIMIT_S = 1.0
+BODILESS_STATUSES = (204, 304)
 
 
 class EndpointReason(enum.Enum):
@@ -29,6 +35,8 @@
     BROKEN = 'broken'
     # Silence for too long.
     TIMED_OUT = 'timed-out'
+    # The caller of this layer withdrew the call before it was sent.
+    WITHDRAWN = 'withdrawn'
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,12 +47,23 @@
     :param path: path and query.
     :param headers: headers, without those of the connection.
     :param body: the whole body.
+    :param is_fresh: whether it needs a connection of its own. On one that
+        was kept alive, a broken connection tells nothing about the call.
     """
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
+    is_fresh: bool = False
+
+
+def may_always_send() -> bool:
+    """Allow a call at any time.
+
+    :returns: True.
+    """
+    return True
 
 
 class _Receiver(httputil.HTTPMessageDelegate):
@@ -54,7 +73,9 @@
         self.head: asyncio.Future[
             tuple[httputil.ResponseStartLine, httputil.HTTPHeaders]
         ] = asyncio.get_running_loop().create_future()
-        self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(16)
+        self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue(
+            WAITING_CHUNKS
+        )
         self.is_finished = False
 
     def headers_received(
@@ -63,7 +84,7 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         if isinstance(start_line, httputil.ResponseStartLine):
-            if not self.head.done():
+            if start_line.code >= CONTINUE_LIMIT and not self.head.done():
                 self.head.set_result((start_line, headers))
 
     async def data_received(self, chunk: bytes) -> None:
@@ -94,27 +115,50 @@
         self.status = start_line.code
         self.headers = headers
 
-    async def read(self) -> bytes | None | failures.Failure:
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer's end can be told from a cut."""
+        return (
+            'Content-Length' in self.headers
+            or 'Transfer-Encoding' in self.headers
+            or self.status in BODILESS_STATUSES
+        )
+
+    async def read(
+        self, limit_s: float | None = None
+    ) -> bytes | None | failures.Failure:
         """Return the next part of the body.
 
+        :param limit_s: longest wait, in seconds, if less than the longest
+            silence allowed.
         :returns: bytes; None at its whole end; or the failure.
         """
-        try:
-            chunk = await asyncio.wait_for(
-                self._receiver.chunks.get(), self._idle_s
-            )
-        except TimeoutError:
-            return failures.Failure(EndpointReason.TIMED_OUT)
+        chunks = self._receiver.chunks
+        if chunks.empty():
+            idle_s = self._idle_s
+            if limit_s is not None:
+                idle_s = min(idle_s, max(limit_s, 0))
+            try:
+                chunk = await asyncio.wait_for(chunks.get(), idle_s)
+            except TimeoutError:
+                return failures.Failure(EndpointReason.TIMED_OUT)
+        else:
+            chunk = chunks.get_nowait()
         if chunk is not None:
             return chunk
         if self._receiver.is_finished:
             return None
         return failures.Failure(EndpointReason.BROKEN)
 
-    @property
-    def is_reusable(self) -> bool:
-        """Whether the connection may carry another call."""
-        return self._receiver.is_finished and not self._stream.closed()
+    def release(self) -> None:
+        """Let the end of an answer arrive that was read as far as needed."""
+        if not self._reading.done():
+            loop = asyncio.get_running_loop()
+            loop.call_later(TRAILING_LIMIT_S, self._cancel_unfinished)
+
+    def _cancel_unfinished(self) -> None:
+        if not self._reading.done():
+            self.cancel()
 
     def cancel(self) -> None:
         """Close the connection, which cancels the call at the endpoint."""
@@ -139,27 +183,57 @@
         self._client.close()
 
     async def start_call(
-        self, address: str, call: Call
+        self,
+        address: str,
+        call: Call,
+        timeout_ms: int,
+        may_send: abc.Callable[[], bool] = may_always_send,
     ) -> Answer | failures.Failure:
         """Send a call and wait for the head of its answer.
 
         :param address: the endpoint's address.
         :param call: the call.
+        :param timeout_ms: longest wait for the head.
+        :param may_send: asked once there is a connection; nothing is awaited
+            between its answer and the call's first byte.
         :returns: the answer, whose body is yet to be read, or the failure.
         """
-        stream = await self._connect(address)
-        if isinstance(stream, failures.Failure):
-            return stream
+        stream = None if call.is_fresh else self._take_idle(address)
+        is_reused = stream is not None
+        if stream is None:
+            opened = await self._connect(address)
+            if isinstance(opened, failures.Failure):
+                return opened
+            stream = opened
+        if not may_send():
+            stream.close()
+            return failures.Failure(EndpointReason.WITHDRAWN)
+        answer = await self._send(address, stream, call, timeout_ms)
+        if not (is_reused and isinstance(answer, failures.Failure)):
+            return answer
+        if answer.reason is not EndpointReason.BROKEN:
+            return answer
+        # The endpoint may just have closed an idle connection.
+        call.is_fresh = True
+        return await self.start_call(address, call, timeout_ms, may_send)
+
+    async def _send(
+        self,
+        address: str,
+        stream: iostream.IOStream,
+        call: Call,
+        timeout_ms: int,
+    ) -> Answer | failures.Failure:
         receiver = _Receiver()
+        connection = _write_call(address, stream, call)
         reading = asyncio.get_running_loop().create_task(
-            self._exchange(address, stream, call, receiver)
+            self._exchange(address, stream, connection, receiver)
         )
-        timeout_s = self._settings.timings.first_byte_timeout_ms / 1000
         waited: set[asyncio.Future[typing.Any]] = {reading, receiver.head}
         try:
             done, _ = await asyncio.wait(
                 waited,
-                timeout=timeout_s,
+                timeout=max(timeout_ms, 0) / 1000,
                 return_when=asyncio.FIRST_COMPLETED,
             )
         except asyncio.CancelledError:
@@ -178,14 +252,28 @@
         reason = EndpointReason.BROKEN if done else EndpointReason.TIMED_OUT
         return failures.Failure(reason, address)
 
-    async def _connect(
-        self, address: str
-    ) -> iostream.IOStream | failures.Failure:
+    async def is_reachable(self, address: str) -> bool:
+        """Return whether an endpoint still takes connections.
+
+        :param address: its address.
+        """
+        stream = await self._connect(address)
+        if isinstance(stream, failures.Failure):
+            return False
+        stream.close()
+        return True
+
+    def _take_idle(self, address: str) -> iostream.IOStream | None:
         idle = self._idle.get(address)
         while idle:
             stream = idle.pop()
             if not stream.closed():
                 return stream
+        return None
+
+    async def _connect(
+        self, address: str
+    ) -> iostream.IOStream | failures.Failure:
         host, port = channels.split_address(address)
         timeout_s = self._settings.timings.connect_timeout_ms / 1000
         try:
@@ -200,22 +288,10 @@
         self,
         address: str,
         stream: iostream.IOStream,
-        call: Call,
+        connection: http1connection.HTTP1Connection,
         receiver: _Receiver,
     ) -> bool:
-        parameters = http1connection.HTTP1ConnectionParameters(
-            no_keep_alive=False,
-            chunk_size=CHUNK_BYTES,
-            max_body_size=BODY_BYTES,
-        )
-        connection = http1connection.HTTP1Connection(stream, True, parameters)
-        headers = httputil.HTTPHeaders(call.headers)
-        headers['Host'] = address
-        headers['Content-Length'] = str(len(call.body))
-        start = httputil.RequestStartLine(call.method, call.path, 'HTTP/1.1')
         try:
-            connection.write_headers(start, headers, call.body)
-            connection.finish()
             whole = await connection.read_response(receiver)
         except (iostream.StreamClosedError, httputil.HTTPInputError, OSError):
             whole = False
@@ -228,9 +304,38 @@
         return whole
 
     def _keep(self, address: str, stream: iostream.IOStream) -> None:
+        if len(self._idle) > POOLED_ADDRESSES:
+            self._forget_closed()
         idle = self._idle.setdefault(
             address, collections.deque(maxlen=IDLE_CONNECTIONS)
         )
         if len(idle) == IDLE_CONNECTIONS:
             idle.popleft().close()
         idle.append(stream)
+
+    def _forget_closed(self) -> None:
+        self._idle = {
+            address: streams
+            for address, streams in self._idle.items()
+            if any(not stream.closed() for stream in streams)
+        }
+
+
+def _write_call(
+    address: str, stream: iostream.IOStream, call: Call
+) -> http1connection.HTTP1Connection:
+    parameters = http1connection.HTTP1ConnectionParameters(
+        no_keep_alive=False,
+        chunk_size=CHUNK_BYTES,
+        max_body_size=BODY_BYTES,
+    )
+    connection = http1connection.HTTP1Connection(stream, True, parameters)
+    headers = httputil.HTTPHeaders(call.headers)
+    headers['Host'] = address
+    headers['Content-Length'] = str(len(call.body))
+    start = httputil.RequestStartLine(call.method, call.path, 'HTTP/1.1')
+    written = connection.write_headers(start, headers, call.body)
+    # A failed write shows again when the answer is read.
+    written.add_done_callback(asyncio.Future.exception)
+    connection.finish()
+    return connection
--- /dev/null
+++ b/filbertglade/requests/joins.py
@@ -0,0 +1,294 @@
+"""Answers that another node owns: the two ends of a join."""
+
+import abc
+import asyncio
+import enum
+
+from grpclib import client
+from grpclib import const
+from grpclib import exceptions
+from grpclib import server
+from tornado import httputil
+
+from filbertglade.inner import channels
+from filbertglade.inner import requests_grpc
+from filbertglade.inner import requests_pb2
+from filbertglade.observability import metrics
+from filbertglade.requests import activity
+from filbertglade.requests import answers
+from filbertglade.requests import attempts
+from filbertglade.requests import outcomes
+from filbertglade.requests import shared
+from filbertglade.settings import model
+
+ALIVE_INTERVAL_S = 0.5
+SILENCE_LIMIT_S = 2.0
+
+LinkErrors = (
+    OSError,
+    EOFError,
+    TimeoutError,
+    exceptions.GRPCError,
+    exceptions.StreamTerminatedError,
+    exceptions.ProtocolError,
+)
+JoinStream = client.Stream[requests_pb2.JoinRequest, requests_pb2.JoinFrame]
+
+
+class JoinVerdict(enum.Enum):
+    """Why there is no answer to join."""
+
+    # The owner promised never to dispatch the attempt.
+    NEVER_DISPATCHED = 'never-dispatched'
+    # The owner does not remember the attempt, or is gone.
+    UNKNOWN = 'unknown'
+
+
+class Joiner(abc.ABC):
+    """Finds the answers of attempts wherever their owners are."""
+
+    @abc.abstractmethod
+    async def join(
+        self, address: str, request: requests_pb2.JoinRequest, limit_ms: int
+    ) -> answers.AnswerSource | outcomes.Refusal | JoinVerdict:
+        """Join an attempt's answer.
+
+        :param address: the owner's inner address.
+        :param request: names the attempt.
+        :param limit_ms: longest wait for the answer's head.
+        :returns: the answer, its refusal, or why there is none.
+        """
+
+
+class InnerJoiner(Joiner):
+    """Joins answers over the inner protocol."""
+
+    def __init__(self, channel_factory: channels.ChannelFactory) -> None:
+        self._channels = channel_factory
+
+    async def join(
+        self, address: str, request: requests_pb2.JoinRequest, limit_ms: int
+    ) -> answers.AnswerSource | outcomes.Refusal | JoinVerdict:
+        """Join an attempt's answer.
+
+        :param address: the owner's inner address.
+        :param request: names the attempt.
+        :param limit_ms: longest wait for the answer's head.
+        :returns: the answer, its refusal, or why there is none.
+        """
+        remote = RemoteAnswer(self._channels.open_channel(address))
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                found = await remote.open(request)
+        except LinkErrors:
+            found = JoinVerdict.UNKNOWN
+        except asyncio.CancelledError:
+            remote.close()
+            raise
+        if found is None:
+            return remote
+        remote.close()
+        return found
+
+
+class RemoteAnswer(answers.AnswerSource):
+    """An answer that another node passes on."""
+
+    def __init__(self, channel: client.Channel) -> None:
+        self._channel = channel
+        self._stream: JoinStream | None = None
+        self.status = 0
+        self.headers = httputil.HTTPHeaders()
+
+    async def open(
+        self, request: requests_pb2.JoinRequest
+    ) -> None | outcomes.Refusal | JoinVerdict:
+        """Ask for the answer and wait for its head.
+
+        :param request: names the attempt.
+        :returns: None once the head is there; or why there is none.
+        :raises OSError: the owner can't be reached, or another of the link
+            errors.
+        """
+        stub = requests_grpc.RequestsStub(self._channel)
+        stream = stub.Join.open()
+        async with asyncio.timeout(SILENCE_LIMIT_S):
+            self._stream = await stream.__aenter__()
+            await self._stream.send_message(request, end=True)
+        while True:
+            frame = await self._receive()
+            kind = frame.WhichOneof('kind')
+            if kind == 'head':
+                self.status = frame.head.status
+                for header in frame.head.headers:
+                    self.headers.add(header.name, header.value)
+                return None
+            if kind == 'never_dispatched':
+                return JoinVerdict.NEVER_DISPATCHED
+            if kind == 'end':
+                return _read_end(frame.end) or JoinVerdict.UNKNOWN
+            if kind != 'body':
+                return JoinVerdict.UNKNOWN
+
+    async def read(self) -> bytes | None | outcomes.Refusal:
+        """Return the next part of the body.
+
+        :returns: bytes; None at its whole end; or why it is not whole.
+        """
+        try:
+            while True:
+                frame = await self._receive()
+                if frame.WhichOneof('kind') == 'end':
+                    self.close()
+                    return _read_end(frame.end)
+                if frame.body:
+                    return frame.body
+        except LinkErrors:
+            self.close()
+            return outcomes.Refusal(
+                outcomes.RefusalReason.OWNER_GONE,
+                'the node that ran the request is gone',
+                outcomes.Outcome.UNKNOWN,
+                retry_after_ms=outcomes.RETRY_AFTER_MS,
+            )
+
+    def close(self) -> None:
+        """Leave the owner."""
+        self._channel.close()
+
+    async def _receive(self) -> requests_pb2.JoinFrame:
+        assert self._stream is not None
+        frame = await asyncio.wait_for(
+            self._stream.recv_message(), SILENCE_LIMIT_S
+        )
+        if frame is None:
+            raise EOFError
+        return frame
+
+
+class JoinServicer(requests_grpc.RequestsBase):
+    """Passes the answers of this node's attempts on to other nodes."""
+
+    def __init__(
+        self,
+        settings: model.NodeSettings,
+        registry: attempts.AttemptRegistry,
+        in_flight: activity.Activity,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._registry = registry
+        self._in_flight = in_flight
+        self._counters = counters
+
+    async def Join(
+        self,
+        stream: server.Stream[
+            requests_pb2.JoinRequest, requests_pb2.JoinFrame
+        ],
+    ) -> None:
+        """Answer one join.
+
+        :param stream: the call.
+        """
+        request = await stream.recv_message()
+        if request is None:
+            return
+        limits = self._settings.limits
+        if self._in_flight.count >= 2 * limits.requests_in_flight:
+            raise exceptions.GRPCError(const.Status.RESOURCE_EXHAUSTED)
+        self._counters.count('joins_served')
+        try:
+            with self._in_flight.track():
+                await self._serve(stream, request)
+        except LinkErrors:
+            self._counters.count('joins_left')
+
+    async def _serve(
+        self,
+        stream: server.Stream[
+            requests_pb2.JoinRequest, requests_pb2.JoinFrame
+        ],
+        request: requests_pb2.JoinRequest,
+    ) -> None:
+        attempt = self._registry.find(request.attempt)
+        follower = None
+        if attempt and attempt.body_digest == request.body_digest:
+            if attempt.state is attempts.AttemptState.ABANDONED:
+                await self._send(stream, never_dispatched=True)
+                return
+            follower = attempt.answer.follow()
+        if attempt is None or follower is None:
+            await self._send(stream, unknown_attempt=True)
+            return
+        try:
+            await self._pass_on(stream, attempt, follower)
+        finally:
+            follower.close()
+
+    async def _pass_on(
+        self,
+        stream: server.Stream[
+            requests_pb2.JoinRequest, requests_pb2.JoinFrame
+        ],
+        attempt: attempts.Attempt,
+        follower: shared.Follower,
+    ) -> None:
+        refusal = await self._wait(stream, follower.wait_head())
+        if attempt.state is attempts.AttemptState.ABANDONED:
+            await self._send(stream, never_dispatched=True)
+            return
+        if isinstance(refusal, outcomes.Refusal):
+            await self._send(stream, end=_build_end(refusal))
+            return
+        head = requests_pb2.JoinHead(status=follower.status)
+        for name, value in follower.headers.get_all():
+            head.headers.add(name=name, value=value)
+        await self._send(stream, head=head)
+        while True:
+            part = await self._wait(stream, follower.read())
+            if not isinstance(part, bytes):
+                await self._send(stream, end=_build_end(part))
+                return
+            await self._send(stream, body=part)
+
+    async def _wait(self, stream, work):  # type: ignore[no-untyped-def]
+        task = asyncio.ensure_future(work)
+        try:
+            while True:
+                done, _ = await asyncio.wait({task}, timeout=ALIVE_INTERVAL_S)
+                if done:
+                    return task.result()
+                await self._send(stream, body=b'')
+        finally:
+            task.cancel()
+
+    async def _send(self, stream, **fields):  # type: ignore[no-untyped-def]
+        frame = requests_pb2.JoinFrame(**fields)
+        idle_s = self._settings.timings.idle_timeout_ms / 1000
+        await asyncio.wait_for(stream.send_message(frame), idle_s)
+
+
+def _build_end(refusal: outcomes.Refusal | None) -> requests_pb2.JoinEnd:
+    if refusal is None:
+        return requests_pb2.JoinEnd(outcome=outcomes.Outcome.COMPLETE.value)
+    return requests_pb2.JoinEnd(
+        outcome=refusal.outcome.value,
+        detail=refusal.detail,
+        reason=refusal.reason.value,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
+def _read_end(end: requests_pb2.JoinEnd) -> outcomes.Refusal | None:
+    if end.outcome == outcomes.Outcome.COMPLETE.value:
+        return None
+    try:
+        reason = outcomes.RefusalReason(end.reason)
+        outcome = outcomes.Outcome(end.outcome)
+    except ValueError:
+        reason = outcomes.RefusalReason.OWNER_GONE
+        outcome = outcomes.Outcome.UNKNOWN
+    return outcomes.Refusal(
+        reason, end.detail, outcome, retry_after_ms=end.retry_after_ms
+    )
--- a/filbertglade/requests/outcomes.py
+++ b/filbertglade/requests/outcomes.py
@@ -6,6 +6,7 @@
 from filbertglade import failures
 
 OUTCOME_HEADER = 'X-Outcome'
+RETRY_AFTER_MS = 1000
 
 
 class Outcome(enum.StrEnum):
--- a/filbertglade/requests/runner.py
+++ b/filbertglade/requests/runner.py
@@ -1,91 +1,60 @@
 """The life of a request on the node that took it."""
 
-import dataclasses
 import random
 
-from filbertglade import clock
-from filbertglade.configuration import model as configuration_model
-from filbertglade import failures
+from tornado import httputil
+
+from filbertglade.admission import admission
+from filbertglade.admission import permits
+from filbertglade.admission import tickets
+from filbertglade.control import submitter
+from filbertglade.inner import channels
 from filbertglade.membership import attachment
 from filbertglade.membership import view
 from filbertglade.observability import metrics
+from filbertglade.requests import activity
+from filbertglade.requests import answers
+from filbertglade.requests import attempts
+from filbertglade.requests import caller
+from filbertglade.requests import claimed
+from filbertglade.requests import claims
 from filbertglade.requests import endpoints
+from filbertglade.requests import execution
+from filbertglade.requests import joins
 from filbertglade.requests import outcomes
-from filbertglade.routing import candidates
+from filbertglade.requests import retries
+from filbertglade.requests import strikes
 from filbertglade.routing import policies
-from filbertglade.routing import selection
 from filbertglade.settings import model
 
-RETRY_AFTER_MS = 1000
-
-
-@dataclasses.dataclass(slots=True)
-class CallerRequest:
-    """A request as a caller sent it.
-
-    :param customer: who calls.
-    :param target: the deployment's or service's name.
-    :param is_service: whether the target is a plain service.
-    :param call: what the endpoint is to be sent.
-    :param is_stream: whether the caller wants events as they come.
-    :param is_repeatable: whether it may run more than once.
-    :param key: the idempotency key, or empty.
-    :param deadline_ms: local clock by which the answer must begin.
-    """
 
-    customer: configuration_model.Customer
-    target: str
-    is_service: bool
-    call: endpoints.Call
-    is_stream: bool
-    is_repeatable: bool
-    key: str
-    deadline_ms: int
-
-
-class RunningAnswer:
-    """An answer on its way to the caller."""
+class PermittedAnswer(answers.AnswerSource):
+    """An answer that gives its permit back at its end."""
 
     def __init__(
         self,
-        answer: endpoints.Answer,
-        candidate: selection.Candidate,
-        work: selection.Work,
-        selector: selection.Selector,
+        run: execution.Execution,
+        permit: permits.Permit,
     ) -> None:
-        self._answer = answer
-        self._candidate = candidate
-        self._work = work
-        self._selector = selector
-        self._started_ms = clock.now_ms()
-        self.status = answer.status
-        self.headers = answer.headers
+        self._run = run
+        self._permit = permit
+        self.status = run.status
+        self.headers: httputil.HTTPHeaders = run.headers
 
     async def read(self) -> bytes | None | outcomes.Refusal:
         """Return the next part of the body.
 
         :returns: bytes; None at its whole end; or why it is not whole.
         """
-        chunk = await self._answer.read()
-        if isinstance(chunk, failures.Failure):
-            self.close()
-            return outcomes.Refusal(
-                outcomes.RefusalReason.ENDPOINT_FAILED,
-                str(chunk),
-                outcomes.Outcome.UNKNOWN,
-            )
-        if chunk is None:
-            self._note_finished()
-        return chunk
+        part = await self._run.read()
+        if not isinstance(part, bytes):
+            self._permit.release()
+        return part
 
     def close(self) -> None:
         """Cancel the request at its endpoint."""
-        self._answer.cancel()
-        self._note_finished()
-
-    def _note_finished(self) -> None:
-        took_ms = clock.now_ms() - self._started_ms
-        self._selector.note_finished(self._candidate, self._work, 0, took_ms)
+        self._run.close()
+        self._permit.release()
 
 
 class RequestRunner:
@@ -94,66 +63,113 @@
     def __init__(
         self,
         settings: model.NodeSettings,
+        run: str,
         fleet: view.FleetView,
         attached: attachment.Attachment,
+        commands: submitter.Submitter,
+        channel_factory: channels.ChannelFactory,
         counters: metrics.Metrics,
         rng: random.Random,
     ) -> None:
         self._settings = settings
-        self._fleet = fleet
-        self._attached = attached
         self._counters = counters
         self._pool = endpoints.EndpointPool(settings)
-        self._selector: selection.Selector = policies.build_selector(
-            settings, fleet, rng
+        self._parts = execution.ExecutionParts(
+            settings=settings,
+            fleet=fleet,
+            attached=attached,
+            pool=self._pool,
+            selector=policies.build_selector(settings, fleet, rng),
+            budget=retries.RetryBudget(counters),
+            strikes=strikes.StrikeBook(fleet, attached, counters),
+            counters=counters,
+        )
+        self._admission = admission.Admission(settings, fleet, counters, rng)
+        self._registry = attempts.AttemptRegistry(settings, run)
+        self._batcher = claims.ClaimBatcher(commands, counters)
+        self.activity = activity.Activity()
+        self.joins = joins.JoinServicer(
+            settings, self._registry, self.activity, counters
+        )
+        self._claimed = claimed.ClaimedRunner(
+            settings,
+            self._registry,
+            self._batcher,
+            joins.InnerJoiner(channel_factory),
+            self._start_execution,
+            self.activity,
+            counters,
         )
+        self.is_refusing = False
+        counters.set_gauge('requests_in_flight', lambda: self.activity.count)
+
+    async def start_parts(self) -> None:
+        """Start the background work."""
+        await self._admission.start()
 
     async def close(self) -> None:
-        """Close the connections to endpoints."""
+        """Stop all requests and close the connections to endpoints."""
+        await self._claimed.close()
+        await self._batcher.close()
+        await self._admission.close()
         self._pool.close()
 
+    async def drain(self) -> None:
+        """Wait until nothing is in flight any more."""
+        await self.activity.wait_idle()
+
     async def start(
-        self, request: CallerRequest
-    ) -> RunningAnswer | outcomes.Refusal:
+        self, request: caller.CallerRequest
+    ) -> answers.AnswerSource | outcomes.Refusal:
         """Run a request until the head of its answer is there.
 
         :param request: the request.
         :returns: the answer, or why there is none.
         """
-        work = selection.Work(request.customer.name, request.call.body)
-        candidate = self._selector.choose(self._list(request), work)
-        if candidate is None:
+        if self.is_refusing:
             return outcomes.Refusal(
-                outcomes.RefusalReason.NO_ENDPOINT,
-                f'no endpoint serves {request.target!r} now',
-                retry_after_ms=RETRY_AFTER_MS,
-            )
-        self._selector.note_started(candidate, work)
-        answer = await self._pool.start_call(candidate.address, request.call)
-        if isinstance(answer, failures.Failure):
-            return self._refuse(candidate, answer)
-        return RunningAnswer(answer, candidate, work, self._selector)
-
-    def _list(self, request: CallerRequest) -> list[selection.Candidate]:
-        if request.is_service:
-            return candidates.list_worker_candidates(
-                self._fleet, request.target
+                outcomes.RefusalReason.SHUTTING_DOWN,
+                'this node is shutting down',
+                outcome=request.unseen_outcome,
+                retry_after_ms=outcomes.RETRY_AFTER_MS,
             )
-        return candidates.list_group_candidates(self._fleet, request.target)
-
-    def _refuse(
-        self, candidate: selection.Candidate, failure: failures.Failure
-    ) -> outcomes.Refusal:
-        if failure.reason is not endpoints.EndpointReason.TIMED_OUT:
-            self._fleet.mark_group_lost(candidate.name, candidate.epoch)
-            self._fleet.mark_worker_lost(candidate.host, candidate.run)
-            self._attached.report_loss(candidate.host, candidate.run)
-        ran = failure.reason is not endpoints.EndpointReason.UNREACHABLE
-        return outcomes.Refusal(
-            outcomes.RefusalReason.ENDPOINT_FAILED
-            if ran
-            else outcomes.RefusalReason.NO_ENDPOINT,
-            str(failure),
-            outcomes.Outcome.UNKNOWN if ran else outcomes.Outcome.NOT_RUN,
-            retry_after_ms=RETRY_AFTER_MS,
+        self._parts.budget.note_request()
+        admitted = await self._admit(request)
+        if request.needs_claim:
+            return await self._claimed.start(request, admitted)
+        if isinstance(admitted, outcomes.Refusal):
+            return admitted
+        return await self._start_unclaimed(request, admitted)
+
+    async def _admit(
+        self, request: caller.CallerRequest
+    ) -> permits.Permit | outcomes.Refusal:
+        ticket = tickets.Ticket(
+            customer=request.customer,
+            target=request.target,
+            is_service=request.is_service,
+            deadline_ms=request.deadline_ms,
+            expected_tokens=request.expected_tokens,
         )
+        return await self._admission.admit(ticket)
+
+    async def _start_unclaimed(
+        self, request: caller.CallerRequest, permit: permits.Permit
+    ) -> answers.AnswerSource | outcomes.Refusal:
+        run = self._start_execution(request, execution.OpenPermission())
+        refusal: outcomes.Refusal | None = None
+        try:
+            refusal = await run.begin()
+        except BaseException:
+            run.close()
+            permit.release()
+            raise
+        if refusal is not None:
+            permit.release()
+            return refusal
+        return PermittedAnswer(run, permit)
+
+    def _start_execution(
+        self, request: caller.CallerRequest, permission: execution.Permission
+    ) -> execution.Execution:
+        return execution.Execution(self._parts, request, permission)
--- a/filbertglade/standin/engine.py
+++ b/filbertglade/standin/engine.py
@@ -8,7 +8,6 @@
 import random
 import typing
 
-from tornado import iostream
 from tornado import web
 
 from filbertglade import clock
@@ -18,9 +17,7 @@
 from filbertglade.standin import settings as standin_settings
 
 CONFLICT = 409
-DEFAULT_TOKENS = 16
 LOADS_KEPT = 64
-PRIORITY_HEADER = 'X-Priority'
 VOCABULARY = ('bean', 'pea', 'leek', 'dill', 'kale', 'beet', 'rye', 'oat')
 
 
@@ -164,100 +161,3 @@
         if not self._engine.take_order(json.loads(self.request.body)):
             self.set_status(CONFLICT)
         self.finish({})
-
-
-class CompletionHandler(web.RequestHandler):
-    """Answers calls of the model."""
-
-    def initialize(self, engine: Engine) -> None:
-        """Take the engine.
-
-        :param engine: the engine's part on this host.
-        """
-        self._engine = engine
-        self._task: asyncio.Task[None] | None = None
-
-    def on_connection_close(self) -> None:
-        """Cancel the call of a node that left."""
-        if self._task is not None:
-            self._task.cancel()
-
-    async def post(self) -> None:
-        """Answer one call, whole or as a stream of events."""
-        body = json.loads(self.request.body)
-        prompt = _read_prompt(body)
-        count = int(body.get('max_tokens') or DEFAULT_TOKENS)
-        engine = self._engine
-        engine.record(
-            'request',
-            host=engine.host,
-            group=engine.group,
-            epoch=engine.epoch,
-            prompt=prompt,
-        )
-        if not engine.is_ready:
-            self.set_status(CONFLICT)
-            self.set_header('X-Outcome', 'not_run')
-            self.finish({'error': {'message': 'not serving'}})
-            return
-        self._task = asyncio.current_task()
-        priority = int(self.request.headers.get(PRIORITY_HEADER, '0'))
-        tokens = engine.generate(prompt, count, priority)
-        try:
-            if body.get('stream'):
-                await self._write_stream(body['model'], tokens)
-            else:
-                await self._write_whole(body['model'], tokens)
-        except (asyncio.CancelledError, iostream.StreamClosedError):
-            engine.record('left', host=engine.host, prompt=prompt)
-        finally:
-            await tokens.aclose()
-
-    async def _write_whole(
-        self, model: str, tokens: abc.AsyncIterator[str]
-    ) -> None:
-        text = ''.join([token async for token in tokens])
-        message = {'role': 'assistant', 'content': text}
-        choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
-        self.finish(_envelope(model, 'chat.completion', choice))
-
-    async def _write_stream(
-        self, model: str, tokens: abc.AsyncIterator[str]
-    ) -> None:
-        self.set_header('Content-Type', 'text/event-stream')
-        async for token in tokens:
-            delta = {'role': 'assistant', 'content': token}
-            choice = {'index': 0, 'delta': delta, 'finish_reason': None}
-            await self._write_event(model, choice)
-        await self._write_event(
-            model, {'index': 0, 'delta': {}, 'finish_reason': 'stop'}
-        )
-        self.write('data: [DONE]\n\n')
-        self.finish()
-
-    async def _write_event(
-        self, model: str, choice: dict[str, object]
-    ) -> None:
-        event = json.dumps(_envelope(model, 'chat.completion.chunk', choice))
-        self.write(f'data: {event}\n\n')
-        await self.flush()
-
-
-def _envelope(
-    model: str, kind: str, choice: dict[str, object]
-) -> dict[str, object]:
-    return {
-        'id': 'chatcmpl-standin',
-        'object': kind,
-        'created': 0,
-        'model': model,
-        'choices': [choice],
-    }
-
-
-def _read_prompt(body: dict[str, typing.Any]) -> str:
-    if 'prompt' in body:
-        return str(body['prompt'])
-    return '\n'.join(
-        str(message.get('content', '')) for message in body['messages']
-    )
--- a/filbertglade/standin/fleet.py
+++ b/filbertglade/standin/fleet.py
@@ -11,7 +11,9 @@
 from tornado import web
 
 from filbertglade import clock
+from filbertglade.standin import completions
 from filbertglade.standin import engine
+from filbertglade.standin import faults
 from filbertglade.standin import service
 from filbertglade.standin import settings as standin_settings
 from filbertglade import tasks
@@ -29,7 +31,7 @@
     def write(self, kind: str, **fields: object) -> None:
         """Write one line.
 
-        :param kind: ``order``, ``request`` or ``answer``.
+        :param kind: what happened, as in ``order`` or ``request``.
         :param fields: what was taken.
         """
         if self._file is not None:
@@ -54,11 +56,13 @@
         self.name = name
         self._run = uuid.uuid4().hex
         self._sequence = 0
+        self._dying: asyncio.Task[None] | None = None
         self._token = ''
         self._token_ms = 0
         self._recorder = recorder
         self._tasks = tasks.TaskGroup()
         self.engine = engine.Engine(settings, name, recorder.write)
+        self.faults = faults.Faults(settings, name, self._die)
         self._server: httpserver.HTTPServer | None = None
         self._client = httpclient.AsyncHTTPClient(force_instance=True)
         self._entry = 0
@@ -73,24 +77,40 @@
                 'settings': self._settings,
                 'host': self.name,
                 'record': self._recorder.write,
+                'faults': self.faults,
             }
             handlers = [(r'/.*', service.ServiceHandler, parts)]
         else:
             handlers = [
                 (
                     r'/v1/(?:chat/)?completions',
-                    engine.CompletionHandler,
-                    {'engine': self.engine},
+                    completions.CompletionHandler,
+                    {
+                        'engine': self.engine,
+                        'faults': self.faults,
+                        'runs': completions.Runs(),
+                    },
                 ),
                 (r'/v1/order', engine.OrderHandler, {'engine': self.engine}),
             ]
+        control = (r'/standin/faults', faults.FaultsHandler)
+        handlers.insert(0, (*control, {'faults': self.faults}))
         application = web.Application(handlers, log_function=lambda _: None)
         sockets = netutil.bind_sockets(0, '127.0.0.1')
         self._server = httpserver.HTTPServer(application)
         self._server.add_sockets(sockets)
         self.address = f'127.0.0.1:{sockets[0].getsockname()[1]}'
+        self._recorder.write('listening', host=self.name, address=self.address)
         self._tasks.start(self._announce())
 
+    def _die(self) -> None:
+        """Listen no more and cut all connections, before anything else."""
+        self._recorder.write('died', host=self.name)
+        if self._server is not None:
+            self._server.stop()
+        loop = asyncio.get_running_loop()
+        self._dying = loop.create_task(self.close())
+
     async def close(self) -> None:
         """Stop at once, as a host that dies."""
         await self._tasks.close()
--- a/filbertglade/standin/settings.py
+++ b/filbertglade/standin/settings.py
@@ -27,6 +27,7 @@
     :param checks_fencing: whether orders with old fencing numbers are
         refused.
     :param record_file: JSON lines of orders and requests taken.
+    :param crash_marker: text in a body at which a host dies.
     :param seed: seed of what happens at random.
     """
 
@@ -49,4 +50,5 @@
     load_ms: int = 200
     checks_fencing: bool = True
     record_file: str = ''
+    crash_marker: str = ''
     seed: int = 0
--- /dev/null
+++ b/tests/requests/bench.py
@@ -0,0 +1,210 @@
+"""A cluster of real processes whose endpoints' records are the judge."""
+
+import contextlib
+import hashlib
+import json
+import pathlib
+import typing
+
+import httpx
+
+from tests import cluster as clusters
+
+MODEL = 'swap-writer'
+SERVICE = 'listings'
+AUTHORIZED = {'Authorization': f'Bearer {clusters.KEY}'}
+CRASH_MARKER = 'poisoned'
+ENGINES = 14
+WORKERS = 3
+TIMINGS = """
+[timings]
+drain_delay_ms = 500
+idle_timeout_ms = 5000
+header_timeout_ms = 2000
+"""
+
+
+def build_document(replicas: int = ENGINES) -> dict[str, typing.Any]:
+    digest = hashlib.sha256(clusters.KEY.encode()).hexdigest()
+    return {
+        'number': 1,
+        'change_id': 'first',
+        'customers': [
+            {
+                'name': 'seminkovna',
+                'key_sha256': digest,
+                'requests_per_s': 10_000,
+                'concurrent_requests': 10_000,
+            }
+        ],
+        'fabric_domains': [
+            {'name': 'fabric-1', 'data_centre': 'north', 'fencing': 'checked'}
+        ],
+        'deployments': [
+            {
+                'name': MODEL,
+                'model': 'writer',
+                'version': '1',
+                'customers': ['seminkovna'],
+                'fabric_domains': ['fabric-1'],
+                'hosts_per_replica': 1,
+                'replicas': replicas,
+                'spare_hosts': 0,
+            }
+        ],
+        'services': [
+            {
+                'name': SERVICE,
+                'customers': ['seminkovna'],
+                'not_repeatable': [
+                    {'method': 'POST', 'path_prefix': '/orders'}
+                ],
+            }
+        ],
+    }
+
+
+class Bench:
+    """A cluster with its stand-ins and what they recorded."""
+
+    def __init__(self, cluster: clusters.Cluster, record: pathlib.Path):
+        self.cluster = cluster
+        self._record = record
+
+    @property
+    def nodes(self) -> list[clusters.NodeProcess]:
+        return self.cluster.nodes
+
+    def records(self, kind: str, **fields: object) -> list[dict]:
+        """Return what the endpoints wrote down."""
+        found = []
+        for line in self._record.read_text().splitlines():
+            entry = json.loads(line)
+            if entry['kind'] == kind and all(
+                entry.get(name) == value for name, value in fields.items()
+            ):
+                found.append(entry)
+        return found
+
+    def addresses(self) -> dict[str, str]:
+        """Return the stand-in hosts' addresses."""
+        return {
+            entry['host']: entry['address']
+            for entry in self.records('listening')
+        }
+
+    def engine_addresses(self) -> list[str]:
+        dead = {entry['host'] for entry in self.records('died')}
+        return [
+            address
+            for host, address in self.addresses().items()
+            if host.startswith('host-') and host not in dead
+        ]
+
+    def set_faults(self, address: str, **plan: object) -> None:
+        """Give a host a plan of faults; none without any."""
+        answer = httpx.put(f'http://{address}/standin/faults', json=plan)
+        assert answer.status_code == 200, answer.text
+
+    def clear_faults(self) -> None:
+        for address in self.engine_addresses():
+            self.set_faults(address, crash_marker=CRASH_MARKER)
+
+    def serves_everywhere(self) -> bool:
+        return all(
+            node.is_ready() and self.complete(node).status_code == 200
+            for node in self.nodes
+        )
+
+    def complete(
+        self,
+        node: clusters.NodeProcess,
+        prompt: str = 'hello',
+        tokens: int = 4,
+        **headers: str,
+    ) -> httpx.Response:
+        named = {
+            key.replace('_', '-'): value for key, value in headers.items()
+        }
+        return httpx.post(
+            f'{node.url}/v1/chat/completions',
+            headers={**AUTHORIZED, **named},
+            json=build_body(prompt, tokens),
+            timeout=30,
+        )
+
+
+def build_body(
+    prompt: str, tokens: int = 4, stream: bool = False
+) -> dict[str, typing.Any]:
+    return {
+        'model': MODEL,
+        'messages': [{'role': 'user', 'content': prompt}],
+        'max_tokens': tokens,
+        'stream': stream,
+    }
+
+
+@contextlib.contextmanager
+def run_cluster(
+    folder: pathlib.Path,
+    control: int = 3,
+    others: int = 0,
+    engines: int = ENGINES,
+    extra: str = TIMINGS,
+) -> typing.Iterator[Bench]:
+    cluster = clusters.Cluster(folder)
+    record = folder / 'record.jsonl'
+    record.touch()
+    bench = Bench(cluster, record)
+    cluster.lay_out(control, others, extra)
+    try:
+        cluster.found()
+        common = ('--record', str(record), '--crash-marker', CRASH_MARKER)
+        cluster.start_standin(
+            '--hosts', str(engines), '--token-ms', '2', *common
+        )
+        cluster.start_standin(
+            '--hosts', str(WORKERS), '--service', SERVICE, '--prefix',
+            'worker', *common,
+        )  # fmt: skip
+        clusters.wait_until(cluster.find_leader, 'a leader')
+        answer = httpx.put(
+            f'{cluster.nodes[0].administration_url}/v1/config',
+            json=build_document(engines),
+        )
+        assert answer.status_code == 200, answer.text
+        clusters.wait_until(bench.serves_everywhere, 'serving')
+        clusters.wait_until(
+            lambda: _count_serving(cluster) == engines, 'every group serving'
+        )
+        yield bench
+    finally:
+        cluster.close()
+
+
+def _count_serving(cluster: clusters.Cluster) -> int:
+    status = cluster.nodes[0].get('/v1/status') or {'groups': []}
+    return sum(group['phase'] == 'serving' for group in status['groups'])
+
+
+def read_events(response: httpx.Response) -> tuple[str, list[dict], bool]:
+    """Return a stream's text, its events and whether it ended with DONE."""
+    events, done = [], False
+    for line in response.iter_lines():
+        if line == 'data: [DONE]':
+            done = True
+        elif line.startswith('data: '):
+            events.append(json.loads(line[6:]))
+    text = ''.join(
+        choice.get('delta', {}).get('content') or ''
+        for event in events
+        for choice in event.get('choices', ())
+    )
+    return text, events, done
+
+
+def read_outcome(events: list[dict]) -> str:
+    """Return the outcome that a stream's last event names."""
+    last = events[-1]
+    return last.get('outcome') or last['error']['outcome']
--- /dev/null
+++ b/tests/requests/conftest.py
@@ -0,0 +1,11 @@
+"""A running cluster that all tests of the life of a request share."""
+
+import pytest
+
+from tests.requests import bench
+
+
+@pytest.fixture(scope='package')
+def running(tmp_path_factory):
+    with bench.run_cluster(tmp_path_factory.mktemp('cluster')) as cluster:
+        yield cluster
