Prove claims by a state machine and through real sockets

Cause: the state machine's first run left callers waiting for ever: a run cancelled while it released its claim never ended its answer. Ruled out: the join and the batcher, both bounded by time-outs. Change: the end of an attempt is told even if its release is cancelled; a closed batcher takes nothing more.

--- a/filbertglade/requests/claimed.py
+++ b/filbertglade/requests/claimed.py
@@ -219,12 +219,28 @@
             self._used_permits.discard(permit)
             permit.release()
             run.close()
-            if refusal is not None:
-                refusal = await self._settle_refusal(request, attempt, refusal)
+            await self._finish(request, attempt, refusal)
+
+    async def _finish(
+        self,
+        request: caller.CallerRequest,
+        attempt: attempts.Attempt,
+        refusal: outcomes.Refusal | None,
+    ) -> None:
+        """Tell all who wait; first release the claim of what never ran."""
+        if refusal is not None:
+            is_not_run = refusal.outcome is outcomes.Outcome.NOT_RUN
+            if is_not_run and not attempt.abandon():
+                refusal = _refuse_unknown(refusal.detail)
+        is_abandoned = attempt.state is attempts.AttemptState.ABANDONED
+        try:
+            if is_abandoned:
+                await self._release(request, attempt)
+        finally:
             attempt.answer.end(refusal)
             self._registry.settle(attempt)
-        change = self._build_change(Action.FINISH, request, attempt)
-        if attempt.state is attempts.AttemptState.DISPATCHED:
+        if not is_abandoned:
+            change = self._build_change(Action.FINISH, request, attempt)
             await self._batcher.submit(change, CLAIM_TIMEOUT_MS)
 
     async def _pump(
@@ -240,20 +256,6 @@
                 return part
             await attempt.answer.add(part)
 
-    async def _settle_refusal(
-        self,
-        request: caller.CallerRequest,
-        attempt: attempts.Attempt,
-        refusal: outcomes.Refusal,
-    ) -> outcomes.Refusal:
-        """Release the claim of what never ran; else say that it may have."""
-        if refusal.outcome is not outcomes.Outcome.NOT_RUN:
-            return refusal
-        if attempt.abandon():
-            await self._release(request, attempt)
-            return refusal
-        return _refuse_unknown(refusal.detail)
-
     async def _join(
         self,
         request: caller.CallerRequest,
--- a/filbertglade/requests/claims.py
+++ b/filbertglade/requests/claims.py
@@ -44,9 +44,11 @@
         self._tasks = tasks.TaskGroup()
         self._waiting: list[WaitingChange] = []
         self._sender: asyncio.Task[None] | None = None
+        self._is_closed = False
 
     async def close(self) -> None:
         """Stop; what still waits fails."""
+        self._is_closed = True
         await self._tasks.close()
         self._fail(self._waiting, _failure(Reason.CLOSING, False))
         self._waiting = []
@@ -60,6 +62,8 @@
         :param timeout_ms: longest wait for the commit.
         :returns: what it did, or why it has no result.
         """
+        if self._is_closed:
+            return _failure(Reason.CLOSING, False)
         if len(self._waiting) >= WAITING_CHANGES:
             return _failure(Reason.OVERLOADED, False)
         started_ms = clock.now_ms()
--- /dev/null
+++ b/tests/requests/test_at_most_once.py
@@ -0,0 +1,214 @@
+"""Non-idempotent requests through real sockets run at most once."""
+
+import concurrent.futures
+import random
+import signal
+
+import httpx
+import pytest
+
+from filbertglade.standin import engine
+from tests import cluster as clusters
+from tests.requests import bench
+
+MARKED = {'X-Idempotent': 'false'}
+
+
+@pytest.fixture(autouse=True)
+def no_faults(running):
+    yield
+    running.clear_faults()
+
+
+def send(running, node, key, **headers):
+    """Return the answer, or None if the node gave none."""
+    try:
+        return running.complete(
+            node, key, 6, X_Idempotent='false', Idempotency_Key=key, **headers
+        )
+    except httpx.HTTPError:
+        return None
+
+
+def count_runs(running, key):
+    return len(running.records('request', key=key))
+
+
+def delay_answers(running, late_ms):
+    for address in running.engine_addresses():
+        running.set_faults(address, late_ms=late_ms)
+
+
+def wait_for_a_run(running, keys):
+    clusters.wait_until(
+        lambda: any(count_runs(running, key) for key in keys), 'a run'
+    )
+
+
+def is_whole(answer, key):
+    text = answer.json()['choices'][0]['message']['content']
+    return text == ''.join(engine.expected_tokens(key, 6))
+
+
+def test_one_key_at_three_nodes_at_once_runs_once(running):
+    with concurrent.futures.ThreadPoolExecutor(12) as pool:
+        keys = [f'at-once-{i}' for i in range(12)]
+        sent = {
+            key: [
+                pool.submit(send, running, node, key) for node in running.nodes
+            ]
+            for key in keys
+        }
+        for key, futures in sent.items():
+            answers = [future.result() for future in futures]
+            outcomes = [answer.headers['X-Outcome'] for answer in answers]
+            assert outcomes == ['complete'] * 3, (key, outcomes)
+            assert all(is_whole(answer, key) for answer in answers)
+            assert count_runs(running, key) == 1
+
+
+def test_resend_elsewhere_joins_the_stream_in_flight(running):
+    key = 'joined-stream'
+    body = bench.build_body(key, 400, stream=True)
+    headers = {**bench.AUTHORIZED, **MARKED, 'Idempotency-Key': key}
+    texts = []
+    with httpx.stream(
+        'POST',
+        f'{running.nodes[0].url}/v1/chat/completions',
+        headers=headers,
+        json=body,
+    ) as first:
+        lines = first.iter_lines()
+        next(lines)
+        with httpx.stream(
+            'POST',
+            f'{running.nodes[1].url}/v1/chat/completions',
+            headers=headers,
+            json=body,
+        ) as second:
+            texts.append(bench.read_events(second))
+    text, events, done = texts[0]
+    assert done
+    assert bench.read_outcome(events) == 'complete'
+    assert text == ''.join(engine.expected_tokens(key, 400))
+    assert count_runs(running, key) == 1
+
+
+def test_other_body_with_the_same_key_is_refused(running):
+    assert send(running, running.nodes[0], 'reused').status_code == 200
+    answer = running.complete(
+        running.nodes[1],
+        'another body',
+        X_Idempotent='false',
+        Idempotency_Key='reused',
+    )
+    assert answer.status_code == 422
+    assert answer.headers['X-Outcome'] == 'not_run'
+
+
+def test_call_that_the_document_marks_runs_once_by_key(running):
+    headers = {**bench.AUTHORIZED, 'Idempotency-Key': 'order-1'}
+    for node in running.nodes:
+        answer = httpx.post(
+            f'{node.url}/services/{bench.SERVICE}/orders',
+            content=b'one packet',
+            headers=headers,
+        )
+        assert answer.headers['X-Outcome'] == 'complete'
+        assert answer.json()['body'] == 'one packet'
+    assert len(running.records('call', key='order-1')) == 1
+
+
+def test_without_a_key_it_is_dispatched_once(running):
+    for address in running.engine_addresses():
+        running.set_faults(address, cut_at_token=2, cut_times=9, forgets=True)
+    answer = running.complete(running.nodes[0], 'no key', X_Idempotent='false')
+    assert answer.headers['X-Outcome'] == 'unknown'
+    assert len(running.records('request', prompt='no key')) == 1
+
+
+def test_claim_of_what_was_refused_is_given_back(running):
+    for address in running.engine_addresses():
+        running.set_faults(address, not_run_times=100)
+    first = send(running, running.nodes[0], 'given-back')
+    assert first.headers['X-Outcome'] == 'not_run'
+    running.clear_faults()
+    again = send(running, running.nodes[1], 'given-back')
+    assert again.headers['X-Outcome'] == 'complete'
+    assert count_runs(running, 'given-back') == 1
+
+
+def test_frozen_owner_answers_for_nothing_and_runs_nothing_late(running):
+    owner = running.nodes[2]
+    rng = random.Random(7)
+    keys = [f'frozen-{i}' for i in range(30)]
+    delay_answers(running, 500)
+    with concurrent.futures.ThreadPoolExecutor(40) as pool:
+        first = [pool.submit(send, running, owner, key) for key in keys]
+        wait_for_a_run(running, keys)
+        owner.send_signal(signal.SIGSTOP)
+        try:
+            resent = {
+                key: send(running, rng.choice(running.nodes[:2]), key)
+                for key in keys
+            }
+        finally:
+            owner.send_signal(signal.SIGCONT)
+        for future in first:
+            future.result()
+    for key in keys:
+        assert count_runs(running, key) <= 1
+        outcome = resent[key].headers['X-Outcome']
+        assert outcome in ('complete', 'unknown'), (key, outcome)
+
+
+def test_killed_owner_leaves_no_second_run(running):
+    owner = running.nodes[1]
+    keys = [f'killed-{i}' for i in range(30)]
+    delay_answers(running, 500)
+    with concurrent.futures.ThreadPoolExecutor(40) as pool:
+        first = [pool.submit(send, running, owner, key) for key in keys]
+        wait_for_a_run(running, keys)
+        owner.kill()
+        for future in first:
+            future.result()
+    resent = [send(running, running.nodes[0], key) for key in keys]
+    owner.start()
+    clusters.wait_until(owner.is_ready, 'the owner again')
+    again = [send(running, owner, key) for key in keys]
+    for key, answers in zip(
+        keys, zip(resent, again, strict=True), strict=True
+    ):
+        runs = count_runs(running, key)
+        assert runs <= 1
+        for answer in answers:
+            assert answer is not None
+            if answer.headers['X-Outcome'] == 'not_run':
+                assert runs == 0
+            elif answer.headers['X-Outcome'] == 'complete':
+                assert runs == 1
+
+
+def test_without_a_quorum_nothing_runs(running):
+    others = running.nodes[1:]
+    for node in others:
+        node.send_signal(signal.SIGSTOP)
+    try:
+        answer = send(running, running.nodes[0], 'no-quorum')
+        resent = send(running, running.nodes[0], 'no-quorum', X_Resend='true')
+    finally:
+        for node in others:
+            node.send_signal(signal.SIGCONT)
+    assert answer.headers['X-Outcome'] == 'not_run'
+    assert resent.headers['X-Outcome'] == 'unknown'
+    assert count_runs(running, 'no-quorum') == 0
+    clusters.wait_until(running.serves_everywhere, 'serving again')
+    later = clusters.wait_until(
+        lambda: (
+            (found := send(running, running.nodes[0], 'no-quorum'))
+            and found.headers['X-Outcome'] == 'complete'
+        ),
+        'the key being free',
+    )
+    assert later
+    assert count_runs(running, 'no-quorum') == 1
--- /dev/null
+++ b/tests/requests/test_claim_machine.py
@@ -0,0 +1,371 @@
+"""Claims under lost replies, dead and frozen owners, and expiry."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+
+import async_solipsism
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+from tornado import httputil
+
+from filbertglade.admission import permits
+from filbertglade.admission import tickets
+from filbertglade import clock
+from filbertglade.control import failures
+from filbertglade.control import submitter
+from filbertglade.control.tables import claims as claim_table
+from filbertglade.inner import commands_pb2
+from filbertglade.observability import metrics
+from filbertglade.requests import activity
+from filbertglade.requests import answers
+from filbertglade.requests import attempts
+from filbertglade.requests import caller
+from filbertglade.requests import claimed
+from filbertglade.requests import claims
+from filbertglade.requests import endpoints
+from filbertglade.requests import joins
+from filbertglade.requests import outcomes
+from tests import fakes
+
+NODES = 3
+KEPT_MS = 60_000
+# A claim is remembered from before the run that it allowed.
+LEAST_BETWEEN_RUNS_MS = KEPT_MS - claimed.DISPATCH_WINDOW_MS
+KEYS = ('a', 'b')
+Reason = failures.SubmitReason
+Outcome = outcomes.Outcome
+
+
+class FakeLog(submitter.Submitter):
+    """Applies commands at once, late, or without telling so."""
+
+    def __init__(self, rng):
+        self.table = claim_table.ClaimTable()
+        self.rng = rng
+        self.late = []
+        self.is_reachable = True
+
+    def apply(self, command):
+        changes = commands_pb2.ClaimChanges()
+        changes.CopyFrom(command.claim_changes)
+        results = self.table.apply(changes, clock.now_ms())
+        return commands_pb2.CommandResult(claims=results)
+
+    async def submit(self, command, timeout_ms):
+        await asyncio.sleep(self.rng.choice((0.001, 0.02)))
+        if not self.is_reachable:
+            return failures.SubmitFailure(Reason.NO_LEADER)
+        luck = self.rng.random()
+        if luck < 0.1:
+            return failures.SubmitFailure(Reason.LEADER_LOST)
+        if luck < 0.25:
+            self.apply(command)
+            return _lose_reply()
+        if luck < 0.35:
+            self.late.append(command)
+            return _lose_reply()
+        return self.apply(command)
+
+
+def _lose_reply():
+    return failures.SubmitFailure(Reason.TIMED_OUT, may_have_applied=True)
+
+
+class FakeExecution:
+    """Runs a request on an endpoint that writes down what it ran."""
+
+    def __init__(self, world, node, request, permission):
+        self.world = world
+        self.node = node
+        self.request = request
+        self.permission = permission
+        self.status = 200
+        self.headers = httputil.HTTPHeaders()
+        self.parts = [b'part-1', b'part-2']
+
+    async def begin(self):
+        rng = self.world.rng
+        await self.node.pause()
+        await asyncio.sleep(rng.choice((0, 0.01, 0.1)))
+        await self.node.pause()
+        if rng.random() < 0.15 or not self.permission.begin():
+            return outcomes.Refusal(outcomes.RefusalReason.NO_ENDPOINT)
+        if rng.random() < 0.15:
+            self.permission.undo()
+            return outcomes.Refusal(outcomes.RefusalReason.NO_ENDPOINT)
+        self.world.runs.append((self.request.key, clock.now_ms()))
+        if rng.random() < 0.15:
+            return outcomes.Refusal(
+                outcomes.RefusalReason.ENDPOINT_FAILED,
+                outcome=Outcome.UNKNOWN,
+            )
+        return None
+
+    async def read(self):
+        await asyncio.sleep(0.01)
+        return self.parts.pop(0) if self.parts else None
+
+    def close(self):
+        pass
+
+
+class FakeJoiner(joins.Joiner):
+    """Joins answers of nodes in the same process."""
+
+    def __init__(self, world):
+        self.world = world
+
+    async def join(self, address, request, limit_ms):
+        node = self.world.find(address)
+        if node is None or node.is_frozen:
+            return joins.JoinVerdict.UNKNOWN
+        return await node.runner._join_own(request.attempt, limit_ms)
+
+
+class FakeNode:
+    """One run of a node; a restart makes another at the same address."""
+
+    def __init__(self, world, number, run):
+        settings = fakes.build_settings()
+        settings = dataclasses.replace(
+            settings,
+            name=f'node-{number}',
+            listen=dataclasses.replace(
+                settings.listen, inner=f'127.0.0.1:{number}'
+            ),
+        )
+        self.address = settings.listen.inner
+        self.is_frozen = False
+        self.thawed = asyncio.Event()
+        counters = metrics.Metrics()
+        self.batcher = claims.ClaimBatcher(world.log, counters)
+        self.runner = claimed.ClaimedRunner(
+            settings,
+            attempts.AttemptRegistry(settings, f'{number}-{run}'),
+            self.batcher,
+            FakeJoiner(world),
+            lambda request, permission: FakeExecution(
+                world, self, request, permission
+            ),
+            activity.Activity(),
+            counters,
+        )
+
+    async def pause(self):
+        while self.is_frozen:
+            await self.thawed.wait()
+
+    async def thaw(self):
+        self.is_frozen = False
+        self.thawed.set()
+        self.thawed = asyncio.Event()
+
+    async def die(self):
+        """End at once: nothing more reaches the log."""
+        await self.batcher.close()
+        await self.runner.close()
+
+
+class World:
+    """Three nodes, the log, and what ran."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.runs = []
+        self.log = FakeLog(self.rng)
+        self.restarts = 0
+        self.nodes = [FakeNode(self, i, 0) for i in range(NODES)]
+        self.told = []
+
+    async def restart(self, number):
+        self.restarts += 1
+        dead = self.nodes[number]
+        self.nodes[number] = FakeNode(self, number, self.restarts)
+        await dead.die()
+
+    def find(self, address):
+        for node in self.nodes:
+            if node.address == address:
+                return node
+        return None
+
+    async def send(self, node, key, body):
+        customer = fakes.build_customer('seminkovna')
+        request = caller.CallerRequest(
+            customer=customer,
+            target='listings',
+            is_service=True,
+            call=endpoints.Call('POST', '/orders', {}, body),
+            is_stream=False,
+            is_repeatable=False,
+            key=key,
+            is_resend=True,
+            deadline_ms=clock.now_ms() + 20_000,
+            claim_kept_ms=KEPT_MS,
+        )
+        ticket = tickets.Ticket(customer, 'listings', True, 0)
+        permit = permits.Permit(ticket, lambda _: None)
+        answer = await node.runner.start(request, permit)
+        outcome = await self.read(answer)
+        self.told.append((key, body, outcome))
+
+    async def read(self, answer):
+        if not isinstance(answer, answers.AnswerSource):
+            if answer.reason is outcomes.RefusalReason.KEY_REUSED:
+                return 'reused'
+            return answer.outcome
+        body = b''
+        while isinstance(part := await answer.read(), bytes):
+            body += part
+        if part is not None:
+            return part.outcome
+        assert body == b'part-1part-2'
+        return Outcome.COMPLETE
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Sends, resends and faults in any order."""
+
+    @stateful.initialize(seed=strategies.integers(0, 2**32))
+    def build(self, seed):
+        self.runner = asyncio.Runner(loop_factory=async_solipsism.EventLoop)
+        self.sends = set()
+        self.run(self.begin(seed))
+
+    async def begin(self, seed):
+        self.world = World(seed)
+
+    def run(self, work):
+        return self.runner.run(work)
+
+    async def start(self, number, key, body):
+        node = self.world.nodes[number]
+        task = asyncio.create_task(self.world.send(node, key, body))
+        self.sends.add(task)
+        task.add_done_callback(self.sends.discard)
+        await asyncio.sleep(self.world.rng.choice((0, 0.005, 0.05)))
+
+    @stateful.rule(
+        numbers=strategies.lists(
+            strategies.integers(0, NODES - 1), min_size=1, max_size=4
+        ),
+        key=strategies.sampled_from(KEYS),
+        body=strategies.sampled_from((b'one', b'one', b'one', b'two')),
+    )
+    def send(self, numbers, key, body):
+        for number in numbers:
+            self.run(self.start(number, key, body))
+
+    @stateful.rule(seconds=strategies.sampled_from((0.01, 0.2, 3, 62)))
+    def wait(self, seconds):
+        self.run(asyncio.sleep(seconds))
+
+    @stateful.rule(number=strategies.integers(0, NODES - 1))
+    def kill(self, number):
+        self.run(self.world.restart(number))
+
+    @stateful.rule(
+        number=strategies.integers(0, NODES - 1),
+        key=strategies.sampled_from(KEYS),
+        delay_s=strategies.sampled_from((0.01, 0.04, 0.3)),
+        is_killed=strategies.booleans(),
+        away_s=strategies.sampled_from((0, 5, 62)),
+    )
+    def lose_owner(self, number, key, delay_s, is_killed, away_s):
+        """Send, lose the owner for a while, send elsewhere."""
+
+        async def lose():
+            world = self.world
+            world.log.is_reachable = True
+            await self.start(number, key, b'one')
+            await asyncio.sleep(delay_s)
+            if is_killed:
+                await world.restart(number)
+            else:
+                world.nodes[number].is_frozen = True
+            await asyncio.sleep(away_s)
+            await self.start((number + 1) % NODES, key, b'one')
+            await world.nodes[number].thaw()
+            await asyncio.sleep(1)
+
+        self.run(lose())
+
+    @stateful.rule(number=strategies.integers(0, NODES - 1))
+    def freeze(self, number):
+        self.world.nodes[number].is_frozen = True
+
+    @stateful.rule(number=strategies.integers(0, NODES - 1))
+    def thaw(self, number):
+        self.run(self.world.nodes[number].thaw())
+
+    @stateful.rule()
+    def leave(self):
+        async def leave():
+            for task in list(self.sends):
+                task.cancel()
+
+        self.run(leave())
+
+    @stateful.rule()
+    def cut_control(self):
+        self.world.log.is_reachable = not self.world.log.is_reachable
+
+    @stateful.rule()
+    def apply_late(self):
+        async def apply():
+            late, self.world.log.late = self.world.log.late, []
+            self.world.rng.shuffle(late)
+            for command in late:
+                self.world.log.apply(command)
+
+        self.run(apply())
+
+    @stateful.invariant()
+    def runs_at_most_once_while_remembered(self):
+        if not hasattr(self, 'world'):
+            return
+        for key in KEYS:
+            times = self.run_times(key)
+            for earlier, later in itertools.pairwise(times):
+                assert later - earlier >= LEAST_BETWEEN_RUNS_MS
+
+    def run_times(self, key):
+        return [at_ms for named, at_ms in self.world.runs if named == key]
+
+    def teardown(self):
+        if not hasattr(self, 'world'):
+            return
+        self.run(self.settle())
+        self.check_told()
+        self.runner.close()
+
+    async def settle(self):
+        for node in self.world.nodes:
+            await node.thaw()
+        await asyncio.sleep(30)
+        assert not self.sends
+        for node in self.world.nodes:
+            await node.die()
+
+    def check_told(self):
+        for key in KEYS:
+            told = [
+                (body, outcome)
+                for named, body, outcome in self.world.told
+                if named == key
+            ]
+            runs = self.run_times(key)
+            known = {outcome for _, outcome in told}
+            if Outcome.COMPLETE in known:
+                assert runs
+            if told and known == {Outcome.NOT_RUN}:
+                assert not runs
+
+
+ClaimMachine.TestCase.settings = hypothesis.settings(
+    max_examples=400, stateful_step_count=30
+)
+test_claims = ClaimMachine.TestCase
