Keep slots free for customers within their share

Change: a customer beyond its share leaves two deviations of the others' running requests free; a permit says whether its customer is within its share, so that endpoints can prefer it; stragglers' slots count as slow as they are; customers of the load are weighted by their size.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -40,6 +40,7 @@
 WARM_UP_S = 10
 DEADLINE_MS = 2000
 LOADS = (0.5, 0.8, 0.95, 1.5)
+FAIR_LOADS = (0.5, 0.8)
 
 
 @dataclasses.dataclass(slots=True)
@@ -207,6 +208,7 @@
         customer = configuration_model.Customer(
             request.customer,
             '0' * 64,
+            weight=workload.find_weight(request.customer),
             requests_per_s=1e6,
             concurrent_requests=1_000_000,
         )
@@ -235,7 +237,9 @@
             node.selector.note_started(chosen, work)
             first_ms = 0
             part = self.engines[chosen.name]
-            async for _ in part.generate(request.prompt, request.tokens):
+            async for _ in part.generate(
+                request.prompt, request.tokens, int(permit.is_within_share)
+            ):
                 if not first_ms:
                     first_ms = clock.now_ms()
                     took_ms = first_ms - started_ms
@@ -258,43 +262,127 @@
     return
 
 
+@dataclasses.dataclass(slots=True)
+class Span:
+    """When requests are sent, and from when on they count.
+
+    :param counted_ms: local clock from which on they count.
+    :param ends_ms: local clock when the last one is sent.
+    """
+
+    counted_ms: int
+    ends_ms: int
+
+
+async def send(
+    bench: Bench,
+    load: workload.Workload,
+    span: Span,
+    found: results.Results,
+) -> None:
+    """Send a load's requests and wait for their answers.
+
+    :param bench: the engines and nodes.
+    :param load: the load.
+    :param span: when to send.
+    :param found: where outcomes go.
+    """
+    running = set()
+    while clock.now_ms() < span.ends_ms:
+        request = load.draw()
+        await asyncio.sleep(request.after_s)
+        task = asyncio.create_task(bench.run(request, DEADLINE_MS))
+        running.add(task)
+        if clock.now_ms() >= span.counted_ms:
+            task.add_done_callback(lambda done: found.add(done.result()))
+        task.add_done_callback(running.discard)
+    await asyncio.gather(*running)
+
+
 async def measure(
     policy: str,
-    rate: float,
+    loads: list[workload.Workload],
     engines: workload.EngineLoad,
     seconds: int,
     seed: int,
-) -> results.Results:
-    """Measure one policy at one rate.
+) -> list[results.Results]:
+    """Measure one policy under some loads at once.
 
     :param policy: its name in the settings.
-    :param rate: requests a second.
+    :param loads: the loads.
     :param engines: the engines.
     :param seconds: time measured, after the warm-up.
     :param seed: seed of all that is random.
-    :returns: the outcomes of what was sent after the warm-up.
+    :returns: for each load the outcomes of what was sent after the warm-up.
     """
     bench = Bench(policy, engines, seed)
     await bench.start()
     await asyncio.sleep(2)
-    found = results.Results(DEADLINE_MS)
-    load = workload.Workload(rate, NODES, seed)
-    ends_ms = clock.now_ms() + (WARM_UP_S + seconds) * 1000
     counted_ms = clock.now_ms() + WARM_UP_S * 1000
-    running = set()
-    while clock.now_ms() < ends_ms:
-        request = load.draw()
-        await asyncio.sleep(request.after_s)
-        task = asyncio.create_task(bench.run(request, DEADLINE_MS))
-        running.add(task)
-        if clock.now_ms() >= counted_ms:
-            task.add_done_callback(lambda done: found.add(done.result()))
-        task.add_done_callback(running.discard)
-    await asyncio.gather(*running)
+    span = Span(counted_ms, counted_ms + seconds * 1000)
+    found = [results.Results(DEADLINE_MS) for _ in loads]
+    sends = [
+        send(bench, load, span, kept)
+        for load, kept in zip(loads, found, strict=True)
+    ]
+    await asyncio.gather(*sends)
     await bench.close()
     return found
 
 
+def run_virtual(
+    policy: str,
+    loads: list[workload.Workload],
+    engines: workload.EngineLoad,
+    seconds: int,
+    seed: int,
+) -> list[results.Results]:
+    """Measure as :func:`measure` does, on a loop with virtual time.
+
+    :param policy: its name in the settings.
+    :param loads: the loads.
+    :param engines: the engines.
+    :param seconds: time measured, after the warm-up.
+    :param seed: seed of all that is random.
+    :returns: for each load the outcomes of what was sent after the warm-up.
+    """
+    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+        return runner.run(measure(policy, loads, engines, seconds, seed))
+
+
+def measure_fairness(
+    engines: workload.EngineLoad, load: float, seconds: int, seed: int
+) -> tuple[results.Results, results.Results, results.Results]:
+    """Measure usual customers without and with a greedy one beside them.
+
+    :param engines: the engines.
+    :param load: what the usual customers send, against capacity.
+    :param seconds: time measured, after the warm-up.
+    :param seed: seed of all that is random.
+    :returns: the usual customers alone, beside the greedy one, and the
+        greedy one, who sends ten times its share of the capacity.
+    """
+    capacity = engines.find_capacity()
+
+    def build_usual() -> workload.Workload:
+        return workload.Workload(
+            capacity * load, NODES, seed, workload.CUSTOMERS
+        )
+
+    greedy = workload.Workload(
+        capacity * workload.find_greedy_load(),
+        NODES,
+        seed,
+        (workload.GREEDY,),
+    )
+    policy = model.SelectionPolicy.EXPECTED_WAIT.value
+    (alone,) = run_virtual(policy, [build_usual()], engines, seconds, seed)
+    beside, other = run_virtual(
+        policy, [build_usual(), greedy], engines, seconds, seed
+    )
+    return alone, beside, other
+
+
 def main() -> None:
     """Measure all policies and print the table."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -313,15 +401,20 @@
     print(results.render_headings())
     for load in options.loads:
         for policy in options.policies:
-            work = measure(
-                policy, capacity * load, engines, options.seconds, options.seed
+            offered = workload.Workload(
+                capacity * load, NODES, options.seed, workload.CUSTOMERS
+            )
+            (found,) = run_virtual(
+                policy, [offered], engines, options.seconds, options.seed
             )
-            with asyncio.Runner(
-                loop_factory=async_solipsism.EventLoop
-            ) as runner:
-                found = runner.run(work)
             row = found.render_row(policy, load, options.seconds, '-')
             print(row, flush=True)
+    print('\nfairness: usual customers alone, beside a greedy one, and that')
+    for load in FAIR_LOADS:
+        rows = measure_fairness(engines, load, options.seconds, options.seed)
+        names = ('alone', 'beside', 'greedy')
+        for name, found in zip(names, rows, strict=True):
+            print(found.render_row(name, load, options.seconds, '-'))
 
 
 if __name__ == '__main__':
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -9,8 +9,11 @@
 
 from filbertglade.routing import prefixes
 
-CUSTOMERS = 10
-LARGE_CUSTOMERS = 3
+CUSTOMERS = tuple(f'customer-{i}' for i in range(10))
+# Sends ten times its share in the measurement of fairness.
+GREEDY = 'greedy'
+LARGE_CUSTOMERS = CUSTOMERS[:3]
+GREEDY_FACTOR = 10
 LARGE_FACTOR = 4
 PREFIXES = 60
 PREFIX_BLOCKS = 8
@@ -76,15 +79,15 @@
 class Workload:
     """Requests at random moments, of customers of different sizes."""
 
-    def __init__(self, rate: float, nodes: int, seed: int) -> None:
+    def __init__(
+        self, rate: float, nodes: int, seed: int, names: tuple[str, ...]
+    ) -> None:
         self._rng = random.Random(seed)
         self._rate = rate
         self._nodes = nodes
-        self._names = [f'customer-{i}' for i in range(CUSTOMERS)]
-        self._weights = [
-            LARGE_FACTOR if i < LARGE_CUSTOMERS else 1
-            for i in range(CUSTOMERS)
-        ]
+        self._names = names
+        self._weights = [find_weight(name) for name in names]
+        self._marker = f'{names[0]} of {len(names)}'
         self._prefixes = [
             _fill(f'prefix {i} ', PREFIX_BLOCKS) for i in range(PREFIXES)
         ]
@@ -100,12 +103,27 @@
         return Request(
             after_s=rng.expovariate(self._rate),
             customer=rng.choices(self._names, self._weights)[0],
-            prompt=prefix + _fill(f'request {self._count} ', OWN_BLOCKS),
+            prompt=prefix
+            + _fill(f'request {self._count} of {self._marker} ', OWN_BLOCKS),
             tokens=rng.randint(LEAST_TOKENS, MOST_TOKENS),
             node=rng.randrange(self._nodes),
         )
 
 
+def find_weight(customer: str) -> float:
+    """Return a customer's weight, which is also its part of the load.
+
+    :param customer: its name.
+    """
+    return float(LARGE_FACTOR if customer in LARGE_CUSTOMERS else 1)
+
+
+def find_greedy_load() -> float:
+    """Return what the greedy customer sends, against capacity."""
+    weights = sum(map(find_weight, (*CUSTOMERS, GREEDY)))
+    return GREEDY_FACTOR * find_weight(GREEDY) / weights
+
+
 def _fill(start: str, blocks: int) -> str:
     length = blocks * prefixes.BLOCK_BYTES
     repeats = length // len(start) + 1
--- a/filbertglade/admission/admission.py
+++ b/filbertglade/admission/admission.py
@@ -96,7 +96,7 @@
         wait_ms = self._customers.enter(customer)
         if wait_ms:
             return self._refuse(Reason.LIMIT_REACHED, wait_ms)
-        if self._schedule.has_room_now(target):
+        if self._schedule.has_room_now(target, ticket):
             target.queue.charge(ticket)
             return self._grant(target, ticket)
         refusal = self._check_wait(target, ticket)
@@ -184,17 +184,17 @@
     def _grant(
         self, target: targets.Target, ticket: tickets.Ticket
     ) -> permits.Permit:
-        started_ms = clock.now_ms()
-        self._schedule.note_started(target)
+        is_within_share = target.is_within_share(ticket)
+        self._schedule.note_started(target, ticket)
         self._counters.count('requests_admitted')
 
         def release(permit: permits.Permit) -> None:
-            held_ms = clock.now_ms() - started_ms
+            held_ms = clock.now_ms() - permit.granted_ms
             self._schedule.note_released(target, permit, held_ms)
             self._customers.leave(ticket.customer.name)
             self._serve_waiters()
 
-        return permits.Permit(ticket, release)
+        return permits.Permit(ticket, is_within_share, release)
 
     def _serve_waiters(self) -> None:
         while True:
--- a/filbertglade/admission/capacity.py
+++ b/filbertglade/admission/capacity.py
@@ -1,11 +1,13 @@
 """How many requests of a deployment or service this node may run."""
 
 import math
+import statistics
 
 from filbertglade.admission import limits
 from filbertglade.admission import rates
 from filbertglade.admission import tickets
 from filbertglade import clock
+from filbertglade.inner import membership_pb2
 from filbertglade.membership import view
 
 READ_MS = 100
@@ -37,7 +39,7 @@
         self._target = ticket.target
         self._is_service = ticket.is_service
         self._demand: dict[str, rates.Rate] = {}
-        self._slots = 0
+        self._slots = 0.0
         self._queued = 0
         self._read_ms: int | None = None
         self._paced_ms = clock.now_ms()
@@ -61,8 +63,12 @@
         self._read_fleet()
         if not self._slots:
             return None
-        share = self._find_share()
-        return max(1, math.ceil(self._slots * share * self._pace))
+        return max(1, math.ceil(self.read_slots() * self._pace))
+
+    def read_slots(self) -> float:
+        """Return this node's part of the slots, however much is queued."""
+        self._read_fleet()
+        return self._slots * self._find_share()
 
     def adjust(self, is_waiting: bool) -> None:
         """Adjust the pace to what endpoints report.
@@ -96,7 +102,7 @@
         else:
             groups = self._fleet.list_groups(self._target)
             loads = [seen.line.load for seen in groups]
-        self._slots = sum(load.slots for load in loads)
+        self._slots = _count_slots(loads)
         self._queued = sum(load.queued for load in loads)
 
     def _find_share(self) -> float:
@@ -106,3 +112,15 @@
             own += demand
             total += demand / max(0.001, self._customers.read_share(customer))
         return own / total if total else 1.0
+
+
+def _count_slots(loads: list[membership_pb2.Load]) -> float:
+    """Return how many slots of usual speed the endpoints have."""
+    times = [load.between_tokens_us for load in loads]
+    usual_us = statistics.median(times) if times else 0
+    if not usual_us:
+        return float(sum(load.slots for load in loads))
+    return sum(
+        load.slots * min(1.0, usual_us / max(1, load.between_tokens_us))
+        for load in loads
+    )
--- a/filbertglade/admission/fairness.py
+++ b/filbertglade/admission/fairness.py
@@ -70,16 +70,16 @@
         flow.waiters.append(waiter)
         self._length += 1
 
-    def pop(self) -> Waiter:
+    def pop(self, flows: list[Flow]) -> Waiter:
         """Take the request that is next.
 
+        :param flows: those that may be next; at least one.
         :returns: the request.
-        :raises ValueError: the queue is empty.
         """
-        flow = min(self.list_flows(), key=lambda item: item.start)
+        flow = min(flows, key=lambda item: item.start)
         waiter = flow.waiters.popleft()
         self._length -= 1
-        self._virtual = flow.start
+        self._virtual = max(self._virtual, flow.start)
         self._charge(flow, waiter.ticket)
         return waiter
 
--- a/filbertglade/admission/permits.py
+++ b/filbertglade/admission/permits.py
@@ -5,6 +5,7 @@
 import types
 
 from filbertglade.admission import tickets
+from filbertglade import clock
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,16 +22,30 @@
 
 
 class Permit:
-    """The right to run one request; it must be released."""
+    """The right to run one request; it must be released.
 
-    __slots__ = ('ticket', 'usage', '_on_release')
+    :ivar granted_ms: local clock when it was given.
+    :ivar is_within_share: whether its customer has no more than its share;
+        endpoints that honour priorities are to prefer such a request.
+    """
+
+    __slots__ = (
+        'ticket',
+        'granted_ms',
+        'is_within_share',
+        'usage',
+        '_on_release',
+    )
 
     def __init__(
         self,
         ticket: tickets.Ticket,
+        is_within_share: bool,
         on_release: abc.Callable[['Permit'], None],
     ) -> None:
         self.ticket = ticket
+        self.granted_ms = clock.now_ms()
+        self.is_within_share = is_within_share
         self.usage = Usage()
         self._on_release: abc.Callable[[Permit], None] | None = on_release
 
--- a/filbertglade/admission/scheduling.py
+++ b/filbertglade/admission/scheduling.py
@@ -58,14 +58,19 @@
         """Return all targets."""
         return list(self._targets.values())
 
-    def has_room_now(self, target: targets.Target) -> bool:
+    def has_room_now(
+        self, target: targets.Target, ticket: tickets.Ticket
+    ) -> bool:
         """Return whether a request may run without waiting.
 
         :param target: its target.
+        :param ticket: the request.
         """
-        if self.running >= self._most_running or len(target.queue):
+        if self.running >= self._most_running:
+            return False
+        if target.queue.count_waiting(ticket.customer.name):
             return False
-        return target.has_room()
+        return target.has_room(ticket) and not target.find_eligible()
 
     def push(self, target: targets.Target, waiter: fairness.Waiter) -> None:
         """Queue a request.
@@ -83,7 +88,7 @@
         :returns: the request.
         """
         self.waiting -= 1
-        return target.queue.pop()
+        return target.queue.pop(target.find_eligible())
 
     def remove(self, target: targets.Target, waiter: fairness.Waiter) -> bool:
         """Take a request out of its queue.
@@ -97,14 +102,17 @@
             self.waiting -= 1
         return was_waiting
 
-    def note_started(self, target: targets.Target) -> None:
+    def note_started(
+        self, target: targets.Target, ticket: tickets.Ticket
+    ) -> None:
         """Note that a request got its permit.
 
         :param target: its target.
+        :param ticket: the request.
         """
         self._turns += 1
         target.served = self._turns
-        target.running += 1
+        target.note_started(ticket)
         self.running += 1
 
     def note_released(
@@ -125,7 +133,7 @@
             return None
         classes: dict[int, list[targets.Target]] = {}
         for (name, is_service), target in self._targets.items():
-            if len(target.queue) and target.has_room():
+            if target.find_eligible():
                 priority = self._read_priority(name, is_service)
                 classes.setdefault(priority, []).append(target)
         if not classes:
