Prove that survivors rest while a node may believe in their old group

A leader that hears nothing of a host forms its group anew while nodes hear it still, their control host lags in applying and announcements come 3 s late. The state machine cuts hosts from leaders alone and lets the nodes' control host lag.

--- a/tests/groups/fakes.py
+++ b/tests/groups/fakes.py
@@ -269,7 +269,11 @@
         self.number = 0
         self.states = {name: state.AgreedState() for name in LEADERS}
         self.routed = state.AgreedState()
+        # How far the nodes' control host lags in applying.
         self.route_lag_s = 0.0
+        self.routed_s = 0.0
+        # Longest delay of announcements to nodes.
+        self.view_delay_s = 1.0
         self.tables = {name: presence.PresenceTable() for name in LEADERS}
         self.view = presence.PresenceTable()
         self.voters = {name: FakeVoters(self, name) for name in LEADERS}
@@ -277,7 +281,7 @@
         self.lease_ms = LEASE_MS
         self.sent = collections.deque(maxlen=1000)
         # By leader: hosts of which it hears nothing yet.
-        self.late_hosts = {}
+        self.late_hosts = {name: set() for name in LEADERS}
         self.stuck_leaders = set()
         self.stuck_orders = []
         self.cut_hosts = set()
@@ -361,9 +365,8 @@
             for agreed in self.states.values()
         ]
         loop = asyncio.get_running_loop()
-        loop.call_later(
-            self.route_lag_s, self.routed.apply, self.index, command
-        )
+        self.routed_s = max(self.routed_s, loop.time() + self.route_lag_s)
+        loop.call_at(self.routed_s, self.routed.apply, self.index, command)
         if command.group_change.HasField('form') and not (
             results[0].group.verdict
         ):
@@ -395,10 +398,11 @@
         tables = [
             table
             for name, table in self.tables.items()
-            if said.host not in self.late_hosts.get(name, ())
+            if said.host not in self.late_hosts[name]
         ]
         for table in (*tables, self.view):
-            delay_s = self.rng.uniform(0.05, 1.0)
+            latest_s = self.view_delay_s if table is self.view else 1.0
+            delay_s = self.rng.uniform(latest_s - 0.95, latest_s)
             copy = membership_pb2.Announcement()
             copy.CopyFrom(said)
             # The proven age may overstate the true one.
--- a/tests/groups/test_controller.py
+++ b/tests/groups/test_controller.py
@@ -95,6 +95,30 @@
     _run(test)
 
 
+def test_survivors_move_on_only_once_no_node_believes_in_the_old_group():
+    async def test(world):
+        world.put(_writer())
+        await wait_until(lambda: _count(world) == 1, 30)
+        (record,) = world.list_whole()
+        old = (record.group, record.epoch)
+        first, *others, last = [world.hosts[name] for name in record.hosts]
+        # The leader hears nothing of a host that nodes hear, and reaches
+        # the first host, which takes the requests, with no order.
+        for late in world.late_hosts.values():
+            late.add(last.name)
+        world.cut_hosts.add(first.name)
+        # The nodes' control host lags in applying what is committed, and
+        # announcements come late.
+        world.route_lag_s = 30
+        world.view_delay_s = 3.0
+        await wait_until(lambda: world.epochs[-1] > old[1], 20)
+        await wait_until(lambda: all(host.holds != old for host in others), 40)
+        assert first.holds == old
+        await asyncio.sleep(6)
+
+    _run(test)
+
+
 def test_a_second_loss_during_a_repair_starts_it_at_a_new_epoch():
     async def test(world):
         world.put(_writer())
--- a/tests/groups/test_leadership.py
+++ b/tests/groups/test_leadership.py
@@ -95,12 +95,12 @@
         await wait_until(lambda: _count(world) == 1, 30)
         epochs = list(world.epochs)
         # One host of the group is heard of last.
-        world.late_hosts['two'] = {world.list_whole()[0].hosts[1]}
+        world.late_hosts['two'].add(world.list_whole()[0].hosts[1])
         await world.restart('two')
         world.voters['one'].lease_end_ms = 0
         world.lead('two')
         await asyncio.sleep(8)
-        world.late_hosts.clear()
+        world.late_hosts['two'].clear()
         await asyncio.sleep(20)
         assert world.epochs == epochs
         assert _count(world) == 1
--- a/tests/groups/test_machine.py
+++ b/tests/groups/test_machine.py
@@ -101,6 +101,17 @@
             name
         )
 
+    @stateful.rule(position=positions, heard=strategies.booleans())
+    def host_is_heard_by_nodes_alone(self, position, heard):
+        """Its announcements reach no leader, though nodes hear them."""
+        name = self.host(position).name
+        for late in self.world.late_hosts.values():
+            (late.discard if heard else late.add)(name)
+
+    @stateful.rule(lag_s=strategies.sampled_from([0.0, 3.0, 30.0]))
+    def nodes_control_host_lags(self, lag_s):
+        self.world.route_lag_s = lag_s
+
     @stateful.rule(domain=strategies.sampled_from(sorted(DOMAINS)))
     def domain_goes_dark(self, domain):
         for host in self.world.hosts.values():
@@ -153,6 +164,8 @@
         """With every host there, all that fits serves in the end."""
         world = self.world
         world.cut_hosts.clear()
+        for late in world.late_hosts.values():
+            late.clear()
         for host in world.hosts.values():
             self.call(host.come_back)
             host.active = 0
