--- a/filbertglade/control/leadership.py
+++ b/filbertglade/control/leadership.py
@@ -265,7 +265,9 @@
                 voter.step_down('no quorum within the lease')
                 return
             self._tend_voters()
-            await asyncio.sleep(interval_ms / 1000)
+            left_ms = self._lease_end_ms - clock.now_ms()
+            wait_ms = min(interval_ms, max(1, left_ms))
+            await asyncio.sleep(wait_ms / 1000)
 
     # Voters
 
--- /dev/null
+++ b/tests/control/test_election.py
@@ -0,0 +1,285 @@
+"""Votes and leases, each mechanism by itself."""
+
+import asyncio
+
+import pytest
+
+from filbertglade.inner import agreement_pb2
+from tests.control import cluster
+
+
+def test_lost_disk_neither_votes_nor_counts():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            await group.level()
+            keeper, absent = await group.followers()
+            group.network.isolate(absent.name, group.names)
+            await cluster.submit(leader, cluster.put(1))
+            await leader.stop()
+            await keeper.stop()
+            keeper.disk.wipe()
+            await keeper.start()
+            group.network.heal()
+            # These two would be a majority, but neither has the change.
+            await group.pass_time(30)
+            assert not group.acting
+            assert keeper.agreement.status().role == 'learner'
+            await leader.start()
+            await group.leader()
+            await group.until(lambda: is_listed(group, keeper))
+            await group.level()
+            for node in group.up:
+                assert node.state.configuration.current.number == 1
+            # Once exchanged it counts: with it alone the others can go.
+            await group.pass_time(1)
+            await leader.stop()
+            await cluster.submit(await group.leader(), cluster.put(2))
+
+    cluster.run(scenario())
+
+
+def is_listed(group, node):
+    incarnation = node.disk.identity.incarnation
+    return all(
+        other.state.voters.incarnations.get(node.name) == incarnation
+        for other in group.up
+    )
+
+
+def test_founders_are_never_taken_for_later_folders():
+    """A folder marked as founding again counts no more than any other."""
+
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            await group.level()
+            keeper, absent = await group.followers()
+            group.network.isolate(absent.name, group.names)
+            await cluster.submit(leader, cluster.put(1))
+            await leader.stop()
+            await keeper.stop()
+            keeper.disk.wipe()
+            keeper.disk.found(keeper.name)
+            await keeper.start()
+            group.network.heal()
+            await group.pass_time(30)
+            assert not group.acting
+
+    cluster.run(scenario())
+
+
+def test_returned_old_folder_outvotes_nobody():
+    """While an exchange may be committed, both majorities are needed."""
+
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            await group.level()
+            witness, changed = await group.followers()
+            await changed.stop()
+            old = changed.disk
+            changed.disk = type(old)(lives=old.lives, write_s=old.write_s)
+            await changed.start()
+            await until_closely(
+                lambda: (
+                    leader.state.voters.incarnations[changed.name]
+                    == changed.disk.identity.incarnation
+                )
+            )
+            # The witness has the exchange, but not that it is committed.
+            group.network.isolate(witness.name, group.names)
+            assert witness.agreement.status().applied_index < (
+                witness.agreement.status().last_index
+            )
+            await cluster.submit(leader, cluster.put(1))
+            await leader.stop()
+            await changed.stop()
+            changed.disk = old
+            await changed.start()
+            group.network.heal()
+            await group.pass_time(30)
+            assert not group.acting
+
+    cluster.run(scenario())
+
+
+async def until_closely(condition):
+    async with asyncio.timeout(60):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.0001)
+
+
+def test_no_vote_while_the_leader_is_heard():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            await group.level()
+            term = leader.agreement.status().term
+            cut_off, _ = await group.followers()
+            group.network.cut(leader.name, cut_off.name)
+            await group.pass_time(30)
+            assert group.acting == [leader]
+            group.network.heal()
+            await group.level()
+            # Nor does it disturb when it is back.
+            assert group.acting == [leader]
+            assert leader.agreement.status().term == term
+            assert leader.acting_log == [True]
+
+    cluster.run(scenario())
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_lease_counts_from_the_sending(seed):
+    async def scenario():
+        async with cluster.Cluster(3, seed=seed) as group:
+            leader = await group.leader()
+            await group.level()
+            for other in group.names:
+                group.network.link(leader.name, other).delay_s = 0.4
+            # Replies come 800 ms after their heartbeats were sent.
+            await group.pass_time(5)
+            for other in await group.followers():
+                group.network.link(leader.name, other.name).cut()
+            await until_closely_one_acts(group, leader)
+
+    cluster.run(scenario())
+
+
+async def until_closely_one_acts(group, former):
+    """Let another node act; at no moment may two."""
+    async with asyncio.timeout(60):
+        while group.acting in ([], [former]):
+            await asyncio.sleep(0.001)
+    group.check()
+
+
+def test_leader_without_a_quorum_stops_within_its_lease():
+    async def scenario():
+        async with cluster.Cluster(5) as group:
+            leader = await group.leader()
+            await group.level()
+            group.network.isolate(leader.name, group.names)
+            await group.pass_time(0.91)
+            assert not leader.agreement.is_leader
+            assert leader.agreement.lease_remaining_ms() == 0
+            assert leader.acting_log == [True, False]
+            await group.until(lambda: group.acting, limit_s=3)
+
+    cluster.run(scenario())
+
+
+def test_vote_outlives_a_restart():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            await group.leader()
+            await group.level()
+            voter = (await group.followers())[0]
+            for node in group.up:
+                if node is not voter:
+                    await node.stop()
+            await group.pass_time(5)
+            term = voter.agreement.status().term + 1
+            assert (await ask(voter, 'two', term)).granted
+            assert (await ask(voter, 'two', term)).granted
+            await voter.restart()
+            # It may have heard a leader just before.
+            early = await ask(voter, 'three', term)
+            assert early.reason == 'heard a leader lately'
+            await group.pass_time(1.01)
+            late = await ask(voter, 'three', term)
+            assert late.reason == 'voted for another'
+
+    cluster.run(scenario())
+
+
+def test_vote_that_was_not_saved_is_not_answered():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            await group.leader()
+            voter = (await group.followers())[0]
+            for node in group.up:
+                if node is not voter:
+                    await node.stop()
+            await group.pass_time(5)
+            voter.disk.fails_writes = True
+            term = voter.agreement.status().term + 1
+            assert not (await ask(voter, 'two', term)).granted
+            assert voter.agreement.status().role == 'halted'
+
+    cluster.run(scenario())
+
+
+async def ask(voter, candidate, term):
+    request = agreement_pb2.VoteRequest(
+        term=term, candidate=candidate, last_index=99, last_term=term
+    )
+    return await voter.agreement.servicer._elector.vote(request)
+
+
+def test_earlier_terms_are_not_committed_by_counting():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            await group.level()
+            await cluster.submit(leader, cluster.put(1))
+            leading = leader.agreement._member.leadership
+            group.network.isolate(leader.name, group.names)
+            before = leader.agreement.status().committed_index
+            work = asyncio.create_task(
+                leader.local.submit(cluster.put(2), 100)
+            )
+            await asyncio.sleep(0.05)
+            # As if the record were of the term before this leader's.
+            leading._term += 1
+            for replicator in leading.replicators:
+                replicator.match_index = before + 1
+            leading.note_progress()
+            assert leader.agreement.status().committed_index == before
+            leading._term -= 1
+            leading.note_progress()
+            assert leader.agreement.status().committed_index == before + 1
+            await work
+
+    cluster.run(scenario())
+
+
+def test_refused_writes_acknowledge_nothing():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            full, other = await group.followers()
+            full.disk.fails_writes = True
+            await cluster.submit(leader, cluster.put(1))
+            await group.until(lambda: full.agreement.status().role == 'halted')
+            # Alone with the halted one the leader commits nothing.
+            await other.stop()
+            result = await leader.local.submit(cluster.put(2), 5000)
+            assert not result
+            assert result.may_have_applied
+            full.disk.fails_writes = False
+            await full.restart()
+            await group.leader()
+            await group.level()
+            assert full.state.configuration.current.number >= 1
+
+    cluster.run(scenario())
+
+
+def test_leader_whose_disk_fails_gives_way():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            await cluster.submit(leader, cluster.put(1))
+            leader.disk.fails_writes = True
+            await leader.local.submit(cluster.put(2), 1000)
+            await group.until(
+                lambda: group.acting and group.acting[0] is not leader
+            )
+            assert leader.agreement.status().role == 'halted'
+            follower = group.acting[0]
+            number = follower.state.configuration.current.number
+            await cluster.submit(follower, cluster.put(number + 1))
+
+    cluster.run(scenario())
--- /dev/null
+++ b/tests/control/test_snapshots.py
@@ -0,0 +1,163 @@
+"""Snapshots: restarts, slow followers, learners, large tables."""
+
+import pytest
+
+from filbertglade.control import state
+from filbertglade.inner import commands_pb2
+from tests.control import cluster
+
+CHANGES = 520
+
+
+def test_restart_from_snapshot_and_tail_after_500_changes():
+    async def scenario():
+        async with cluster.Cluster(3, snapshot_entries=200) as group:
+            leader = await group.leader()
+            absent = (await group.followers())[0]
+            await absent.stop()
+            for number in range(1, CHANGES + 1):
+                await cluster.submit(leader, cluster.put(number))
+            await group.level()
+            status = leader.agreement.status()
+            assert status.snapshot_index >= 400
+            assert status.first_index > 1
+            assert status.last_index > status.snapshot_index
+            for node in group.up:
+                await node.stop()
+            for node in group.nodes.values():
+                assert await node.start() is None
+            await group.leader()
+            await group.level()
+            for node in group.up:
+                current = node.state.configuration.current
+                assert current.number == CHANGES
+                assert len(node.state.configuration.history()) == CHANGES
+            # The one that was away got it as a snapshot.
+            assert absent.agreement.status().snapshot_index >= 400
+
+    cluster.run(scenario())
+
+
+def test_slow_follower_catches_up_from_the_log_kept():
+    async def scenario():
+        async with cluster.Cluster(3, snapshot_entries=40) as group:
+            leader = await group.leader()
+            await group.level()
+            slow = (await group.followers())[0]
+            number = 0
+            while leader.agreement.status().snapshot_index == 0:
+                number += 1
+                await cluster.submit(leader, cluster.put(number))
+            group.network.isolate(slow.name, group.names)
+            for _ in range(5):
+                number += 1
+                await cluster.submit(leader, cluster.put(number))
+            group.network.heal()
+            taken = slow.agreement.status().snapshot_index
+            await group.level()
+            assert slow.agreement.status().snapshot_index == taken
+            assert slow.state.configuration.current.number == number
+
+    cluster.run(scenario())
+
+
+def test_learner_gets_a_snapshot_and_becomes_a_voter():
+    async def scenario():
+        async with cluster.Cluster(3, snapshot_entries=40) as group:
+            leader = await group.leader()
+            for number in range(1, 101):
+                await cluster.submit(leader, cluster.put(number))
+            lost = (await group.followers())[0]
+            await lost.stop()
+            lost.disk.wipe()
+            await lost.start()
+            await group.until(
+                lambda: lost.agreement.status().role == 'follower'
+            )
+            await group.level()
+            assert lost.state.configuration.current.number == 100
+            assert lost.agreement.status().snapshot_index > 0
+
+    cluster.run(scenario())
+
+
+def test_old_snapshot_does_not_take_back_records():
+    """One that comes late finds a log that holds more than it does."""
+
+    async def scenario():
+        async with cluster.Cluster(3, snapshot_entries=20) as group:
+            leader = await group.leader()
+            for number in range(1, 31):
+                await cluster.submit(leader, cluster.put(number))
+            await group.level()
+            follower = (await group.followers())[0]
+            before = follower.agreement.status()
+            leading = leader.agreement._member.leadership
+            (replicator,) = [
+                item
+                for item in leading.replicators
+                if item.name == follower.name
+            ]
+            channel = leader.channels.open_channel(replicator._host.address)
+            await replicator._send_snapshot(channel)
+            channel.close()
+            after = follower.agreement.status()
+            assert after.last_index >= before.last_index
+            assert follower.state.configuration.current.number == 30
+
+    cluster.run(scenario())
+
+
+def make_claims(first, count):
+    changes = [
+        commands_pb2.ClaimChange(
+            customer='customer',
+            key=f'key-{place}',
+            body_digest=b'd' * 32,
+            attempt=f'attempt-{place}',
+            owner='node',
+            kept_ms=1000 + place,
+        )
+        for place in range(first, first + count)
+    ]
+    return commands_pb2.Command(
+        claim_changes=commands_pb2.ClaimChanges(changes=changes)
+    )
+
+
+def load(chunks):
+    loaded = state.AgreedState()
+    for chunk in chunks:
+        loaded.load_chunk(chunk)
+    return loaded
+
+
+def test_dump_is_frozen_while_the_state_changes():
+    agreed = state.AgreedState()
+    agreed.apply(1, make_claims(0, 5000))
+    agreed.apply(2, cluster.put(1))
+    chunks = agreed.dump()
+    agreed.apply(3, make_claims(5000, 10))
+    agreed.apply(4, cluster.put(2))
+    parts = list(chunks)
+    assert len(parts) > 4
+    loaded = load(parts)
+    assert len(loaded.claims) == 5000
+    assert loaded.applied_index == 2
+    assert loaded.configuration.current.number == 1
+    assert list(loaded.dump()) == parts
+
+
+@pytest.mark.parametrize('stamped_ms', [1500, 3000, 9000])
+def test_loaded_claims_expire_like_the_first_ones(stamped_ms):
+    agreed = state.AgreedState()
+    agreed.apply(1, make_claims(0, 3000))
+    loaded = load(agreed.dump())
+    command = make_claims(1000, 1000)
+    command.stamped_ms = stamped_ms
+    first = agreed.apply(2, command)
+    second = loaded.apply(2, command)
+    assert first == second
+    taken = [result.verdict for result in first.claims.results].count(0)
+    assert taken == 1000
+    assert len(agreed.claims) == len(loaded.claims)
