--- a/filbertglade/routing/expected_wait.py
+++ b/filbertglade/routing/expected_wait.py
@@ -21,6 +21,7 @@
 PEERS_KEPT_MS = 100
 FIRST_SERVICE_MS = 1000.0
 LOAD_SPREAD = 1.0
+REPORT_TRUST = 0.25
 TARGETS_KEPT = 1024
 
 
@@ -237,10 +238,11 @@
 
         What this node has there is known. What the others had when the load
         was reported fades towards their mean, and is worth nothing once the
-        report is as old as a request lasts.
+        report is as old as a request lasts. Even a new report counts for
+        little, since all nodes see it and send to the same endpoints.
         """
         age_ms = item.load_age_ms + self._report_lag_ms
-        trust = max(0.0, 1 - age_ms / service_ms) ** 2
+        trust = REPORT_TRUST * max(0.0, 1 - age_ms / service_ms) ** 2
         own = own_then = 0
         known = self._history.read(item.key)
         if known is not None:
