Measure the time between tokens, and the queueing of every request

Cause: /metrics had no time between tokens, and its percentiles of queueing left out the requests that did not wait. Conclusion: tests of admission and of the session pass.

--- a/filbertglade/admission/admission.py
+++ b/filbertglade/admission/admission.py
@@ -182,8 +182,12 @@
                 given.release()
 
     def _grant(
-        self, target: targets.Target, ticket: tickets.Ticket
+        self,
+        target: targets.Target,
+        ticket: tickets.Ticket,
+        waited_ms: float = 0.0,
     ) -> permits.Permit:
+        self._counters.record_ms('queue_wait', waited_ms)
         is_within_share = target.is_within_share(ticket)
         self._schedule.note_started(target, ticket)
         self._counters.count('requests_admitted')
@@ -202,8 +206,8 @@
             if target is None:
                 return
             waiter = self._schedule.pop(target)
-            self._counters.record_ms('queue_wait', waiter.read_wait_ms())
-            waiter.decided.set_result(self._grant(target, waiter.ticket))
+            permit = self._grant(target, waiter.ticket, waiter.read_wait_ms())
+            waiter.decided.set_result(permit)
 
     def _refuse_waiter(
         self,
--- a/filbertglade/requests/execution.py
+++ b/filbertglade/requests/execution.py
@@ -138,6 +138,7 @@
         self._may_have_run = False
         self._is_head_given = False
         self._has_begun = False
+        self._last_events_ms = 0
         self._sent_ms = 0
         self._tokens = 0
         self._splitter: streams.EventSplitter | None = None
@@ -522,10 +523,16 @@
                 return None
 
     def _note_events(self, events: bytes) -> None:
+        now_ms = clock.now_ms()
+        count = events.count(streams.DATA)
         if not self._has_begun and self._candidate is not None:
-            took_ms = clock.now_ms() - self._sent_ms
+            took_ms = now_ms - self._sent_ms
             self._parts.selector.note_first_token(self._candidate, took_ms)
             self._parts.counters.record_ms('first_token', took_ms)
+        elif self._last_events_ms and count:
+            waited_ms = (now_ms - self._last_events_ms) / count
+            self._parts.counters.record_ms('between_tokens', waited_ms)
         self._has_begun = True
-        self._tokens += events.count(streams.DATA)
+        self._last_events_ms = now_ms
+        self._tokens += count
         self._progress.add(events)
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -188,6 +188,12 @@
     ):
         headers = AUTHORIZED | {name: value}
         post(f'wrong {name}', headers=headers, json=chat)
+    once = AUTHORIZED | {'X-Idempotent': 'false', 'Idempotency-Key': 'a'}
+    post('run once', headers=once, json=chat)
+    post('run once, sent again', headers=once, json=chat)
+    other = chat | {'max_tokens': 4}
+    post('run once, with another body', headers=once, json=other)
+    post('too large', headers=AUTHORIZED, content=' ' * 5_000_000)
     for method, path in (
         ('GET', '/services/listings/beans?kind=runner'),
         ('POST', '/services/listings/swaps'),
@@ -204,6 +210,24 @@
     )
 
 
+def test_metrics_have_the_times_of_requests(running):
+    url = f'{running.nodes[0].url}/v1/chat/completions'
+    body = {
+        'model': 'swap-writer',
+        'messages': [{'role': 'user', 'content': PROMPT}],
+        'max_tokens': 4,
+    }
+    once = AUTHORIZED | {'X-Idempotent': 'false', 'Idempotency-Key': 'b'}
+    httpx.post(url, headers=once, json=body)
+    httpx.post(url, headers=AUTHORIZED, json=body | {'stream': True})
+    metrics = httpx.get(f'{running.nodes[0].url}/metrics').text
+    for name in ('first_token', 'between_tokens', 'queue_wait', 'claim'):
+        for quantile in ('0.5', '0.95', '0.99', '1'):
+            label = f'filbertglade_{name}_ms{{quantile="{quantile}"}} '
+            assert label in metrics
+    assert 'filbertglade_requests{outcome="complete"}' in metrics
+
+
 def test_operators_session(running, file_regression):
     session = recording.Session()
     clusters.wait_until(
