--- a/filbertglade/groups/hosts.py
+++ b/filbertglade/groups/hosts.py
@@ -81,6 +81,8 @@
         self._rest_ms = timings.presence_limit_ms + timings.presence_margin_ms
         self._agreed = agreed
         self._seen = seen
+        self._present: frozenset[str] = frozenset()
+        self._by_domain: dict[str, list[str]] = {}
         self._present_ms: dict[str, int] = {}
         self._watching_ms: int | None = None
         self.absences = AbsenceRecord()
@@ -90,16 +92,29 @@
         now_ms = clock.now_ms()
         if self._watching_ms is None:
             self._watching_ms = now_ms
-        for name in self._seen.hosts:
-            if self._seen.is_present(name, self._limit_ms):
-                self._present_ms[name] = now_ms
-                self.absences.note_returned(name)
+        self._present = frozenset(
+            name
+            for name in self._seen.hosts
+            if self._seen.is_present(name, self._limit_ms)
+        )
+        self._sort_by_domain()
+        for name in self._present:
+            self._present_ms[name] = now_ms
+            self.absences.note_returned(name)
         for name in list(self._present_ms):
             if self.is_gone(name):
                 self.absences.note_absent(name, self.absent_ms(name))
             if name not in self._seen.hosts and not self.is_member(name):
                 del self._present_ms[name]
 
+    def _sort_by_domain(self) -> None:
+        self._by_domain = {}
+        for name in sorted(self._present):
+            said = self._seen.hosts[name].announcement
+            if not said.service:
+                names = self._by_domain.setdefault(said.fabric_domain, [])
+                names.append(name)
+
     def find(self, host: str) -> presence.SeenHost | None:
         """Return a host's newest announcement, however old.
 
@@ -109,12 +124,7 @@
 
     def list_names(self) -> list[str]:
         """Return the names of all hosts of model engines that are there."""
-        return sorted(
-            name
-            for name, seen in self._seen.hosts.items()
-            if not seen.announcement.service
-            and self._seen.is_present(name, self._limit_ms)
-        )
+        return [name for names in self._by_domain.values() for name in names]
 
     def is_member(self, host: str) -> bool:
         """Tell whether a host belongs to a group.
@@ -128,7 +138,7 @@
 
         :param host: its name.
         """
-        return self._seen.is_present(host, self._limit_ms)
+        return host in self._present
 
     def absent_ms(self, host: str) -> int:
         """Return for how long a host has not been there.
@@ -197,8 +207,8 @@
         """Return the hosts of a domain that belong to no group."""
         return [
             name
-            for name in self.list_names()
-            if self._seen.hosts[name].announcement.fabric_domain == domain
+            for name in self._by_domain.get(domain, ())
+            if name in self._seen.hosts
             and not self._seen.hosts[name].announcement.leaving
             and not self.is_member(name)
         ]
--- a/filbertglade/groups/placement.py
+++ b/filbertglade/groups/placement.py
@@ -76,9 +76,7 @@
         document: configuration_model.Document,
         without: str = '',
     ) -> tuple[str, list[str]] | None:
-        """Find the hosts of a new group.
-
-        Domains that keep the deployment's own spares go first.
+        """Find the hosts of a new group, beside the deployment's spares.
 
         :param deployment: the deployment.
         :param document: the document in force.
@@ -91,21 +89,37 @@
             for domain in deployment.fabric_domains
             if domain != without
         }
-        spares = policy.count_spares(deployment)
-        counts = {name: len(found) for name, found in available.items()}
-        roomy = {
-            name: count - spares
-            if self._stands_in(deployment, name)
-            else count
-            for name, count in counts.items()
+        counts = {
+            domain: len(found) - self._count_own_spares(deployment, domain)
+            for domain, found in available.items()
         }
         needed = deployment.hosts_per_replica
-        domain = policy.choose_domain(roomy, needed)
-        if domain is None:
-            domain = policy.choose_domain(counts, needed)
-        if domain is None:
-            return None
-        return domain, available[domain][:needed]
+        domain = policy.choose_domain(counts, needed)
+        return None if domain is None else (domain, available[domain][:needed])
+
+    def _count_own_spares(
+        self, deployment: configuration_model.Deployment, domain: str
+    ) -> int:
+        """Return the spares that a new group must leave in a domain.
+
+        The first group in a domain, and the one more while a change rolls,
+        may take them.
+        """
+        if self.has_outdated(deployment):
+            return 0
+        if not self._stands_in(deployment, domain):
+            return 0
+        return POLICIES[deployment.objective].count_spares(deployment)
+
+    def has_outdated(self, deployment: configuration_model.Deployment) -> bool:
+        """Tell whether a deployment has groups that it now wants otherwise.
+
+        :param deployment: the deployment.
+        """
+        return any(
+            changes.is_outdated(record, deployment)
+            for record in self.list_records(deployment.name)
+        )
 
     def count_wanted(self, deployment: configuration_model.Deployment) -> int:
         """Return how many groups a deployment may have now.
@@ -114,8 +128,4 @@
         :returns: its replicas; one more while it has outdated ones, so that
             the capacity stays whole.
         """
-        has_outdated = any(
-            changes.is_outdated(record, deployment)
-            for record in self.list_records(deployment.name)
-        )
-        return deployment.replicas + has_outdated
+        return deployment.replicas + self.has_outdated(deployment)
--- a/tests/groups/fakes.py
+++ b/tests/groups/fakes.py
@@ -262,7 +262,9 @@
 class World:
     """Everything of one test."""
 
-    def __init__(self, domains, hosts_per_domain, seed=1, load_s=10.0):
+    def __init__(
+        self, domains, hosts_per_domain, seed=1, load_s=10.0, has_router=True
+    ):
         self.rng = random.Random(seed)
         self.index = 0
         self.domains = domains
@@ -276,6 +278,7 @@
         self.view_delay_s = 1.0
         self.tables = {name: presence.PresenceTable() for name in LEADERS}
         self.view = presence.PresenceTable()
+        self.has_router = has_router
         self.voters = {name: FakeVoters(self, name) for name in LEADERS}
         self.leader = ''
         self.lease_ms = LEASE_MS
@@ -313,7 +316,8 @@
         for host in self.hosts.values():
             self.tasks.append(asyncio.create_task(host.announce()))
         self.tasks.append(asyncio.create_task(self._renew()))
-        self.tasks.append(asyncio.create_task(self._route()))
+        if self.has_router:
+            self.tasks.append(asyncio.create_task(self._route()))
         self.lead(LEADERS[0])
 
     async def _start_controller(self, name):
@@ -400,7 +404,9 @@
             for name, table in self.tables.items()
             if said.host not in self.late_hosts[name]
         ]
-        for table in (*tables, self.view):
+        if self.has_router:
+            tables.append(self.view)
+        for table in tables:
             latest_s = self.view_delay_s if table is self.view else 1.0
             delay_s = self.rng.uniform(latest_s - 0.95, latest_s)
             copy = membership_pb2.Announcement()
--- a/tests/groups/test_controller.py
+++ b/tests/groups/test_controller.py
@@ -29,7 +29,7 @@
 
 
 def _writer(**changed):
-    return {'name': 'writer', 'replicas': 1, **changed}
+    return {'name': 'writer', 'replicas': 1, 'spare_hosts': 0, **changed}
 
 
 def test_groups_form_and_take_requests():
@@ -58,6 +58,18 @@
     _run(test, hosts=12)
 
 
+def test_spares_are_kept_unless_a_repair_or_a_first_group_needs_them():
+    async def test(world):
+        world.put(_writer(replicas=2, spare_hosts=1))
+        await wait_until(lambda: _count(world) == 1, 30)
+        await asyncio.sleep(30)
+        assert len(world.groups) == 1
+        world.put(_writer(replicas=2, spare_hosts=1, objective='stranded'))
+        await wait_until(lambda: _count(world) == 2, 30)
+
+    _run(test)
+
+
 def test_a_dead_host_is_replaced_by_a_spare_after_the_rest():
     async def test(world):
         world.put(_writer())
