Keep silent hosts from aging every other group's line

Cause: a group whose host died in silence stayed 'complete' in its line, with an ever older age. Where more than one line in ten was so, the shared age was theirs, and nodes routed to no group at all (seen by test_faults with 3 of 14 engines gone). Ruled out: the frozen node, the requests' own marks of loss. Change: a group beyond the presence limit is incomplete, and every line older than half the limit is named, however many there are. Before: tests/membership/test_lines.py with 4 of 10 groups silent failed, nothing routed. After: 8 passed.

--- a/filbertglade/membership/lines.py
+++ b/filbertglade/membership/lines.py
@@ -118,7 +118,12 @@
 class RegionBook:
     """The lines that the nodes of one region route by."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit_ms: int) -> None:
+        """Begin with no lines.
+
+        :param limit_ms: proven age at which a host counts as absent.
+        """
+        self._limit_ms = limit_ms
         self.version = 0
         self._lines: dict[str, BookedLine] = {}
         self._gone: dict[int, int] = {}
@@ -141,15 +146,23 @@
         self._share_age()
 
     def _share_age(self) -> None:
-        """Find the age that nine lines in ten share; the rest are named."""
+        """Find the age that most lines share; the rest are named.
+
+        Those of hosts that have fallen silent are named however many they
+        are, or they would age all others.
+        """
         booked = sorted(
             (item for item in self._lines.values() if item.built.needs_age),
             key=lambda item: item.built.proven_ms,
         )
-        aged_count = len(booked) // 10
+        silent_ms = clock.now_ms() - self._limit_ms // 2
+        silent_count = sum(item.built.proven_ms < silent_ms for item in booked)
+        aged_count = max(len(booked) // 10, silent_count)
         self._aged = booked[:aged_count]
         self._shared_proven_ms = (
-            booked[aged_count].built.proven_ms if booked else clock.now_ms()
+            booked[aged_count].built.proven_ms
+            if aged_count < len(booked)
+            else clock.now_ms()
         )
 
     def _forget_gone(self) -> None:
@@ -239,7 +252,7 @@
         """
         book = self._regions.get(region)
         if book is None:
-            book = RegionBook()
+            book = RegionBook(self._limit_ms)
             self._regions[region] = book
             self._refresh_region(region, book)
         return book
@@ -251,7 +264,7 @@
 
     def _refresh_region(self, region: str, book: RegionBook) -> None:
         groups = [
-            build_group_line(record, self._seen)
+            self._build_group(record)
             for record in self._agreed.groups.groups.values()
             if record.phase == commands_pb2.SERVING
         ]
@@ -262,6 +275,13 @@
         ]
         book.refresh(_select_near(groups, region, 'deployment') + workers)
 
+    def _build_group(self, record: commands_pb2.GroupRecord) -> BuiltLine:
+        built = build_group_line(record, self._seen)
+        is_absent = clock.now_ms() - built.proven_ms > self._limit_ms
+        if is_absent and isinstance(built.line, membership_pb2.GroupLine):
+            built.line.complete = False
+        return built
+
 
 def _select_near(
     built: list[BuiltLine], region: str, served: str
--- a/tests/membership/test_lines.py
+++ b/tests/membership/test_lines.py
@@ -77,6 +77,24 @@
     _run(test)
 
 
+def test_many_silent_groups_age_no_other():
+    async def test(cluster):
+        for number in range(10):
+            cluster.add_group(NODES, group=f'writer-{number}')
+        await asyncio.sleep(3)
+        for number in range(4):
+            cluster.hosts[f'writer-{number}-host-2'].is_silent = True
+        node = cluster.nodes['node-1']
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            assert set(node.routes_to()) >= {
+                f'writer-{number}' for number in range(4, 10)
+            }
+        assert len(node.routes_to()) == 6
+
+    _run(test)
+
+
 def test_only_the_nodes_region_unless_none_serves_there():
     async def test(cluster):
         cluster.add_group(NODES, group='near-1')
