Hand prompts' prefixes, demand and priorities between the parts

Cause: selection saw no prefixes and no target, nodes reported no demand, and admission never heard of first tokens.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -238,7 +238,7 @@
             first_ms = 0
             part = self.engines[chosen.name]
             async for _ in part.generate(
-                request.prompt, request.tokens, int(permit.is_within_share)
+                request.prompt, request.tokens, permit.priority
             ):
                 if not first_ms:
                     first_ms = clock.now_ms()
--- a/filbertglade/admission/admission.py
+++ b/filbertglade/admission/admission.py
@@ -184,7 +184,7 @@
     def _grant(
         self, target: targets.Target, ticket: tickets.Ticket
     ) -> permits.Permit:
-        is_within_share = target.is_within_share(ticket)
+        priority = self._schedule.find_priority(target, ticket)
         self._schedule.note_started(target, ticket)
         self._counters.count('requests_admitted')
 
@@ -194,7 +194,7 @@
             self._customers.leave(ticket.customer.name)
             self._serve_waiters()
 
-        return permits.Permit(ticket, is_within_share, release)
+        return permits.Permit(ticket, priority, release)
 
     def _serve_waiters(self) -> None:
         while True:
--- a/filbertglade/admission/permits.py
+++ b/filbertglade/admission/permits.py
@@ -25,14 +25,14 @@
     """The right to run one request; it must be released.
 
     :ivar granted_ms: local clock when it was given.
-    :ivar is_within_share: whether its customer has no more than its share;
-        endpoints that honour priorities are to prefer such a request.
+    :ivar priority: the request's priority at its endpoint, where a higher one
+        goes first; it is higher while its customer is within its share.
     """
 
     __slots__ = (
         'ticket',
         'granted_ms',
-        'is_within_share',
+        'priority',
         'usage',
         '_on_release',
     )
@@ -40,12 +40,12 @@
     def __init__(
         self,
         ticket: tickets.Ticket,
-        is_within_share: bool,
+        priority: int,
         on_release: abc.Callable[['Permit'], None],
     ) -> None:
         self.ticket = ticket
         self.granted_ms = clock.now_ms()
-        self.is_within_share = is_within_share
+        self.priority = priority
         self.usage = Usage()
         self._on_release: abc.Callable[[Permit], None] | None = on_release
 
--- a/filbertglade/admission/scheduling.py
+++ b/filbertglade/admission/scheduling.py
@@ -141,6 +141,17 @@
         chosen = self._choose_class(sorted(classes, reverse=True))
         return min(classes[chosen], key=lambda target: target.served)
 
+    def find_priority(
+        self, target: targets.Target, ticket: tickets.Ticket
+    ) -> int:
+        """Return the priority of a request at its endpoint.
+
+        :param target: its target.
+        :param ticket: the request, not yet started.
+        """
+        priority = self._read_priority(ticket.target, ticket.is_service)
+        return 2 * priority + target.is_within_share(ticket)
+
     def find_longest(self) -> tuple[targets.Target, fairness.Flow] | None:
         """Return the queue of who holds most for its weight, if any."""
         found = [
--- a/filbertglade/entry/parsing.py
+++ b/filbertglade/entry/parsing.py
@@ -12,6 +12,7 @@
 from filbertglade.requests import caller
 from filbertglade.requests import endpoints
 from filbertglade.requests import outcomes
+from filbertglade.routing import prefixes
 
 KEY_HEADER = 'Idempotency-Key'
 KEY_LENGTH = 255
@@ -107,9 +108,25 @@
         # The node reads events; it can't if they are compressed.
         built.call.headers.pop('Accept-Encoding', None)
         built.expected_tokens = _estimate_tokens(body, request.body)
+        built.prefix_hashes = prefixes.hash_prefixes(_read_prompt(body))
     return built
 
 
+def _read_prompt(body: dict[str, object]) -> str:
+    """Return the text that an engine caches by, as far as it is text."""
+    prompt = body.get('prompt')
+    if isinstance(prompt, str):
+        return prompt
+    messages = body.get('messages')
+    if not isinstance(messages, list):
+        return ''
+    return '\n'.join(
+        str(message.get('content', ''))
+        for message in messages
+        if isinstance(message, dict)
+    )
+
+
 def _estimate_tokens(body: dict[str, object], text: bytes) -> int:
     wanted = body.get('max_tokens')
     tokens = wanted if isinstance(wanted, int) and wanted > 0 else 1
--- a/filbertglade/requests/caller.py
+++ b/filbertglade/requests/caller.py
@@ -24,6 +24,7 @@
     :param deadline_ms: local clock by which the answer must begin.
     :param claim_kept_ms: how long its claim is kept.
     :param expected_tokens: what it is expected to cost.
+    :param prefix_hashes: hashes of its prompt's prefixes, shortest first.
     """
 
     customer: configuration_model.Customer
@@ -37,6 +38,7 @@
     deadline_ms: int
     claim_kept_ms: int
     expected_tokens: int = 1
+    prefix_hashes: list[int] = dataclasses.field(default_factory=list)
 
     @property
     def needs_claim(self) -> bool:
--- a/filbertglade/requests/calls.py
+++ b/filbertglade/requests/calls.py
@@ -12,6 +12,7 @@
 REQUEST_ID_HEADER = 'X-Request-Id'
 GROUP_HEADER = 'X-Group'
 EPOCH_HEADER = 'X-Epoch'
+PRIORITY_HEADER = 'X-Priority'
 DEADLINE_HEADER = 'X-Deadline-Ms'
 RESUME_HEADER = 'X-Resume-From'
 CONTINUATION_FIELD = 'continuation'
--- a/filbertglade/requests/execution.py
+++ b/filbertglade/requests/execution.py
@@ -127,7 +127,12 @@
         self._request = request
         self._permission = permission
         self._digest = request.digest_for_strikes()
-        self._work = selection.Work(request.customer.name, request.call.body)
+        self._work = selection.Work(
+            request.customer.name,
+            request.call.body,
+            request.prefix_hashes,
+            request.target,
+        )
         self._answer: endpoints.Answer | None = None
         self._candidate: selection.Candidate | None = None
         self._avoided: set[str] = set()
@@ -194,6 +199,11 @@
             self._answer.cancel()
         self._end()
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer comes as a stream of events."""
+        return self._splitter is not None
+
     @property
     def outcome(self) -> outcomes.Outcome:
         """What is to be said of it if it is given up now."""
--- a/filbertglade/requests/runner.py
+++ b/filbertglade/requests/runner.py
@@ -7,6 +7,7 @@
 from filbertglade.admission import admission
 from filbertglade.admission import permits
 from filbertglade.admission import tickets
+from filbertglade import clock
 from filbertglade.control import submitter
 from filbertglade.inner import channels
 from filbertglade.membership import attachment
@@ -16,6 +17,7 @@
 from filbertglade.requests import answers
 from filbertglade.requests import attempts
 from filbertglade.requests import caller
+from filbertglade.requests import calls
 from filbertglade.requests import claimed
 from filbertglade.requests import claims
 from filbertglade.requests import endpoints
@@ -38,6 +40,7 @@
     ) -> None:
         self._run = run
         self._permit = permit
+        self._has_begun = False
         self.status = run.status
         self.headers: httputil.HTTPHeaders = run.headers
 
@@ -49,8 +52,17 @@
         part = await self._run.read()
         if not isinstance(part, bytes):
             self._permit.release()
+        elif not self._has_begun:
+            self._has_begun = True
+            self._note_first_token()
         return part
 
+    def _note_first_token(self) -> None:
+        # The first byte of a whole answer is its end.
+        if self._run.is_stream:
+            took_ms = clock.now_ms() - self._permit.granted_ms
+            self._permit.note_first_token(took_ms)
+
     def close(self) -> None:
         """Cancel the request at its endpoint."""
         self._run.close()
@@ -85,6 +97,7 @@
             counters=counters,
         )
         self._admission = admission.Admission(settings, fleet, counters, rng)
+        self._admission.add_demand_listener(attached.report_demand)
         self._registry = attempts.AttemptRegistry(settings, run)
         self._batcher = claims.ClaimBatcher(commands, counters)
         self.activity = activity.Activity()
@@ -135,6 +148,9 @@
             )
         self._parts.budget.note_request()
         admitted = await self._admit(request)
+        if isinstance(admitted, permits.Permit):
+            priority = str(admitted.priority)
+            request.call.headers[calls.PRIORITY_HEADER] = priority
         if request.needs_claim:
             return await self._claimed.start(request, admitted)
         if isinstance(admitted, outcomes.Refusal):
