--- a/filbertglade/admission/admission.py
+++ b/filbertglade/admission/admission.py
@@ -188,7 +188,7 @@
         waited_ms: float = 0.0,
     ) -> permits.Permit:
         self._counters.record_ms('queue_wait', waited_ms)
-        is_within_share = target.is_within_share(ticket)
+        priority = self._schedule.find_priority(target, ticket)
         self._schedule.note_started(target, ticket)
         self._counters.count('requests_admitted')
 
@@ -198,7 +198,7 @@
             self._customers.leave(ticket.customer.name)
             self._serve_waiters()
 
-        return permits.Permit(ticket, is_within_share, release)
+        return permits.Permit(ticket, priority, release)
 
     def _serve_waiters(self) -> None:
         while True:
--- a/filbertglade/entry/parsing.py
+++ b/filbertglade/entry/parsing.py
@@ -19,7 +19,6 @@
 IDEMPOTENT_HEADER = 'X-Idempotent'
 FIRST_SEND_HEADER = 'X-First-Send'
 DEADLINE_HEADER = 'X-Deadline-Ms'
-PRIORITY_HEADER = 'X-Priority'
 MAX_DIGITS = 12
 DEADLINE_LIMIT_MS = 3_600_000
 LEAST_CLAIM_KEPT_MS = 600_000
@@ -109,14 +108,17 @@
         built.call.headers.pop('Accept-Encoding', None)
         built.expected_tokens = _estimate_tokens(body, request.body)
         built.prefix_hashes = prefixes.hash_prefixes(_read_prompt(body))
-        built.call.headers[PRIORITY_HEADER] = str(deployment.priority)
     return built
 
 
 def _read_prompt(body: dict[str, object]) -> str:
+    """Return the text that an engine caches by, as far as it is text."""
+    prompt = body.get('prompt')
+    if isinstance(prompt, str):
+        return prompt
     messages = body.get('messages')
     if not isinstance(messages, list):
-        return str(body.get('prompt', ''))
+        return ''
     return '\n'.join(
         str(message.get('content', ''))
         for message in messages
--- a/filbertglade/requests/execution.py
+++ b/filbertglade/requests/execution.py
@@ -202,6 +202,11 @@
             self._answer.cancel()
         self._end()
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer comes as a stream of events."""
+        return self._splitter is not None
+
     @property
     def outcome(self) -> outcomes.Outcome:
         """What is to be said of it if it is given up now."""
--- a/filbertglade/requests/runner.py
+++ b/filbertglade/requests/runner.py
@@ -16,6 +16,7 @@
 from filbertglade.requests import answers
 from filbertglade.requests import attempts
 from filbertglade.requests import caller
+from filbertglade.requests import calls
 from filbertglade.requests import claimed
 from filbertglade.requests import claims
 from filbertglade.requests import endpoints
@@ -134,6 +135,9 @@
         """
         self._parts.budget.note_request()
         admitted = await self._admit(request)
+        if isinstance(admitted, permits.Permit):
+            priority = str(admitted.priority)
+            request.call.headers[calls.PRIORITY_HEADER] = priority
         if request.needs_claim:
             return await self._claimed.start(request, admitted)
         if isinstance(admitted, outcomes.Refusal):
