Keep spares warm: preload weights on idle hosts of downtime deployments

Change: an order to preload, what an endpoint holds in its announcement, and a warmer that lets spares load under loads_at_once, after the groups; repairs take warm hosts first. The stand-in holds and preloads weights.

--- a/filbertglade/groups/controller.py
+++ b/filbertglade/groups/controller.py
@@ -15,6 +15,7 @@
 from filbertglade.groups import placement
 from filbertglade.groups import repair
 from filbertglade.groups import rollout
+from filbertglade.groups import warming
 from filbertglade.inner import commands_pb2
 from filbertglade.membership import presence
 from filbertglade.observability import logs
@@ -72,6 +73,9 @@
         self._orders = ordering.HostOrders(
             settings, agreed, self._watch, self._dispatcher, self._ledger
         )
+        self._warmer = warming.SpareWarmer(
+            agreed, self._watch, self._places, self._dispatcher, self._ledger
+        )
         voters.add_leadership_listener(self._note_leadership)
 
     def _note_leadership(self, acting: bool) -> None:
@@ -120,6 +124,7 @@
         await self._repairer.repair(document)
         await self._form_missing(document)
         self._orders.give_all(document)
+        self._warmer.give_all(document)
         self._rollout.forget()
 
     def _list_records(
--- a/filbertglade/groups/hosts.py
+++ b/filbertglade/groups/hosts.py
@@ -176,6 +176,15 @@
             return False
         return clock.now_ms() - seen.idle_since_ms >= self._rest_ms
 
+    def holds(self, host: str, weights: str) -> bool:
+        """Tell whether a host holds a model's weights.
+
+        :param host: its name.
+        :param weights: model, adapter and version, joined by slashes.
+        """
+        seen = self._seen.hosts.get(host)
+        return seen is not None and seen.announcement.holds == weights
+
     def follows(self, host: str, record: commands_pb2.GroupRecord) -> bool:
         """Tell whether a host serves as it was ordered to.
 
--- a/filbertglade/groups/loads.py
+++ b/filbertglade/groups/loads.py
@@ -10,6 +10,8 @@
 FIRST_GUESS_MS = 30_000
 # Time until the loads of the leader before show in announcements.
 SETTLE_MS = 3000
+# Stands for a group's epoch where a host loads for none.
+PRELOAD_EPOCH = -1
 
 
 class LoadLedger:
@@ -30,10 +32,15 @@
         """
         return self.started_epoch(host) == epoch
 
-    @property
-    def count(self) -> int:
-        """Hosts that load now."""
-        return len(self._started)
+    def has_room(self, limit: int) -> bool:
+        """Tell whether one host more may begin to load.
+
+        :param limit: hosts that may load at a time.
+        """
+        if clock.now_ms() < self._settled_ms:
+            # Loads may be under way that don't show yet.
+            return False
+        return len(self._started) < limit
 
     def begin(self) -> None:
         """Note that this host has begun to act as leader.
@@ -43,11 +50,6 @@
         """
         self._settled_ms = clock.now_ms() + SETTLE_MS
 
-    @property
-    def is_settling(self) -> bool:
-        """Whether loads may be under way that don't show yet."""
-        return clock.now_ms() < self._settled_ms
-
     def resume(self, host: str, epoch: int) -> None:
         """Note that a host loads, if that is not known.
 
--- a/filbertglade/groups/ordering.py
+++ b/filbertglade/groups/ordering.py
@@ -93,6 +93,9 @@
 
         It may even if its group has moved on meanwhile.
         """
+        if self._ledger.is_loading(host, loads.PRELOAD_EPOCH):
+            # The warmer of spares sees to its end.
+            return True
         seen = self._watch.find(host)
         if seen is None or not self._watch.is_present(host):
             return False
@@ -138,9 +141,7 @@
     def _may_load(self, host: str, epoch: int) -> bool:
         if self._ledger.is_loading(host, epoch):
             return True
-        if self._ledger.is_settling:
-            return False
-        return self._ledger.count < self._document.limits.loads_at_once
+        return self._ledger.has_room(self._document.limits.loads_at_once)
 
     def _load(
         self,
--- a/filbertglade/groups/orders.py
+++ b/filbertglade/groups/orders.py
@@ -7,6 +7,7 @@
 
 from tornado import httpclient
 
+from filbertglade.configuration import model as configuration_model
 from filbertglade import failures
 from filbertglade.inner import commands_pb2
 
@@ -19,6 +20,8 @@
 
     # Load the model and serve in the group.
     LOAD = 'load'
+    # Load the weights, but join no group.
+    PRELOAD = 'preload'
     # Announce that it serves no more, but go on with what still comes.
     DRAIN = 'drain'
     # Leave the group and hold no model.
@@ -60,6 +63,45 @@
     version: str = ''
     hosts: list[str] = dataclasses.field(default_factory=list)
 
+    @property
+    def weights(self) -> str:
+        """What a host that has carried it out says that it holds."""
+        return _join_weights(self.model, self.adapter, self.version)
+
+
+def name_weights(deployment: configuration_model.Deployment) -> str:
+    """Return what hosts that hold a deployment's weights say.
+
+    :param deployment: the deployment.
+    """
+    return _join_weights(
+        deployment.model, deployment.adapter, deployment.version
+    )
+
+
+def _join_weights(model: str, adapter: str, version: str) -> str:
+    return f'{model}/{adapter}/{version}'
+
+
+def build_preload(
+    deployment: configuration_model.Deployment, number: int
+) -> Order:
+    """Return the order to hold a deployment's weights in no group.
+
+    :param deployment: the deployment.
+    :param number: the fencing number.
+    """
+    return Order(
+        action=OrderAction.PRELOAD,
+        fencing_number=number,
+        group='',
+        epoch=0,
+        deployment=deployment.name,
+        model=deployment.model,
+        adapter=deployment.adapter,
+        version=deployment.version,
+    )
+
 
 def build_load(record: commands_pb2.GroupRecord) -> Order:
     """Return the order to load a group's model and serve in it.
--- a/filbertglade/groups/placement.py
+++ b/filbertglade/groups/placement.py
@@ -5,6 +5,7 @@
 from filbertglade.groups import changes
 from filbertglade.groups import downtime
 from filbertglade.groups import hosts
+from filbertglade.groups import orders
 from filbertglade.groups import policies
 from filbertglade.groups import stranded
 from filbertglade.inner import commands_pb2
@@ -51,20 +52,28 @@
         :param deployment: the deployment.
         :param domain: the fabric domain.
         :param document: the document in force.
-        :returns: free hosts, less the spares of deployments that go first.
+        :returns: free hosts, those that hold the weights first, less the
+            spares of deployments that go first.
         """
+        weights = orders.name_weights(deployment)
         free = self._watch.list_free(domain)
+        free.sort(key=lambda host: not self._watch.holds(host, weights))
         reserved = sum(
             POLICIES[other.objective].count_spares(other)
             for other in document.deployments
             if other.priority > deployment.priority
-            and self._stands_in(other, domain)
+            and self.stands_in(other, domain)
         )
         return free[: max(0, len(free) - reserved)]
 
-    def _stands_in(
+    def stands_in(
         self, deployment: configuration_model.Deployment, domain: str
     ) -> bool:
+        """Tell whether a deployment has a group in a fabric domain.
+
+        :param deployment: the deployment.
+        :param domain: the fabric domain.
+        """
         return any(
             record.fabric_domain == domain
             for record in self.list_records(deployment.name)
@@ -107,7 +116,7 @@
         """
         if self.has_outdated(deployment):
             return 0
-        if not self._stands_in(deployment, domain):
+        if not self.stands_in(deployment, domain):
             return 0
         return POLICIES[deployment.objective].count_spares(deployment)
 
--- a/filbertglade/groups/repair.py
+++ b/filbertglade/groups/repair.py
@@ -5,6 +5,7 @@
 from filbertglade.groups import changes
 from filbertglade.groups import hosts
 from filbertglade.groups import loads
+from filbertglade.groups import orders
 from filbertglade.groups import placement
 from filbertglade.groups import policies
 from filbertglade.inner import commands_pb2
@@ -95,9 +96,10 @@
     ) -> policies.RepairScene:
         deployment = group.deployment
         domain = group.record.fabric_domain
+        free = self._places.list_available(deployment, domain, document)
         place = self._places.find_place(deployment, document, without=domain)
         return policies.RepairScene(
-            free=self._places.list_available(deployment, domain, document),
+            free=free,
             broken=[
                 item for item in broken if item.record.fabric_domain == domain
             ],
@@ -105,5 +107,15 @@
             expected_return_ms=self._watch.absences.expect_return_ms(
                 group.absent_ms
             ),
-            expected_load_ms=self._rest_ms + self._ledger.expect_ms(),
+            expected_load_ms=self._expect_load_ms(group, free),
         )
+
+    def _expect_load_ms(
+        self, group: policies.BrokenGroup, free: list[str]
+    ) -> float:
+        """Return how long a replacement is likely to take to serve."""
+        weights = orders.name_weights(group.deployment)
+        chosen = free[: len(group.gone)]
+        if chosen and all(self._watch.holds(host, weights) for host in chosen):
+            return self._rest_ms
+        return self._rest_ms + self._ledger.expect_ms()
--- a/filbertglade/membership/announcements.py
+++ b/filbertglade/membership/announcements.py
@@ -71,6 +71,7 @@
     group: str = ''
     epoch: Natural = 0
     ready: bool = False
+    holds: str = ''
     leaving: bool = False
     load: LoadForm = dataclasses.field(default_factory=LoadForm)
     cache_events: list[CacheEventForm] = dataclasses.field(
--- a/filbertglade/standin/engine.py
+++ b/filbertglade/standin/engine.py
@@ -37,6 +37,7 @@
         self.epoch = 0
         self.is_ready = False
         self.is_draining = False
+        self.holds = ''
         self._highest_fencing = 0
         rng = random.Random(f'{settings.seed}/{host}')
         self.cache = caching.PrefixCache(settings, rng)
@@ -84,16 +85,25 @@
             self.is_draining = self.is_draining or is_same
         elif order['action'] == 'release':
             self._release()
+        elif order['action'] == 'preload':
+            if not self.group and self._loading is None:
+                self._begin_load(order)
         elif is_same:
             self.is_draining = False
         else:
+            held = self.holds
             self._release()
+            self.holds = held
             self.group = str(order['group'])
             self.epoch = int(order['epoch'])
-            loop = asyncio.get_running_loop()
-            self._loading = loop.create_task(self._load())
+            self._begin_load(order)
         return True
 
+    def _begin_load(self, order: dict[str, typing.Any]) -> None:
+        weights = f'{order["model"]}/{order["adapter"]}/{order["version"]}'
+        loop = asyncio.get_running_loop()
+        self._loading = loop.create_task(self._load(weights))
+
     def _release(self) -> None:
         if self._loading is not None:
             self._loading.cancel()
@@ -102,10 +112,14 @@
         self.epoch = 0
         self.is_ready = False
         self.is_draining = False
-
-    async def _load(self) -> None:
-        await asyncio.sleep(self.settings.load_ms / 1000)
-        self.is_ready = True
+        self.holds = ''
+
+    async def _load(self, weights: str) -> None:
+        if self.holds != weights:
+            await asyncio.sleep(self.settings.load_ms / 1000)
+        self.holds = weights
+        self.is_ready = bool(self.group)
+        self._loading = None
 
     async def generate(
         self, prompt: str, count: int, priority: int = 0, offset: int = 0
--- a/filbertglade/standin/fleet.py
+++ b/filbertglade/standin/fleet.py
@@ -179,6 +179,7 @@
             order_address=self.address,
             group=self.engine.group,
             epoch=self.engine.epoch,
+            holds=self.engine.holds,
             ready=self.engine.is_ready and not self.engine.is_draining,
             load=self.engine.read_load(),
             cache_events=self._list_cache_events(),
--- a/tests/groups/fakes.py
+++ b/tests/groups/fakes.py
@@ -103,6 +103,7 @@
         self.is_loaded = self.is_draining = False
         self.model = ''
         self.loaded_at_s = None
+        self.holds_weights = False
         self.was_paused = False
 
     def pause(self):
@@ -136,7 +137,8 @@
         if self.is_paused or self.loaded_at_s is None:
             return
         if asyncio.get_running_loop().time() >= self.loaded_at_s:
-            self.is_loaded = True
+            self.is_loaded = bool(self.group)
+            self.holds_weights = True
             self.loaded_at_s = None
 
     def take_order(self, order):
@@ -162,17 +164,24 @@
             self._reset()
         elif is_same:
             self.is_draining = False
-        else:
+            if order.action is orders.OrderAction.PRELOAD and (
+                self.model != order.weights
+            ):
+                self._load(order)
+        elif order.action is orders.OrderAction.LOAD:
             self._load(order)
         return None
 
     def _load(self, order):
-        wanted = f'{order.model}/{order.adapter}/{order.version}'
-        takes_s = 1.0 if self.model == wanted else self.load_s
+        self._finish_load()
+        wanted = order.weights
+        now_s = asyncio.get_running_loop().time()
+        takes_s = self.load_s
+        if self.model == wanted:
+            takes_s = max(1.0, (self.loaded_at_s or 0) - now_s)
         self._reset()
         self.model = wanted
         self.group, self.epoch = order.group, order.epoch
-        now_s = asyncio.get_running_loop().time()
         self.loaded_at_s = now_s + takes_s
         self.world.loading_peak = max(
             self.world.loading_peak, self.world.count_loading()
@@ -193,6 +202,7 @@
                     order_address=self.name,
                     group=self.group,
                     epoch=self.epoch,
+                    holds=self.model if self.holds_weights else '',
                     ready=self.is_loaded and not self.is_draining,
                     leaving=self.is_leaving,
                     load=membership_pb2.Load(active=self.active),
--- a/tests/groups/test_controller.py
+++ b/tests/groups/test_controller.py
@@ -88,6 +88,38 @@
     _run(test)
 
 
+def test_a_warm_spare_needs_no_load():
+    async def test(world):
+        world.put(_writer(spare_hosts=1))
+        await wait_until(lambda: _count(world) == 1, 30)
+        await wait_until(
+            lambda: any(
+                host.holds_weights and not host.group
+                for host in world.hosts.values()
+            ),
+            20,
+        )
+        warm = [
+            name
+            for name, host in world.hosts.items()
+            if host.holds_weights and not host.group
+        ]
+        lost = world.hosts[world.list_whole()[0].hosts[2]]
+        lost.die()
+        # 6 s until it is gone, 6 s of rest, 1 s to load; a load takes 10 s.
+        took_s = await wait_until(
+            lambda: lost.name not in (_whole_hosts(world) or [lost.name]), 16
+        )
+        assert took_s < 16
+        assert set(warm) < set(_whole_hosts(world))
+
+    _run(test)
+
+
+def _whole_hosts(world):
+    return [name for record in world.list_whole() for name in record.hosts]
+
+
 def test_a_paused_host_that_comes_back_as_if_nothing_happened():
     async def test(world):
         world.put(_writer())
