--- a/filbertglade/settings/loader.py
+++ b/filbertglade/settings/loader.py
@@ -182,6 +182,15 @@
             )
         )
     timings = settings.timings
+    longest_ms = control.lease_ms - 2 * control.heartbeat_ms
+    if timings.order_timeout_ms > longest_ms:
+        problems.append(
+            schema.Problem(
+                'timings.order_timeout_ms',
+                f'must be at most {longest_ms}, so that orders to hosts that '
+                f'ignore fencing numbers fit into control.lease_ms',
+            )
+        )
     shortest_ms = 2 * (timings.announce_ms + 2 * timings.relay_ms)
     if timings.presence_limit_ms < shortest_ms:
         problems.append(
