--- a/benchmarks/repair.py
+++ b/benchmarks/repair.py
@@ -181,17 +181,21 @@
     seed: int = 1,
     replicas: list[int] = typer.Option([20, 25]),  # noqa: B008
     spares: int = 1,
+    objectives: list[str] = typer.Option(  # noqa: B008
+        ['downtime', 'stranded'], '--objective'
+    ),
 ) -> None:
-    """Print a table of both policies.
+    """Print a table of the policies.
 
     :param seed: seed of the script.
     :param replicas: groups wanted, a table's row each.
     :param spares: spare hosts wanted in each domain in use.
+    :param objectives: the policies to compare.
     """
     print('| wanted | objective | downtime | not formed | broken | stranded |')
     print('|---|---|---|---|---|---|')
     for wanted in replicas:
-        for objective in ('downtime', 'stranded'):
+        for objective in objectives:
             found = measure(objective, wanted, spares, seed)
             part = 100 * found.downtime_s / found.formed_s
             print(
--- a/filbertglade/groups/ordering.py
+++ b/filbertglade/groups/ordering.py
@@ -141,6 +141,9 @@
     def _may_load(self, host: str, epoch: int) -> bool:
         if self._ledger.is_loading(host, epoch):
             return True
+        if self._ledger.is_loading(host, loads.PRELOAD_EPOCH):
+            # It has a place already.
+            return True
         return self._ledger.has_room(self._document.limits.loads_at_once)
 
     def _load(
--- a/filbertglade/groups/warming.py
+++ b/filbertglade/groups/warming.py
@@ -61,7 +61,7 @@
             if (
                 seen is not None
                 and self._watch.is_present(host)
-                and not self._watch.is_member(host)
+                and self._ledger.is_loading(host, loads.PRELOAD_EPOCH)
                 and seen.announcement.holds != order.weights
                 and clock.now_ms() - started_ms < PRELOAD_LIMIT_MS
             ):
--- a/filbertglade/membership/hub.py
+++ b/filbertglade/membership/hub.py
@@ -13,6 +13,7 @@
 from filbertglade.membership import gathered
 from filbertglade.membership import node_link
 from filbertglade.membership import presence
+from filbertglade.membership import relay_peers
 from filbertglade.membership import relays
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
@@ -41,7 +42,7 @@
         self._tasks = tasks.TaskGroup()
         self._heard = gathered.GatheredState(settings.name)
         self._currency = currency.ConfigurationCurrency(agreed, voters)
-        self._peers = relays.RelayPeers(settings)
+        self._peers = relay_peers.RelayPeers(settings)
         self._source = node_link.NodeSource(
             settings, agreed, self._heard, self._currency, counters
         )
--- /dev/null
+++ b/filbertglade/membership/relay_batch.py
@@ -0,0 +1,101 @@
+"""Batches for one peer: the newest value of what changed since the last."""
+
+import typing
+
+from filbertglade import clock
+from filbertglade.inner import membership_pb2
+from filbertglade.membership import gathered
+from filbertglade.membership import presence
+from filbertglade.membership import relay_peers
+
+EVENTS_PER_FRAME = 64
+
+
+class RelayBatch:
+    """Gathers, for one peer, the newest value of what changed.
+
+    :param name: this control host.
+    :param peer: the other one.
+    :param heard: what to relay.
+    :param peers: which control hosts the other one lacks.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        peer: str,
+        heard: gathered.GatheredState,
+        peers: relay_peers.RelayPeers,
+    ) -> None:
+        self._name = name
+        self._peer = peer
+        self._heard = heard
+        self._peers = peers
+        self._hosts: dict[str, int] = {}
+        self._nodes: dict[str, int] = {}
+        self._strikes_read = 0
+        self._losses_read = heard.losses.end
+        self._cache_events_read = heard.cache_events.end
+
+    def write(self, frame: membership_pb2.RelayFrame) -> None:
+        """Write a batch.
+
+        :param frame: the frame to fill.
+        """
+        self._write_presence(frame)
+        self._write_events(frame)
+
+    def _is_wanted(self, origin: str) -> bool:
+        return origin == self._name or self._peers.lacks(self._peer, origin)
+
+    def _write_presence(self, frame: membership_pb2.RelayFrame) -> None:
+        now_ms = clock.now_ms()
+        table = self._heard.presence
+        for name in self._select(table.hosts, self._hosts):
+            host = table.hosts[name]
+            frame.announcements.append(host.announcement)
+            frame.announcements[-1].age_ms = now_ms - host.proven_ms
+        for name in self._select(table.nodes, self._nodes):
+            node = table.nodes[name]
+            frame.reports.append(node.report)
+            frame.reports[-1].age_ms = now_ms - node.proven_ms
+
+    def _select(
+        self,
+        table: typing.Mapping[str, presence.SeenHost | presence.SeenNode],
+        sent: dict[str, int],
+    ) -> list[str]:
+        """Return what has changed since it was last sent, and note it."""
+        selected = []
+        for name, seen in table.items():
+            if sent.get(name) != seen.proven_ms and self._is_wanted(
+                seen.origin
+            ):
+                sent[name] = seen.proven_ms
+                selected.append(name)
+        for name in [name for name in sent if name not in table]:
+            del sent[name]
+        return selected
+
+    def _write_events(self, frame: membership_pb2.RelayFrame) -> None:
+        heard = self._heard
+        for strike in heard.strikes.read_after(
+            self._strikes_read, EVENTS_PER_FRAME
+        ):
+            self._strikes_read = strike.position
+            if self._is_wanted(strike.origin):
+                frame.strikes.append(strike.message)
+                frame.strikes[-1].age_ms = strike.age_ms
+        for loss in heard.losses.read_after(
+            self._losses_read, EVENTS_PER_FRAME
+        ):
+            self._losses_read = loss.position
+            if self._is_wanted(loss.origin):
+                frame.losses.append(loss.message)
+                frame.losses[-1].age_ms = loss.age_ms
+        for event in heard.cache_events.read_after(
+            self._cache_events_read, EVENTS_PER_FRAME
+        ):
+            self._cache_events_read = event.position
+            if self._is_wanted(event.origin):
+                frame.cache_events.append(event.message)
