Log hosts that are absent and groups that are lost

Cause: the time line showed no loss: a host that fell silent was named only after a minute, a serving group that missed hosts not at all (seen when the stand-ins of a serving group were killed: no event within 8 s).

--- a/filbertglade/membership/hub.py
+++ b/filbertglade/membership/hub.py
@@ -14,6 +14,7 @@
 from filbertglade.membership import node_link
 from filbertglade.membership import presence
 from filbertglade.membership import relays
+from filbertglade.membership import sightings
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
 from filbertglade.settings import model
@@ -46,6 +47,12 @@
             settings, agreed, self._heard, self._currency, counters
         )
 
+        self._sightings = sightings.Sightings(
+            agreed,
+            self._heard.presence,
+            settings.timings.presence_limit_ms,
+        )
+
     @property
     def presence(self) -> presence.PresenceTable:
         """Hosts and nodes as this control host knows them."""
@@ -58,6 +65,7 @@
                 self._tasks.start(self._build_sender(host).run())
         self._tasks.start(self._refresh())
         self._tasks.start(self._forget_old())
+        self._tasks.start(self._look())
 
     def _build_sender(
         self, host: model.ControlHostSettings
@@ -84,6 +92,14 @@
             self._source.refresh()
             await asyncio.sleep(interval_ms / 1000)
 
+    async def _look(self) -> None:
+        interval_s = self._settings.timings.relay_ms / 1000
+        while True:
+            await asyncio.sleep(interval_s)
+            self._sightings.look_at_hosts()
+            if self._currency.is_leader:
+                self._sightings.look_at_groups()
+
     async def _forget_old(self) -> None:
         while True:
             await asyncio.sleep(FORGET_INTERVAL_MS / 1000)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -144,7 +144,7 @@
         self._folder = folder
         self.links = links
         self.nodes: list[NodeProcess] = []
-        self._standins: list[subprocess.Popen[bytes]] = []
+        self.standins: list[subprocess.Popen[bytes]] = []
 
     def lay_out(
         self, control: int, others: int, extra: str = ''
@@ -221,7 +221,7 @@
         for node in self.nodes:
             entries += ['--entry', node.url]
         process = subprocess.Popen([*program(), 'standin', *entries, *options])
-        self._standins.append(process)
+        self.standins.append(process)
         return process
 
     def find_leader(self) -> NodeProcess | None:
@@ -242,7 +242,7 @@
             node.kill()
         if self.links is not None:
             self.links.close()
-        for process in self._standins:
+        for process in self.standins:
             process.kill()
             process.wait()
 
--- /dev/null
+++ b/tests/membership/test_sightings.py
@@ -0,0 +1,87 @@
+"""Lines of the log for hosts and groups that are lost and come back."""
+
+import pytest
+
+from filbertglade.control import state
+from filbertglade.inner import commands_pb2
+from filbertglade.membership import sightings
+
+LIMIT_MS = 4000
+
+
+class FakeHost:
+    def __init__(self):
+        self.epoch = 0
+
+    def serves(self, group, epoch):
+        return epoch == self.epoch
+
+
+class FakePresence:
+    def __init__(self):
+        self.hosts = {}
+        self.absent = set()
+
+    def is_present(self, name, limit_ms):
+        assert limit_ms == LIMIT_MS
+        return name in self.hosts and name not in self.absent
+
+
+@pytest.fixture
+def events(monkeypatch):
+    found = []
+
+    def change(event, **fields):
+        subject = fields.get('host') or fields['group']
+        found.append((event, subject, fields.get('missing')))
+
+    monkeypatch.setattr(sightings.log, 'change', change)
+    return found
+
+
+def test_hosts_are_named_once_when_they_go_and_when_they_return(events):
+    seen = FakePresence()
+    looking = sightings.Sightings(state.AgreedState(), seen, LIMIT_MS)
+    seen.hosts = {'a': FakeHost(), 'b': FakeHost()}
+    for absent in (set(), {'a'}, {'a'}, set(), set()):
+        seen.absent = absent
+        looking.look_at_hosts()
+    assert events == [('host.absent', 'a', None), ('host.returned', 'a', None)]
+    # One that was forgotten and comes anew is no return.
+    events.clear()
+    seen.absent = {'b'}
+    looking.look_at_hosts()
+    del seen.hosts['b']
+    looking.look_at_hosts()
+    seen.hosts['b'] = FakeHost()
+    seen.absent = set()
+    looking.look_at_hosts()
+    assert events == [('host.absent', 'b', None)]
+
+
+def test_a_group_is_lost_once_and_whole_again(events):
+    agreed = state.AgreedState()
+    seen = FakePresence()
+    seen.hosts = {'a': FakeHost(), 'b': FakeHost()}
+    record = commands_pb2.GroupRecord(group='g', epoch=7, hosts=['a', 'b'])
+    agreed.groups.groups['g'] = record
+    looking = sightings.Sightings(agreed, seen, LIMIT_MS)
+    looking.look_at_groups()
+    assert events == []
+    record.phase = commands_pb2.SERVING
+    for host in seen.hosts.values():
+        host.epoch = 7
+    looking.look_at_groups()
+    seen.hosts['b'].epoch = 0
+    looking.look_at_groups()
+    looking.look_at_groups()
+    seen.hosts['b'].epoch = 7
+    looking.look_at_groups()
+    assert events == [('group.lost', 'g', ['b']), ('group.whole', 'g', None)]
+    # A group that is taken down while it misses a host is no whole one.
+    events.clear()
+    seen.hosts['b'].epoch = 0
+    looking.look_at_groups()
+    record.phase = commands_pb2.DRAINING
+    looking.look_at_groups()
+    assert events == [('group.lost', 'g', ['b'])]
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -282,3 +282,18 @@
     for node in running.nodes:
         shown = psutil.Process(node.process.pid).cmdline()
         assert clusters.program()[-1] in shown
+
+
+def test_time_line_names_lost_hosts_and_groups(running):
+    """The last test of this module: it takes the hosts away."""
+    for process in running.standins:
+        process.kill()
+    paths = [str(node.log_path) for node in running.nodes]
+
+    def find_names():
+        text = clusters.run_command('timeline', *paths).stdout
+        return {line.split()[3].lstrip('!') for line in text.splitlines()}
+
+    clusters.wait_until(
+        lambda: find_names() >= {'group.lost', 'host.absent'}, 'the losses'
+    )
