--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -147,13 +147,18 @@
         self.standins: list[subprocess.Popen[bytes]] = []
 
     def lay_out(
-        self, control: int, others: int, extra: str = ''
+        self,
+        control: int,
+        others: int,
+        extra: str = '',
+        control_extra: str = '',
     ) -> list[NodeProcess]:
         """Write the settings of nodes; start none yet.
 
         :param control: how many are control hosts.
         :param others: how many are not.
         :param extra: further TOML tables for each node.
+        :param control_extra: a further line of the table ``control``.
         """
         ports = iter(find_free_ports(3 * (control + others)))
         for position in range(control + others):
@@ -172,10 +177,12 @@
                 )
             )
         for node in self.nodes:
-            self._write_settings(node, extra)
+            self._write_settings(node, extra, control_extra)
         return self.nodes
 
-    def _write_settings(self, node: NodeProcess, extra: str) -> None:
+    def _write_settings(
+        self, node: NodeProcess, extra: str, control_extra: str
+    ) -> None:
         control = [node for node in self.nodes if node.is_control]
         lines = [
             f'name = "{node.name}"',
@@ -187,6 +194,7 @@
             f'administration = "{node.administration}"',
             f'inner = "{node.inner}"',
             '[control]',
+            control_extra,
         ]
         if node.is_control:
             lines.append(f'data_folder = "{node.data_folder}"')
--- a/tests/test_agreed_state.py
+++ b/tests/test_agreed_state.py
@@ -21,6 +21,8 @@
 INTERVAL_S = 0.2
 FREEZE_S = 10.0
 CUT_S = 3.0
+# Few, so that restarts and lost folders go by way of snapshots too.
+CONTROL_EXTRA = 'snapshot_entries = 20'
 
 
 @pytest.fixture(scope='module')
@@ -28,7 +30,7 @@
     cluster = clusters.Cluster(
         tmp_path_factory.mktemp('agreed'), forwarding.Links()
     )
-    cluster.lay_out(3, 3)
+    cluster.lay_out(3, 3, control_extra=CONTROL_EXTRA)
     cluster.found()
     try:
         clusters.wait_until(cluster.find_leader, 'a leader')
@@ -233,6 +235,12 @@
     assert answer.status_code == 200
     assert answer.json()['number'] == number
     _check_in_force(running, history)
+    assert any(
+        event.name == 'snapshot.taken'
+        for node in running.nodes
+        if node.is_control
+        for event in timeline.read_log(node.log_path)
+    )
 
 
 def _put_known(node, change):
