Prove voters as processes: kill -9, freezes, a wiped folder

Each process prints the machine's monotonic clock while it acts; a leader frozen until another acted prints none in that one's time once thawed.

--- /dev/null
+++ b/benchmarks/voter_process.py
@@ -0,0 +1,88 @@
+"""A voter of the replicated log as a process of its own.
+
+Run as ``python -m benchmarks.voter_process NAME FOLDER ADDRESS...``; the
+addresses are those of the voters ``voter-0``, ``voter-1`` and so on. While
+it acts as leader it prints the machine's monotonic clock, in seconds.
+"""
+
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+import time
+
+from grpclib import server
+
+from filbertglade.control import agreement
+from filbertglade.control import state
+from filbertglade.control import storage
+from filbertglade.control import submission
+from filbertglade.inner import channels
+from filbertglade.observability import metrics
+from filbertglade.settings import model
+
+SAMPLE_S = 0.005
+
+
+def make_settings(
+    name: str, folder: str, addresses: list[str]
+) -> model.NodeSettings:
+    """Return a voter's settings.
+
+    :param name: its name.
+    :param folder: its data folder; empty for a node that is no voter.
+    :param addresses: all voters' addresses, in the order of their names.
+    """
+    hosts = [
+        model.ControlHostSettings(f'voter-{place}', address, 'north')
+        for place, address in enumerate(addresses)
+    ]
+    return model.NodeSettings(
+        name=name,
+        region='central',
+        data_centre='north',
+        listen=model.ListenSettings('127.0.0.1:1', '127.0.0.1:2', ''),
+        control=model.ControlSettings(hosts, folder),
+    )
+
+
+async def main(name: str, folder: str, addresses: list[str]) -> None:
+    """Run the voter until it is told to end.
+
+    :param name: its name.
+    :param folder: its data folder.
+    :param addresses: all voters' addresses.
+    """
+    settings = make_settings(name, folder, addresses)
+    counters = metrics.Metrics()
+    factory = channels.SocketChannels()
+    voter = agreement.Agreement(
+        settings,
+        state.AgreedState(),
+        storage.FileStorage(pathlib.Path(folder)),
+        factory,
+        counters,
+        random.Random(),
+    )
+    commands = submission.CommandsServicer(settings, voter, factory, counters)
+    listener = server.Server([voter.servicer, commands])
+    place = int(name.rpartition('-')[2])
+    await listener.start(*channels.split_address(addresses[place]))
+    failure = await voter.start()
+    if failure is not None:
+        sys.exit(str(failure))
+    ending = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, ending.set)
+    while not ending.is_set():
+        asked_s = time.monotonic()
+        if voter.is_leader:
+            print(f'{asked_s:.6f}', flush=True)
+        await asyncio.sleep(SAMPLE_S)
+    listener.close()
+    await commands.close()
+    await voter.close()
+
+
+if __name__ == '__main__':
+    asyncio.run(main(sys.argv[1], sys.argv[2], sys.argv[3:]))
