--- a/filbertglade/control/replication.py
+++ b/filbertglade/control/replication.py
@@ -48,6 +48,8 @@
         sent; NEVER if none was.
     :ivar incarnation: the life of the data folder that answered.
     :ivar founding: whether that was marked as a founding voter's.
+    :ivar transfer_index: the record up to which a snapshot that is on its
+        way holds everything; None if none is.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self.answered_sent_ms = quorum.NEVER
         self.incarnation = ''
         self.founding = False
+        self.transfer_index: int | None = None
         self._next_index = voter.journal.last_index + 1
         self._sequence = 0
         # Replies to requests before this one tell nothing new of the log.
@@ -253,9 +256,11 @@
             if not self._transfer.done():
                 return
             self._transfer = None
+            self.transfer_index = None
             self._next_index = journal.last_index + 1
             self._first_of_try = self._sequence + 1
         if journal.term_at(self._next_index - 1) is None:
+            self.transfer_index = self._voter.snapshot.index
             self._transfer = self._voter.tasks.start(
                 self._send_snapshot(channel)
             )
@@ -265,6 +270,7 @@
             self._transfer.cancel()
             await asyncio.wait([self._transfer])
             self._transfer = None
+            self.transfer_index = None
 
     async def _send_snapshot(self, channel: client.Channel) -> None:
         reader = await self._voter.storage.read_snapshot()
--- a/filbertglade/control/snapshots.py
+++ b/filbertglade/control/snapshots.py
@@ -12,6 +12,8 @@
 
 # Memory that the log may take before a snapshot is due.
 LOG_LIMIT_BYTES = 32 << 20
+# The same while a snapshot is on its way to another voter.
+TRANSFER_LIMIT_BYTES = 256 << 20
 # Part of the records between two snapshots that stays for slow followers.
 KEPT_PART = 4
 
@@ -28,6 +30,8 @@
         self._voter = voter
         self._due = asyncio.Event()
         self._tried_index = 0
+        # Memory that the log took after the last snapshot.
+        self._left_bytes = 0
 
     def check(self) -> None:
         """Let a snapshot be taken if one is due."""
@@ -35,8 +39,8 @@
         interval = voter.settings.control.snapshot_entries
         applied = voter.state.applied_index
         since = applied - max(voter.snapshot.index, self._tried_index)
-        heavy = voter.journal.size_bytes > LOG_LIMIT_BYTES
-        if since >= interval or (heavy and since >= interval // KEPT_PART):
+        grown_bytes = voter.journal.size_bytes - self._left_bytes
+        if since >= interval or (since > 0 and grown_bytes > LOG_LIMIT_BYTES):
             self._due.set()
 
     async def run(self) -> typing.NoReturn:
@@ -47,6 +51,7 @@
             async with self._voter.snapshot_lock:
                 self._tried_index = self._voter.state.applied_index
                 failure = await self._take()
+                self._left_bytes = self._voter.journal.size_bytes
             if failure is not None:
                 # The log still holds everything.
                 self._voter.counters.count('agreement_snapshot_failures')
@@ -81,7 +86,26 @@
         kept = voter.settings.control.snapshot_entries // KEPT_PART
         if voter.journal.size_bytes > LOG_LIMIT_BYTES:
             kept = 0
-        return await voter.journal.cut(point.index + 1 - kept)
+        first_kept = point.index + 1 - kept
+        if voter.journal.size_bytes < TRANSFER_LIMIT_BYTES:
+            first_kept = min(first_kept, self._first_needed())
+        return await voter.journal.cut(first_kept)
+
+    def _first_needed(self) -> int:
+        """Return the first record that a snapshot under way builds on.
+
+        Were it cut off meanwhile, the snapshot would come too late, and so
+        would every one after it.
+        """
+        voter = self._voter
+        if voter.leadership is None:
+            return voter.journal.last_index + 1
+        sent = [
+            replicator.transfer_index
+            for replicator in voter.leadership.replicators
+            if replicator.transfer_index is not None
+        ]
+        return min(sent, default=voter.journal.last_index) + 1
 
 
 async def _write_all(
--- a/tests/control/test_agreement.py
+++ b/tests/control/test_agreement.py
@@ -67,3 +67,33 @@
             assert leader.state.configuration.current.number == 2
 
     cluster.run(scenario())
+
+
+def test_hosts_are_added_one_at_a_time():
+    async def scenario():
+        group = cluster.Cluster(5)
+        whole = group.names
+        group.names = whole[:3]
+        for name in group.names:
+            group.nodes[name].disk.found(name)
+            await group.nodes[name].start()
+        await cluster.submit(await group.leader(), cluster.put(1))
+        group.names = whole
+        for name in whole[:3]:
+            await group.nodes[name].restart()
+            await group.leader()
+        for name in whole[3:]:
+            added = group.nodes[name]
+            await added.start()
+            await group.until(
+                lambda node=added: node.agreement.status().role == 'follower'
+            )
+        await group.level()
+        await group.pass_time(1)
+        # Five bear the loss of two of the first three.
+        for name in whole[:2]:
+            await group.nodes[name].stop()
+        await cluster.submit(await group.leader(), cluster.put(2))
+        await group.stop()
+
+    cluster.run(scenario())
--- a/tests/control/test_snapshots.py
+++ b/tests/control/test_snapshots.py
@@ -1,7 +1,10 @@
 """Snapshots: restarts, slow followers, learners, large tables."""
 
+import asyncio
+
 import pytest
 
+from filbertglade.control import snapshots
 from filbertglade.control import state
 from filbertglade.inner import commands_pb2
 from tests.control import cluster
@@ -81,6 +84,50 @@
     cluster.run(scenario())
 
 
+def test_snapshot_on_its_way_is_not_overtaken():
+    """The log that follows on it is kept, however fast it grows."""
+
+    async def scenario():
+        async with cluster.Cluster(3, snapshot_entries=20) as group:
+            leader = await group.leader()
+            for number in range(1, 41):
+                await cluster.submit(leader, cluster.put(number))
+            slow = (await group.followers())[0]
+            await slow.stop()
+            slow.disk.wipe()
+            # Each write takes as long as many commits.
+            slow.disk.write_s = 0.5
+            await slow.start()
+            number = 40
+            while slow.agreement.status().role != 'follower':
+                number += 1
+                assert number < 1000, 'never caught up'
+                await cluster.submit(leader, cluster.put(number))
+                await asyncio.sleep(0.02)
+            counted = leader.agreement._member.leadership
+            assert all(
+                item.transfer_index is None for item in counted.replicators
+            )
+
+    cluster.run(scenario())
+
+
+def test_large_records_make_a_snapshot_due(monkeypatch):
+    monkeypatch.setattr(snapshots, 'LOG_LIMIT_BYTES', 1_000_000)
+
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            for number in range(1, 31):
+                await cluster.submit(leader, cluster.put(number, size=10**5))
+            for node in group.up:
+                assert node.agreement.status().snapshot_index > 10
+                held = node.agreement._member.journal.size_bytes
+                assert held < 2_500_000
+
+    cluster.run(scenario())
+
+
 def test_old_snapshot_does_not_take_back_records():
     """One that comes late finds a log that holds more than it does."""
 
