--- /dev/null
+++ b/benchmarks/entry.py
@@ -0,0 +1,183 @@
+"""Cost of a node's part in requests: processor time, memory, claims.
+
+One entry node that is no control host is measured from outside, by its
+process's own times; callers and stand-ins are other processes.
+
+    python -m benchmarks.entry
+"""
+
+import argparse
+import asyncio
+import pathlib
+import tempfile
+import time
+
+import httpx
+import psutil
+
+from tests import cluster as clusters
+from tests.requests import bench
+
+CALLERS = 20
+SLOTS = 64
+ENGINES = 6
+WARM_UP = 50
+SHORT_TOKENS = 4
+LONG_TOKENS = 300
+OPEN_STREAMS = 200
+OPEN_TOKENS = 100_000
+SETTLE_S = 3.0
+
+
+def read_cpu_s(node: clusters.NodeProcess) -> float:
+    """Return a node's processor time so far."""
+    assert node.process is not None
+    times = psutil.Process(node.process.pid).cpu_times()
+    return float(times.user + times.system)
+
+
+def read_memory_kb(node: clusters.NodeProcess) -> float:
+    """Return a node's resident memory."""
+    assert node.process is not None
+    return psutil.Process(node.process.pid).memory_info().rss / 1024
+
+
+async def call(
+    client: httpx.AsyncClient,
+    node: clusters.NodeProcess,
+    prompt: str,
+    tokens: int,
+    is_stream: bool,
+    headers: dict[str, str],
+) -> None:
+    """Make one call and read its whole answer."""
+    body = bench.build_body(prompt, tokens, is_stream)
+    url = f'{node.url}/v1/chat/completions'
+    async with client.stream(
+        'POST', url, json=body, headers={**bench.AUTHORIZED, **headers}
+    ) as response:
+        text = b''
+        async for part in response.aiter_raw():
+            text = (text + part)[-200:]
+        assert response.status_code == 200, text
+        assert not is_stream or b'"outcome": "complete"' in text, text
+
+
+async def run_calls(
+    node: clusters.NodeProcess,
+    name: str,
+    count: int,
+    tokens: int,
+    is_stream: bool,
+    is_claimed: bool = False,
+) -> None:
+    """Make calls, some at once."""
+    limits = httpx.Limits(max_connections=CALLERS)
+    async with httpx.AsyncClient(timeout=60, limits=limits) as client:
+        gate = asyncio.Semaphore(CALLERS)
+
+        async def one(number: int) -> None:
+            prompt = f'{name} {number}'
+            headers = {}
+            if is_claimed:
+                headers = {'X-Idempotent': 'false', 'Idempotency-Key': prompt}
+            async with gate:
+                await call(client, node, prompt, tokens, is_stream, headers)
+
+        await asyncio.gather(*(one(number) for number in range(count)))
+
+
+def measure_cpu_ms(
+    node: clusters.NodeProcess,
+    name: str,
+    count: int,
+    tokens: int,
+    is_stream: bool,
+    is_claimed: bool = False,
+) -> float:
+    """Return processor time a request, less what the node takes idle."""
+    asyncio.run(run_calls(node, 'warm ' + name, WARM_UP, 4, is_stream))
+    idle_share = measure_idle(node)
+    began_s = time.monotonic()
+    before_s = read_cpu_s(node)
+    asyncio.run(run_calls(node, name, count, tokens, is_stream, is_claimed))
+    used_s = read_cpu_s(node) - before_s
+    idle_s = idle_share * (time.monotonic() - began_s)
+    return (used_s - idle_s) / count * 1000
+
+
+def measure_idle(node: clusters.NodeProcess) -> float:
+    """Return the part of a core that a node takes without requests."""
+    before_s = read_cpu_s(node)
+    time.sleep(SETTLE_S)
+    return (read_cpu_s(node) - before_s) / SETTLE_S
+
+
+async def measure_stream_kb(node: clusters.NodeProcess) -> float:
+    """Return memory for each stream in flight."""
+    before_kb = read_memory_kb(node)
+    limits = httpx.Limits(max_connections=OPEN_STREAMS)
+    async with httpx.AsyncClient(timeout=60, limits=limits) as client:
+        tasks = [
+            asyncio.create_task(
+                call(client, node, f'open {i}', OPEN_TOKENS, True, {})
+            )
+            for i in range(OPEN_STREAMS)
+        ]
+        await asyncio.sleep(4 * SETTLE_S)
+        during_kb = read_memory_kb(node)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    return (during_kb - before_kb) / OPEN_STREAMS
+
+
+def read_claims_ms(node: clusters.NodeProcess) -> dict[str, float]:
+    """Return the percentiles of claims' latency."""
+    found = {}
+    for line in httpx.get(f'{node.url}/metrics').text.splitlines():
+        if line.startswith('filbertglade_claim_ms{'):
+            label, _, value = line.partition('} ')
+            found[label.partition('"')[2].rstrip('"')] = float(value)
+    return found
+
+
+def main() -> None:
+    """Run all measurements and print a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--requests', type=int, default=600)
+    parser.add_argument('--streams', type=int, default=80)
+    options = parser.parse_args()
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        bench.run_cluster(
+            pathlib.Path(folder), others=1, engines=ENGINES, slots=SLOTS
+        ) as running,
+    ):
+        node = running.nodes[-1]
+        plain_ms = measure_cpu_ms(
+            node, 'plain', options.requests, SHORT_TOKENS, False
+        )
+        claimed_ms = measure_cpu_ms(
+            node, 'claimed', options.requests, SHORT_TOKENS, False, True
+        )
+        short_ms = measure_cpu_ms(
+            node, 'short', options.streams, SHORT_TOKENS, True
+        )
+        long_ms = measure_cpu_ms(
+            node, 'long', options.streams, LONG_TOKENS, True
+        )
+        token_us = (long_ms - short_ms) / (LONG_TOKENS - SHORT_TOKENS) * 1000
+        stream_kb = asyncio.run(measure_stream_kb(node))
+        print('| what | figure |')
+        print('|---|---|')
+        print(f'| processor time a request | {plain_ms:.2f} ms |')
+        print(f'| processor time a claimed request | {claimed_ms:.2f} ms |')
+        print(f'| processor time a streamed token | {token_us:.0f} us |')
+        print(f'| memory a stream in flight | {stream_kb:.0f} KB |')
+        for quantile, value_ms in read_claims_ms(node).items():
+            print(f'| claim latency, quantile {quantile} | {value_ms:g} ms |')
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/requests/bench.py
+++ b/tests/requests/bench.py
@@ -152,6 +152,7 @@
     others: int = 0,
     engines: int = ENGINES,
     extra: str = TIMINGS,
+    slots: int = 8,
 ) -> typing.Iterator[Bench]:
     cluster = clusters.Cluster(folder)
     record = folder / 'record.jsonl'
@@ -162,8 +163,9 @@
         cluster.found()
         common = ('--record', str(record), '--crash-marker', CRASH_MARKER)
         cluster.start_standin(
-            '--hosts', str(engines), '--token-ms', '2', *common
-        )
+            '--hosts', str(engines), '--token-ms', '2',
+            '--slots', str(slots), *common,
+        )  # fmt: skip
         cluster.start_standin(
             '--hosts', str(WORKERS), '--service', SERVICE, '--prefix',
             'worker', *common,
--- a/tests/requests/test_at_most_once.py
+++ b/tests/requests/test_at_most_once.py
@@ -7,10 +7,13 @@
 import httpx
 import pytest
 
+from benchmarks import at_most_once
 from filbertglade.standin import engine
 from tests import cluster as clusters
 from tests.requests import bench
 
+SOAK_CASES = 100
+SOAK_SEED = 11
 MARKED = {'X-Idempotent': 'false'}
 
 
@@ -131,7 +134,7 @@
     for address in running.engine_addresses():
         running.set_faults(address, not_run_times=100)
     first = send(running, running.nodes[0], 'given-back')
-    assert first.headers['X-Outcome'] == 'not_run'
+    assert first.headers['X-Outcome'] == 'not_run', first.text
     running.clear_faults()
     again = send(running, running.nodes[1], 'given-back')
     assert again.headers['X-Outcome'] == 'complete'
@@ -189,6 +192,12 @@
                 assert runs == 1
 
 
+def test_randomised_cases_under_faults(tmp_path):
+    tally = at_most_once.run_soak(tmp_path, SOAK_CASES, SOAK_SEED)
+    assert tally.outcomes['complete'] > SOAK_CASES
+    assert tally.is_good, tally
+
+
 def test_without_a_quorum_nothing_runs(running):
     others = running.nodes[1:]
     for node in others:
