Wait for a slow caller only where its connection is full

Cause: every part passed on armed a time-out, though nearly every write is done at once. Change: the time-out is armed only for a write that is not done.

--- a/filbertglade/entry/handlers.py
+++ b/filbertglade/entry/handlers.py
@@ -179,8 +179,10 @@
             await self._flush()
 
     async def _flush(self) -> None:
-        idle_s = self._settings.timings.idle_timeout_ms / 1000
-        await asyncio.wait_for(self.flush(), idle_s)
+        flushed = self.flush()
+        if not flushed.done():
+            idle_s = self._settings.timings.idle_timeout_ms / 1000
+            await asyncio.wait_for(flushed, idle_s)
 
     def _drop_connection(self) -> None:
         connection = self.request.connection
