Bound the wait in endpoints' queues by time

How much was allowed to be queued there was a part of the slots, which is seconds for long requests; and requests that never had a first token did not count in what first tokens are expected to take. Change: the pace rises below 250 ms of waiting in the endpoints, and falls above 500 ms; a request that ends as unknown before its first token counts as at least as late as that.

--- a/filbertglade/admission/admission.py
+++ b/filbertglade/admission/admission.py
@@ -249,7 +249,7 @@
 
     def _sweep(self, target: targets.Target) -> None:
         """Refuse the waiting requests that can't be served in time."""
-        target.capacity.adjust(len(target.queue) > 0)
+        target.capacity.adjust(len(target.queue) > 0, target.hold_ms)
         for flow in target.queue.list_flows():
             for own, waiter in enumerate(list(flow.waiters)):
                 self._reconsider(target, waiter, own)
--- a/filbertglade/admission/capacity.py
+++ b/filbertglade/admission/capacity.py
@@ -13,11 +13,11 @@
 READ_MS = 100
 PACE_MS = 250
 PACE_STEP = 0.03
-LEAST_PACE = 1.0
+LEAST_PACE = 0.9
 MOST_PACE = 2.0
-FIRST_PACE = 1.1
-LEAST_QUEUED = 0.25
-MOST_QUEUED = 0.4
+FIRST_PACE = 1.0
+LEAST_QUEUED_MS = 250
+MOST_QUEUED_MS = 500
 
 
 class Capacity:
@@ -70,19 +70,21 @@
         self._read_fleet()
         return self._slots * self._find_share()
 
-    def adjust(self, is_waiting: bool) -> None:
-        """Adjust the pace to what endpoints report.
+    def adjust(self, is_waiting: bool, hold_ms: float) -> None:
+        """Adjust the pace to the wait that endpoints report.
 
         :param is_waiting: whether requests wait here.
+        :param hold_ms: how long a request usually holds a slot.
         """
         now_ms = clock.now_ms()
         if now_ms - self._paced_ms < PACE_MS:
             return
         self._paced_ms = now_ms
         self._read_fleet()
-        if self._queued > MOST_QUEUED * self._slots:
+        queued_ms = self._queued * hold_ms / max(1.0, self._slots)
+        if queued_ms > MOST_QUEUED_MS:
             self._pace = max(LEAST_PACE, self._pace * (1 - PACE_STEP))
-        elif is_waiting and self._queued < LEAST_QUEUED * self._slots:
+        elif is_waiting and queued_ms < LEAST_QUEUED_MS:
             self._pace = min(MOST_PACE, self._pace * (1 + PACE_STEP))
 
     def forget_idle(self) -> None:
--- a/filbertglade/requests/runner.py
+++ b/filbertglade/requests/runner.py
@@ -174,6 +174,9 @@
             permit.release()
             raise
         if refusal is not None:
+            if refusal.outcome is outcomes.Outcome.UNKNOWN:
+                # Its first token would have come later still.
+                permit.note_first_token(clock.now_ms() - permit.granted_ms)
             permit.release()
             return refusal
         return PermittedAnswer(run, permit)
