--- a/filbertglade/requests/runner.py
+++ b/filbertglade/requests/runner.py
@@ -7,6 +7,7 @@
 from filbertglade.admission import admission
 from filbertglade.admission import permits
 from filbertglade.admission import tickets
+from filbertglade import clock
 from filbertglade.control import submitter
 from filbertglade.inner import channels
 from filbertglade.membership import attachment
