--- a/filbertglade/requests/runner.py
+++ b/filbertglade/requests/runner.py
@@ -7,6 +7,7 @@
 from filbertglade.admission import admission
 from filbertglade.admission import permits
 from filbertglade.admission import tickets
+from filbertglade import clock
 from filbertglade.control import submitter
 from filbertglade.inner import channels
 from filbertglade.membership import attachment
@@ -174,6 +175,9 @@
             permit.release()
             raise
         if refusal is not None:
+            if refusal.outcome is outcomes.Outcome.UNKNOWN:
+                # Its first token would have come later still.
+                permit.note_first_token(clock.now_ms() - permit.granted_ms)
             permit.release()
             return refusal
         return PermittedAnswer(run, permit)
