Keep a log line's process whatever its fields; choose quiet test ports

Cause: an event with a field named like the process's own ('node.silent') was refused by Python as a keyword given twice, so the line was lost and the attachment's handler failed (seen in a node's standard error). A node of a test found its port taken: ports came from the range of outgoing connections (seen: 'Address already in use'); ruled out a port left by an earlier test. Change: the process's fields are written last; tests take ports below that range, each test process from another start. Before: tests/observability/test_logs.py failed. After: 9 tests of logs and submission pass.

--- a/filbertglade/observability/logs.py
+++ b/filbertglade/observability/logs.py
@@ -40,14 +40,10 @@
     def _write(
         self, event: str, level: str, fields: dict[str, object]
     ) -> None:
-        plain = {name: _as_plain(value) for name, value in fields.items()}
-        eliot.log_message(
-            event,
-            level=level,
-            module=self._module,
-            **_process,
-            **plain,
-        )
+        line = {name: _as_plain(value) for name, value in fields.items()}
+        # What names the process comes last: no field may stand in its place.
+        line.update(_process, level=level, module=self._module)
+        eliot.log_message(event, **line)
 
 
 def _as_plain(value: object) -> object:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import os
 import pathlib
 import signal
@@ -24,15 +25,30 @@
 KEY = 'test-key'
 
 
+# Below the ports that the system gives to outgoing connections, so that none
+# of those takes a port between its choice and its use.
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+PORTS_A_PROCESS = 100
+
+_ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+# Test processes that run side by side begin at different ports.
+_skipped = os.getpid() * PORTS_A_PROCESS % (LAST_PORT - FIRST_PORT)
+next(itertools.islice(_ports, _skipped, _skipped), None)
+
+
 def find_free_ports(count: int) -> list[int]:
     """Return ports that nobody listens on."""
-    with contextlib.ExitStack() as stack:
-        sockets = []
-        for _ in range(count):
-            found = stack.enter_context(socket.socket())
-            found.bind(('127.0.0.1', 0))
-            sockets.append(found)
-        return [found.getsockname()[1] for found in sockets]
+    return list(itertools.islice(filter(_is_free, _ports), count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as found:
+        try:
+            found.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_until(
