Halt a voter that can't apply a command; outlive faults in a stream

Cause: an error other than a broken stream's ended the task that served a peer until the next term, or the task that applies, without a word to anybody; h2 raises errors of its own kind. Change: the first is logged and the stream opened again; after the second the voter halts, as it does when its disk fails. Both tests fail without the change and pass with it.

--- a/filbertglade/control/failures.py
+++ b/filbertglade/control/failures.py
@@ -41,6 +41,13 @@
         object.__setattr__(self, 'may_have_applied', may_have_applied)
 
 
+class VoterReason(enum.Enum):
+    """Why a voter stops for good, beside its storage."""
+
+    # Applying a committed command raised an error.
+    COMMAND_FAILED = 'command-failed'
+
+
 class StorageReason(enum.Enum):
     """Why the data folder can't be used."""
 
--- a/filbertglade/control/member.py
+++ b/filbertglade/control/member.py
@@ -12,6 +12,7 @@
 from filbertglade.control import quorum
 from filbertglade.control import state
 from filbertglade.control import store
+from filbertglade import failures as base_failures
 from filbertglade.inner import channels
 from filbertglade.inner import commands_pb2
 from filbertglade.observability import logs
@@ -86,7 +87,7 @@
             stored.committed_index, self.journal.last_index
         )
         self.leadership: leadership.Leadership | None = None
-        self.failure: failures.StorageFailure | None = None
+        self.failure: base_failures.Failure | None = None
         self.applied = asyncio.Event()
         self._candidate = False
         self._commit_moved = asyncio.Event()
@@ -273,17 +274,17 @@
         self.put_off_election()
         leading.stop(reason)
 
-    def halt(self, failure: failures.StorageFailure) -> None:
+    def halt(self, failure: base_failures.Failure) -> None:
         """Stop for good: nothing that isn't durable may be answered.
 
-        :param failure: what the storage answered.
+        :param failure: what went wrong.
         """
         if self.failure is not None:
             return
         self.failure = failure
         self.counters.count('agreement_halts')
         log.error('voter.halted', reason=str(failure))
-        self.step_down('storage failed')
+        self.step_down('halted')
 
     # Commit
 
@@ -306,10 +307,23 @@
         while True:
             await self._commit_moved.wait()
             self._commit_moved.clear()
-            while self._apply_slice():
+            while self._try_apply_slice():
                 snapshot_due()
                 await asyncio.sleep(0)
 
+    def _try_apply_slice(self) -> bool:
+        """Apply some records; halt rather than go on without one."""
+        try:
+            return self._apply_slice()
+        except Exception as error:
+            detail = f'{type(error).__name__}: {error}'
+            self.halt(
+                base_failures.Failure(
+                    failures.VoterReason.COMMAND_FAILED, detail
+                )
+            )
+            return False
+
     def _apply_slice(self) -> bool:
         """Apply some records; return whether there were any."""
         first = self.state.applied_index + 1
--- a/filbertglade/control/replication.py
+++ b/filbertglade/control/replication.py
@@ -112,6 +112,9 @@
                 self._voter.counters.count(
                     'agreement_stream_breaks', peer=self.name
                 )
+            except Exception as error:
+                # A fault may end a stream, but not the replication.
+                log.error('replication.failed', peer=self.name, error=error)
             finally:
                 await self._end_transfer()
                 channel.close()
--- a/tests/control/test_agreement.py
+++ b/tests/control/test_agreement.py
@@ -97,3 +97,47 @@
         await group.stop()
 
     cluster.run(scenario())
+
+
+def test_voter_that_cannot_apply_a_command_halts(monkeypatch):
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            await group.level()
+
+            def fail(index, command):
+                raise ValueError('a fault of the program')
+
+            monkeypatch.setattr(leader.state, 'apply', fail)
+            result = await leader.local.submit(cluster.put(1), 500)
+            assert not result
+            assert result.may_have_applied
+            assert leader.agreement.status().role == 'halted'
+            await group.until(lambda: group.acting)
+            current = group.acting[0].state.configuration.current
+            assert current.number == 1
+
+    cluster.run(scenario())
+
+
+def test_fault_in_a_stream_does_not_end_replication(monkeypatch):
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            await group.level()
+            for replicator in leader.agreement._member.leadership.replicators:
+                genuine = replicator._next_request
+
+                def fail_once(target=replicator, genuine=genuine):
+                    target._next_request = genuine
+                    raise ValueError('a fault of the program')
+
+                replicator._next_request = fail_once
+            await cluster.submit(leader, cluster.put(1))
+            await group.pass_time(5)
+            assert group.acting == [leader]
+            assert leader.acting_log == [True]
+            for node in group.up:
+                assert node.state.configuration.current.number == 1
+
+    cluster.run(scenario())
