Log a node that falls silent; end links that HTTP/2 has closed

Cause: after a run of tests/test_agreed_state.py the nodes' standard error held 6 tracebacks: the event node.silent named its own node, a field that every line carries of its writer, so the log call raised KeyError; and one task of an attachment died of h2's StreamClosedError, which no link counted as its end.

--- a/filbertglade/control/replication.py
+++ b/filbertglade/control/replication.py
@@ -5,6 +5,7 @@
 
 from grpclib import client
 from grpclib import exceptions
+from h2 import exceptions as h2_exceptions
 
 from filbertglade import clock
 from filbertglade.control import failures
@@ -30,6 +31,7 @@
     exceptions.StreamTerminatedError,
     OSError,
     TimeoutError,
+    h2_exceptions.ProtocolError,
 )
 
 Stream = client.Stream[agreement_pb2.AppendRequest, agreement_pb2.AppendReply]
--- a/filbertglade/membership/node_link.py
+++ b/filbertglade/membership/node_link.py
@@ -84,7 +84,7 @@
         try:
             await self._receive_frames(sender)
         except TimeoutError:
-            log.change('node.silent', node=self._node)
+            log.change('node.silent', peer=self._node)
         finally:
             sender.cancel()
             await asyncio.wait([sender])
--- a/filbertglade/observability/logs.py
+++ b/filbertglade/observability/logs.py
@@ -11,6 +11,11 @@
 import eliot
 
 FLUSH_LINE_BYTES = 1
+# What every line carries of its writer; an event's own field of such a name
+# is written with a prefix.
+RESERVED_FIELDS = frozenset(
+    ('node', 'data_centre', 'process', 'module', 'level')
+)
 
 _process: dict[str, str] = {}
 
@@ -40,7 +45,12 @@
     def _write(
         self, event: str, level: str, fields: dict[str, object]
     ) -> None:
-        plain = {name: _as_plain(value) for name, value in fields.items()}
+        plain = {
+            f'event_{name}' if name in RESERVED_FIELDS else name: _as_plain(
+                value
+            )
+            for name, value in fields.items()
+        }
         eliot.log_message(
             event,
             level=level,
--- a/tests/test_agreed_state.py
+++ b/tests/test_agreed_state.py
@@ -243,6 +243,18 @@
     )
 
 
+def test_no_process_met_an_error_that_nobody_expected(running):
+    """The last test of this module: it reads what the others left."""
+    for node in running.nodes:
+        errors = [
+            (event.name, event.fields)
+            for event in timeline.read_log(node.log_path)
+            if event.level == 'error'
+        ]
+        assert errors == []
+        assert 'Traceback' not in (node.folder / 'stderr.txt').read_text()
+
+
 def _put_known(node, change):
     answer = operators.put(node, change)
     if answer is None or answer.status_code in operators.TRY_AGAIN:
