--- a/filbertglade/observability/logs.py
+++ b/filbertglade/observability/logs.py
@@ -11,6 +11,11 @@
 import eliot
 
 FLUSH_LINE_BYTES = 1
+# What every line carries of its writer; an event's own field of such a name
+# is written with a prefix.
+RESERVED_FIELDS = frozenset(
+    ('node', 'data_centre', 'process', 'module', 'level')
+)
 
 _process: dict[str, str] = {}
 
@@ -40,10 +45,19 @@
     def _write(
         self, event: str, level: str, fields: dict[str, object]
     ) -> None:
-        line = {name: _as_plain(value) for name, value in fields.items()}
-        # What names the process comes last: no field may stand in its place.
-        line.update(_process, level=level, module=self._module)
-        eliot.log_message(event, **line)
+        plain = {
+            f'event_{name}' if name in RESERVED_FIELDS else name: _as_plain(
+                value
+            )
+            for name, value in fields.items()
+        }
+        eliot.log_message(
+            event,
+            level=level,
+            module=self._module,
+            **_process,
+            **plain,
+        )
 
 
 def _as_plain(value: object) -> object:
