Answer errors of lower layers; keep 'the caller left' for callers

Cause: a time-out or a closed stream that left the layers below was taken for the caller's own leaving, and the connection dropped without an answer.

--- a/filbertglade/entry/handlers.py
+++ b/filbertglade/entry/handlers.py
@@ -35,6 +35,10 @@
 )
 
 
+class CallerLeft(Exception):
+    """The caller is gone, or has taken nothing for too long."""
+
+
 class RunHandler(responses.CallerHandler):
     """Runs a request and passes its answer on."""
 
@@ -96,11 +100,7 @@
             self._task = asyncio.current_task()
             with self._requests.activity.track():
                 await self._answer(request)
-        except (
-            asyncio.CancelledError,
-            iostream.StreamClosedError,
-            TimeoutError,
-        ):
+        except (asyncio.CancelledError, CallerLeft):
             self._counters.count('callers_left')
             self._drop_connection()
         finally:
@@ -191,10 +191,13 @@
             await self._flush()
 
     async def _flush(self) -> None:
-        flushed = self.flush()
-        if not flushed.done():
-            idle_s = self._settings.timings.idle_timeout_ms / 1000
-            await asyncio.wait_for(flushed, idle_s)
+        idle_s = self._settings.timings.idle_timeout_ms / 1000
+        try:
+            flushed = self.flush()
+            if not flushed.done():
+                await asyncio.wait_for(flushed, idle_s)
+        except (iostream.StreamClosedError, TimeoutError) as error:
+            raise CallerLeft from error
 
     def _drop_connection(self) -> None:
         connection = self.request.connection
