--- a/filbertglade/requests/attempts.py
+++ b/filbertglade/requests/attempts.py
@@ -4,7 +4,7 @@
 import enum
 
 from filbertglade import clock
-from filbertglade.requests import execution
+from filbertglade.requests import permissions
 from filbertglade.requests import shared
 from filbertglade.settings import model
 
@@ -23,7 +23,7 @@
     ABANDONED = 'abandoned'
 
 
-class Attempt(execution.Permission):
+class Attempt(permissions.Permission):
     """One try of this node to run a claimed request.
 
     :ivar name: unique over all nodes and their runs.
--- a/filbertglade/requests/claimed.py
+++ b/filbertglade/requests/claimed.py
@@ -18,6 +18,7 @@
 from filbertglade.requests import execution
 from filbertglade.requests import joins
 from filbertglade.requests import outcomes
+from filbertglade.requests import permissions
 from filbertglade.requests import shared
 from filbertglade.settings import model
 from filbertglade import tasks
@@ -37,7 +38,7 @@
 Answer = answers.AnswerSource | outcomes.Refusal
 Admitted = permits.Permit | outcomes.Refusal
 StartExecution = abc.Callable[
-    [caller.CallerRequest, execution.Permission], execution.Execution
+    [caller.CallerRequest, permissions.Permission], execution.Execution
 ]
 
 
--- a/filbertglade/requests/execution.py
+++ b/filbertglade/requests/execution.py
@@ -1,6 +1,5 @@
 """One request's run on endpoints: its tries, and its answer."""
 
-import abc
 import asyncio
 import collections
 import dataclasses
@@ -17,9 +16,12 @@
 from filbertglade.requests import answers
 from filbertglade.requests import caller
 from filbertglade.requests import calls
+from filbertglade.requests import crashes
 from filbertglade.requests import endpoints
 from filbertglade.requests import outcomes
+from filbertglade.requests import permissions
 from filbertglade.requests import retries
+from filbertglade.requests import setbacks
 from filbertglade.requests import streams
 from filbertglade.requests import strikes
 from filbertglade.routing import candidates
@@ -33,41 +35,11 @@
 SERVER_ERROR = 500
 # Relay intervals until every node has heard of a strike.
 SPREAD_RELAYS = 4
-REPEAT_STRIKES_S = 2.0
 PROBE_DELAY_S = 0.05
 
 Reason = outcomes.RefusalReason
 
 
-class Permission(abc.ABC):
-    """The right to send a request to an endpoint."""
-
-    @abc.abstractmethod
-    def begin(self) -> bool:
-        """Ask for the right, just before the first byte is sent.
-
-        :returns: whether it may be sent; from then on it may have run.
-        """
-
-    @abc.abstractmethod
-    def undo(self) -> None:
-        """Note that what was begun certainly did not run."""
-
-
-class OpenPermission(Permission):
-    """The right of a request that needs no claim."""
-
-    def begin(self) -> bool:
-        """Ask for the right.
-
-        :returns: True.
-        """
-        return True
-
-    def undo(self) -> None:
-        """Note nothing."""
-
-
 @dataclasses.dataclass(slots=True)
 class ExecutionParts:
     """What all executions of a node share.
@@ -92,25 +64,7 @@
     counters: metrics.Metrics
 
 
-@dataclasses.dataclass(slots=True)
-class Setback:
-    """A try that gave no whole answer.
-
-    :param reason: why.
-    :param detail: one sentence for the caller.
-    :param may_resume: whether the endpoint may still have the run.
-    :param is_final: whether no further try makes sense.
-    :param retry_after_ms: when the caller may come back.
-    """
-
-    reason: outcomes.RefusalReason
-    detail: str = ''
-    may_resume: bool = False
-    is_final: bool = False
-    retry_after_ms: int = outcomes.RETRY_AFTER_MS
-
-
-_OVERLONG = Setback(
+_OVERLONG = setbacks.Setback(
     Reason.ENDPOINT_FAILED, 'an event is too long', is_final=True
 )
 
@@ -122,7 +76,7 @@
         self,
         parts: ExecutionParts,
         request: caller.CallerRequest,
-        permission: Permission,
+        permission: permissions.Permission,
     ) -> None:
         self._parts = parts
         self._request = request
@@ -134,13 +88,12 @@
             request.prefix_hashes,
             request.target,
         )
-        self._crashed: list[str] = []
+        self._crashes = crashes.CrashReport(parts.strikes, self._digest)
         self._first_token_ms: int | None = None
         self._answer: endpoints.Answer | None = None
         self._candidate: selection.Candidate | None = None
         self._avoided: set[str] = set()
         self._further_tries = 0
-        self._repeating: asyncio.TimerHandle | None = None
         self._was_sent = False
         self._may_have_run = False
         self._is_head_given = False
@@ -224,7 +177,7 @@
         permit.note_tokens(self._tokens)
 
     def _end(self) -> None:
-        self._stop_repeating()
+        self._crashes.close()
         answer, self._answer = self._answer, None
         if answer is not None:
             answer.release()
@@ -238,8 +191,10 @@
                 candidate, self._work, self._tokens, took_ms
             )
 
-    async def _go_on(self, setback: Setback) -> None | outcomes.Refusal:
-        found: Setback | None = setback
+    async def _go_on(
+        self, setback: setbacks.Setback
+    ) -> None | outcomes.Refusal:
+        found: setbacks.Setback | None = setback
         while found is not None:
             refusal = await self._find_refusal(found)
             if refusal is not None:
@@ -248,7 +203,9 @@
             found = await self._try_once(found)
         return None
 
-    async def _find_refusal(self, setback: Setback) -> outcomes.Refusal | None:
+    async def _find_refusal(
+        self, setback: setbacks.Setback
+    ) -> outcomes.Refusal | None:
         refusal = outcomes.Refusal(
             setback.reason,
             setback.detail,
@@ -262,7 +219,7 @@
             return refusal
         if self._has_begun and not self._can_continue(setback):
             return refusal
-        if self._crashed and not setback.may_resume:
+        if self._crashes and not setback.may_resume:
             await self._spread_strikes()
             obstacle = self._parts.strikes.find_obstacle(self._digest, True)
             if obstacle is not None:
@@ -272,7 +229,7 @@
         self._further_tries += 1
         return None
 
-    def _can_continue(self, setback: Setback) -> bool:
+    def _can_continue(self, setback: setbacks.Setback) -> bool:
         return setback.may_resume or (
             self._splitter is not None and self._progress.text is not None
         )
@@ -282,7 +239,9 @@
         wait_ms = min(SPREAD_RELAYS * relay_ms, self._left_ms())
         await asyncio.sleep(max(wait_ms, 0) / 1000)
 
-    async def _try_once(self, setback: Setback | None) -> Setback | None:
+    async def _try_once(
+        self, setback: setbacks.Setback | None
+    ) -> setbacks.Setback | None:
         resumes = setback is not None and setback.may_resume
         if resumes and self._candidate is not None:
             candidate = self._candidate
@@ -292,18 +251,18 @@
         else:
             resumes = False
             found = self._choose()
-            if isinstance(found, Setback):
+            if isinstance(found, setbacks.Setback):
                 return found
             candidate = found
             call = self._build_call(candidate)
             if self._progress.tokens:
                 call = calls.build_continuation(call, self._progress)
         answer = await self._send(candidate, call, resumes)
-        if isinstance(answer, Setback):
+        if isinstance(answer, setbacks.Setback):
             return answer
         return await self._accept(candidate, answer, resumes)
 
-    def _choose(self) -> selection.Candidate | Setback:
+    def _choose(self) -> selection.Candidate | setbacks.Setback:
         obstacle = self._parts.strikes.find_obstacle(
             self._digest, self._was_sent
         )
@@ -312,7 +271,7 @@
             if request.key and not request.needs_claim:
                 # An earlier sending with this key was given the strikes.
                 self._may_have_run = True
-            return Setback(
+            return setbacks.Setback(
                 Reason.STRUCK,
                 obstacle.detail,
                 is_final=True,
@@ -328,7 +287,7 @@
         open_ones = [item for item in listed if item.name not in self._avoided]
         candidate = self._parts.selector.choose(open_ones, self._work)
         if candidate is None:
-            return Setback(
+            return setbacks.Setback(
                 Reason.NO_ENDPOINT,
                 f'no endpoint serves {request.target!r} now',
                 is_final=True,
@@ -353,7 +312,7 @@
         candidate: selection.Candidate,
         call: endpoints.Call,
         resumes: bool,
-    ) -> endpoints.Answer | Setback:
+    ) -> endpoints.Answer | setbacks.Setback:
         chosen_ms = clock.now_ms()
         is_stale = False
 
@@ -374,7 +333,7 @@
         if not isinstance(answer, failures.Failure):
             return answer
         if answer.reason is endpoints.EndpointReason.WITHDRAWN:
-            return Setback(
+            return setbacks.Setback(
                 Reason.NO_ENDPOINT,
                 'the request was not sent in time',
                 is_final=not is_stale,
@@ -384,31 +343,31 @@
         if resumes:
             return self._note_crash(candidate)
         self._mark_lost(candidate)
-        return Setback(Reason.NO_ENDPOINT, str(answer))
+        return setbacks.Setback(Reason.NO_ENDPOINT, str(answer))
 
     async def _judge_failure(
         self, candidate: selection.Candidate, failure: failures.Failure
-    ) -> Setback:
+    ) -> setbacks.Setback:
         self._may_have_run = True
         if failure.reason is endpoints.EndpointReason.TIMED_OUT:
             self._avoided.add(candidate.name)
-            return Setback(Reason.ENDPOINT_FAILED, str(failure))
+            return setbacks.Setback(Reason.ENDPOINT_FAILED, str(failure))
         # A process that died may take connections for a moment yet.
         await asyncio.sleep(PROBE_DELAY_S)
         if await self._parts.pool.is_reachable(candidate.address):
-            return Setback(
+            return setbacks.Setback(
                 Reason.ENDPOINT_FAILED,
                 str(failure),
                 may_resume=self._request.is_stream,
             )
         return self._note_crash(candidate)
 
-    def _note_crash(self, candidate: selection.Candidate) -> Setback:
+    def _note_crash(self, candidate: selection.Candidate) -> setbacks.Setback:
         self._mark_lost(candidate)
-        self._crashed.append(candidate.name)
-        self._parts.strikes.add(self._digest, candidate.name)
-        self._repeat_strikes()
-        return Setback(Reason.ENDPOINT_FAILED, f'{candidate.name} crashed')
+        self._crashes.add(candidate.name)
+        return setbacks.Setback(
+            Reason.ENDPOINT_FAILED, f'{candidate.name} crashed'
+        )
 
     def _mark_lost(self, candidate: selection.Candidate) -> None:
         parts = self._parts
@@ -420,27 +379,12 @@
         parts.attached.report_loss(candidate.host, candidate.run)
         parts.counters.count('endpoints_lost')
 
-    def _repeat_strikes(self) -> None:
-        self._stop_repeating()
-        loop = asyncio.get_running_loop()
-        self._repeating = loop.call_later(REPEAT_STRIKES_S, self._repeat_once)
-
-    def _repeat_once(self) -> None:
-        for endpoint in self._crashed:
-            self._parts.strikes.report(self._digest, endpoint)
-        self._repeat_strikes()
-
-    def _stop_repeating(self) -> None:
-        if self._repeating is not None:
-            self._repeating.cancel()
-            self._repeating = None
-
     async def _accept(
         self,
         candidate: selection.Candidate,
         answer: endpoints.Answer,
         resumes: bool,
-    ) -> Setback | None:
+    ) -> setbacks.Setback | None:
         setback = self._judge_head(candidate, answer, resumes)
         if setback is not None:
             answer.cancel()
@@ -463,29 +407,29 @@
         candidate: selection.Candidate,
         answer: endpoints.Answer,
         resumes: bool,
-    ) -> Setback | None:
+    ) -> setbacks.Setback | None:
         told = answer.headers.get(outcomes.OUTCOME_HEADER, '')
         detail = f'{candidate.name} answered {answer.status}'
         if resumes and answer.status in (NOT_FOUND, CONFLICT):
             self._avoided.add(candidate.name)
-            return Setback(Reason.ENDPOINT_FAILED, detail)
+            return setbacks.Setback(Reason.ENDPOINT_FAILED, detail)
         is_error = answer.status >= SERVER_ERROR
         says_not_run = told == outcomes.Outcome.NOT_RUN.value
         if says_not_run and (is_error or answer.status == CONFLICT):
             self._avoided.add(candidate.name)
             if not self._may_have_run:
                 self._permission.undo()
-            return Setback(Reason.NO_ENDPOINT, detail)
+            return setbacks.Setback(Reason.NO_ENDPOINT, detail)
         if is_error:
             self._avoided.add(candidate.name)
             self._may_have_run = True
-            return Setback(Reason.ENDPOINT_FAILED, detail)
+            return setbacks.Setback(Reason.ENDPOINT_FAILED, detail)
         if self._is_head_given and answer.status != self.status:
             self._avoided.add(candidate.name)
-            return Setback(Reason.ENDPOINT_FAILED, detail)
+            return setbacks.Setback(Reason.ENDPOINT_FAILED, detail)
         return None
 
-    async def _hold(self) -> Setback | None:
+    async def _hold(self) -> setbacks.Setback | None:
         answer = self._answer
         assert answer is not None
         self._held.clear()
@@ -502,7 +446,7 @@
         self._has_begun = True
         return None
 
-    def _judge_end(self, answer: endpoints.Answer) -> Setback | None:
+    def _judge_end(self, answer: endpoints.Answer) -> setbacks.Setback | None:
         kind = answer.headers.get('Content-Type', '')
         if answer.is_framed or 'json' not in kind:
             return None
@@ -510,16 +454,18 @@
             json.loads(b''.join(self._held))
         except (ValueError, RecursionError):
             self._is_held_whole = False
-            return Setback(Reason.ENDPOINT_FAILED, 'the answer was cut')
+            return setbacks.Setback(
+                Reason.ENDPOINT_FAILED, 'the answer was cut'
+            )
         return None
 
-    async def _judge_cut(self, failure: failures.Failure) -> Setback:
+    async def _judge_cut(self, failure: failures.Failure) -> setbacks.Setback:
         assert self._answer is not None and self._candidate is not None
         self._answer.cancel()
         self._answer = None
         return await self._judge_failure(self._candidate, failure)
 
-    async def _read_once(self) -> bytes | None | Setback:
+    async def _read_once(self) -> bytes | None | setbacks.Setback:
         answer = self._answer
         assert answer is not None
         while True:
--- a/filbertglade/requests/runner.py
+++ b/filbertglade/requests/runner.py
@@ -24,6 +24,7 @@
 from filbertglade.requests import execution
 from filbertglade.requests import joins
 from filbertglade.requests import outcomes
+from filbertglade.requests import permissions
 from filbertglade.requests import retries
 from filbertglade.requests import strikes
 from filbertglade.routing import policies
@@ -166,7 +167,7 @@
     async def _start_unclaimed(
         self, request: caller.CallerRequest, permit: permits.Permit
     ) -> answers.AnswerSource | outcomes.Refusal:
-        run = self._start_execution(request, execution.OpenPermission())
+        run = self._start_execution(request, permissions.OpenPermission())
         refusal: outcomes.Refusal | None = None
         try:
             refusal = await run.begin()
@@ -183,6 +184,6 @@
         return PermittedAnswer(run, permit)
 
     def _start_execution(
-        self, request: caller.CallerRequest, permission: execution.Permission
+        self, request: caller.CallerRequest, permission: permissions.Permission
     ) -> execution.Execution:
         return execution.Execution(self._parts, request, permission)
