Look a caller up, and compare averages, in one place each

Change: _find_caller, _compare_averages; running_count and a benchmark's parameter go. Behaviour is as it was.

--- a/benchmarks/control_host.py
+++ b/benchmarks/control_host.py
@@ -66,14 +66,13 @@
 
 
 def make_node_frame(
-    hosts: range, nodes: range, sequence: int, rng: random.Random
+    hosts: range, sequence: int, rng: random.Random
 ) -> membership_pb2.NodeFrame:
     """Return what the nodes of one control host report in one interval.
 
     Half of the hosts announce in each interval.
 
     :param hosts: numbers of the hosts that announce to them.
-    :param nodes: numbers of the nodes.
     :param sequence: number of the interval.
     :param rng: for the loads.
     """
@@ -99,7 +98,7 @@
     :param sequence: number of the interval.
     :param rng: for the loads.
     """
-    frame = make_node_frame(hosts, nodes, sequence, rng)
+    frame = make_node_frame(hosts, sequence, rng)
     for node in nodes:
         frame.report.node = f'node-{node}'
         frame.report.run = '0123456789abcdef0123456789abcdef'
--- a/filbertglade/entry/parsing.py
+++ b/filbertglade/entry/parsing.py
@@ -1,5 +1,6 @@
 """Reading of callers' requests, bounded and checked."""
 
+import dataclasses
 import hashlib
 import json
 from urllib import parse
@@ -72,6 +73,30 @@
     return outcomes.Refusal(Reason.UNAUTHENTICATED, 'the key is unknown')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownCaller:
+    """Who calls, and the document that says so.
+
+    :param document: the document in force.
+    :param customer: the customer whose key was given.
+    """
+
+    document: configuration_model.Document
+    customer: configuration_model.Customer
+
+
+def _find_caller(
+    fleet: view.FleetView, headers: httputil.HTTPHeaders
+) -> KnownCaller | outcomes.Refusal:
+    document = _find_document(fleet, headers)
+    if isinstance(document, outcomes.Refusal):
+        return document
+    customer = find_customer(document, headers)
+    if isinstance(customer, outcomes.Refusal):
+        return customer
+    return KnownCaller(document, customer)
+
+
 def read_model_call(
     fleet: view.FleetView, request: httputil.HTTPServerRequest
 ) -> caller.CallerRequest | outcomes.Refusal:
@@ -81,12 +106,11 @@
     :param request: the HTTP request with its whole body.
     :returns: the checked request, or a refusal.
     """
-    document = _find_document(fleet, request.headers)
-    if isinstance(document, outcomes.Refusal):
-        return document
-    customer = find_customer(document, request.headers)
-    if isinstance(customer, outcomes.Refusal):
-        return customer
+    known = _find_caller(fleet, request.headers)
+    if isinstance(known, outcomes.Refusal):
+        return known
+    document = known.document
+    customer = known.customer
     body = _read_json_object(request.body)
     if isinstance(body, outcomes.Refusal):
         return body
@@ -141,12 +165,11 @@
     :param request: the HTTP request with its whole body.
     :returns: the checked request, or a refusal.
     """
-    document = _find_document(fleet, request.headers)
-    if isinstance(document, outcomes.Refusal):
-        return document
-    customer = find_customer(document, request.headers)
-    if isinstance(customer, outcomes.Refusal):
-        return customer
+    known = _find_caller(fleet, request.headers)
+    if isinstance(known, outcomes.Refusal):
+        return known
+    document = known.document
+    customer = known.customer
     name, path = _split_service_path(request.path)
     service = _find_service(document, customer, name)
     if service is None:
--- a/filbertglade/requests/attempts.py
+++ b/filbertglade/requests/attempts.py
@@ -94,11 +94,6 @@
             collections.OrderedDict()
         )
 
-    @property
-    def running_count(self) -> int:
-        """How many attempts have not ended."""
-        return len(self._running)
-
     def create(self, body_digest: bytes) -> Attempt:
         """Return a new attempt.
 
--- a/filbertglade/routing/stragglers.py
+++ b/filbertglade/routing/stragglers.py
@@ -1,5 +1,6 @@
 """Endpoints that are slower than their peers."""
 
+from collections import abc
 import statistics
 
 from filbertglade import clock
@@ -29,8 +30,18 @@
     """
     ratios: Ratios = {}
     _merge(ratios, _compare_reported(candidates), TOKEN_RATIO)
-    _merge(ratios, _compare_token_times(candidates, past), TOKEN_RATIO)
-    _merge(ratios, _compare_first_tokens(candidates, past), FIRST_TOKEN_RATIO)
+    _merge(
+        ratios,
+        _compare_averages(candidates, past, lambda known: known.token_ms),
+        TOKEN_RATIO,
+    )
+    _merge(
+        ratios,
+        _compare_averages(
+            candidates, past, lambda known: known.first_token_ms
+        ),
+        FIRST_TOKEN_RATIO,
+    )
     _merge(ratios, _compare_silence(candidates, past), STALL_RATIO)
     slowest = sorted(ratios, key=lambda key: ratios[key], reverse=True)
     limit = len(candidates) // STRAGGLERS_SHARE
@@ -53,25 +64,16 @@
     )
 
 
-def _compare_token_times(
-    candidates: list[selection.Candidate], past: history.History
-) -> Ratios:
-    times = {}
-    for item in candidates:
-        known = past.read(item.key)
-        if known is not None and _is_fresh(known.token_ms):
-            times[item.key] = known.token_ms.value
-    return _compare(times)
-
-
-def _compare_first_tokens(
-    candidates: list[selection.Candidate], past: history.History
+def _compare_averages(
+    candidates: list[selection.Candidate],
+    past: history.History,
+    read: abc.Callable[[history.EndpointHistory], history.Average],
 ) -> Ratios:
     times = {}
     for item in candidates:
         known = past.read(item.key)
-        if known is not None and _is_fresh(known.first_token_ms):
-            times[item.key] = known.first_token_ms.value
+        if known is not None and _is_fresh(read(known)):
+            times[item.key] = read(known).value
     return _compare(times)
 
 
