Hold streams in flight until a closing node has refused a request

Cause: test_shutdown_cuts_no_stream let 50 streams of 400 tokens of 2 ms run for some 0.8 s and looked for a refusal after the 0.5 s for which a closing node still takes requests. Where the streams were over first, the node had ended rightly, and the call met a refused connection.

Change: stand-ins can hold answers at a token for as long as a plan of faults stands; the test holds all streams until the refusal was seen. A fixture brings every node of the shared cluster back after each test that stops or freezes one.

Conclusion: the test had a race, the product did not.

--- a/filbertglade/standin/completions.py
+++ b/filbertglade/standin/completions.py
@@ -170,7 +170,8 @@
         connection = typing.cast(typing.Any, self.request.connection)
         connection.stream.close()
 
-    def _check_faults(self) -> None:
+    async def _meet_faults(self) -> None:
+        await self._faults.hold(self._given)
         if self._faults.crashes(self.request.body, self._given):
             raise _FaultError
         if self._faults.cuts(self._given):
@@ -180,11 +181,11 @@
         self, model: str, tokens: abc.AsyncIterator[str]
     ) -> None:
         parts = []
-        self._check_faults()
+        await self._meet_faults()
         async for token in tokens:
             parts.append(token)
             self._given += 1
-            self._check_faults()
+            await self._meet_faults()
         message = {'role': 'assistant', 'content': ''.join(parts)}
         choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
         self.finish(_envelope(model, 'chat.completion', choice))
@@ -194,13 +195,13 @@
     ) -> None:
         self.set_header('Content-Type', 'text/event-stream')
         await self.flush()
-        self._check_faults()
+        await self._meet_faults()
         async for token in tokens:
             delta = {'role': 'assistant', 'content': token}
             choice = {'index': 0, 'delta': delta, 'finish_reason': None}
             await self._write_event(model, choice)
             self._given += 1
-            self._check_faults()
+            await self._meet_faults()
         await self._write_event(
             model, {'index': 0, 'delta': {}, 'finish_reason': 'stop'}
         )
--- a/filbertglade/standin/faults.py
+++ b/filbertglade/standin/faults.py
@@ -24,6 +24,8 @@
     :param forgets: whether a stream that was cut can't be resumed.
     :param crash_marker: dies when it runs a body that holds this text.
     :param crash_at_token: how many tokens it gives before it does.
+    :param hold_at_token: holds answers after so many tokens for as long as
+        the plan stands; -1 for never.
     :param late_ms: answers up to so much later, at random.
     :param not_run_times: how many calls it refuses as not run.
     :param error_times: how many calls it fails with a server error.
@@ -36,16 +38,14 @@
     forgets: bool = False
     crash_marker: str = ''
     crash_at_token: int = 0
+    hold_at_token: int = NEVER
     late_ms: int = 0
     not_run_times: int = 0
     error_times: int = 0
 
 
 class Faults:
-    """A host's present faults.
-
-    :ivar plan: what goes wrong.
-    """
+    """A host's present faults."""
 
     def __init__(
         self,
@@ -55,7 +55,30 @@
     ) -> None:
         self._rng = random.Random(f'{settings.seed}/{host}/faults')
         self._die = die
-        self.plan = FaultPlan(crash_marker=settings.crash_marker)
+        self._plan = FaultPlan(crash_marker=settings.crash_marker)
+        self._replaced = asyncio.Event()
+
+    @property
+    def plan(self) -> FaultPlan:
+        """Return what goes wrong."""
+        return self._plan
+
+    def replace_plan(self, plan: FaultPlan) -> None:
+        """Take another plan, and let go what the one before held.
+
+        :param plan: what goes wrong from now on.
+        """
+        self._plan = plan
+        self._replaced.set()
+        self._replaced = asyncio.Event()
+
+    async def hold(self, token: int) -> None:
+        """Wait as long as the plan holds an answer.
+
+        :param token: how many tokens it has given.
+        """
+        while token == self._plan.hold_at_token:
+            await self._replaced.wait()
 
     async def delay(self) -> None:
         """Wait as long as an answer is to be late."""
@@ -131,7 +154,7 @@
             self.set_status(BAD_REQUEST)
             self.finish('; '.join(map(str, problems)))
             return
-        self._faults.plan = plan
+        self._faults.replace_plan(plan)
         self.finish({})
 
     async def delete(self, _: str) -> None:
--- a/tests/requests/bench.py
+++ b/tests/requests/bench.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import pathlib
+import signal
 import typing
 
 import httpx
@@ -110,6 +111,18 @@
         for address in self.engine_addresses():
             self.set_faults(address, crash_marker=CRASH_MARKER)
 
+    def restore_nodes(self) -> None:
+        """Let every node run and serve again, however a test left it."""
+        for node in self.nodes:
+            node.send_signal(signal.SIGCONT)
+        clusters.wait_until(self._starts_and_serves, 'serving again')
+
+    def _starts_and_serves(self) -> bool:
+        for node in self.nodes:
+            if node.process.poll() is not None:
+                node.start()
+        return self.serves_everywhere()
+
     def serves_everywhere(self) -> bool:
         return all(
             node.is_ready() and self.complete(node).status_code == 200
--- a/tests/requests/test_faults.py
+++ b/tests/requests/test_faults.py
@@ -14,12 +14,14 @@
 CALLERS = 200
 STREAMS = 50
 RESENDS = 20
+HELD_AT_TOKEN = 200
 LEAVING_LIMIT_S = 3.0
 
 
 @pytest.fixture(autouse=True)
 def no_faults(running):
     yield
+    running.restore_nodes()
     running.clear_faults()
 
 
@@ -146,6 +148,8 @@
 
 def test_shutdown_cuts_no_stream(running):
     node = running.nodes[0]
+    for address in running.engine_addresses():
+        running.set_faults(address, hold_at_token=HELD_AT_TOKEN)
     prompts = [f'until the end {i}' for i in range(STREAMS)]
     with concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
         futures = [pool.submit(stream, node, text, 400) for text in prompts]
@@ -171,10 +175,9 @@
             10,
         )
         assert refused.headers['X-Outcome'] == 'not_run'
+        running.clear_faults()
         results = [future.result() for future in futures]
     for prompt, (text, outcome, done) in zip(prompts, results, strict=True):
         assert (outcome, done) == ('complete', True)
         assert text == expected(prompt, 400)
     assert node.process.wait(20) == 0
-    node.start()
-    clusters.wait_until(running.serves_everywhere, 'serving again')
