--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -20,6 +20,7 @@
 
 from benchmarks import voter_process
 from filbertglade.control import failures
+from filbertglade.control import identity
 from filbertglade.control import state
 from filbertglade.control import storage
 from filbertglade.control import store
@@ -68,7 +69,7 @@
                 str(self._folder / str(place)),
                 self._addresses,
             )
-            assert storage.init_control(settings) is None
+            assert identity.init_control(settings) is None
             self._processes.append(self._spawn(place))
         await self.submit(put(1))
         return self
--- a/filbertglade/commands/init_control.py
+++ b/filbertglade/commands/init_control.py
@@ -3,7 +3,7 @@
 import pathlib
 
 from filbertglade.commands import check
-from filbertglade.control import storage
+from filbertglade.control import identity
 
 
 def init_control(path: pathlib.Path) -> int:
@@ -20,7 +20,7 @@
             f'control.data_folder: {settings.name!r} is no control host',
             check.EXIT_INVALID,
         )
-    failure = storage.init_control(settings)
+    failure = identity.init_control(settings)
     if failure is not None:
         return check.print_failure(str(failure), check.EXIT_INVALID)
     return 0
--- /dev/null
+++ b/filbertglade/control/identity.py
@@ -0,0 +1,126 @@
+"""Whose a data folder is: its identity file, locked while it is in use."""
+
+import dataclasses
+import fcntl
+import os
+import pathlib
+import secrets
+
+from filbertglade.control import failures
+from filbertglade.control import files
+from filbertglade.control import store
+from filbertglade.settings import model
+
+IDENTITY_NAME = 'voter.json'
+INCARNATION_BYTES = 8
+
+Reason = failures.StorageReason
+StorageFailure = failures.StorageFailure
+
+
+class IdentityFile:
+    """The identity of a data folder.
+
+    :param folder: the folder.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._path = folder / IDENTITY_NAME
+        self._lock: int | None = None
+
+    def open(self, name: str) -> store.Identity | StorageFailure:
+        """Read and lock it; an empty folder becomes a learner's.
+
+        :param name: the node's name.
+        :returns: the identity, or why the folder can't be used.
+        :raises OSError: the operating system refused.
+        """
+        if not self._path.exists():
+            if self._is_folder_used():
+                return StorageFailure(
+                    Reason.BROKEN,
+                    f'{self._folder}: {IDENTITY_NAME} is missing',
+                )
+            write_identity(
+                self._folder,
+                store.Identity(name, new_incarnation(), False),
+            )
+        if not self._try_lock():
+            return StorageFailure(
+                Reason.IN_USE, f'another process uses {self._folder}'
+            )
+        return self._read(name)
+
+    def _is_folder_used(self) -> bool:
+        return any(
+            not path.name.endswith(files.TEMPORARY_SUFFIX)
+            for path in self._folder.iterdir()
+        )
+
+    def _read(self, name: str) -> store.Identity | StorageFailure:
+        values = files.read_json(self._path)
+        if isinstance(values, StorageFailure):
+            return values
+        identity = store.Identity(**values)
+        if identity.name != name:
+            return StorageFailure(
+                Reason.WRONG_NODE,
+                f'{self._folder} belongs to {identity.name!r}, not {name!r}',
+            )
+        return identity
+
+    def _try_lock(self) -> bool:
+        self._lock = os.open(self._path, os.O_RDONLY)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return False
+        return True
+
+    def unlock(self) -> None:
+        """Let other processes use the folder."""
+        if self._lock is not None:
+            os.close(self._lock)
+            self._lock = None
+
+
+def new_incarnation() -> str:
+    """Return the name of a new life of a data folder.
+
+    It must not come from the process's seeded generator: that would give a
+    wiped folder the name of its earlier life again.
+    """
+    return secrets.token_hex(INCARNATION_BYTES)
+
+
+def write_identity(folder: pathlib.Path, identity: store.Identity) -> None:
+    """Write a folder's identity.
+
+    :param folder: the data folder.
+    :param identity: whose it is.
+    :raises OSError: the operating system refused.
+    """
+    files.write_json(folder / IDENTITY_NAME, dataclasses.asdict(identity))
+
+
+def init_control(settings: model.NodeSettings) -> StorageFailure | None:
+    """Mark an empty data folder as a founding voter of a new cluster.
+
+    :param settings: the node's settings.
+    :returns: None, or why the folder wasn't marked.
+    """
+    folder = pathlib.Path(settings.control.data_folder)
+    identity = store.Identity(settings.name, new_incarnation(), founding=True)
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        present = sorted(path.name for path in folder.iterdir())
+        if present:
+            return StorageFailure(
+                Reason.NOT_EMPTY, f'{folder} holds {", ".join(present[:3])}'
+            )
+        write_identity(folder, identity)
+        files.sync_folder(folder.parent)
+    except OSError as error:
+        return StorageFailure(Reason.WRITE_FAILED, str(error))
+    return None
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -7,6 +7,7 @@
 import pytest
 
 from filbertglade.control import failures
+from filbertglade.control import identity
 from filbertglade.control import segments
 from filbertglade.control import storage
 from filbertglade.control import store
@@ -25,7 +26,7 @@
 @pytest.fixture
 def folder(tmp_path):
     settings = cluster.make_settings('one', ['one'], str(tmp_path / 'data'))
-    assert storage.init_control(settings) is None
+    assert identity.init_control(settings) is None
     return tmp_path / 'data'
 
 
@@ -67,13 +68,13 @@
 
 async def test_founding_is_marked_once(folder):
     settings = cluster.make_settings('one', ['one'], str(folder))
-    again = storage.init_control(settings)
+    again = identity.init_control(settings)
     assert again.reason is Reason.NOT_EMPTY
     other = folder.parent / 'other'
     other.mkdir()
     (other / 'notes').write_text('x')
     settings.control.data_folder = str(other)
-    assert storage.init_control(settings).reason is Reason.NOT_EMPTY
+    assert identity.init_control(settings).reason is Reason.NOT_EMPTY
 
 
 async def test_empty_folder_becomes_a_learners(tmp_path):
@@ -301,5 +302,5 @@
 def test_init_makes_missing_folders(tmp_path):
     folder = tmp_path / 'a' / 'b'
     settings = cluster.make_settings('one', ['one'], str(folder))
-    assert storage.init_control(settings) is None
+    assert identity.init_control(settings) is None
     assert (pathlib.Path(folder) / 'voter.json').exists()
--- a/tests/control/test_submission.py
+++ b/tests/control/test_submission.py
@@ -9,6 +9,7 @@
 
 from filbertglade.control import agreement
 from filbertglade.control import failures
+from filbertglade.control import identity
 from filbertglade.control import state
 from filbertglade.control import storage
 from filbertglade.control import submission
@@ -69,7 +70,7 @@
         settings.control.hosts = hosts
         settings.control.data_folder = tmp_path / host.name
         settings.listen.inner = host.address
-        assert storage.init_control(settings) is None
+        assert identity.init_control(settings) is None
         found.append(Host(settings))
     return found
 
--- a/tests/control/test_voter_process.py
+++ b/tests/control/test_voter_process.py
@@ -10,7 +10,7 @@
 
 from benchmarks import voter_process
 from filbertglade.control import failures
-from filbertglade.control import storage
+from filbertglade.control import identity
 from filbertglade.control import submission
 from filbertglade.inner import channels
 from filbertglade.observability import metrics
@@ -34,7 +34,7 @@
         settings = voter_process.make_settings(
             self.name, str(self.folder), self.addresses
         )
-        assert storage.init_control(settings) is None
+        assert identity.init_control(settings) is None
 
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
