Kill engines, cut owners off, let grouped hosts leave and freeze a node

Change: one cluster for all of them (tests/requests/losses): 12 engines of one host, each a process, and 3 groups of 4 hosts. Stand-ins can hold a stream at a token, so that a kill -9 comes exactly there, can refuse to go on with another's text, and stamp their records, which are the judge.

--- a/filbertglade/standin/completions.py
+++ b/filbertglade/standin/completions.py
@@ -96,7 +96,7 @@
         if self._is_wrong_text(body, continued.get('text', '')):
             self._refuse(BAD_REQUEST)
             return
-        if resumed is None and self._faults.takes_not_run():
+        if resumed is None and self._is_unwanted(body):
             self._refuse(CONFLICT)
             return
         kind = 'request' if resumed is None else 'resumed'
@@ -122,6 +122,12 @@
         given = standin_engine.expected_tokens(prompt, self._given)
         return ''.join(given) != text
 
+    def _is_unwanted(self, body: dict[str, typing.Any]) -> bool:
+        if self._given and self._faults.plan.refuses_continuations:
+            self._record('not_continued', body)
+            return True
+        return self._faults.takes_not_run()
+
     def _record(self, kind: str, body: dict[str, typing.Any]) -> None:
         engine = self._engine
         headers = self.request.headers
@@ -194,12 +200,14 @@
     ) -> None:
         self.set_header('Content-Type', 'text/event-stream')
         await self.flush()
+        await self._wait_where_held()
         self._check_faults()
         async for token in tokens:
             delta = {'role': 'assistant', 'content': token}
             choice = {'index': 0, 'delta': delta, 'finish_reason': None}
             await self._write_event(model, choice)
             self._given += 1
+            await self._wait_where_held()
             self._check_faults()
         await self._write_event(
             model, {'index': 0, 'delta': {}, 'finish_reason': 'stop'}
@@ -207,6 +215,12 @@
         self.write('data: [DONE]\n\n')
         self.finish()
 
+    async def _wait_where_held(self) -> None:
+        if self._faults.holds(self._given):
+            host = self._engine.host
+            self._engine.record('held', host=host, run=self._run)
+            await asyncio.Event().wait()
+
     async def _write_event(
         self, model: str, choice: dict[str, object]
     ) -> None:
--- a/filbertglade/standin/faults.py
+++ b/filbertglade/standin/faults.py
@@ -22,6 +22,10 @@
     :param cut_at_token: cuts a stream after so many tokens; -1 for never.
     :param cut_times: how many streams are cut.
     :param forgets: whether a stream that was cut can't be resumed.
+    :param hold_at_token: a stream that has given so many tokens gives no
+        more; -1 for never.
+    :param refuses_continuations: whether it goes on with no other engine's
+        text.
     :param crash_marker: dies when it runs a body that holds this text.
     :param crash_at_token: how many tokens it gives before it does.
     :param late_ms: answers up to so much later, at random.
@@ -34,6 +38,8 @@
     cut_at_token: int = NEVER
     cut_times: int = 1
     forgets: bool = False
+    hold_at_token: int = NEVER
+    refuses_continuations: bool = False
     crash_marker: str = ''
     crash_at_token: int = 0
     late_ms: int = 0
@@ -84,6 +90,13 @@
         plan.cut_times -= 1
         return True
 
+    def holds(self, token: int) -> bool:
+        """Return whether a stream gives nothing more.
+
+        :param token: how many tokens it has given.
+        """
+        return token == self.plan.hold_at_token
+
     def crashes(self, body: bytes, token: int) -> bool:
         """Return whether the host dies now, and let it die.
 
--- a/filbertglade/standin/fleet.py
+++ b/filbertglade/standin/fleet.py
@@ -35,7 +35,8 @@
         :param fields: what was taken.
         """
         if self._file is not None:
-            self._file.write(json.dumps({'kind': kind, **fields}) + '\n')
+            entry = {'kind': kind, 'at_ms': clock.now_ms(), **fields}
+            self._file.write(json.dumps(entry) + '\n')
 
     def close(self) -> None:
         """Close the file."""
--- /dev/null
+++ b/tests/requests/losses/conftest.py
@@ -0,0 +1,19 @@
+"""A cluster whose engines are lost: single ones, and groups of four hosts."""
+
+import pytest
+
+from tests import cluster as clusters
+from tests import forwarding
+from tests.requests.losses import fleet
+
+
+@pytest.fixture(scope='package')
+def losing(tmp_path_factory):
+    folder = tmp_path_factory.mktemp('losses')
+    links = forwarding.Links()
+    running = fleet.LosingBench(clusters.Cluster(folder, links), folder)
+    try:
+        running.start()
+        yield running
+    finally:
+        running.cluster.close()
--- /dev/null
+++ b/tests/requests/losses/test_lost_hosts.py
@@ -0,0 +1,133 @@
+"""Groups of four hosts that lose a host, or that a host is to leave."""
+
+import concurrent.futures
+import signal
+
+import httpx
+
+from tests import cluster as clusters
+from tests.requests.losses import fleet
+
+LEAVING_LIMIT_MS = 3000
+# The presence limit, and for how long a choice of an endpoint is used.
+LOST_LIMIT_MS = 4000 + 1000
+FROZEN_S = 10.0
+LONG_TOKENS = 2000
+LONG_STREAMS = 18
+SENT_WHILE_FROZEN = 20
+
+
+def list_grouped(losing, kind='request'):
+    return [
+        entry
+        for entry in losing.records(kind)
+        if entry['host'].startswith('grouped-')
+    ]
+
+
+def wait_for_new_groups(losing, old):
+    """Wait until all groups serve, and those in a list at new epochs."""
+    epochs = {(group['name'], group['epoch']) for group in old}
+
+    def is_replaced():
+        serving = losing.list_serving(fleet.GROUPED)
+        return len(serving) == fleet.GROUPS and not any(
+            (group['name'], group['epoch']) in epochs for group in serving
+        )
+
+    clusters.wait_until(is_replaced, 'the groups at new epochs')
+
+
+def test_leaving_host_gives_its_group_no_new_work(losing):
+    group = losing.list_serving(fleet.GROUPED)[0]
+    leaving = group['hosts'][-1]
+    prompts = [f'long {i}' for i in range(LONG_STREAMS)]
+    load = fleet.Load(losing.nodes, fleet.GROUPED)
+    with concurrent.futures.ThreadPoolExecutor(LONG_STREAMS) as pool:
+        futures = [
+            pool.submit(
+                fleet.send,
+                losing.nodes[i % len(losing.nodes)],
+                prompt,
+                LONG_TOKENS,
+                model=fleet.GROUPED,
+            )
+            for i, prompt in enumerate(prompts)
+        ]
+        in_flight = clusters.wait_until(
+            lambda: [
+                entry
+                for entry in list_grouped(losing)
+                if entry['group'] == group['name']
+                and entry['prompt'] in prompts
+            ],
+            'long streams on the group',
+        )
+        with load.running():
+            address = losing.addresses()[leaving]
+            httpx.put(f'http://{address}/standin/leaving')
+            wait_for_new_groups(losing, [group])
+        told = [future.result() for future in futures]
+    for prompt, item in zip(prompts, told, strict=True):
+        assert item.outcome == 'complete'
+        assert item.is_true(fleet.expected(prompt, LONG_TOKENS))
+    assert load.count and not load.untrue
+    left_ms = losing.records('leaving', host=leaving)[0]['at_ms']
+    assert min(entry['at_ms'] for entry in in_flight) < left_ms
+    last_ms = max(
+        entry['at_ms']
+        for entry in list_grouped(losing)
+        if (entry['group'], entry['epoch']) == (group['name'], group['epoch'])
+    )
+    assert last_ms <= left_ms + LEAVING_LIMIT_MS
+    for found in losing.list_serving(fleet.GROUPED):
+        assert leaving not in found['hosts']
+
+
+def test_frozen_node_sends_nothing_to_groups_that_lost_a_host(losing):
+    frozen = losing.nodes[fleet.OUTER_NODE]
+    broken = losing.list_serving(fleet.GROUPED)[:2]
+    prompts = [f'while frozen {i}' for i in range(SENT_WHILE_FROZEN)]
+    load = fleet.Load(losing.nodes, fleet.GROUPED)
+    with load.running():
+        clusters.wait_until(lambda: load.count > 50, 'load')
+        frozen.send_signal(signal.SIGSTOP)
+        thawed_ms = fleet.now_ms() + int(FROZEN_S * 1000)
+        try:
+            for group in broken:
+                address = losing.addresses()[group['hosts'][-1]]
+                httpx.delete(f'http://{address}/standin/faults')
+            pool = concurrent.futures.ThreadPoolExecutor(SENT_WHILE_FROZEN)
+            futures = [
+                pool.submit(fleet.send, frozen, prompt, 4, model=fleet.GROUPED)
+                for prompt in prompts
+            ]
+            clusters.wait_until(
+                lambda: fleet.now_ms() > thawed_ms, 'the end of the freeze'
+            )
+        finally:
+            frozen.send_signal(signal.SIGCONT)
+        told = [future.result() for future in futures]
+        pool.shutdown()
+        wait_for_new_groups(losing, broken)
+    for prompt, item in zip(prompts, told, strict=True):
+        assert item.outcome in ('complete', 'not_run')
+        assert item.is_true(fleet.expected(prompt, 4))
+    assert load.count and not load.untrue
+    check_all_by_record(losing)
+
+
+def check_all_by_record(losing):
+    """Check every request against the committed groups and lost hosts."""
+    committed = losing.list_committed()
+    died_ms = {
+        entry['host']: entry['at_ms'] for entry in losing.records('died')
+    }
+    late = []
+    for entry in list_grouped(losing):
+        hosts = committed[entry['group'], entry['epoch']]
+        assert entry['host'] == hosts[0]
+        lost_ms = [died_ms[host] for host in hosts if host in died_ms]
+        if lost_ms:
+            late.append(entry['at_ms'] - min(lost_ms))
+    assert max(late) <= LOST_LIMIT_MS
