--- a/filbertglade/standin/completions.py
+++ b/filbertglade/standin/completions.py
@@ -96,7 +96,7 @@
         if self._is_wrong_text(body, continued.get('text', '')):
             self._refuse(BAD_REQUEST)
             return
-        if resumed is None and self._faults.takes_not_run():
+        if resumed is None and self._is_unwanted(body):
             self._refuse(CONFLICT)
             return
         kind = 'request' if resumed is None else 'resumed'
@@ -122,6 +122,12 @@
         given = standin_engine.expected_tokens(prompt, self._given)
         return ''.join(given) != text
 
+    def _is_unwanted(self, body: dict[str, typing.Any]) -> bool:
+        if self._given and self._faults.plan.refuses_continuations:
+            self._record('not_continued', body)
+            return True
+        return self._faults.takes_not_run()
+
     def _record(self, kind: str, body: dict[str, typing.Any]) -> None:
         engine = self._engine
         headers = self.request.headers
@@ -171,7 +177,10 @@
         connection.stream.close()
 
     async def _meet_faults(self) -> None:
-        await self._faults.hold(self._given)
+        if self._faults.holds(self._given):
+            host = self._engine.host
+            self._engine.record('held', host=host, run=self._run)
+            await self._faults.wait_for_release()
         if self._faults.crashes(self.request.body, self._given):
             raise _FaultError
         if self._faults.cuts(self._given):
--- a/filbertglade/standin/faults.py
+++ b/filbertglade/standin/faults.py
@@ -22,10 +22,13 @@
     :param cut_at_token: cuts a stream after so many tokens; -1 for never.
     :param cut_times: how many streams are cut.
     :param forgets: whether a stream that was cut can't be resumed.
+    :param hold_at_token: an answer that has given so many tokens gives no
+        more until a plan releases it; -1 for never.
+    :param releases: whether answers that are held go on.
+    :param refuses_continuations: whether it goes on with no other engine's
+        text.
     :param crash_marker: dies when it runs a body that holds this text.
     :param crash_at_token: how many tokens it gives before it does.
-    :param hold_at_token: holds answers after so many tokens for as long as
-        the plan stands; -1 for never.
     :param late_ms: answers up to so much later, at random.
     :param not_run_times: how many calls it refuses as not run.
     :param error_times: how many calls it fails with a server error.
@@ -36,16 +39,21 @@
     cut_at_token: int = NEVER
     cut_times: int = 1
     forgets: bool = False
+    hold_at_token: int = NEVER
+    releases: bool = False
+    refuses_continuations: bool = False
     crash_marker: str = ''
     crash_at_token: int = 0
-    hold_at_token: int = NEVER
     late_ms: int = 0
     not_run_times: int = 0
     error_times: int = 0
 
 
 class Faults:
-    """A host's present faults."""
+    """A host's present faults.
+
+    :ivar plan: what goes wrong.
+    """
 
     def __init__(
         self,
@@ -55,30 +63,22 @@
     ) -> None:
         self._rng = random.Random(f'{settings.seed}/{host}/faults')
         self._die = die
-        self._plan = FaultPlan(crash_marker=settings.crash_marker)
-        self._replaced = asyncio.Event()
-
-    @property
-    def plan(self) -> FaultPlan:
-        """Return what goes wrong."""
-        return self._plan
+        self._released = asyncio.Event()
+        self.plan = FaultPlan(crash_marker=settings.crash_marker)
 
     def replace_plan(self, plan: FaultPlan) -> None:
-        """Take another plan, and let go what the one before held.
+        """Take another plan.
 
         :param plan: what goes wrong from now on.
         """
-        self._plan = plan
-        self._replaced.set()
-        self._replaced = asyncio.Event()
-
-    async def hold(self, token: int) -> None:
-        """Wait as long as the plan holds an answer.
+        self.plan = plan
+        if plan.releases:
+            self._released.set()
+            self._released = asyncio.Event()
 
-        :param token: how many tokens it has given.
-        """
-        while token == self._plan.hold_at_token:
-            await self._replaced.wait()
+    async def wait_for_release(self) -> None:
+        """Wait until a plan releases the answers that are held."""
+        await self._released.wait()
 
     async def delay(self) -> None:
         """Wait as long as an answer is to be late."""
@@ -107,6 +107,13 @@
         plan.cut_times -= 1
         return True
 
+    def holds(self, token: int) -> bool:
+        """Return whether an answer gives nothing more.
+
+        :param token: how many tokens it has given.
+        """
+        return token == self.plan.hold_at_token
+
     def crashes(self, body: bytes, token: int) -> bool:
         """Return whether the host dies now, and let it die.
 
--- a/tests/requests/bench.py
+++ b/tests/requests/bench.py
@@ -109,7 +109,7 @@
 
     def clear_faults(self) -> None:
         for address in self.engine_addresses():
-            self.set_faults(address, crash_marker=CRASH_MARKER)
+            self.set_faults(address, crash_marker=CRASH_MARKER, releases=True)
 
     def restore_nodes(self) -> None:
         """Let every node run and serve again, however a test left it."""
