Rate sixteen drawn endpoints in place of four

Cause: with a greedy customer held to its share, requests still met full engines though others had room. Each node's own requests count exactly and the others' as a mean, so engines fill evenly if each node spreads its own evenly; four drawn at random leave too much to chance.

Change: up to sixteen drawn endpoints are rated.

--- a/filbertglade/routing/expected_wait.py
+++ b/filbertglade/routing/expected_wait.py
@@ -1,4 +1,4 @@
-"""The product's policy: few choices by expected wait."""
+"""The product's policy: some choices by expected wait."""
 
 import collections
 import dataclasses
@@ -15,9 +15,9 @@
 from filbertglade.routing import stragglers
 from filbertglade.settings import model
 
-CHOICES = 4
+CHOICES = 16
 HOLDERS_TRIED = 4
-SAMPLES_DRAWN = 8
+SAMPLES_DRAWN = 32
 PEERS_KEPT_MS = 100
 FIRST_SERVICE_MS = 1000.0
 LOAD_SPREAD = 1.0
@@ -59,7 +59,7 @@
 
 
 class ExpectedWaitSelector(selection.Selector):
-    """Takes the best of a few random endpoints and of those with the prefix.
+    """Takes the best of some random endpoints and of those with the prefix.
 
     The best is that with the least expected wait, less the time that a
     cached prefix saves; stragglers are drawn seldom and rated as slow as
