--- a/filbertglade/admission/rates.py
+++ b/filbertglade/admission/rates.py
@@ -31,6 +31,8 @@
 
     def _fade(self) -> None:
         now_ms = clock.now_ms()
+        if now_ms == self._updated_ms:
+            return
         self._value *= math.exp((self._updated_ms - now_ms) / MEMORY_MS)
         self._updated_ms = now_ms
 
--- a/filbertglade/admission/sharing.py
+++ b/filbertglade/admission/sharing.py
@@ -51,8 +51,15 @@
 
         :param use: what it asks for.
         """
-        asked = read_asked(use, self.hold_ms)
-        return asked > GREEDY_FACTOR * self.read_share(use.weight)
+        return self.exceeds_share(read_asked(use, self.hold_ms), use.weight)
+
+    def exceeds_share(self, asked: float, weight: float) -> bool:
+        """Return whether so many slots are far more than a share.
+
+        :param asked: how many slots.
+        :param weight: the weight of the customer that asks for them.
+        """
+        return asked > GREEDY_FACTOR * self.read_share(weight)
 
     def is_within(self, use: CustomerUse) -> bool:
         """Return whether one more request is within a customer's share.
@@ -101,13 +108,20 @@
         :param slots: slots to share.
         :param hold_ms: how long a request usually holds its slot.
         """
-        active = [use for use in self._uses.values() if _is_active(use)]
-        weights = sum(use.weight for use in active)
+        least = ACTIVE_RATE * hold_ms / 1000
+        active = [
+            (use, asked)
+            for use in self._uses.values()
+            if (asked := read_asked(use, hold_ms)) > least or use.running
+        ]
+        weights = sum(use.weight for use, _ in active)
         room = Room(limit, slots / (weights or 1.0), float(limit), hold_ms)
-        usual = [use for use in active if not room.is_greedy(use)]
-        running = sum(use.running for use in usual)
-        asked = sum(read_asked(use, hold_ms) for use in usual)
-        expected = max(running, asked)
+        running, expected = 0, 0.0
+        for use, asked in active:
+            if not room.exceeds_share(asked, use.weight):
+                running += use.running
+                expected += asked
+        expected = max(running, expected)
         if expected:
             spare = SPARE_DEVIATIONS * math.sqrt(expected)
             room.unspared = slots - spare - (expected - running)
@@ -127,7 +141,3 @@
     :param hold_ms: how long a request usually holds its slot.
     """
     return use.arrivals.read() * hold_ms / 1000
-
-
-def _is_active(use: CustomerUse) -> bool:
-    return bool(use.running) or use.arrivals.read() > ACTIVE_RATE
