Spend less on a token's text, durations and write

Cause: of the time a token took in the profile 6% went into the JSON of its event, 5% into the histogram and 3% into the handler's flush. Change: a stream's events are read by their common form as long as they have it, and parsed when in doubt; equal durations wait and are recorded at once; events are written to the connection once the head is out.

--- a/filbertglade/entry/handlers.py
+++ b/filbertglade/entry/handlers.py
@@ -1,6 +1,8 @@
 """HTTP handlers towards callers."""
 
 import asyncio
+from collections import abc
+import functools
 import json
 
 from tornado import iostream
@@ -137,8 +139,7 @@
                 self.write(_build_last_event())
                 self.write(DONE_EVENT)
                 return
-            self.write(part)
-            await self._flush()
+            await self._write_events(part)
 
     async def _pass_whole(self, answer: answers.AnswerSource) -> None:
         parts: list[bytes] = []
@@ -190,12 +191,27 @@
             self.write(part)
             await self._flush()
 
+    async def _write_events(self, part: bytes) -> None:
+        if not self._headers_written:
+            self.write(part)
+            await self._flush()
+            return
+        # With the head out, nothing is left of a flush but this write.
+        connection = self.request.connection
+        assert connection is not None
+        await self._wait_written(functools.partial(connection.write, part))
+
     async def _flush(self) -> None:
+        await self._wait_written(self.flush)
+
+    async def _wait_written(
+        self, write: abc.Callable[[], asyncio.Future[None]]
+    ) -> None:
         idle_s = self._settings.timings.idle_timeout_ms / 1000
         try:
-            flushed = self.flush()
-            if not flushed.done():
-                await asyncio.wait_for(flushed, idle_s)
+            written = write()
+            if not written.done():
+                await asyncio.wait_for(written, idle_s)
         except (iostream.StreamClosedError, TimeoutError) as error:
             raise CallerLeft from error
 
--- a/filbertglade/observability/metrics.py
+++ b/filbertglade/observability/metrics.py
@@ -10,18 +10,45 @@
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_DIGITS = 2
+WAITING_VALUES = 256
 PERCENTILES = (50.0, 95.0, 99.0, 100.0)
 
 Labels = tuple[tuple[str, str], ...]
 
 
+class _Durations:
+    """A histogram whose newest values wait, equal ones counted as one."""
+
+    __slots__ = ('_histogram', '_waiting')
+
+    def __init__(self) -> None:
+        self._histogram = histogram.HdrHistogram(
+            LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+        )
+        self._waiting: dict[int, int] = {}
+
+    def add(self, value_us: int) -> None:
+        waiting = self._waiting
+        waiting[value_us] = waiting.get(value_us, 0) + 1
+        if len(waiting) > WAITING_VALUES:
+            self.settle()
+
+    def settle(self) -> histogram.HdrHistogram:
+        """Put the waiting values in and return the histogram."""
+        for value_us, count in self._waiting.items():
+            bounded_us = min(max(value_us, LOWEST_US), HIGHEST_US)
+            self._histogram.record_value(bounded_us, count)
+        self._waiting.clear()
+        return self._histogram
+
+
 class Metrics:
     """All metrics of a process, by name and labels."""
 
     def __init__(self) -> None:
         self._counters: dict[tuple[str, Labels], int] = {}
         self._gauges: dict[str, abc.Callable[[], float]] = {}
-        self._histograms: dict[str, histogram.HdrHistogram] = {}
+        self._histograms: dict[str, _Durations] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter.
@@ -58,12 +85,9 @@
         """
         found = self._histograms.get(name)
         if found is None:
-            found = histogram.HdrHistogram(
-                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
-            )
+            found = _Durations()
             self._histograms[name] = found
-        value_us = int(value_ms * 1000)
-        found.record_value(min(max(value_us, LOWEST_US), HIGHEST_US))
+        found.add(int(value_ms * 1000))
 
     def percentile_ms(self, name: str, percentile: float) -> float:
         """Return a percentile of a histogram.
@@ -75,7 +99,8 @@
         found = self._histograms.get(name)
         if found is None:
             return 0.0
-        return float(found.get_value_at_percentile(percentile)) / 1000
+        value_us = found.settle().get_value_at_percentile(percentile)
+        return float(value_us) / 1000
 
     def render_text(self) -> str:
         """Return all metrics in the Prometheus text format.
@@ -93,7 +118,7 @@
                 value = self.percentile_ms(name, percentile)
                 label = f'{{quantile="{percentile / 100:g}"}}'
                 lines.append(f'filbertglade_{name}_ms{label} {value:g}')
-            count = found.get_total_count()
+            count = found.settle().get_total_count()
             lines.append(f'filbertglade_{name}_ms_count {count}')
         return '\n'.join(lines) + '\n'
 
--- a/filbertglade/requests/streams.py
+++ b/filbertglade/requests/streams.py
@@ -1,6 +1,7 @@
 """Streams of events: whole events only, and how far a stream has come."""
 
 import json
+import re
 import typing
 
 EVENT_END = b'\n\n'
@@ -8,6 +9,10 @@
 DATA = b'data:'
 EVENT_BYTES = 1_048_576
 UNREAD_BYTES = 16_384
+# A JSON string's bytes that stand for themselves.
+PLAIN = re.compile(rb'[^"\\\x00-\x1f]*')
+MARK = b'(the text of this event)'
+FORMS = 3
 
 
 class EventSplitter:
@@ -60,13 +65,22 @@
     the stream has broken.
     """
 
-    __slots__ = ('_text', '_tokens', '_unread', '_unread_bytes')
+    __slots__ = (
+        '_form',
+        '_forms',
+        '_text',
+        '_tokens',
+        '_unread',
+        '_unread_bytes',
+    )
 
     def __init__(self) -> None:
         self._unread: list[bytes] = []
         self._unread_bytes = 0
         self._text: str | None = ''
         self._tokens = 0
+        self._form: _Form | None = None
+        self._forms = 0
 
     def add(self, events: bytes) -> None:
         """Note whole events.
@@ -99,29 +113,73 @@
         parts = [self._text or '']
         for line in events.split(b'\n'):
             if line.startswith(DATA):
-                part = self._read_event(line[len(DATA) :])
+                part = self._read_line(line)
                 if part:
                     parts.append(part)
                     self._tokens += 1
         if self._text is not None:
             self._text = ''.join(parts)
 
-    def _read_event(self, data: bytes) -> str:
+    def _read_line(self, line: bytes) -> str:
+        if self._form is not None:
+            found = self._form.read(line)
+            if found is not None:
+                return found
+        texts = _parse_texts(line)
+        if None in texts:
+            # Several choices or tool calls can't be continued.
+            self._text = None
+            return ''.join(text or '' for text in texts) or ' '
+        found = ''.join(text or '' for text in texts)
+        if found and self._forms < FORMS:
+            self._forms += 1
+            self._form = _find_form(line, found)
+        return found
+
+
+class _Form:
+    """What a stream's events have in common around their plain text."""
+
+    __slots__ = ('_before', '_after')
+
+    def __init__(self, before: bytes, after: bytes) -> None:
+        self._before = before
+        self._after = after
+
+    def read(self, line: bytes) -> str | None:
+        """Return an event's text; None if it has to be parsed."""
+        before, after = self._before, self._after
+        if not (line.startswith(before) and line.endswith(after)):
+            return None
+        raw = line[len(before) : -len(after)]
+        if len(line) < len(before) + len(after) or not PLAIN.fullmatch(raw):
+            return None
         try:
-            event = json.loads(data)
-            choices = event['choices']
-        except (ValueError, KeyError, TypeError):
-            return ''
-        text = ''
-        for choice in choices:
-            found = _find_text(choice)
-            if found is None:
-                # Several choices or tool calls can't be continued.
-                self._text = None
-                text = text or ' '
-            else:
-                text += found
-        return text
+            return raw.decode('utf-8', 'surrogatepass')
+        except UnicodeDecodeError:
+            return None
+
+
+def _find_form(line: bytes, text: str) -> _Form | None:
+    """Return the form of an event whose text is a JSON string as it is."""
+    raw = text.encode('utf-8', 'surrogatepass')
+    before, quoted, after = line.rpartition(b'"' + raw + b'"')
+    if not quoted or not PLAIN.fullmatch(raw) or MARK in line:
+        return None
+    before, after = before + b'"', b'"' + after
+    if _parse_texts(before + MARK + after) != [MARK.decode()]:
+        return None
+    return _Form(before, after)
+
+
+def _parse_texts(line: bytes) -> list[str | None]:
+    """Return the texts of an event's choices."""
+    try:
+        event = json.loads(line[len(DATA) :])
+        choices = event['choices']
+    except (ValueError, KeyError, TypeError):
+        return []
+    return [_find_text(choice) for choice in choices]
 
 
 def _find_text(choice: dict[str, typing.Any]) -> str | None:
--- /dev/null
+++ b/tests/requests/test_streams.py
@@ -0,0 +1,73 @@
+"""What is remembered of a stream, against a plain reading of its events."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+
+from filbertglade.requests import streams
+
+TEXTS = strategies.one_of(
+    strategies.sampled_from(
+        ['', 'a', 'content', 'chunk', '"', '\\', '\n', 'é', '\ud800', '}'],
+    ),
+    strategies.text(max_size=6),
+)
+
+
+def build_event(text, raw, other):
+    delta = {'role': 'assistant', 'content': text}
+    choices = [{'index': 0, 'delta': delta, 'finish_reason': None}]
+    if other == 'two':
+        choices.append({'index': 0, 'delta': {'content': 'b'}})
+    if other == 'tool':
+        delta['tool_calls'] = [{'id': 'x'}]
+    event = {'id': 'chunk', 'choices': choices, 'text': text}
+    if other != 'named':
+        del event['text']
+    found = json.dumps(event, ensure_ascii=not raw)
+    return found.encode('utf-8', 'surrogatepass')
+
+
+def read_plainly(lines):
+    text, tokens = '', 0
+    for line in lines:
+        choices = json.loads(line)['choices']
+        if 'tool_calls' in choices[0]['delta']:
+            text, tokens = None, tokens + 1
+            continue
+        part = ''.join(choice['delta']['content'] for choice in choices)
+        tokens += bool(part)
+        text = None if text is None else text + part
+    return text, tokens
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            TEXTS,
+            strategies.booleans(),
+            strategies.sampled_from(['', '', '', 'two', 'named', 'tool']),
+        ),
+        max_size=12,
+    ),
+    strategies.booleans(),
+)
+def test_text_is_what_the_events_say(events, is_read_often):
+    lines = [build_event(*event) for event in events]
+    progress = streams.Progress()
+    for line in lines:
+        progress.add(b'data: ' + line + b'\n\n')
+        assert not is_read_often or progress.tokens >= 0
+    assert (progress.text, progress.tokens) == read_plainly(lines)
+
+
+def test_text_that_is_no_utf_8_counts_as_no_event():
+    progress = streams.Progress()
+    for text in ('a', 'b', 'c'):
+        line = build_event(text, True, '')
+        progress.add(b'data: ' + line + b'\n\n')
+        assert progress.tokens == 1 + 'abc'.index(text)
+    broken = build_event('d', True, '').replace(b'"d"', b'"\xff"')
+    progress.add(b'data: ' + broken + b'\n\n')
+    assert (progress.text, progress.tokens) == ('abc', 3)
