Split an execution's choice, dispatch, held parts and measures off

Change: the endpoint chosen and avoided (choice), the sending and what its failures mean (dispatch), parts held until an answer is whole (holding), counts and durations of a stream (metering) and what all executions share (parts) are modules of their own; so are streams of events read from their connection (streamed). No behaviour is changed.

--- a/filbertglade/requests/endpoints.py
+++ b/filbertglade/requests/endpoints.py
@@ -15,6 +15,7 @@
 from filbertglade import failures
 from filbertglade.inner import channels
 from filbertglade.requests import arriving
+from filbertglade.requests import streamed
 from filbertglade.settings import model
 
 IDLE_CONNECTIONS = 8
@@ -146,7 +147,7 @@
         idle_ms = self._settings.timings.idle_timeout_ms
         if not receiver.is_detached:
             return arriving.QueuedAnswer(stream, receiver, reading, idle_ms)
-        return arriving.StreamedAnswer(
+        return streamed.StreamedAnswer(
             stream,
             receiver.head.result(),
             idle_ms,
--- a/filbertglade/requests/runner.py
+++ b/filbertglade/requests/runner.py
@@ -24,6 +24,7 @@
 from filbertglade.requests import execution
 from filbertglade.requests import joins
 from filbertglade.requests import outcomes
+from filbertglade.requests import parts
 from filbertglade.requests import permissions
 from filbertglade.requests import retries
 from filbertglade.requests import strikes
@@ -82,7 +83,7 @@
         self._settings = settings
         self._counters = counters
         self._pool = endpoints.EndpointPool(settings)
-        self._parts = execution.ExecutionParts(
+        self._parts = parts.ExecutionParts(
             settings=settings,
             fleet=fleet,
             attached=attached,
