Hold less of a stream unread; measure tokens that come alone

Cause: a stream in flight kept up to 16 KB of its events unread so that reading them was rare, and joined its whole text anew at each reading. The benchmark's tokens of 2 ms come several at once when the node is busy, which hid what a token costs that comes alone. Change: events are read at 4 KB, and texts are joined when asked for. benchmarks.entry also runs 100 streams at a token each 30 ms. Memory after the change was not measured.

--- a/benchmarks/entry.py
+++ b/benchmarks/entry.py
@@ -24,6 +24,9 @@
 WARM_UP = 50
 SHORT_TOKENS = 4
 LONG_TOKENS = 300
+PACED_TOKEN_MS = 30
+PACED_TOKENS = 200
+PACED_STREAMS = 100
 OPEN_STREAMS = 200
 OPEN_TOKENS = 100_000
 SETTLE_S = 3.0
@@ -70,11 +73,12 @@
     tokens: int,
     is_stream: bool,
     is_claimed: bool = False,
+    callers: int = CALLERS,
 ) -> None:
     """Make calls, some at once."""
-    limits = httpx.Limits(max_connections=CALLERS)
+    limits = httpx.Limits(max_connections=callers)
     async with httpx.AsyncClient(timeout=60, limits=limits) as client:
-        gate = asyncio.Semaphore(CALLERS)
+        gate = asyncio.Semaphore(callers)
 
         async def one(number: int) -> None:
             prompt = f'{name} {number}'
@@ -94,18 +98,44 @@
     tokens: int,
     is_stream: bool,
     is_claimed: bool = False,
+    callers: int = CALLERS,
 ) -> float:
     """Return processor time a request, less what the node takes idle."""
     asyncio.run(run_calls(node, 'warm ' + name, WARM_UP, 4, is_stream))
     idle_share = measure_idle(node)
     began_s = time.monotonic()
     before_s = read_cpu_s(node)
-    asyncio.run(run_calls(node, name, count, tokens, is_stream, is_claimed))
+    asyncio.run(
+        run_calls(node, name, count, tokens, is_stream, is_claimed, callers)
+    )
     used_s = read_cpu_s(node) - before_s
     idle_s = idle_share * (time.monotonic() - began_s)
     return (used_s - idle_s) / count * 1000
 
 
+def measure_paced_us(folder: pathlib.Path) -> float:
+    """Return processor time for a token that comes alone."""
+    with bench.run_cluster(
+        folder,
+        others=1,
+        engines=ENGINES,
+        slots=SLOTS,
+        token_ms=PACED_TOKEN_MS,
+    ) as running:
+        short_ms, long_ms = (
+            measure_cpu_ms(
+                running.nodes[-1],
+                f'paced {tokens}',
+                PACED_STREAMS,
+                tokens,
+                True,
+                callers=PACED_STREAMS,
+            )
+            for tokens in (SHORT_TOKENS, PACED_TOKENS)
+        )
+    return (long_ms - short_ms) / (PACED_TOKENS - SHORT_TOKENS) * 1000
+
+
 def measure_idle(node: clusters.NodeProcess) -> float:
     """Return the part of a core that a node takes without requests."""
     before_s = read_cpu_s(node)
@@ -150,6 +180,7 @@
     options = parser.parse_args()
     with (
         tempfile.TemporaryDirectory() as folder,
+        tempfile.TemporaryDirectory() as paced_folder,
         bench.run_cluster(
             pathlib.Path(folder), others=1, engines=ENGINES, slots=SLOTS
         ) as running,
@@ -169,13 +200,19 @@
         )
         token_us = (long_ms - short_ms) / (LONG_TOKENS - SHORT_TOKENS) * 1000
         stream_kb = asyncio.run(measure_stream_kb(node))
+        claims_ms = read_claims_ms(node)
+        running.cluster.close()
+        paced_us = measure_paced_us(pathlib.Path(paced_folder))
         print('| what | figure |')
         print('|---|---|')
         print(f'| processor time a request | {plain_ms:.2f} ms |')
         print(f'| processor time a claimed request | {claimed_ms:.2f} ms |')
         print(f'| processor time a streamed token | {token_us:.0f} us |')
+        print(
+            f'| processor time a token that comes alone | {paced_us:.0f} us |'
+        )
         print(f'| memory a stream in flight | {stream_kb:.0f} KB |')
-        for quantile, value_ms in read_claims_ms(node).items():
+        for quantile, value_ms in claims_ms.items():
             print(f'| claim latency, quantile {quantile} | {value_ms:g} ms |')
 
 
--- a/filbertglade/requests/streamed.py
+++ b/filbertglade/requests/streamed.py
@@ -17,6 +17,8 @@
     """An answer in chunks, read from its connection only when asked for.
 
     All that has arrived is read at once, whatever number of chunks it is.
+
+    :ivar finishing: waits for the end of an answer that was released.
     """
 
     def __init__(
@@ -32,7 +34,7 @@
         self._keep = keep
         self._decoder = chunked.ChunkDecoder()
         self._watch = silence.SilenceWatch(stream.close)
-        self._finishing: asyncio.Task[None] | None = None
+        self.finishing: asyncio.Task[None] | None = None
 
     async def read(
         self, limit_s: float | None = None
@@ -73,7 +75,7 @@
             self._settle()
         else:
             loop = asyncio.get_running_loop()
-            self._finishing = loop.create_task(self._finish())
+            self.finishing = loop.create_task(self._finish())
 
     async def _finish(self) -> None:
         self._watch.begin(arriving.TRAILING_LIMIT_S)
--- a/filbertglade/requests/streams.py
+++ b/filbertglade/requests/streams.py
@@ -8,7 +8,7 @@
 DONE = b'data: [DONE]'
 DATA = b'data:'
 EVENT_BYTES = 1_048_576
-UNREAD_BYTES = 16_384
+UNREAD_BYTES = 4096
 # A JSON string's bytes that stand for themselves.
 PLAIN = re.compile(rb'[^"\\\x00-\x1f]*')
 MARK = b'(the text of this event)'
@@ -68,7 +68,8 @@
     __slots__ = (
         '_form',
         '_forms',
-        '_text',
+        '_is_plain',
+        '_texts',
         '_tokens',
         '_unread',
         '_unread_bytes',
@@ -77,7 +78,8 @@
     def __init__(self) -> None:
         self._unread: list[bytes] = []
         self._unread_bytes = 0
-        self._text: str | None = ''
+        self._texts: list[str] = []
+        self._is_plain = True
         self._tokens = 0
         self._form: _Form | None = None
         self._forms = 0
@@ -102,7 +104,7 @@
     def text(self) -> str | None:
         """The text so far; None if it is no single plain text."""
         self._read()
-        return self._text
+        return ''.join(self._texts) if self._is_plain else None
 
     def _read(self) -> None:
         if not self._unread:
@@ -110,15 +112,15 @@
         events = b''.join(self._unread)
         self._unread.clear()
         self._unread_bytes = 0
-        parts = [self._text or '']
+        parts = []
         for line in events.split(b'\n'):
             if line.startswith(DATA):
                 part = self._read_line(line)
                 if part:
                     parts.append(part)
                     self._tokens += 1
-        if self._text is not None:
-            self._text = ''.join(parts)
+        if self._is_plain:
+            self._texts.append(''.join(parts))
 
     def _read_line(self, line: bytes) -> str:
         if self._form is not None:
@@ -128,7 +130,8 @@
         texts = _parse_texts(line)
         if None in texts:
             # Several choices or tool calls can't be continued.
-            self._text = None
+            self._is_plain = False
+            self._texts.clear()
             return ''.join(text or '' for text in texts) or ' '
         found = ''.join(text or '' for text in texts)
         if found and self._forms < FORMS:
--- a/tests/requests/bench.py
+++ b/tests/requests/bench.py
@@ -153,6 +153,7 @@
     engines: int = ENGINES,
     extra: str = TIMINGS,
     slots: int = 8,
+    token_ms: int = 2,
 ) -> typing.Iterator[Bench]:
     cluster = clusters.Cluster(folder)
     record = folder / 'record.jsonl'
@@ -163,7 +164,7 @@
         cluster.found()
         common = ('--record', str(record), '--crash-marker', CRASH_MARKER)
         cluster.start_standin(
-            '--hosts', str(engines), '--token-ms', '2',
+            '--hosts', str(engines), '--token-ms', str(token_ms),
             '--slots', str(slots), *common,
         )  # fmt: skip
         cluster.start_standin(
--- /dev/null
+++ b/tests/requests/test_streamed.py
@@ -0,0 +1,135 @@
+"""Streams of events from an endpoint that is good, late, cut or wrong."""
+
+import asyncio
+import contextlib
+import types
+
+import pytest
+
+from filbertglade import failures
+from filbertglade.requests import arriving
+from filbertglade.requests import endpoints
+from filbertglade.requests import streamed
+
+HEAD = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+EVENT = b'data: {}\n\n'
+CHUNK = b'a\r\n' + EVENT + b'\r\n'
+LAST = b'0\r\n\r\n'
+IDLE_MS = 300
+TIMINGS = types.SimpleNamespace(
+    idle_timeout_ms=IDLE_MS, connect_timeout_ms=5000
+)
+
+
+class Endpoint:
+    """Writes what it is told to, and counts its connections."""
+
+    def __init__(self):
+        self.connections = 0
+        self.writers = asyncio.Queue()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                self.writers.put_nowait(writer)
+        writer.close()
+
+
+@pytest.fixture
+async def endpoint():
+    found = Endpoint()
+    server = await asyncio.start_server(found.serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    found.address = f'{host}:{port}'
+    found.pool = endpoints.EndpointPool(types.SimpleNamespace(timings=TIMINGS))
+    yield found
+    found.pool.close()
+    server.close()
+
+
+async def start(endpoint, first):
+    call = endpoints.Call('POST', '/', {}, b'')
+    starting = asyncio.ensure_future(
+        endpoint.pool.start_call(endpoint.address, call, 5000)
+    )
+    writer = await endpoint.writers.get()
+    writer.write(first)
+    answer = await starting
+    assert isinstance(answer, streamed.StreamedAnswer)
+    return answer, writer
+
+
+async def read_whole(answer):
+    parts = []
+    while isinstance(part := await answer.read(), bytes):
+        parts.append(part)
+    return b''.join(parts), part
+
+
+async def test_events_that_come_together_are_one_part(endpoint):
+    answer, _ = await start(endpoint, HEAD + 3 * CHUNK + LAST)
+    assert await answer.read() == 3 * EVENT
+    assert await answer.read() is None
+
+
+async def test_connection_of_a_whole_stream_is_used_again(endpoint):
+    for _ in range(3):
+        answer, _ = await start(endpoint, HEAD + CHUNK + LAST)
+        assert await read_whole(answer) == (EVENT, None)
+        answer.release()
+    assert endpoint.connections == 1
+
+
+async def test_connection_is_used_again_after_a_late_end(endpoint):
+    answer, writer = await start(endpoint, HEAD + CHUNK)
+    assert await answer.read() == EVENT
+    answer.release()
+    writer.write(LAST)
+    await asyncio.wait_for(answer.finishing, 5)
+    await start(endpoint, HEAD)
+    assert endpoint.connections == 1
+
+
+@pytest.mark.parametrize('beyond', [b'x', HEAD])
+async def test_connection_with_more_than_the_body_is_closed(endpoint, beyond):
+    answer, _ = await start(endpoint, HEAD + CHUNK + LAST + beyond)
+    assert await read_whole(answer) == (EVENT, None)
+    answer.release()
+    await start(endpoint, HEAD)
+    assert endpoint.connections == 2
+
+
+@pytest.mark.parametrize('limit_s', [None, 0.05, -1.0])
+async def test_silence_is_a_time_out(endpoint, limit_s):
+    answer, _ = await start(endpoint, HEAD + CHUNK)
+    assert await answer.read() == EVENT
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    found = await answer.read(limit_s)
+    assert found == failures.Failure(arriving.EndpointReason.TIMED_OUT)
+    wanted_s = IDLE_MS / 1000 if limit_s is None else max(limit_s, 0)
+    assert wanted_s <= loop.time() - began_s + 0.01
+
+
+async def test_silence_between_reads_is_none(endpoint):
+    answer, writer = await start(endpoint, HEAD + CHUNK)
+    assert await answer.read(0.05) == EVENT
+    looked = asyncio.Event()
+    asyncio.get_running_loop().call_later(0.1, looked.set)
+    await looked.wait()
+    writer.write(CHUNK)
+    assert await answer.read() == EVENT
+
+
+@pytest.mark.parametrize('rest', [b'', b'5\r\nda', b'zz\r\n', b'1\r\nabc'])
+async def test_cut_or_wrong_stream_is_broken(endpoint, rest):
+    answer, writer = await start(endpoint, HEAD + CHUNK + rest)
+    writer.close()
+    body, end = await read_whole(answer)
+    assert body.startswith(EVENT)
+    assert end == failures.Failure(arriving.EndpointReason.BROKEN)
