Gather claims of many nodes into one record of the log

Cause, by a profile of the leader under 100 nodes of 14 requests/s: of its processor time two thirds went into streams of commands (about a third of it into receiving, a third into answering, and each command of another host's nodes was passed on by itself), 12% into replication, 10% into applying, 3% into appending; syncing was batched already and took 0.5 ms.

Nodes hold notes of final outcomes back for up to 250 ms to go with the next claim.

--- a/filbertglade/control/submission.py
+++ b/filbertglade/control/submission.py
@@ -1,6 +1,7 @@
 """The way of commands from any node to the leader."""
 
 import asyncio
+import dataclasses
 import typing
 
 from grpclib import server
@@ -9,6 +10,7 @@
 from filbertglade import clock
 from filbertglade.control import agreement
 from filbertglade.control import failures
+from filbertglade.control import gathering
 from filbertglade.control import submit_stream
 from filbertglade.control import submitter
 from filbertglade.inner import channels
@@ -134,7 +136,7 @@
 
 
 class LocalSubmitter(submitter.Submitter):
-    """Submits commands on a control host.
+    """Submits commands on a control host, claims gathered.
 
     :param settings: the node's settings.
     :param voter: this host's part in the log.
@@ -150,13 +152,16 @@
         self._settings = settings
         self._voter = voter
         self._channel_factory = channel_factory
-        self._streams: dict[str, submit_stream.SubmitStream] = {}
+        self._here = gathering.ClaimGatherer(voter)
+        self._ways: dict[str, _Way] = {}
 
     async def close(self) -> None:
         """Stop; commands passed on that have no answer fail."""
-        streams, self._streams = self._streams, {}
-        for stream in streams.values():
-            await stream.close()
+        await self._here.close()
+        ways, self._ways = self._ways, {}
+        for way in ways.values():
+            await way.stream.close()
+            await way.gatherer.close()
 
     async def submit(
         self, command: commands_pb2.Command, timeout_ms: int
@@ -190,23 +195,49 @@
         """
         leader = self._voter.leader
         if self._voter.is_leader or leader in ('', self._settings.name):
-            return await self._voter.submit(command, timeout_ms)
-        stream = self._streams.get(leader)
-        if stream is None:
-            stream = submit_stream.SubmitStream(
-                self._settings,
-                self._find_address(leader),
-                self._channel_factory,
-                forwarded=True,
-            )
-            self._streams[leader] = stream
-        return await stream.submit(command, timeout_ms)
+            return await self.submit_here(command, timeout_ms)
+        way = self._ways.get(leader)
+        if way is None:
+            way = self._ways[leader] = self._open_way(leader)
+        return await way.gatherer.submit(command, timeout_ms)
+
+    async def submit_here(
+        self, command: commands_pb2.Command, timeout_ms: int
+    ) -> Result:
+        """Commit a command if this host leads.
+
+        :param command: the command; it is stamped here.
+        :param timeout_ms: how long to wait for the commit.
+        :returns: the result, or the failure.
+        """
+        return await self._here.submit(command, timeout_ms)
+
+    def _open_way(self, leader: str) -> '_Way':
+        stream = submit_stream.SubmitStream(
+            self._settings,
+            self._find_address(leader),
+            self._channel_factory,
+            forwarded=True,
+        )
+        return _Way(stream, gathering.ClaimGatherer(stream))
 
     def _find_address(self, name: str) -> str:
         hosts = self._settings.control.hosts
         return next(host.address for host in hosts if host.name == name)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Way:
+    """How commands reach a leader.
+
+    :param stream: the stream to it.
+    :param gatherer: what gathers claims before the stream.
+    """
+
+    stream: submit_stream.SubmitStream
+    gatherer: gathering.ClaimGatherer
+
+
 class CommandsServicer(commands_grpc.CommandsBase):
     """Takes commands from the nodes on a control host.
 
@@ -223,7 +254,6 @@
         channel_factory: channels.ChannelFactory,
         counters: metrics.Metrics,
     ) -> None:
-        self._voter = voter
         self._local = LocalSubmitter(settings, voter, channel_factory)
         self._counters = counters
 
@@ -269,7 +299,7 @@
         take = self._local.submit_once
         if request.forwarded:
             # It is passed on once only, so that it can't go round.
-            take = self._voter.submit
+            take = self._local.submit_here
         try:
             result = await take(request.command, request.timeout_ms)
             await stream.send_message(_make_reply(request, result))
--- a/filbertglade/control/submit_stream.py
+++ b/filbertglade/control/submit_stream.py
@@ -8,6 +8,7 @@
 
 from filbertglade.control import failures
 from filbertglade.control import replication
+from filbertglade.control import submitter
 from filbertglade.inner import channels
 from filbertglade.inner import commands_grpc
 from filbertglade.inner import commands_pb2
@@ -29,7 +30,7 @@
     sent: bool = False
 
 
-class SubmitStream:
+class SubmitStream(submitter.Submitter):
     """Sends commands to one control host, many at a time.
 
     The stream is opened with the first command, and again after a break.
--- a/filbertglade/requests/claims.py
+++ b/filbertglade/requests/claims.py
@@ -1,6 +1,7 @@
 """Claims: the agreed right to run a non-idempotent request."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 from filbertglade import clock
@@ -14,7 +15,11 @@
 WAITING_CHANGES = 4096
 # Long enough for a new leader to be elected.
 SUBMIT_TIMEOUT_MS = 4000
+# Longest that notes of final outcomes, which nobody waits for, are held back
+# to go with other changes.
+FINISH_DELAY_MS = 250
 
+Action = commands_pb2.ClaimChange
 Reason = control_failures.SubmitReason
 Result = commands_pb2.ClaimResult | control_failures.SubmitFailure
 
@@ -34,7 +39,8 @@
 class ClaimBatcher:
     """Commits many changes of claims in one command.
 
-    One command is in flight; what comes meanwhile fills the next.
+    One command is in flight; what comes meanwhile fills the next. Notes of
+    final outcomes wait a while for others to go with.
     """
 
     def __init__(
@@ -45,6 +51,7 @@
         self._tasks = tasks.TaskGroup()
         self._waiting: list[WaitingChange] = []
         self._sender: asyncio.Task[None] | None = None
+        self._hurried = asyncio.Event()
         self._is_closed = False
 
     async def close(self) -> None:
@@ -71,6 +78,8 @@
         loop = asyncio.get_running_loop()
         waiting = WaitingChange(change, loop.create_future())
         self._waiting.append(waiting)
+        if not _is_patient(change):
+            self._hurried.set()
         if self._sender is None or self._sender.done():
             self._sender = self._tasks.start(self._send_batches())
         try:
@@ -82,7 +91,8 @@
         except asyncio.CancelledError:
             self._withdraw(waiting)
             raise
-        self._counters.record_ms('claim', clock.now_ms() - started_ms)
+        if not _is_patient(change):
+            self._counters.record_ms('claim', clock.now_ms() - started_ms)
         return result
 
     def _withdraw(self, waiting: WaitingChange) -> bool:
@@ -93,13 +103,24 @@
 
     async def _send_batches(self) -> None:
         while self._waiting:
+            await self._wait_for_company()
             batch = self._waiting[:BATCH_CHANGES]
             del self._waiting[:BATCH_CHANGES]
+            if not batch:
+                continue
             try:
                 await self._send(batch)
             finally:
                 self._fail(batch, _failure(Reason.CLOSING, True))
 
+    async def _wait_for_company(self) -> None:
+        if not all(_is_patient(waiting.change) for waiting in self._waiting):
+            return
+        self._hurried.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FINISH_DELAY_MS / 1000):
+                await self._hurried.wait()
+
     async def _send(self, batch: list[WaitingChange]) -> None:
         command = commands_pb2.Command(
             claim_changes=commands_pb2.ClaimChanges(
@@ -126,6 +147,10 @@
                 waiting.result.set_result(failure)
 
 
+def _is_patient(change: commands_pb2.ClaimChange) -> bool:
+    return change.action == Action.FINISH
+
+
 def _failure(
     reason: control_failures.SubmitReason, may_have_applied: bool
 ) -> control_failures.SubmitFailure:
