Keep a region's attachments while no control host hears a leader

Cause: two regions of real processes were cut apart by silent links. The region without a quorum lost its own groups: a node that had heard nothing of the leader for two presence limits left its control host and tried the other region's, each silent for a presence limit. Meanwhile nobody relayed its hosts' announcements, and they aged out (host.absent of all four hosts 2.6 s after attachment.without_leader, back after 7 s, again every 13 s). Links that are refused at once hide it. A second cause: a node that attached to another region's control host, because its own started later, stayed there and was without groups when the regions parted (86 of the calls answered with no-endpoint).

Change: a node without a leader asks the other control hosts (FindLeader) while it stays attached, and leaves only for one that hears the leader. One that is attached outside its data centre asks those of its own once a second and goes back. After a long attachment it begins at the nearest again.

Ruled out: a group that isn't moved while its region is cut off is no fault (a spare was kept back); the test's document keeps none.

--- /dev/null
+++ b/benchmarks/regions.py
@@ -0,0 +1,81 @@
+"""Two regions that lose each other for a while, with callers in both.
+
+Real processes, as in ``tests/test_regions.py``:
+
+python -m benchmarks.regions --duration-s 300 --links silent
+"""
+
+import pathlib
+import tempfile
+import time
+
+import typer
+
+from tests import cluster as clusters
+from tests import forwarding
+from tests import regions
+
+app = typer.Typer(add_completion=False)
+
+
+def _print_callers(what: str, callers: dict[str, regions.Caller]) -> None:
+    for region, caller in callers.items():
+        print(f'{what}, {region}: {dict(caller.outcomes)}', flush=True)
+        for failed in caller.failed[:3]:
+            print(f'  {failed}')
+
+
+def _put_everywhere(running: regions.Regions) -> None:
+    """Send a change to each region, and print what was answered."""
+    for region in regions.DOMAINS:
+        document = regions.build_document(2, f'from-{region}')
+        answer = running.put(region, document)
+        print(f'change at {region}: {answer.status_code} {answer.text}')
+
+
+@app.command()
+def main(
+    duration_s: float = 300.0,
+    links: forwarding.LinkState = forwarding.LinkState.SILENT,
+) -> None:
+    """Cut the regions apart, call both, and heal them.
+
+    :param duration_s: how long they are apart.
+    :param links: what becomes of the links between them.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        running = regions.Regions(pathlib.Path(folder), '')
+        try:
+            running.start()
+            with running.calling() as callers:
+                running.cut(links)
+                end_s = time.monotonic() + duration_s
+                clusters.wait_until(
+                    lambda: running.list_groups(regions.LARGER), 'a leader'
+                )
+                _put_everywhere(running)
+                time.sleep(max(0.0, end_s - time.monotonic()))
+            _print_callers(f'{links.value} for {duration_s:g} s', callers)
+            with running.calling() as callers:
+                running.heal()
+                healed_s = time.monotonic()
+                clusters.wait_until(
+                    lambda: (
+                        running.find_numbers() == [2] * len(regions.PLACES)
+                    ),
+                    'the change in force everywhere',
+                )
+                took_s = time.monotonic() - healed_s
+                clusters.wait_until(running.is_whole, 'whole again')
+                clusters.wait_until(
+                    lambda: running.find_groups(regions.SMALLER) == {''},
+                    'free hosts',
+                )
+            _print_callers('healed', callers)
+            print(f'in force everywhere {took_s:.1f} s after healing')
+        finally:
+            running.close()
+
+
+if __name__ == '__main__':
+    app()
--- a/filbertglade/inner/membership_grpc.py
+++ b/filbertglade/inner/membership_grpc.py
@@ -18,6 +18,10 @@
     async def Attach(self, stream: 'grpclib.server.Stream[filbertglade.inner.membership_pb2.NodeFrame, filbertglade.inner.membership_pb2.ControlFrame]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def FindLeader(self, stream: 'grpclib.server.Stream[filbertglade.inner.membership_pb2.LeaderRequest, filbertglade.inner.membership_pb2.LeaderReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Relay(self, stream: 'grpclib.server.Stream[filbertglade.inner.membership_pb2.RelayFrame, filbertglade.inner.membership_pb2.RelayFrame]') -> None:
         pass
@@ -30,6 +34,12 @@
                 filbertglade.inner.membership_pb2.NodeFrame,
                 filbertglade.inner.membership_pb2.ControlFrame,
             ),
+            '/filbertglade.inner.membership.Membership/FindLeader': grpclib.const.Handler(
+                self.FindLeader,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                filbertglade.inner.membership_pb2.LeaderRequest,
+                filbertglade.inner.membership_pb2.LeaderReply,
+            ),
             '/filbertglade.inner.membership.Membership/Relay': grpclib.const.Handler(
                 self.Relay,
                 grpclib.const.Cardinality.STREAM_STREAM,
@@ -48,6 +58,12 @@
             filbertglade.inner.membership_pb2.NodeFrame,
             filbertglade.inner.membership_pb2.ControlFrame,
         )
+        self.FindLeader = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/filbertglade.inner.membership.Membership/FindLeader',
+            filbertglade.inner.membership_pb2.LeaderRequest,
+            filbertglade.inner.membership_pb2.LeaderReply,
+        )
         self.Relay = grpclib.client.StreamStreamMethod(
             channel,
             '/filbertglade.inner.membership.Membership/Relay',
--- a/filbertglade/membership/attachment.py
+++ b/filbertglade/membership/attachment.py
@@ -12,6 +12,7 @@
 from filbertglade.inner import membership_pb2
 from filbertglade.membership import announcements
 from filbertglade.membership import hops
+from filbertglade.membership import leader_search
 from filbertglade.membership import line_reader
 from filbertglade.membership import links
 from filbertglade.membership import outbox
@@ -26,6 +27,9 @@
 FORGET_INTERVAL_MS = 1000
 # Presence limits without a leader until another control host is tried.
 LEADERLESS_LIMITS = 2
+# Presence limits after which a lost attachment is made anew from the nearest
+# control host on.
+LASTING_LIMITS = 2
 
 LinkErrors = links.LinkErrors
 
@@ -51,6 +55,11 @@
         self._channels = channel_factory
         self._counters = counters
         self._tasks = tasks.TaskGroup()
+        self._search = leader_search.LeaderSearch(
+            settings, channel_factory, self._tasks
+        )
+        # A control host that hears the leader and is to be attached to next.
+        self._better: model.ControlHostSettings | None = None
         self._sequence = 0
         self._started_ms = 0
         self._outbox = outbox.ReportOutbox(settings.name)
@@ -128,10 +137,18 @@
 
     async def _keep_attached(self) -> None:
         relay_s = self._settings.timings.relay_ms / 1000
+        limit_ms = self._settings.timings.presence_limit_ms
         while True:
             for host in self._ordered_hosts():
+                began_ms = clock.now_ms()
                 await self._attach(host)
+                while self._better is not None:
+                    better, self._better = self._better, None
+                    await self._attach(better)
                 await asyncio.sleep(relay_s)
+                lasted_ms = clock.now_ms() - began_ms
+                if lasted_ms > LASTING_LIMITS * limit_ms:
+                    break
 
     def _ordered_hosts(self) -> list[model.ControlHostSettings]:
         """Return the control hosts, the nearest first.
@@ -188,10 +205,18 @@
                 if frame.leader_known:
                     heard_ms = clock.now_ms() - frame.leader_age_ms
                     heard_leader_ms = max(heard_leader_ms, heard_ms)
-                if self._is_cut_off(heard_leader_ms):
-                    log.change('attachment.without_leader', control_host=host)
+                wanted = self._list_wanted(host, heard_leader_ms)
+                if wanted:
+                    self._better = self._search.look(wanted)
+                if self._better is not None:
+                    log.change(
+                        'attachment.left',
+                        control_host=host,
+                        better=self._better.name,
+                    )
                     return
         finally:
+            self._search.stop()
             sender.cancel()
 
     def _note_attached(self, host: str) -> None:
@@ -199,6 +224,24 @@
             self.control_host = host
             log.change('attachment.made', control_host=host)
 
+    def _list_wanted(
+        self, attached: str, heard_leader_ms: int
+    ) -> list[model.ControlHostSettings]:
+        """Return the control hosts that would be better if they hear a leader.
+
+        Without a leader any other is; but the attachment is kept until one
+        is found, since the region's own hosts are heard here. With one, those
+        of this node's data centre are better than others.
+        """
+        hosts = self._ordered_hosts()
+        if self._is_cut_off(heard_leader_ms):
+            return [host for host in hosts if host.name != attached]
+        own = self._settings.data_centre
+        near = [host for host in hosts if host.data_centre == own]
+        if any(host.name == attached for host in near):
+            return []
+        return near
+
     def _is_cut_off(self, heard_leader_ms: int) -> bool:
         """Tell whether another control host should be tried for a leader."""
         if len(self._settings.control.hosts) == 1:
--- a/filbertglade/membership/hub.py
+++ b/filbertglade/membership/hub.py
@@ -119,6 +119,24 @@
         """
         await node_link.NodeLink(self._source, stream).run()
 
+    async def FindLeader(  # noqa: N802
+        self,
+        stream: server.Stream[
+            membership_pb2.LeaderRequest, membership_pb2.LeaderReply
+        ],
+    ) -> None:
+        """Answer a node that looks for a control host with a leader.
+
+        :param stream: one request and its reply.
+        """
+        if await stream.recv_message() is None:
+            return
+        age_ms = self._currency.age_ms()
+        reply = membership_pb2.LeaderReply(
+            known=age_ms is not None, age_ms=age_ms or 0
+        )
+        await stream.send_message(reply)
+
     async def Relay(  # noqa: N802
         self,
         stream: server.Stream[
--- /dev/null
+++ b/filbertglade/membership/leader_search.py
@@ -0,0 +1,82 @@
+"""A node's search for a better control host than the one it is attached to."""
+
+import asyncio
+from collections import abc
+
+from filbertglade.inner import channels
+from filbertglade.inner import membership_grpc
+from filbertglade.inner import membership_pb2
+from filbertglade.membership import links
+from filbertglade.settings import model
+from filbertglade import tasks
+
+
+SEARCH_INTERVAL_MS = 1000
+
+
+class LeaderSearch:
+    """Asks other control hosts for a leader while the attachment stands.
+
+    :param settings: the node's settings.
+    :param channel_factory: opens channels to the control hosts.
+    :param owned: owns the search's task.
+    """
+
+    def __init__(
+        self,
+        settings: model.NodeSettings,
+        channel_factory: channels.ChannelFactory,
+        owned: tasks.TaskGroup,
+    ) -> None:
+        self._settings = settings
+        self._channels = channel_factory
+        self._owned = owned
+        self._task: asyncio.Task[model.ControlHostSettings | None] | None = (
+            None
+        )
+
+    def look(
+        self, wanted: abc.Sequence[model.ControlHostSettings]
+    ) -> model.ControlHostSettings | None:
+        """Go on with the search, or begin one; does not wait.
+
+        :param wanted: the control hosts to ask if none is being asked.
+        :returns: a control host that hears the leader; None if none is
+            known yet.
+        """
+        if self._task is None:
+            self._task = self._owned.start(self._ask(wanted))
+        if not self._task.done():
+            return None
+        task, self._task = self._task, None
+        return task.result()
+
+    def stop(self) -> None:
+        """End the search."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    async def _ask(
+        self, wanted: abc.Sequence[model.ControlHostSettings]
+    ) -> model.ControlHostSettings | None:
+        for host in wanted:
+            if await self._hears_leader(host):
+                return host
+        await asyncio.sleep(SEARCH_INTERVAL_MS / 1000)
+        return None
+
+    async def _hears_leader(self, host: model.ControlHostSettings) -> bool:
+        timings = self._settings.timings
+        channel = self._channels.open_channel(host.address)
+        try:
+            stub = membership_grpc.MembershipStub(channel)
+            reply = await asyncio.wait_for(
+                stub.FindLeader(membership_pb2.LeaderRequest()),
+                timings.connect_timeout_ms / 1000,
+            )
+        except links.LinkErrors:
+            return False
+        finally:
+            channel.close()
+        return reply.known and reply.age_ms < timings.presence_limit_ms
--- /dev/null
+++ b/tests/regions.py
@@ -0,0 +1,266 @@
+"""Two regions of real processes that can lose each other, with callers."""
+
+import collections
+import contextlib
+import hashlib
+import json
+import pathlib
+import threading
+import typing
+
+import httpx
+
+from filbertglade.standin import engine
+from tests import cluster as clusters
+from tests import forwarding
+from tests.requests import bench
+
+# The larger region holds a majority of the control hosts.
+LARGER = 'central'
+SMALLER = 'moravia'
+PLACES = (
+    clusters.Place(LARGER, 'north'),
+    clusters.Place(LARGER, 'east'),
+    clusters.Place(SMALLER, 'south'),
+    clusters.Place(LARGER, 'north'),
+    clusters.Place(SMALLER, 'south'),
+)
+DOMAINS = {LARGER: 'fabric-north', SMALLER: 'fabric-south'}
+CONTROL_HOSTS = 3
+HOSTS_A_REGION = 4
+HOSTS_A_GROUP = 2
+REPLICAS = 2
+TOKENS = 6
+CALL_PAUSE_S = 0.05
+CALL_LIMIT_S = 20.0
+
+
+def build_document(number: int, change_id: str) -> dict[str, typing.Any]:
+    """Return a document with a group of one deployment in each region."""
+    digest = hashlib.sha256(clusters.KEY.encode()).hexdigest()
+    return {
+        'number': number,
+        'change_id': change_id,
+        'customers': [
+            {
+                'name': 'seminkovna',
+                'key_sha256': digest,
+                'requests_per_s': 10_000,
+                'concurrent_requests': 10_000,
+            }
+        ],
+        'fabric_domains': [
+            {'name': 'fabric-north', 'data_centre': 'north'},
+            {'name': 'fabric-south', 'data_centre': 'south'},
+        ],
+        'deployments': [
+            {
+                'name': bench.MODEL,
+                'model': 'writer',
+                'version': '1',
+                'customers': ['seminkovna'],
+                'fabric_domains': ['fabric-north', 'fabric-south'],
+                'hosts_per_replica': HOSTS_A_GROUP,
+                'replicas': REPLICAS,
+                'spare_hosts': 0,
+            }
+        ],
+    }
+
+
+class Caller:
+    """Asks one node again and again, and keeps every answer's outcome.
+
+    :param node: the node.
+    :param name: told in every prompt.
+    """
+
+    def __init__(self, node: clusters.NodeProcess, name: str) -> None:
+        self._node = node
+        self._name = name
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.failed: list[str] = []
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._stopping.set()
+        self._thread.join(CALL_LIMIT_S + 1)
+        assert not self._thread.is_alive()
+
+    def _run(self) -> None:
+        number = 0
+        with httpx.Client(timeout=CALL_LIMIT_S) as client:
+            while not self._stopping.wait(CALL_PAUSE_S):
+                number += 1
+                self._call(client, f'{self._name} {number}')
+
+    def _call(self, client: httpx.Client, prompt: str) -> None:
+        answer = client.post(
+            f'{self._node.url}/v1/chat/completions',
+            headers=bench.AUTHORIZED,
+            json=bench.build_body(prompt, TOKENS),
+        )
+        if is_whole(answer, prompt):
+            self.outcomes['whole'] += 1
+            return
+        self.outcomes[answer.headers.get('X-Outcome', 'none')] += 1
+        self.failed.append(f'{prompt}: {answer.status_code} {answer.text}')
+
+
+def is_whole(answer: httpx.Response, prompt: str) -> bool:
+    """Tell whether an answer is the whole one to its own prompt."""
+    if answer.status_code != 200:
+        return False
+    text = answer.json()['choices'][0]['message']['content']
+    return text == ''.join(engine.expected_tokens(prompt, TOKENS))
+
+
+class Regions:
+    """The cluster: five nodes, three of them control hosts, and hosts."""
+
+    def __init__(self, folder: pathlib.Path, extra: str) -> None:
+        self._folder = folder
+        self.links = forwarding.Links()
+        self.cluster = clusters.Cluster(folder, self.links)
+        self.cluster.lay_out(
+            CONTROL_HOSTS,
+            len(PLACES) - CONTROL_HOSTS,
+            extra,
+            places=PLACES,
+        )
+
+    def start(self) -> None:
+        """Start all and wait until each region serves with a group."""
+        self.cluster.found()
+        for region, domain in DOMAINS.items():
+            self._record(region).touch()
+            self.cluster.start_standin(
+                '--hosts', str(HOSTS_A_REGION), '--prefix', region,
+                '--fabric-domain', domain, '--token-ms', '2',
+                '--data-centre', domain.removeprefix('fabric-'),
+                '--record', str(self._record(region)), region=region,
+            )  # fmt: skip
+        clusters.wait_until(self.cluster.find_leader, 'a leader')
+        # Hosts of both regions must be known, so that each gets a group.
+        clusters.wait_until(
+            lambda: len(self.list_hosts()) == 2 * HOSTS_A_REGION, 'all hosts'
+        )
+        answer = self.put(LARGER, build_document(1, 'first'))
+        assert answer.status_code == 200, answer.text
+        clusters.wait_until(self.is_whole, 'a group in each region')
+
+    def _record(self, region: str) -> pathlib.Path:
+        return self._folder / f'{region}.jsonl'
+
+    def close(self) -> None:
+        self.cluster.close()
+
+    def nodes(self, region: str) -> list[clusters.NodeProcess]:
+        return [node for node in self.cluster.nodes if node.region == region]
+
+    def entry(self, region: str) -> clusters.NodeProcess:
+        """Return the region's node without a data folder."""
+        return self.nodes(region)[-1]
+
+    def list_hosts(self) -> list[str]:
+        status = self.entry(LARGER).get('/v1/status') or {'hosts': []}
+        return [host['name'] for host in status['hosts'] if host['present']]
+
+    def list_groups(self, region: str) -> list[dict[str, typing.Any]] | None:
+        """Return the groups as the leader lists them; None without one."""
+        status = self.entry(region).get('/v1/status')
+        return None if status is None else status['groups']
+
+    def find_groups(self, region: str) -> set[str]:
+        """Return the groups that the region's hosts say they serve in."""
+        status = self.entry(region).get('/v1/status') or {'hosts': []}
+        return {
+            host['group']
+            for host in status['hosts']
+            if host['fabric_domain'] == DOMAINS[region]
+        }
+
+    def is_whole(self) -> bool:
+        """Tell whether every replica serves and every node is served."""
+        groups = self.list_groups(LARGER) or []
+        return (
+            len(groups) == REPLICAS
+            and all(group['phase'] == 'serving' for group in groups)
+            and all(
+                node.is_ready() and self.complete(node, 'hello')
+                for node in self.cluster.nodes
+            )
+        )
+
+    def cut(self, state: forwarding.LinkState) -> None:
+        """Change every link between the regions, both ways."""
+        for one in self.nodes(LARGER):
+            for other in self.nodes(SMALLER):
+                self.links.set_between(one.name, other.name, state)
+
+    def heal(self) -> None:
+        self.links.open_all()
+
+    def put(self, region: str, document: dict[str, typing.Any]) -> typing.Any:
+        return httpx.put(
+            f'{self.entry(region).administration_url}/v1/config',
+            json=document,
+            timeout=CALL_LIMIT_S,
+        )
+
+    def find_numbers(self) -> list[int]:
+        """Return the number of the document in force on each node."""
+        return [
+            (node.get('/v1/config') or {'number': 0})['number']
+            for node in self.cluster.nodes
+        ]
+
+    def complete(self, node: clusters.NodeProcess, prompt: str) -> bool:
+        answer = httpx.post(
+            f'{node.url}/v1/chat/completions',
+            headers=bench.AUTHORIZED,
+            json=bench.build_body(prompt, TOKENS),
+            timeout=CALL_LIMIT_S,
+        )
+        return is_whole(answer, prompt)
+
+    def send_once(self, region: str, key: str) -> httpx.Response:
+        """Send a non-idempotent request to the region's node."""
+        headers = {'X-Idempotent': 'false', 'Idempotency-Key': key}
+        return httpx.post(
+            f'{self.entry(region).url}/v1/chat/completions',
+            headers={**bench.AUTHORIZED, **headers},
+            json=bench.build_body(key, TOKENS),
+            timeout=CALL_LIMIT_S,
+        )
+
+    def records(self, region: str, kind: str) -> list[dict[str, typing.Any]]:
+        """Return what the region's hosts wrote down."""
+        lines = self._record(region).read_text().splitlines()
+        entries = [json.loads(line) for line in lines]
+        return [entry for entry in entries if entry['kind'] == kind]
+
+    def count_runs(self, key: str) -> int:
+        return sum(
+            entry['key'] == key
+            for region in DOMAINS
+            for entry in self.records(region, 'request')
+        )
+
+    @contextlib.contextmanager
+    def calling(self) -> typing.Iterator[dict[str, Caller]]:
+        """Call every region's node meanwhile."""
+        callers = {
+            region: Caller(self.entry(region), region) for region in DOMAINS
+        }
+        for caller in callers.values():
+            caller.start()
+        try:
+            yield callers
+        finally:
+            for caller in callers.values():
+                caller.stop()
