--- a/benchmarks/voter_process.py
+++ b/benchmarks/voter_process.py
@@ -2,9 +2,11 @@
 
 Run as ``python -m benchmarks.voter_process NAME FOLDER ADDRESS...``; the
 addresses are those of the voters ``voter-0``, ``voter-1`` and so on. While
-it acts as leader it prints the machine's monotonic clock, in seconds.
+it acts as leader it prints the machine's monotonic clock, in seconds, every
+``--sample-ms``.
 """
 
+import argparse
 import asyncio
 import pathlib
 import random
@@ -22,7 +24,7 @@
 from filbertglade.observability import metrics
 from filbertglade.settings import model
 
-SAMPLE_S = 0.005
+SAMPLE_MS = 5
 
 
 def make_settings(
@@ -47,14 +49,23 @@
     )
 
 
-async def main(name: str, folder: str, addresses: list[str]) -> None:
+def parse_options() -> argparse.Namespace:
+    """Return the options of the command line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--sample-ms', type=int, default=SAMPLE_MS)
+    parser.add_argument('name')
+    parser.add_argument('folder')
+    parser.add_argument('addresses', nargs='+')
+    return parser.parse_args()
+
+
+async def main(options: argparse.Namespace) -> None:
     """Run the voter until it is told to end.
 
-    :param name: its name.
-    :param folder: its data folder.
-    :param addresses: all voters' addresses.
+    :param options: those of the command line.
     """
-    settings = make_settings(name, folder, addresses)
+    name, folder = options.name, options.folder
+    settings = make_settings(name, folder, options.addresses)
     counters = metrics.Metrics()
     factory = channels.SocketChannels()
     voter = agreement.Agreement(
@@ -68,7 +79,8 @@
     commands = submission.CommandsServicer(settings, voter, factory, counters)
     listener = server.Server([voter.servicer, commands])
     place = int(name.rpartition('-')[2])
-    await listener.start(*channels.split_address(addresses[place]))
+    address = options.addresses[place]
+    await listener.start(*channels.split_address(address))
     failure = await voter.start()
     if failure is not None:
         sys.exit(str(failure))
@@ -78,11 +90,11 @@
         asked_s = time.monotonic()
         if voter.is_leader:
             print(f'{asked_s:.6f}', flush=True)
-        await asyncio.sleep(SAMPLE_S)
+        await asyncio.sleep(options.sample_ms / 1000)
     listener.close()
     await commands.close()
     await voter.close()
 
 
 if __name__ == '__main__':
-    asyncio.run(main(sys.argv[1], sys.argv[2], sys.argv[3:]))
+    asyncio.run(main(parse_options()))
