Let no frame hide the loss of its connection from a served stream

Cause: after a frozen control host ran on, three of its served streams ended with "Failed to handle cancellation" on its standard error (2 of 3 runs of tests/test_agreed_state.py, once a test of planned stops changed which host is frozen). asyncio.wait_for in Python 3.11 returns what has arrived and drops the cancellation that came with it; a sender whose sends never wait could not be ended at all. Ruled out: a time-out that meets the cancellation, which goes through.

--- a/filbertglade/membership/node_link.py
+++ b/filbertglade/membership/node_link.py
@@ -92,9 +92,9 @@
     async def _receive_frames(self, sender: asyncio.Task[None]) -> None:
         timings = self._source.settings.timings
         while not sender.done():
-            frame = await asyncio.wait_for(
-                self._stream.recv_message(), timings.presence_limit_ms / 1000
-            )
+            # Unlike wait_for it swallows no cancellation.
+            async with asyncio.timeout(timings.presence_limit_ms / 1000):
+                frame = await self._stream.recv_message()
             if frame is None:
                 return
             self._take(frame)
@@ -117,10 +117,8 @@
         while True:
             frame = self._build_frame(book, writer)
             try:
-                await asyncio.wait_for(
-                    self._stream.send_message(frame),
-                    timings.presence_limit_ms / 1000,
-                )
+                async with asyncio.timeout(timings.presence_limit_ms / 1000):
+                    await self._stream.send_message(frame)
             except links.LinkErrors:
                 return
             await asyncio.sleep(timings.relay_ms / 1000)
--- a/filbertglade/membership/relays.py
+++ b/filbertglade/membership/relays.py
@@ -53,16 +53,17 @@
         timeout_s = self._settings.timings.presence_limit_ms / 1000
         try:
             while True:
-                frame = await asyncio.wait_for(
-                    stream.recv_message(), timeout_s
-                )
+                # Unlike wait_for it swallows no cancellation.
+                async with asyncio.timeout(timeout_s):
+                    frame = await stream.recv_message()
                 if frame is None:
                     return
                 self._take(frame, hop)
                 reply = membership_pb2.RelayFrame(
                     clock=hop.stamp(), sender=self._settings.name
                 )
-                await asyncio.wait_for(stream.send_message(reply), timeout_s)
+                async with asyncio.timeout(timeout_s):
+                    await stream.send_message(reply)
         except links.LinkErrors:
             return
 
