Drop an answer whose sender has left, whatever error that gives

Cause: a command's answer met a stream that its sender had reset; h2's StreamClosedError is no OSError, so that it was logged as a failed task (seen once in a run of tests/test_agreed_state.py, after all processes restarted).

Change: every error of a stream ends the answer quietly. The new test raised StreamClosedError on the code before.

--- a/filbertglade/control/submission.py
+++ b/filbertglade/control/submission.py
@@ -9,6 +9,7 @@
 from filbertglade import clock
 from filbertglade.control import agreement
 from filbertglade.control import failures
+from filbertglade.control import replication
 from filbertglade.control import submit_stream
 from filbertglade.control import submitter
 from filbertglade.inner import channels
@@ -273,7 +274,8 @@
         try:
             result = await take(request.command, request.timeout_ms)
             await stream.send_message(_make_reply(request, result))
-        except OSError:
+        except replication.STREAM_ERRORS:
+            # The sender has left; it knows that it can't know.
             return
         finally:
             count.value -= 1
--- a/tests/control/test_submission.py
+++ b/tests/control/test_submission.py
@@ -6,13 +6,16 @@
 import socket
 
 from grpclib import server
+from h2 import exceptions as h2_exceptions
 
 from filbertglade.control import agreement
 from filbertglade.control import failures
 from filbertglade.control import state
 from filbertglade.control import storage
 from filbertglade.control import submission
+from filbertglade.control import submitter
 from filbertglade.inner import channels
+from filbertglade.inner import commands_pb2
 from filbertglade.observability import metrics
 from filbertglade.settings import model
 from tests.control import cluster
@@ -127,3 +130,29 @@
     assert isinstance(result, failures.SubmitFailure)
     assert not result.may_have_applied
     await node.close()
+
+
+class ReadyVoter(submitter.Submitter):
+    async def submit(self, command, timeout_ms):
+        return commands_pb2.CommandResult()
+
+
+class LeftStream:
+    """A stream whose sender left before the command was committed."""
+
+    async def send_message(self, reply):
+        raise h2_exceptions.StreamClosedError(1)
+
+
+async def test_an_answer_to_a_sender_that_has_left_is_no_fault():
+    commands = submission.CommandsServicer(
+        cluster.make_settings('one', cluster.NAMES[:1]),
+        ReadyVoter(),
+        channels.SocketChannels(),
+        metrics.Metrics(),
+    )
+    request = commands_pb2.SubmitRequest(forwarded=True)
+    waiting = submission._Count()
+    waiting.value = 1
+    await commands._answer(request, LeftStream(), waiting)
+    assert waiting.value == 0
