Hand leadership over at a planned stop

Change: a leader that closes takes no more commands, commits those that it has, waits for a follower that holds its whole log, gives up its lease and then tells that follower to stand at once (HandOver). Its vote requests say so; a voter in an earlier term then doesn't wait for the leader that it heard. A follower stands only for the leader of its own term.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -2,9 +2,9 @@
 
 Six nodes on one machine, three of them control hosts. Prints how long
 accepted changes take until they are in force on every node, and how long
-there is no leader after a kill of the leading process:
+there is no leader after a kill and a planned stop of the leading process:
 
-    python -m benchmarks.configuration --changes 200 --kills 20
+    python -m benchmarks.configuration --changes 200 --kills 20 --stops 20
 """
 
 import argparse
@@ -80,6 +80,27 @@
     return acting_s - killed_s
 
 
+def measure_stops(cluster: clusters.Cluster, count: int) -> list[float]:
+    """Return the times without a leader around planned stops of it."""
+    return [_stop_leader(cluster) for _ in range(count)]
+
+
+def _stop_leader(cluster: clusters.Cluster) -> float:
+    leader = clusters.wait_until(cluster.find_leader, 'a leader')
+    assert leader.stop() == 0
+    resigned_s = max(
+        event.timestamp_s
+        for event in timeline.read_log(leader.log_path)
+        if event.name == 'leader.stepped_down'
+    )
+    acting_s = clusters.wait_until(
+        lambda: _find_acting(cluster, resigned_s), 'a new leader'
+    )
+    leader.start()
+    clusters.wait_until(leader.is_ready, f'{leader.name} ready')
+    return acting_s - resigned_s
+
+
 def _find_acting(cluster: clusters.Cluster, since_s: float) -> float:
     times = [
         event.timestamp_s
@@ -93,8 +114,8 @@
 
 def summarize(title: str, times_s: list[float]) -> str:
     """Return one row of the table."""
-    ordered = sorted(times_s)
-    cells = [title, str(len(ordered))]
+    ordered = sorted(times_s) or [math.nan]
+    cells = [title, str(len(times_s))]
     for share in (0.5, 0.95, 1.0):
         position = math.ceil(share * len(ordered)) - 1
         cells.append(f'{ordered[position]:.2f}')
@@ -106,6 +127,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--changes', type=int, default=200)
     parser.add_argument('--kills', type=int, default=20)
+    parser.add_argument('--stops', type=int, default=20)
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
         cluster = clusters.Cluster(pathlib.Path(folder))
@@ -113,14 +135,20 @@
         try:
             cluster.found()
             clusters.wait_until(cluster.find_leader, 'a leader')
+            clusters.wait_until(
+                lambda: all(node.get('/v1/status') for node in cluster.nodes),
+                'all nodes',
+            )
             changes_s = measure_changes(cluster, options.changes)
             kills_s = measure_kills(cluster, options.kills)
+            stops_s = measure_stops(cluster, options.stops)
         finally:
             cluster.close()
     print('| measure | runs | p50 s | p95 s | max s |')
     print('|---|---|---|---|---|')
     print(summarize('accepted to in force on six nodes', changes_s))
     print(summarize('without a leader after kill -9', kills_s))
+    print(summarize('without a leader after SIGTERM', stops_s))
 
 
 if __name__ == '__main__':
--- a/filbertglade/control/agreement.py
+++ b/filbertglade/control/agreement.py
@@ -14,6 +14,7 @@
 from filbertglade.control import election
 from filbertglade.control import failures
 from filbertglade.control import following
+from filbertglade.control import handover
 from filbertglade.control import member
 from filbertglade.control import snapshots
 from filbertglade.control import state as agreed_state
@@ -167,6 +168,11 @@
 
     # Leadership
 
+    async def hand_over(self) -> None:
+        """Let another voter lead, if this one does; call it before closing."""
+        if self._member is not None:
+            await handover.hand_over(self._member)
+
     @property
     def leader(self) -> str:
         """The leader's name; empty if unknown."""
@@ -348,6 +354,22 @@
             reply = await self._finish(self._elector.vote(request))
             await stream.send_message(reply)
 
+    async def HandOver(  # noqa: N802
+        self,
+        stream: 'server.Stream[agreement_pb2.HandOverRequest, '
+        'agreement_pb2.HandOverReply]',
+    ) -> None:
+        """Take over from a leader that resigns.
+
+        :param stream: one request and its reply.
+        """
+        self._check_voter()
+        assert self._elector is not None
+        request = await stream.recv_message()
+        if request is not None:
+            won = await self._finish(self._elector.take_over(request))
+            await stream.send_message(agreement_pb2.HandOverReply(won=won))
+
     async def InstallSnapshot(  # noqa: N802
         self,
         stream: 'server.Stream[agreement_pb2.SnapshotChunk, '
--- a/filbertglade/control/election.py
+++ b/filbertglade/control/election.py
@@ -45,41 +45,59 @@
             if self._may_stand():
                 await self._stand()
 
-    def _may_stand(self) -> bool:
+    def _may_stand(self, handed_over: bool = False) -> bool:
         voter = self._voter
         return (
             voter.role is member.Role.FOLLOWER
-            and not voter.heard_leader_lately()
+            and (handed_over or not voter.heard_leader_lately())
             and voter.quorum().counts_at_last(voter.name, voter.answer(0))
         )
 
     async def _stand(self) -> None:
+        term = self._voter.term + 1
+        if await self._ask_voters(term, pre_vote=True):
+            await self._campaign(term)
+
+    async def take_over(self, request: agreement_pb2.HandOverRequest) -> bool:
+        """Stand for election at once, since the leader has resigned.
+
+        :param request: what the leader sent.
+        :returns: whether this voter leads now.
+        """
+        voter = self._voter
+        if (request.term, request.leader) != (voter.term, voter.leader):
+            return False
+        voter.counters.count('agreement_hand_overs')
+        return await self._campaign(request.term + 1, handed_over=True)
+
+    async def _campaign(self, term: int, handed_over: bool = False) -> bool:
+        """Ask for votes in a new term; return whether it was won."""
         voter = self._voter
-        term = voter.term + 1
-        if not await self._ask_voters(term, pre_vote=True):
-            return
         async with voter.mutex:
-            if voter.term + 1 != term or not self._may_stand():
-                return
+            if voter.term + 1 != term or not self._may_stand(handed_over):
+                return False
             voter.leader = ''
             voter.set_candidate(True)
             if not await voter.save_vote(store.Vote(term, voter.name)):
-                return
+                return False
         voter.counters.count('agreement_elections')
-        log.change('election.started', term=term)
-        won = await self._ask_voters(term, pre_vote=False)
+        log.change('election.started', term=term, handed_over=handed_over)
+        won = await self._ask_voters(term, False, handed_over)
         async with voter.mutex:
             if voter.term != term or voter.role is not member.Role.CANDIDATE:
-                return
+                return False
             voter.set_candidate(False)
             if not won:
                 voter.put_off_election_briefly()
-                return
+                return False
             leading = leadership.Leadership(voter, self._listener)
             voter.leadership = leading
             leading.start()
+            return True
 
-    async def _ask_voters(self, term: int, pre_vote: bool) -> bool:
+    async def _ask_voters(
+        self, term: int, pre_vote: bool, handed_over: bool = False
+    ) -> bool:
         """Ask every voter at once, until a quorum has granted."""
         voter = self._voter
         request = agreement_pb2.VoteRequest(
@@ -89,6 +107,7 @@
             last_index=voter.journal.last_index,
             last_term=voter.journal.last_term,
             pre_vote=pre_vote,
+            handed_over=handed_over,
         )
         votes = {voter.name: voter.answer(GRANTED)}
         asked = {
@@ -163,7 +182,10 @@
         leading = voter.leadership
         if leading is not None and leading.has_quorum:
             return 'leads'
-        if leading is None and voter.heard_leader_lately():
+        # A leader heard in an earlier term has resigned by the hand-over, or
+        # lost its lease before the one that resigned was elected.
+        needs_quiet = not (request.handed_over and request.term > voter.term)
+        if leading is None and needs_quiet and voter.heard_leader_lately():
             return 'heard a leader lately'
         if request.term < voter.term:
             return 'old term'
--- a/filbertglade/control/leadership.py
+++ b/filbertglade/control/leadership.py
@@ -46,6 +46,7 @@
         self._has_lease = False
         self._settled = False
         self._stopped = False
+        self._resigning = False
         self._first_index = 0
         self._pending: dict[int, Pending] = {}
         self._appended = asyncio.Event()
@@ -132,6 +133,10 @@
             return failures.SubmitFailure(
                 failures.SubmitReason.OVERLOADED, 'too many commands wait'
             )
+        if self._resigning:
+            return failures.SubmitFailure(
+                failures.SubmitReason.NO_LEADER, 'the leader hands over'
+            )
         started_ms = clock.now_ms()
         index = self._append(command)
         future: Pending = asyncio.get_running_loop().create_future()
@@ -151,6 +156,31 @@
         self._voter.counters.record_ms('agreement_commit', waited_ms)
         return result
 
+    def set_resigning(self, resigning: bool) -> None:
+        """Take no more commands, so that a follower can become level.
+
+        :param resigning: False to take commands again.
+        """
+        self._resigning = resigning
+
+    def list_successors(self) -> list[replication.Replicator]:
+        """Return the voters that may take over now.
+
+        :returns: those that are heard, count and hold the whole log; none
+            while a command is open or the voters change.
+        """
+        voter = self._voter
+        if self._pending or voter.has_unapplied_voter_change():
+            return []
+        counted = voter.quorum()
+        return [
+            replicator
+            for replicator in self.replicators
+            if replicator.is_fresh
+            and replicator.match_index == voter.journal.last_index
+            and counted.counts_at_last(replicator.name, replicator.answer(0))
+        ]
+
     def _append(
         self, command: commands_pb2.Command, changes_voters: bool = False
     ) -> int:
@@ -274,7 +304,8 @@
     def _tend_voters(self) -> None:
         voter = self._voter
         if (
-            voter.has_unapplied_voter_change()
+            self._resigning
+            or voter.has_unapplied_voter_change()
             or voter.state.applied_index < self._first_index
         ):
             return
--- a/filbertglade/control/replication.py
+++ b/filbertglade/control/replication.py
@@ -82,6 +82,11 @@
         """The other voter's name."""
         return self._host.name
 
+    @property
+    def address(self) -> str:
+        """The other voter's address."""
+        return self._host.address
+
     @property
     def is_fresh(self) -> bool:
         """Whether the voter answered lately."""
--- a/filbertglade/inner/agreement_grpc.py
+++ b/filbertglade/inner/agreement_grpc.py
@@ -22,6 +22,10 @@
     async def Vote(self, stream: 'grpclib.server.Stream[filbertglade.inner.agreement_pb2.VoteRequest, filbertglade.inner.agreement_pb2.VoteReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def HandOver(self, stream: 'grpclib.server.Stream[filbertglade.inner.agreement_pb2.HandOverRequest, filbertglade.inner.agreement_pb2.HandOverReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def InstallSnapshot(self, stream: 'grpclib.server.Stream[filbertglade.inner.agreement_pb2.SnapshotChunk, filbertglade.inner.agreement_pb2.SnapshotReply]') -> None:
         pass
@@ -40,6 +44,12 @@
                 filbertglade.inner.agreement_pb2.VoteRequest,
                 filbertglade.inner.agreement_pb2.VoteReply,
             ),
+            '/filbertglade.inner.agreement.Agreement/HandOver': grpclib.const.Handler(
+                self.HandOver,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                filbertglade.inner.agreement_pb2.HandOverRequest,
+                filbertglade.inner.agreement_pb2.HandOverReply,
+            ),
             '/filbertglade.inner.agreement.Agreement/InstallSnapshot': grpclib.const.Handler(
                 self.InstallSnapshot,
                 grpclib.const.Cardinality.STREAM_UNARY,
@@ -64,6 +74,12 @@
             filbertglade.inner.agreement_pb2.VoteRequest,
             filbertglade.inner.agreement_pb2.VoteReply,
         )
+        self.HandOver = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/filbertglade.inner.agreement.Agreement/HandOver',
+            filbertglade.inner.agreement_pb2.HandOverRequest,
+            filbertglade.inner.agreement_pb2.HandOverReply,
+        )
         self.InstallSnapshot = grpclib.client.StreamUnaryMethod(
             channel,
             '/filbertglade.inner.agreement.Agreement/InstallSnapshot',
--- a/filbertglade/node/node.py
+++ b/filbertglade/node/node.py
@@ -78,7 +78,8 @@
         return None
 
     async def close(self) -> None:
-        """Stop the parts."""
+        """Stop the parts; a leader hands over first."""
+        await self.voters.hand_over()
         await self.groups.close()
         await self.hub.close()
         await self.commands.close()
--- a/tests/control/test_agreement_faults.py
+++ b/tests/control/test_agreement_faults.py
@@ -111,6 +111,22 @@
     def crash(self, place):
         self.run(self.pick(place).stop())
 
+    @stateful.rule(
+        place=strategies.integers(0, 6), stops=strategies.booleans()
+    )
+    def hand_over(self, place, stops):
+        node = self.pick(place)
+        if node.is_up:
+            self.tasks.append(
+                self.loop.create_task(self._hand_over(node, stops))
+            )
+
+    async def _hand_over(self, node, stops):
+        ending = node.agreement
+        await ending.hand_over()
+        if stops and node.agreement is ending:
+            await node.stop()
+
     @stateful.rule(
         place=strategies.integers(0, 6),
         writes=strategies.integers(1, 6),
--- a/tests/test_agreed_state.py
+++ b/tests/test_agreed_state.py
@@ -125,6 +125,19 @@
     leader.start()
 
 
+def test_stopped_leader_hands_over(running, changing):
+    leader = _find_leader(running)
+    assert leader.stop() == 0
+    handed_over = [
+        event.fields
+        for event in timeline.read_log(leader.log_path)
+        if event.name == 'leader.handed_over'
+    ]
+    assert [event['won'] for event in handed_over] == [True]
+    changing.wait_for(3)
+    leader.start()
+
+
 def test_frozen_leader(running, changing):
     leader = _find_leader(running)
     with _frozen(leader):
