End relays, attachments and searches whenever they are cancelled

Cause: a stopped leader that had handed over never ended (1 of 5 runs of tests/test_agreed_state.py with its planned stop): it went on as a follower, held in closing its parts. asyncio.wait_for drops a cancellation that comes together with a result, and the relay's loop then goes on for good, with the close waiting for it. That the relay's loop was the one is inferred; which task it was could not be seen.

Change: relays, attachments, the search for a leader and the hand-over use asyncio.timeout. test_a_relay_ends_at_whatever_step_it_is_cancelled fails on the code before.

Left: wait_for in requests/joins.py, requests/claims.py, requests/endpoints.py and entry/handlers.py.

--- a/filbertglade/control/handover.py
+++ b/filbertglade/control/handover.py
@@ -61,10 +61,9 @@
     )
     channel = voter.channel_factory.open_channel(successor.address)
     try:
-        reply = await asyncio.wait_for(
-            agreement_grpc.AgreementStub(channel).HandOver(request),
-            voter.settings.control.election_ms / 1000,
-        )
+        async with asyncio.timeout(voter.settings.control.election_ms / 1000):
+            stub = agreement_grpc.AgreementStub(channel)
+            reply = await stub.HandOver(request)
     except replication.STREAM_ERRORS:
         return False
     finally:
--- a/filbertglade/membership/attachment.py
+++ b/filbertglade/membership/attachment.py
@@ -188,16 +188,13 @@
         hop = hops.HopClock()
         reader = line_reader.LineReader(self._fleet)
         heard_leader_ms = clock.now_ms()
-        await asyncio.wait_for(
-            stream.send_message(self._build_frame(hop)),
-            timings.connect_timeout_ms / 1000,
-        )
+        async with asyncio.timeout(timings.connect_timeout_ms / 1000):
+            await stream.send_message(self._build_frame(hop))
         sender = self._tasks.start(self._send_frames(stream, hop))
         try:
             while not sender.done():
-                frame = await asyncio.wait_for(
-                    stream.recv_message(), timings.presence_limit_ms / 1000
-                )
+                async with asyncio.timeout(timings.presence_limit_ms / 1000):
+                    frame = await stream.recv_message()
                 if frame is None:
                     return
                 self._note_attached(host)
@@ -254,10 +251,8 @@
         try:
             while True:
                 await asyncio.sleep(timings.relay_ms / 1000)
-                await asyncio.wait_for(
-                    stream.send_message(self._build_frame(hop)),
-                    timings.presence_limit_ms / 1000,
-                )
+                async with asyncio.timeout(timings.presence_limit_ms / 1000):
+                    await stream.send_message(self._build_frame(hop))
         except LinkErrors:
             return
 
--- a/filbertglade/membership/leader_search.py
+++ b/filbertglade/membership/leader_search.py
@@ -71,10 +71,8 @@
         channel = self._channels.open_channel(host.address)
         try:
             stub = membership_grpc.MembershipStub(channel)
-            reply = await asyncio.wait_for(
-                stub.FindLeader(membership_pb2.LeaderRequest()),
-                timings.connect_timeout_ms / 1000,
-            )
+            async with asyncio.timeout(timings.connect_timeout_ms / 1000):
+                reply = await stub.FindLeader(membership_pb2.LeaderRequest())
         except links.LinkErrors:
             return False
         finally:
--- a/filbertglade/membership/relays.py
+++ b/filbertglade/membership/relays.py
@@ -139,8 +139,10 @@
                 unheard=self._peers.list_unheard(),
             )
             batch.write(frame)
-            await asyncio.wait_for(stream.send_message(frame), timeout_s)
-            reply = await asyncio.wait_for(stream.recv_message(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await stream.send_message(frame)
+            async with asyncio.timeout(timeout_s):
+                reply = await stream.recv_message()
             if reply is None:
                 return
             hop.observe(reply.clock)
--- a/tests/membership/test_served_streams.py
+++ b/tests/membership/test_served_streams.py
@@ -60,3 +60,32 @@
         await cluster.close()
 
     fakes.run(work())
+
+
+class LiveStream:
+    """A relay on which everything is sent and answered at once."""
+
+    async def send_message(self, frame):
+        await asyncio.sleep(0)
+
+    async def recv_message(self):
+        await asyncio.sleep(0)
+        return membership_pb2.RelayFrame()
+
+
+@pytest.mark.parametrize('steps', range(12))
+def test_a_relay_ends_at_whatever_step_it_is_cancelled(steps):
+    async def work():
+        cluster = fakes.Cluster()
+        await cluster.start(nodes=())
+        hub = cluster.control['one'].hub
+        sender = hub._build_sender(hub._settings.control.hosts[1])
+        task = asyncio.create_task(sender._run_stream(LiveStream()))
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait([task], timeout=10)
+        assert task.cancelled()
+        await cluster.close()
+
+    fakes.run(work())
