--- a/benchmarks/regions.py
+++ b/benchmarks/regions.py
@@ -15,6 +15,8 @@
 from tests import forwarding
 from tests import regions
 
+NUMBER = regions.SETTLED_NUMBER + 1
+
 app = typer.Typer(add_completion=False)
 
 
@@ -28,7 +30,7 @@
 def _put_everywhere(running: regions.Regions) -> None:
     """Send a change to each region, and print what was answered."""
     for region in regions.DOMAINS:
-        document = regions.build_document(2, f'from-{region}')
+        document = regions.build_document(NUMBER, f'from-{region}')
         answer = running.put(region, document)
         print(f'change at {region}: {answer.status_code} {answer.text}')
 
@@ -61,7 +63,8 @@
                 healed_s = time.monotonic()
                 clusters.wait_until(
                     lambda: (
-                        running.find_numbers() == [2] * len(regions.PLACES)
+                        running.find_numbers()
+                        == [NUMBER] * len(regions.PLACES)
                     ),
                     'the change in force everywhere',
                 )
--- a/tests/regions.py
+++ b/tests/regions.py
@@ -27,16 +27,22 @@
 )
 DOMAINS = {LARGER: 'fabric-north', SMALLER: 'fabric-south'}
 CONTROL_HOSTS = 3
-HOSTS_A_REGION = 4
+# One group only fits into the smaller region.
+HOSTS = {LARGER: 4, SMALLER: 3}
 HOSTS_A_GROUP = 2
-REPLICAS = 2
+REPLICAS = len(DOMAINS)
+# Number of the document in force once all have started.
+SETTLED_NUMBER = 2
 TOKENS = 6
 CALL_PAUSE_S = 0.05
 CALL_LIMIT_S = 20.0
 
 
-def build_document(number: int, change_id: str) -> dict[str, typing.Any]:
-    """Return a document with a group of one deployment in each region."""
+def build_document(
+    number: int, change_id: str, domains: typing.Iterable[str] = ()
+) -> dict[str, typing.Any]:
+    """Return a document with a group in each fabric domain named, or all."""
+    domains = list(domains or DOMAINS.values())
     digest = hashlib.sha256(clusters.KEY.encode()).hexdigest()
     return {
         'number': number,
@@ -59,9 +65,9 @@
                 'model': 'writer',
                 'version': '1',
                 'customers': ['seminkovna'],
-                'fabric_domains': ['fabric-north', 'fabric-south'],
+                'fabric_domains': domains,
                 'hosts_per_replica': HOSTS_A_GROUP,
-                'replicas': REPLICAS,
+                'replicas': len(domains),
                 'spare_hosts': 0,
             }
         ],
@@ -139,19 +145,22 @@
         for region, domain in DOMAINS.items():
             self._record(region).touch()
             self.cluster.start_standin(
-                '--hosts', str(HOSTS_A_REGION), '--prefix', region,
+                '--hosts', str(HOSTS[region]), '--prefix', region,
                 '--fabric-domain', domain, '--token-ms', '2',
                 '--data-centre', domain.removeprefix('fabric-'),
                 '--record', str(self._record(region)), region=region,
             )  # fmt: skip
         clusters.wait_until(self.cluster.find_leader, 'a leader')
-        # Hosts of both regions must be known, so that each gets a group.
-        clusters.wait_until(
-            lambda: len(self.list_hosts()) == 2 * HOSTS_A_REGION, 'all hosts'
-        )
-        answer = self.put(LARGER, build_document(1, 'first'))
-        assert answer.status_code == 200, answer.text
+        domain = DOMAINS[SMALLER]
+        self._put_first(build_document(1, 'first', [domain]))
+        clusters.wait_until(lambda: self.list_domains() == [domain], 'a group')
+        self._put_first(build_document(SETTLED_NUMBER, 'second'))
         clusters.wait_until(self.is_whole, 'a group in each region')
+        assert self.list_domains() == sorted(DOMAINS.values())
+
+    def _put_first(self, document: dict[str, typing.Any]) -> None:
+        answer = self.put(LARGER, document)
+        assert answer.status_code == 200, answer.text
 
     def _record(self, region: str) -> pathlib.Path:
         return self._folder / f'{region}.jsonl'
@@ -166,9 +175,10 @@
         """Return the region's node without a data folder."""
         return self.nodes(region)[-1]
 
-    def list_hosts(self) -> list[str]:
-        status = self.entry(LARGER).get('/v1/status') or {'hosts': []}
-        return [host['name'] for host in status['hosts'] if host['present']]
+    def list_domains(self) -> list[str]:
+        """Return the fabric domain of each group, sorted."""
+        groups = self.list_groups(LARGER) or []
+        return sorted(group['fabric_domain'] for group in groups)
 
     def list_groups(self, region: str) -> list[dict[str, typing.Any]] | None:
         """Return the groups as the leader lists them; None without one."""
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -14,6 +14,7 @@
 presence_limit_ms = {PRESENCE_LIMIT_MS}
 """
 WAIT_S = 40.0
+NEXT_NUMBER = regions.SETTLED_NUMBER + 1
 
 
 @pytest.fixture(scope='module')
@@ -38,7 +39,7 @@
 
 def _check_refused(running):
     """The side without a quorum says clearly that it takes no change."""
-    change = regions.build_document(2, 'from-the-smaller')
+    change = regions.build_document(NEXT_NUMBER, 'from-the-smaller')
     answer = running.put(regions.SMALLER, change)
     assert answer.status_code in (503, 504), answer.text
     assert answer.json()['error']['message']
@@ -63,14 +64,16 @@
         answer = clusters.wait_until(
             lambda: _put_accepted(running), 'a change accepted'
         )
-        assert answer.json()['number'] == 2
+        assert answer.json()['number'] == NEXT_NUMBER
         _check_answered_truly(running)
         promised = running.send_once(regions.LARGER, 'with-quorum')
         assert promised.headers['X-Outcome'] == 'complete'
         clusters.wait_until(lambda: _has_moved(running), 'moved', WAIT_S)
         numbers = running.find_numbers()
     assert numbers == [
-        2 if node.region == regions.LARGER else 1
+        NEXT_NUMBER
+        if node.region == regions.LARGER
+        else regions.SETTLED_NUMBER
         for node in running.cluster.nodes
     ]
     for caller in callers.values():
@@ -82,7 +85,7 @@
 
 def _put_accepted(running):
     answer = running.put(
-        regions.LARGER, regions.build_document(2, 'from-the-larger')
+        regions.LARGER, regions.build_document(NEXT_NUMBER, 'from-the-larger')
     )
     return answer if answer.status_code == 200 else None
 
@@ -91,7 +94,9 @@
     with running.calling() as callers:
         running.heal()
         clusters.wait_until(
-            lambda: running.find_numbers() == [2] * len(regions.PLACES),
+            lambda: (
+                running.find_numbers() == [NEXT_NUMBER] * len(regions.PLACES)
+            ),
             'the newest document in force everywhere',
         )
         clusters.wait_until(running.is_whole, 'whole again', WAIT_S)
