--- a/filbertglade/control/submission.py
+++ b/filbertglade/control/submission.py
@@ -11,6 +11,7 @@
 from filbertglade.control import agreement
 from filbertglade.control import failures
 from filbertglade.control import gathering
+from filbertglade.control import replication
 from filbertglade.control import submit_stream
 from filbertglade.control import submitter
 from filbertglade.inner import channels
@@ -303,7 +304,8 @@
         try:
             result = await take(request.command, request.timeout_ms)
             await stream.send_message(_make_reply(request, result))
-        except OSError:
+        except replication.STREAM_ERRORS:
+            # The sender has left; it knows that it can't know.
             return
         finally:
             count.value -= 1
