Lose no cancellation that comes beside a result

Cause: asyncio.wait_for in Python 3.11 returns what has arrived and drops a cancellation that came with it. A task that misses its cancellation lets close() wait for what should have ended.

--- a/filbertglade/entry/handlers.py
+++ b/filbertglade/entry/handlers.py
@@ -211,7 +211,8 @@
         try:
             written = write()
             if not written.done():
-                await asyncio.wait_for(written, idle_s)
+                async with asyncio.timeout(idle_s):
+                    await written
         except (iostream.StreamClosedError, TimeoutError) as error:
             raise CallerLeft from error
 
--- a/filbertglade/node/node.py
+++ b/filbertglade/node/node.py
@@ -201,9 +201,8 @@
         await asyncio.sleep(timings.drain_delay_ms / 1000)
         self._requests.is_refusing = True
         try:
-            await asyncio.wait_for(
-                self._requests.drain(), timings.drain_limit_ms / 1000
-            )
+            async with asyncio.timeout(timings.drain_limit_ms / 1000):
+                await self._requests.drain()
         except TimeoutError:
             log.change('node.drain_limit_reached')
 
--- a/filbertglade/requests/arriving.py
+++ b/filbertglade/requests/arriving.py
@@ -189,7 +189,8 @@
             if limit_s is not None:
                 idle_s = min(idle_s, max(limit_s, 0))
             try:
-                chunk = await asyncio.wait_for(chunks.get(), idle_s)
+                async with asyncio.timeout(idle_s):
+                    chunk = await chunks.get()
             except TimeoutError:
                 return failures.Failure(EndpointReason.TIMED_OUT)
         else:
--- a/filbertglade/requests/claims.py
+++ b/filbertglade/requests/claims.py
@@ -83,9 +83,8 @@
         if self._sender is None or self._sender.done():
             self._sender = self._tasks.start(self._send_batches())
         try:
-            result = await asyncio.wait_for(
-                asyncio.shield(waiting.result), max(timeout_ms, 0) / 1000
-            )
+            async with asyncio.timeout(max(timeout_ms, 0) / 1000):
+                result = await asyncio.shield(waiting.result)
         except TimeoutError:
             return _failure(Reason.TIMED_OUT, not self._withdraw(waiting))
         except asyncio.CancelledError:
--- a/filbertglade/requests/joins.py
+++ b/filbertglade/requests/joins.py
@@ -158,9 +158,8 @@
 
     async def _receive(self) -> requests_pb2.JoinFrame:
         assert self._stream is not None
-        frame = await asyncio.wait_for(
-            self._stream.recv_message(), SILENCE_LIMIT_S
-        )
+        async with asyncio.timeout(SILENCE_LIMIT_S):
+            frame = await self._stream.recv_message()
         if frame is None:
             raise EOFError
         return frame
@@ -266,7 +265,8 @@
     async def _send(self, stream, **fields):  # type: ignore[no-untyped-def]
         frame = requests_pb2.JoinFrame(**fields)
         idle_s = self._settings.timings.idle_timeout_ms / 1000
-        await asyncio.wait_for(stream.send_message(frame), idle_s)
+        async with asyncio.timeout(idle_s):
+            await stream.send_message(frame)
 
 
 def _build_end(refusal: outcomes.Refusal | None) -> requests_pb2.JoinEnd:
