--- /dev/null
+++ b/filbertglade/control/service.py
@@ -0,0 +1,122 @@
+"""What a voter answers the other voters."""
+
+import asyncio
+from collections import abc
+import typing
+
+import grpclib
+from grpclib import const
+from grpclib import server
+
+from filbertglade.control import election
+from filbertglade.control import following
+from filbertglade.control import member
+from filbertglade.inner import agreement_grpc
+from filbertglade.inner import agreement_pb2
+
+Result = typing.TypeVar('Result')
+
+
+class AgreementServicer(agreement_grpc.AgreementBase):
+    """Serves the other voters."""
+
+    def __init__(self) -> None:
+        self._voter: member.Member | None = None
+        self._elector: election.Elector | None = None
+        self._follower: following.Follower | None = None
+
+    def open(self, voter: member.Member, elector: election.Elector) -> None:
+        """Begin to answer.
+
+        :param voter: the voter.
+        :param elector: its part in elections.
+        """
+        self._voter = voter
+        self._elector = elector
+        self._follower = following.Follower(voter)
+
+    def close(self) -> None:
+        """Answer no more."""
+        self._voter = None
+
+    def _check_voter(self) -> member.Member:
+        if self._voter is None or self._voter.failure is not None:
+            raise grpclib.GRPCError(
+                const.Status.UNAVAILABLE, 'this voter takes no part'
+            )
+        return self._voter
+
+    async def _finish(
+        self, work: abc.Coroutine[typing.Any, typing.Any, Result]
+    ) -> Result:
+        """Do work that goes on when the peer's connection breaks."""
+        try:
+            voter = self._check_voter()
+        except grpclib.GRPCError:
+            work.close()
+            raise
+        result: Result = await asyncio.shield(voter.tasks.start(work))
+        self._check_voter()
+        return result
+
+    async def Append(  # noqa: N802
+        self,
+        stream: 'server.Stream[agreement_pb2.AppendRequest, '
+        'agreement_pb2.AppendReply]',
+    ) -> None:
+        """Take the leader's records and heartbeats.
+
+        :param stream: lasts as long as the leader leads.
+        """
+        self._check_voter()
+        assert self._follower is not None
+        async for request in stream:
+            reply = await self._finish(self._follower.append(request))
+            await stream.send_message(reply)
+
+    async def Vote(  # noqa: N802
+        self,
+        stream: 'server.Stream[agreement_pb2.VoteRequest, '
+        'agreement_pb2.VoteReply]',
+    ) -> None:
+        """Answer a candidate.
+
+        :param stream: one request and its reply.
+        """
+        self._check_voter()
+        assert self._elector is not None
+        request = await stream.recv_message()
+        if request is not None:
+            reply = await self._finish(self._elector.vote(request))
+            await stream.send_message(reply)
+
+    async def HandOver(  # noqa: N802
+        self,
+        stream: 'server.Stream[agreement_pb2.HandOverRequest, '
+        'agreement_pb2.HandOverReply]',
+    ) -> None:
+        """Take over from a leader that resigns.
+
+        :param stream: one request and its reply.
+        """
+        self._check_voter()
+        assert self._elector is not None
+        request = await stream.recv_message()
+        if request is not None:
+            won = await self._finish(self._elector.take_over(request))
+            await stream.send_message(agreement_pb2.HandOverReply(won=won))
+
+    async def InstallSnapshot(  # noqa: N802
+        self,
+        stream: 'server.Stream[agreement_pb2.SnapshotChunk, '
+        'agreement_pb2.SnapshotReply]',
+    ) -> None:
+        """Take a snapshot.
+
+        :param stream: its parts, and one reply.
+        """
+        self._check_voter()
+        assert self._follower is not None
+        reply = await self._follower.install(aiter(stream))
+        self._check_voter()
+        await stream.send_message(reply)
