--- a/filbertglade/requests/outcomes.py
+++ b/filbertglade/requests/outcomes.py
@@ -73,3 +73,16 @@
 
     outcome: Outcome = Outcome.NOT_RUN
     retry_after_ms: int = 0
+
+
+def refuse_unknown(detail: str) -> Refusal:
+    """Return the refusal of a request that another run may have done.
+
+    :param detail: why nothing more is known.
+    """
+    return Refusal(
+        RefusalReason.OWNER_GONE,
+        detail,
+        Outcome.UNKNOWN,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
