--- a/filbertglade/requests/choice.py
+++ b/filbertglade/requests/choice.py
@@ -1,5 +1,7 @@
 """The endpoint that a request is sent to, and those it avoids."""
 
+import asyncio
+
 from filbertglade import clock
 from filbertglade.requests import caller
 from filbertglade.requests import outcomes
@@ -8,6 +10,8 @@
 from filbertglade.routing import candidates
 from filbertglade.routing import selection
 
+LOOK_INTERVAL_MS = 50
+
 
 class EndpointChoice:
     """Chooses a request's endpoint, and tells of it what became known.
@@ -33,25 +37,41 @@
         self.candidate: selection.Candidate | None = None
         self.sent_ms = 0
 
+    async def wait_for_endpoint(self) -> bool:
+        """Wait out a short time without an endpoint.
+
+        :returns: whether there is one now that is not avoided.
+        """
+        gap_ms = self._parts.gaps.left_ms(self._request.target)
+        end_ms = min(clock.now_ms() + gap_ms, self._request.deadline_ms)
+        while (left_ms := end_ms - clock.now_ms()) > 0:
+            await asyncio.sleep(min(left_ms, LOOK_INTERVAL_MS) / 1000)
+            if self._list_open():
+                return True
+        return False
+
     def choose(self) -> selection.Candidate | setbacks.Setback:
         """Choose an endpoint that is not avoided.
 
         :returns: the endpoint, or that there is none.
         """
-        listed = self._list_candidates()
-        open_ones = [item for item in listed if item.name not in self._avoided]
-        candidate = self._parts.selector.choose(open_ones, self._work)
+        candidate = self._parts.selector.choose(self._list_open(), self._work)
         if candidate is None:
             return setbacks.Setback(
                 outcomes.RefusalReason.NO_ENDPOINT,
                 f'no endpoint serves {self._request.target!r} now',
                 is_final=True,
             )
+        self._parts.gaps.note_served(self._request.target)
         self.candidate = candidate
         self.sent_ms = clock.now_ms()
         self._parts.selector.note_started(candidate, self._work)
         return candidate
 
+    def _list_open(self) -> list[selection.Candidate]:
+        listed = self._list_candidates()
+        return [item for item in listed if item.name not in self._avoided]
+
     def _list_candidates(self) -> list[selection.Candidate]:
         request = self._request
         fleet = self._parts.fleet
--- a/filbertglade/requests/execution.py
+++ b/filbertglade/requests/execution.py
@@ -201,7 +201,7 @@
             )
         else:
             resumes = False
-            found = self._choose()
+            found = await self._choose()
             if isinstance(found, setbacks.Setback):
                 return found
             candidate = found
@@ -215,7 +215,17 @@
             return answer
         return await self._accept(candidate, answer, resumes)
 
-    def _choose(self) -> selection.Candidate | setbacks.Setback:
+    async def _choose(self) -> selection.Candidate | setbacks.Setback:
+        found = self._choose_now()
+        if (
+            isinstance(found, setbacks.Setback)
+            and found.reason is Reason.NO_ENDPOINT
+            and await self._choice.wait_for_endpoint()
+        ):
+            return self._choose_now()
+        return found
+
+    def _choose_now(self) -> selection.Candidate | setbacks.Setback:
         obstacle = self._parts.strikes.find_obstacle(
             self._digest, self._dispatch.was_sent
         )
--- a/filbertglade/requests/parts.py
+++ b/filbertglade/requests/parts.py
@@ -6,6 +6,7 @@
 from filbertglade.membership import view
 from filbertglade.observability import metrics
 from filbertglade.requests import endpoints
+from filbertglade.requests import gaps
 from filbertglade.requests import retries
 from filbertglade.requests import strikes
 from filbertglade.routing import selection
@@ -23,6 +24,7 @@
     :param selector: the policy that chooses endpoints.
     :param budget: the budget of further tries.
     :param strikes: strikes against requests.
+    :param gaps: until when requests wait for an endpoint to come.
     :param counters: the process's metrics.
     """
 
@@ -33,4 +35,5 @@
     selector: selection.Selector
     budget: retries.RetryBudget
     strikes: strikes.StrikeBook
+    gaps: gaps.EndpointGaps
     counters: metrics.Metrics
--- a/filbertglade/requests/runner.py
+++ b/filbertglade/requests/runner.py
@@ -22,6 +22,7 @@
 from filbertglade.requests import claims
 from filbertglade.requests import endpoints
 from filbertglade.requests import execution
+from filbertglade.requests import gaps
 from filbertglade.requests import joins
 from filbertglade.requests import outcomes
 from filbertglade.requests import parts
@@ -91,6 +92,7 @@
             selector=policies.build_selector(settings, fleet, rng),
             budget=retries.RetryBudget(counters),
             strikes=strikes.StrikeBook(fleet, attached, counters),
+            gaps=gaps.EndpointGaps(settings),
             counters=counters,
         )
         self._admission = admission.Admission(settings, fleet, counters, rng)
--- /dev/null
+++ b/tests/requests/test_gaps.py
@@ -0,0 +1,99 @@
+"""Requests wait out a short time without an endpoint, and no longer."""
+
+import asyncio
+import types
+
+import pytest
+
+from filbertglade import clock
+from filbertglade.requests import choice
+from filbertglade.requests import gaps
+from filbertglade.requests import outcomes
+from tests import fakes
+from tests import virtual_time
+
+TARGET = 'writer'
+GAP_MS = gaps.BRIDGED_RELAYS * fakes.build_settings().timings.relay_ms
+
+
+class Listed(choice.EndpointChoice):
+    """A choice among endpoints that the test lists."""
+
+    def __init__(self, endpoints, deadline_ms):
+        parts = types.SimpleNamespace(
+            gaps=gaps.EndpointGaps(fakes.build_settings()),
+            selector=types.SimpleNamespace(
+                choose=lambda found, work: found[0] if found else None,
+                note_started=lambda *_: None,
+            ),
+        )
+        request = types.SimpleNamespace(
+            customer=fakes.build_customer('one'),
+            call=types.SimpleNamespace(body=b''),
+            prefix_hashes=(),
+            target=TARGET,
+            deadline_ms=clock.now_ms() + deadline_ms,
+        )
+        super().__init__(parts, request)
+        self.endpoints = endpoints
+
+    def _list_candidates(self):
+        return self.endpoints
+
+
+def endpoint(name):
+    return types.SimpleNamespace(name=name)
+
+
+async def measure_wait(chooser):
+    started_ms = clock.now_ms()
+    found = await chooser.wait_for_endpoint()
+    return found, clock.now_ms() - started_ms
+
+
+@pytest.mark.parametrize('is_avoided', [False, True])
+def test_endpoint_that_comes_in_time_is_waited_for(is_avoided):
+    async def scenario():
+        chooser = Listed([endpoint('old')], 60_000)
+        old = chooser.choose()
+        if is_avoided:
+            chooser.avoid(old)
+        else:
+            chooser.endpoints = []
+        waiting = asyncio.create_task(measure_wait(chooser))
+        await asyncio.sleep(GAP_MS / 2000)
+        chooser.endpoints = [*chooser.endpoints, endpoint('new')]
+        found, waited_ms = await waiting
+        assert found
+        assert waited_ms <= GAP_MS / 2 + choice.LOOK_INTERVAL_MS
+        assert chooser.choose().name == 'new'
+
+    virtual_time.run(scenario())
+
+
+def test_without_an_endpoint_for_long_nothing_waits():
+    async def scenario():
+        chooser = Listed([endpoint('old')], 60_000)
+        chooser.choose()
+        chooser.endpoints = []
+        found, waited_ms = await measure_wait(chooser)
+        assert not found
+        assert waited_ms <= GAP_MS
+        assert await measure_wait(chooser) == (False, 0)
+        refused = chooser.choose()
+        assert refused.reason is outcomes.RefusalReason.NO_ENDPOINT
+
+    virtual_time.run(scenario())
+
+
+def test_nothing_waits_beyond_its_deadline_or_for_an_unknown_target():
+    async def scenario():
+        chooser = Listed([], 60_000)
+        assert await measure_wait(chooser) == (False, 0)
+        late = Listed([endpoint('old')], 100)
+        late.avoid(late.choose())
+        found, waited_ms = await measure_wait(late)
+        assert not found
+        assert waited_ms <= 100
+
+    virtual_time.run(scenario())
