--- a/filbertglade/cli.py
+++ b/filbertglade/cli.py
@@ -39,6 +39,19 @@
     raise typer.Exit(command.run_node(settings))
 
 
+@app.command()
+def gateway(
+    settings: typing.Annotated[
+        pathlib.Path,
+        typer.Option('--settings', help="The gateway's TOML settings file."),
+    ],
+) -> None:
+    """Run a process that routes plain HTTP requests to endpoints."""
+    from filbertglade.commands import gateway as command
+
+    raise typer.Exit(command.run_gateway(settings))
+
+
 @app.command('init-control')
 def init_control(settings: SettingsPath) -> None:
     """Mark an empty data folder as a founding voter, once."""
--- /dev/null
+++ b/filbertglade/commands/gateway.py
@@ -0,0 +1,56 @@
+"""The command that runs a process of a gateway."""
+
+import asyncio
+import pathlib
+
+from filbertglade.commands import check
+from filbertglade.fleet import dialects
+from filbertglade.gateway import process
+from filbertglade.inner import channels
+from filbertglade.observability import line_writer
+from filbertglade.observability import logs
+from filbertglade.platform import dialect as platform_dialect
+from filbertglade.settings import gateway
+
+EXIT_FAILURE = 1
+# How long the last log lines may take to be read, in s.
+LOG_CLOSE_S = 0.3
+
+DIALECTS = {
+    'own': dialects.OWN,
+    'platform': platform_dialect.PLATFORM,
+}
+
+
+def run_gateway(path: pathlib.Path) -> int:
+    """Run a process of a gateway until it is told to stop.
+
+    :param path: the settings file.
+    :returns: exit code: 0 after a stop that was asked for, 1 if the process
+        could not start, 2 if the settings are wrong.
+    """
+    settings, problems = gateway.load_gateway_settings(path)
+    if settings is None:
+        return check.print_problems(problems)
+    writer = line_writer.LineWriter()
+    logs.open_bounded_log(settings.name, settings.data_centre, writer.write)
+    try:
+        return asyncio.run(_run(path, settings))
+    except OSError as error:
+        return check.print_failure(str(error), EXIT_FAILURE)
+    finally:
+        writer.close(LOG_CLOSE_S)
+
+
+async def _run(path: pathlib.Path, settings: gateway.GatewaySettings) -> int:
+    running = process.GatewayProcess(
+        path, settings, DIALECTS[settings.dialect], channels.SocketChannels()
+    )
+    try:
+        failure = await running.start()
+        if failure is not None:
+            return check.print_failure(str(failure), EXIT_FAILURE)
+        await running.run_until_stopped()
+    finally:
+        await running.close()
+    return 0
--- a/filbertglade/control/agreement.py
+++ b/filbertglade/control/agreement.py
@@ -14,6 +14,7 @@
 from filbertglade.control import store
 from filbertglade.control import submitter
 from filbertglade.control import voter_status
+from filbertglade.control import voters
 from filbertglade import failures as base_failures
 from filbertglade.inner import channels
 from filbertglade.inner import commands_pb2
@@ -33,18 +34,24 @@
     :param channel_factory: opens channels to the other voters.
     :param counters: the process's metrics.
     :param rng: the process's random numbers.
+    :param membership: which control hosts there are; those that the
+        settings list by default.
     """
 
     def __init__(
         self,
-        settings: model.NodeSettings,
+        settings: model.VoterSettings,
         state: agreed_state.AgreedState,
         store: store.Storage,
         channel_factory: channels.ChannelFactory,
         counters: metrics.Metrics,
         rng: random.Random,
+        membership: voters.Membership | None = None,
     ) -> None:
         self._settings = settings
+        self._membership = membership or voters.FixedMembership(
+            settings.control
+        )
         self._state = state
         self._storage = store
         self._channel_factory = channel_factory
@@ -73,6 +80,7 @@
             return failure
         voter = member.Member(
             self._settings,
+            self._membership,
             self._state,
             self._storage,
             stored,
@@ -168,6 +176,38 @@
         for listener in self._listeners:
             listener(acting)
 
+    # Voters
+
+    @property
+    def may_acknowledge(self) -> bool:
+        """Whether enough voters are in for what the settings tolerate."""
+        table = self._state.voters.incarnations
+        known = sum(1 for incarnation in table.values() if incarnation)
+        return known >= self._membership.needed_voters
+
+    @property
+    def term(self) -> int:
+        """The newest term seen; 0 before the start."""
+        return 0 if self._member is None else self._member.term
+
+    def log_clock_ms(self) -> int:
+        """Return the log clock; it goes on across changes of the leader."""
+        return 0 if self._member is None else self._member.log_clock_ms()
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this control host's answers count."""
+        voter = self._member
+        return voter is not None and voter.role not in (
+            member.Role.LEARNER,
+            member.Role.HALTED,
+        )
+
+    @property
+    def failure(self) -> base_failures.Failure | None:
+        """What ended this voter's part for good; None if nothing did."""
+        return None if self._member is None else self._member.failure
+
     # Commands
 
     async def submit(
--- a/filbertglade/control/identity.py
+++ b/filbertglade/control/identity.py
@@ -104,7 +104,7 @@
     files.write_json(folder / IDENTITY_NAME, dataclasses.asdict(identity))
 
 
-def init_control(settings: model.NodeSettings) -> StorageFailure | None:
+def init_control(settings: model.VoterSettings) -> StorageFailure | None:
     """Mark an empty data folder as a founding voter of a new cluster.
 
     :param settings: the node's settings.
--- a/filbertglade/control/leadership.py
+++ b/filbertglade/control/leadership.py
@@ -7,6 +7,7 @@
 from filbertglade.control import failures
 from filbertglade.control import quorum
 from filbertglade.control import replication
+from filbertglade.control import voters
 from filbertglade.inner import agreement_pb2
 from filbertglade.inner import commands_pb2
 from filbertglade.observability import logs
@@ -50,9 +51,8 @@
         self._first_index = 0
         self._pending: dict[int, Pending] = {}
         self._appended = asyncio.Event()
-        self.replicators = [
-            replication.Replicator(voter, self, host) for host in voter.peers
-        ]
+        self.replicators: list[replication.Replicator] = []
+        self._replicating: dict[str, asyncio.Task[typing.Any]] = {}
         self._tasks: list[asyncio.Task[typing.Any]] = []
 
     @property
@@ -87,8 +87,7 @@
             last = commands_pb2.Command.FromString(entry.command)
             voter.raise_log_clock(last.stamped_ms)
         self._first_index = self._append_no_operation()
-        for replicator in self.replicators:
-            self._tasks.append(voter.tasks.start(replicator.run()))
+        self._refresh_replicators()
         self._tasks.append(voter.tasks.start(self._run_flush()))
         self._tasks.append(voter.tasks.start(self._run_watch()))
         self.note_reply()
@@ -99,7 +98,7 @@
         :param reason: for the log.
         """
         self._stopped = True
-        for task in self._tasks:
+        for task in [*self._tasks, *self._replicating.values()]:
             task.cancel()
         log.change('leader.stepped_down', term=self._term, reason=reason)
         self._fail_pending(failures.SubmitReason.LEADER_LOST, reason)
@@ -118,6 +117,22 @@
                     )
                 )
 
+    def _refresh_replicators(self) -> None:
+        """Replicate to every control host there is now, and to no other."""
+        voter = self._voter
+        hosts = {host.name: host for host in voter.peers}
+        for name in [name for name in self._replicating if name not in hosts]:
+            self._replicating.pop(name).cancel()
+        self.replicators = [
+            item for item in self.replicators if item.name in hosts
+        ]
+        for name, host in hosts.items():
+            if name in self._replicating:
+                continue
+            replicator = replication.Replicator(voter, self, host)
+            self.replicators.append(replicator)
+            self._replicating[name] = voter.tasks.start(replicator.run())
+
     # Commands
 
     async def submit(
@@ -294,6 +309,7 @@
             if not self.has_quorum:
                 voter.step_down('no quorum within the lease')
                 return
+            self._refresh_replicators()
             self._tend_voters()
             left_ms = self._lease_end_ms - clock.now_ms()
             wait_ms = min(interval_ms, max(1, left_ms))
@@ -313,10 +329,30 @@
             self._found_voters()
             return
         for replicator in self.replicators:
-            if self._is_exchange_due(replicator):
-                self._exchange(replicator)
+            if not self._is_exchange_due(replicator):
+                continue
+            change = self._find_change(replicator)
+            if change is not None:
+                self._exchange(replicator, change)
                 return
 
+    def _find_change(
+        self, replicator: replication.Replicator
+    ) -> voters.VoterChange | None:
+        """Return how a host with another incarnation comes to count."""
+        table = self._voter.state.voters.incarnations
+        if replicator.name in table:
+            return voters.VoterChange(replicator.name)
+        now_ms = clock.now_ms()
+        silences_ms = {
+            item.name: now_ms - max(item.answered_sent_ms, self._started_ms)
+            for item in self.replicators
+            if item.name in table
+        }
+        return self._voter.membership.find_addition(
+            replicator.name, table, silences_ms
+        )
+
     def _found_voters(self) -> None:
         voter = self._voter
         founders = [
@@ -325,6 +361,8 @@
             )
         ]
         for replicator in self.replicators:
+            if replicator.name not in voter.membership.founders:
+                continue
             founder = commands_pb2.VoterIncarnation(voter=replicator.name)
             if replicator.is_fresh and replicator.founding:
                 founder.incarnation = replicator.incarnation
@@ -351,18 +389,22 @@
             and missing <= CAUGHT_UP_ENTRIES
         )
 
-    def _exchange(self, replicator: replication.Replicator) -> None:
+    def _exchange(
+        self, replicator: replication.Replicator, wanted: voters.VoterChange
+    ) -> None:
         table = self._voter.state.voters.incarnations
         change = commands_pb2.VoterExchange(
             voter=replicator.name,
             old_incarnation=table.get(replicator.name, ''),
             new_incarnation=replicator.incarnation,
+            removed=wanted.removed,
         )
         log.change(
             'voters.exchanged',
             voter=change.voter,
             old_incarnation=change.old_incarnation,
             new_incarnation=change.new_incarnation,
+            removed=change.removed,
         )
         self._append(
             commands_pb2.Command(voter_exchange=change), changes_voters=True
--- a/filbertglade/control/member.py
+++ b/filbertglade/control/member.py
@@ -12,6 +12,8 @@
 from filbertglade.control import quorum
 from filbertglade.control import state
 from filbertglade.control import store
+from filbertglade.control.tables import voters as voter_table
+from filbertglade.control import voters
 from filbertglade import failures as base_failures
 from filbertglade.inner import channels
 from filbertglade.inner import commands_pb2
@@ -45,6 +47,7 @@
     """A voter's memory, and the steps that its tasks have in common.
 
     :param settings: the node's settings.
+    :param membership: which control hosts there are.
     :param agreed: the agreed state.
     :param storage: the data folder, opened.
     :param stored: what it held.
@@ -58,7 +61,8 @@
 
     def __init__(
         self,
-        settings: model.NodeSettings,
+        settings: model.VoterSettings,
+        membership: voters.Membership,
         agreed: state.AgreedState,
         storage: store.Storage,
         stored: store.Stored,
@@ -67,6 +71,7 @@
         rng: random.Random,
     ) -> None:
         self.settings = settings
+        self.membership = membership
         self.state = agreed
         self.storage = storage
         self.identity = stored.identity
@@ -112,7 +117,10 @@
     @property
     def peers(self) -> list[model.ControlHostSettings]:
         """The other control hosts."""
-        hosts = self.settings.control.hosts
+        names = [
+            name for table in self.voter_tables() for name in table.incarnations
+        ]
+        hosts = self.membership.list_hosts(names)
         return [host for host in hosts if host.name != self.name]
 
     @property
@@ -137,19 +145,23 @@
             self.identity.incarnation, self.identity.founding, value
         )
 
-    def quorum(self) -> quorum.Quorum:
-        """Return the majorities that a decision needs now."""
+    def voter_tables(self) -> list[voter_table.VoterTable]:
+        """Return the table applied, and that after each change to come."""
         table = self.state.voters
-        tables = [table.incarnations]
+        tables = [table]
         for index in self.journal.voter_changes:
             entry = self.journal.get(index)
             if entry is None or index <= self.state.applied_index:
                 continue
             table = table.copy()
             table.apply(commands_pb2.Command.FromString(entry.command))
-            tables.append(table.incarnations)
-        founders = [host.name for host in self.settings.control.hosts]
-        return quorum.Quorum(founders, tables)
+            tables.append(table)
+        return tables
+
+    def quorum(self) -> quorum.Quorum:
+        """Return the majorities that a decision needs now."""
+        tables = [table.incarnations for table in self.voter_tables()]
+        return quorum.Quorum(self.membership.founders, tables)
 
     def has_unapplied_voter_change(self) -> bool:
         """Return whether the log holds a change of voters to come."""
--- a/filbertglade/control/state.py
+++ b/filbertglade/control/state.py
@@ -6,7 +6,9 @@
 from filbertglade.control.tables import base
 from filbertglade.control.tables import claims
 from filbertglade.control.tables import configuration
+from filbertglade.control.tables import document
 from filbertglade.control.tables import groups
+from filbertglade.control.tables import replicas
 from filbertglade.control.tables import voters
 from filbertglade.inner import commands_pb2
 
@@ -31,6 +33,8 @@
         self.groups = groups.GroupTable()
         self.claims = claims.ClaimTable()
         self.voters = voters.VoterTable()
+        self.document = document.DocumentTable()
+        self.replicas = replicas.ReplicaTable()
         self._listeners: list[Listener] = []
 
     def add_listener(self, listener: Listener) -> None:
@@ -69,6 +73,13 @@
             result.claims.CopyFrom(settled)
         elif kind in ('voter_founding', 'voter_exchange'):
             result.voter.done = self.voters.apply(command)
+        elif kind == 'put_document':
+            result.document.CopyFrom(self.document.apply(command.put_document))
+        elif kind == 'replica_change':
+            changed = self.replicas.apply(
+                command.replica_change, index, self.log_clock_ms
+            )
+            result.replica.CopyFrom(changed)
         self._notify(command)
         return result
 
@@ -107,7 +118,14 @@
 
     def _tables(self) -> tuple[base.Table, ...]:
         # The order is the snapshots' format.
-        return (self.configuration, self.groups, self.claims, self.voters)
+        return (
+            self.configuration,
+            self.groups,
+            self.claims,
+            self.voters,
+            self.document,
+            self.replicas,
+        )
 
     def _notify(self, command: commands_pb2.Command) -> None:
         for listener in self._listeners:
--- /dev/null
+++ b/filbertglade/control/tables/document.py
@@ -0,0 +1,48 @@
+"""The routing document in force: the highest version that was accepted."""
+
+from collections import abc
+
+from filbertglade.control.tables import base
+from filbertglade.inner import commands_pb2
+
+
+class DocumentTable(base.Table):
+    """The routing document.
+
+    :ivar current: the document with the highest version; version 0 before
+        the first.
+    """
+
+    def __init__(self) -> None:
+        self.current = commands_pb2.PutDocument()
+
+    def apply(
+        self, change: commands_pb2.PutDocument
+    ) -> commands_pb2.DocumentResult:
+        """Take a document if its version is the highest yet.
+
+        :param change: the document.
+        :returns: the version in force. The content under one version never
+            changes.
+        """
+        current = self.current
+        if change.version > current.version:
+            self.current = commands_pb2.PutDocument()
+            self.current.CopyFrom(change)
+        differs = (
+            change.version == current.version and change.text != current.text
+        )
+        return commands_pb2.DocumentResult(
+            version=self.current.version, differs=differs
+        )
+
+    def dump(self) -> abc.Iterator[bytes]:
+        """Return the whole table for a snapshot."""
+        return iter((self.current.SerializeToString(),))
+
+    def load_chunk(self, chunk: bytes) -> None:
+        """Take one part of a snapshot.
+
+        :param chunk: a part that :meth:`dump` gave.
+        """
+        self.current = commands_pb2.PutDocument.FromString(chunk)
--- a/filbertglade/control/tables/voters.py
+++ b/filbertglade/control/tables/voters.py
@@ -48,6 +48,7 @@
             **self.incarnations,
             change.voter: change.new_incarnation,
         }
+        self.incarnations.pop(change.removed, None)
         return True
 
     def apply(self, command: commands_pb2.Command) -> bool:
--- a/filbertglade/control/voter_status.py
+++ b/filbertglade/control/voter_status.py
@@ -87,7 +87,8 @@
         for replicator in voter.leadership.replicators:
             matches[replicator.name] = replicator.match_index
     table = voter.state.voters.incarnations
-    names = [host.name for host in voter.settings.control.hosts]
+    hosts = voter.membership.list_hosts(table)
+    names = [host.name for host in hosts]
     names += [name for name in table if name not in names]
     return [
         VoterStatus(name, table.get(name, ''), matches.get(name, 0))
--- /dev/null
+++ b/filbertglade/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What a gateway knows: endpoints, replicas and the routing document."""
--- /dev/null
+++ b/filbertglade/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of callers' requests to endpoints, byte for byte."""
--- /dev/null
+++ b/filbertglade/forwarding/health.py
@@ -0,0 +1,137 @@
+"""Notices replicas that stand still, by the streams of this node."""
+
+import asyncio
+import typing
+
+from filbertglade import clock
+from filbertglade.fleet import watcher
+from filbertglade.forwarding import choice
+from filbertglade.observability import logs
+
+log = logs.get_log(__name__)
+
+# Silence of all streams of a replica that counts as a standstill, in ms:
+# several of the longest passes of an engine that reads long prompts.
+STALL_MS = 500
+# The same in mean pauses between events, for slow engines.
+STALL_GAPS = 6
+# Weight of the newest pause in the mean.
+GAP_WEIGHT = 0.1
+# Pause between two looks, in ms. One that comes much later shows that this
+# process was held up, and so can't judge others.
+LOOK_MS = 50
+HELD_UP_MS = 150
+
+
+class Stream(typing.Protocol):
+    """A stream that is told when its replica stands still."""
+
+    def stall(self) -> None:
+        """Leave the replica, if that is allowed."""
+
+
+class _Progress:
+    """What a replica's streams on this node have shown."""
+
+    __slots__ = ('begun', 'gap_ms', 'last_ms', 'target', 'waiting')
+
+    def __init__(self, target: choice.Target) -> None:
+        self.target = target
+        self.begun: set[Stream] = set()
+        self.waiting: set[Stream] = set()
+        self.last_ms = clock.now_ms()
+        self.gap_ms = 0.0
+
+    @property
+    def limit_ms(self) -> float:
+        return max(STALL_MS, STALL_GAPS * self.gap_ms)
+
+
+class ReplicaHealth:
+    """Watches the progress of replicas.
+
+    :param faults: where replicas that stand still are noted.
+    :param leader: who is told.
+    """
+
+    def __init__(
+        self, faults: choice.FaultBook, leader: watcher.Watcher
+    ) -> None:
+        self._faults = faults
+        self._leader = leader
+        self._progress: dict[tuple[str, int], _Progress] = {}
+
+    def begin(self, target: choice.Target, stream: Stream) -> None:
+        """Note a stream that waits for its first event.
+
+        :param target: where it was sent to.
+        :param stream: the stream.
+        """
+        place = (target.group, target.epoch)
+        progress = self._progress.get(place)
+        if progress is None:
+            progress = _Progress(target)
+            self._progress[place] = progress
+        progress.waiting.add(stream)
+
+    def note_event(self, target: choice.Target, stream: Stream) -> None:
+        """Note that something of a stream has arrived.
+
+        :param target: where it comes from.
+        :param stream: the stream.
+        """
+        progress = self._progress.get((target.group, target.epoch))
+        if progress is None:
+            return
+        now_ms = clock.now_ms()
+        if progress.begun:
+            gap_ms = now_ms - progress.last_ms
+            progress.gap_ms += GAP_WEIGHT * (gap_ms - progress.gap_ms)
+        progress.last_ms = now_ms
+        progress.waiting.discard(stream)
+        progress.begun.add(stream)
+
+    def end(self, target: choice.Target, stream: Stream) -> None:
+        """Note that a stream is over.
+
+        :param target: where it was sent to.
+        :param stream: the stream.
+        """
+        place = (target.group, target.epoch)
+        progress = self._progress.get(place)
+        if progress is None:
+            return
+        progress.waiting.discard(stream)
+        progress.begun.discard(stream)
+        if not progress.waiting and not progress.begun:
+            del self._progress[place]
+
+    async def run(self) -> typing.NoReturn:
+        """Look at all replicas again and again."""
+        looked_ms = clock.now_ms()
+        while True:
+            await asyncio.sleep(LOOK_MS / 1000)
+            now_ms = clock.now_ms()
+            held_up_ms = now_ms - looked_ms - LOOK_MS
+            looked_ms = now_ms
+            if held_up_ms > HELD_UP_MS:
+                for progress in self._progress.values():
+                    progress.last_ms = now_ms
+                continue
+            self._look(now_ms)
+
+    def _look(self, now_ms: int) -> None:
+        for progress in list(self._progress.values()):
+            silent_ms = now_ms - progress.last_ms
+            if progress.begun and silent_ms > progress.limit_ms:
+                self._note_stall(progress, silent_ms)
+
+    def _note_stall(self, progress: _Progress, silent_ms: int) -> None:
+        target = progress.target
+        self._faults.note(target, f'no event for {silent_ms} ms')
+        self._leader.report_suspicion(
+            target.group, target.epoch, f'no event for {silent_ms} ms'
+        )
+        progress.last_ms = clock.now_ms()
+        for stream in [*progress.begun, *progress.waiting]:
+            stream.stall()
--- /dev/null
+++ b/filbertglade/forwarding/server.py
@@ -0,0 +1,321 @@
+"""The HTTP server towards callers: bounds, and one task a request."""
+
+import asyncio
+from collections import abc
+import sys
+import typing
+
+from tornado import httpserver
+from tornado import httputil
+from tornado import iostream
+
+from filbertglade import clock
+from filbertglade.fleet import document
+from filbertglade.inner import channels
+from filbertglade.observability import logs
+
+log = logs.get_log(__name__)
+
+# How much of an oversized body is read so that its sender sees the answer.
+DROPPED_BYTES = 16_777_216
+# Time that a sender gets to read a refusal before its connection closes.
+CLOSE_DELAY_S = 0.5
+# Longest headers that are read at all; the document bounds them further.
+HEADER_BYTES = 1_048_576
+# Bounds until a document says others.
+DEFAULT_LIMITS = document.Limits()
+
+
+class CallerRequest:
+    """A request as it was received whole.
+
+    :param connection: the caller's connection.
+    :param start_line: its start line.
+    :param headers: its headers.
+    :param received_ms: local clock at its first byte that was read.
+    :ivar body: its body.
+    :ivar is_answered: whether an answer has begun.
+    """
+
+    def __init__(
+        self,
+        connection: httputil.HTTPConnection,
+        start_line: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+        received_ms: int,
+    ) -> None:
+        self._connection = connection
+        self.method = start_line.method
+        self.target = start_line.path
+        self.headers = headers
+        self.received_ms = received_ms
+        self.body = b''
+        self.is_answered = False
+        self.closes = False
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition('?')[0]
+
+    @property
+    def hostname(self) -> str:
+        """The host name that the caller addressed, without a port."""
+        host = self.headers.get('Host', '')
+        return host.rpartition(':')[0] if ':' in host else host
+
+    async def begin_answer(
+        self, status: int, reason: str, headers: httputil.HTTPHeaders
+    ) -> None:
+        """Send the head of the answer.
+
+        :param status: the status.
+        :param reason: the reason phrase.
+        :param headers: the headers; without a length the body is sent in
+            chunks.
+        :raises StreamClosedError: the caller has left.
+        """
+        self.is_answered = True
+        if self.closes:
+            headers['Connection'] = 'close'
+        line = httputil.ResponseStartLine('HTTP/1.1', status, reason)
+        await self._connection.write_headers(line, headers)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body.
+
+        :param chunk: the part.
+        :raises StreamClosedError: the caller has left.
+        """
+        await self._connection.write(chunk)
+
+    def finish(self) -> None:
+        """End the answer."""
+        try:
+            self._connection.finish()
+        except (iostream.StreamClosedError, httputil.HTTPOutputError) as error:
+            log.change('answer.unfinished', error=error)
+            self.abort()
+            return
+        if self.closes:
+            loop = asyncio.get_running_loop()
+            loop.call_later(CLOSE_DELAY_S, self.abort)
+
+    def abort(self) -> None:
+        """Close the connection, so that a cut answer can't look whole."""
+        stream = getattr(self._connection, 'stream', None)
+        if stream is not None:
+            stream.close()
+
+    def answer(
+        self,
+        status: int,
+        body: bytes = b'',
+        headers: abc.Mapping[str, str] | None = None,
+    ) -> None:
+        """Send a short answer whole.
+
+        :param status: the status.
+        :param body: the body.
+        :param headers: further headers.
+        """
+        all_headers = httputil.HTTPHeaders(
+            {'Content-Length': str(len(body)), **(headers or {})}
+        )
+        if self.closes:
+            all_headers['Connection'] = 'close'
+        self.is_answered = True
+        reason = httputil.responses.get(status, 'Unknown')
+        line = httputil.ResponseStartLine('HTTP/1.1', status, reason)
+        try:
+            written = self._connection.write_headers(line, all_headers, body)
+        except iostream.StreamClosedError:
+            return
+        asyncio.ensure_future(written).add_done_callback(_see_error)
+        self.finish()
+
+
+def _see_error(future: 'asyncio.Future[object]') -> None:
+    if not future.cancelled():
+        future.exception()
+
+
+Serve = abc.Callable[[CallerRequest], abc.Coroutine[typing.Any, typing.Any, None]]
+
+
+class CallerServer(httputil.HTTPServerConnectionDelegate):
+    """Reads callers' requests within bounds and starts a task for each.
+
+    :param serve: answers a request.
+    :param get_limits: returns the bounds in force.
+    :ivar in_flight: requests that are being read or answered.
+    """
+
+    def __init__(
+        self,
+        serve: Serve,
+        get_limits: abc.Callable[[], document.Limits | None],
+    ) -> None:
+        self.serve = serve
+        self._get_limits = get_limits
+        self.in_flight: set[_Message] = set()
+        self._server: httpserver.HTTPServer | None = None
+
+    def listen(self, address: str) -> None:
+        """Begin to listen.
+
+        :param address: ``host:port``.
+        :raises OSError: the address can't be listened on.
+        """
+        limits = self.limits
+        self._server = httpserver.HTTPServer(
+            self,  # type: ignore[arg-type]
+            max_header_size=HEADER_BYTES,
+            max_body_size=sys.maxsize,
+            idle_connection_timeout=limits.idle_timeout_ms / 1000 + 1,
+        )
+        host, port = channels.split_address(address)
+        self._server.listen(port, host, backlog=1024)
+
+    def stop(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.stop()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            await self._server.close_all_connections()
+
+    @property
+    def limits(self) -> document.Limits:
+        """The bounds in force."""
+        return self._get_limits() or DEFAULT_LIMITS
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Begin to read a request.
+
+        :param server_conn: the connection.
+        :param request_conn: the request's part of it.
+        :returns: what takes the request.
+        """
+        return _Message(self, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Note that a connection is closed.
+
+        :param server_conn: the connection.
+        """
+
+
+class _Message(httputil.HTTPMessageDelegate):
+    """One request, from its first byte to the end of its answer."""
+
+    def __init__(
+        self, server: CallerServer, connection: httputil.HTTPConnection
+    ) -> None:
+        self._server = server
+        self._connection = connection
+        self._request: CallerRequest | None = None
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._is_refused = False
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Take the head of a request.
+
+        :param start_line: its start line.
+        :param headers: its headers.
+        """
+        limits = self._server.limits
+        request = CallerRequest(
+            self._connection,
+            typing.cast(httputil.RequestStartLine, start_line),
+            headers,
+            clock.now_ms(),
+        )
+        self._request = request
+        self._server.in_flight.add(self)
+        size = sum(
+            len(name) + len(value) + 4 for name, value in headers.get_all()
+        )
+        if size + len(request.target) > limits.max_header_bytes:
+            self._refuse(431)
+            return
+        if len(headers.get_list('Host')) != 1:
+            self._refuse(400)
+            return
+        length = headers.get('Content-Length', '')
+        if length.isdecimal() and int(length) > limits.max_body_bytes:
+            self._refuse(413)
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(
+            limits.header_timeout_ms / 1000, self._refuse, 408
+        )
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body.
+
+        :param chunk: the part.
+        """
+        self._size += len(chunk)
+        if self._is_refused:
+            if self._size > DROPPED_BYTES and self._request is not None:
+                self._request.abort()
+            return
+        if self._size > self._server.limits.max_body_bytes:
+            self._refuse(413)
+            return
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Answer the request, which has arrived whole."""
+        self._stop_timer()
+        if self._is_refused or self._request is None:
+            self._server.in_flight.discard(self)
+            return
+        self._request.body = b''.join(self._chunks)
+        self._chunks = []
+        self._task = asyncio.get_running_loop().create_task(
+            self._server.serve(self._request)
+        )
+        self._task.add_done_callback(self._end)
+
+    def _end(self, task: 'asyncio.Task[None]') -> None:
+        self._server.in_flight.discard(self)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            log.error('request.failed', error=error)
+            if self._request is not None:
+                self._request.abort()
+
+    def on_connection_close(self) -> None:
+        """Stop working for a caller that has left."""
+        self._stop_timer()
+        self._server.in_flight.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def _refuse(self, status: int) -> None:
+        self._stop_timer()
+        self._is_refused = True
+        assert self._request is not None
+        log.change('request.refused_unread', status=status, bytes=self._size)
+        self._request.closes = True
+        self._request.answer(status)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- /dev/null
+++ b/filbertglade/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway's processes: control hosts and entry hosts."""
--- /dev/null
+++ b/filbertglade/gateway/control_api.py
@@ -0,0 +1,264 @@
+"""The HTTP interface of control hosts towards endpoints and operators."""
+
+from collections import abc
+import typing
+
+import orjson
+from tornado import httpserver
+from tornado import web
+
+from filbertglade.control import agreement
+from filbertglade.control import failures as control_failures
+from filbertglade.control import state
+from filbertglade import failures
+from filbertglade.fleet import document
+from filbertglade.fleet import endpoints
+from filbertglade.fleet import registry
+from filbertglade.inner import channels
+from filbertglade.inner import commands_pb2
+from filbertglade.observability import logs
+from filbertglade.observability import metrics
+
+log = logs.get_log(__name__)
+
+# Longest wait for a document's commit, in ms: operators move on after 1 s.
+COMMIT_TIMEOUT_MS = 2500
+# Age of a leader's last word up to which others are sent to it, in ms.
+LEADER_AGE_MS = 1000
+
+
+class ControlContext:
+    """What the handlers work on.
+
+    :param address: this host's own address for endpoints and operators.
+    :param agreed: the agreed state.
+    :param voters: this host's part in agreement.
+    :param known: the endpoints.
+    :param counters: the process's metrics.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        agreed: state.AgreedState,
+        voters: agreement.Agreement,
+        known: registry.Registry,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.address = address
+        self.agreed = agreed
+        self.voters = voters
+        self.registry = known
+        self.counters = counters
+        self._services_of = (-1, frozenset[str]())
+
+    def service_names(self) -> frozenset[str]:
+        """Return the services that the document in force names."""
+        current = self.agreed.document.current
+        if self._services_of[0] != current.version:
+            parsed, _ = document.read_document(current.text)
+            names = [item.name for item in parsed.services] if parsed else []
+            self._services_of = (current.version, frozenset(names))
+        return self._services_of[1]
+
+    def find_leader_address(self) -> str:
+        """Return the leader's address for endpoints and operators.
+
+        :returns: the address; empty without a leader that is heard.
+        """
+        leader = self.voters.leader
+        age_ms = self.voters.leader_age_ms()
+        if not leader or age_ms is None or age_ms > LEADER_AGE_MS:
+            return ''
+        port = self.address.rpartition(':')[2]
+        return f'{leader.rpartition(":")[0]}:{port}'
+
+
+class _Handler(web.RequestHandler):
+    """Sends whoever calls another host than the leader on to it."""
+
+    def initialize(self, context: ControlContext) -> None:
+        """Take what the handler works on.
+
+        :param context: the process's parts.
+        """
+        self._context = context
+
+    def prepare(self) -> None:
+        """Answer at once unless this host leads."""
+        context = self._context
+        if context.voters.is_leader:
+            return
+        leader = context.find_leader_address()
+        if not leader or leader == context.address:
+            self.answer(503, {'error': 'no leader is known'})
+            return
+        context.counters.count('redirections')
+        self.set_status(307)
+        self.set_header('Location', f'http://{leader}{self.request.uri}')
+        self.finish()
+
+    def answer(self, status: int, body: abc.Mapping[str, typing.Any]) -> None:
+        """Send a JSON answer.
+
+        :param status: the HTTP status.
+        :param body: the body.
+        """
+        self.set_status(status)
+        self.set_header('Content-Type', 'application/json')
+        self.finish(orjson.dumps(body))
+
+
+class AnnouncementHandler(_Handler):
+    """Takes what endpoints say of themselves."""
+
+    def post(self, endpoint_id: str) -> None:
+        """Take an announcement.
+
+        :param endpoint_id: who sends it.
+        """
+        context = self._context
+        said = endpoints.read_announcement(endpoint_id, self.request.body)
+        if isinstance(said, failures.Failure):
+            self._refuse(endpoint_id, said)
+            return
+        current = context.agreed.document.current
+        if current.version and said.service not in context.service_names():
+            self._refuse(
+                endpoint_id,
+                failures.Failure(
+                    endpoints.AnnouncementReason.UNKNOWN_SERVICE, said.service
+                ),
+            )
+            return
+        refusal = context.registry.take(said)
+        if refusal is not None:
+            context.counters.count('announcements_outdated')
+            log.change(
+                'announcement.outdated',
+                endpoint=endpoints.get_key(said),
+                sequence=said.sequence,
+                reason=str(refusal),
+            )
+        context.counters.count('announcements')
+        self.answer(200, {'announce_to': context.address})
+
+    def _refuse(self, endpoint_id: str, failure: failures.Failure) -> None:
+        self._context.counters.count('announcements_refused')
+        log.change(
+            'announcement.refused', endpoint=endpoint_id, reason=str(failure)
+        )
+        self.answer(400, {'error': str(failure)})
+
+
+class DepartureHandler(_Handler):
+    """Takes that endpoints go."""
+
+    def post(self, endpoint_id: str) -> None:
+        """Take a departure.
+
+        :param endpoint_id: who goes.
+        """
+        self._context.registry.depart(endpoint_id, self._read_born())
+        self.answer(200, {})
+
+    def _read_born(self) -> int:
+        if not self.request.body:
+            return 0
+        try:
+            data = orjson.loads(self.request.body)
+        except orjson.JSONDecodeError as error:
+            log.change('departure.unreadable', error=error)
+            return 0
+        born = data.get('born') if isinstance(data, dict) else None
+        return born if isinstance(born, int) else 0
+
+
+class RoutingHandler(_Handler):
+    """Takes and gives the routing document."""
+
+    async def get(self) -> None:
+        """Give the newest document."""
+        context = self._context
+        text = context.agreed.document.current.text
+        if not text:
+            self.answer(404, {'error': 'no document has been accepted'})
+            return
+        if not context.voters.is_leader:
+            self.answer(503, {'error': 'this host leads no more'})
+            return
+        self.set_header('Content-Type', 'application/json')
+        self.finish(text)
+
+    async def post(self) -> None:
+        """Take a document if it is valid."""
+        context = self._context
+        text = self.request.body
+        parsed, problems = document.read_document(text)
+        if parsed is None:
+            log.change(
+                'document.refused',
+                bytes=len(text),
+                problems=[str(problem) for problem in problems[:8]],
+            )
+            self.answer(
+                400, {'errors': [str(problem) for problem in problems[:64]]}
+            )
+            return
+        if not context.voters.may_acknowledge:
+            log.change(
+                'document.deferred',
+                version=parsed.version,
+                voters=len(context.agreed.voters.incarnations),
+            )
+            self.answer(503, {'error': 'too few control hosts vote yet'})
+            return
+        await self._commit(parsed.version, text)
+
+    async def _commit(self, version: int, text: bytes) -> None:
+        context = self._context
+        put = commands_pb2.PutDocument(version=version, text=text)
+        result = await context.voters.submit(
+            commands_pb2.Command(put_document=put), COMMIT_TIMEOUT_MS
+        )
+        if isinstance(result, control_failures.SubmitFailure):
+            log.change(
+                'document.unsettled', version=version, reason=str(result)
+            )
+            self.answer(503, {'error': str(result)})
+            return
+        log.change(
+            'document.accepted',
+            version=version,
+            in_force=result.document.version,
+            differs=result.document.differs,
+        )
+        self.answer(200, {'version': result.document.version})
+
+
+def listen(context: ControlContext) -> httpserver.HTTPServer:
+    """Serve endpoints and operators.
+
+    :param context: the process's parts.
+    :returns: the server; the caller stops it.
+    :raises OSError: the address can't be listened on.
+    """
+    arguments = {'context': context}
+    application = web.Application(
+        [
+            (
+                r'/v1/endpoints/([^/]+)/announcement',
+                AnnouncementHandler,
+                arguments,
+            ),
+            (r'/v1/endpoints/([^/]+)/departure', DepartureHandler, arguments),
+            (r'/v1/routing', RoutingHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
+    server = httpserver.HTTPServer(
+        application, max_buffer_size=2 * document.DOCUMENT_BYTES
+    )
+    host, port = channels.split_address(context.address)
+    server.listen(port, host)
+    return server
--- /dev/null
+++ b/filbertglade/gateway/process.py
@@ -0,0 +1,208 @@
+"""A process of a gateway: its roles, started and stopped in order."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import uuid
+
+from grpclib import server as grpc_server
+from tornado import httpserver
+from tornado import web
+
+from filbertglade import failures
+from filbertglade.fleet import dialects
+from filbertglade.fleet import view
+from filbertglade.fleet import watcher
+from filbertglade.gateway import control_role
+from filbertglade.gateway import entry_role
+from filbertglade.inner import channels
+from filbertglade.observability import logs
+from filbertglade.observability import metrics
+from filbertglade.settings import gateway
+from filbertglade import tasks
+
+log = logs.get_log(__name__)
+
+# Pause between two looks at the settings file, in ms: it may change without
+# a signal.
+SETTINGS_LOOK_MS = 1000
+
+
+class MetricsHandler(web.RequestHandler):
+    """Gives the process's metrics."""
+
+    def initialize(self, counters: metrics.Metrics) -> None:
+        """Take the metrics.
+
+        :param counters: the process's metrics.
+        """
+        self._counters = counters
+
+    def get(self) -> None:
+        """Give them in the Prometheus text format."""
+        self.set_header('Content-Type', 'text/plain; version=0.0.4')
+        self.finish(self._counters.render_text())
+
+
+class GatewayProcess:
+    """One process of a gateway.
+
+    :param path: the settings file; it is read again when it changes.
+    :param settings: the settings.
+    :param dialect: names of headers and paths.
+    :param channel_factory: opens channels to other processes.
+    """
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        settings: gateway.GatewaySettings,
+        dialect: dialects.Dialect,
+        channel_factory: channels.ChannelFactory,
+    ) -> None:
+        self._path = path
+        self._text = b''
+        self._settings = settings
+        self._run_name = uuid.uuid4().hex
+        self._tasks = tasks.TaskGroup()
+        rng = random.Random()
+        self._counters = metrics.Metrics()
+        self._view = view.FleetView()
+        self._watching = watcher.Watcher(
+            settings.name,
+            self._run_name,
+            settings.list_seeds(),
+            settings.listen.callers is not None,
+            self._view,
+            channel_factory,
+            self._counters,
+            rng,
+        )
+        self._control: control_role.ControlRole | None = None
+        if settings.is_control_host:
+            self._control = control_role.ControlRole(
+                settings,
+                dialect,
+                self._view,
+                self._watching,
+                channel_factory,
+                self._counters,
+                rng,
+            )
+        self._entry: entry_role.EntryRole | None = None
+        if settings.listen.callers is not None:
+            self._entry = entry_role.EntryRole(
+                settings,
+                dialect,
+                self._view,
+                self._watching,
+                self._counters,
+                rng,
+            )
+        self._inner: grpc_server.Server | None = None
+        self._metrics: httpserver.HTTPServer | None = None
+        self._stopping = asyncio.Event()
+        self._reread = asyncio.Event()
+
+    async def start(self) -> failures.Failure | None:
+        """Start all parts.
+
+        :returns: None, or why the process cannot start.
+        :raises OSError: an address can't be listened on.
+        """
+        log.change(
+            'process.starting',
+            run=self._run_name,
+            control=self._control is not None,
+            seeds=self._settings.list_seeds(),
+            found_cluster=self._settings.control.found_cluster,
+        )
+        self._text = self._path.read_bytes()
+        self._watch_signals()
+        if self._control is not None:
+            self._inner = grpc_server.Server(
+                [self._control.voters.servicer, self._control.publisher]
+            )
+            host, port = channels.split_address(self._settings.listen.inner)
+            await self._inner.start(host, port)
+            failure = await self._control.start()
+            if failure is not None:
+                return failure
+        self._watching.start()
+        if self._entry is not None:
+            self._entry.start()
+        self._listen_metrics()
+        self._tasks.start(self._watch_settings())
+        log.change('process.started', run=self._run_name)
+        return None
+
+    def _listen_metrics(self) -> None:
+        address = self._settings.listen.metrics
+        if address is None:
+            return
+        application = web.Application(
+            [(r'/metrics', MetricsHandler, {'counters': self._counters})],
+            log_function=lambda handler: None,
+        )
+        self._metrics = httpserver.HTTPServer(application)
+        host, port = channels.split_address(address)
+        self._metrics.listen(port, host)
+
+    def _watch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reread.set)
+
+    async def _watch_settings(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(SETTINGS_LOOK_MS / 1000):
+                    await self._reread.wait()
+            except TimeoutError:
+                pass
+            is_asked = self._reread.is_set()
+            self._reread.clear()
+            try:
+                text = self._path.read_bytes()
+            except OSError as error:
+                log.error('settings.unreadable', error=error)
+                continue
+            if text != self._text or is_asked:
+                self._text = text
+                self._reload()
+
+    def _reload(self) -> None:
+        """Take the settings that may change while the process runs."""
+        settings, problems = gateway.load_gateway_settings(self._path)
+        if settings is None:
+            log.error(
+                'settings.refused',
+                problems=[str(problem) for problem in problems],
+            )
+            return
+        seeds = settings.list_seeds()
+        self._watching.set_seeds(seeds)
+        log.change('settings.reloaded', seeds=seeds)
+
+    async def run_until_stopped(self) -> None:
+        """Run until SIGTERM or SIGINT, then finish what is in flight."""
+        await self._stopping.wait()
+        log.change('process.stopping', run=self._run_name)
+        if self._entry is not None:
+            await self._entry.drain()
+
+    async def close(self) -> None:
+        """Stop all parts."""
+        await self._tasks.close()
+        if self._entry is not None:
+            await self._entry.close()
+        if self._control is not None:
+            await self._control.close()
+        await self._watching.close()
+        if self._inner is not None:
+            self._inner.close()
+        if self._metrics is not None:
+            self._metrics.stop()
+        log.change('process.stopped', run=self._run_name)
--- a/filbertglade/observability/logs.py
+++ b/filbertglade/observability/logs.py
@@ -9,6 +9,7 @@
 import typing
 
 import eliot
+import orjson
 
 FLUSH_LINE_BYTES = 1
 # What every line carries of its writer; an event's own field of such a name
@@ -17,6 +18,9 @@
     ('node', 'data_centre', 'process', 'module', 'level')
 )
 
+# Events of requests that go well; the first to be left out of a full log.
+ORDINARY_EVENTS = frozenset(('request.sent', 'request.answered'))
+
 _process: dict[str, str] = {}
 
 
@@ -42,6 +46,17 @@
         """
         self._write(event, 'error', fields)
 
+    def request(
+        self, event: str, request_id: str, **fields: object
+    ) -> None:
+        """Write a decision about one request.
+
+        :param event: dotted name of the event.
+        :param request_id: the request.
+        :param fields: what decided, its age or version; never a secret.
+        """
+        self._write(event, 'request', {'request': request_id, **fields})
+
     def _write(
         self, event: str, level: str, fields: dict[str, object]
     ) -> None:
@@ -81,6 +96,28 @@
     return Log(module)
 
 
+def open_bounded_log(
+    node: str, data_centre: str, writer: typing.Callable[[bytes, bool], None]
+) -> None:
+    """Send the process's log to a writer that never blocks.
+
+    :param node: name of the node, put on every line.
+    :param data_centre: its data centre, put on every line.
+    :param writer: takes a line, and whether it may be dropped first.
+    """
+    _process['node'] = node
+    _process['data_centre'] = data_centre
+    _process['process'] = str(os.getpid())
+
+    def write(message: dict[str, object]) -> None:
+        message.pop('task_uuid', None)
+        message.pop('task_level', None)
+        is_ordinary = message.get('message_type') in ORDINARY_EVENTS
+        writer(orjson.dumps(message, default=str) + b'\n', is_ordinary)
+
+    eliot.add_destinations(write)
+
+
 def open_log(node: str, data_centre: str, path: pathlib.Path | None) -> None:
     """Send the process's log to a file, or to standard error.
 
--- /dev/null
+++ b/filbertglade/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names for what the product does."""
--- /dev/null
+++ b/filbertglade/platform/dialect.py
@@ -0,0 +1,26 @@
+"""The headers and paths of the users' platform.
+
+Bodies and settings arrive in the product's own words: the deploy files
+``deploy/wire.toml`` and ``deploy/node.toml.template`` see to that. Headers
+and the paths of calls to endpoints can't be renamed there.
+"""
+
+from filbertglade.fleet import dialects
+
+PLATFORM = dialects.Dialect(
+    request_id='X-Request-Id',
+    # What the platform calls a budget is the time left until the deadline.
+    deadline='X-Time-Budget-Ms',
+    key='X-Key',
+    customer='X-Tenant',
+    target='X-Target-Instance',
+    not_run='X-Not-Executed',
+    signature='X-Server-Signature',
+    load='X-Instance-Load',
+    faulty_endpoint='At-Server',
+    model='X-Model',
+    token_counts='X-Token-Counts',
+    resume_after='Last-Event-Id',
+    order_path='/order',
+    report_path='/report',
+)
--- /dev/null
+++ b/filbertglade/replicas/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of endpoints that serve models: planning, orders, repair."""
--- /dev/null
+++ b/filbertglade/replicas/orders.py
@@ -0,0 +1,198 @@
+"""Orders to engines, and the client that sends them."""
+
+import abc
+import dataclasses
+import enum
+import json
+
+from tornado import httpclient
+
+from filbertglade.fleet import dialects
+from filbertglade.inner import fleet_pb2
+
+# Time-out of an order, in ms: an order is answered at once, and one that is
+# not may still be carried out later.
+ORDER_TIMEOUT_MS = 500
+# Time-out of a question whether an engine is there, in ms: several round
+# trips between data centres.
+PROBE_TIMEOUT_MS = 300
+PARALLEL_ORDERS = 128
+
+
+class OrderAction(enum.StrEnum):
+    """What an engine is to do."""
+
+    JOIN = 'join'
+    OPEN = 'open'
+    CLOSE = 'close'
+    LEAVE = 'leave'
+    STAGE = 'stage'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """One order.
+
+    :param action: what to do.
+    :param group: the group that it is about.
+    :param epoch: the group's epoch.
+    :param model: the model to join with or to stage.
+    :param members: ids of the group's members, the head first.
+    """
+
+    action: OrderAction
+    group: str = ''
+    epoch: int = 0
+    model: str = ''
+    members: tuple[str, ...] = ()
+
+    def build_body(self, fencing_token: int) -> dict[str, object]:
+        """Return the order as it is sent.
+
+        :param fencing_token: rises with each leader.
+        """
+        body: dict[str, object] = {
+            'action': self.action.value,
+            'fencing_token': fencing_token,
+        }
+        if self.group:
+            body['group'] = self.group
+            body['epoch'] = self.epoch
+        if self.model:
+            body['model'] = self.model
+        if self.members:
+            body['members'] = list(self.members)
+        return body
+
+
+class OrderOutcome(enum.Enum):
+    """How an engine answered an order."""
+
+    BEGUN = 'begun'
+    HOLDS = 'holds'
+    # It doesn't fit the engine's state now.
+    UNFIT = 'unfit'
+    # The engine has seen a newer epoch or fencing token.
+    FENCED = 'fenced'
+    # Another endpoint has the address.
+    MISDIRECTED = 'misdirected'
+    REFUSED = 'refused'
+    # No answer: it may be carried out at any time from now on.
+    UNKNOWN = 'unknown'
+
+
+_OUTCOMES = {
+    200: OrderOutcome.HOLDS,
+    202: OrderOutcome.BEGUN,
+    409: OrderOutcome.UNFIT,
+    412: OrderOutcome.FENCED,
+    421: OrderOutcome.MISDIRECTED,
+}
+
+
+class EngineClient(abc.ABC):
+    """Sends orders to engines."""
+
+    @abc.abstractmethod
+    async def send(
+        self, endpoint: fleet_pb2.Endpoint, order: Order, fencing_token: int
+    ) -> OrderOutcome:
+        """Send one order.
+
+        :param endpoint: the engine.
+        :param order: the order.
+        :param fencing_token: rises with each leader.
+        :returns: how it was answered.
+        """
+
+    @abc.abstractmethod
+    async def is_there(self, endpoint: fleet_pb2.Endpoint) -> bool:
+        """Ask an engine whether it is there.
+
+        :param endpoint: the engine.
+        :returns: whether it answered in time.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close the connections."""
+
+
+class HttpEngineClient(EngineClient):
+    """Sends orders over HTTP.
+
+    :param dialect: names of headers and paths.
+    """
+
+    def __init__(self, dialect: dialects.Dialect) -> None:
+        self._dialect = dialect
+        self._client = httpclient.AsyncHTTPClient(
+            force_instance=True, max_clients=PARALLEL_ORDERS
+        )
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def send(
+        self, endpoint: fleet_pb2.Endpoint, order: Order, fencing_token: int
+    ) -> OrderOutcome:
+        """Send one order.
+
+        :param endpoint: the engine.
+        :param order: the order.
+        :param fencing_token: rises with each leader.
+        :returns: how it was answered.
+        """
+        body = json.dumps(order.build_body(fencing_token))
+        status = await self._fetch(
+            endpoint,
+            'POST',
+            self._dialect.order_path,
+            body,
+            ORDER_TIMEOUT_MS,
+        )
+        if status is None:
+            return OrderOutcome.UNKNOWN
+        return _OUTCOMES.get(status, OrderOutcome.REFUSED)
+
+    async def is_there(self, endpoint: fleet_pb2.Endpoint) -> bool:
+        """Ask an engine whether it is there.
+
+        :param endpoint: the engine.
+        :returns: whether it answered in time.
+        """
+        status = await self._fetch(
+            endpoint,
+            'GET',
+            self._dialect.report_path,
+            None,
+            PROBE_TIMEOUT_MS,
+        )
+        return status == 200
+
+    async def _fetch(
+        self,
+        endpoint: fleet_pb2.Endpoint,
+        method: str,
+        path: str,
+        body: str | None,
+        timeout_ms: int,
+    ) -> int | None:
+        """Return the status; None without an answer."""
+        request = httpclient.HTTPRequest(
+            f'http://{endpoint.address}{path}',
+            method=method,
+            headers={
+                'Content-Type': 'application/json',
+                self._dialect.target: endpoint.id,
+            },
+            body=body,
+            connect_timeout=timeout_ms / 1000,
+            request_timeout=timeout_ms / 1000,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except OSError:
+            return None
+        return None if response.code == 599 else int(response.code)
--- /dev/null
+++ b/filbertglade/replicas/planning.py
@@ -0,0 +1,372 @@
+"""Decides which endpoints form which groups, and what spares stage.
+
+Pure functions of what the leader knows; nothing here waits or sends.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+
+from filbertglade.fleet import document
+
+# Part of a domain's hosts that new groups leave free at first, so that a
+# lost member finds a spare; the losses of a minute are about a fifth.
+SPARE_SHARE = 0.18
+# Requests in flight of a group, as a part of its slots, above which a spare
+# group is worth more than spares.
+BUSY_SHARE = 0.35
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """An endpoint that planning may count on.
+
+    :param key: its life.
+    :param domain: its fabric domain.
+    :param staged: models on its host.
+    :param is_staging: whether an order to stage is under way.
+    """
+
+    key: str
+    domain: str
+    staged: frozenset[str] = frozenset()
+    is_staging: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Group:
+    """A group as it was formed, and who of it is there.
+
+    :param name: its name.
+    :param epoch: its epoch.
+    :param model: its model.
+    :param domain: its fabric domain.
+    :param members: lives of its endpoints, the head first.
+    :param present: those that are there and stay.
+    :param is_broken: whether the head says that it broke.
+    :param in_flight: requests in flight on it.
+    """
+
+    name: str
+    epoch: int
+    model: str
+    domain: str
+    members: tuple[str, ...]
+    present: tuple[str, ...]
+    is_broken: bool = False
+    in_flight: int = 0
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every member is there."""
+        return len(self.present) == len(self.members)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FormGroup:
+    """Form a group, or form it anew.
+
+    :param model: its model.
+    :param domain: its fabric domain.
+    :param members: lives of its endpoints, the head first.
+    :param group: the present group's name; empty for a new one.
+    :param epoch: the present group's epoch; 0 for a new one.
+    :param reason: for the log.
+    """
+
+    model: str
+    domain: str
+    members: tuple[str, ...]
+    group: str = ''
+    epoch: int = 0
+    reason: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseGroup:
+    """End a group, so that its members may join others.
+
+    :param group: its name.
+    :param epoch: its epoch.
+    :param reason: for the log.
+    """
+
+    group: str
+    epoch: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageModel:
+    """Load a model onto a spare's host.
+
+    :param key: the spare's life.
+    :param model: the model.
+    """
+
+    key: str
+    model: str
+
+
+Action = FormGroup | ReleaseGroup | StageModel
+
+
+@dataclasses.dataclass(slots=True)
+class Situation:
+    """What a plan goes by.
+
+    :param models: the service's models.
+    :param slots: requests that a group runs at once.
+    :param groups: the groups.
+    :param free: endpoints that may join any group now.
+    :param has_traffic: whether callers have come yet; before, loads are
+        free.
+    """
+
+    models: list[document.ModelShape]
+    slots: int
+    groups: list[Group]
+    free: list[Host]
+    has_traffic: bool
+
+
+class Planner:
+    """Makes one plan.
+
+    :param situation: what it goes by.
+    """
+
+    def __init__(self, situation: Situation) -> None:
+        self._situation = situation
+        self._shapes = {shape.name: shape for shape in situation.models}
+        self._free: dict[str, list[Host]] = collections.defaultdict(list)
+        for host in situation.free:
+            self._free[host.domain].append(host)
+        self._actions: list[Action] = []
+
+    def plan(self) -> list[Action]:
+        """Return what to do now, the most urgent first."""
+        self._release_unknown()
+        waiting = self._mend()
+        self._merge(waiting)
+        if self._situation.has_traffic:
+            self._add_groups()
+        else:
+            self._lay_out()
+        self._stage(waiting)
+        return self._actions
+
+    def _release_unknown(self) -> None:
+        """End groups of models that the document names no more."""
+        for group in self._situation.groups:
+            shape = self._shapes.get(group.model)
+            if shape is None or shape.size != len(group.members):
+                self._release(group, 'the document names no such model')
+
+    def _release(self, group: Group, reason: str) -> None:
+        self._actions.append(ReleaseGroup(group.name, group.epoch, reason))
+
+    # Mending
+
+    def _mend(self) -> list[Group]:
+        """Replace lost members; return the groups that must wait."""
+        waiting = []
+        broken = [
+            group
+            for group in self._situation.groups
+            if group.model in self._shapes
+            and not (group.is_whole and not group.is_broken)
+        ]
+        broken.sort(key=lambda group: self._count_missing(group))
+        for group in broken:
+            spares = self._take_staged(
+                group.domain, group.model, self._count_missing(group)
+            )
+            if spares is None:
+                waiting.append(group)
+                continue
+            self._actions.append(
+                FormGroup(
+                    group.model,
+                    group.domain,
+                    (*group.present, *spares),
+                    group.name,
+                    group.epoch,
+                    'mended',
+                )
+            )
+        return waiting
+
+    def _count_missing(self, group: Group) -> int:
+        return len(group.members) - len(group.present)
+
+    def _take_staged(
+        self, domain: str, model: str, count: int
+    ) -> list[str] | None:
+        """Take spares that hold a model; None if there are too few."""
+        fitting = [host for host in self._free[domain] if model in host.staged]
+        if len(fitting) < count:
+            return None
+        taken = fitting[:count]
+        for host in taken:
+            self._free[domain].remove(host)
+        return [host.key for host in taken]
+
+    def _merge(self, waiting: list[Group]) -> None:
+        """Give up the smaller of two groups that can make up one."""
+        by_place: dict[tuple[str, str], list[Group]] = {}
+        for group in waiting:
+            by_place.setdefault((group.domain, group.model), []).append(group)
+        for (domain, model), groups in by_place.items():
+            size = self._shapes[model].size
+            staged = sum(model in host.staged for host in self._free[domain])
+            groups.sort(key=lambda group: len(group.present))
+            for group in list(groups):
+                rest = sum(len(item.present) for item in groups) + staged
+                others = len(groups) - 1
+                if not group.present or (others and rest >= size):
+                    self._release(group, 'its members mend another')
+                    groups.remove(group)
+                    break
+
+    # New groups
+
+    def _lay_out(self) -> None:
+        """Form the first groups: as many hosts for each model, and spares."""
+        situation = self._situation
+        hosts = len(situation.free) + sum(
+            len(group.members) for group in situation.groups
+        )
+        wanted = hosts * (1 - SPARE_SHARE)
+        used = {shape.name: 0 for shape in situation.models}
+        for group in situation.groups:
+            if group.model in used:
+                used[group.model] += len(group.members)
+        while True:
+            shapes = sorted(
+                situation.models, key=lambda shape: used[shape.name]
+            )
+            for shape in shapes:
+                total = sum(used.values()) + shape.size
+                domain = self._find_roomiest(shape.size)
+                if domain and total <= wanted + 1:
+                    self._form_any(shape, domain)
+                    used[shape.name] += shape.size
+                    break
+            else:
+                return
+
+    def _find_roomiest(self, size: int) -> str:
+        domain = max(
+            self._free, key=lambda name: len(self._free[name]), default=''
+        )
+        return domain if len(self._free[domain]) >= size else ''
+
+    def _form_any(self, shape: document.ModelShape, domain: str) -> None:
+        hosts = self._free[domain]
+        hosts.sort(key=lambda host: shape.name not in host.staged)
+        members = tuple(host.key for host in hosts[: shape.size])
+        del hosts[: shape.size]
+        self._actions.append(
+            FormGroup(shape.name, domain, members, reason='first layout')
+        )
+
+    def _add_groups(self) -> None:
+        """Form a group of spares where its model needs one."""
+        for shape in sorted(
+            self._situation.models, key=self._measure_need, reverse=True
+        ):
+            need = self._measure_need(shape)
+            for domain in list(self._free):
+                fitting = sum(
+                    shape.name in host.staged for host in self._free[domain]
+                )
+                kept = 0 if need > BUSY_SHARE else 1
+                if fitting >= shape.size + kept:
+                    members = self._take_staged(
+                        domain, shape.name, shape.size
+                    )
+                    if members is not None:
+                        self._actions.append(
+                            FormGroup(
+                                shape.name,
+                                domain,
+                                tuple(members),
+                                reason=f'need {need:.2f}',
+                            )
+                        )
+
+    def _measure_need(self, shape: document.ModelShape) -> float:
+        """Return the part of a model's places that is taken."""
+        groups = [
+            group
+            for group in self._situation.groups
+            if group.model == shape.name
+            and group.is_whole
+            and not group.is_broken
+        ]
+        in_flight = sum(
+            group.in_flight
+            for group in self._situation.groups
+            if group.model == shape.name
+        )
+        return in_flight / max(1, len(groups) * self._situation.slots)
+
+    # Staging
+
+    def _stage(self, waiting: abc.Sequence[Group]) -> None:
+        """Let spares stage what their domain lacks most."""
+        if not self._situation.models:
+            return
+        for domain, hosts in self._free.items():
+            lacking = collections.Counter(
+                {
+                    group.model: self._count_missing(group)
+                    for group in waiting
+                    if group.domain == domain
+                }
+            )
+            held = collections.Counter(
+                model for host in hosts for model in host.staged
+            )
+            for host in hosts:
+                if host.is_staging:
+                    continue
+                model = self._choose_model(domain, lacking, held)
+                if model in host.staged:
+                    continue
+                useful = any(model in self._shapes for model in host.staged)
+                if useful and held[model] + 1 >= sum(held.values()) / len(
+                    self._shapes
+                ):
+                    continue
+                if useful and not lacking[model]:
+                    continue
+                held[model] += 1
+                lacking[model] -= 1
+                self._actions.append(StageModel(host.key, model))
+
+    def _choose_model(
+        self,
+        domain: str,
+        lacking: collections.Counter[str],
+        held: collections.Counter[str],
+    ) -> str:
+        """Return the model that spares of a domain lack most."""
+        members = collections.Counter(
+            {
+                group.model: 0
+                for group in self._situation.groups
+                if group.domain == domain
+            }
+        )
+        for group in self._situation.groups:
+            if group.domain == domain:
+                members[group.model] += len(group.members)
+
+        def measure(shape: document.ModelShape) -> tuple[int, float]:
+            short = lacking[shape.name] - held[shape.name]
+            cover = (held[shape.name] + 1) / (members[shape.name] + 1)
+            return max(0, short), -cover
+
+        return max(self._situation.models, key=measure).name
--- a/filbertglade/settings/model.py
+++ b/filbertglade/settings/model.py
@@ -229,6 +229,13 @@
     prefix_entries: Count = 65_536
 
 
+class VoterSettings(typing.Protocol):
+    """What a voter needs to know of its node's settings."""
+
+    name: str
+    control: ControlSettings
+
+
 @dataclasses.dataclass(slots=True)
 class NodeSettings:
     """All settings of one node.
