Cancel exchanges of callers that left; lay groups out once all are known

The first layout was made while endpoints still appeared: 2 groups of the one model, 11 of the other. Time-outs of probes were raised, not returned.

Change: set_close_callback; no group before every endpoint had time to be heard; time-outs of orders and probes are outcomes.

--- a/filbertglade/forwarding/server.py
+++ b/filbertglade/forwarding/server.py
@@ -285,6 +285,9 @@
             return
         self._request.body = b''.join(self._chunks)
         self._chunks = []
+        # From here on the connection tells of its end only by this callback.
+        connection: typing.Any = self._connection
+        connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.get_running_loop().create_task(
             self._server.serve(self._request)
         )
--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -122,6 +122,9 @@
         self._registry.sweep()
         if self.index is None or not self._voters.may_acknowledge:
             return
+        if not self.is_settled and not self._agreed.replicas.records:
+            # The first layout needs to know all of the endpoints.
+            return
         await self._end_rests()
         for service in self.index.model_services:
             for action in self._plan(service):
--- a/filbertglade/replicas/orders.py
+++ b/filbertglade/replicas/orders.py
@@ -193,6 +193,7 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
-        except OSError:
+        except (OSError, httpclient.HTTPError):
+            # Time-outs are raised even where error statuses are not.
             return None
         return None if response.code == 599 else int(response.code)
