Keep spares warm, mend across domains, leave stalled replicas early

Cause: a mended group waited 1.1 to 1.6 s for a spare that only held the model; a group without a spare in its domain stayed broken for 22 s; a stream on a stalled replica was late whatever came after 500 ms.

--- a/filbertglade/control/member.py
+++ b/filbertglade/control/member.py
@@ -118,7 +118,9 @@
     def peers(self) -> list[model.ControlHostSettings]:
         """The other control hosts."""
         names = [
-            name for table in self.voter_tables() for name in table.incarnations
+            name
+            for table in self.voter_tables()
+            for name in table.incarnations
         ]
         hosts = self.membership.list_hosts(names)
         return [host for host in hosts if host.name != self.name]
--- a/filbertglade/control/tables/replicas.py
+++ b/filbertglade/control/tables/replicas.py
@@ -57,13 +57,18 @@
         if len(set(wanted.endpoints)) < len(wanted.endpoints):
             return _refuse(present, 'an endpoint stands twice')
         for endpoint in wanted.endpoints:
-            if self.group_of.get(endpoint, wanted.group) != wanted.group:
+            if not self._may_take(endpoint, wanted.group):
                 return _refuse(present, f'{endpoint} is in another group')
             rest = self.resting.get(endpoint)
             if rest is not None and rest.group != wanted.group:
                 return _refuse(present, f'{endpoint} rests')
         if present is not None:
             self._forget(present, set(wanted.endpoints), stamped_ms)
+        for endpoint in wanted.endpoints:
+            holder = self.group_of.get(endpoint)
+            if holder is not None:
+                # A spare's own group was never opened: nobody stalls.
+                self._forget(self.records[holder], {endpoint}, stamped_ms)
         record = commands_pb2.ReplicaRecord()
         record.CopyFrom(wanted)
         record.epoch = index
@@ -73,6 +78,11 @@
             self.resting.pop(endpoint, None)
         return commands_pb2.ReplicaResult(done=True, epoch=index)
 
+    def _may_take(self, endpoint: str, group: str) -> bool:
+        """Tell whether an endpoint may join a group."""
+        holder = self.group_of.get(endpoint, group)
+        return holder == group or self.records[holder].is_spare
+
     def _release(
         self, wanted: commands_pb2.ReplicaRecord, stamped_ms: int
     ) -> commands_pb2.ReplicaResult:
@@ -96,7 +106,7 @@
         del self.records[record.group]
         for endpoint in record.endpoints:
             del self.group_of[endpoint]
-            if endpoint not in staying:
+            if endpoint not in staying and not record.is_spare:
                 self.resting[endpoint] = commands_pb2.RestingEndpoint(
                     endpoint=endpoint,
                     group=record.group,
--- a/filbertglade/fleet/document.py
+++ b/filbertglade/fleet/document.py
@@ -140,6 +140,7 @@
     :param loads_per_s: loads that may begin in a second.
     :param loads_at_once: loads beyond which each takes longer.
     :param form_ms: time that a head needs to open its group.
+    :param far_x: factor of a group's times whose members are far apart.
     :param usual: mean token counts of prompts and answers.
     """
 
@@ -154,6 +155,7 @@
     loads_per_s: Positive = 1.0
     loads_at_once: PositiveWhole = 1
     form_ms: NotNegative = 0.0
+    far_x: Positive = 1.0
     usual: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -285,12 +287,15 @@
         if item.service not in services:
             problems.append(
                 schema.Problem(
-                    f'{path}.weighted_services', f'{item.service!r} is no service'
+                    f'{path}.weighted_services',
+                    f'{item.service!r} is no service',
                 )
             )
     if sum(item.weight for item in route.weights) <= 0:
         problems.append(
-            schema.Problem(f'{path}.weighted_services', 'the weights add up to 0')
+            schema.Problem(
+                f'{path}.weighted_services', 'the weights add up to 0'
+            )
         )
     prefix = route.path_prefix
     if not (prefix.startswith('/') and prefix.endswith('/')):
--- a/filbertglade/fleet/endpoints.py
+++ b/filbertglade/fleet/endpoints.py
@@ -4,7 +4,6 @@
 import enum
 import typing
 
-import annotated_types
 import orjson
 
 from filbertglade import failures
--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -106,8 +106,7 @@
             return None
         if endpoint.sequence <= known.endpoint.sequence:
             return _refuse(
-                f'sequence {endpoint.sequence} after '
-                f'{known.endpoint.sequence}'
+                f'sequence {endpoint.sequence} after {known.endpoint.sequence}'
             )
         if endpoint.service != known.endpoint.service:
             return _refuse('a life cannot change its service')
--- a/filbertglade/forwarding/choice.py
+++ b/filbertglade/forwarding/choice.py
@@ -30,6 +30,7 @@
     :param slots: requests that it runs at once.
     :param group: its group; empty for a plain endpoint.
     :param epoch: the group's epoch.
+    :param slowness: factor of its times.
     """
 
     key: str
@@ -39,6 +40,7 @@
     slots: int
     group: str = ''
     epoch: int = 0
+    slowness: float = 1.0
 
     @property
     def load_key(self) -> str:
@@ -194,7 +196,7 @@
         return min(fitting, key=self._measure, default=None)
 
     def _measure(self, target: Target) -> float:
-        load = self._loads.measure(target)
+        load = (self._loads.measure(target) + 1) * target.slowness
         far = target.data_centre != self._data_centre
         return load + far * FAR_REQUESTS + self._rng.random() / 2
 
@@ -215,4 +217,5 @@
         replica.slots,
         replica.group,
         replica.epoch,
+        max(1.0, replica.slowness),
     )
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -140,6 +140,7 @@
         self._splitter = events.EventSplitter()
         self._connection: upstream.Connection | None = None
         self._stalled = False
+        self.stall_limit_ms = float(health.STALL_MS)
         self._first_byte_ms: int | None = None
         self._digest = b''
 
@@ -173,6 +174,8 @@
             self._refuse(404, 'no such route')
             return
         self._route = route
+        if route.gap_objective_ms:
+            self.stall_limit_ms = route.gap_objective_ms * health.STALL_SHARE
         if not self._identify(index):
             self._refuse(401, 'unknown key')
             return
@@ -366,9 +369,7 @@
         if self._stalled and outcome in (Outcome.BROKEN, Outcome.CUT):
             outcome = Outcome.STALLED
         if outcome is not Outcome.ANSWERED:
-            self._log(
-                'try.failed', endpoint=target.key, outcome=outcome.value
-            )
+            self._log('try.failed', endpoint=target.key, outcome=outcome.value)
         return outcome
 
     async def _connect(
@@ -510,9 +511,7 @@
             return
         if target.group:
             context.faults.note(target, detail)
-            context.leader.report_suspicion(
-                target.group, target.epoch, detail
-            )
+            context.leader.report_suspicion(target.group, target.epoch, detail)
         context.leader.report_strike(self._digest, target.key)
 
     async def _pass_body(
@@ -558,9 +557,7 @@
         self, head: upstream.AnswerHead, headers: httputil.HTTPHeaders
     ) -> None:
         try:
-            await self._request.begin_answer(
-                head.status, head.reason, headers
-            )
+            await self._request.begin_answer(head.status, head.reason, headers)
         except iostream.StreamClosedError as error:
             raise asyncio.CancelledError from error
 
--- a/filbertglade/forwarding/health.py
+++ b/filbertglade/forwarding/health.py
@@ -4,17 +4,21 @@
 import typing
 
 from filbertglade import clock
+from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.forwarding import choice
 from filbertglade.observability import logs
 
 log = logs.get_log(__name__)
 
-# Silence of all streams of a replica that counts as a standstill, in ms:
-# several of the longest passes of an engine that reads long prompts.
+# Silence of all streams of a replica that counts as a standstill, as a part
+# of the longest pause with which a stream is on time: what is left is
+# enough to go on with it elsewhere.
+STALL_SHARE = 0.6
+# The same where a route names no such pause, in ms.
 STALL_MS = 500
 # The same in mean pauses between events, for slow engines.
-STALL_GAPS = 6
+STALL_GAPS = 4
 # Weight of the newest pause in the mean.
 GAP_WEIGHT = 0.1
 # Pause between two looks, in ms. One that comes much later shows that this
@@ -24,7 +28,12 @@
 
 
 class Stream(typing.Protocol):
-    """A stream that is told when its replica stands still."""
+    """A stream that is told when its replica stands still.
+
+    :ivar stall_limit_ms: silence that counts as a standstill.
+    """
+
+    stall_limit_ms: float
 
     def stall(self) -> None:
         """Leave the replica, if that is allowed."""
@@ -44,7 +53,8 @@
 
     @property
     def limit_ms(self) -> float:
-        return max(STALL_MS, STALL_GAPS * self.gap_ms)
+        allowed_ms = min(stream.stall_limit_ms for stream in self.begun)
+        return max(allowed_ms, STALL_GAPS * self.gap_ms)
 
 
 class ReplicaHealth:
@@ -52,11 +62,17 @@
 
     :param faults: where replicas that stand still are noted.
     :param leader: who is told.
+    :param seen: the node's view.
     """
 
     def __init__(
-        self, faults: choice.FaultBook, leader: watcher.Watcher
+        self,
+        faults: choice.FaultBook,
+        leader: watcher.Watcher,
+        seen: view.FleetView,
     ) -> None:
+        self._view = seen
+        seen.add_listener(self.leave_unusable)
         self._faults = faults
         self._leader = leader
         self._progress: dict[tuple[str, int], _Progress] = {}
@@ -120,6 +136,19 @@
                 continue
             self._look(now_ms)
 
+    def leave_unusable(self) -> None:
+        """Leave replicas that the leader finds unusable."""
+        for place, progress in list(self._progress.items()):
+            replica = self._view.replicas.get(place[0])
+            if (
+                replica is not None
+                and replica.epoch == place[1]
+                and replica.usable
+            ):
+                continue
+            for stream in [*progress.begun, *progress.waiting]:
+                stream.stall()
+
     def _look(self, now_ms: int) -> None:
         for progress in list(self._progress.values()):
             silent_ms = now_ms - progress.last_ms
--- a/filbertglade/forwarding/server.py
+++ b/filbertglade/forwarding/server.py
@@ -135,12 +135,14 @@
         self.finish()
 
 
-def _see_error(future: 'asyncio.Future[object]') -> None:
+def _see_error(future: 'asyncio.Future[typing.Any]') -> None:
     if not future.cancelled():
         future.exception()
 
 
-Serve = abc.Callable[[CallerRequest], abc.Coroutine[typing.Any, typing.Any, None]]
+Serve = abc.Callable[
+    [CallerRequest], abc.Coroutine[typing.Any, typing.Any, None]
+]
 
 
 class CallerServer(httputil.HTTPServerConnectionDelegate):
--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 import socket
+import typing
 
 from tornado import httputil
 from tornado import iostream
@@ -265,7 +266,7 @@
         return self.idle_limit_ms > 0
 
 
-def _see_error(future: 'asyncio.Future[object]') -> None:
+def _see_error(future: 'asyncio.Future[typing.Any]') -> None:
     if not future.cancelled():
         future.exception()
 
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -4,6 +4,8 @@
 import pathlib
 import random
 
+from tornado import httpserver
+
 from filbertglade.control import agreement
 from filbertglade.control import identity
 from filbertglade.control import replication
@@ -129,7 +131,7 @@
             self._registry,
             counters,
         )
-        self._server = None
+        self._server: httpserver.HTTPServer | None = None
         self._refreshing: asyncio.Task[None] | None = None
         self._agreed.add_listener(lambda command: self._read_document())
 
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -75,7 +75,7 @@
         self._tasks = tasks.TaskGroup()
         loads = choice.LoadBook(seen, watching.in_flight)
         faults = choice.FaultBook()
-        progress = health.ReplicaHealth(faults, watching)
+        progress = health.ReplicaHealth(faults, watching, seen)
         self._progress = progress
         self._pool = upstream.UpstreamPool(counters)
         self._context = exchange.ForwardingContext(
--- a/filbertglade/observability/line_writer.py
+++ b/filbertglade/observability/line_writer.py
@@ -63,7 +63,7 @@
                 return
 
     def _write_batch(self) -> None:
-        lines = []
+        lines: list[bytes] = []
         while self._lines and len(lines) < BATCH_LINES:
             lines.append(self._lines.popleft())
         if self.dropped > self._told_dropped:
--- a/filbertglade/observability/logs.py
+++ b/filbertglade/observability/logs.py
@@ -46,9 +46,7 @@
         """
         self._write(event, 'error', fields)
 
-    def request(
-        self, event: str, request_id: str, **fields: object
-    ) -> None:
+    def request(self, event: str, request_id: str, **fields: object) -> None:
         """Write a decision about one request.
 
         :param event: dotted name of the event.
--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -126,6 +126,7 @@
             # The first layout needs to know all of the endpoints.
             return
         await self._end_rests()
+        await self._drop_spares()
         for service in self.index.model_services:
             for action in self._plan(service):
                 await self._carry_out(service, action)
@@ -157,6 +158,7 @@
         return [
             self._build_replica(record)
             for record in self._agreed.replicas.records.values()
+            if not record.is_spare
         ]
 
     def _build_replica(
@@ -167,6 +169,7 @@
             epoch=record.epoch,
             service=record.service,
             model=record.model,
+            slowness=self._find_slowness(record),
         )
         known = self._registry.known.get(record.endpoints[0])
         if known is not None:
@@ -179,6 +182,20 @@
             replica.usable = self._is_serving(record)
         return replica
 
+    def _find_slowness(self, record: commands_pb2.ReplicaRecord) -> float:
+        """Return the factor of a group's times, by its members' domains."""
+        domains = {
+            known.endpoint.fabric_domain
+            for key in record.endpoints
+            if (known := self._registry.known.get(key)) is not None
+        }
+        if len(domains) < 2 or self.index is None:
+            return 1.0
+        service = self.index.services.get(record.service)
+        if service is None or service.engine is None:
+            return 1.0
+        return service.engine.far_x
+
     def _is_serving(self, record: commands_pb2.ReplicaRecord) -> bool:
         """Tell whether a group is open and all of it is there."""
         if not all(self._is_present(key) for key in record.endpoints):
@@ -203,15 +220,10 @@
         groups = [
             self._describe(record)
             for record in table.records.values()
-            if record.service == service.name
+            if record.service == service.name and not record.is_spare
         ]
         free = [
-            planning.Host(
-                key,
-                known.endpoint.fabric_domain,
-                frozenset(known.endpoint.staged),
-                self._is_staging(key),
-            )
+            self._describe_spare(key, known)
             for key, known in self._registry.known.items()
             if known.endpoint.service == service.name and self._is_free(key)
         ]
@@ -227,9 +239,25 @@
             )
         ).plan()
 
-    def _describe(
-        self, record: commands_pb2.ReplicaRecord
-    ) -> planning.Group:
+    def _describe_spare(
+        self, key: str, known: registry.KnownEndpoint
+    ) -> planning.Host:
+        table = self._agreed.replicas
+        record = table.records.get(table.group_of.get(key, ''))
+        said = self._find_membership(key)
+        return planning.Host(
+            key,
+            known.endpoint.fabric_domain,
+            frozenset(known.endpoint.staged),
+            self._is_staging(key),
+            record.model if record is not None else '',
+            record is not None
+            and said is not None
+            and (said.group, said.epoch) == (record.group, record.epoch)
+            and said.state == State.READY,
+        )
+
+    def _describe(self, record: commands_pb2.ReplicaRecord) -> planning.Group:
         present = tuple(
             key for key in record.endpoints if self._is_present(key)
         )
@@ -252,13 +280,13 @@
 
     def _is_free(self, key: str) -> bool:
         table = self._agreed.replicas
-        return (
-            self._is_present(key)
-            and key in self._registry.known
-            and key not in table.group_of
-            and key not in table.resting
-            and self._find_membership(key) is None
-        )
+        if not self._is_present(key) or key in table.resting:
+            return False
+        said = self._find_membership(key)
+        record = table.records.get(table.group_of.get(key, ''))
+        if record is None:
+            return said is None
+        return record.is_spare and (said is None or said.group == record.group)
 
     def _is_staging(self, key: str) -> bool:
         ordered_ms = self._staging_ms.get(key)
@@ -319,6 +347,9 @@
         if isinstance(action, planning.StageModel):
             self._try_stage(service, action)
             return
+        if isinstance(action, planning.WarmSpare):
+            await self._warm(service, action)
+            return
         if isinstance(action, planning.ReleaseGroup):
             record = commands_pb2.ReplicaRecord(
                 group=action.group, epoch=action.epoch
@@ -360,6 +391,34 @@
             done=done is not None,
         )
 
+    async def _warm(
+        self, service: document.Service, action: planning.WarmSpare
+    ) -> None:
+        table = self._agreed.replicas
+        present = table.records.get(table.group_of.get(action.key, ''))
+        record = commands_pb2.ReplicaRecord(
+            group=present.group if present else self._name_group(),
+            epoch=present.epoch if present else 0,
+            service=service.name,
+            model=action.model,
+            fabric_domain=action.domain,
+            endpoints=[action.key],
+            is_spare=True,
+        )
+        done = await self._submit(commands_pb2.ReplicaChange(form=record))
+        log.change(
+            'spare.warmed',
+            endpoint=action.key,
+            model=action.model,
+            done=done is not None,
+        )
+
+    async def _drop_spares(self) -> None:
+        """End the groups of spares that are gone."""
+        for record in list(self._agreed.replicas.records.values()):
+            if record.is_spare and not self._is_present(record.endpoints[0]):
+                await self._submit(commands_pb2.ReplicaChange(release=record))
+
     def _name_group(self) -> str:
         """Return a name that no group has had."""
         self._group_number += 1
@@ -416,6 +475,8 @@
                     ids,
                 ),
             )
+        if record.is_spare:
+            return
         head = record.endpoints[0]
         said = self._find_membership(head)
         if ready and said is not None and said.state == State.READY:
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -25,12 +25,26 @@
     :param domain: its fabric domain.
     :param staged: models on its host.
     :param is_staging: whether an order to stage is under way.
+    :param spare_model: the model of the group of one that it is in; empty
+        if it is in none.
+    :param is_warm: whether it has joined that group.
     """
 
     key: str
     domain: str
     staged: frozenset[str] = frozenset()
     is_staging: bool = False
+    spare_model: str = ''
+    is_warm: bool = False
+
+    def rank(self, model: str) -> int:
+        """Return how fast it joins a group of a model; less is faster.
+
+        :param model: the model.
+        """
+        if model not in self.staged:
+            return 2
+        return 0 if self.is_warm and self.spare_model == model else 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,7 +122,21 @@
     model: str
 
 
-Action = FormGroup | ReleaseGroup | StageModel
+@dataclasses.dataclass(frozen=True, slots=True)
+class WarmSpare:
+    """Let a spare join a group of one that is never opened.
+
+    :param key: the spare's life.
+    :param model: the model, which its host holds.
+    :param domain: its fabric domain.
+    """
+
+    key: str
+    model: str
+    domain: str
+
+
+Action = FormGroup | ReleaseGroup | StageModel | WarmSpare
 
 
 @dataclasses.dataclass(slots=True)
@@ -148,12 +176,14 @@
         """Return what to do now, the most urgent first."""
         self._release_unknown()
         waiting = self._mend()
+        waiting = self._mend_across(waiting)
         self._merge(waiting)
         if self._situation.has_traffic:
             self._add_groups()
         else:
             self._lay_out()
         self._stage(waiting)
+        self._warm()
         return self._actions
 
     def _release_unknown(self) -> None:
@@ -182,20 +212,65 @@
             spares = self._take_staged(
                 group.domain, group.model, self._count_missing(group)
             )
-            if spares is None:
+            if spares is None or not (group.present or spares):
                 waiting.append(group)
+            else:
+                self._form_anew(group, spares, 'mended')
+        return waiting
+
+    def _form_anew(self, group: Group, spares: list[str], reason: str) -> None:
+        self._actions.append(
+            FormGroup(
+                group.model,
+                group.domain,
+                (*group.present, *spares),
+                group.name,
+                group.epoch,
+                reason,
+            )
+        )
+
+    def _mend_across(self, waiting: list[Group]) -> list[Group]:
+        """Mend with other domains' spares; slow, but better than nothing.
+
+        Only where a model has few groups left: a domain's last spare is
+        worth more for its own groups.
+        """
+        left = []
+        for group in waiting:
+            count = self._count_missing(group)
+            spares = self._find_foreign(group, count)
+            if not group.present or len(spares) < count:
+                left.append(group)
                 continue
-            self._actions.append(
-                FormGroup(
-                    group.model,
-                    group.domain,
-                    (*group.present, *spares),
-                    group.name,
-                    group.epoch,
-                    'mended',
-                )
+            for host in spares:
+                self._free[host.domain].remove(host)
+            self._form_anew(
+                group, [host.key for host in spares], 'mended across domains'
             )
-        return waiting
+        return left
+
+    def _find_foreign(self, group: Group, count: int) -> list[Host]:
+        """Return staged spares of any domain, the roomiest domains' first."""
+        own = [
+            host
+            for host in self._free[group.domain]
+            if group.model in host.staged
+        ]
+        others = sorted(
+            (
+                host
+                for domain, hosts in self._free.items()
+                if domain != group.domain
+                for host in hosts
+                if group.model in host.staged
+            ),
+            key=lambda host: (
+                -len(self._free[host.domain]),
+                host.rank(group.model),
+            ),
+        )
+        return (own + others)[:count]
 
     def _count_missing(self, group: Group) -> int:
         return len(group.members) - len(group.present)
@@ -207,6 +282,7 @@
         fitting = [host for host in self._free[domain] if model in host.staged]
         if len(fitting) < count:
             return None
+        fitting.sort(key=lambda host: host.rank(model))
         taken = fitting[:count]
         for host in taken:
             self._free[domain].remove(host)
@@ -283,9 +359,7 @@
                 )
                 kept = 0 if need > BUSY_SHARE else 1
                 if fitting >= shape.size + kept:
-                    members = self._take_staged(
-                        domain, shape.name, shape.size
-                    )
+                    members = self._take_staged(domain, shape.name, shape.size)
                     if members is not None:
                         self._actions.append(
                             FormGroup(
@@ -346,6 +420,18 @@
                 lacking[model] -= 1
                 self._actions.append(StageModel(host.key, model))
 
+    def _warm(self) -> None:
+        """Let spares join groups of one with what their hosts hold."""
+        for domain, hosts in self._free.items():
+            for host in hosts:
+                fitting = [
+                    name for name in self._shapes if name in host.staged
+                ]
+                if fitting and host.spare_model not in fitting:
+                    self._actions.append(
+                        WarmSpare(host.key, fitting[0], domain)
+                    )
+
     def _choose_model(
         self,
         domain: str,
