Look before leaving a replica; merge broken groups over domains; first come, first placed

Change: silence only makes a replica suspect, streams leave once the leader has looked; groups are laid out by domain with spares in each; a broken group ends so that its members mend others, also in other domains; callers that were sent away before may queue, others not.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -34,11 +34,15 @@
 # Time after which a caller should come back, in s: a group is mended in one
 # to two seconds, and a place is free again within a fraction of one.
 MENDING_RETRY_S = 1.2
-BUSY_RETRY_S = 0.4
+BUSY_RETRY_S = 1.0
 STARTING_RETRY_S = 0.5
-# Requests waiting beyond an engine's places, as a part of them, with which
-# a first token still comes in time.
-QUEUE_SHARE = 0.25
+# Requests in flight up to which a replica takes one that has just come, and
+# one whose caller was sent away before, as a part of its places. Beyond all
+# places each waits for the end of another, and is late.
+FIRST_SHARE = 1.0
+RETURNED_SHARE = 1.25
+# Part of a route's longest deadline below which a caller was sent away before.
+RETURNED_DEADLINE_SHARE = 0.95
 # A request that may run once only goes on a connection used this lately.
 SAFE_REUSE_MS = 1500
 REUSE_MS = 60_000
@@ -68,6 +72,26 @@
 RETRYABLE = (Outcome.BROKEN, Outcome.CUT, Outcome.STALLED, Outcome.FAILED)
 
 
+class DeadlineBook:
+    """The longest deadline that callers of each route have named.
+
+    A caller that comes back has less time left than at first.
+    """
+
+    def __init__(self) -> None:
+        self._longest_ms: dict[str, int] = {}
+
+    def is_short(self, route: str, deadline_ms: int) -> bool:
+        """Note a deadline; tell whether it is shorter than others.
+
+        :param route: the route's name.
+        :param deadline_ms: what the caller named.
+        """
+        longest_ms = max(self._longest_ms.get(route, 0), deadline_ms)
+        self._longest_ms[route] = longest_ms
+        return deadline_ms < RETURNED_DEADLINE_SHARE * longest_ms
+
+
 class ForwardingContext:
     """What all requests of a node share.
 
@@ -112,6 +136,7 @@
         self.retries = retries
         self.counters = counters
         self.rng = rng
+        self.deadlines = DeadlineBook()
         self.is_stopping = False
         self.last_answer_ms = 0
 
@@ -140,9 +165,10 @@
         self._splitter = events.EventSplitter()
         self._connection: upstream.Connection | None = None
         self._stalled = False
-        self.stall_limit_ms = float(health.STALL_MS)
+        self.suspect_limit_ms = float(health.SUSPECT_MS)
         self._first_byte_ms: int | None = None
         self._digest = b''
+        self._has_returned = False
 
     async def run(self) -> None:
         """Answer the request; stop once the caller has left."""
@@ -175,7 +201,9 @@
             return
         self._route = route
         if route.gap_objective_ms:
-            self.stall_limit_ms = route.gap_objective_ms * health.STALL_SHARE
+            self.suspect_limit_ms = (
+                route.gap_objective_ms * health.SUSPECT_SHARE
+            )
         if not self._identify(index):
             self._refuse(401, 'unknown key')
             return
@@ -205,6 +233,9 @@
         left_ms = route.timeout_ms
         if text.isascii() and text.isdecimal():
             left_ms = min(left_ms, int(text))
+            self._has_returned = self._context.deadlines.is_short(
+                route.name, int(text)
+            )
         self._deadline_ms = self._request.received_ms + int(left_ms)
 
     def _choose_service(
@@ -274,7 +305,10 @@
         if not target.group:
             return ''
         load = self._context.chooser.measure_load(target)
-        places = target.slots * (1 + QUEUE_SHARE)
+        share = FIRST_SHARE
+        if self._has_returned or self._sends:
+            share = RETURNED_SHARE
+        places = target.slots * share
         return '' if load < places else f'{load} in flight'
 
     def _may_send_again(self) -> bool:
--- a/filbertglade/forwarding/health.py
+++ b/filbertglade/forwarding/health.py
@@ -11,15 +11,18 @@
 
 log = logs.get_log(__name__)
 
-# Silence of all streams of a replica that counts as a standstill, as a part
-# of the longest pause with which a stream is on time. An engine that reads
-# long prompts pauses for most of it; with 0.6 one stream in ten of the model
-# with the longest prompts left a sound replica, and was late for that.
-STALL_SHARE = 1.2
+# Silence of all streams of a replica that makes it suspect, as a part of the
+# longest pause with which a stream is on time. An engine that reads long
+# prompts pauses for most of it, so that the leader looks at the members
+# before any stream leaves.
+SUSPECT_SHARE = 1.2
 # The same where a route names no such pause, in ms.
-STALL_MS = 500
+SUSPECT_MS = 400
 # The same in mean pauses between events, for slow engines.
-STALL_GAPS = 4
+SUSPECT_GAPS = 4
+# Silence after which streams leave without a word of the leader, in ms: twice
+# what the leader needs for a look, and a crowded engine's longest passes.
+LEAVE_MS = 1300
 # Weight of the newest pause in the mean.
 GAP_WEIGHT = 0.1
 # Pause between two looks, in ms. One that comes much later shows that this
@@ -31,10 +34,10 @@
 class Stream(typing.Protocol):
     """A stream that is told when its replica stands still.
 
-    :ivar stall_limit_ms: silence that counts as a standstill.
+    :ivar suspect_limit_ms: silence that makes its replica suspect.
     """
 
-    stall_limit_ms: float
+    suspect_limit_ms: float
 
     def stall(self) -> None:
         """Leave the replica, if that is allowed."""
@@ -43,19 +46,27 @@
 class _Progress:
     """What a replica's streams on this node have shown."""
 
-    __slots__ = ('begun', 'gap_ms', 'last_ms', 'target', 'waiting')
+    __slots__ = (
+        'begun',
+        'gap_ms',
+        'last_ms',
+        'suspected_ms',
+        'target',
+        'waiting',
+    )
 
     def __init__(self, target: choice.Target) -> None:
         self.target = target
         self.begun: set[Stream] = set()
         self.waiting: set[Stream] = set()
         self.last_ms = clock.now_ms()
+        self.suspected_ms = 0
         self.gap_ms = 0.0
 
     @property
     def limit_ms(self) -> float:
-        allowed_ms = min(stream.stall_limit_ms for stream in self.begun)
-        return max(allowed_ms, STALL_GAPS * self.gap_ms)
+        allowed_ms = min(stream.suspect_limit_ms for stream in self.begun)
+        return max(allowed_ms, SUSPECT_GAPS * self.gap_ms)
 
 
 class ReplicaHealth:
@@ -153,15 +164,20 @@
     def _look(self, now_ms: int) -> None:
         for progress in list(self._progress.values()):
             silent_ms = now_ms - progress.last_ms
-            if progress.begun and silent_ms > progress.limit_ms:
-                self._note_stall(progress, silent_ms)
-
-    def _note_stall(self, progress: _Progress, silent_ms: int) -> None:
-        target = progress.target
-        self._faults.note(target, f'no event for {silent_ms} ms')
-        self._leader.report_suspicion(
-            target.group, target.epoch, f'no event for {silent_ms} ms'
-        )
+            if not progress.begun or silent_ms <= progress.limit_ms:
+                continue
+            if progress.suspected_ms < progress.last_ms:
+                progress.suspected_ms = now_ms
+                self._leader.report_suspicion(
+                    progress.target.group,
+                    progress.target.epoch,
+                    f'no event for {silent_ms} ms',
+                )
+            if silent_ms > LEAVE_MS:
+                self._leave(progress, silent_ms)
+
+    def _leave(self, progress: _Progress, silent_ms: int) -> None:
+        self._faults.note(progress.target, f'no event for {silent_ms} ms')
         progress.last_ms = clock.now_ms()
         for stream in [*progress.begun, *progress.waiting]:
             stream.stall()
--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -276,8 +276,17 @@
             present,
             is_broken,
             self.in_flight.get(record.group, 0),
+            frozenset(
+                key
+                for key in present
+                if self._find_domain(key) not in ('', record.fabric_domain)
+            ),
         )
 
+    def _find_domain(self, key: str) -> str:
+        known = self._registry.known.get(key)
+        return known.endpoint.fabric_domain if known is not None else ''
+
     def _is_free(self, key: str) -> bool:
         table = self._agreed.replicas
         if not self._is_present(key) or key in table.resting:
--- a/filbertglade/replicas/orders.py
+++ b/filbertglade/replicas/orders.py
@@ -15,7 +15,7 @@
 ORDER_TIMEOUT_MS = 500
 # Time-out of a question whether an engine is there, in ms: several round
 # trips between data centres.
-PROBE_TIMEOUT_MS = 200
+PROBE_TIMEOUT_MS = 160
 PARALLEL_ORDERS = 128
 
 
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -59,6 +59,7 @@
     :param present: those that are there and stay.
     :param is_broken: whether the head says that it broke.
     :param in_flight: requests in flight on it.
+    :param far: its present members in other domains.
     """
 
     name: str
@@ -69,6 +70,7 @@
     present: tuple[str, ...]
     is_broken: bool = False
     in_flight: int = 0
+    far: frozenset[str] = frozenset()
 
     @property
     def is_whole(self) -> bool:
@@ -178,6 +180,7 @@
         waiting = self._mend()
         waiting = self._mend_across(waiting)
         self._merge(waiting)
+        self._gather()
         if self._situation.has_traffic:
             self._add_groups()
         else:
@@ -289,54 +292,106 @@
         return [host.key for host in taken]
 
     def _merge(self, waiting: list[Group]) -> None:
-        """Give up the smaller of two groups that can make up one."""
-        by_place: dict[tuple[str, str], list[Group]] = {}
+        """Give groups up whose members can mend others of their model."""
+        by_model: dict[str, list[Group]] = {}
         for group in waiting:
-            by_place.setdefault((group.domain, group.model), []).append(group)
-        for (domain, model), groups in by_place.items():
-            size = self._shapes[model].size
-            staged = sum(model in host.staged for host in self._free[domain])
-            groups.sort(key=lambda group: len(group.present))
-            for group in list(groups):
-                rest = sum(len(item.present) for item in groups) + staged
-                others = len(groups) - 1
-                if not group.present or (others and rest >= size):
-                    self._release(group, 'its members mend another')
-                    groups.remove(group)
-                    break
+            by_model.setdefault(group.model, []).append(group)
+        for model, groups in by_model.items():
+            donor = self._find_donor(model, groups)
+            if donor is not None:
+                self._release(donor, 'its members mend another')
+
+    def _find_donor(self, model: str, groups: list[Group]) -> Group | None:
+        """Return the group that helps others most by its end."""
+        groups = sorted(groups, key=lambda group: len(group.present))
+        if not groups[0].present:
+            return groups[0]
+        staged = sum(
+            model in host.staged
+            for hosts in self._free.values()
+            for host in hosts
+        )
+        for donor in groups:
+            others = [group for group in groups if group is not donor]
+            near = [group for group in others if group.domain == donor.domain]
+            for receiver in near or others:
+                missing = self._count_missing(receiver)
+                if len(donor.present) + staged >= missing:
+                    return donor
+        return None
+
+    def _gather(self) -> None:
+        """Bring groups back into one domain whose spares suffice."""
+        for group in self._situation.groups:
+            if not group.far or not group.is_whole or group.is_broken:
+                continue
+            warm = [
+                host
+                for host in self._free[group.domain]
+                if host.rank(group.model) == 0
+            ]
+            if len(warm) < len(group.far):
+                continue
+            near = [key for key in group.members if key not in group.far]
+            taken = warm[: len(group.far)]
+            for host in taken:
+                self._free[group.domain].remove(host)
+            self._actions.append(
+                FormGroup(
+                    group.model,
+                    group.domain,
+                    (*near, *(host.key for host in taken)),
+                    group.name,
+                    group.epoch,
+                    'gathered in one domain',
+                )
+            )
 
     # New groups
 
     def _lay_out(self) -> None:
-        """Form the first groups: as many hosts for each model, and spares."""
-        situation = self._situation
-        hosts = len(situation.free) + sum(
-            len(group.members) for group in situation.groups
+        """Form the first groups: as many of each model, and spares.
+
+        Each domain keeps spares of its own, since a group that spans two
+        domains is slow.
+        """
+        groups = collections.Counter(
+            {shape.name: 0 for shape in self._situation.models}
         )
-        wanted = hosts * (1 - SPARE_SHARE)
-        used = {shape.name: 0 for shape in situation.models}
-        for group in situation.groups:
-            if group.model in used:
-                used[group.model] += len(group.members)
+        for group in self._situation.groups:
+            groups[group.model] += 1
+        left = {
+            domain: len(hosts) - self._count_spares(domain)
+            for domain, hosts in self._free.items()
+        }
         while True:
             shapes = sorted(
-                situation.models, key=lambda shape: used[shape.name]
+                self._situation.models, key=lambda shape: groups[shape.name]
             )
-            for shape in shapes:
-                total = sum(used.values()) + shape.size
-                domain = self._find_roomiest(shape.size)
-                if domain and total <= wanted + 1:
-                    self._form_any(shape, domain)
-                    used[shape.name] += shape.size
-                    break
-            else:
+            placed = next(
+                (
+                    (shape, domain)
+                    for shape in shapes
+                    for domain in sorted(left, key=lambda name: -left[name])
+                    if left[domain] >= shape.size
+                ),
+                None,
+            )
+            if placed is None:
                 return
-
-    def _find_roomiest(self, size: int) -> str:
-        domain = max(
-            self._free, key=lambda name: len(self._free[name]), default=''
+            shape, domain = placed
+            self._form_any(shape, domain)
+            groups[shape.name] += 1
+            left[domain] -= shape.size
+
+    def _count_spares(self, domain: str) -> int:
+        """Return how many hosts of a domain its first groups leave free."""
+        hosts = len(self._free[domain]) + sum(
+            len(group.members)
+            for group in self._situation.groups
+            if group.domain == domain
         )
-        return domain if len(self._free[domain]) >= size else ''
+        return max(1, round(hosts * SPARE_SHARE)) if hosts > 1 else 0
 
     def _form_any(self, shape: document.ModelShape, domain: str) -> None:
         hosts = self._free[domain]
