Lay out as many hosts for each model, the largest groups first

Ruled out: losses (none was unmended then).

Change: hosts, not groups, are split evenly; large groups are placed first; a little queueing for those who come first (1.15 of the places). A summary of the groups is logged each second.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -39,8 +39,8 @@
 # Requests in flight up to which a replica takes one that has just come, and
 # one whose caller was sent away before, as a part of its places. Beyond all
 # places each waits for the end of another, and is late.
-FIRST_SHARE = 1.0
-RETURNED_SHARE = 1.25
+FIRST_SHARE = 1.15
+RETURNED_SHARE = 1.35
 # Part of a route's longest deadline below which a caller was sent away before.
 RETURNED_DEADLINE_SHARE = 0.95
 # A request that may run once only goes on a connection used this lately.
--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -36,6 +36,8 @@
 SETTLE_INTERVALS = 1.5
 # Suspicions of one group that are looked into at most, each this often.
 PROBE_AGAIN_MS = 600
+# Pause between two summaries in the log, in ms.
+SUMMARY_MS = 1000
 
 State = endpoints.MemberState
 
@@ -76,6 +78,7 @@
         self._staging_ms: dict[str, int] = {}
         self._fenced: set[tuple[str, int]] = set()
         self._group_number = 0
+        self._summarized_ms = 0
         self.index: document.RoutingIndex | None = None
         self.in_flight: dict[str, int] = {}
         self.has_traffic = False
@@ -131,6 +134,43 @@
             for action in self._plan(service):
                 await self._carry_out(service, action)
             self._give_orders(service)
+        self._summarize()
+
+    def _summarize(self) -> None:
+        """Log how the groups stand, now and then."""
+        now_ms = clock.now_ms()
+        if now_ms - self._summarized_ms < SUMMARY_MS:
+            return
+        self._summarized_ms = now_ms
+        records = self._agreed.replicas.records.values()
+        usable = collections.Counter(
+            record.model
+            for record in records
+            if not record.is_spare and self._is_serving(record)
+        )
+        unusable = collections.Counter(
+            record.model
+            for record in records
+            if not record.is_spare and not self._is_serving(record)
+        )
+        spares = collections.Counter(
+            f'{record.fabric_domain}/{record.model}'
+            for record in records
+            if record.is_spare
+        )
+        log.change(
+            'replicas.summary',
+            usable=usable,
+            unusable=unusable,
+            spares=spares,
+            resting=len(self._agreed.replicas.resting),
+            staging=sum(self._is_staging(key) for key in self._staging_ms),
+            silent=sum(
+                known.endpoint.silent
+                for known in self._registry.known.values()
+            ),
+            in_flight=sum(self.in_flight.values()),
+        )
 
     # What is known
 
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -12,6 +12,8 @@
 # Part of a domain's hosts that new groups leave free at first, so that a
 # lost member finds a spare; the losses of a minute are about a fifth.
 SPARE_SHARE = 0.18
+# How far the first groups may take more than their part, in hosts.
+ROUNDING = 0.5
 # Requests in flight of a group, as a part of its slots, above which a spare
 # group is worth more than spares.
 BUSY_SHARE = 0.35
@@ -350,48 +352,38 @@
     # New groups
 
     def _lay_out(self) -> None:
-        """Form the first groups: as many of each model, and spares.
-
-        Each domain keeps spares of its own, since a group that spans two
-        domains is slow.
-        """
-        groups = collections.Counter(
-            {shape.name: 0 for shape in self._situation.models}
-        )
+        """Form the first groups: as many hosts for each model, and spares."""
+        left = {domain: len(hosts) for domain, hosts in self._free.items()}
+        wanted = self._count_first_groups(sum(left.values()))
+        # The largest groups first: small ones fit into what is left.
+        for shape in sorted(
+            self._situation.models, key=lambda shape: -shape.size
+        ):
+            for _ in range(wanted[shape.name]):
+                domain = max(left, key=left.__getitem__, default='')
+                if not domain or left[domain] < shape.size:
+                    break
+                self._form_any(shape, domain)
+                left[domain] -= shape.size
+
+    def _count_first_groups(self, free: int) -> collections.Counter[str]:
+        """Return how many new groups of each model are formed at first."""
+        models = self._situation.models
+        used = {shape.name: 0 for shape in models}
         for group in self._situation.groups:
-            groups[group.model] += 1
-        left = {
-            domain: len(hosts) - self._count_spares(domain)
-            for domain, hosts in self._free.items()
-        }
-        while True:
-            shapes = sorted(
-                self._situation.models, key=lambda shape: groups[shape.name]
-            )
-            placed = next(
-                (
-                    (shape, domain)
-                    for shape in shapes
-                    for domain in sorted(left, key=lambda name: -left[name])
-                    if left[domain] >= shape.size
-                ),
-                None,
-            )
-            if placed is None:
-                return
-            shape, domain = placed
-            self._form_any(shape, domain)
-            groups[shape.name] += 1
-            left[domain] -= shape.size
-
-    def _count_spares(self, domain: str) -> int:
-        """Return how many hosts of a domain its first groups leave free."""
-        hosts = len(self._free[domain]) + sum(
-            len(group.members)
-            for group in self._situation.groups
-            if group.domain == domain
-        )
-        return max(1, round(hosts * SPARE_SHARE)) if hosts > 1 else 0
+            if group.model in used:
+                used[group.model] += len(group.members)
+        hosts = free + sum(used.values())
+        budget = hosts * (1 - SPARE_SHARE) - sum(used.values())
+        wanted: collections.Counter[str] = collections.Counter()
+        while models:
+            shape = min(models, key=lambda shape: used[shape.name])
+            if shape.size > budget + ROUNDING:
+                break
+            used[shape.name] += shape.size
+            budget -= shape.size
+            wanted[shape.name] += 1
+        return wanted
 
     def _form_any(self, shape: document.ModelShape, domain: str) -> None:
         hosts = self._free[domain]
