Pack the first groups into domains, as many of each model

Ruled out: choice between groups, queueing at entry.

Change: equal numbers of groups; a small search packs them so that each domain keeps spares.

--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -8,12 +8,11 @@
 import dataclasses
 
 from filbertglade.fleet import document
+from filbertglade.replicas import layout
 
 # Part of a domain's hosts that new groups leave free at first, so that a
 # lost member finds a spare; the losses of a minute are about a fifth.
-SPARE_SHARE = 0.18
-# How far the first groups may take more than their part, in hosts.
-ROUNDING = 0.5
+SPARE_SHARE = 0.165
 # Requests in flight of a group, as a part of its slots, above which a spare
 # group is worth more than spares.
 BUSY_SHARE = 0.35
@@ -352,38 +351,28 @@
     # New groups
 
     def _lay_out(self) -> None:
-        """Form the first groups: as many hosts for each model, and spares."""
-        left = {domain: len(hosts) for domain, hosts in self._free.items()}
-        wanted = self._count_first_groups(sum(left.values()))
-        # The largest groups first: small ones fit into what is left.
-        for shape in sorted(
-            self._situation.models, key=lambda shape: -shape.size
-        ):
-            for _ in range(wanted[shape.name]):
-                domain = max(left, key=left.__getitem__, default='')
-                if not domain or left[domain] < shape.size:
-                    break
-                self._form_any(shape, domain)
-                left[domain] -= shape.size
-
-    def _count_first_groups(self, free: int) -> collections.Counter[str]:
-        """Return how many new groups of each model are formed at first."""
+        """Form the first groups: as many of each model, and spares."""
         models = self._situation.models
-        used = {shape.name: 0 for shape in models}
-        for group in self._situation.groups:
-            if group.model in used:
-                used[group.model] += len(group.members)
-        hosts = free + sum(used.values())
-        budget = hosts * (1 - SPARE_SHARE) - sum(used.values())
-        wanted: collections.Counter[str] = collections.Counter()
-        while models:
-            shape = min(models, key=lambda shape: used[shape.name])
-            if shape.size > budget + ROUNDING:
-                break
-            used[shape.name] += shape.size
-            budget -= shape.size
-            wanted[shape.name] += 1
-        return wanted
+        hosts = {domain: len(free) for domain, free in self._free.items()}
+        sizes = [shape.size for shape in models]
+        total = sum(hosts.values()) + sum(
+            len(group.members) for group in self._situation.groups
+        )
+        # What is already formed before traffic is a first layout's rest.
+        if self._situation.groups or not models:
+            return
+        wanted = layout.count_groups(
+            round(total * (1 - SPARE_SHARE)), sizes, [1.0 for _ in models]
+        )
+        packed = layout.pack_groups(hosts, sizes, wanted)
+        while packed is None and any(wanted):
+            most = max(range(len(wanted)), key=wanted.__getitem__)
+            wanted[most] -= 1
+            packed = layout.pack_groups(hosts, sizes, wanted)
+        for domain, counts in (packed or {}).items():
+            for shape, count in zip(models, counts, strict=True):
+                for _ in range(count):
+                    self._form_any(shape, domain)
 
     def _form_any(self, shape: document.ModelShape, domain: str) -> None:
         hosts = self._free[domain]
