Stage spares for the model that lacks them

Change: spares are counted by domain and model against missing members; those left over are staged for the model in need.

--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 
 from filbertglade import clock
 from filbertglade.control import agreement
@@ -39,9 +40,24 @@
 # Pause between two summaries in the log, in ms.
 SUMMARY_MS = 1000
 
+# Longest time that a load may take, in ms.
+LOAD_LIMIT_MS = 40_000
+
 State = endpoints.MemberState
 
 
+@dataclasses.dataclass(slots=True)
+class _Staging:
+    """A load that was ordered.
+
+    :param model: the model.
+    :param ordered_ms: local clock at the order.
+    """
+
+    model: str
+    ordered_ms: int
+
+
 class ReplicaController:
     """The leader's care of groups.
 
@@ -75,7 +91,7 @@
         self._unanswered_ms: dict[str, int] = {}
         self._probed_ms: dict[str, int] = {}
         self._load_times_ms: collections.deque[int] = collections.deque()
-        self._staging_ms: dict[str, int] = {}
+        self._staging: dict[str, _Staging] = {}
         self._fenced: set[tuple[str, int]] = set()
         self._group_number = 0
         self._summarized_ms = 0
@@ -87,7 +103,7 @@
         """Begin to lead: nothing is known of orders under way."""
         self._started_ms = clock.now_ms()
         self._ordered_ms.clear()
-        self._staging_ms.clear()
+        self._staging.clear()
         self._fenced.clear()
         # What an earlier leader may have had loaded lately counts in full.
         self._load_times_ms.clear()
@@ -164,7 +180,7 @@
             unusable=unusable,
             spares=spares,
             resting=len(self._agreed.replicas.resting),
-            staging=sum(self._is_staging(key) for key in self._staging_ms),
+            staging=len(self._staging),
             silent=sum(
                 known.endpoint.silent
                 for known in self._registry.known.values()
@@ -289,7 +305,7 @@
             key,
             known.endpoint.fabric_domain,
             frozenset(known.endpoint.staged),
-            self._is_staging(key),
+            self._find_staging(key),
             record.model if record is not None else '',
             record is not None
             and said is not None
@@ -337,12 +353,18 @@
             return said is None
         return record.is_spare and (said is None or said.group == record.group)
 
-    def _is_staging(self, key: str) -> bool:
-        ordered_ms = self._staging_ms.get(key)
-        if ordered_ms is None:
-            return False
+    def _find_staging(self, key: str) -> str:
+        """Return the model that an endpoint is loading; empty if none."""
+        staging = self._staging.get(key)
+        if staging is None:
+            return ''
+        known = self._registry.known.get(key)
+        is_done = known is None or staging.model in known.endpoint.staged
         # A load in a crowd takes several times as long as one alone.
-        return clock.now_ms() - ordered_ms < 40_000
+        if is_done or clock.now_ms() - staging.ordered_ms > LOAD_LIMIT_MS:
+            del self._staging[key]
+            return ''
+        return staging.model
 
     # Rests
 
@@ -601,7 +623,7 @@
             orders.OrderOutcome.BEGUN,
             orders.OrderOutcome.UNKNOWN,
         ):
-            self._staging_ms.pop(key, None)
+            self._staging.pop(key, None)
 
     # Loads
 
@@ -629,22 +651,15 @@
         if self.has_traffic:
             if len(times) >= self._count_loads_allowed():
                 return
-            at_once = sum(
-                now_ms - at_ms < self._find_load_ms(service)
-                for at_ms in self._staging_ms.values()
-            )
-            if at_once >= service.engine.loads_at_once:
+            if len(self._staging) >= service.engine.loads_at_once:
                 return
         times.append(now_ms)
-        self._staging_ms[action.key] = now_ms
+        self._staging[action.key] = _Staging(action.model, now_ms)
         self._order(
             action.key,
             orders.Order(orders.OrderAction.STAGE, model=action.model),
         )
 
-    def _find_load_ms(self, service: document.Service) -> float:
-        return max(shape.load_s for shape in service.models) * 1000
-
     # Suspicions
 
     def suspect(self, suspicion: fleet_pb2.Suspicion, node: str) -> None:
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -16,6 +16,11 @@
 # Requests in flight of a group, as a part of its slots, above which a spare
 # group is worth more than spares.
 BUSY_SHARE = 0.35
+# Spares of a model that stay, whatever other models lack.
+KEPT_SPARES = 1
+# How much more of its places a model must use than another for which spares
+# are staged anew; less would let them go back and forth.
+NEED_GAP = 0.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,7 +30,8 @@
     :param key: its life.
     :param domain: its fabric domain.
     :param staged: models on its host.
-    :param is_staging: whether an order to stage is under way.
+    :param staging_model: the model that it was ordered to stage; empty if
+        none is under way.
     :param spare_model: the model of the group of one that it is in; empty
         if it is in none.
     :param is_warm: whether it has joined that group.
@@ -34,7 +40,7 @@
     key: str
     domain: str
     staged: frozenset[str] = frozenset()
-    is_staging: bool = False
+    staging_model: str = ''
     spare_model: str = ''
     is_warm: bool = False
 
@@ -425,36 +431,44 @@
     # Staging
 
     def _stage(self, waiting: abc.Sequence[Group]) -> None:
-        """Let spares stage what their domain lacks most."""
+        """Let spares stage what is lacking most, near before far."""
         if not self._situation.models:
             return
+        book = _SpareBook(self._free, waiting)
         for domain, hosts in self._free.items():
-            lacking = collections.Counter(
-                {
-                    group.model: self._count_missing(group)
-                    for group in waiting
-                    if group.domain == domain
-                }
-            )
-            held = collections.Counter(
-                model for host in hosts for model in host.staged
-            )
             for host in hosts:
-                if host.is_staging:
-                    continue
-                model = self._choose_model(domain, lacking, held)
-                if model in host.staged:
-                    continue
-                useful = any(model in self._shapes for model in host.staged)
-                if useful and held[model] + 1 >= sum(held.values()) / len(
-                    self._shapes
-                ):
-                    continue
-                if useful and not lacking[model]:
+                if host.staging_model:
                     continue
-                held[model] += 1
-                lacking[model] -= 1
-                self._actions.append(StageModel(host.key, model))
+                model = self._choose_model(domain, host, book)
+                if model and model not in host.staged:
+                    book.move(domain, host, model)
+                    self._actions.append(StageModel(host.key, model))
+
+    def _choose_model(
+        self, domain: str, host: Host, book: '_SpareBook'
+    ) -> str:
+        """Return what a spare should hold; empty if what it holds is fine."""
+        held = next((name for name in self._shapes if name in host.staged), '')
+        if held and book.count_left(held) <= KEPT_SPARES:
+            return ''
+
+        def measure(shape: document.ModelShape) -> tuple[float, ...]:
+            return (
+                book.count_short(domain, shape.name),
+                -book.count_left(shape.name),
+                self._measure_need(shape),
+            )
+
+        best = max(self._situation.models, key=measure)
+        if not held or best.name == held:
+            return best.name
+        gap = self._measure_need(best) - self._measure_need(self._shapes[held])
+        is_worth_it = (
+            book.count_left(best.name) < 0
+            or gap > NEED_GAP
+            and book.count_left(best.name) < book.count_left(held) - 1
+        )
+        return best.name if is_worth_it else ''
 
     def _warm(self) -> None:
         """Let spares join groups of one with what their hosts hold."""
@@ -468,27 +482,62 @@
                         WarmSpare(host.key, fitting[0], domain)
                     )
 
-    def _choose_model(
-        self,
-        domain: str,
-        lacking: collections.Counter[str],
-        held: collections.Counter[str],
-    ) -> str:
-        """Return the model that spares of a domain lack most."""
-        members = collections.Counter(
-            {
-                group.model: 0
-                for group in self._situation.groups
-                if group.domain == domain
-            }
+
+class _SpareBook:
+    """Spares and missing members, by domain and model.
+
+    :param free: the spares by domain.
+    :param waiting: groups that lack members.
+    """
+
+    def __init__(
+        self, free: abc.Mapping[str, list[Host]], waiting: abc.Sequence[Group]
+    ) -> None:
+        self._held: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
         )
-        for group in self._situation.groups:
-            if group.domain == domain:
-                members[group.model] += len(group.members)
+        self._lacking: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        for domain, hosts in free.items():
+            for host in hosts:
+                for model in host.staged | {host.staging_model}:
+                    self._held[domain, model] += 1
+        for group in waiting:
+            missing = len(group.members) - len(group.present)
+            self._lacking[group.domain, group.model] += missing
+
+    def count_short(self, domain: str, model: str) -> int:
+        """Return how many spares a domain lacks for its own groups.
+
+        :param domain: the domain.
+        :param model: the model.
+        """
+        place = (domain, model)
+        return max(0, self._lacking[place] - self._held[place])
 
-        def measure(shape: document.ModelShape) -> tuple[int, float]:
-            short = lacking[shape.name] - held[shape.name]
-            cover = (held[shape.name] + 1) / (members[shape.name] + 1)
-            return max(0, short), -cover
+    def count_left(self, model: str) -> int:
+        """Return the spares of all domains beyond what is missing.
 
-        return max(self._situation.models, key=measure).name
+        :param model: the model.
+        """
+        held = sum(
+            count for (_, name), count in self._held.items() if name == model
+        )
+        lacking = sum(
+            count
+            for (_, name), count in self._lacking.items()
+            if name == model
+        )
+        return held - lacking
+
+    def move(self, domain: str, host: Host, model: str) -> None:
+        """Count a spare under the model that it is to hold.
+
+        :param domain: its domain.
+        :param host: the spare.
+        :param model: the model.
+        """
+        for name in host.staged:
+            self._held[domain, name] -= 1
+        self._held[domain, model] += 1
