Give a node without any view what a new leader knows so far

Change: a watcher says whether it has a view; one without gets a partial one. Answers log their longest pause.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -264,7 +264,9 @@
             frame.document.text = current.text
         frame.strikes.extend(self._strikes[progress.strikes :])
         progress.strikes = len(self._strikes)
-        if self.has_view:
+        if self.has_view or progress.is_begun or not watcher.report.has_view:
+            # A part is better than nothing, but not than an older whole.
+            progress.is_begun = True
             self._write_view(frame, watcher, progress)
         return frame
 
@@ -310,6 +312,7 @@
     """What a watcher has been told."""
 
     document_version: int
+    is_begun: bool = False
     endpoints: int = -1
     replicas: int = -1
     strikes: int = 0
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -221,4 +221,5 @@
             strikes=strikes,
             suspicions=suspicions,
             requests=self.requests,
+            has_view=bool(self._view.endpoints or self._view.replicas),
         )
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -169,6 +169,8 @@
         self._first_byte_ms: int | None = None
         self._digest = b''
         self._has_returned = False
+        self._last_byte_ms = 0
+        self._longest_pause_ms = 0
 
     async def run(self) -> None:
         """Answer the request; stop once the caller has left."""
@@ -576,8 +578,7 @@
                 headers.pop('Content-Length', None)
             await self._begin(head, headers)
         async for chunk in connection.read_body(head):
-            if self._first_byte_ms is None:
-                self._first_byte_ms = clock.now_ms()
+            self._note_pause()
             self._context.progress.note_event(target, self)
             whole = self._splitter.split(chunk)
             if whole:
@@ -587,6 +588,16 @@
             await self._write(rest)
         self._request.finish()
 
+    def _note_pause(self) -> None:
+        """Note the pause before a part of a stream."""
+        now_ms = clock.now_ms()
+        if self._first_byte_ms is None:
+            self._first_byte_ms = now_ms
+        else:
+            pause_ms = now_ms - self._last_byte_ms
+            self._longest_pause_ms = max(self._longest_pause_ms, pause_ms)
+        self._last_byte_ms = now_ms
+
     async def _begin(
         self, head: upstream.AnswerHead, headers: httputil.HTTPHeaders
     ) -> None:
@@ -621,6 +632,7 @@
             first_byte_ms=first_ms,
             total_ms=now_ms - self._request.received_ms,
             events=self._splitter.count,
+            longest_pause_ms=self._longest_pause_ms,
             sends=self._sends,
             load=head.headers.get(context.dialect.load, ''),
         )
