Share requests in flight within 100 ms; wait for all endpoints before laying out

Change: reports and frames follow changes, bounded to some 200 a second over all nodes; no layout before an interval without a new endpoint; begun streams may go on up to twice a group's places.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -22,8 +22,10 @@
 # Longest pause between two frames, in ms: a watcher takes several of them
 # without a word for a loss.
 FRAME_MS = 250
-# Shortest pause, in ms, so that changes of one moment go out together.
+# Shortest pause, in ms, so that changes of one moment go out together; and
+# for each watcher, so that all frames are some 200 a second at most.
 GATHER_MS = 25
+GATHER_WATCHER_MS = 5
 # Silence of a watcher after which its stream is ended, in ms.
 WATCHER_SILENCE_MS = 3000
 
@@ -186,6 +188,8 @@
     def _take_report(
         self, watcher: Watcher, report: fleet_pb2.WatchReport
     ) -> None:
+        if watcher.report.in_flight != report.in_flight:
+            self.wake()
         watcher.report = report
         for strike in report.strikes:
             self._view.note_strike(strike.digest, strike.endpoint)
@@ -211,7 +215,8 @@
             frame = self._build_frame(watcher, progress)
             async with asyncio.timeout(WATCHER_SILENCE_MS / 1000):
                 await stream.send_message(frame)
-            await asyncio.sleep(GATHER_MS / 1000)
+            gather_ms = GATHER_WATCHER_MS * len(self._watchers)
+            await asyncio.sleep(max(GATHER_MS, gather_ms) / 1000)
             try:
                 async with asyncio.timeout(FRAME_MS / 1000):
                     await alarm.wait()
--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -57,6 +57,8 @@
         self._ended_ms: dict[str, int] = {}
         self.gone: dict[str, int] = {}
         self.version = 0
+        # Local clock at which the last life appeared.
+        self.appeared_ms = 0
         self._listeners: list[abc.Callable[[], None]] = []
 
     def add_listener(self, listener: abc.Callable[[], None]) -> None:
@@ -94,6 +96,7 @@
                 return _refuse(refusal)
             self._end_predecessors(endpoint, key)
             self._put(endpoint)
+            self.appeared_ms = clock.now_ms()
             log.change(
                 'endpoint.appeared',
                 endpoint=key,
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -22,8 +22,12 @@
 FIRST_FRAME_MS = 800
 # Silence of the leader that counts as a loss, in ms: four of its frames.
 LEADER_SILENCE_MS = 1100
-# Pause between two reports, in ms.
-REPORT_MS = 200
+# Longest pause between two reports, in ms: half the silence of a watcher
+# that the leader notices, and less.
+REPORT_MS = 400
+# Pause between two reports while requests in flight change, in ms, for each
+# entry node: all of them together send some 200 a second at most.
+REPORT_NODE_MS = 5
 # Pause between two tries to find the leader, in ms.
 SEARCH_MS = 60
 
@@ -70,6 +74,7 @@
         self._strikes: list[fleet_pb2.Strike] = []
         self._suspicions: list[fleet_pb2.Suspicion] = []
         self._alarm = asyncio.Event()
+        self._reported: dict[str, int] = {}
         self.in_flight: dict[str, int] = {}
         self.requests = 0
 
@@ -193,21 +198,32 @@
     async def _send_reports(self, stream: Stream) -> None:
         try:
             while True:
-                self._alarm.clear()
-                try:
-                    async with asyncio.timeout(REPORT_MS / 1000):
-                        await self._alarm.wait()
-                except TimeoutError:
-                    pass
+                await self._await_news()
                 async with asyncio.timeout(LEADER_SILENCE_MS / 1000):
                     await stream.send_message(self._build_report())
         except replication.STREAM_ERRORS:
             # The receiving side sees the loss by the leader's silence.
             return
 
+    async def _await_news(self) -> None:
+        """Wait until there is something to report, or it is time to."""
+        self._alarm.clear()
+        pause_ms = REPORT_NODE_MS * max(self._view.entry_nodes, 8)
+        waited_ms = 0
+        while waited_ms < REPORT_MS:
+            try:
+                async with asyncio.timeout(pause_ms / 1000):
+                    await self._alarm.wait()
+                return
+            except TimeoutError:
+                waited_ms += pause_ms
+            if self.in_flight != self._reported:
+                return
+
     def _build_report(self) -> fleet_pb2.WatchReport:
         strikes, self._strikes = self._strikes, []
         suspicions, self._suspicions = self._suspicions, []
+        self._reported = dict(self.in_flight)
         return fleet_pb2.WatchReport(
             node=self._node,
             run=self._run_name,
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -41,6 +41,9 @@
 # places each waits for the end of another, and is late.
 FIRST_SHARE = 1.15
 RETURNED_SHARE = 1.35
+# The same for a stream that its caller has begun to read: broken off, what it
+# has cost is lost.
+RESUMED_SHARE = 2.0
 # Part of a route's longest deadline below which a caller was sent away before.
 RETURNED_DEADLINE_SHARE = 0.95
 # A request that may run once only goes on a connection used this lately.
@@ -310,6 +313,8 @@
         share = FIRST_SHARE
         if self._has_returned or self._sends:
             share = RETURNED_SHARE
+        if self._request.is_answered:
+            share = RESUMED_SHARE
         places = target.slots * share
         return '' if load < places else f'{load} in flight'
 
--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -35,6 +35,8 @@
 # How long a new leader waits for endpoints that it has never heard, in
 # announcement intervals.
 SETTLE_INTERVALS = 1.5
+# Longest wait for all endpoints before the first layout, in intervals.
+LAYOUT_LIMIT_INTERVALS = 4.0
 # Suspicions of one group that are looked into at most, each this often.
 PROBE_AGAIN_MS = 600
 # Pause between two summaries in the log, in ms.
@@ -141,8 +143,7 @@
         self._registry.sweep()
         if self.index is None or not self._voters.may_acknowledge:
             return
-        if not self.is_settled and not self._agreed.replicas.records:
-            # The first layout needs to know all of the endpoints.
+        if not self._agreed.replicas.records and not self._knows_all():
             return
         await self._end_rests()
         await self._drop_spares()
@@ -197,6 +198,19 @@
         settle_ms = self._settings.endpoints.announce_ms * SETTLE_INTERVALS
         return waited_ms > settle_ms
 
+    def _knows_all(self) -> bool:
+        """Tell whether the first layout can count on all endpoints.
+
+        Each has been heard once no new one appears for an interval; those
+        that come one by one are not waited for.
+        """
+        now_ms = clock.now_ms()
+        interval_ms = self._settings.endpoints.announce_ms
+        if now_ms - self._started_ms > LAYOUT_LIMIT_INTERVALS * interval_ms:
+            return True
+        quiet_ms = now_ms - self._registry.appeared_ms
+        return self.is_settled and quiet_ms > interval_ms
+
     def _is_present(self, key: str) -> bool:
         known = self._registry.known.get(key)
         if known is None:
