Free members of groups with heads first; use scattered spares under load

Change: a group ends for others rather if its head is there; a newcomer stages what completes a group of its domain; above 0.8 of the places a slow group of scattered spares is formed.

--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -16,6 +16,8 @@
 # Requests in flight of a group, as a part of its slots, above which a spare
 # group is worth more than spares.
 BUSY_SHARE = 0.35
+# The same above which even a slow group of scattered spares helps.
+CROWDED_SHARE = 0.8
 # Spares of a model that stay, whatever other models lack.
 KEPT_SPARES = 1
 # How much more of its places a model must use than another for which spares
@@ -79,6 +81,11 @@
     in_flight: int = 0
     far: frozenset[str] = frozenset()
 
+    @property
+    def has_head(self) -> bool:
+        """Whether the head is there."""
+        return self.members[0] in self.present
+
     @property
     def is_whole(self) -> bool:
         """Whether every member is there."""
@@ -310,9 +317,14 @@
 
     def _find_donor(self, model: str, groups: list[Group]) -> Group | None:
         """Return the group that helps others most by its end."""
-        groups = sorted(groups, key=lambda group: len(group.present))
-        if not groups[0].present:
-            return groups[0]
+        # Whose head is there frees its members at once; a silent head must
+        # first be known to stand still no more.
+        groups = sorted(
+            groups, key=lambda group: (not group.has_head, len(group.present))
+        )
+        for group in groups:
+            if not group.present:
+                return group
         staged = sum(
             model in host.staged
             for hosts in self._free.values()
@@ -390,27 +402,53 @@
         )
 
     def _add_groups(self) -> None:
-        """Form a group of spares where its model needs one."""
+        """Form groups of spares where their model needs them."""
         for shape in sorted(
             self._situation.models, key=self._measure_need, reverse=True
         ):
             need = self._measure_need(shape)
+            kept = 0 if need > BUSY_SHARE else 1
             for domain in list(self._free):
                 fitting = sum(
                     shape.name in host.staged for host in self._free[domain]
                 )
-                kept = 0 if need > BUSY_SHARE else 1
-                if fitting >= shape.size + kept:
-                    members = self._take_staged(domain, shape.name, shape.size)
-                    if members is not None:
-                        self._actions.append(
-                            FormGroup(
-                                shape.name,
-                                domain,
-                                tuple(members),
-                                reason=f'need {need:.2f}',
-                            )
-                        )
+                if fitting < shape.size + kept:
+                    continue
+                members = self._take_staged(domain, shape.name, shape.size)
+                if members is not None:
+                    self._form_new(shape, domain, members, need)
+            if need > CROWDED_SHARE:
+                self._add_scattered(shape, need)
+
+    def _form_new(
+        self,
+        shape: document.ModelShape,
+        domain: str,
+        members: list[str],
+        need: float,
+    ) -> None:
+        self._actions.append(
+            FormGroup(
+                shape.name, domain, tuple(members), reason=f'need {need:.2f}'
+            )
+        )
+
+    def _add_scattered(self, shape: document.ModelShape, need: float) -> None:
+        """Form a slow group of spares from several domains."""
+        fitting = {
+            domain: [host for host in hosts if shape.name in host.staged]
+            for domain, hosts in self._free.items()
+        }
+        if sum(map(len, fitting.values())) <= shape.size:
+            return
+        taken: list[Host] = []
+        for domain in sorted(fitting, key=lambda name: -len(fitting[name])):
+            taken += fitting[domain][: shape.size - len(taken)]
+        for host in taken:
+            self._free[host.domain].remove(host)
+        self._form_new(
+            shape, taken[0].domain, [host.key for host in taken], need
+        )
 
     def _measure_need(self, shape: document.ModelShape) -> float:
         """Return the part of a model's places that is taken."""
@@ -435,14 +473,32 @@
         if not self._situation.models:
             return
         book = _SpareBook(self._free, waiting)
+        wanted: list[tuple[tuple[float, ...], StageModel]] = []
         for domain, hosts in self._free.items():
             for host in hosts:
                 if host.staging_model:
                     continue
                 model = self._choose_model(domain, host, book)
                 if model and model not in host.staged:
+                    worth = self._measure_worth(domain, model, book)
                     book.move(domain, host, model)
-                    self._actions.append(StageModel(host.key, model))
+                    wanted.append((worth, StageModel(host.key, model)))
+        # The store loads a few models at a time: the best use comes first.
+        wanted.sort(key=lambda item: item[0], reverse=True)
+        self._actions += [action for _, action in wanted]
+
+    def _measure_worth(
+        self, domain: str, model: str, book: '_SpareBook'
+    ) -> tuple[float, ...]:
+        """Return what one more spare of a model is worth in a domain."""
+        shape = self._shapes[model]
+        completes = book.count_held(domain, model) + 1 >= shape.size
+        return (
+            book.count_short(domain, model),
+            completes and self._measure_need(shape) > BUSY_SHARE,
+            -book.count_left(model),
+            self._measure_need(shape),
+        )
 
     def _choose_model(
         self, domain: str, host: Host, book: '_SpareBook'
@@ -451,24 +507,20 @@
         held = next((name for name in self._shapes if name in host.staged), '')
         if held and book.count_left(held) <= KEPT_SPARES:
             return ''
-
-        def measure(shape: document.ModelShape) -> tuple[float, ...]:
-            return (
-                book.count_short(domain, shape.name),
-                -book.count_left(shape.name),
-                self._measure_need(shape),
-            )
-
-        best = max(self._situation.models, key=measure)
-        if not held or best.name == held:
-            return best.name
-        gap = self._measure_need(best) - self._measure_need(self._shapes[held])
-        is_worth_it = (
-            book.count_left(best.name) < 0
-            or gap > NEED_GAP
-            and book.count_left(best.name) < book.count_left(held) - 1
+        best = max(
+            self._shapes,
+            key=lambda name: self._measure_worth(domain, name, book),
+        )
+        if not held or best == held:
+            return best
+        gap = self._measure_need(self._shapes[best]) - self._measure_need(
+            self._shapes[held]
         )
-        return best.name if is_worth_it else ''
+        is_worth_it = book.count_left(best) < 0 or (
+            gap > NEED_GAP
+            and book.count_left(best) < book.count_left(held) - 1
+        )
+        return best if is_worth_it else ''
 
     def _warm(self) -> None:
         """Let spares join groups of one with what their hosts hold."""
@@ -507,6 +559,14 @@
             missing = len(group.members) - len(group.present)
             self._lacking[group.domain, group.model] += missing
 
+    def count_held(self, domain: str, model: str) -> int:
+        """Return a domain's spares that hold a model, or soon will.
+
+        :param domain: the domain.
+        :param model: the model.
+        """
+        return self._held[domain, model]
+
     def count_short(self, domain: str, model: str) -> int:
         """Return how many spares a domain lacks for its own groups.
 
