--- /dev/null
+++ b/tests/control/test_seeded_voters.py
@@ -0,0 +1,242 @@
+"""Control hosts that find each other from seeds, in virtual time."""
+
+import asyncio
+import random
+
+from grpclib import server
+import pytest
+
+from filbertglade.control import agreement
+from filbertglade.control import failures
+from filbertglade.control import state
+from filbertglade.control import store
+from filbertglade.control import voters
+from filbertglade.inner import commands_pb2
+from filbertglade.observability import metrics
+from filbertglade.settings import model
+from tests.control import cluster as fixed_cluster
+from tests.control import memory_storage
+from tests.control import network
+
+ADDRESSES = tuple(f'10.0.0.{place}:7000' for place in range(1, 8))
+
+
+class Host:
+    """One control host; those that don't vote greet all others."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.disk = memory_storage.Disk()
+        self.agreement = None
+
+    async def start(self):
+        fleet = self.fleet
+        control = model.ControlSettings(
+            hosts=[], data_folder='memory', election_ms=700, lease_ms=600
+        )
+        settings = type('Settings', (), {})()
+        settings.name, settings.control = self.name, control
+        self.state = state.AgreedState()
+        self.storage = memory_storage.MemoryStorage(self.disk)
+        self.membership = voters.SeededMembership(
+            list(fleet.seeds), tolerated_losses=2
+        )
+        self.agreement = agreement.Agreement(
+            settings,
+            self.state,
+            self.storage,
+            network.Channels(
+                fleet.network, self.name, {name: name for name in ADDRESSES}
+            ),
+            metrics.Metrics(),
+            fleet.rng,
+            self.membership,
+        )
+        assert await self.agreement.start() is None
+        self.server = server.Server([self.agreement.servicer])
+        fleet.port += 1
+        await self.server.start('127.0.0.1', fleet.port)
+        fleet.network.ports[self.name] = fleet.port
+        self.greeting = asyncio.get_running_loop().create_task(self.greet())
+
+    async def greet(self):
+        while True:
+            await asyncio.sleep(0.4)
+            if self.agreement.is_voter and self.agreement.leader:
+                continue
+            for host in self.fleet.hosts.values():
+                if host is not self and host.agreement is not None:
+                    host.membership.note_candidate(self.name)
+
+    async def stop(self):
+        if self.agreement is None:
+            return
+        self.greeting.cancel()
+        self.storage.crashed.set()
+        self.fleet.network.ports.pop(self.name, None)
+        self.fleet.network.reset(self.name)
+        stopped, self.agreement = self.agreement, None
+        self.server.close()
+        await self.server.wait_closed()
+        await stopped.close()
+
+
+class Fleet:
+    def __init__(self, count):
+        self.seeds = ADDRESSES[:3]
+        self.rng = random.Random(5)
+        self.network = network.Network()
+        self.port = 30000
+        self.hosts = {name: Host(self, name) for name in ADDRESSES[:count]}
+
+    async def start(self):
+        for name, host in self.hosts.items():
+            if name in self.seeds:
+                host.disk.found(name)
+            await host.start()
+
+    async def stop(self):
+        for host in self.hosts.values():
+            await host.stop()
+
+    @property
+    def acting(self):
+        return [
+            host
+            for host in self.hosts.values()
+            if host.agreement is not None and host.agreement.is_leader
+        ]
+
+    async def until(self, condition, limit_s=40):
+        end_s = asyncio.get_running_loop().time() + limit_s
+        while not condition():
+            assert asyncio.get_running_loop().time() < end_s
+            assert len(self.acting) <= 1
+            await asyncio.sleep(0.02)
+
+    def voters(self):
+        leader = self.acting[0]
+        return set(leader.state.voters.incarnations)
+
+    async def grow(self):
+        await self.until(lambda: self.acting and len(self.voters()) == 5)
+
+
+def run(work):
+    async def with_fleet():
+        fleet = Fleet(5)
+        await fleet.start()
+        try:
+            await work(fleet)
+        finally:
+            await fleet.stop()
+
+    fixed_cluster.run(with_fleet())
+
+
+async def put(fleet, version):
+    command = commands_pb2.Command(
+        put_document=commands_pb2.PutDocument(version=version, text=b'x')
+    )
+    result = await fleet.acting[0].agreement.submit(command, 3000)
+    assert not isinstance(result, failures.SubmitFailure), str(result)
+
+
+def test_voters_grow_to_twice_the_tolerated_losses_and_one():
+    async def work(fleet):
+        await fleet.until(lambda: fleet.acting)
+        early = fleet.acting[0].agreement.may_acknowledge
+        await fleet.grow()
+        assert fleet.acting[0].agreement.may_acknowledge
+        assert not early or len(fleet.voters()) == 5
+
+    run(work)
+
+
+def test_a_sixth_host_waits_until_a_voter_is_silent():
+    async def work(fleet):
+        await fleet.grow()
+        sixth = Host(fleet, ADDRESSES[5])
+        fleet.hosts[sixth.name] = sixth
+        await sixth.start()
+        await asyncio.sleep(8)
+        assert sixth.name not in fleet.voters()
+        gone = next(
+            host
+            for host in fleet.hosts.values()
+            if host not in (fleet.acting[0], sixth)
+        )
+        await gone.stop()
+        await fleet.until(
+            lambda: fleet.acting and sixth.name in fleet.voters()
+        )
+        assert gone.name not in fleet.voters()
+        assert len(fleet.voters()) == 5
+
+    run(work)
+
+
+def test_a_wiped_voter_votes_only_after_it_was_taken_in_anew():
+    async def work(fleet):
+        await fleet.grow()
+        await put(fleet, 7)
+        wiped = next(
+            host
+            for host in fleet.hosts.values()
+            if host is not fleet.acting[0]
+        )
+        before = fleet.acting[0].state.voters.incarnations[wiped.name]
+        await wiped.stop()
+        wiped.disk.wipe()
+        await wiped.start()
+        assert not wiped.agreement.is_voter
+        await fleet.until(
+            lambda: (
+                fleet.acting
+                and fleet.acting[0].state.voters.incarnations[wiped.name]
+                != before
+            )
+        )
+        await fleet.until(lambda: wiped.state.document.current.version == 7)
+
+    run(work)
+
+
+@pytest.mark.parametrize('wiped_places', [(0, 1), (1, 4), (2, 3)])
+def test_two_lost_disks_and_a_power_loss_of_all_lose_no_document(
+    wiped_places,
+):
+    async def work(fleet):
+        await fleet.grow()
+        await put(fleet, 9)
+        for host in fleet.hosts.values():
+            await host.stop()
+        for place in wiped_places:
+            fleet.hosts[ADDRESSES[place]].disk.wipe()
+        for host in fleet.hosts.values():
+            await host.start()
+        await fleet.until(lambda: fleet.acting)
+        leader = fleet.acting[0]
+        assert leader.state.document.current.version == 9
+        await fleet.until(
+            lambda: all(
+                host.state.document.current.version == 9
+                for host in fleet.hosts.values()
+            )
+        )
+        await fleet.grow()
+
+    run(work)
+
+
+def test_found_identity_is_none_of_a_wiped_host():
+    disk = memory_storage.Disk()
+    storage = memory_storage.MemoryStorage(disk)
+
+    async def work():
+        stored = await storage.open(ADDRESSES[0])
+        assert isinstance(stored, store.Stored)
+        assert not stored.identity.founding
+
+    fixed_cluster.run(work())
--- /dev/null
+++ b/tests/replicas/test_planning.py
@@ -0,0 +1,168 @@
+"""Patterns of losses, and what is planned for them."""
+
+import pytest
+
+from filbertglade.fleet import document
+from filbertglade.replicas import planning
+
+BIG = document.ModelShape('big', size=4)
+SMALL = document.ModelShape('small', size=3, pace=0.6)
+
+
+def spare(key, domain='d1', model='small', is_warm=True):
+    staged = frozenset([model] if model else [])
+    return planning.Host(
+        key,
+        domain,
+        staged,
+        spare_model=model if is_warm else '',
+        is_warm=is_warm,
+    )
+
+
+def group(name, members, lost=(), model='small', domain='d1', **fields):
+    present = tuple(key for key in members if key not in lost)
+    return planning.Group(
+        name, 7, model, domain, tuple(members), present, **fields
+    )
+
+
+def plan(groups=(), free=(), has_traffic=True):
+    situation = planning.Situation(
+        [BIG, SMALL], 13, list(groups), list(free), has_traffic
+    )
+    return planning.Planner(situation).plan()
+
+
+def pick(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def test_a_lost_member_is_replaced_by_a_spare_that_joins_fastest():
+    actions = plan(
+        [group('g', 'abc', lost='b')],
+        [spare('x', is_warm=False), spare('y'), spare('z', model='big')],
+    )
+    formed = pick(actions, planning.FormGroup)[0]
+    assert (formed.group, formed.epoch) == ('g', 7)
+    assert formed.members == ('a', 'c', 'y')
+
+
+def test_a_lost_head_gives_its_place_to_the_next_member():
+    actions = plan([group('g', 'abc', lost='a')], [spare('y')])
+    assert pick(actions, planning.FormGroup)[0].members == ('b', 'c', 'y')
+
+
+def test_a_spare_that_lacks_the_model_never_mends():
+    actions = plan([group('g', 'abc', lost='b')], [spare('y', model='big')])
+    assert not pick(actions, planning.FormGroup)
+
+
+def test_a_spare_of_another_domain_mends_only_without_a_near_one():
+    far = spare('f', domain='d2')
+    near = plan([group('g', 'abc', lost='b')], [far, spare('n')])
+    assert pick(near, planning.FormGroup)[0].members == ('a', 'c', 'n')
+    across = plan([group('g', 'abc', lost='b')], [far])
+    assert pick(across, planning.FormGroup)[0].members == ('a', 'c', 'f')
+
+
+def test_two_broken_groups_of_a_model_make_one():
+    """Pattern of scale-2: survivors idled for 20 s, each group one short."""
+    actions = plan(
+        [
+            group('g', 'abc', lost='b'),
+            group('h', 'def', lost='e', domain='d2'),
+        ]
+    )
+    assert len(pick(actions, planning.ReleaseGroup)) == 1
+
+
+def test_the_group_whose_head_is_there_is_given_up_for_the_other():
+    """A silent head must first stand still no more: 5.5 s."""
+    actions = plan([group('g', 'abc', lost='a'), group('h', 'def', lost='e')])
+    released = pick(actions, planning.ReleaseGroup)
+    assert [action.group for action in released] == ['h']
+
+
+def test_a_group_without_survivors_is_given_up():
+    actions = plan([group('g', 'abc', lost='abc')])
+    assert pick(actions, planning.ReleaseGroup)[0].group == 'g'
+
+
+def test_nothing_is_planned_for_whole_groups():
+    assert plan([group('g', 'abc'), group('h', 'defg', model='big')]) == []
+
+
+def test_the_first_layout_leaves_spares_in_each_domain():
+    free = [
+        spare(f'{domain}{place}', domain, model='', is_warm=False)
+        for domain in ('d1', 'd2', 'd3', 'd4', 'd5', 'd6')
+        for place in range(9)
+    ]
+    actions = plan(free=free, has_traffic=False)
+    formed = pick(actions, planning.FormGroup)
+    by_model = [action.model for action in formed]
+    assert (by_model.count('big'), by_model.count('small')) == (6, 7)
+    for action in formed:
+        assert len({key[:2] for key in action.members}) == 1
+    staged = [action.model for action in pick(actions, planning.StageModel)]
+    assert len(staged) == 9
+    assert abs(staged.count('big') - staged.count('small')) <= 1
+
+
+def test_a_newcomer_stages_what_its_domain_lacks():
+    actions = plan(
+        [group('g', 'abcd', lost='b', model='big')],
+        [spare('n', model='', is_warm=False)],
+    )
+    staged = pick(actions, planning.StageModel)
+    assert staged == [planning.StageModel('n', 'big')]
+
+
+def test_the_last_spare_of_a_model_is_not_staged_anew():
+    actions = plan(
+        [group('g', 'abcd', lost='b', model='big')],
+        [spare('s', is_warm=True)],
+    )
+    assert not pick(actions, planning.StageModel)
+
+
+def test_surplus_spares_are_staged_for_the_model_that_lacks_them():
+    """Pattern of scale-2: six spares of one model beside a broken group."""
+    free = [spare(f's{place}', domain=f'e{place}') for place in range(4)]
+    actions = plan([group('g', 'abcd', lost='b', model='big')], free)
+    assert pick(actions, planning.StageModel)[0].model == 'big'
+
+
+@pytest.mark.parametrize(('in_flight', 'formed'), [(5, 0), (12, 1)])
+def test_scattered_spares_form_a_slow_group_only_under_load(in_flight, formed):
+    """Pattern of scale-2, 33 to 44 s: full groups beside idle spares."""
+    groups = [
+        group('g', 'abc', in_flight=in_flight),
+        group('h', 'defg', model='big'),
+    ]
+    free = [
+        spare('x', 'd1'),
+        spare('y', 'd2'),
+        spare('z', 'd3'),
+        spare('w', 'd4'),
+    ]
+    assert len(pick(plan(groups, free), planning.FormGroup)) == formed
+
+
+def test_a_group_that_spans_domains_is_gathered_once_spares_suffice():
+    wide = group('g', 'abf', far=frozenset('f'))
+    actions = plan([wide], [spare('n')])
+    assert pick(actions, planning.FormGroup)[0].members == ('a', 'b', 'n')
+
+
+def test_a_spare_joins_a_group_of_one_with_what_its_host_holds():
+    actions = plan(
+        [group('g', 'abc')], [spare('s', is_warm=False, model='big')]
+    )
+    assert actions == [planning.WarmSpare('s', 'big', 'd1')]
+
+
+def test_groups_of_a_model_that_is_named_no_more_are_given_up():
+    actions = plan([group('g', 'abc', model='gone')])
+    assert pick(actions, planning.ReleaseGroup)[0].group == 'g'
