--- a/filbertglade/commands/gateway.py
+++ b/filbertglade/commands/gateway.py
@@ -9,6 +9,7 @@
 from filbertglade.inner import channels
 from filbertglade.observability import line_writer
 from filbertglade.observability import logs
+from filbertglade.observability import metrics
 from filbertglade.platform import dialect as platform_dialect
 from filbertglade.settings import gateway
 
@@ -34,17 +35,27 @@
         return check.print_problems(problems)
     writer = line_writer.LineWriter()
     logs.open_bounded_log(settings.name, settings.data_centre, writer.write)
+    counters = metrics.Metrics()
+    counters.set_gauge('log_lines_dropped', lambda: writer.dropped)
     try:
-        return asyncio.run(_run(path, settings))
+        return asyncio.run(_run(path, settings, counters))
     except OSError as error:
         return check.print_failure(str(error), EXIT_FAILURE)
     finally:
         writer.close(LOG_CLOSE_S)
 
 
-async def _run(path: pathlib.Path, settings: gateway.GatewaySettings) -> int:
+async def _run(
+    path: pathlib.Path,
+    settings: gateway.GatewaySettings,
+    counters: metrics.Metrics,
+) -> int:
     running = process.GatewayProcess(
-        path, settings, DIALECTS[settings.dialect], channels.SocketChannels()
+        path,
+        settings,
+        DIALECTS[settings.dialect],
+        channels.SocketChannels(),
+        counters,
     )
     try:
         failure = await running.start()
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -629,6 +629,10 @@
             'requests', service=self._service, status=str(head.status)
         )
         context.counters.record_ms('first_byte', first_ms)
+        context.counters.record_ms('longest_pause', self._longest_pause_ms)
+        context.counters.record_ms(
+            'forwarding', now_ms - self._request.received_ms
+        )
         self._log(
             'request.answered',
             status=head.status,
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -52,6 +52,7 @@
     :param settings: the settings.
     :param dialect: names of headers and paths.
     :param channel_factory: opens channels to other processes.
+    :param counters: the process's metrics.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         settings: gateway.GatewaySettings,
         dialect: dialects.Dialect,
         channel_factory: channels.ChannelFactory,
+        counters: metrics.Metrics,
     ) -> None:
         self._path = path
         self._text = b''
@@ -67,8 +69,12 @@
         self._run_name = uuid.uuid4().hex
         self._tasks = tasks.TaskGroup()
         rng = random.Random()
-        self._counters = metrics.Metrics()
+        self._counters = counters
         self._view = view.FleetView()
+        counters.set_gauge('document_version', lambda: self._view.version)
+        counters.set_gauge(
+            'view_age_ms', lambda: float(self._view.age_ms() or 0)
+        )
         self._watching = watcher.Watcher(
             settings.name,
             self._run_name,
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -18,6 +18,8 @@
 BUSY_SHARE = 0.35
 # The same above which even a slow group of scattered spares helps.
 CROWDED_SHARE = 0.8
+# The need of a model that no group serves: more than any other.
+UNSERVED_NEED = 10.0
 # Spares of a model that stay, whatever other models lack.
 KEPT_SPARES = 1
 # How much more of its places a model must use than another for which spares
@@ -459,12 +461,14 @@
             and group.is_whole
             and not group.is_broken
         ]
+        if not groups:
+            return UNSERVED_NEED
         in_flight = sum(
             group.in_flight
             for group in self._situation.groups
             if group.model == shape.name
         )
-        return in_flight / max(1, len(groups) * self._situation.slots)
+        return in_flight / (len(groups) * self._situation.slots)
 
     # Staging
 
--- /dev/null
+++ b/tests/gateway_forwarding/test_load.py
@@ -0,0 +1,244 @@
+"""Patterns of load without a network: choice, quota, stalls, events."""
+
+import asyncio
+import collections
+import random
+
+from filbertglade.fleet import view
+from filbertglade.forwarding import choice
+from filbertglade.forwarding import events
+from filbertglade.forwarding import exchange
+from filbertglade.forwarding import health
+from filbertglade.forwarding import quota
+from filbertglade.inner import fleet_pb2
+from filbertglade.settings import gateway
+from tests import virtual_time
+
+
+def replica(group, usable=True, data_centre='north', **fields):
+    return fleet_pb2.Replica(
+        group=group,
+        epoch=1,
+        service='models',
+        model='big',
+        head_id=f'i-{group}',
+        address='10.0.0.1:80',
+        data_centre=data_centre,
+        slots=4,
+        usable=usable,
+        **fields,
+    )
+
+
+class Node:
+    """The choosing part of a node."""
+
+    def __init__(self, *replicas):
+        self.view = view.FleetView()
+        self.in_flight = {}
+        self.loads = choice.LoadBook(self.view, self.in_flight)
+        self.faults = choice.FaultBook()
+        self.chooser = choice.Chooser(
+            'north', self.view, self.loads, self.faults, random.Random(1)
+        )
+        self.tell(replicas, is_whole=True)
+
+    def tell(self, replicas=(), is_whole=False, **in_flight):
+        self.view.take(
+            fleet_pb2.FleetFrame(
+                is_leader=True,
+                is_whole=is_whole,
+                replicas=replicas,
+                in_flight=in_flight,
+            )
+        )
+
+    def choose(self, tried=()):
+        target = self.chooser.choose('models', 'big', tried)
+        return target.group if target else None
+
+
+def run(check):
+    async def work():
+        result = check()
+        if asyncio.iscoroutine(result):
+            await result
+
+    virtual_time.run(work())
+
+
+def test_the_load_of_all_nodes_decides():
+    def check():
+        node = Node(replica('a'), replica('b'))
+        node.tell(a=9, b=3)
+        assert {node.choose() for _ in range(20)} == {'b'}
+
+    run(check)
+
+
+def test_own_requests_count_at_once_and_not_twice():
+    """Pattern: many requests between two frames must not pile up."""
+
+    def check():
+        node = Node(replica('a'), replica('b'))
+        chosen = collections.Counter()
+        for _ in range(20):
+            target = node.chooser.choose('models', 'big', ())
+            node.loads.begin(target)
+            chosen[target.group] += 1
+        assert abs(chosen['a'] - chosen['b']) <= 2
+        node.tell(a=chosen['a'], b=chosen['b'])
+        target = node.chooser.choose('models', 'big', ())
+        assert node.loads.measure(target) == chosen[target.group]
+
+    run(check)
+
+
+def test_a_slow_replica_gets_less():
+    def check():
+        node = Node(replica('a', slowness=2.5), replica('b'))
+        node.tell(a=1, b=3)
+        assert node.choose() == 'b'
+
+    run(check)
+
+
+def test_the_own_data_centre_goes_first_at_equal_load():
+    def check():
+        node = Node(replica('a', data_centre='south'), replica('b'))
+        assert {node.choose() for _ in range(20)} == {'b'}
+
+    run(check)
+
+
+def test_unusable_tried_and_faulty_targets_are_left_out():
+    async def check():
+        node = Node(replica('a'), replica('b'), replica('c', usable=False))
+        assert node.choose(tried=['a']) == 'b'
+        target = node.chooser.choose('models', 'big', ['b'])
+        node.faults.note(target, 'no answer')
+        assert node.choose(tried=['b']) is None
+        await asyncio.sleep(choice.FAULT_KEPT_MS / 1000 + 0.1)
+        assert node.choose(tried=['b']) == 'a'
+
+    run(check)
+
+
+def test_a_group_formed_anew_is_at_fault_no_more():
+    def check():
+        node = Node(replica('a'))
+        node.faults.note(node.chooser.choose('models', 'big', ()), 'silent')
+        assert node.choose() is None
+        renewed = replica('a')
+        renewed.epoch = 2
+        node.tell([renewed])
+        assert node.choose() == 'a'
+
+    run(check)
+
+
+def test_retries_of_all_nodes_stay_within_the_quota():
+    """Pattern: every request of every node fails for two windows."""
+
+    async def check():
+        settings = gateway.RetryQuota(ratio=0.2, slack=136, window_ms=10_000)
+        nodes = [quota.RetryQuota(settings) for _ in range(9)]
+        sent_ms = []
+        requests_ms = []
+        for step in range(400):
+            for node in nodes:
+                node.note_request('models')
+                requests_ms.append(step * 50)
+                if node.take('models', len(nodes)):
+                    sent_ms.append(step * 50)
+            await asyncio.sleep(0.05)
+        for end_ms in range(0, 20_000, 50):
+            start_ms = end_ms - 10_000
+            sent = sum(start_ms < at_ms <= end_ms for at_ms in sent_ms)
+            came = sum(start_ms < at_ms <= end_ms for at_ms in requests_ms)
+            assert sent <= 0.2 * came + 136
+        assert sent_ms
+
+    run(check)
+
+
+def test_half_an_event_is_held_back_and_dropped_before_resuming():
+    splitter = events.EventSplitter()
+    assert splitter.split(b'id: 1\ndata: a\n\nid: 2\nda') == (
+        b'id: 1\ndata: a\n\n'
+    )
+    assert splitter.last_id == '1'
+    splitter.drop_rest()
+    assert splitter.split(b'id: 2\r\ndata: b\r\n\r\n') == (
+        b'id: 2\r\ndata: b\r\n\r\n'
+    )
+    assert (splitter.last_id, splitter.count) == ('2', 2)
+    assert splitter.finish() == b''
+
+
+class Stream:
+    suspect_limit_ms = 300.0
+
+    def __init__(self):
+        self.stalls = 0
+
+    def stall(self):
+        self.stalls += 1
+
+
+class Leader:
+    def __init__(self):
+        self.suspicions = []
+
+    def report_suspicion(self, group, epoch, reason):
+        self.suspicions.append((group, epoch))
+
+
+def test_silence_makes_suspect_and_the_leaders_word_makes_streams_leave():
+    """Pattern of quiet-1: a tenth of streams left sound replicas."""
+
+    async def check():
+        node = Node(replica('a'))
+        leader = Leader()
+        watched = health.ReplicaHealth(node.faults, leader, node.view)
+        running = asyncio.get_running_loop().create_task(watched.run())
+        target = node.chooser.choose('models', 'big', ())
+        stream, waiting = Stream(), Stream()
+        watched.begin(target, stream)
+        watched.begin(target, waiting)
+        for _ in range(10):
+            watched.note_event(target, stream)
+            await asyncio.sleep(0.05)
+        assert not leader.suspicions
+        await asyncio.sleep(0.5)
+        assert leader.suspicions == [('a', 1)]
+        assert stream.stalls == 0
+        node.tell([replica('a', usable=False)])
+        assert (stream.stalls, waiting.stalls) == (1, 1)
+        running.cancel()
+
+    run(check)
+
+
+def test_streams_leave_without_a_leaders_word_in_the_end():
+    async def check():
+        node = Node(replica('a'))
+        watched = health.ReplicaHealth(node.faults, Leader(), node.view)
+        running = asyncio.get_running_loop().create_task(watched.run())
+        target = node.chooser.choose('models', 'big', ())
+        stream = Stream()
+        watched.begin(target, stream)
+        watched.note_event(target, stream)
+        await asyncio.sleep(health.LEAVE_MS / 1000 + 0.2)
+        assert stream.stalls == 1
+        assert node.choose() is None
+        running.cancel()
+
+    run(check)
+
+
+def test_a_caller_that_comes_back_is_known_by_its_shorter_deadline():
+    book = exchange.DeadlineBook()
+    assert not book.is_short('tell', 8000)
+    assert not book.is_short('tell', 7900)
+    assert book.is_short('tell', 6500)
