Explain a request's end from the logs of all processes

Cause: logs told decisions, but joining them by hand took the reader of eleven to fourteen files.

Logs may carry a collector's words before each line.

--- a/filbertglade/cli.py
+++ b/filbertglade/cli.py
@@ -217,6 +217,17 @@
     raise typer.Exit(command.run_standin(settings))
 
 
+@app.command()
+def explain(
+    request: typing.Annotated[str, typer.Argument(help="The request's id.")],
+    paths: typing.Annotated[list[pathlib.Path], typer.Argument(help='Logs.')],
+) -> None:
+    """Tell why a request ended as it did, from the logs of all processes."""
+    from filbertglade.commands import explain as command
+
+    raise typer.Exit(command.explain_request(request, paths))
+
+
 @app.command()
 def timeline(
     paths: typing.Annotated[list[pathlib.Path], typer.Argument(help='Logs.')],
--- a/filbertglade/observability/timeline.py
+++ b/filbertglade/observability/timeline.py
@@ -95,7 +95,8 @@
 
 def _read_event(line: str) -> Event | None:
     try:
-        data = json.loads(line)
+        # A collector may have put its own words before the line.
+        data = json.loads(line[max(0, line.find('{')) :])
         return Event(
             timestamp_s=float(data['timestamp']),
             node=str(data['node']),
