--- a/filbertglade/observability/explain.py
+++ b/filbertglade/observability/explain.py
@@ -36,7 +36,6 @@
     'leader.watched',
     'leader.unwatched',
     'leader.acting',
-    'strike.noted',
 )
 
 
