Split the care of groups and the life of a request into smaller modules

Change: beliefs, ordering, plan types and spares of replicas, context and heads of forwarding in modules of their own; changes of leadership one at a time.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -90,7 +90,7 @@
     @property
     def has_view(self) -> bool:
         """Whether the endpoints known here are enough to route by."""
-        return self.was_seeded or self._replicas.is_settled
+        return self.was_seeded or self._replicas.beliefs.is_settled
 
     def start_leading(self, was_seeded: bool) -> None:
         """Begin with a fresh view of the replicas.
@@ -231,11 +231,11 @@
         for watcher in self._watchers.values():
             for group, count in watcher.report.in_flight.items():
                 totals[group] = totals.get(group, 0) + count
-        self._replicas.in_flight = totals
+        self._replicas.beliefs.in_flight = totals
         version = self._version + 1
         changed = False
         standing = set()
-        for replica in self._replicas.list_replicas():
+        for replica in self._replicas.beliefs.list_replicas():
             standing.add(replica.group)
             line = self._lines.get(replica.group)
             if line is None or line.replica != replica:
@@ -299,14 +299,14 @@
                 frame.gone_replicas.append(group)
         progress.replicas = self._version
         for group in self._lines:
-            count = self._replicas.in_flight.get(group, 0)
+            count = self._replicas.beliefs.in_flight.get(group, 0)
             if progress.in_flight.get(group, 0) != count:
                 progress.in_flight[group] = count
                 frame.in_flight[group] = count
 
     def _find_unwanted_services(self, watcher: Watcher) -> abc.Container[str]:
         """Return the services whose endpoints a watcher needn't know."""
-        index = self._replicas.index
+        index = self._replicas.beliefs.index
         if not watcher.report.takes_callers or index is None:
             return ()
         return {service.name for service in index.model_services}
--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -204,13 +204,13 @@
                 self._change()
             elif age_ms > self._silence_ms:
                 self.mark_silent(key, 'no announcement')
-        for table in (self._ended_ms,):
-            for key in [
-                key
-                for key, at_ms in table.items()
-                if now_ms - at_ms > ENDED_KEPT_MS
-            ]:
-                del table[key]
+        for key in [
+            key
+            for key, at_ms in self._ended_ms.items()
+            if now_ms - at_ms > ENDED_KEPT_MS
+        ]:
+            del self._ended_ms[key]
+            self.gone.pop(key, None)
 
     def _put(self, endpoint: fleet_pb2.Endpoint) -> None:
         key = endpoints.get_key(endpoint)
--- /dev/null
+++ b/filbertglade/forwarding/context.py
@@ -0,0 +1,82 @@
+"""What all requests of a node share."""
+
+import random
+
+from filbertglade.fleet import dialects
+from filbertglade.fleet import view
+from filbertglade.fleet import watcher
+from filbertglade.forwarding import choice
+from filbertglade.forwarding import health
+from filbertglade.forwarding import quota
+from filbertglade.forwarding import upstream
+from filbertglade.observability import metrics
+
+# Part of a route's longest deadline below which a caller was sent away before.
+RETURNED_DEADLINE_SHARE = 0.95
+
+
+class DeadlineBook:
+    """The longest deadline that callers of each route have named.
+
+    A caller that comes back has less time left than at first.
+    """
+
+    def __init__(self) -> None:
+        self._longest_ms: dict[str, int] = {}
+
+    def is_short(self, route: str, deadline_ms: int) -> bool:
+        """Note a deadline; tell whether it is shorter than others.
+
+        :param route: the route's name.
+        :param deadline_ms: what the caller named.
+        """
+        longest_ms = max(self._longest_ms.get(route, 0), deadline_ms)
+        self._longest_ms[route] = longest_ms
+        return deadline_ms < RETURNED_DEADLINE_SHARE * longest_ms
+
+
+class ForwardingContext:
+    """What all requests of a node share.
+
+    :param dialect: names of headers.
+    :param seen: the node's view.
+    :param leader: the stream to the leader.
+    :param chooser: chooses targets.
+    :param loads: requests in flight.
+    :param faults: targets at fault.
+    :param progress: watches the replicas' progress.
+    :param pool: connections to endpoints.
+    :param retries: the node's part of the retries.
+    :param counters: the process's metrics.
+    :param rng: the process's random numbers.
+    :ivar deadlines: the longest deadline of each route.
+    :ivar is_stopping: whether the process is to end.
+    """
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        seen: view.FleetView,
+        leader: watcher.Watcher,
+        chooser: choice.Chooser,
+        loads: choice.LoadBook,
+        faults: choice.FaultBook,
+        progress: health.ReplicaHealth,
+        pool: upstream.UpstreamPool,
+        retries: quota.RetryQuota,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.dialect = dialect
+        self.view = seen
+        self.leader = leader
+        self.chooser = chooser
+        self.loads = loads
+        self.faults = faults
+        self.progress = progress
+        self.pool = pool
+        self.retries = retries
+        self.counters = counters
+        self.rng = rng
+        self.deadlines = DeadlineBook()
+        self.is_stopping = False
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -3,7 +3,6 @@
 import asyncio
 import enum
 import hashlib
-import random
 import typing
 
 from tornado import httputil
@@ -11,18 +10,16 @@
 
 from filbertglade import clock
 from filbertglade import failures
-from filbertglade.fleet import dialects
 from filbertglade.fleet import document
 from filbertglade.fleet import view
-from filbertglade.fleet import watcher
 from filbertglade.forwarding import choice
+from filbertglade.forwarding import context
 from filbertglade.forwarding import events
+from filbertglade.forwarding import heads
 from filbertglade.forwarding import health
-from filbertglade.forwarding import quota
 from filbertglade.forwarding import server
 from filbertglade.forwarding import upstream
 from filbertglade.observability import logs
-from filbertglade.observability import metrics
 
 log = logs.get_log(__name__)
 
@@ -44,8 +41,6 @@
 # The same for a stream that its caller has begun to read: broken off, what it
 # has cost is lost.
 RESUMED_SHARE = 2.0
-# Part of a route's longest deadline below which a caller was sent away before.
-RETURNED_DEADLINE_SHARE = 0.95
 # A request that may run once only goes on a connection used this lately.
 SAFE_REUSE_MS = 1500
 REUSE_MS = 60_000
@@ -75,88 +70,19 @@
 RETRYABLE = (Outcome.BROKEN, Outcome.CUT, Outcome.STALLED, Outcome.FAILED)
 
 
-class DeadlineBook:
-    """The longest deadline that callers of each route have named.
-
-    A caller that comes back has less time left than at first.
-    """
-
-    def __init__(self) -> None:
-        self._longest_ms: dict[str, int] = {}
-
-    def is_short(self, route: str, deadline_ms: int) -> bool:
-        """Note a deadline; tell whether it is shorter than others.
-
-        :param route: the route's name.
-        :param deadline_ms: what the caller named.
-        """
-        longest_ms = max(self._longest_ms.get(route, 0), deadline_ms)
-        self._longest_ms[route] = longest_ms
-        return deadline_ms < RETURNED_DEADLINE_SHARE * longest_ms
-
-
-class ForwardingContext:
-    """What all requests of a node share.
-
-    :param dialect: names of headers.
-    :param seen: the node's view.
-    :param leader: the stream to the leader.
-    :param chooser: chooses targets.
-    :param loads: requests in flight.
-    :param faults: targets at fault.
-    :param progress: watches the replicas' progress.
-    :param pool: connections to endpoints.
-    :param retries: the node's part of the retries.
-    :param counters: the process's metrics.
-    :param rng: the process's random numbers.
-    :ivar is_stopping: whether the process is to end.
-    :ivar last_answer_ms: local clock up to which answers may last while it
-        is stopping.
-    """
-
-    def __init__(
-        self,
-        dialect: dialects.Dialect,
-        seen: view.FleetView,
-        leader: watcher.Watcher,
-        chooser: choice.Chooser,
-        loads: choice.LoadBook,
-        faults: choice.FaultBook,
-        progress: health.ReplicaHealth,
-        pool: upstream.UpstreamPool,
-        retries: quota.RetryQuota,
-        counters: metrics.Metrics,
-        rng: random.Random,
-    ) -> None:
-        self.dialect = dialect
-        self.view = seen
-        self.leader = leader
-        self.chooser = chooser
-        self.loads = loads
-        self.faults = faults
-        self.progress = progress
-        self.pool = pool
-        self.retries = retries
-        self.counters = counters
-        self.rng = rng
-        self.deadlines = DeadlineBook()
-        self.is_stopping = False
-        self.last_answer_ms = 0
-
-
 class Exchange:
     """One request and its answer.
 
-    :param context: what all requests share.
+    :param shared: what all requests share.
     :param request: the request.
     """
 
     def __init__(
-        self, context: ForwardingContext, request: server.CallerRequest
+        self, shared: context.ForwardingContext, request: server.CallerRequest
     ) -> None:
-        self._context = context
+        self._context = shared
         self._request = request
-        self._request_id = request.headers.get(context.dialect.request_id, '')
+        self._request_id = request.headers.get(shared.dialect.request_id, '')
         self._deadline_ms = request.received_ms + DEADLINE_MS
         self._route: document.Route | None = None
         self._service = ''
@@ -164,7 +90,6 @@
         self._customer: document.Customer | None = None
         self._tried: list[str] = []
         self._sends = 0
-        self._rejections = 0
         self._splitter = events.EventSplitter()
         self._connection: upstream.Connection | None = None
         self._stalled = False
@@ -192,11 +117,11 @@
     # Routing
 
     async def _run(self) -> None:
-        context = self._context
-        context.leader.requests += 1
+        shared = self._context
+        shared.leader.requests += 1
         request = self._request
-        request.closes = context.is_stopping
-        index = context.view.index
+        request.closes = shared.is_stopping
+        index = shared.view.index
         if index is None:
             self._refuse(503, 'no document yet', STARTING_RETRY_S)
             return
@@ -217,11 +142,11 @@
             self._refuse(503, 'no such service or model', MENDING_RETRY_S)
             return
         self._digest = self._digest_request()
-        strikes = context.view.count_strikes(self._digest)
+        strikes = shared.view.count_strikes(self._digest)
         if strikes >= view.STRIKE_LIMIT:
             self._refuse(503, f'crashed {strikes} endpoints')
             return
-        context.retries.note_request(self._service)
+        shared.retries.note_request(self._service)
         await self._run_tries(route)
 
     def _identify(self, index: document.RoutingIndex) -> bool:
@@ -319,13 +244,13 @@
         return '' if load < places else f'{load} in flight'
 
     def _may_send_again(self) -> bool:
-        context = self._context
-        nodes = context.view.entry_nodes
-        allowed = context.retries.take(self._service, nodes)
+        shared = self._context
+        nodes = shared.view.entry_nodes
+        allowed = shared.retries.take(self._service, nodes)
         self._log(
             'request.retry',
             allowed=allowed,
-            quota_left=context.retries.count_left(self._service, nodes),
+            quota_left=shared.retries.count_left(self._service, nodes),
             entry_nodes=nodes,
             left_ms=self._left_ms(),
         )
@@ -363,12 +288,12 @@
         self, target: choice.Target, route: document.Route
     ) -> Outcome:
         """Send the request to one target and pass its answer on."""
-        context = self._context
+        shared = self._context
         connection = await self._connect(target, route)
         if isinstance(connection, failures.Failure):
-            context.faults.note(target, str(connection))
+            shared.faults.note(target, str(connection))
             if target.group:
-                context.leader.report_suspicion(
+                shared.leader.report_suspicion(
                     target.group, target.epoch, str(connection)
                 )
             return Outcome.UNREACHABLE
@@ -381,16 +306,16 @@
             endpoint=target.key,
             group=target.group,
             epoch=target.epoch,
-            load=context.chooser.measure_load(target),
-            view_age_ms=context.view.age_ms(),
-            document=context.view.version,
+            load=shared.chooser.measure_load(target),
+            view_age_ms=shared.view.age_ms(),
+            document=shared.view.version,
             reused=connection.is_reused,
             left_ms=self._left_ms(),
             resume_after=self._splitter.last_id,
         )
-        context.loads.begin(target)
+        shared.loads.begin(target)
         if target.group:
-            context.progress.begin(target, self)
+            shared.progress.begin(target, self)
         keep = False
         try:
             connection.send(self._build_head(target), self._request.body)
@@ -400,11 +325,11 @@
             outcome = Outcome.TIMED_OUT
         finally:
             if target.group:
-                context.progress.end(target, self)
-            context.loads.end(target)
+                shared.progress.end(target, self)
+            shared.loads.end(target)
             self._connection = None
             if keep:
-                context.pool.keep(connection)
+                shared.pool.keep(connection)
             else:
                 connection.close()
         if self._stalled and outcome in (Outcome.BROKEN, Outcome.CUT):
@@ -434,41 +359,15 @@
         self._connection.close()
 
     def _build_head(self, target: choice.Target) -> bytes:
-        """Return the request's head as the endpoint gets it."""
-        request, dialect = self._request, self._context.dialect
-        own = {
-            dialect.key.lower(),
-            dialect.customer.lower(),
-            dialect.target.lower(),
-            dialect.deadline.lower(),
-            'content-length',
-            'expect',
-        }
-        if self._splitter.last_id:
-            own.add(dialect.resume_after.lower())
-        named = {
-            name.strip().lower()
-            for name in request.headers.get('Connection', '').split(',')
-        }
-        lines = [f'{request.method} {request.target} HTTP/1.1']
-        for name, value in request.headers.get_all():
-            lower = name.lower()
-            if (
-                lower in own
-                or lower in upstream.CONNECTION_HEADERS
-                or lower in named
-            ):
-                continue
-            lines.append(f'{name}: {value}')
-        lines.append(f'{dialect.deadline}: {max(1, self._left_ms())}')
-        lines.append(f'{dialect.target}: {target.endpoint_id}')
-        if self._customer is not None:
-            lines.append(f'{dialect.customer}: {self._customer.name}')
-        if self._splitter.last_id:
-            lines.append(f'{dialect.resume_after}: {self._splitter.last_id}')
-        if request.body or request.method not in ('GET', 'HEAD', 'DELETE'):
-            lines.append(f'Content-Length: {len(request.body)}')
-        return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
+        customer = self._customer.name if self._customer else ''
+        return heads.build_request_head(
+            self._request,
+            self._context.dialect,
+            customer,
+            target.endpoint_id,
+            max(1, self._left_ms()),
+            self._splitter.last_id,
+        )
 
     # The answer
 
@@ -476,10 +375,10 @@
         self, target: choice.Target, route: document.Route
     ) -> tuple[Outcome, bool]:
         """Pass an answer on; return whether the connection may be kept."""
-        context, connection = self._context, self._connection
+        shared, connection = self._context, self._connection
         assert connection is not None
         head = await connection.read_head(
-            context.dialect.request_id, self._request_id, self._request.method
+            shared.dialect.request_id, self._request_id, self._request.method
         )
         if isinstance(head, failures.Failure):
             self._note_crash(target, connection, str(head))
@@ -488,10 +387,10 @@
             await _skip_body(connection, head)
             self._note_rejection(target, head)
             return Outcome.NOT_RUN, connection.may_be_kept(head)
-        context.faults.clear(target)
+        shared.faults.clear(target)
         if head.status >= 500 and self._may_go_on(Outcome.FAILED, route):
-            if context.retries.count_left(
-                self._service, context.view.entry_nodes
+            if shared.retries.count_left(
+                self._service, shared.view.entry_nodes
             ):
                 await _skip_body(connection, head)
                 return Outcome.FAILED, connection.may_be_kept(head)
@@ -517,10 +416,9 @@
     def _note_rejection(
         self, target: choice.Target, head: upstream.AnswerHead
     ) -> None:
-        context = self._context
-        self._rejections += 1
-        faulty = head.headers.get(context.dialect.faulty_endpoint, '')
-        load = head.headers.get(context.dialect.load, '')
+        shared = self._context
+        faulty = head.headers.get(shared.dialect.faulty_endpoint, '')
+        load = head.headers.get(shared.dialect.load, '')
         self._log(
             'request.rejected',
             endpoint=target.key,
@@ -529,9 +427,9 @@
             load=load,
         )
         if head.status == 421 or faulty:
-            context.faults.note(target, f'{head.status} {faulty}')
+            shared.faults.note(target, f'{head.status} {faulty}')
             if target.group:
-                context.leader.report_suspicion(
+                shared.leader.report_suspicion(
                     target.group, target.epoch, f'answered {head.status}'
                 )
 
@@ -544,16 +442,16 @@
         """Note that a connection broke under the request."""
         if self._stalled:
             return
-        context = self._context
+        shared = self._context
         self._log('answer.broken', endpoint=target.key, reason=detail)
-        context.pool.drop(target.key)
+        shared.pool.drop(target.key)
         if connection.is_reused and self._first_byte_ms is None:
             # The endpoint may just have closed an idle connection.
             return
         if target.group:
-            context.faults.note(target, detail)
-            context.leader.report_suspicion(target.group, target.epoch, detail)
-        context.leader.report_strike(self._digest, target.key)
+            shared.faults.note(target, detail)
+            shared.leader.report_suspicion(target.group, target.epoch, detail)
+        shared.leader.report_strike(self._digest, target.key)
 
     async def _pass_body(
         self, connection: upstream.Connection, head: upstream.AnswerHead
@@ -562,7 +460,7 @@
         chunks = [chunk async for chunk in connection.read_body(head)]
         self._first_byte_ms = clock.now_ms()
         body = b''.join(chunks)
-        headers = _strip_headers(head.headers)
+        headers = heads.strip_headers(head.headers)
         if head.length is None or self._request.method != 'HEAD':
             headers['Content-Length'] = str(len(body))
         await self._begin(head, headers)
@@ -577,7 +475,7 @@
     ) -> None:
         """Pass a stream's events on as they arrive, each of them whole."""
         if not self._request.is_answered:
-            headers = _strip_headers(head.headers)
+            headers = heads.strip_headers(head.headers)
             if self._route is not None and self._route.resumable:
                 # Another endpoint may go on with it.
                 headers.pop('Content-Length', None)
@@ -622,15 +520,15 @@
     def _note_answered(
         self, target: choice.Target, head: upstream.AnswerHead
     ) -> None:
-        context = self._context
+        shared = self._context
         now_ms = clock.now_ms()
         first_ms = (self._first_byte_ms or now_ms) - self._request.received_ms
-        context.counters.count(
+        shared.counters.count(
             'requests', service=self._service, status=str(head.status)
         )
-        context.counters.record_ms('first_byte', first_ms)
-        context.counters.record_ms('longest_pause', self._longest_pause_ms)
-        context.counters.record_ms(
+        shared.counters.record_ms('first_byte', first_ms)
+        shared.counters.record_ms('longest_pause', self._longest_pause_ms)
+        shared.counters.record_ms(
             'forwarding', now_ms - self._request.received_ms
         )
         self._log(
@@ -643,7 +541,7 @@
             events=self._splitter.count,
             longest_pause_ms=self._longest_pause_ms,
             sends=self._sends,
-            load=head.headers.get(context.dialect.load, ''),
+            load=head.headers.get(shared.dialect.load, ''),
         )
 
     def _refuse(
@@ -687,17 +585,3 @@
             pass
     except upstream.AnswerBroken:
         connection.close()
-
-
-def _strip_headers(headers: httputil.HTTPHeaders) -> httputil.HTTPHeaders:
-    """Return an answer's headers without those of the connection."""
-    named = {
-        name.strip().lower()
-        for name in headers.get('Connection', '').split(',')
-    }
-    kept = httputil.HTTPHeaders()
-    for name, value in headers.get_all():
-        lower = name.lower()
-        if lower not in upstream.CONNECTION_HEADERS and lower not in named:
-            kept.add(name, value)
-    return kept
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -132,6 +132,7 @@
             counters,
         )
         self._server: httpserver.HTTPServer | None = None
+        self._changing = asyncio.Lock()
         self._refreshing: asyncio.Task[None] | None = None
         self._agreed.add_listener(lambda command: self._read_document())
 
@@ -179,6 +180,12 @@
         self._tasks.start(self._follow_leadership(acting))
 
     async def _follow_leadership(self, acting: bool) -> None:
+        # One change at a time: a loss right after a win must end what the
+        # win began.
+        async with self._changing:
+            await self._follow(acting)
+
+    async def _follow(self, acting: bool) -> None:
         await self._replicas.close()
         if self._refreshing is not None:
             self._refreshing.cancel()
@@ -203,7 +210,7 @@
 
     def _read_document(self) -> None:
         current = self._agreed.document.current
-        index = self._replicas.index
+        index = self._replicas.beliefs.index
         if not current.version or (
             index is not None and index.document.version == current.version
         ):
@@ -216,7 +223,7 @@
                 problems=[str(problem) for problem in problems[:4]],
             )
             return
-        self._replicas.index = document.RoutingIndex(parsed)
+        self._replicas.beliefs.index = document.RoutingIndex(parsed)
 
     # Being taken in
 
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -12,6 +12,7 @@
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.forwarding import choice
+from filbertglade.forwarding import context
 from filbertglade.forwarding import exchange
 from filbertglade.forwarding import health
 from filbertglade.forwarding import quota
@@ -78,7 +79,7 @@
         progress = health.ReplicaHealth(faults, watching, seen)
         self._progress = progress
         self._pool = upstream.UpstreamPool(counters)
-        self._context = exchange.ForwardingContext(
+        self._context = context.ForwardingContext(
             dialect,
             seen,
             watching,
@@ -132,7 +133,6 @@
         began_ms = clock.now_ms()
         end_ms = began_ms + self._settings.grace_ms - END_MARGIN_MS
         self._context.is_stopping = True
-        self._context.last_answer_ms = end_ms
         log.change('entry.draining', in_flight=len(self._server.in_flight))
         while clock.now_ms() < end_ms:
             await asyncio.sleep(LOOK_MS / 1000)
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -5,10 +5,11 @@
 
 import collections
 from collections import abc
-import dataclasses
 
 from filbertglade.fleet import document
 from filbertglade.replicas import layout
+from filbertglade.replicas import plan_types
+from filbertglade.replicas import spares
 
 # Part of a domain's hosts that new groups leave free at first, so that a
 # lost member finds a spare; the losses of a minute are about a fifth.
@@ -27,170 +28,23 @@
 NEED_GAP = 0.2
 
 
-@dataclasses.dataclass(slots=True)
-class Host:
-    """An endpoint that planning may count on.
-
-    :param key: its life.
-    :param domain: its fabric domain.
-    :param staged: models on its host.
-    :param staging_model: the model that it was ordered to stage; empty if
-        none is under way.
-    :param spare_model: the model of the group of one that it is in; empty
-        if it is in none.
-    :param is_warm: whether it has joined that group.
-    """
-
-    key: str
-    domain: str
-    staged: frozenset[str] = frozenset()
-    staging_model: str = ''
-    spare_model: str = ''
-    is_warm: bool = False
-
-    def rank(self, model: str) -> int:
-        """Return how fast it joins a group of a model; less is faster.
-
-        :param model: the model.
-        """
-        if model not in self.staged:
-            return 2
-        return 0 if self.is_warm and self.spare_model == model else 1
-
-
-@dataclasses.dataclass(slots=True)
-class Group:
-    """A group as it was formed, and who of it is there.
-
-    :param name: its name.
-    :param epoch: its epoch.
-    :param model: its model.
-    :param domain: its fabric domain.
-    :param members: lives of its endpoints, the head first.
-    :param present: those that are there and stay.
-    :param is_broken: whether the head says that it broke.
-    :param in_flight: requests in flight on it.
-    :param far: its present members in other domains.
-    """
-
-    name: str
-    epoch: int
-    model: str
-    domain: str
-    members: tuple[str, ...]
-    present: tuple[str, ...]
-    is_broken: bool = False
-    in_flight: int = 0
-    far: frozenset[str] = frozenset()
-
-    @property
-    def has_head(self) -> bool:
-        """Whether the head is there."""
-        return self.members[0] in self.present
-
-    @property
-    def is_whole(self) -> bool:
-        """Whether every member is there."""
-        return len(self.present) == len(self.members)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FormGroup:
-    """Form a group, or form it anew.
-
-    :param model: its model.
-    :param domain: its fabric domain.
-    :param members: lives of its endpoints, the head first.
-    :param group: the present group's name; empty for a new one.
-    :param epoch: the present group's epoch; 0 for a new one.
-    :param reason: for the log.
-    """
-
-    model: str
-    domain: str
-    members: tuple[str, ...]
-    group: str = ''
-    epoch: int = 0
-    reason: str = ''
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReleaseGroup:
-    """End a group, so that its members may join others.
-
-    :param group: its name.
-    :param epoch: its epoch.
-    :param reason: for the log.
-    """
-
-    group: str
-    epoch: int
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageModel:
-    """Load a model onto a spare's host.
-
-    :param key: the spare's life.
-    :param model: the model.
-    """
-
-    key: str
-    model: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WarmSpare:
-    """Let a spare join a group of one that is never opened.
-
-    :param key: the spare's life.
-    :param model: the model, which its host holds.
-    :param domain: its fabric domain.
-    """
-
-    key: str
-    model: str
-    domain: str
-
-
-Action = FormGroup | ReleaseGroup | StageModel | WarmSpare
-
-
-@dataclasses.dataclass(slots=True)
-class Situation:
-    """What a plan goes by.
-
-    :param models: the service's models.
-    :param slots: requests that a group runs at once.
-    :param groups: the groups.
-    :param free: endpoints that may join any group now.
-    :param has_traffic: whether callers have come yet; before, loads are
-        free.
-    """
-
-    models: list[document.ModelShape]
-    slots: int
-    groups: list[Group]
-    free: list[Host]
-    has_traffic: bool
-
-
 class Planner:
     """Makes one plan.
 
     :param situation: what it goes by.
     """
 
-    def __init__(self, situation: Situation) -> None:
+    def __init__(self, situation: plan_types.Situation) -> None:
         self._situation = situation
         self._shapes = {shape.name: shape for shape in situation.models}
-        self._free: dict[str, list[Host]] = collections.defaultdict(list)
+        self._free: dict[str, list[plan_types.Host]] = collections.defaultdict(
+            list
+        )
         for host in situation.free:
             self._free[host.domain].append(host)
-        self._actions: list[Action] = []
+        self._actions: list[plan_types.Action] = []
 
-    def plan(self) -> list[Action]:
+    def plan(self) -> list[plan_types.Action]:
         """Return what to do now, the most urgent first."""
         self._release_unknown()
         waiting = self._mend()
@@ -212,12 +66,14 @@
             if shape is None or shape.size != len(group.members):
                 self._release(group, 'the document names no such model')
 
-    def _release(self, group: Group, reason: str) -> None:
-        self._actions.append(ReleaseGroup(group.name, group.epoch, reason))
+    def _release(self, group: plan_types.Group, reason: str) -> None:
+        self._actions.append(
+            plan_types.ReleaseGroup(group.name, group.epoch, reason)
+        )
 
     # Mending
 
-    def _mend(self) -> list[Group]:
+    def _mend(self) -> list[plan_types.Group]:
         """Replace lost members; return the groups that must wait."""
         waiting = []
         broken = [
@@ -237,9 +93,11 @@
                 self._form_anew(group, spares, 'mended')
         return waiting
 
-    def _form_anew(self, group: Group, spares: list[str], reason: str) -> None:
+    def _form_anew(
+        self, group: plan_types.Group, spares: list[str], reason: str
+    ) -> None:
         self._actions.append(
-            FormGroup(
+            plan_types.FormGroup(
                 group.model,
                 group.domain,
                 (*group.present, *spares),
@@ -249,7 +107,9 @@
             )
         )
 
-    def _mend_across(self, waiting: list[Group]) -> list[Group]:
+    def _mend_across(
+        self, waiting: list[plan_types.Group]
+    ) -> list[plan_types.Group]:
         """Mend with other domains' spares; slow, but better than nothing.
 
         Only where a model has few groups left: a domain's last spare is
@@ -269,7 +129,9 @@
             )
         return left
 
-    def _find_foreign(self, group: Group, count: int) -> list[Host]:
+    def _find_foreign(
+        self, group: plan_types.Group, count: int
+    ) -> list[plan_types.Host]:
         """Return staged spares of any domain, the roomiest domains' first."""
         own = [
             host
@@ -291,7 +153,7 @@
         )
         return (own + others)[:count]
 
-    def _count_missing(self, group: Group) -> int:
+    def _count_missing(self, group: plan_types.Group) -> int:
         return len(group.members) - len(group.present)
 
     def _take_staged(
@@ -307,9 +169,9 @@
             self._free[domain].remove(host)
         return [host.key for host in taken]
 
-    def _merge(self, waiting: list[Group]) -> None:
+    def _merge(self, waiting: list[plan_types.Group]) -> None:
         """Give groups up whose members can mend others of their model."""
-        by_model: dict[str, list[Group]] = {}
+        by_model: dict[str, list[plan_types.Group]] = {}
         for group in waiting:
             by_model.setdefault(group.model, []).append(group)
         for model, groups in by_model.items():
@@ -317,7 +179,9 @@
             if donor is not None:
                 self._release(donor, 'its members mend another')
 
-    def _find_donor(self, model: str, groups: list[Group]) -> Group | None:
+    def _find_donor(
+        self, model: str, groups: list[plan_types.Group]
+    ) -> plan_types.Group | None:
         """Return the group that helps others most by its end."""
         # Whose head is there frees its members at once; a silent head must
         # first be known to stand still no more.
@@ -358,7 +222,7 @@
             for host in taken:
                 self._free[group.domain].remove(host)
             self._actions.append(
-                FormGroup(
+                plan_types.FormGroup(
                     group.model,
                     group.domain,
                     (*near, *(host.key for host in taken)),
@@ -400,7 +264,9 @@
         members = tuple(host.key for host in hosts[: shape.size])
         del hosts[: shape.size]
         self._actions.append(
-            FormGroup(shape.name, domain, members, reason='first layout')
+            plan_types.FormGroup(
+                shape.name, domain, members, reason='first layout'
+            )
         )
 
     def _add_groups(self) -> None:
@@ -430,7 +296,7 @@
         need: float,
     ) -> None:
         self._actions.append(
-            FormGroup(
+            plan_types.FormGroup(
                 shape.name, domain, tuple(members), reason=f'need {need:.2f}'
             )
         )
@@ -443,7 +309,7 @@
         }
         if sum(map(len, fitting.values())) <= shape.size:
             return
-        taken: list[Host] = []
+        taken: list[plan_types.Host] = []
         for domain in sorted(fitting, key=lambda name: -len(fitting[name])):
             taken += fitting[domain][: shape.size - len(taken)]
         for host in taken:
@@ -472,12 +338,12 @@
 
     # Staging
 
-    def _stage(self, waiting: abc.Sequence[Group]) -> None:
+    def _stage(self, waiting: abc.Sequence[plan_types.Group]) -> None:
         """Let spares stage what is lacking most, near before far."""
         if not self._situation.models:
             return
-        book = _SpareBook(self._free, waiting)
-        wanted: list[tuple[tuple[float, ...], StageModel]] = []
+        book = spares.SpareBook(self._free, waiting)
+        wanted: list[tuple[tuple[float, ...], plan_types.StageModel]] = []
         for domain, hosts in self._free.items():
             for host in hosts:
                 if host.staging_model:
@@ -486,13 +352,15 @@
                 if model and model not in host.staged:
                     worth = self._measure_worth(domain, model, book)
                     book.move(domain, host, model)
-                    wanted.append((worth, StageModel(host.key, model)))
+                    wanted.append(
+                        (worth, plan_types.StageModel(host.key, model))
+                    )
         # The store loads a few models at a time: the best use comes first.
         wanted.sort(key=lambda item: item[0], reverse=True)
         self._actions += [action for _, action in wanted]
 
     def _measure_worth(
-        self, domain: str, model: str, book: '_SpareBook'
+        self, domain: str, model: str, book: spares.SpareBook
     ) -> tuple[float, ...]:
         """Return what one more spare of a model is worth in a domain."""
         shape = self._shapes[model]
@@ -505,7 +373,7 @@
         )
 
     def _choose_model(
-        self, domain: str, host: Host, book: '_SpareBook'
+        self, domain: str, host: plan_types.Host, book: spares.SpareBook
     ) -> str:
         """Return what a spare should hold; empty if what it holds is fine."""
         held = next((name for name in self._shapes if name in host.staged), '')
@@ -535,73 +403,5 @@
                 ]
                 if fitting and host.spare_model not in fitting:
                     self._actions.append(
-                        WarmSpare(host.key, fitting[0], domain)
+                        plan_types.WarmSpare(host.key, fitting[0], domain)
                     )
-
-
-class _SpareBook:
-    """Spares and missing members, by domain and model.
-
-    :param free: the spares by domain.
-    :param waiting: groups that lack members.
-    """
-
-    def __init__(
-        self, free: abc.Mapping[str, list[Host]], waiting: abc.Sequence[Group]
-    ) -> None:
-        self._held: collections.Counter[tuple[str, str]] = (
-            collections.Counter()
-        )
-        self._lacking: collections.Counter[tuple[str, str]] = (
-            collections.Counter()
-        )
-        for domain, hosts in free.items():
-            for host in hosts:
-                for model in host.staged | {host.staging_model}:
-                    self._held[domain, model] += 1
-        for group in waiting:
-            missing = len(group.members) - len(group.present)
-            self._lacking[group.domain, group.model] += missing
-
-    def count_held(self, domain: str, model: str) -> int:
-        """Return a domain's spares that hold a model, or soon will.
-
-        :param domain: the domain.
-        :param model: the model.
-        """
-        return self._held[domain, model]
-
-    def count_short(self, domain: str, model: str) -> int:
-        """Return how many spares a domain lacks for its own groups.
-
-        :param domain: the domain.
-        :param model: the model.
-        """
-        place = (domain, model)
-        return max(0, self._lacking[place] - self._held[place])
-
-    def count_left(self, model: str) -> int:
-        """Return the spares of all domains beyond what is missing.
-
-        :param model: the model.
-        """
-        held = sum(
-            count for (_, name), count in self._held.items() if name == model
-        )
-        lacking = sum(
-            count
-            for (_, name), count in self._lacking.items()
-            if name == model
-        )
-        return held - lacking
-
-    def move(self, domain: str, host: Host, model: str) -> None:
-        """Count a spare under the model that it is to hold.
-
-        :param domain: its domain.
-        :param host: the spare.
-        :param model: the model.
-        """
-        for name in host.staged:
-            self._held[domain, name] -= 1
-        self._held[domain, model] += 1
--- /dev/null
+++ b/filbertglade/replicas/spares.py
@@ -0,0 +1,76 @@
+"""Spares and what groups lack, by domain and model."""
+
+import collections
+from collections import abc
+
+from filbertglade.replicas import plan_types
+
+
+class SpareBook:
+    """Spares and missing members, by domain and model.
+
+    :param free: the spares by domain.
+    :param waiting: groups that lack members.
+    """
+
+    def __init__(
+        self,
+        free: abc.Mapping[str, list[plan_types.Host]],
+        waiting: abc.Sequence[plan_types.Group],
+    ) -> None:
+        self._held: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._lacking: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        for domain, hosts in free.items():
+            for host in hosts:
+                for model in host.staged | {host.staging_model}:
+                    self._held[domain, model] += 1
+        for group in waiting:
+            missing = len(group.members) - len(group.present)
+            self._lacking[group.domain, group.model] += missing
+
+    def count_held(self, domain: str, model: str) -> int:
+        """Return a domain's spares that hold a model, or soon will.
+
+        :param domain: the domain.
+        :param model: the model.
+        """
+        return self._held[domain, model]
+
+    def count_short(self, domain: str, model: str) -> int:
+        """Return how many spares a domain lacks for its own groups.
+
+        :param domain: the domain.
+        :param model: the model.
+        """
+        place = (domain, model)
+        return max(0, self._lacking[place] - self._held[place])
+
+    def count_left(self, model: str) -> int:
+        """Return the spares of all domains beyond what is missing.
+
+        :param model: the model.
+        """
+        held = sum(
+            count for (_, name), count in self._held.items() if name == model
+        )
+        lacking = sum(
+            count
+            for (_, name), count in self._lacking.items()
+            if name == model
+        )
+        return held - lacking
+
+    def move(self, domain: str, host: plan_types.Host, model: str) -> None:
+        """Count a spare under the model that it is to hold.
+
+        :param domain: its domain.
+        :param host: the spare.
+        :param model: the model.
+        """
+        for name in host.staged:
+            self._held[domain, name] -= 1
+        self._held[domain, model] += 1
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from filbertglade import failures
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import registry
-from filbertglade import failures
 from filbertglade.inner import fleet_pb2
 from tests import virtual_time
 
--- a/tests/gateway_forwarding/test_load.py
+++ b/tests/gateway_forwarding/test_load.py
@@ -6,8 +6,8 @@
 
 from filbertglade.fleet import view
 from filbertglade.forwarding import choice
+from filbertglade.forwarding import context
 from filbertglade.forwarding import events
-from filbertglade.forwarding import exchange
 from filbertglade.forwarding import health
 from filbertglade.forwarding import quota
 from filbertglade.inner import fleet_pb2
@@ -238,7 +238,7 @@
 
 
 def test_a_caller_that_comes_back_is_known_by_its_shorter_deadline():
-    book = exchange.DeadlineBook()
+    book = context.DeadlineBook()
     assert not book.is_short('tell', 8000)
     assert not book.is_short('tell', 7900)
     assert book.is_short('tell', 6500)
--- a/tests/replicas/test_planning.py
+++ b/tests/replicas/test_planning.py
@@ -3,6 +3,7 @@
 import pytest
 
 from filbertglade.fleet import document
+from filbertglade.replicas import plan_types
 from filbertglade.replicas import planning
 
 BIG = document.ModelShape('big', size=4)
@@ -11,7 +12,7 @@
 
 def spare(key, domain='d1', model='small', is_warm=True):
     staged = frozenset([model] if model else [])
-    return planning.Host(
+    return plan_types.Host(
         key,
         domain,
         staged,
@@ -22,13 +23,13 @@
 
 def group(name, members, lost=(), model='small', domain='d1', **fields):
     present = tuple(key for key in members if key not in lost)
-    return planning.Group(
+    return plan_types.Group(
         name, 7, model, domain, tuple(members), present, **fields
     )
 
 
 def plan(groups=(), free=(), has_traffic=True):
-    situation = planning.Situation(
+    situation = plan_types.Situation(
         [BIG, SMALL], 13, list(groups), list(free), has_traffic
     )
     return planning.Planner(situation).plan()
@@ -43,27 +44,27 @@
         [group('g', 'abc', lost='b')],
         [spare('x', is_warm=False), spare('y'), spare('z', model='big')],
     )
-    formed = pick(actions, planning.FormGroup)[0]
+    formed = pick(actions, plan_types.FormGroup)[0]
     assert (formed.group, formed.epoch) == ('g', 7)
     assert formed.members == ('a', 'c', 'y')
 
 
 def test_a_lost_head_gives_its_place_to_the_next_member():
     actions = plan([group('g', 'abc', lost='a')], [spare('y')])
-    assert pick(actions, planning.FormGroup)[0].members == ('b', 'c', 'y')
+    assert pick(actions, plan_types.FormGroup)[0].members == ('b', 'c', 'y')
 
 
 def test_a_spare_that_lacks_the_model_never_mends():
     actions = plan([group('g', 'abc', lost='b')], [spare('y', model='big')])
-    assert not pick(actions, planning.FormGroup)
+    assert not pick(actions, plan_types.FormGroup)
 
 
 def test_a_spare_of_another_domain_mends_only_without_a_near_one():
     far = spare('f', domain='d2')
     near = plan([group('g', 'abc', lost='b')], [far, spare('n')])
-    assert pick(near, planning.FormGroup)[0].members == ('a', 'c', 'n')
+    assert pick(near, plan_types.FormGroup)[0].members == ('a', 'c', 'n')
     across = plan([group('g', 'abc', lost='b')], [far])
-    assert pick(across, planning.FormGroup)[0].members == ('a', 'c', 'f')
+    assert pick(across, plan_types.FormGroup)[0].members == ('a', 'c', 'f')
 
 
 def test_two_broken_groups_of_a_model_make_one():
@@ -74,19 +75,19 @@
             group('h', 'def', lost='e', domain='d2'),
         ]
     )
-    assert len(pick(actions, planning.ReleaseGroup)) == 1
+    assert len(pick(actions, plan_types.ReleaseGroup)) == 1
 
 
 def test_the_group_whose_head_is_there_is_given_up_for_the_other():
     """A silent head must first stand still no more: 5.5 s."""
     actions = plan([group('g', 'abc', lost='a'), group('h', 'def', lost='e')])
-    released = pick(actions, planning.ReleaseGroup)
+    released = pick(actions, plan_types.ReleaseGroup)
     assert [action.group for action in released] == ['h']
 
 
 def test_a_group_without_survivors_is_given_up():
     actions = plan([group('g', 'abc', lost='abc')])
-    assert pick(actions, planning.ReleaseGroup)[0].group == 'g'
+    assert pick(actions, plan_types.ReleaseGroup)[0].group == 'g'
 
 
 def test_nothing_is_planned_for_whole_groups():
@@ -100,12 +101,12 @@
         for place in range(9)
     ]
     actions = plan(free=free, has_traffic=False)
-    formed = pick(actions, planning.FormGroup)
+    formed = pick(actions, plan_types.FormGroup)
     by_model = [action.model for action in formed]
     assert (by_model.count('big'), by_model.count('small')) == (6, 7)
     for action in formed:
         assert len({key[:2] for key in action.members}) == 1
-    staged = [action.model for action in pick(actions, planning.StageModel)]
+    staged = [action.model for action in pick(actions, plan_types.StageModel)]
     assert len(staged) == 9
     assert abs(staged.count('big') - staged.count('small')) <= 1
 
@@ -115,8 +116,8 @@
         [group('g', 'abcd', lost='b', model='big')],
         [spare('n', model='', is_warm=False)],
     )
-    staged = pick(actions, planning.StageModel)
-    assert staged == [planning.StageModel('n', 'big')]
+    staged = pick(actions, plan_types.StageModel)
+    assert staged == [plan_types.StageModel('n', 'big')]
 
 
 def test_the_last_spare_of_a_model_is_not_staged_anew():
@@ -124,7 +125,7 @@
         [group('g', 'abcd', lost='b', model='big')],
         [spare('s', is_warm=True)],
     )
-    assert not pick(actions, planning.StageModel)
+    assert not pick(actions, plan_types.StageModel)
 
 
 def test_surplus_spares_are_staged_for_the_model_that_lacks_them():
@@ -136,7 +137,7 @@
         group('k', 'xyz', domain='d4'),
     ]
     actions = plan(groups, free)
-    assert pick(actions, planning.StageModel)[0].model == 'big'
+    assert pick(actions, plan_types.StageModel)[0].model == 'big'
 
 
 @pytest.mark.parametrize(('in_flight', 'formed'), [(5, 0), (12, 1)])
@@ -152,29 +153,29 @@
         spare('z', 'd3'),
         spare('w', 'd4'),
     ]
-    assert len(pick(plan(groups, free), planning.FormGroup)) == formed
+    assert len(pick(plan(groups, free), plan_types.FormGroup)) == formed
 
 
 def test_a_group_that_spans_domains_is_gathered_once_spares_suffice():
     wide = group('g', 'abf', far=frozenset('f'))
     actions = plan([wide], [spare('n')])
-    assert pick(actions, planning.FormGroup)[0].members == ('a', 'b', 'n')
+    assert pick(actions, plan_types.FormGroup)[0].members == ('a', 'b', 'n')
 
 
 def test_a_spare_joins_a_group_of_one_with_what_its_host_holds():
     actions = plan(
         [group('g', 'abc')], [spare('s', is_warm=False, model='big')]
     )
-    assert actions == [planning.WarmSpare('s', 'big', 'd1')]
+    assert actions == [plan_types.WarmSpare('s', 'big', 'd1')]
 
 
 def test_groups_of_a_model_that_is_named_no_more_are_given_up():
     actions = plan([group('g', 'abc', model='gone')])
-    assert pick(actions, planning.ReleaseGroup)[0].group == 'g'
+    assert pick(actions, plan_types.ReleaseGroup)[0].group == 'g'
 
 
 def test_a_model_without_any_group_takes_all_spares_it_needs():
     """Pattern: endpoints that start once callers have come already."""
     free = [spare('x'), spare('y'), spare('z')]
-    formed = pick(plan(free=free), planning.FormGroup)
+    formed = pick(plan(free=free), plan_types.FormGroup)
     assert [sorted(action.members) for action in formed] == [['x', 'y', 'z']]
