--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -30,14 +30,14 @@
 CONNECT_TRIES = 3
 # Time after which a caller should come back, in s: a group is mended in one
 # to two seconds, and a place is free again within a fraction of one.
-MENDING_RETRY_S = 1.5
-BUSY_RETRY_S = 1.5
+MENDING_RETRY_S = 1.2
+BUSY_RETRY_S = 1.0
 STARTING_RETRY_S = 0.5
 # Requests in flight up to which a replica takes one that has just come, and
 # one whose caller was sent away before, as a part of its places. Beyond all
 # places each waits for the end of another, and is late.
 FIRST_SHARE = 1.15
-RETURNED_SHARE = 1.5
+RETURNED_SHARE = 1.35
 # The same for a stream that its caller has begun to read: broken off, what it
 # has cost is lost.
 RESUMED_SHARE = 2.0
