--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -56,7 +56,7 @@
     UNREACHABLE = 'unreachable'
     # The endpoint says that it did not run the request.
     NOT_RUN = 'not-run'
-    # It ran and failed; the answer can still be passed on.
+    # It ran and failed, and may be sent again.
     FAILED = 'failed'
     # It may have run; nothing was passed on.
     BROKEN = 'broken'
