Trace what failed once beside a busy machine

Nine were tests/test_session.py putting a document to a node that did not listen yet: the fixture waited for a leader only. One, test_late_answers_reach_their_own_callers, is not traced.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -6,12 +6,12 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import time
 
 import httpx
 
+from tests import cluster
 from tests.fleet import documents
 
 KEY = 'key-1'
@@ -19,18 +19,6 @@
 READY_S = 40
 
 
-def find_ports(count):
-    """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(('127.0.0.1', 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
-
-
 class Process:
     """One gateway process and its log."""
 
@@ -43,7 +31,7 @@
             f'dialect = "platform"\nname = "{name}"\nregion = "r"\n'
             f'data_centre = "north"\ngrace_ms = 4000\n'
             f'[listen]\n{role_lines}\n[control]\n{control_lines}\n'
-            '[endpoints]\nannounce_ms = 400\nstall_ms = 1000\n'
+            '[endpoints]\nannounce_ms = 1200\nstall_ms = 1000\n'
         )
         self.process = None
 
@@ -81,7 +69,7 @@
     """Three control hosts' worth of code in one, and two entry hosts."""
 
     def __init__(self, folder):
-        ports = find_ports(6)
+        ports = cluster.find_free_ports(6)
         self.control_url = f'http://127.0.0.1:{ports[1]}'
         self.front_ports = [ports[2], ports[4]]
         control = (
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -66,6 +66,14 @@
     """Watches during every test of this module."""
 
 
+def _listens(node):
+    try:
+        httpx.get(f'{node.administration_url}/v1/config')
+    except httpx.TransportError:
+        return False
+    return True
+
+
 @pytest.fixture(scope='module')
 def running(tmp_path_factory):
     cluster = clusters.Cluster(tmp_path_factory.mktemp('cluster'))
@@ -78,6 +86,7 @@
     try:
         clusters.wait_until(cluster.find_leader, 'a leader')
         node = cluster.nodes[4]
+        clusters.wait_until(lambda: _listens(node), 'the node to listen')
         answer = httpx.put(
             f'{node.administration_url}/v1/config', json=build_document()
         )
