Elect early after a restart of all, know heads' addresses

Cause: after a loss of power of all processes voters waited 0.9 to 1.4 s until leases surely had run out, and the new leader 1.2 s more until each member of each group had announced itself; callers that came back after 0.5 s were sent away for good. Ruled out: shorter election time-outs (false elections on slow machines), keeping promises on disk (a sync for each heartbeat).

Change: a voter that has heard no leader since its start stands at once if every other voter's process says the same and none leads; voters that have heard one refuse it. Groups in the log know their head's address, and until it has had time to hear them a new leader takes them for whole; a head that doesn't serve the epoch refuses by itself. Callers are sent away for 0.8 s while a node starts.

--- a/filbertglade/control/election.py
+++ b/filbertglade/control/election.py
@@ -14,6 +14,10 @@
 from filbertglade.settings import model
 
 GRANTED = 1
+# Pauses between two looks whether every voter has just started, in ms: drawn
+# at random, so that two voters seldom stand at once; the longest is a third
+# of the shortest wait without it.
+EARLY_LOOK_MS = (40, 200)
 
 log = logs.get_log(__name__)
 
@@ -39,17 +43,22 @@
         while True:
             wait_ms = voter.election_wait_ms()
             if wait_ms > 0:
-                await asyncio.sleep(wait_ms / 1000)
+                if voter.is_unled:
+                    look_ms = voter.rng.randrange(*EARLY_LOOK_MS)
+                    await asyncio.sleep(min(wait_ms, look_ms) / 1000)
+                    await self._stand_early()
+                else:
+                    await asyncio.sleep(wait_ms / 1000)
                 continue
             voter.put_off_election()
             if self._may_stand():
                 await self._stand()
 
-    def _may_stand(self, handed_over: bool = False) -> bool:
+    def _may_stand(self, needs_quiet: bool = True) -> bool:
         voter = self._voter
         return (
             voter.role is member.Role.FOLLOWER
-            and (handed_over or not voter.heard_leader_lately())
+            and not (needs_quiet and voter.heard_leader_lately())
             and voter.quorum().counts_at_last(voter.name, voter.answer(0))
         )
 
@@ -58,6 +67,21 @@
         if await self._ask_voters(term, pre_vote=True):
             await self._campaign(term)
 
+    async def _stand_early(self) -> None:
+        """Stand before leases run out, if all voters have just started.
+
+        A lease is held by a process that leads. Once each voter's process
+        says that it doesn't lead, none is left; one that is elected
+        meanwhile needs the votes of a majority, and of those that have heard
+        it none votes for a candidate that stands early.
+        """
+        if not self._may_stand(needs_quiet=False):
+            return
+        voter = self._voter
+        term = voter.term + 1
+        if await self._ask_voters(term, pre_vote=True, is_early=True):
+            await self._campaign(term, is_early=True)
+
     async def take_over(self, request: agreement_pb2.HandOverRequest) -> bool:
         """Stand for election at once, since the leader has resigned.
 
@@ -70,19 +94,30 @@
         voter.counters.count('agreement_hand_overs')
         return await self._campaign(request.term + 1, handed_over=True)
 
-    async def _campaign(self, term: int, handed_over: bool = False) -> bool:
+    async def _campaign(
+        self, term: int, handed_over: bool = False, is_early: bool = False
+    ) -> bool:
         """Ask for votes in a new term; return whether it was won."""
         voter = self._voter
         async with voter.mutex:
-            if voter.term + 1 != term or not self._may_stand(handed_over):
+            if is_early and not voter.is_unled:
+                return False
+            if voter.term + 1 != term or not self._may_stand(
+                needs_quiet=not (handed_over or is_early)
+            ):
                 return False
             voter.leader = ''
             voter.set_candidate(True)
             if not await voter.save_vote(store.Vote(term, voter.name)):
                 return False
         voter.counters.count('agreement_elections')
-        log.change('election.started', term=term, handed_over=handed_over)
-        won = await self._ask_voters(term, False, handed_over)
+        log.change(
+            'election.started',
+            term=term,
+            handed_over=handed_over,
+            early=is_early,
+        )
+        won = await self._ask_voters(term, False, handed_over, is_early)
         async with voter.mutex:
             if voter.term != term or voter.role is not member.Role.CANDIDATE:
                 return False
@@ -96,9 +131,16 @@
             return True
 
     async def _ask_voters(
-        self, term: int, pre_vote: bool, handed_over: bool = False
+        self,
+        term: int,
+        pre_vote: bool,
+        handed_over: bool = False,
+        is_early: bool = False,
     ) -> bool:
-        """Ask every voter at once, until a quorum has granted."""
+        """Ask every voter at once, until a quorum has granted.
+
+        An early candidate first needs a word of every voter.
+        """
         voter = self._voter
         request = agreement_pb2.VoteRequest(
             term=term,
@@ -108,14 +150,19 @@
             last_term=voter.journal.last_term,
             pre_vote=pre_vote,
             handed_over=handed_over,
+            unled=is_early,
         )
         votes = {voter.name: voter.answer(GRANTED)}
+        unled: set[str] = set()
+        peers = voter.peers
         asked = {
-            voter.tasks.start(self._ask(host, request, votes))
-            for host in voter.peers
+            voter.tasks.start(self._ask(host, request, votes, unled))
+            for host in peers
         }
         try:
-            while voter.quorum().find_reached(votes) < GRANTED:
+            while voter.quorum().find_reached(votes) < GRANTED or (
+                is_early and pre_vote and len(unled) < len(peers)
+            ):
                 if not asked:
                     return False
                 _, asked = await asyncio.wait(
@@ -131,6 +178,7 @@
         host: model.ControlHostSettings,
         request: agreement_pb2.VoteRequest,
         votes: dict[str, quorum.Answer],
+        unled: set[str],
     ) -> None:
         voter = self._voter
         channel = voter.channel_factory.open_channel(host.address)
@@ -144,6 +192,8 @@
             return
         finally:
             channel.close()
+        if reply.unled:
+            unled.add(host.name)
         if reply.granted:
             votes[host.name] = quorum.Answer(
                 reply.incarnation, reply.founding, GRANTED
@@ -172,6 +222,7 @@
             incarnation=voter.identity.incarnation,
             founding=voter.identity.founding,
             reason=refusal,
+            unled=voter.is_unled,
         )
 
     def _find_refusal(self, request: agreement_pb2.VoteRequest) -> str:
@@ -184,7 +235,10 @@
             return 'leads'
         # A leader heard in an earlier term has resigned by the hand-over, or
         # lost its lease before the one that resigned was elected.
-        needs_quiet = not (request.handed_over and request.term > voter.term)
+        needs_quiet = not (
+            (request.handed_over and request.term > voter.term)
+            or (request.unled and voter.is_unled)
+        )
         if leading is None and needs_quiet and voter.heard_leader_lately():
             return 'heard a leader lately'
         if request.term < voter.term:
--- a/filbertglade/control/member.py
+++ b/filbertglade/control/member.py
@@ -195,6 +195,11 @@
         quiet_ms = clock.now_ms() - self._quiet_since_ms
         return quiet_ms < self.settings.control.election_ms
 
+    @property
+    def is_unled(self) -> bool:
+        """Whether this process neither leads nor has ever heard a leader."""
+        return self.heard_ms is None and self.leadership is None
+
     def hear_leader(self, leader: str, log_clock_ms: int) -> None:
         """Note that the leader of the present term was heard.
 
--- a/filbertglade/fleet/endpoints.py
+++ b/filbertglade/fleet/endpoints.py
@@ -118,6 +118,15 @@
     return key.rpartition('@')[0]
 
 
+def split_key(key: str) -> tuple[str, int]:
+    """Return the id and the birth in the name of a life.
+
+    :param key: what :func:`make_key` gave.
+    """
+    endpoint_id, _, born_ms = key.rpartition('@')
+    return endpoint_id, int(born_ms)
+
+
 def read_announcement(
     endpoint_id: str, text: bytes
 ) -> fleet_pb2.Endpoint | failures.Failure:
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -32,7 +32,7 @@
 # to two seconds, and a place is free again within a fraction of one.
 MENDING_RETRY_S = 1.2
 BUSY_RETRY_S = 1.0
-STARTING_RETRY_S = 0.5
+STARTING_RETRY_S = 0.8
 # Requests in flight up to which a replica takes one that has just come, and
 # one whose caller was sent away before, as a part of its places. Beyond all
 # places each waits for the end of another, and is late.
--- a/filbertglade/replicas/beliefs.py
+++ b/filbertglade/replicas/beliefs.py
@@ -122,7 +122,8 @@
             model=record.model,
             slowness=self._find_slowness(record),
         )
-        known = self._registry.known.get(record.endpoints[0])
+        head_key = record.endpoints[0]
+        known = self._registry.known.get(head_key)
         if known is not None:
             head = known.endpoint
             replica.head_id = head.id
@@ -131,6 +132,16 @@
             replica.data_centre = head.data_centre
             replica.slots = head.slots
             replica.usable = self.is_serving(record)
+        elif record.head_address and not self.is_settled:
+            # Heads answer for themselves: one that doesn't serve the group
+            # with this epoch runs nothing.
+            replica.head_id, replica.head_born_ms = endpoints.split_key(
+                head_key
+            )
+            replica.address = record.head_address
+            replica.data_centre = record.head_data_centre
+            replica.slots = record.slots
+            replica.usable = self.is_serving(record)
         return replica
 
     def _find_slowness(self, record: commands_pb2.ReplicaRecord) -> float:
@@ -148,10 +159,17 @@
         return service.engine.far_x
 
     def is_serving(self, record: commands_pb2.ReplicaRecord) -> bool:
-        """Tell whether a group is open and all of it is there."""
+        """Tell whether a group is open and all of it is there.
+
+        :param record: the group.
+        :returns: whether it is, as far as this leader has heard.
+        """
         if not all(self.is_present(key) for key in record.endpoints):
             return False
         for place, key in enumerate(record.endpoints):
+            if key not in self._registry.known:
+                # Not yet heard by a new leader.
+                continue
             said = self.find_membership(key)
             if said is None:
                 return False
--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -195,6 +195,11 @@
             fabric_domain=action.domain,
             endpoints=action.members,
         )
+        head = self._registry.known.get(action.members[0])
+        if head is not None:
+            record.head_address = head.endpoint.address
+            record.head_data_centre = head.endpoint.data_centre
+            record.slots = head.endpoint.slots
         done = await self._submit(commands_pb2.ReplicaChange(form=record))
         log.change(
             'group.formed',
--- a/tests/control/test_election.py
+++ b/tests/control/test_election.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from filbertglade.inner import agreement_grpc
 from filbertglade.inner import agreement_pb2
 from tests.control import cluster
 
@@ -286,3 +287,75 @@
             await cluster.submit(follower, cluster.put(number + 1))
 
     cluster.run(scenario())
+
+
+def test_voters_that_all_restart_elect_without_waiting_for_leases():
+    """No process is left that could hold one."""
+
+    async def scenario():
+        async with cluster.Cluster(5, election_ms=2000, lease_ms=1500) as (
+            group
+        ):
+            await group.leader()
+            await group.level()
+            await group.stop()
+            for node in group.nodes.values():
+                await node.start()
+            started = asyncio.get_running_loop().time()
+            await group.leader()
+            waited_s = asyncio.get_running_loop().time() - started
+            assert waited_s < 1.5
+
+    cluster.run(scenario())
+
+
+def test_restarted_voters_wait_for_the_lease_of_a_voter_they_cannot_ask():
+    """The leader may go on to act by it, cut off from those that restart."""
+
+    async def scenario():
+        async with cluster.Cluster(5, election_ms=2000, lease_ms=1500) as (
+            group
+        ):
+            leader = await group.leader()
+            await group.level()
+            group.network.isolate(leader.name, group.names)
+            for node in await group.followers():
+                await node.restart()
+            # Each has forgotten what it has promised to the leader.
+            for _ in range(14):
+                await group.pass_time(0.1)
+                assert group.acting in ([leader], [])
+
+    cluster.run(scenario())
+
+
+def test_early_candidate_gets_no_vote_of_one_that_heard_a_leader():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            await group.leader()
+            await group.level()
+            keeper, other = await group.followers()
+            status = other.agreement.status()
+            request = agreement_pb2.VoteRequest(
+                term=status.term + 1,
+                candidate=other.name,
+                incarnation=other.disk.identity.incarnation,
+                last_index=status.last_index,
+                last_term=status.term,
+                pre_vote=True,
+                unled=True,
+            )
+            reply = await ask_vote(group, other, keeper, request)
+            assert not reply.granted
+            assert not reply.unled
+
+    cluster.run(scenario())
+
+
+async def ask_vote(group, candidate, voter, request):
+    place = group.names.index(voter.name)
+    channel = candidate.channels.open_channel(f'127.0.0.1:{9000 + place}')
+    try:
+        return await agreement_grpc.AgreementStub(channel).Vote(request)
+    finally:
+        channel.close()
