Begin no answer that cannot end before its deadline

Change: the expected time of the whole answer, by the caller's estimate or the usual length, must fit into 0.7 of the time left.

--- a/filbertglade/fleet/dialects.py
+++ b/filbertglade/fleet/dialects.py
@@ -18,6 +18,7 @@
     :param faulty_endpoint: on an answer: the endpoint that is at fault.
     :param model: the model that a request is for.
     :param token_counts: prompt tokens and the most output tokens.
+    :param answer_hint: tokens of the answer as the caller estimates them.
     :param resume_after: the last event of a stream that was received.
     :param order_path: where engines take orders.
     :param report_path: where engines tell their state.
@@ -34,6 +35,7 @@
     faulty_endpoint: str = 'Filbertglade-Faulty-Endpoint'
     model: str = 'Filbertglade-Model'
     token_counts: str = 'Filbertglade-Token-Counts'
+    answer_hint: str = 'Filbertglade-Answer-Hint'
     resume_after: str = 'Last-Event-Id'
     order_path: str = '/order'
     report_path: str = '/report'
--- a/filbertglade/forwarding/admission.py
+++ b/filbertglade/forwarding/admission.py
@@ -2,12 +2,16 @@
 
 import dataclasses
 import enum
+import math
 
 from filbertglade.fleet import document
 
 # Part of the objective that the expected time may take: prompts of other
 # nodes are not seen.
 EXPECTED_SHARE = 0.8
+# Part of the time left that a whole answer may be expected to take: half of
+# the answers are longer than callers estimate.
+WHOLE_SHARE = 0.7
 # Passes until the first token: half of the present one, and its own.
 PASSES = 1.5
 # Part of the requests in flight whose prompts are still to be read: the time
@@ -36,10 +40,10 @@
     Standing.BEGUN: 2.0,
 }
 # The same for replicas that are slow, and late with most answers: they take
-# what the others can't, and some of it waits for the end of another.
+# what the others can't, while it doesn't wait for the end of another.
 SLOW_FULL_SHARES = {
-    Standing.FRESH: 1.15,
-    Standing.LATE: 1.35,
+    Standing.FRESH: 1.0,
+    Standing.LATE: 1.0,
     Standing.BEGUN: 2.0,
 }
 
@@ -53,7 +57,10 @@
     :param standing: how it stands against its objective.
     :param objective_ms: time to the first byte that is on time; 0 if the
         route names none.
+    :param left_ms: time until its deadline.
     :param prompt_tokens: length of its prompt; 0 if unknown.
+    :param answer_tokens: length of its answer as its caller estimates it; 0
+        if unknown.
     :param engine: how the service's engines work; None if unknown.
     """
 
@@ -61,7 +68,9 @@
     model: str = ''
     standing: Standing = Standing.FRESH
     objective_ms: float = 0.0
+    left_ms: float = math.inf
     prompt_tokens: int = 0
+    answer_tokens: int = 0
     engine: document.Engine | None = None
 
     def has_room(self, load: int, slots: int, slowness: float) -> bool:
@@ -72,17 +81,25 @@
         :param slowness: factor of its times.
         """
         shares = SLOW_FULL_SHARES if slowness > 1.0 else FULL_SHARES
-        return load < slots * shares[self.standing]
+        if load >= slots * shares[self.standing]:
+            return False
+        if self.standing is Standing.BEGUN:
+            return True
+        expected_ms = self.expect_whole_ms(load, slowness)
+        return expected_ms <= self.left_ms * WHOLE_SHARE
 
-    def is_in_time(self, load: int, slowness: float) -> bool:
-        """Tell whether a replica is expected to answer in time.
+    def is_in_time(self, load: int, slots: int, slowness: float) -> bool:
+        """Tell whether a replica is expected to begin in time.
 
         :param load: requests in flight on it.
+        :param slots: requests that it runs at once.
         :param slowness: factor of its times.
         """
         if self.standing is not Standing.FRESH:
             # What has begun goes on where it is soonest.
             return self.standing is Standing.BEGUN
+        if load >= slots * FULL_SHARES[self.standing]:
+            return False
         expected_ms = self.expect_first_ms(load, slowness)
         limit_ms = self.objective_ms * EXPECTED_SHARE
         return not self.objective_ms or expected_ms <= limit_ms
@@ -96,13 +113,36 @@
         engine = self.engine
         if engine is None:
             return 0.0
-        pace = next(
-            (item.pace for item in engine.models if item.name == self.model),
-            1.0,
-        )
-        step_ms = engine.step_ms + engine.per_seq_ms * load
         tokens = self.prompt_tokens + (
             READING_SHARE * load * engine.usual.get('prompt', 0.0)
         )
-        read_ms = tokens / engine.read_per_s * 1000
-        return slowness * pace * (PASSES * engine.stride * step_ms + read_ms)
+        read_ms = tokens / engine.read_per_s * 1000 * self._find_pace()
+        passes_ms = PASSES * engine.stride * self._expect_step_ms(load)
+        return slowness * (passes_ms + read_ms)
+
+    def expect_whole_ms(self, load: int, slowness: float) -> float:
+        """Return the time until the last token, by the engine's figures.
+
+        :param load: requests in flight on the replica.
+        :param slowness: factor of its times.
+        """
+        engine = self.engine
+        if engine is None:
+            return 0.0
+        tokens = self.answer_tokens or engine.usual.get('answer', 0.0)
+        return self.expect_first_ms(load, slowness) + (
+            slowness * tokens * self._expect_step_ms(load)
+        )
+
+    def _expect_step_ms(self, load: int) -> float:
+        """Return the time of one token step in a near group."""
+        if self.engine is None:
+            return 0.0
+        step_ms = self.engine.step_ms + self.engine.per_seq_ms * load
+        return step_ms * self._find_pace()
+
+    def _find_pace(self) -> float:
+        shapes = self.engine.models if self.engine is not None else []
+        return next(
+            (shape.pace for shape in shapes if shape.name == self.model), 1.0
+        )
--- a/filbertglade/forwarding/choice.py
+++ b/filbertglade/forwarding/choice.py
@@ -223,7 +223,7 @@
         in_time = [
             target
             for target in roomy
-            if demand.is_in_time(loads[target], target.slowness)
+            if demand.is_in_time(loads[target], target.slots, target.slowness)
         ]
         if in_time:
             return min(in_time, key=self._measure)
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -81,6 +81,7 @@
         self._service = ''
         self._model = ''
         self._prompt_tokens = 0
+        self._answer_tokens = 0
         self._customer: document.Customer | None = None
         self._tried: list[str] = []
         self._sends = 0
@@ -178,12 +179,11 @@
         if not model and len(names) == 1:
             model = names[0]
         self._model = model
-        counts = self._request.headers.get(
-            self._context.dialect.token_counts, ''
-        )
-        prompt = counts.partition(',')[0].strip()
-        if prompt.isascii() and prompt.isdecimal():
-            self._prompt_tokens = int(prompt)
+        dialect = self._context.dialect
+        headers = self._request.headers
+        counts = headers.get(dialect.token_counts, '')
+        self._prompt_tokens = _read_count(counts.partition(',')[0])
+        self._answer_tokens = _read_count(headers.get(dialect.answer_hint, ''))
         return model in names
 
     def _digest_request(self) -> bytes:
@@ -242,7 +242,9 @@
             self._model,
             standing,
             route.objective_ms,
+            self._left_ms(),
             self._prompt_tokens,
+            self._answer_tokens,
             service.engine if service is not None else None,
         )
 
@@ -589,6 +591,12 @@
         )
 
 
+def _read_count(text: str) -> int:
+    """Return a count of tokens; 0 if the caller names none."""
+    text = text.strip()
+    return int(text) if text.isascii() and text.isdecimal() else 0
+
+
 async def _skip_body(
     connection: upstream.Connection, head: upstream.AnswerHead
 ) -> None:
--- a/filbertglade/platform/dialect.py
+++ b/filbertglade/platform/dialect.py
@@ -20,6 +20,7 @@
     faulty_endpoint='At-Server',
     model='X-Model',
     token_counts='X-Token-Counts',
+    answer_hint='X-Length-Hint',
     resume_after='Last-Event-Id',
     order_path='/order',
     report_path='/report',
