Count and time requests by route, service, customer and outcome

Histograms take labels; each name keeps a bounded number of series apart, and counts the rest together.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -100,7 +100,7 @@
         try:
             await self._run()
         except asyncio.CancelledError:
-            self._context.counters.count('callers_left')
+            self._count('callers_left')
             self._log(
                 'request.left',
                 held_ms=clock.now_ms() - self._request.received_ms,
@@ -276,7 +276,7 @@
         """Give the final answer of a request that no endpoint answered."""
         if self._request.is_answered:
             self._log('request.cut', reason=detail, outcome=outcome)
-            self._context.counters.count('requests_cut', service=self._service)
+            self._count('requests_cut')
             self._request.abort()
             return
         if outcome in (None, Outcome.UNREACHABLE, Outcome.NOT_RUN):
@@ -537,13 +537,14 @@
         shared = self._context
         now_ms = clock.now_ms()
         first_ms = (self._first_byte_ms or now_ms) - self._request.received_ms
-        shared.counters.count(
-            'requests', service=self._service, status=str(head.status)
+        self._count('requests', outcome=str(head.status))
+        route = _name_route(self._route)
+        shared.counters.record_ms('first_byte', first_ms, route=route)
+        shared.counters.record_ms(
+            'longest_pause', self._longest_pause_ms, route=route
         )
-        shared.counters.record_ms('first_byte', first_ms)
-        shared.counters.record_ms('longest_pause', self._longest_pause_ms)
         shared.counters.record_ms(
-            'forwarding', now_ms - self._request.received_ms
+            'forwarding', now_ms - self._request.received_ms, route=route
         )
         self._log(
             'request.answered',
@@ -565,9 +566,7 @@
         if retry_s is not None:
             spread = 0.75 + self._context.rng.random() / 2
             headers['Retry-After'] = f'{retry_s * spread:.2f}'
-        self._context.counters.count(
-            'refusals', service=self._service, status=str(status)
-        )
+        self._count('refusals', outcome=str(status))
         self._log(
             'request.refused',
             status=status,
@@ -581,6 +580,15 @@
         )
         self._request.answer(status, detail.encode() + b'\n', headers)
 
+    def _count(self, name: str, outcome: str = '') -> None:
+        self._context.counters.count(
+            name,
+            route=_name_route(self._route),
+            service=self._service,
+            customer=self._customer.name if self._customer else '',
+            outcome=outcome,
+        )
+
     def _log(self, event: str, **fields: typing.Any) -> None:
         log.request(
             event,
@@ -591,6 +599,11 @@
         )
 
 
+def _name_route(route: document.Route | None) -> str:
+    """Return a route's name for metrics; empty without one."""
+    return route.name if route is not None else ''
+
+
 def _read_count(text: str) -> int:
     """Return a count of tokens; 0 if the caller names none."""
     text = text.strip()
--- a/filbertglade/observability/metrics.py
+++ b/filbertglade/observability/metrics.py
@@ -3,6 +3,7 @@
 Histograms are high dynamic range ones, in microseconds.
 """
 
+import collections
 from collections import abc
 
 from hdrh import histogram
@@ -12,6 +13,11 @@
 SIGNIFICANT_DIGITS = 2
 WAITING_VALUES = 256
 PERCENTILES = (50.0, 95.0, 99.0, 100.0)
+# Sets of labels that one name keeps apart; a histogram takes 25 KB. What
+# comes beyond is counted together under OTHER.
+COUNTER_SERIES = 512
+HISTOGRAM_SERIES = 48
+OTHER = 'other'
 
 Labels = tuple[tuple[str, str], ...]
 
@@ -48,18 +54,35 @@
     def __init__(self) -> None:
         self._counters: dict[tuple[str, Labels], int] = {}
         self._gauges: dict[str, abc.Callable[[], float]] = {}
-        self._histograms: dict[str, _Durations] = {}
+        self._histograms: dict[tuple[str, Labels], _Durations] = {}
+        self._series: collections.Counter[str] = collections.Counter()
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter.
 
         :param name: the counter's name.
         :param amount: what to add.
-        :param labels: few, of few values each.
+        :param labels: what is counted apart.
         """
-        key = (name, tuple(sorted(labels.items())))
+        key = self._find_key(name, labels, self._counters, COUNTER_SERIES)
         self._counters[key] = self._counters.get(key, 0) + amount
 
+    def _find_key(
+        self,
+        name: str,
+        labels: dict[str, str],
+        known: abc.Container[tuple[str, Labels]],
+        most: int,
+    ) -> tuple[str, Labels]:
+        """Return the key of a series, or of all that are too many."""
+        key = (name, tuple(sorted(labels.items())))
+        if not labels or key in known:
+            return key
+        if self._series[name] >= most:
+            return (name, tuple((label, OTHER) for label in sorted(labels)))
+        self._series[name] += 1
+        return key
+
     def counter(self, name: str, **labels: str) -> int:
         """Return a counter's value.
 
@@ -77,26 +100,31 @@
         """
         self._gauges[name] = read
 
-    def record_ms(self, name: str, value_ms: float) -> None:
+    def record_ms(self, name: str, value_ms: float, **labels: str) -> None:
         """Record a duration.
 
         :param name: the histogram's name.
         :param value_ms: the duration in milliseconds.
+        :param labels: what is recorded apart.
         """
-        found = self._histograms.get(name)
+        key = self._find_key(name, labels, self._histograms, HISTOGRAM_SERIES)
+        found = self._histograms.get(key)
         if found is None:
             found = _Durations()
-            self._histograms[name] = found
+            self._histograms[key] = found
         found.add(int(value_ms * 1000))
 
-    def percentile_ms(self, name: str, percentile: float) -> float:
+    def percentile_ms(
+        self, name: str, percentile: float, **labels: str
+    ) -> float:
         """Return a percentile of a histogram.
 
         :param name: the histogram's name.
         :param percentile: from 0 to 100.
+        :param labels: the labels it was recorded with.
         :returns: milliseconds; 0 if nothing was recorded.
         """
-        found = self._histograms.get(name)
+        found = self._histograms.get((name, tuple(sorted(labels.items()))))
         if found is None:
             return 0.0
         value_us = found.settle().get_value_at_percentile(percentile)
@@ -113,17 +141,29 @@
         ]
         for name, read in sorted(self._gauges.items()):
             lines.append(f'filbertglade_{name} {read():g}')
-        for name, found in sorted(self._histograms.items()):
+        for (name, labels), found in sorted(
+            self._histograms.items(), key=lambda item: item[0]
+        ):
+            settled = found.settle()
             for percentile in PERCENTILES:
-                value = self.percentile_ms(name, percentile)
-                label = f'{{quantile="{percentile / 100:g}"}}'
+                value = settled.get_value_at_percentile(percentile) / 1000
+                quantile = ('quantile', f'{percentile / 100:g}')
+                label = _render_labels((*labels, quantile))
                 lines.append(f'filbertglade_{name}_ms{label} {value:g}')
-            count = found.settle().get_total_count()
-            lines.append(f'filbertglade_{name}_ms_count {count}')
+            count = settled.get_total_count()
+            label = _render_labels(labels)
+            lines.append(f'filbertglade_{name}_ms_count{label} {count}')
         return '\n'.join(lines) + '\n'
 
 
 def _render_labels(labels: Labels) -> str:
     if not labels:
         return ''
-    return '{' + ','.join(f'{name}="{value}"' for name, value in labels) + '}'
+    pairs = (f'{name}="{_escape(value)}"' for name, value in labels)
+    return '{' + ','.join(pairs) + '}'
+
+
+def _escape(value: str) -> str:
+    """Return a label's value as the text format wants it."""
+    escaped = value.replace('\\', '\\\\').replace('"', '\\"')
+    return escaped.replace('\n', '\\n')
