Keep spares for their domain, load newcomers first

Each loss took another domain's last spare; after 25 s every group of the large model was slow.

Change: spares are staged anew only for a model that is much busier, and after hosts without any; members come from other domains only where a model is busy. Callers that were sent away before are taken up to all slots: refused twice they are lost.

--- a/filbertglade/forwarding/admission.py
+++ b/filbertglade/forwarding/admission.py
@@ -32,18 +32,18 @@
 
 # Requests in flight, as a part of a replica's slots, beyond which none of a
 # standing is taken. With all slots taken seven in ten answers of the model
-# with long prompts came late, with nine tenths of them a third; requests
-# that are late anyway leave the last places to others.
+# with long prompts came late, with nine tenths of them a third. One that was
+# sent away before is lost if it is again.
 FULL_SHARES = {
     Standing.FRESH: 0.9,
-    Standing.LATE: 0.75,
+    Standing.LATE: 1.0,
     Standing.BEGUN: 2.0,
 }
 # The same for replicas that are slow, and late with most answers: they take
 # what the others can't, while it doesn't wait for the end of another.
 SLOW_FULL_SHARES = {
     Standing.FRESH: 1.0,
-    Standing.LATE: 1.0,
+    Standing.LATE: 1.15,
     Standing.BEGUN: 2.0,
 }
 
--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -141,6 +141,7 @@
                 groups,
                 free,
                 self.has_traffic,
+                service.engine.far_x,
             )
         ).plan()
 
--- a/filbertglade/replicas/plan_types.py
+++ b/filbertglade/replicas/plan_types.py
@@ -145,6 +145,8 @@
     :param free: endpoints that may join any group now.
     :param has_traffic: whether callers have come yet; before, loads are
         free.
+    :param far_x: factor of a group's times whose members are in several
+        domains.
     """
 
     models: list[document.ModelShape]
@@ -152,3 +154,4 @@
     groups: list[Group]
     free: list[Host]
     has_traffic: bool
+    far_x: float = 1.0
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -28,7 +28,13 @@
 KEPT_SPARES = 1
 # How much more of its places a model must use than another for which spares
 # are staged anew; less would let them go back and forth.
-NEED_GAP = 0.2
+NEED_GAP = 0.3
+# Requests in flight, as a part of a model's slots, above which a slow group
+# over two domains is worth another domain's spares: below, the whole groups
+# take its work and are in time, and each domain keeps its spares.
+ACROSS_SHARE = 0.5
+# What a model that nobody asks for counts against the busiest, for spares.
+LEAST_NEED = 0.2
 
 
 class Planner:
@@ -46,6 +52,7 @@
         for host in situation.free:
             self._free[host.domain].append(host)
         self._actions: list[plan_types.Action] = []
+        self._has_newcomers = False
 
     def plan(self) -> list[plan_types.Action]:
         """Return what to do now, the most urgent first."""
@@ -115,11 +122,14 @@
     ) -> list[plan_types.Group]:
         """Mend with other domains' spares; slow, but better than nothing.
 
-        Only where a model has few groups left: a domain's last spare is
-        worth more for its own groups.
+        Only where a model's groups are busy: else a domain's last spare is
+        worth more for its own.
         """
         left = []
         for group in waiting:
+            if not self._needs_slow_groups(group.model):
+                left.append(group)
+                continue
             count = self._count_missing(group)
             spares = self._find_foreign(group, count)
             if not group.present or len(spares) < count:
@@ -132,6 +142,9 @@
             )
         return left
 
+    def _needs_slow_groups(self, model: str) -> bool:
+        return self._measure_need(self._shapes[model]) > ACROSS_SHARE
+
     def _find_foreign(
         self, group: plan_types.Group, count: int
     ) -> list[plan_types.Host]:
@@ -202,6 +215,8 @@
         for donor in groups:
             others = [group for group in groups if group is not donor]
             near = [group for group in others if group.domain == donor.domain]
+            if not near and not self._needs_slow_groups(model):
+                continue
             for receiver in near or others:
                 missing = self._count_missing(receiver)
                 if len(donor.present) + staged >= missing:
@@ -326,7 +341,7 @@
         )
 
     def _measure_need(self, shape: document.ModelShape) -> float:
-        """Return the part of a model's places that is taken."""
+        """Return the part of a model's places in time that is taken."""
         groups = [
             group
             for group in self._situation.groups
@@ -341,7 +356,9 @@
             for group in self._situation.groups
             if group.model == shape.name
         )
-        return in_flight / (len(groups) * self._situation.slots)
+        far_x = self._situation.far_x
+        whole = sum(1 / far_x if group.far else 1.0 for group in groups)
+        return in_flight / (whole * self._situation.slots)
 
     # Staging
 
@@ -349,6 +366,12 @@
         """Let spares stage what is lacking most, near before far."""
         if not self._situation.models:
             return
+        # The store loads a few models at a time: hosts without any go first.
+        self._has_newcomers = any(
+            not host.staged and not host.staging_model
+            for hosts in self._free.values()
+            for host in hosts
+        )
         book = spares.SpareBook(self._free, waiting, self._situation.groups)
         wanted: list[tuple[tuple[float, ...], plan_types.StageModel]] = []
         for domain, hosts in self._free.items():
@@ -371,13 +394,14 @@
     ) -> tuple[float, ...]:
         """Return what one more spare of a model is worth in a domain."""
         shape = self._shapes[model]
+        need = self._measure_need(shape)
         completes = book.count_held(domain, model) + 1 >= shape.size
         return (
-            book.count_short(domain, model),
-            completes and self._measure_need(shape) > BUSY_SHARE,
-            book.measure_cover(domain, model),
+            min(1, book.count_short(domain, model)),
+            completes and need > BUSY_SHARE,
+            book.measure_cover(domain, model) * (LEAST_NEED + need),
             -book.count_left(model),
-            self._measure_need(shape),
+            need,
         )
 
     def _choose_model(
@@ -393,10 +417,12 @@
         )
         if not held or best == held:
             return best
+        if self._has_newcomers:
+            return ''
         gap = self._measure_need(self._shapes[best]) - self._measure_need(
             self._shapes[held]
         )
-        is_worth_it = book.count_left(best) < 0 or (
+        is_worth_it = (
             gap > NEED_GAP
             and book.count_left(best) < book.count_left(held) - 1
         )
--- a/filbertglade/replicas/spares.py
+++ b/filbertglade/replicas/spares.py
@@ -33,6 +33,7 @@
         for group in waiting:
             missing = len(group.members) - len(group.present)
             self._lacking[group.domain, group.model] += missing
+        self._far: collections.Counter[tuple[str, str]] = collections.Counter()
         self._members: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -40,8 +41,7 @@
             place = (group.domain, group.model)
             near = len(group.present) - len(group.far)
             self._members[place] += near
-            # A member in another domain makes the group slow.
-            self._lacking[place] += len(group.far)
+            self._far[place] += len(group.far)
 
     def count_held(self, domain: str, model: str) -> int:
         """Return a domain's spares that hold a model, or soon will.
@@ -58,7 +58,9 @@
         :param model: the model.
         """
         place = (domain, model)
-        return max(0, self._lacking[place] - self._held[place])
+        # A member in another domain makes its group slow.
+        lacking = self._lacking[place] + self._far[place]
+        return max(0, lacking - self._held[place])
 
     def measure_cover(self, domain: str, model: str) -> float:
         """Return a domain's members of a model for each spare of it.
