Run equal bodies of one moment in one place

Cause: a body that crashes engines, sent 20 times at one moment through three nodes, was spread by load over 12 of 14 engines before the first strike.

Change: a node sends a body where it has the same one in flight, unless that costs a service time more; nodes that find idle endpoints agree on one for a body. Loads above idle choose as before.

--- a/filbertglade/routing/expected_wait.py
+++ b/filbertglade/routing/expected_wait.py
@@ -13,6 +13,7 @@
 from filbertglade.routing import prefixes
 from filbertglade.routing import selection
 from filbertglade.routing import stragglers
+from filbertglade.routing import twins
 from filbertglade.settings import model
 
 CHOICES = 16
@@ -23,6 +24,8 @@
 LOAD_SPREAD = 1.0
 REPORT_TRUST = 0.25
 TARGETS_KEPT = 1024
+# Load below which an endpoint counts as idle: one request of all nodes.
+IDLE_LOAD = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +78,7 @@
         self._targets: collections.OrderedDict[str, TargetStatistics] = (
             collections.OrderedDict()
         )
+        self._twins = twins.TwinBook()
         self.index = prefixes.PrefixIndex(settings.routing.prefix_entries)
 
     def take_cache_event(self, event: membership_pb2.CacheEvent) -> None:
@@ -99,9 +103,47 @@
         peers = self._read_peers(target, candidates)
         tried = self._draw(candidates, peers)
         tried += self._find_holders(candidates, work, peers)
-        return min(
+        best = min(
             tried, key=lambda item: self._rate(item, work, target, peers)
         )
+        if not work.body:
+            return best
+        return self._join_twin(candidates, best, work, target, peers)
+
+    def _join_twin(
+        self,
+        candidates: list[selection.Candidate],
+        best: selection.Candidate,
+        work: selection.Work,
+        target: TargetStatistics,
+        peers: Peers,
+    ) -> selection.Candidate:
+        """Return where the same body runs already, or would run elsewhere.
+
+        All nodes that find idle endpoints choose the same one for a body.
+        """
+        service_ms = target.read_service_ms()
+        running = self._twins.find(work)
+        if running:
+            limit_ms = self._rate(best, work, target, peers) + service_ms
+            for item in candidates:
+                if item.key in running and (
+                    self._rate(item, work, target, peers) <= limit_ms
+                ):
+                    return item
+        if best.key in peers.ratios or self.index.count_blocks(
+            best.key, work.prefix_hashes
+        ):
+            return best
+        if self._estimate_load(best, service_ms, peers) >= IDLE_LOAD:
+            return best
+        idle = [
+            item
+            for item in candidates
+            if item.key not in peers.ratios
+            and self._estimate_load(item, service_ms, peers) < IDLE_LOAD
+        ]
+        return max(idle, key=lambda item: twins.rank_for_body(work, item))
 
     def note_started(
         self, candidate: selection.Candidate, work: selection.Work
@@ -112,6 +154,7 @@
         :param work: the request.
         """
         key = candidate.key
+        self._twins.note_started(work, key)
         hashes = work.prefix_hashes
         uncached = len(hashes) - self.index.count_blocks(key, hashes)
         self._history.open(key).note_started(work.target, uncached)
@@ -146,6 +189,7 @@
         :param tokens: how many tokens it gave.
         :param took_ms: time since it was sent.
         """
+        self._twins.note_finished(work, candidate.key)
         self._history.open(candidate.key).note_finished(tokens, took_ms)
         if tokens:
             self._open_target(work.target).service_ms.add(took_ms)
