End slow groups whose members make a near one

Change: where the members of up to two slow groups and the spares of a domain make a near group, those groups end.

--- a/benchmarks/mending.py
+++ b/benchmarks/mending.py
@@ -166,6 +166,9 @@
                 for key in group.present
                 if self.hosts[key].domain != group.domain
             )
+            group.far_domains = tuple(
+                self.hosts[key].domain for key in group.far
+            )
             groups.append(group)
         for model, work in WORK.items():
             serving = [
--- a/filbertglade/replicas/beliefs.py
+++ b/filbertglade/replicas/beliefs.py
@@ -220,6 +220,12 @@
             and (said.group, said.epoch) == (record.group, record.epoch)
             and said.state == State.BROKEN
         )
+        domains = {key: self._find_domain(key) for key in present}
+        far = {
+            key: domain
+            for key, domain in domains.items()
+            if domain not in ('', record.fabric_domain)
+        }
         return plan_types.Group(
             record.group,
             record.epoch,
@@ -229,11 +235,8 @@
             present,
             is_broken,
             self.in_flight.get(record.group, 0),
-            frozenset(
-                key
-                for key in present
-                if self._find_domain(key) not in ('', record.fabric_domain)
-            ),
+            frozenset(far),
+            tuple(far.values()),
         )
 
     def _find_domain(self, key: str) -> str:
--- a/filbertglade/replicas/plan_types.py
+++ b/filbertglade/replicas/plan_types.py
@@ -49,6 +49,7 @@
     :param is_broken: whether the head says that it broke.
     :param in_flight: requests in flight on it.
     :param far: its present members in other domains.
+    :param far_domains: those domains, one for each such member.
     """
 
     name: str
@@ -60,6 +61,7 @@
     is_broken: bool = False
     in_flight: int = 0
     far: frozenset[str] = frozenset()
+    far_domains: tuple[str, ...] = ()
 
     @property
     def has_head(self) -> bool:
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -26,8 +26,6 @@
 CROWDED_SHARE = 0.8
 # The need of a model that no group serves: more than any other.
 UNSERVED_NEED = 10.0
-# Spares of a model that stay, whatever other models lack.
-KEPT_SPARES = 1
 # How much more of its places a model must use than another for which spares
 # are staged anew; less would let them go back and forth.
 NEED_GAP = 0.6
@@ -38,6 +36,15 @@
 # makes up a new group, and where a group has none yet.
 COMPLETED_GAIN = 0.8
 COVER_GAIN = 0.3
+# Slow groups that are ended at once to make a near one.
+MOST_REGROUPED = 2
+
+
+def _count_in(group: plan_types.Group, domain: str) -> int:
+    """Return how many of a slow group's members are in a domain."""
+    if domain == group.domain:
+        return len(group.present) - len(group.far)
+    return sum(place == domain for place in group.far_domains)
 
 
 class Planner:
@@ -66,6 +73,7 @@
         waiting = self._mend_across(waiting)
         self._merge(waiting)
         self._gather()
+        self._regroup()
         if self._situation.has_traffic:
             self._add_groups()
         else:
@@ -256,6 +264,60 @@
                 )
             )
 
+    def _regroup(self) -> None:
+        """End slow groups whose members in one domain can make a near one.
+
+        Spares of that domain help; the new group is formed once those
+        members may join it.
+        """
+        for shape in self._situation.models:
+            far = [
+                group
+                for group in self._situation.groups
+                if group.model == shape.name
+                and group.far
+                and group.is_whole
+                and group.name not in self._mended
+            ]
+            if self._measure_need(shape) <= BUSY_SHARE:
+                continue
+            domains = {
+                domain
+                for group in far
+                for domain in (group.domain, *group.far_domains)
+            }
+            for domain in sorted(domains):
+                staged = sum(
+                    shape.name in host.staged
+                    for host in self._free.get(domain, ())
+                )
+                found = self._find_regroupable(shape, domain, staged, far)
+                if found:
+                    for group in found:
+                        self._release(group, f'regrouped in {domain}')
+                    break
+
+    def _find_regroupable(
+        self,
+        shape: document.ModelShape,
+        domain: str,
+        staged: int,
+        far: list[plan_types.Group],
+    ) -> list[plan_types.Group]:
+        """Return the fewest slow groups that make a near one in a domain."""
+        wanted = shape.size - staged
+        counted = sorted(
+            ((_count_in(group, domain), group) for group in far),
+            key=lambda item: -item[0],
+        )
+        found = []
+        for count, group in counted[:MOST_REGROUPED]:
+            if not count or wanted <= 0:
+                break
+            found.append(group)
+            wanted -= count
+        return found if wanted <= 0 else []
+
     # New groups
 
     def _lay_out(self) -> None:
@@ -303,12 +365,11 @@
             need = self._measure_need(shape)
             if need <= BUSY_SHARE:
                 continue
-            kept = 0 if need > CROWDED_SHARE else KEPT_SPARES
             for domain in list(self._free):
                 fitting = sum(
                     shape.name in host.staged for host in self._free[domain]
                 )
-                if fitting < shape.size + kept:
+                if fitting < shape.size:
                     continue
                 members = self._take_staged(domain, shape.name, shape.size)
                 if members is not None:
@@ -426,7 +487,7 @@
     ) -> str:
         """Return what a spare should hold; empty if what it holds is fine."""
         held = next((name for name in self._shapes if name in host.staged), '')
-        if held and book.count_left(held) <= KEPT_SPARES:
+        if held and book.count_left(held) <= 0:
             return ''
         best = max(
             self._shapes,
--- a/tests/replicas/test_planning.py
+++ b/tests/replicas/test_planning.py
@@ -264,3 +264,27 @@
     free = [spare('x'), spare('y'), spare('z')]
     formed = pick(plan(free=free), plan_types.FormGroup)
     assert [sorted(action.members) for action in formed] == [['x', 'y', 'z']]
+
+
+def test_slow_groups_end_where_their_members_make_a_near_one():
+    """Pattern of scale-2, 38 s: five groups of the large model, each over two
+    domains, held twenty hosts, and nothing was in time."""
+    scattered = [
+        group(
+            name,
+            members,
+            model='big',
+            domain=domain,
+            far=frozenset(members[2:]),
+            far_domains=('d1', 'd1'),
+            in_flight=10,
+        )
+        for name, members, domain in (('g', 'abcd', 'd2'), ('h', 'efgh', 'd3'))
+    ]
+    released = pick(plan(scattered), plan_types.ReleaseGroup)
+    assert [action.group for action in released] == ['g', 'h']
+    with_spares = [spare('s', model='big'), spare('t', model='big')]
+    released = pick(plan(scattered, with_spares), plan_types.ReleaseGroup)
+    assert [action.group for action in released] == ['g']
+    idle = [group('k', 'abcd', model='big', in_flight=1)]
+    assert not pick(plan(idle, with_spares), plan_types.ReleaseGroup)
