--- a/filbertglade/fleet/dialects.py
+++ b/filbertglade/fleet/dialects.py
@@ -13,7 +13,6 @@
     :param customer: name of the key's customer, for endpoints.
     :param target: id of the only endpoint that may run the request.
     :param not_run: on an answer: the request was not run.
-    :param signature: on an answer: the endpoint that ran the request.
     :param load: on an answer: running and waiting requests, and slots.
     :param faulty_endpoint: on an answer: the endpoint that is at fault.
     :param model: the model that a request is for.
@@ -30,7 +29,6 @@
     customer: str = 'Filbertglade-Customer'
     target: str = 'Filbertglade-Endpoint'
     not_run: str = 'Filbertglade-Not-Run'
-    signature: str = 'Filbertglade-Signature'
     load: str = 'Filbertglade-Load'
     faulty_endpoint: str = 'Filbertglade-Faulty-Endpoint'
     model: str = 'Filbertglade-Model'
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -24,7 +24,6 @@
     without all of its members, so an old view wastes tries at the most.
 
     :ivar index: the document in force; None before the first.
-    :ivar document_text: its text.
     :ivar endpoints: endpoints by life.
     :ivar replicas: replicas by group.
     :ivar in_flight: requests in flight of all nodes, by group.
@@ -35,7 +34,6 @@
 
     def __init__(self) -> None:
         self.index: document.RoutingIndex | None = None
-        self.document_text = b''
         self.endpoints: dict[str, fleet_pb2.Endpoint] = {}
         self.replicas: dict[str, fleet_pb2.Replica] = {}
         self.in_flight: dict[str, int] = {}
@@ -80,7 +78,6 @@
             )
             return
         self.index = document.RoutingIndex(parsed)
-        self.document_text = sent.text
         log.change(
             'document.in_force',
             version=sent.version,
--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -18,6 +18,7 @@
 from filbertglade.inner import commands_pb2
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
+from filbertglade.replicas import beliefs
 
 log = logs.get_log(__name__)
 
@@ -44,22 +45,14 @@
         voters: agreement.Agreement,
         known: registry.Registry,
         counters: metrics.Metrics,
+        believed: beliefs.ReplicaBeliefs,
     ) -> None:
         self.address = address
         self.agreed = agreed
         self.voters = voters
         self.registry = known
         self.counters = counters
-        self._services_of = (-1, frozenset[str]())
-
-    def service_names(self) -> frozenset[str]:
-        """Return the services that the document in force names."""
-        current = self.agreed.document.current
-        if self._services_of[0] != current.version:
-            parsed, _ = document.read_document(current.text)
-            names = [item.name for item in parsed.services] if parsed else []
-            self._services_of = (current.version, frozenset(names))
-        return self._services_of[1]
+        self.beliefs = believed
 
     def find_leader_address(self) -> str:
         """Return the leader's address for endpoints and operators.
@@ -122,8 +115,8 @@
         if isinstance(said, failures.Failure):
             self._refuse(endpoint_id, said)
             return
-        current = context.agreed.document.current
-        if current.version and said.service not in context.service_names():
+        index = context.beliefs.index
+        if index is not None and said.service not in index.services:
             self._refuse(
                 endpoint_id,
                 failures.Failure(
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -130,6 +130,7 @@
             self.voters,
             self._registry,
             counters,
+            self._replicas.beliefs,
         )
         self._server: httpserver.HTTPServer | None = None
         self._changing = asyncio.Lock()
--- a/filbertglade/platform/dialect.py
+++ b/filbertglade/platform/dialect.py
@@ -15,7 +15,6 @@
     customer='X-Tenant',
     target='X-Target-Instance',
     not_run='X-Not-Executed',
-    signature='X-Server-Signature',
     load='X-Instance-Load',
     faulty_endpoint='At-Server',
     model='X-Model',
--- a/filbertglade/replicas/beliefs.py
+++ b/filbertglade/replicas/beliefs.py
@@ -299,16 +299,12 @@
             return
         self._summarized_ms = now_ms
         records = self._agreed.replicas.records.values()
-        usable = collections.Counter(
-            record.model
-            for record in records
-            if not record.is_spare and self.is_serving(record)
-        )
-        unusable = collections.Counter(
-            record.model
-            for record in records
-            if not record.is_spare and not self.is_serving(record)
-        )
+        usable: collections.Counter[str] = collections.Counter()
+        unusable: collections.Counter[str] = collections.Counter()
+        for record in records:
+            if not record.is_spare:
+                found = usable if self.is_serving(record) else unusable
+                found[record.model] += 1
         spares = collections.Counter(
             f'{record.fabric_domain}/{record.model}'
             for record in records
--- a/filbertglade/replicas/ordering.py
+++ b/filbertglade/replicas/ordering.py
@@ -177,7 +177,8 @@
             if service.engine is not None
         ]
         window_s = self._settings.endpoints.load_window_ms / 1000
-        return max(1, int(min(rates, default=1.0) * window_s))
+        factor = self._settings.endpoints.load_factor
+        return max(1, int(min(rates, default=1.0) * window_s * factor))
 
     def try_stage(
         self,
--- /dev/null
+++ b/filbertglade/settings/files.py
@@ -0,0 +1,36 @@
+"""Reading of settings files, whatever they hold."""
+
+from collections import abc
+import pathlib
+import tomllib
+import typing
+
+from filbertglade import schema
+
+Settings = typing.TypeVar('Settings')
+
+
+def load_file(
+    path: pathlib.Path,
+    kind: type[Settings],
+    check: abc.Callable[[Settings], list[schema.Problem]],
+) -> tuple[Settings | None, list[schema.Problem]]:
+    """Read a settings file and check it whole.
+
+    :param path: the TOML file.
+    :param kind: the class of the settings.
+    :param check: finds what spans several keys.
+    :returns: the settings, or None, and every problem found.
+    """
+    try:
+        data = tomllib.loads(path.read_text(encoding='utf-8'))
+    except OSError as error:
+        return None, [
+            schema.Problem(str(path), error.strerror or 'unreadable')
+        ]
+    except (ValueError, RecursionError) as error:
+        return None, [schema.Problem(str(path), f'not valid TOML: {error}')]
+    settings, problems = schema.decode_what_fits(kind, data)
+    if settings is not None:
+        problems = schema.join_problems(problems, check(settings))
+    return (None if problems else settings), problems
--- a/filbertglade/settings/gateway.py
+++ b/filbertglade/settings/gateway.py
@@ -6,12 +6,12 @@
 
 import dataclasses
 import pathlib
-import tomllib
 import typing
 
 import annotated_types
 
 from filbertglade import schema
+from filbertglade.settings import files
 from filbertglade.settings import model
 
 Duration = model.Duration
@@ -80,8 +80,6 @@
 
     :param announce_ms: time between two announcements of an endpoint.
     :param stall_ms: how long a group stands still once a member is lost.
-    :param address_reuse_ms: earliest reuse of a lost endpoint's address.
-    :param drain_ms: when a leaving endpoint must get no more requests.
     :param load_window_ms: window over which loads are counted.
     :param load_factor: how far loads may go over the store's rate in it.
     """
@@ -90,8 +88,6 @@
 
     announce_ms: Duration = 1200
     stall_ms: Duration = 4000
-    address_reuse_ms: Duration = 2000
-    drain_ms: Duration = 2000
     load_window_ms: Duration = 5000
     load_factor: Share = 1.0
 
@@ -167,18 +163,7 @@
     :param path: the TOML file.
     :returns: the settings, or None, and every problem found.
     """
-    try:
-        data = tomllib.loads(path.read_text(encoding='utf-8'))
-    except OSError as error:
-        return None, [
-            schema.Problem(str(path), error.strerror or 'unreadable')
-        ]
-    except (ValueError, RecursionError) as error:
-        return None, [schema.Problem(str(path), f'not valid TOML: {error}')]
-    settings, problems = schema.decode_what_fits(GatewaySettings, data)
-    if settings is not None:
-        problems = schema.join_problems(problems, _check(settings))
-    return (None if problems else settings), problems
+    return files.load_file(path, GatewaySettings, _check)
 
 
 def _check(settings: GatewaySettings) -> list[schema.Problem]:
--- a/filbertglade/settings/loader.py
+++ b/filbertglade/settings/loader.py
@@ -2,9 +2,9 @@
 
 import pathlib
 import tempfile
-import tomllib
 
 from filbertglade import schema
+from filbertglade.settings import files
 from filbertglade.settings import model
 
 CONTROL_HOST_COUNTS = (1, 3, 5, 7)
@@ -21,18 +21,7 @@
         working directory.
     :returns: the settings, or None, and every problem found.
     """
-    try:
-        data = tomllib.loads(path.read_text(encoding='utf-8'))
-    except OSError as error:
-        return None, [
-            schema.Problem(str(path), error.strerror or 'unreadable')
-        ]
-    except (ValueError, RecursionError) as error:
-        return None, [schema.Problem(str(path), f'not valid TOML: {error}')]
-    settings, problems = schema.decode_what_fits(model.NodeSettings, data)
-    if settings is not None:
-        problems = schema.join_problems(problems, check_settings(settings))
-    return (None if problems else settings), problems
+    return files.load_file(path, model.NodeSettings, check_settings)
 
 
 def check_settings(settings: model.NodeSettings) -> list[schema.Problem]:
