Regroup one model at a time, let surplus spares serve

A test of a deployment with five workers got no second group, since idle spares no longer formed any.

Change: slow groups end only while the model's others serve; spares beyond the first layout's share form groups.

--- a/benchmarks/mending.py
+++ b/benchmarks/mending.py
@@ -169,6 +169,9 @@
             group.far_domains = tuple(
                 self.hosts[key].domain for key in group.far
             )
+            group.serves = group.is_whole and (
+                self.ready_s[group.name] <= self.now_s
+            )
             groups.append(group)
         for model, work in WORK.items():
             serving = [
--- a/filbertglade/replicas/beliefs.py
+++ b/filbertglade/replicas/beliefs.py
@@ -237,6 +237,7 @@
             self.in_flight.get(record.group, 0),
             frozenset(far),
             tuple(far.values()),
+            self.is_serving(record),
         )
 
     def _find_domain(self, key: str) -> str:
--- a/filbertglade/replicas/plan_types.py
+++ b/filbertglade/replicas/plan_types.py
@@ -50,6 +50,7 @@
     :param in_flight: requests in flight on it.
     :param far: its present members in other domains.
     :param far_domains: those domains, one for each such member.
+    :param serves: whether it takes requests now.
     """
 
     name: str
@@ -62,6 +63,7 @@
     in_flight: int = 0
     far: frozenset[str] = frozenset()
     far_domains: tuple[str, ...] = ()
+    serves: bool = True
 
     @property
     def has_head(self) -> bool:
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -268,18 +268,19 @@
         """End slow groups whose members in one domain can make a near one.
 
         Spares of that domain help; the new group is formed once those
-        members may join it.
+        members may join it. Until then a model's other groups must carry
+        its work, so all of them serve.
         """
         for shape in self._situation.models:
-            far = [
+            groups = [
                 group
                 for group in self._situation.groups
                 if group.model == shape.name
-                and group.far
-                and group.is_whole
-                and group.name not in self._mended
             ]
-            if self._measure_need(shape) <= BUSY_SHARE:
+            far = [group for group in groups if group.far]
+            if self._measure_need(shape) <= BUSY_SHARE or not all(
+                group.serves for group in groups
+            ):
                 continue
             domains = {
                 domain
@@ -363,20 +364,21 @@
             self._situation.models, key=self._measure_need, reverse=True
         ):
             need = self._measure_need(shape)
-            if need <= BUSY_SHARE:
-                continue
             for domain in list(self._free):
-                fitting = sum(
-                    shape.name in host.staged for host in self._free[domain]
-                )
-                if fitting < shape.size:
-                    continue
+                if need <= BUSY_SHARE and not self._has_surplus(shape.size):
+                    break
                 members = self._take_staged(domain, shape.name, shape.size)
                 if members is not None:
                     self._form_new(shape, domain, members, need)
             if need > CROWDED_SHARE:
                 self._add_scattered(shape, need)
 
+    def _has_surplus(self, size: int) -> bool:
+        """Tell whether a new group leaves the spares of a first layout."""
+        spare = sum(map(len, self._free.values()))
+        members = sum(len(group.present) for group in self._situation.groups)
+        return spare - size >= int(SPARE_SHARE * (spare + members))
+
     def _form_new(
         self,
         shape: document.ModelShape,
