--- a/tests/gateway_forwarding/test_load.py
+++ b/tests/gateway_forwarding/test_load.py
@@ -274,8 +274,10 @@
 
 
 def test_overload_is_refused_before_all_answers_come_late():
-    """Pattern of scale-2, 26 to 44 s: each replica took more than its slots,
-    and seven in ten answers came late."""
+    """Pattern of scale-2, 26 to 44 s.
+
+    Each replica took more than its slots, and seven in ten answers came late.
+    """
 
     def check():
         node = Node(*(replica(name, slots=10) for name in 'abc'))
@@ -301,8 +303,11 @@
 
 
 def test_requests_that_were_sent_away_take_the_last_places():
-    """Pattern: half of those that came back were sent away for good, while
-    others that could come back took the places."""
+    """Pattern.
+
+    Half of those that came back were sent away for good, while others that
+    could come back took the places.
+    """
 
     def check():
         node = Node(*(replica(name, slots=10) for name in 'abc'))
@@ -314,8 +319,11 @@
 
 
 def test_long_prompts_avoid_slow_replicas_and_short_ones_do_not():
-    """Pattern of trouble-1, 24 to 32 s: seven in ten answers of groups over
-    two domains came late, most of them with long prompts."""
+    """Pattern of trouble-1, 24 to 32 s.
+
+    Seven in ten answers of groups over two domains came late, most of them
+    with long prompts.
+    """
 
     def check():
         node = Node(
@@ -340,8 +348,10 @@
 
 
 def test_answers_that_cannot_end_in_time_are_not_begun():
-    """Pattern of trouble-1, 24 to 33 s: long answers of slow replicas were
-    cut at their deadlines, one in eight."""
+    """Pattern of trouble-1, 24 to 33 s.
+
+    Long answers of slow replicas were cut at their deadlines, one in eight.
+    """
 
     def check():
         node = Node(
@@ -356,9 +366,12 @@
 
 
 def test_many_nodes_do_not_all_choose_what_an_old_view_calls_idle():
-    """Pattern of the grown site: 85 nodes, loads told twice a second, and
-    each node sent to the few replicas that the last word called idle: a
-    quarter of the answers were late at a mean load of one."""
+    """Pattern of the grown site.
+
+    85 nodes, loads told twice a second, and each node sent to the few replicas
+    that the last word called idle: a quarter of the answers were late at a
+    mean load of one.
+    """
 
     def check():
         names = [f'g{number}' for number in range(20)]
@@ -399,8 +412,11 @@
 
 
 def test_long_estimates_never_keep_requests_from_idle_replicas():
-    """Pattern of the grown site: one request in fifty was refused beside
-    idle replicas, since its caller's estimate was far too long."""
+    """Pattern of the grown site.
+
+    One request in fifty was refused beside idle replicas, since its caller's
+    estimate was far too long.
+    """
 
     def check():
         node = Node(replica('near', slots=10))
--- /dev/null
+++ b/tests/replicas/test_beliefs.py
@@ -0,0 +1,84 @@
+"""What a leader believes of groups that it has not heard yet."""
+
+import asyncio
+
+from filbertglade.control import state
+from filbertglade.fleet import endpoints
+from filbertglade.fleet import registry
+from filbertglade.inner import commands_pb2
+from filbertglade.inner import fleet_pb2
+from filbertglade.replicas import beliefs
+from filbertglade.settings import gateway
+from tests import virtual_time
+
+SETTLE_S = (
+    gateway.EndpointTimings().announce_ms / 1000 * beliefs.SETTLE_INTERVALS
+)
+
+
+def build_beliefs():
+    settings = gateway.GatewaySettings(
+        'one',
+        'central',
+        'north',
+        gateway.GatewayListen('127.0.0.1:1', '127.0.0.1:2'),
+        gateway.GatewayControl(['127.0.0.1:3']),
+    )
+    agreed = state.AgreedState()
+    record = commands_pb2.ReplicaRecord(
+        group='g',
+        service='models',
+        model='big',
+        fabric_domain='d1',
+        endpoints=['i-head@5', 'i-other@6'],
+        head_address='10.0.0.1:80',
+        head_data_centre='north',
+        slots=13,
+    )
+    agreed.replicas.apply(commands_pb2.ReplicaChange(form=record), 7, 0)
+    known = registry.Registry(settings.endpoints.announce_ms)
+    built = beliefs.ReplicaBeliefs(settings, agreed, None, known, None)
+    built.start()
+    return built, known
+
+
+def announce(known, endpoint_id, born_ms, member_state=None):
+    endpoint = fleet_pb2.Endpoint(
+        id=endpoint_id, born_ms=born_ms, service='models', sequence=1
+    )
+    endpoint.address = f'{endpoint_id}:80'
+    if member_state is not None:
+        endpoint.membership.group = 'g'
+        endpoint.membership.epoch = 7
+        endpoint.membership.state = member_state
+    assert known.take(endpoint) is None
+
+
+def test_a_new_leader_routes_to_groups_before_it_has_heard_them():
+    """Pattern.
+
+    After a loss of power of all, callers were refused for 1.2 s more, until
+    the last member of each group had announced itself.
+    """
+
+    async def check():
+        built, _ = build_beliefs()
+        replica = built.list_replicas()[0]
+        assert replica.usable
+        assert (replica.head_id, replica.head_born_ms) == ('i-head', 5)
+        assert (replica.address, replica.slots) == ('10.0.0.1:80', 13)
+        await asyncio.sleep(SETTLE_S + 0.1)
+        assert not built.list_replicas()[0].usable
+
+    virtual_time.run(check())
+
+
+def test_a_member_that_is_heard_in_no_group_ends_the_presumption():
+    async def check():
+        built, known = build_beliefs()
+        announce(known, 'i-head', 5, endpoints.MemberState.OPEN)
+        assert built.list_replicas()[0].usable
+        announce(known, 'i-other', 6)
+        assert not built.list_replicas()[0].usable
+
+    virtual_time.run(check())
--- a/tests/replicas/test_planning.py
+++ b/tests/replicas/test_planning.py
@@ -112,8 +112,11 @@
 
 
 def test_the_first_layout_follows_the_shares_of_the_hosts():
-    """Pattern of the grown site: nine in ten requests are for the small
-    model, whose groups were as many as the large one's."""
+    """Pattern of the grown site.
+
+    Nine in ten requests are for the small model, whose groups were as many as
+    the large one's.
+    """
     models = [
         document.ModelShape('big', size=16, share=0.5),
         document.ModelShape('small', size=4, share=0.5),
@@ -132,8 +135,11 @@
 
 
 def test_spares_of_a_domain_hold_what_its_groups_need():
-    """Pattern of trouble-1: a domain's spares held the other model, and its
-    group went on slowly with a member of another domain."""
+    """Pattern of trouble-1.
+
+    A domain's spares held the other model, and its group went on slowly with a
+    member of another domain.
+    """
     actions = plan(
         [group('g', 'abcd', model='big'), group('h', 'efg', model='small')],
         [spare(key, model='', is_warm=False) for key in 'xyz'],
@@ -155,8 +161,10 @@
 
 
 def test_spares_stay_spares_while_groups_have_room():
-    """Pattern: a thirteenth group took the spares, and the next loss found
-    none."""
+    """Pattern.
+
+    A thirteenth group took the spares, and the next loss found none.
+    """
 
     def groups(in_flight):
         return [
@@ -207,9 +215,11 @@
 
 
 def test_spares_of_the_other_model_stay_while_its_groups_are_idle():
-    """Pattern of scale-2, 6 s: one group went on slowly over two domains,
-    and five spares of the other model were staged anew: all six loads that
-    the store takes, for 16 s."""
+    """Pattern of scale-2, 6 s.
+
+    One group went on slowly over two domains, and five spares of the other
+    model were staged anew: all six loads that the store takes, for 16 s.
+    """
     free = [spare(f's{place}', domain=f'e{place}') for place in range(5)]
     groups = [
         group('g', 'abcd', model='big', far=frozenset('d'), in_flight=4),
@@ -220,8 +230,11 @@
 
 
 def test_idle_models_leave_other_domains_their_spares():
-    """Pattern of scale-2: each loss took another domain's last spare, and
-    after 25 s every group of the large model was slow."""
+    """Pattern of scale-2.
+
+    Each loss took another domain's last spare, and after 25 s every group of
+    the large model was slow.
+    """
     groups = [
         group('g', 'abcd', lost='b', model='big'),
         group('h', 'efgh', model='big', domain='d2', in_flight=4),
@@ -275,8 +288,11 @@
 
 
 def test_slow_groups_end_where_their_members_make_a_near_one():
-    """Pattern of scale-2, 38 s: five groups of the large model, each over two
-    domains, held twenty hosts, and nothing was in time."""
+    """Pattern of scale-2, 38 s.
+
+    Five groups of the large model, each over two domains, held twenty hosts,
+    and nothing was in time.
+    """
     scattered = [
         group(
             name,
