--- a/tests/gateway_forwarding/test_load.py
+++ b/tests/gateway_forwarding/test_load.py
@@ -303,7 +303,7 @@
 
 
 def test_requests_that_were_sent_away_take_the_last_places():
-    """Pattern.
+    """Pattern of high load.
 
     Half of those that came back were sent away for good, while others that
     could come back took the places.
--- a/tests/replicas/test_beliefs.py
+++ b/tests/replicas/test_beliefs.py
@@ -55,7 +55,7 @@
 
 
 def test_a_new_leader_routes_to_groups_before_it_has_heard_them():
-    """Pattern.
+    """Pattern of high load.
 
     After a loss of power of all, callers were refused for 1.2 s more, until
     the last member of each group had announced itself.
--- a/tests/replicas/test_planning.py
+++ b/tests/replicas/test_planning.py
@@ -161,7 +161,7 @@
 
 
 def test_spares_stay_spares_while_groups_have_room():
-    """Pattern.
+    """Pattern of high load.
 
     A thirteenth group took the spares, and the next loss found none.
     """
--- a/tests/routing/test_twins.py
+++ b/tests/routing/test_twins.py
@@ -22,7 +22,7 @@
 
 
 def test_equal_bodies_of_one_moment_run_in_one_place():
-    """Pattern.
+    """Pattern of high load.
 
     A body that crashes engines, sent 20 times through three nodes at one
     moment, felled twelve of fourteen.
