--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -12,9 +12,9 @@
 from filbertglade.replicas import spares
 
 # Part of the hosts that the first groups leave free, so that a lost member
-# finds a spare: a third of the hosts is lost in half a minute on the busiest
-# days, and a new one takes as long to load.
-SPARE_SHARE = 0.22
+# finds a spare: between a sixth and a quarter the credit is the same over a
+# minute of losses, and whole groups serve until then (benchmarks/mending.py).
+SPARE_SHARE = 0.165
 # The share of a model that the document gives none.
 LEAST_SHARE = 0.01
 # Requests in flight of a group, as a part of its slots, above which a spare
