Let rejections use up no attempt

Quota and tries still bound the sends.

Test: two of three endpoints reject, and the request is served (503 before).

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -85,6 +85,8 @@
         self._customer: document.Customer | None = None
         self._tried: list[str] = []
         self._sends = 0
+        # Sends that ran, or may have; endpoints promise that others did not.
+        self._runs = 0
         self._splitter = events.EventSplitter()
         self._connection: upstream.Connection | None = None
         self._stalled = False
@@ -265,12 +267,10 @@
         return allowed
 
     def _may_go_on(self, outcome: Outcome, route: document.Route) -> bool:
-        if outcome is Outcome.UNREACHABLE:
+        if outcome in (Outcome.UNREACHABLE, Outcome.NOT_RUN):
             return True
-        if self._sends >= route.max_attempts:
+        if self._runs >= route.max_attempts:
             return False
-        if outcome is Outcome.NOT_RUN:
-            return True
         return outcome in RETRYABLE and route.is_idempotent
 
     def _give_up(
@@ -311,6 +311,7 @@
                 )
             return Outcome.UNREACHABLE
         self._sends += 1
+        self._runs += 1
         self._stalled = False
         self._splitter.drop_rest()
         self._connection = connection
@@ -370,7 +371,7 @@
         route = self._route
         if route is None or not route.is_idempotent:
             return
-        if self._sends >= route.max_attempts or self._connection is None:
+        if self._runs >= route.max_attempts or self._connection is None:
             return
         self._stalled = True
         self._connection.close()
@@ -403,6 +404,7 @@
         if self._says_not_run(head):
             await _skip_body(connection, head)
             self._note_rejection(target, head)
+            self._runs -= 1
             return Outcome.NOT_RUN, connection.may_be_kept(head)
         shared.faults.clear(target)
         if head.status >= 500 and self._may_go_on(Outcome.FAILED, route):
--- a/tests/platform/test_calm_day.py
+++ b/tests/platform/test_calm_day.py
@@ -206,3 +206,34 @@
         if 'Last-Event-Id' in headers
     ]
     assert set(resumed) == {'3'}
+
+
+async def test_rejections_use_up_no_attempt(served):
+    """Pattern of scale-2.
+
+    Streams were cut and requests refused since two crowded groups had said
+    that they did not run them.
+    """
+    for name in ('i-api2', 'i-api3'):
+        await served.add_worker(endpoint_id=name)
+    sheds = [item for item in served.workers if item.service == 'api'][:2]
+
+    async def shed(writer, headers):
+        writer.write(
+            b'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+
+    async def knows_all():
+        await served.ask('/write/x', method='POST')
+        return all(
+            item.requests for item in served.workers if item.service == 'api'
+        )
+
+    await served.until(knows_all)
+    for worker in sheds:
+        worker.answer = shed
+    # Few, since rejections do use up the quota of retries.
+    for _ in range(3):
+        response = await served.ask('/write/x', method='POST')
+        assert response.status_code == 200
