--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -35,7 +35,8 @@
         )
         self.process = None
 
-    async def start(self):
+    async def start(self, stdout=None):
+        """Start it; its output goes to its log, or to an open file."""
         root = pathlib.Path(__file__).parents[2]
         with self.log.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -45,7 +46,7 @@
                 'gateway',
                 '--settings',
                 str(self.path),
-                stdout=log,
+                stdout=log if stdout is None else stdout,
                 stderr=log,
                 cwd=root,
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
@@ -57,6 +58,12 @@
         self.process.send_signal(number)
         await self.process.wait()
 
+    async def restart(self, more_settings='', stdout=None):
+        """Start it anew, with further settings."""
+        await self.stop()
+        self.path.write_text(self.path.read_text() + more_settings)
+        await self.start(stdout)
+
     def read_log(self):
         lines = []
         for line in self.log.read_text().splitlines():
--- a/tests/platform/test_explaining.py
+++ b/tests/platform/test_explaining.py
@@ -101,3 +101,20 @@
     await asyncio.sleep(1.6)
     await served.ask('/read/x', X_Request_Id='q7')
     assert 'leader lost' in await tell(served, 'q7')
+
+
+async def test_a_spent_quota_is_named(served):
+    entry = served.entries[0]
+    await entry.restart('[retries]\nratio = 0.0\nslack = 1\n')
+    await served.add_worker(endpoint_id='i-api2')
+    await served.until(lambda: served.is_served('/read/x'))
+
+    async def reset(writer, headers):
+        writer.transport.abort()
+
+    for name in ('i-api', 'i-api2'):
+        find(served, name).answer = reset
+    # The first may meet a connection that was closed while idle.
+    await served.ask('/read/x', X_Request_Id='q8')
+    await served.ask('/read/x', X_Request_Id='q9')
+    assert 'quota spent' in await tell(served, 'q9')
