--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -138,6 +138,13 @@
         except httpx.TransportError:
             return False
 
+    async def announce(self, endpoint_id, said):
+        """Send a worker's announcement."""
+        return await self.client.post(
+            f'{self.control_url}/v1/endpoints/{endpoint_id}/announcement',
+            json=said,
+        )
+
     # The caller's side
 
     async def ask(self, path, entry=0, method='GET', content=b'', **headers):
@@ -229,11 +236,7 @@
         }
         if self.group:
             said['group'] = self.group
-        return await self.deployment.client.post(
-            f'{self.deployment.control_url}/v1/endpoints/'
-            f'{self.endpoint_id}/announcement',
-            json=said,
-        )
+        return await self.deployment.announce(self.endpoint_id, said)
 
     async def serve(self, reader, writer):
         try:
