Name a rejection where every endpoint rejected, wait for nodes to listen

Since rejections use up no attempt, a request that every endpoint rejects ends with "no endpoint"; explain took that for an absence, and test_a_full_worker_is_named failed each time. It now judges the tries.

--- a/filbertglade/observability/explain.py
+++ b/filbertglade/observability/explain.py
@@ -182,7 +182,7 @@
             return f'full queue: {reason} on the least loaded target'
         if 'no document' in reason:
             return 'leader lost: this process has had no document yet'
-        if 'no endpoint' in reason:
+        if 'no endpoint' in reason and not self._list_outcomes():
             return self._judge_absence()
         if 'timed-out' in reason or 'timed-out' in self._list_outcomes():
             return (
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -34,10 +34,12 @@
             '[endpoints]\nannounce_ms = 1200\nstall_ms = 1000\n'
         )
         self.process = None
+        self.starts = 0
 
     async def start(self, stdout=None):
         """Start it; its output goes to its log, or to an open file."""
         root = pathlib.Path(__file__).parents[2]
+        self.starts += 1
         with self.log.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -64,6 +66,15 @@
         self.path.write_text(self.path.read_text() + more_settings)
         await self.start(stdout)
 
+    async def has_started(self):
+        """Tell whether the present run takes signals already."""
+        started = [
+            line
+            for line in self.read_log()
+            if line.get('message_type') == 'process.started'
+        ]
+        return len(started) >= self.starts
+
     def read_log(self):
         lines = []
         for line in self.log.read_text().splitlines():
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -254,6 +254,7 @@
 
     async def _stop(self):
         process = self._pick()
+        await self.deployed.until(process.has_started, RECOVERY_S)
         await process.stop()
         if process.process.returncode != 0:
             self.wrong.append(
--- a/tests/test_group_repair.py
+++ b/tests/test_group_repair.py
@@ -19,6 +19,11 @@
     cluster.found()
     try:
         clusters.wait_until(cluster.find_leader, 'a leader')
+        # A single voter is elected before the other nodes listen.
+        clusters.wait_until(
+            lambda: all(node.get('/v1/status') for node in cluster.nodes),
+            'every node',
+        )
         yield cluster
     finally:
         cluster.close()
