Take no request long after the order to stop

Ruled out: new connections (the balancer had taken the node out).

Change: 2.6 s after the order to stop, when the balancer has taken the node out, requests get 503, a short time to come back and the end of the connection.

Test: a held stream keeps the node; a request 3.2 s after SIGTERM was taken (failed before), is refused now, and the stream ends whole.

--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -2,6 +2,7 @@
 
 import random
 
+from filbertglade import clock
 from filbertglade.fleet import dialects
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
@@ -13,6 +14,10 @@
 
 # Part of a route's longest deadline below which a caller was sent away before.
 RETURNED_DEADLINE_SHARE = 0.95
+# How long a process that is to end takes requests, in ms: balancers send new
+# ones elsewhere after two looks, and answers that begin later may not end
+# within the grace.
+TAKING_MS = 2600
 
 
 class DeadlineBook:
@@ -50,7 +55,8 @@
     :param counters: the process's metrics.
     :param rng: the process's random numbers.
     :ivar deadlines: the longest deadline of each route.
-    :ivar is_stopping: whether the process is to end.
+    :ivar stopping_since_ms: local clock since when the process is to end;
+        None if it isn't.
     """
 
     def __init__(
@@ -79,4 +85,15 @@
         self.counters = counters
         self.rng = rng
         self.deadlines = DeadlineBook()
-        self.is_stopping = False
+        self.stopping_since_ms: int | None = None
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process is to end."""
+        return self.stopping_since_ms is not None
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether no request that arrives now is taken any more."""
+        since_ms = self.stopping_since_ms
+        return since_ms is not None and clock.now_ms() - since_ms > TAKING_MS
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -34,6 +34,8 @@
 MENDING_RETRY_S = 1.2
 BUSY_RETRY_S = 1.0
 STARTING_RETRY_S = 0.8
+# Other nodes take the request at once.
+ELSEWHERE_RETRY_S = 0.1
 # A request that may run once only goes on a connection used this lately.
 SAFE_REUSE_MS = 1500
 REUSE_MS = 60_000
@@ -118,6 +120,9 @@
         shared.leader.requests += 1
         request = self._request
         request.closes = shared.is_stopping
+        if shared.is_closed:
+            self._refuse(503, 'shutting down', ELSEWHERE_RETRY_S)
+            return
         index = shared.view.index
         if index is None:
             self._refuse(503, 'no document yet', STARTING_RETRY_S)
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -26,9 +26,6 @@
 
 log = logs.get_log(__name__)
 
-# How long new requests are taken after the order to stop, in ms: the
-# balancer takes a host out after two checks, a second apart.
-LEAVING_MS = 2600
 # How much of the grace is left for the end itself, in ms.
 END_MARGIN_MS = 500
 LOOK_MS = 50
@@ -132,12 +129,12 @@
         """Answer what is in flight, within the grace."""
         began_ms = clock.now_ms()
         end_ms = began_ms + self._settings.grace_ms - END_MARGIN_MS
-        self._context.is_stopping = True
+        self._context.stopping_since_ms = began_ms
         log.change('entry.draining', in_flight=len(self._server.in_flight))
         while clock.now_ms() < end_ms:
             await asyncio.sleep(LOOK_MS / 1000)
             waited_ms = clock.now_ms() - began_ms
-            if waited_ms > LEAVING_MS and not self._server.in_flight:
+            if waited_ms > context.TAKING_MS and not self._server.in_flight:
                 break
         log.change(
             'entry.drained',
--- a/tests/platform/test_calm_day.py
+++ b/tests/platform/test_calm_day.py
@@ -237,3 +237,31 @@
     for _ in range(3):
         response = await served.ask('/write/x', method='POST')
         assert response.status_code == 200
+
+
+async def test_a_stopping_node_takes_no_request_that_it_may_have_to_cut(
+    served,
+):
+    """Found by a hunt: one taken 6 s after SIGTERM was cut at 7.6 s."""
+    entry = served.entries[0]
+    text = entry.path.read_text()
+    entry.path.write_text(text.replace('grace_ms = 4000', 'grace_ms = 9000'))
+    await entry.restart()
+    await served.until(lambda: served.is_served('/read/x'))
+    await served.until(lambda: served.is_served('/tell/x', **STREAM))
+    for worker in served.workers:
+        if worker.answer is not None:
+            # Holds the node for longer than it takes requests.
+            worker.answer.events, worker.answer.pause_s = 22, 0.2
+    held = asyncio.create_task(
+        served.ask('/tell/x', X_Time_Budget_Ms='9000', **STREAM)
+    )
+    await asyncio.sleep(0.3)
+    entry.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(1.0)
+    assert await served.is_served('/read/x')
+    await asyncio.sleep(2.2)
+    response = await served.ask('/read/x')
+    assert response.status_code == 503
+    assert response.headers['Connection'] == 'close'
+    assert (await held).status_code == 200
