--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -22,7 +22,7 @@
 BUSY_SHARE = 0.35
 # The same above which even a slow group over two domains helps, and is worth
 # other domains' spares: below it the whole groups do the work, and in time
-# (benchmarks/mending.py: 0.92 of the credit with 0.5, 0.94 with 0.8).
+# (benchmarks/mending.py: more credit after 20 s than with 0.5).
 CROWDED_SHARE = 0.8
 # The need of a model that no group serves: more than any other.
 UNSERVED_NEED = 10.0
