--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -35,6 +35,19 @@
 TAKEN_IN_S = 6.0
 
 
+def build_headers(kind, request):
+    """Return the headers of a caller's request."""
+    headers = {
+        'Host': 'desk.example',
+        'X-Request-Id': request,
+        'X-Time-Budget-Ms': '3000',
+        'X-Key': deployment.KEY,
+    }
+    if kind == 'tell':
+        headers['X-Model'] = 'big'
+    return headers
+
+
 class SoakDeployment(deployment.Deployment):
     """Hosts on loopback addresses of their own; any control host may lead."""
 
@@ -162,13 +175,7 @@
                 response = await self.deployed.client.request(
                     'GET' if kind == 'read' else 'POST',
                     f'{url}/{kind}/x',
-                    headers={
-                        'Host': 'desk.example',
-                        'X-Request-Id': request,
-                        'X-Time-Budget-Ms': '3000',
-                        'X-Key': deployment.KEY,
-                        **({'X-Model': 'big'} if kind == 'tell' else {}),
-                    },
+                    headers=build_headers(kind, request),
                 )
             except httpx.TransportError as error:
                 self.answers[type(error).__name__] += 1
@@ -331,13 +338,7 @@
             response = await self.deployed.client.request(
                 'GET' if kind == 'read' else 'POST',
                 f'{url}/{kind}/x',
-                headers={
-                    'Host': 'desk.example',
-                    'X-Request-Id': os.urandom(8).hex(),
-                    'X-Time-Budget-Ms': '3000',
-                    'X-Key': deployment.KEY,
-                    **({'X-Model': 'big'} if kind == 'tell' else {}),
-                },
+                headers=build_headers(kind, os.urandom(8).hex()),
             )
         except httpx.TransportError:
             return False
