Plan, watch and estimate with one piece of code each

Found when reading the whole change again; behaviour stays:

- both ends of the watch stream waited for news by the same loop: pacing.await_news;
- a group's missing members were counted in planning and in the book of spares;
- groups were formed anew by two copies, heads described by two;
- the need of each model was measured anew for each spare and model at each look of the leader: once a plan now;
- the first layout counted members of groups that it has just ruled out;
- the estimate of times checked three times whether the engine is known.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -10,6 +10,7 @@
 from filbertglade.control import replication
 from filbertglade.control import state
 from filbertglade.control import voters as control_voters
+from filbertglade.fleet import pacing
 from filbertglade.fleet import registry
 from filbertglade.fleet import view
 from filbertglade.inner import fleet_grpc
@@ -89,6 +90,9 @@
     def wake(self) -> None:
         """Send what has changed soon."""
         self._is_stale = True
+        self._raise_alarms()
+
+    def _raise_alarms(self) -> None:
         for alarm in self._alarms:
             alarm.set()
 
@@ -228,16 +232,9 @@
         """Wait for a change, for other loads, or until a frame is due."""
         told = self._load_version
         pause_ms = max(LOAD_MS, LOAD_WATCHER_MS * len(self._watchers))
-        waited_ms = 0
-        while waited_ms < FRAME_MS:
-            try:
-                async with asyncio.timeout(pause_ms / 1000):
-                    await alarm.wait()
-                return
-            except TimeoutError:
-                waited_ms += pause_ms
-            if self._load_version != told:
-                return
+        await pacing.await_news(
+            alarm, lambda: self._load_version != told, pause_ms, FRAME_MS
+        )
 
     # Frames
 
@@ -265,8 +262,7 @@
             changed = True
         if changed:
             self._version = version
-            for alarm in self._alarms:
-                alarm.set()
+            self._raise_alarms()
 
     def _build_frame(
         self, watcher: Watcher, progress: '_Progress'
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -7,6 +7,7 @@
 
 from filbertglade import clock
 from filbertglade.control import replication
+from filbertglade.fleet import pacing
 from filbertglade.fleet import view
 from filbertglade.inner import channels
 from filbertglade.inner import fleet_grpc
@@ -210,16 +211,12 @@
         """Wait until there is something to report, or it is time to."""
         self._alarm.clear()
         pause_ms = max(LOAD_MS, LOAD_NODE_MS * self._view.entry_nodes)
-        waited_ms = 0
-        while waited_ms < REPORT_MS:
-            try:
-                async with asyncio.timeout(pause_ms / 1000):
-                    await self._alarm.wait()
-                return
-            except TimeoutError:
-                waited_ms += pause_ms
-            if self.in_flight != self._reported:
-                return
+        await pacing.await_news(
+            self._alarm,
+            lambda: self.in_flight != self._reported,
+            pause_ms,
+            REPORT_MS,
+        )
 
     def _build_report(self) -> fleet_pb2.WatchReport:
         strikes, self._strikes = self._strikes, []
--- a/filbertglade/forwarding/admission.py
+++ b/filbertglade/forwarding/admission.py
@@ -118,8 +118,9 @@
         tokens = self.prompt_tokens + (
             READING_SHARE * load * engine.usual.get('prompt', 0.0)
         )
-        read_ms = tokens / engine.read_per_s * 1000 * self._find_pace()
-        passes_ms = PASSES * engine.stride * self._expect_step_ms(load)
+        read_ms = tokens / engine.read_per_s * 1000 * self._find_pace(engine)
+        step_ms = self._expect_step_ms(engine, load)
+        passes_ms = PASSES * engine.stride * step_ms
         return slowness * (passes_ms + read_ms)
 
     def expect_whole_ms(self, load: int, slowness: float) -> float:
@@ -133,18 +134,16 @@
             return 0.0
         tokens = self.answer_tokens or engine.usual.get('answer', 0.0)
         return self.expect_first_ms(load, slowness) + (
-            slowness * tokens * self._expect_step_ms(load)
+            slowness * tokens * self._expect_step_ms(engine, load)
         )
 
-    def _expect_step_ms(self, load: int) -> float:
+    def _expect_step_ms(self, engine: document.Engine, load: int) -> float:
         """Return the time of one token step in a near group."""
-        if self.engine is None:
-            return 0.0
-        step_ms = self.engine.step_ms + self.engine.per_seq_ms * load
-        return step_ms * self._find_pace()
+        step_ms = engine.step_ms + engine.per_seq_ms * load
+        return step_ms * self._find_pace(engine)
 
-    def _find_pace(self) -> float:
-        shapes = self.engine.models if self.engine is not None else []
+    def _find_pace(self, engine: document.Engine) -> float:
         return next(
-            (shape.pace for shape in shapes if shape.name == self.model), 1.0
+            (item.pace for item in engine.models if item.name == self.model),
+            1.0,
         )
--- a/filbertglade/replicas/beliefs.py
+++ b/filbertglade/replicas/beliefs.py
@@ -122,28 +122,37 @@
             model=record.model,
             slowness=self._find_slowness(record),
         )
-        head_key = record.endpoints[0]
-        known = self._registry.known.get(head_key)
-        if known is not None:
-            head = known.endpoint
+        head = self._find_head(record)
+        if head is not None:
             replica.head_id = head.id
             replica.head_born_ms = head.born_ms
             replica.address = head.address
             replica.data_centre = head.data_centre
             replica.slots = head.slots
             replica.usable = self.is_serving(record)
-        elif record.head_address and not self.is_settled:
-            # Heads answer for themselves: one that doesn't serve the group
-            # with this epoch runs nothing.
-            replica.head_id, replica.head_born_ms = endpoints.split_key(
-                head_key
-            )
-            replica.address = record.head_address
-            replica.data_centre = record.head_data_centre
-            replica.slots = record.slots
-            replica.usable = self.is_serving(record)
         return replica
 
+    def _find_head(
+        self, record: commands_pb2.ReplicaRecord
+    ) -> fleet_pb2.Endpoint | None:
+        """Return where a group's head is, as it said or as it was formed."""
+        key = record.endpoints[0]
+        known = self._registry.known.get(key)
+        if known is not None:
+            return known.endpoint
+        if not record.head_address or self.is_settled:
+            return None
+        # Heads answer for themselves: one that doesn't serve the group with
+        # this epoch runs nothing.
+        endpoint_id, born_ms = endpoints.split_key(key)
+        return fleet_pb2.Endpoint(
+            id=endpoint_id,
+            born_ms=born_ms,
+            address=record.head_address,
+            data_centre=record.head_data_centre,
+            slots=record.slots,
+        )
+
     def _find_slowness(self, record: commands_pb2.ReplicaRecord) -> float:
         """Return the factor of a group's times, by its members' domains."""
         domains = {
--- a/filbertglade/replicas/plan_types.py
+++ b/filbertglade/replicas/plan_types.py
@@ -73,7 +73,12 @@
     @property
     def is_whole(self) -> bool:
         """Whether every member is there."""
-        return len(self.present) == len(self.members)
+        return not self.missing
+
+    @property
+    def missing(self) -> int:
+        """How many members are not there."""
+        return len(self.members) - len(self.present)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -65,6 +65,8 @@
             self._free[host.domain].append(host)
         self._actions: list[plan_types.Action] = []
         self._has_newcomers = False
+        # Needs while spares are staged; nothing changes them by then.
+        self._needs: dict[str, float] = {}
         # Groups that this plan makes whole.
         self._mended: set[str] = set()
 
@@ -107,26 +109,30 @@
             if group.model in self._shapes
             and not (group.is_whole and not group.is_broken)
         ]
-        broken.sort(key=lambda group: self._count_missing(group))
+        broken.sort(key=lambda group: group.missing)
         for group in broken:
             spares = self._take_staged(
-                group.domain, group.model, self._count_missing(group)
+                group.domain, group.model, group.missing
             )
             if spares is None or not (group.present or spares):
                 waiting.append(group)
             else:
-                self._form_anew(group, spares, 'mended')
+                self._form_anew(group, group.present, spares, 'mended')
         return waiting
 
     def _form_anew(
-        self, group: plan_types.Group, spares: list[str], reason: str
+        self,
+        group: plan_types.Group,
+        staying: abc.Iterable[str],
+        spares: list[str],
+        reason: str,
     ) -> None:
         self._mended.add(group.name)
         self._actions.append(
             plan_types.FormGroup(
                 group.model,
                 group.domain,
-                (*group.present, *spares),
+                (*staying, *spares),
                 group.name,
                 group.epoch,
                 reason,
@@ -146,7 +152,7 @@
             if not self._needs_slow_groups(group.model):
                 left.append(group)
                 continue
-            count = self._count_missing(group)
+            count = group.missing
             spares = self._find_foreign(group, count)
             if not group.present or len(spares) < count:
                 left.append(group)
@@ -154,7 +160,10 @@
             for host in spares:
                 self._free[host.domain].remove(host)
             self._form_anew(
-                group, [host.key for host in spares], 'mended across domains'
+                group,
+                group.present,
+                [host.key for host in spares],
+                'mended across domains',
             )
         return left
 
@@ -185,9 +194,6 @@
         )
         return (own + others)[:count]
 
-    def _count_missing(self, group: plan_types.Group) -> int:
-        return len(group.members) - len(group.present)
-
     def _take_staged(
         self, domain: str, model: str, count: int
     ) -> list[str] | None:
@@ -234,7 +240,7 @@
             if not near and not self._needs_slow_groups(model):
                 continue
             for receiver in near or others:
-                missing = self._count_missing(receiver)
+                missing = receiver.missing
                 if len(donor.present) + staged >= missing:
                     return donor
         return None
@@ -255,15 +261,11 @@
             taken = warm[: len(group.far)]
             for host in taken:
                 self._free[group.domain].remove(host)
-            self._actions.append(
-                plan_types.FormGroup(
-                    group.model,
-                    group.domain,
-                    (*near, *(host.key for host in taken)),
-                    group.name,
-                    group.epoch,
-                    'gathered in one domain',
-                )
+            self._form_anew(
+                group,
+                near,
+                [host.key for host in taken],
+                'gathered in one domain',
             )
 
     def _regroup(self) -> None:
@@ -327,14 +329,12 @@
     def _lay_out(self) -> None:
         """Form the first groups, each model's by its share of the hosts."""
         models = self._situation.models
-        hosts = {domain: len(free) for domain, free in self._free.items()}
-        sizes = [shape.size for shape in models]
-        total = sum(hosts.values()) + sum(
-            len(group.members) for group in self._situation.groups
-        )
         # What is already formed before traffic is a first layout's rest.
         if self._situation.groups or not models:
             return
+        hosts = {domain: len(free) for domain, free in self._free.items()}
+        sizes = [shape.size for shape in models]
+        total = sum(hosts.values())
         wanted = layout.count_groups(
             round(total * (1 - SPARE_SHARE)),
             sizes,
@@ -448,6 +448,10 @@
             for hosts in self._free.values()
             for host in hosts
         )
+        self._needs = {
+            name: self._measure_need(shape)
+            for name, shape in self._shapes.items()
+        }
         book = spares.SpareBook(self._free, waiting, self._situation.groups)
         wanted: list[tuple[tuple[float, ...], plan_types.StageModel]] = []
         for domain, hosts in self._free.items():
@@ -470,7 +474,7 @@
     ) -> tuple[float, ...]:
         """Return what one more spare of a model is worth in a domain."""
         shape = self._shapes[model]
-        need = self._measure_need(shape)
+        need = self._needs[model]
         short = book.count_short(domain, model)
         if short:
             gain = 1 / short
@@ -502,9 +506,7 @@
             return best
         if self._has_newcomers:
             return ''
-        gap = self._measure_need(self._shapes[best]) - self._measure_need(
-            self._shapes[held]
-        )
+        gap = self._needs[best] - self._needs[held]
         is_worth_it = (
             gap > NEED_GAP
             and book.count_left(best) < book.count_left(held) - 1
--- a/filbertglade/replicas/spares.py
+++ b/filbertglade/replicas/spares.py
@@ -31,8 +31,7 @@
                 for model in host.staged | {host.staging_model}:
                     self._held[domain, model] += 1
         for group in waiting:
-            missing = len(group.members) - len(group.present)
-            self._lacking[group.domain, group.model] += missing
+            self._lacking[group.domain, group.model] += group.missing
         self._far: collections.Counter[tuple[str, str]] = collections.Counter()
         self._members: collections.Counter[tuple[str, str]] = (
             collections.Counter()
