Announce the newest document's version in every frame

An entry host that had an old document could not be told from one with the newest: its logs and metrics only gave the version in force. The leader now names its newest version in each frame, and a node's metrics show it as document_announced_version beside document_version.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -297,6 +297,7 @@
             ),
         )
         current = self._agreed.document.current
+        frame.document_version = current.version
         if current.version > sent.document_version:
             sent.document_version = current.version
             frame.document.version = current.version
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -26,6 +26,8 @@
     failed attempts at most.
 
     :ivar index: the document in force; None before the first.
+    :ivar announced_version: highest document version that a leader announced;
+        0 before the first frame.
     :ivar endpoints: endpoints by incarnation key.
     :ivar replicas: replicas by group.
     :ivar in_flight: requests in flight from all nodes, by group.
@@ -36,6 +38,7 @@
 
     def __init__(self) -> None:
         self.index: document.RoutingIndex | None = None
+        self.announced_version = 0
         self.endpoints: dict[str, fleet_pb2.Endpoint] = {}
         self.replicas: dict[str, fleet_pb2.Replica] = {}
         self.in_flight: dict[str, int] = {}
@@ -92,6 +95,9 @@
         :param frame: the frame.
         """
         self.last_frame_ms = clock.now_ms()
+        self.announced_version = max(
+            self.announced_version, frame.document_version
+        )
         if frame.HasField('document'):
             self.apply_document(frame.document)
         if frame.entry_nodes:
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -72,6 +72,9 @@
         self._counters = counters
         self._view = view.FleetView()
         counters.set_gauge('document_version', lambda: self._view.version)
+        counters.set_gauge(
+            'document_announced_version', lambda: self._view.announced_version
+        )
         counters.set_gauge(
             'view_age_ms', lambda: float(self._view.age_ms() or 0)
         )
