Log and count what a document costs on its way to the hosts

When a document of 1,890 routes stopped the leader, operators could not see whether its link, an entry host, an event loop or the appends behind the documents were at fault: watcher.left had no reason, no metric gave bytes by content, and a first frame that came too late left no line.

Counted now are the bytes sent by content, the time to send a frame, the reasons why watchers left, the delay of the event loop and the memory. Nothing that is decided, sent or timed changes.

Without the reason of a send time-out, the size of the frame being sent, the bytes received or the limit of a line a break, four of the new tests fail.

--- a/filbertglade/control/leadership.py
+++ b/filbertglade/control/leadership.py
@@ -328,6 +328,7 @@
             if not self.replicators:
                 self.renew_lease()
             if not self.has_quorum:
+                self._log_lost_quorum()
                 voter.step_down('no quorum within the lease')
                 return
             self._refresh_replicators()
@@ -336,6 +337,17 @@
             wait_ms = min(interval_ms, max(1, left_ms))
             await asyncio.sleep(wait_ms / 1000)
 
+    def _log_lost_quorum(self) -> None:
+        log.change(
+            'leader.quorum_lost',
+            term=self._term,
+            lease_overdue_ms=clock.now_ms() - self._lease_end_ms,
+            voters={
+                replicator.name: replicator.describe_traffic()
+                for replicator in self.replicators
+            },
+        )
+
     # Voter changes
 
     def _update_voters(self) -> None:
--- a/filbertglade/control/replication.py
+++ b/filbertglade/control/replication.py
@@ -76,6 +76,8 @@
         self._in_flight_sent_ms: dict[int, int] = {}
         self._last_sent_ms = 0
         self._woken = asyncio.Event()
+        # Whether a break was logged since the latest reply.
+        self._is_break_logged = False
         self._snapshot_task: asyncio.Task[None] | None = None
 
     @property
@@ -116,10 +118,11 @@
             )
             try:
                 await self._run_stream(channel)
-            except STREAM_ERRORS:
+            except STREAM_ERRORS as error:
                 self._voter.counters.count(
                     'agreement_stream_breaks', peer=self.name
                 )
+                self._log_break(error)
             except Exception as error:
                 # An unexpected error ends the stream, but not the replication.
                 log.error('replication.failed', peer=self.name, error=error)
@@ -129,6 +132,39 @@
             pause = pause_ms * (0.5 + self._voter.rng.random())
             await asyncio.sleep(pause / 1000)
 
+    def _log_break(self, error: Exception) -> None:
+        """Log a break; failures to reopen the stream add no line."""
+        if self._is_break_logged:
+            return
+        self._is_break_logged = True
+        log.change(
+            'replication.broken',
+            peer=self.name,
+            error=error,
+            **self.describe_traffic(),
+        )
+
+    def describe_traffic(self) -> dict[str, int | None]:
+        """Return fields for a log line on how the voter replies.
+
+        :returns: ``acknowledged_age_ms``, time since the latest request that
+            it replied to was sent; ``in_flight``, requests without a reply;
+            ``oldest_in_flight_ms``, time since the first of them was sent.
+            A time is None if there is no such request.
+        """
+        now_ms = clock.now_ms()
+        acknowledged_age_ms = None
+        if self.acknowledged_sent_ms != quorum.NO_VALUE:
+            acknowledged_age_ms = now_ms - self.acknowledged_sent_ms
+        oldest_ms = next(iter(self._in_flight_sent_ms.values()), None)
+        return {
+            'acknowledged_age_ms': acknowledged_age_ms,
+            'in_flight': len(self._in_flight_sent_ms),
+            'oldest_in_flight_ms': (
+                None if oldest_ms is None else now_ms - oldest_ms
+            ),
+        }
+
     async def _run_stream(self, channel: client.Channel) -> None:
         self._in_flight_sent_ms.clear()
         self._stale_before_sequence = self._sequence + 1
@@ -164,7 +200,12 @@
             self._update_snapshot_transfer(channel)
             if self._can_send_entries() or self._heartbeat_wait_ms() <= 0:
                 async with asyncio.timeout(self._reply_timeout_s()):
-                    await stream.send_message(self._next_request())
+                    request = self._next_request()
+                    self._count_sent(
+                        'append' if request.entries else 'heartbeat',
+                        request.ByteSize(),
+                    )
+                    await stream.send_message(request)
                 continue
             self._woken.clear()
             try:
@@ -173,6 +214,12 @@
             except TimeoutError:
                 continue
 
+    def _count_sent(self, content: str, size_bytes: int) -> None:
+        """Count a message whose sending begins."""
+        self._voter.counters.count(
+            'inner_bytes_sent', size_bytes, content=content
+        )
+
     def _heartbeat_wait_ms(self) -> int:
         interval_ms = self._voter.settings.control.heartbeat_ms
         return self._last_sent_ms + interval_ms - clock.now_ms()
@@ -243,6 +290,7 @@
             self.acknowledged_sent_ms = quorum.NO_VALUE
         self.incarnation = reply.incarnation
         self.founding = reply.founding
+        self._is_break_logged = False
         self.acknowledged_sent_ms = max(self.acknowledged_sent_ms, sent_ms)
         if reply.accepted:
             self._advance_match_index(reply.match_index)
@@ -328,6 +376,7 @@
                 data=data,
                 last=not data,
             )
+            self._count_sent('snapshot', chunk.ByteSize())
             async with asyncio.timeout(SNAPSHOT_REPLY_MS / 1000):
                 await stream.send_message(chunk, end=not data)
             if not data:
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections import abc
 import dataclasses
+import enum
 
 from grpclib import server
 
+from filbertglade import clock
 from filbertglade.control import agreement
 from filbertglade.control import replication
 from filbertglade.control import state
@@ -16,6 +18,7 @@
 from filbertglade.inner import fleet_grpc
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
+from filbertglade.observability import metrics
 from filbertglade.replicas import controller
 
 log = logs.get_log(__name__)
@@ -35,14 +38,93 @@
 WATCHER_TIMEOUT_MS = 3000
 
 
+class LeaveReason(enum.StrEnum):
+    """Why a watcher's stream ended."""
+
+    REPORT_TIMEOUT = 'report time-out'
+    SEND_TIMEOUT = 'send time-out'
+    ENDED_BY_WATCHER = 'stream ended by the watcher'
+    # The watcher gave up, its connection broke, or this process is stopping.
+    RESET = 'stream reset or connection lost'
+    STREAM_ERROR = 'stream error'
+    NO_LONGER_LEADER = 'no longer leader'
+    INTERNAL_ERROR = 'internal error'
+
+
 @dataclasses.dataclass(slots=True)
 class ConnectedWatcher:
     """A node that watches this host.
 
     :param report: its latest report.
+    :param attached_ms: local clock at its first report.
+    :param frames: number of frames sent.
+    :param sent_bytes: bytes of these frames.
+    :param sending_bytes: bytes of the frame that is being sent; 0 if none is.
+    :param leave_reason: why its stream ended; None while it runs.
+    :param leave_error: type and text of the exception that ended it; empty if
+        there was none.
     """
 
     report: fleet_pb2.WatchReport
+    attached_ms: int
+    frames: int = 0
+    sent_bytes: int = 0
+    sending_bytes: int = 0
+    leave_reason: LeaveReason | None = None
+    leave_error: str = ''
+
+    def note_leaving(
+        self, reason: LeaveReason, error: BaseException | None = None
+    ) -> None:
+        """Note why the stream ends; the first reason counts.
+
+        :param reason: the reason.
+        :param error: the exception that ended it, if any.
+        """
+        if self.leave_reason is None:
+            self.leave_reason = reason
+            # As text: an exception refers to the frame that was being sent.
+            if error is not None:
+                self.leave_error = f'{type(error).__name__}: {error}'
+
+
+@dataclasses.dataclass(slots=True)
+class FrameSize:
+    """The bytes of a frame by kind of content.
+
+    :param document_bytes: the document.
+    :param view_bytes: endpoints and replicas.
+    :param load_bytes: all else.
+    """
+
+    document_bytes: int
+    view_bytes: int
+    load_bytes: int
+
+    @property
+    def total_bytes(self) -> int:
+        """The frame's bytes."""
+        return self.document_bytes + self.view_bytes + self.load_bytes
+
+    @property
+    def main_content(self) -> str:
+        """The first kind of content that the frame has."""
+        if self.document_bytes:
+            return 'document'
+        return 'view' if self.view_bytes else 'load'
+
+
+def measure_frame(frame: fleet_pb2.FleetFrame) -> FrameSize:
+    """Return the bytes of a frame by kind of content.
+
+    :param frame: the frame.
+    """
+    # Sizing a message serializes it, so the text isn't sized twice.
+    document_bytes = len(frame.document.text)
+    view_bytes = sum(item.ByteSize() for item in frame.endpoints)
+    view_bytes += sum(item.ByteSize() for item in frame.replicas)
+    rest_bytes = frame.ByteSize() - document_bytes - view_bytes
+    return FrameSize(document_bytes, view_bytes, rest_bytes)
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,6 +142,7 @@
     :param endpoint_registry: the endpoints.
     :param replicas: the controller of the groups.
     :param fleet_view: this host's own view; it stores the strikes.
+    :param counters: the process's metrics.
     :ivar was_seeded: whether the registry started with endpoints that a
         previous leader had reported.
     """
@@ -72,6 +155,7 @@
         endpoint_registry: registry.Registry,
         replicas: controller.ReplicaController,
         fleet_view: view.FleetView,
+        counters: metrics.Metrics,
     ) -> None:
         self._agreed = agreed
         self._voters = voters
@@ -79,6 +163,7 @@
         self._registry = endpoint_registry
         self._replicas = replicas
         self._view = fleet_view
+        self._counters = counters
         self._watchers: dict[int, ConnectedWatcher] = {}
         self._sender_events: set[asyncio.Event] = set()
         self._versioned_replicas: dict[str, _VersionedReplica] = {}
@@ -158,7 +243,7 @@
         if not self._voters.is_leader:
             await stream.send_message(self._build_redirection())
             return
-        watcher = ConnectedWatcher(first)
+        watcher = ConnectedWatcher(first, clock.now_ms())
         self._watchers[id(watcher)] = watcher
         self._apply_report(watcher, first)
         report_reader = asyncio.get_running_loop().create_task(
@@ -171,15 +256,39 @@
             await self._send_frames(
                 stream, watcher, changed_event, report_reader
             )
-        except replication.STREAM_ERRORS:
+        except replication.STREAM_ERRORS as error:
+            reason = LeaveReason.STREAM_ERROR
+            if isinstance(error, TimeoutError):
+                reason = LeaveReason.SEND_TIMEOUT
+            watcher.note_leaving(reason, error)
             return
+        except asyncio.CancelledError as error:
+            watcher.note_leaving(LeaveReason.RESET, error)
+            raise
+        except Exception as error:
+            watcher.note_leaving(LeaveReason.INTERNAL_ERROR, error)
+            raise
         finally:
-            log.change('watcher.left', watcher=first.node)
+            self._log_left(watcher)
             self._sender_events.discard(changed_event)
             del self._watchers[id(watcher)]
             report_reader.cancel()
             await asyncio.wait([report_reader])
 
+    def _log_left(self, watcher: ConnectedWatcher) -> None:
+        reason = watcher.leave_reason or LeaveReason.INTERNAL_ERROR
+        self._counters.count('watchers_left', reason=reason)
+        log.change(
+            'watcher.left',
+            watcher=watcher.report.node,
+            reason=reason,
+            error=watcher.leave_error,
+            lasted_ms=clock.now_ms() - watcher.attached_ms,
+            frames=watcher.frames,
+            sent_bytes=watcher.sent_bytes,
+            sending_bytes=watcher.sending_bytes,
+        )
+
     def _build_redirection(self) -> fleet_pb2.FleetFrame:
         return fleet_pb2.FleetFrame(
             leader=self._voters.leader,
@@ -196,11 +305,15 @@
                 async with asyncio.timeout(WATCHER_TIMEOUT_MS / 1000):
                     report = await stream.recv_message()
                 if report is None:
+                    watcher.note_leaving(LeaveReason.ENDED_BY_WATCHER)
                     return
                 self._apply_report(watcher, report)
-        except replication.STREAM_ERRORS:
+        except replication.STREAM_ERRORS as error:
             # The sending side notices that this task has ended.
-            return
+            reason = LeaveReason.STREAM_ERROR
+            if isinstance(error, TimeoutError):
+                reason = LeaveReason.REPORT_TIMEOUT
+            watcher.note_leaving(reason, error)
 
     def _apply_report(
         self, watcher: ConnectedWatcher, report: fleet_pb2.WatchReport
@@ -226,15 +339,48 @@
         sent = _SentState(watcher.report.document_version)
         while not report_reader.done():
             if not self._voters.is_leader:
+                watcher.note_leaving(LeaveReason.NO_LONGER_LEADER)
                 await stream.send_message(self._build_redirection())
                 return
             changed_event.clear()
             frame = self._build_frame(watcher, sent)
-            async with asyncio.timeout(WATCHER_TIMEOUT_MS / 1000):
-                await stream.send_message(frame)
+            await self._send_frame(stream, watcher, frame)
             await asyncio.sleep(BATCH_MS / 1000)
             await self._wait_for_change(changed_event)
 
+    async def _send_frame(
+        self,
+        stream: 'server.Stream[fleet_pb2.WatchReport, fleet_pb2.FleetFrame]',
+        watcher: ConnectedWatcher,
+        frame: fleet_pb2.FleetFrame,
+    ) -> None:
+        size = measure_frame(frame)
+        for content, size_bytes in (
+            ('document', size.document_bytes),
+            ('view', size.view_bytes),
+            ('load', size.load_bytes),
+        ):
+            # Counted when sending begins: the link also carries much of a
+            # frame that the watcher doesn't wait for.
+            if size_bytes:
+                self._counters.count(
+                    'inner_bytes_sent', size_bytes, content=content
+                )
+        watcher.sending_bytes = size.total_bytes
+        started_ms = clock.now_ms()
+        try:
+            async with asyncio.timeout(WATCHER_TIMEOUT_MS / 1000):
+                await stream.send_message(frame)
+        finally:
+            self._counters.record_ms(
+                'frame_send',
+                clock.now_ms() - started_ms,
+                content=size.main_content,
+            )
+        watcher.frames += 1
+        watcher.sent_bytes += size.total_bytes
+        watcher.sending_bytes = 0
+
     async def _wait_for_change(self, changed_event: asyncio.Event) -> None:
         """Wait for a change, or until the next frame is due."""
         sent_version = self._load_version
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -74,7 +74,9 @@
         """
         if received.version <= self.version and self.index is not None:
             return
+        started_ms = clock.now_ms()
         parsed, problems = document.read_document(received.text)
+        parsed_ms = clock.now_ms()
         if parsed is None:
             log.error(
                 'document.unreadable',
@@ -87,6 +89,9 @@
             'document.in_force',
             version=received.version,
             routes=len(parsed.routes),
+            bytes=len(received.text),
+            parse_ms=parsed_ms - started_ms,
+            index_ms=clock.now_ms() - parsed_ms,
         )
 
     def apply_frame(self, frame: fleet_pb2.FleetFrame) -> None:
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -79,6 +79,9 @@
         self._suspicions: list[fleet_pb2.Suspicion] = []
         self._urgent_change = asyncio.Event()
         self._reported_in_flight: dict[str, int] = {}
+        # Of the current stream.
+        self._received_frames = 0
+        self._received_bytes = 0
         self.in_flight: dict[str, int] = {}
         self.requests = 0
 
@@ -147,6 +150,8 @@
     async def _watch(self, host: str) -> None:
         channel = self._channels.open_channel(host)
         started_ms = clock.now_ms()
+        self._received_frames = 0
+        self._received_bytes = 0
         was_followed = False
         reason = 'ended'
         try:
@@ -163,6 +168,8 @@
                 await self._follow(stream, frame)
         except replication.STREAM_ERRORS as error:
             reason = f'{type(error).__name__}: {error}'
+            if not was_followed:
+                self._report_failed_attempt(host, error)
         finally:
             channel.close()
             if was_followed:
@@ -172,8 +179,23 @@
                     reason=reason,
                     lasted_ms=clock.now_ms() - started_ms,
                     age_ms=self._view.age_ms(),
+                    frames=self._received_frames,
+                    received_bytes=self._received_bytes,
                 )
 
+    def _report_failed_attempt(self, host: str, error: Exception) -> None:
+        self._counters.count(
+            'leader_watch_failures', reason=type(error).__name__
+        )
+        if isinstance(error, TimeoutError):
+            # Only time-outs are logged: they take long enough to bound the
+            # number of lines.
+            log.change(
+                'leader.silent',
+                host=host,
+                timeout_ms=FIRST_FRAME_TIMEOUT_MS,
+            )
+
     def _apply_redirection(
         self, host: str, frame: fleet_pb2.FleetFrame | None
     ) -> None:
@@ -192,6 +214,8 @@
                 self._control_hosts = (
                     list(frame.control_hosts) or self._control_hosts
                 )
+                self._received_frames += 1
+                self._received_bytes += frame.ByteSize()
                 self._view.apply_frame(frame)
                 self._counters.count('fleet_frames')
                 async with asyncio.timeout(LEADER_TIMEOUT_MS / 1000):
--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -7,6 +7,7 @@
 from tornado import httpserver
 from tornado import web
 
+from filbertglade import clock
 from filbertglade.control import agreement
 from filbertglade.control import failures as control_failures
 from filbertglade.control import state
@@ -192,7 +193,9 @@
         """Commit a document if it is valid."""
         context = self._context
         text = self.request.body
+        started_ms = clock.now_ms()
         parsed, problems = document.read_document(text)
+        parse_ms = clock.now_ms() - started_ms
         if parsed is None:
             log.change(
                 'document.refused',
@@ -213,11 +216,12 @@
                 503, {'error': 'too few control hosts are voters yet'}
             )
             return
-        await self._commit(parsed.version, text)
+        await self._commit(parsed.version, text, parse_ms)
 
-    async def _commit(self, version: int, text: bytes) -> None:
+    async def _commit(self, version: int, text: bytes, parse_ms: int) -> None:
         context = self._context
         put = commands_pb2.PutDocument(version=version, text=text)
+        started_ms = clock.now_ms()
         result = await context.voters.submit(
             commands_pb2.Command(put_document=put), COMMIT_TIMEOUT_MS
         )
@@ -232,6 +236,9 @@
             version=version,
             in_force=result.document.version,
             differs=result.document.differs,
+            bytes=len(text),
+            parse_ms=parse_ms,
+            commit_ms=clock.now_ms() - started_ms,
         )
         self.respond(200, {'version': result.document.version})
 
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -6,6 +6,7 @@
 
 from tornado import httpserver
 
+from filbertglade import clock
 from filbertglade.control import agreement
 from filbertglade.control import file_storage
 from filbertglade.control import identity
@@ -123,6 +124,7 @@
             self._registry,
             self._replicas,
             fleet_view,
+            counters,
         )
         assert settings.listen.control is not None
         self._context = control_api.ControlContext(
@@ -221,7 +223,9 @@
             index is not None and index.document.version == current.version
         ):
             return
+        started_ms = clock.now_ms()
         parsed, problems = document.read_document(current.text)
+        parsed_ms = clock.now_ms()
         if parsed is None:
             log.error(
                 'document.unreadable',
@@ -230,6 +234,13 @@
             )
             return
         self._replicas.observed.index = document.RoutingIndex(parsed)
+        log.change(
+            'document.applied',
+            version=current.version,
+            bytes=len(current.text),
+            parse_ms=parsed_ms - started_ms,
+            index_ms=clock.now_ms() - parsed_ms,
+        )
 
     # Enlisting as a voter
 
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -18,6 +18,8 @@
 from filbertglade.gateway import entry_role
 from filbertglade.inner import channels
 from filbertglade.observability import logs
+from filbertglade.observability import loop_delay
+from filbertglade.observability import memory
 from filbertglade.observability import metrics
 from filbertglade.settings import gateway
 from filbertglade import tasks
@@ -70,6 +72,8 @@
         self._tasks = tasks.TaskGroup()
         rng = random.Random()
         self._counters = counters
+        memory.set_gauges(counters)
+        self._loop_delay = loop_delay.LoopDelayMonitor(counters)
         self._view = view.FleetView()
         counters.set_gauge('document_version', lambda: self._view.version)
         counters.set_gauge(
@@ -127,6 +131,7 @@
             seeds=self._settings.list_seeds(),
             found_cluster=self._settings.control.found_cluster,
         )
+        self._tasks.start(self._loop_delay.run())
         self._settings_text = self._path.read_bytes()
         self._add_signal_handlers()
         if self._control_role is not None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 
+import eliot
 import hypothesis
 import pytest
 
@@ -65,3 +66,14 @@
     path = tmp_path / 'node.toml'
     path.write_text(settings_text)
     return path
+
+
+@pytest.fixture
+def log_lines():
+    """The log lines written during the test, as dictionaries."""
+    lines = []
+    eliot.add_destinations(lines.append)
+    # eliot hands the lines from before the first destination to it.
+    lines.clear()
+    yield lines
+    eliot.remove_destination(lines.append)
--- /dev/null
+++ b/tests/fleet/test_publisher.py
@@ -0,0 +1,171 @@
+"""What the leader counts and logs about the streams to its watchers."""
+
+import asyncio
+import types
+
+import pytest
+
+from filbertglade.control import state
+from filbertglade.fleet import publisher
+from filbertglade.fleet import registry
+from filbertglade.fleet import view
+from filbertglade.inner import commands_pb2
+from filbertglade.inner import fleet_pb2
+from filbertglade.observability import metrics
+from tests.fleet import documents
+from tests import virtual_time
+
+REPORT_INTERVAL_S = 0.4
+RUN_S = 10
+TEXT = documents.write(documents.build(version=7))
+
+
+class FakeStream:
+    """A watcher's stream that reports, or not, and takes frames, or not.
+
+    :param reports: number of reports before it ends or is silent.
+    :param ends: whether it ends after them.
+    :param takes: number of frames that it takes.
+    """
+
+    def __init__(self, reports=1000, ends=False, takes=1000):
+        self.frames = []
+        self._reports = reports
+        self._ends = ends
+        self._takes = takes
+
+    async def recv_message(self):
+        if not self._reports:
+            if self._ends:
+                return None
+            await asyncio.Future()
+        self._reports -= 1
+        await asyncio.sleep(REPORT_INTERVAL_S)
+        return fleet_pb2.WatchReport(node='n-1', takes_callers=True)
+
+    async def send_message(self, frame):
+        if len(self.frames) == self._takes:
+            await asyncio.Future()
+        self.frames.append(frame)
+
+
+class Leader:
+    """A publisher without the control of groups."""
+
+    def __init__(self):
+        self.voters = types.SimpleNamespace(is_leader=True, leader='c-1')
+        self.counters = metrics.Metrics()
+        self.agreed = state.AgreedState()
+        observed = types.SimpleNamespace(
+            in_flight={},
+            index=None,
+            is_settled=True,
+            list_replicas=lambda: [
+                fleet_pb2.Replica(group='g-1', address='10.0.0.1:80')
+            ],
+        )
+        self.publisher = publisher.Publisher(
+            self.agreed,
+            self.voters,
+            types.SimpleNamespace(seeds=['c-1']),
+            registry.Registry(announce_ms=1200),
+            types.SimpleNamespace(observed=observed),
+            view.FleetView(),
+            self.counters,
+        )
+
+    def put_document(self):
+        self.agreed.apply(
+            1,
+            commands_pb2.Command(
+                put_document=commands_pb2.PutDocument(version=7, text=TEXT)
+            ),
+        )
+
+    def count_bytes(self, content):
+        return self.counters.counter('inner_bytes_sent', content=content)
+
+    async def serve(self, stream):
+        """Serve a watcher; it is cut off after some seconds.
+
+        A lost connection cancels the handler in the same way.
+        """
+        serving = asyncio.create_task(self.publisher.Watch(stream))
+        await asyncio.wait([serving], timeout=RUN_S)
+        serving.cancel()
+        await asyncio.wait([serving])
+
+
+def watch(stream, prepare=lambda leader: None):
+    """Serve a watcher; return the leader."""
+
+    async def main():
+        leader = Leader()
+        prepare(leader)
+        await leader.serve(stream)
+        return leader
+
+    return virtual_time.run(main())
+
+
+def find_leaving(log_lines):
+    (line,) = [
+        line for line in log_lines if line['message_type'] == 'watcher.left'
+    ]
+    return line
+
+
+def test_bytes_are_counted_by_kind_of_content():
+    stream = FakeStream()
+    leader = watch(stream, Leader.put_document)
+    assert leader.count_bytes('document') == len(TEXT)
+    replica = stream.frames[0].replicas[0]
+    assert leader.count_bytes('view') == replica.ByteSize()
+    total = sum(frame.ByteSize() for frame in stream.frames)
+    load = leader.count_bytes('load')
+    assert load == total - len(TEXT) - replica.ByteSize()
+
+
+@pytest.mark.parametrize(
+    'stream, reason, error',
+    [
+        (FakeStream(reports=3), 'report time-out', 'TimeoutError: '),
+        (FakeStream(reports=3, ends=True), 'stream ended by the watcher', ''),
+        (FakeStream(takes=0), 'send time-out', 'TimeoutError: '),
+        (FakeStream(), 'stream reset or connection lost', 'CancelledError: '),
+    ],
+)
+def test_a_leaving_watcher_is_logged_with_the_reason(
+    stream, reason, error, log_lines
+):
+    leader = watch(stream)
+    line = find_leaving(log_lines)
+    assert (line['reason'], line['error']) == (reason, error)
+    assert line['watcher'] == 'n-1'
+    assert line['frames'] == len(stream.frames)
+    sent_bytes = sum(frame.ByteSize() for frame in stream.frames)
+    assert line['sent_bytes'] == sent_bytes
+    assert leader.counters.counter('watchers_left', reason=reason) == 1
+
+
+def test_a_watcher_of_a_former_leader_leaves_for_that(log_lines):
+    def prepare(leader):
+        loop = asyncio.get_running_loop()
+        loop.call_later(2, setattr, leader.voters, 'is_leader', False)
+
+    watch(FakeStream(), prepare)
+    line = find_leaving(log_lines)
+    assert line['reason'] == 'no longer leader'
+    assert 2000 - 400 <= line['lasted_ms'] <= 2000 + 400
+
+
+def test_the_frame_that_a_watcher_left_in_is_measured(log_lines):
+    leader = watch(FakeStream(takes=0), Leader.put_document)
+    line = find_leaving(log_lines)
+    assert line['sent_bytes'] == 0
+    assert line['sending_bytes'] > len(TEXT)
+    assert leader.count_bytes('document') == len(TEXT)
+    took_ms = leader.counters.percentile_ms(
+        'frame_send', 100, content='document'
+    )
+    assert took_ms >= publisher.WATCHER_TIMEOUT_MS * 0.98
--- a/tests/platform/test_explaining.py
+++ b/tests/platform/test_explaining.py
@@ -130,3 +130,32 @@
     await running.send_request('/read/x', X_Request_Id='q8')
     await running.send_request('/read/x', X_Request_Id='q9')
     assert 'quota spent' in await find_cause(running, 'q9')
+
+
+async def test_a_document_is_logged_with_size_and_time(running):
+    text = documents.write(documents.build(version=9))
+    await running.put(documents.build(version=9))
+    processes = [running.control, *running.entries]
+
+    def list_events():
+        events = timeline.read_events([item.log for item in processes])
+        return [
+            event
+            for event in events
+            if event.name.startswith('document.')
+            and event.fields.get('version') == 9
+        ]
+
+    async def is_everywhere():
+        names = [event.name for event in list_events()]
+        return names.count('document.in_force') == len(processes)
+
+    await running.wait_until(is_everywhere)
+    events = {event.name: event.fields for event in list_events()}
+    for name, durations in (
+        ('document.accepted', ('parse_ms', 'commit_ms')),
+        ('document.applied', ('parse_ms', 'index_ms')),
+        ('document.in_force', ('parse_ms', 'index_ms')),
+    ):
+        assert events[name]['bytes'] == len(text)
+        assert all(events[name][field] >= 0 for field in durations)
