Test documents on links of bounded rate

Callers got 404 for routes of an acknowledged document, and a valid document was never acknowledged: the leader sends each watcher the whole document inside a frame, and its link needs longer for all copies than a watcher waits for a frame.

The rig is a relay process on loopback that gives each host a link of a bounded rate, shared fairly by its connections, with small buffers. Control hosts are real processes; entry hosts are gateway processes' objects in the test. Bounds come from the targets: 2.5 s for a document, or 1.5 times what the link needs for a copy to each host.

--- /dev/null
+++ b/tests/bounded_links.py
@@ -0,0 +1,291 @@
+"""Links of bounded rate between hosts, as a relay process on loopback.
+
+Each host has one link, which all of its connections share in both directions.
+A connection goes through the relay: its opener names itself and its target in
+a first line, and the relay answers with one byte once the target has accepted.
+Buffers are small, so a peer that doesn't read blocks the writer.
+
+Run as ``python -m tests.bounded_links RATES``: it prints its address, and ends
+with its standard input.
+"""
+
+import asyncio
+import collections
+import json
+import pathlib
+import socket
+import sys
+import time
+
+from grpclib import client
+
+from filbertglade.inner import channels
+
+# Part of a connection's data that occupies a link at a time, in bytes:
+# connections take turns.
+CHUNK_BYTES = 4096
+# Chunks of a connection between the links of its two hosts.
+QUEUE_CHUNKS = 8
+SOCKET_BUFFER_BYTES = 32_768
+# Segments as on Ethernet: the kernel sizes its send buffers by them, and
+# loopback's own are far larger.
+SEGMENT_BYTES = 1460
+DELAY_S = 0.0005
+# Time that a link may make up for when a timer fires late, in s.
+LATENESS_S = 0.005
+# Time in which the target has to accept a connection, in s.
+CONNECT_S = 10.0
+# Asks for the counters instead of a connection.
+COUNT_LINE = b'count\n'
+
+
+class LinkDirection:
+    """One direction of a host's link.
+
+    :param bytes_per_s: its rate.
+    :ivar carried_bytes: bytes carried since the start.
+    """
+
+    def __init__(self, bytes_per_s):
+        self._bytes_per_s = bytes_per_s
+        self._free_s = 0.0
+        self.carried_bytes = 0
+
+    async def carry(self, size):
+        """Wait until the link has carried some bytes, first come first served.
+
+        :param size: number of bytes.
+        """
+        now_s = time.monotonic()
+        begin_s = max(self._free_s, now_s - LATENESS_S)
+        self._free_s = begin_s + size / self._bytes_per_s
+        self.carried_bytes += size
+        if self._free_s > now_s:
+            await asyncio.sleep(self._free_s - now_s)
+
+
+class HostLink:
+    """The link of one host.
+
+    :param bytes_per_s: its rate in each direction.
+    """
+
+    def __init__(self, bytes_per_s):
+        self.outgoing = LinkDirection(bytes_per_s)
+        self.incoming = LinkDirection(bytes_per_s)
+
+
+class Relay:
+    """Forwards the connections between hosts.
+
+    :param rates: the rate of each host's link by its IP number, in bytes
+        per second.
+    """
+
+    def __init__(self, rates):
+        self._links = {host: HostLink(rate) for host, rate in rates.items()}
+        self._tasks = set()
+
+    async def run(self, listener):
+        """Accept connections until cancelled.
+
+        :param listener: the listening socket.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(listener)
+            accepted.setblocking(False)
+            task = loop.create_task(self._serve(accepted))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, accepted):
+        with accepted:
+            try:
+                await self._answer(accepted, await _receive_line(accepted))
+            except* OSError:
+                # Either end has reset its connection, or the target refused
+                # it: closing the sockets tells the other end.
+                pass
+
+    async def _answer(self, accepted, line):
+        loop = asyncio.get_running_loop()
+        if line == COUNT_LINE:
+            await loop.sock_sendall(accepted, self._write_counters())
+            return
+        source, address = line.decode().split()
+        host, port = channels.split_address(address)
+        with _make_socket() as target:
+            async with asyncio.timeout(CONNECT_S):
+                await loop.sock_connect(target, (host, port))
+            await loop.sock_sendall(accepted, b'+')
+            await self._forward_both(
+                accepted, target, self._links[source], self._links[host]
+            )
+
+    def _write_counters(self):
+        counters = {
+            host: [link.outgoing.carried_bytes, link.incoming.carried_bytes]
+            for host, link in self._links.items()
+        }
+        return json.dumps(counters).encode()
+
+    async def _forward_both(self, accepted, target, source_link, target_link):
+        async with asyncio.TaskGroup() as group:
+            for reader, writer, sender, receiver in (
+                (accepted, target, source_link, target_link),
+                (target, accepted, target_link, source_link),
+            ):
+                queue = asyncio.Queue(QUEUE_CHUNKS)
+                group.create_task(_read(reader, sender.outgoing, queue))
+                group.create_task(_write(writer, receiver.incoming, queue))
+
+
+async def _receive_line(sock):
+    line = b''
+    while not line.endswith(b'\n'):
+        data = await asyncio.get_running_loop().sock_recv(sock, CHUNK_BYTES)
+        if not data:
+            raise ConnectionResetError
+        line += data
+    return line
+
+
+async def _read(sock, direction, queue):
+    loop = asyncio.get_running_loop()
+    while data := await loop.sock_recv(sock, CHUNK_BYTES):
+        await direction.carry(len(data))
+        await queue.put((time.monotonic() + DELAY_S, data))
+    await queue.put((0.0, b''))
+
+
+async def _write(sock, direction, queue):
+    loop = asyncio.get_running_loop()
+    while True:
+        due_s, data = await queue.get()
+        if not data:
+            sock.shutdown(socket.SHUT_WR)
+            return
+        await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+        await direction.carry(len(data))
+        await loop.sock_sendall(sock, data)
+
+
+def _make_socket():
+    made = socket.socket()
+    made.setblocking(False)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return made
+
+
+Carried = collections.namedtuple('Carried', 'sent received')
+
+
+class Links:
+    """A relay process, and the counters of its links.
+
+    :param rates: the rate of each host's link by its IP number, in bytes
+        per second.
+    :ivar address: ``host:port`` of the relay.
+    """
+
+    def __init__(self, rates):
+        self._rates = rates
+        self._process = None
+        self.address = ''
+
+    async def start(self):
+        """Start the relay process."""
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'tests.bounded_links',
+            json.dumps(self._rates),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            cwd=pathlib.Path(__file__).parents[1],
+        )
+        line = await self._process.stdout.readline()
+        self.address = line.decode().strip()
+        assert self.address, 'the relay process did not start'
+
+    async def close(self):
+        """End the relay process."""
+        if self._process is not None:
+            self._process.stdin.close()
+            await self._process.wait()
+
+    async def read_counters(self):
+        """Return the bytes that each link has carried.
+
+        :returns: for each host's IP number, the bytes that it sent and those
+            that it received.
+        """
+        host, port = channels.split_address(self.address)
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(COUNT_LINE)
+        text = await reader.read()
+        writer.close()
+        return {
+            host: Carried(*counts) for host, counts in json.loads(text).items()
+        }
+
+
+class BoundedChannels(channels.ChannelFactory):
+    """Opens a host's channels through the relay.
+
+    Channels to the host itself don't use its link.
+
+    :param links_address: ``host:port`` of the relay.
+    :param host: the host's IP number.
+    """
+
+    def __init__(self, links_address, host):
+        self._links_address = links_address
+        self._host = host
+
+    def open_channel(self, address):
+        host, port = channels.split_address(address)
+        if host == self._host:
+            return client.Channel(host, port)
+        return _RelayedChannel(self._links_address, self._host, address)
+
+
+class _RelayedChannel(client.Channel):
+    def __init__(self, links_address, source, address):
+        super().__init__(*channels.split_address(links_address))
+        self._first_line = f'{source} {address}\n'.encode()
+
+    async def _create_connection(self):
+        loop = asyncio.get_running_loop()
+        sock = _make_socket()
+        try:
+            await loop.sock_connect(sock, (self._host, self._port))
+            await loop.sock_sendall(sock, self._first_line)
+            if not await loop.sock_recv(sock, 1):
+                raise ConnectionRefusedError
+            _, protocol = await loop.create_connection(
+                self._protocol_factory, sock=sock
+            )
+        except BaseException:
+            sock.close()
+            raise
+        return protocol
+
+
+async def _main(rates):
+    loop = asyncio.get_running_loop()
+    with _make_socket() as listener:
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(256)
+        print(f'127.0.0.1:{listener.getsockname()[1]}', flush=True)
+        running = loop.create_task(Relay(rates).run(listener))
+        await loop.run_in_executor(None, sys.stdin.read)
+        running.cancel()
+
+
+if __name__ == '__main__':
+    asyncio.run(_main(json.loads(sys.argv[1])))
--- a/tests/fleet/documents.py
+++ b/tests/fleet/documents.py
@@ -1,6 +1,7 @@
 """Routing documents for tests."""
 
 import copy
+import random
 
 import orjson
 
@@ -81,6 +82,42 @@
     return {**copy.deepcopy(PLAIN), **changes}
 
 
+def write_random(version, size_bytes):
+    """Return the text of a document that hardly compresses.
+
+    Nearly all of it is the random keys of one more customer.
+    """
+    rng = random.Random(version)
+    alphabet = [chr(code) for code in range(33, 127) if chr(code) not in '"\\']
+    keys = [
+        ''.join(rng.choices(alphabet, k=497)) for _ in range(size_bytes // 500)
+    ]
+    customer = {'name': 'random', 'keys': keys}
+    return write(
+        build(version=version, customers=[*PLAIN['customers'], customer])
+    )
+
+
+def write_routes(version, size_bytes):
+    """Return the text of a document that consists of ordinary routes."""
+    route = {
+        **PLAIN['routes'][0],
+        'hostname': 'region-praha.listings.desk.example',
+        'priority': 1,
+        'resumable': False,
+    }
+    routes = list(PLAIN['routes'])
+    route_bytes = len(write(_build_route(route, 0))) + 1
+    for number in range(size_bytes // route_bytes):
+        routes.append(_build_route(route, number))
+    return write(build(version=version, routes=routes))
+
+
+def _build_route(route, number):
+    path = f'/catalogue/department-{number:05}/listings/seasonal-offers/'
+    return {**route, 'name': f'read-{number:05}', 'path_prefix': path}
+
+
 def write(data):
     """Return a document's JSON text."""
     return orjson.dumps(data)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -26,8 +26,12 @@
     :param role_lines: lines of the settings table ``listen``.
     :param control_lines: lines of the settings table ``control``.
     :ivar starts: how often it was started.
+    :ivar module_arguments: the module that runs as the process, and its
+        arguments before those for the settings file.
     """
 
+    module_arguments = ('filbertglade', 'gateway')
+
     def __init__(self, folder, name, role_lines, control_lines):
         self.folder = folder
         self.name = name
@@ -53,8 +57,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
-                'filbertglade',
-                'gateway',
+                *self.module_arguments,
                 '--settings',
                 str(self.path),
                 stdout=log if stdout is None else stdout,
