Give each endpoint of the bounded-link tests an address of its own

All endpoints were announced at one address, so each replaced the one before, and the host's view was only looked at when their number changed: the test of changes beside a large document could not pass on any code.

--- a/tests/fleet/fleet_hosts.py
+++ b/tests/fleet/fleet_hosts.py
@@ -117,9 +117,8 @@
         """Note what has changed in the host's view."""
         if self.view.version != self.version:
             self.versions.append((self.view.version, now_s))
-        if len(self.view.endpoints) != len(self.endpoints):
-            for endpoint in self.view.endpoints.values():
-                self.endpoints.setdefault(endpoint.id, now_s)
+        for endpoint in self.view.endpoints.values():
+            self.endpoints.setdefault(endpoint.id, now_s)
 
     def find_time_of(self, version):
         """Return when a version was first seen; None if it was not."""
@@ -181,6 +180,7 @@
         self.links = bounded_links.Links(rates)
         self.client = httpx.AsyncClient(timeout=10, follow_redirects=True)
         self._observing = None
+        self._next_port = 1
 
     async def __aenter__(self):
         try:
@@ -284,9 +284,11 @@
         :returns: the loop's time of the acknowledgement.
         :raises httpx.HTTPError: it wasn't acknowledged.
         """
+        # An endpoint at the address of another one would replace it.
+        self._next_port += 1
         announcement = {
             'service': 'api',
-            'address': '127.0.0.1:9',
+            'address': f'127.0.0.9:{self._next_port}',
             'zone': 'north',
             'slots': 1,
             'state': 'ready',
