--- a/filbertglade/control/tables/document.py
+++ b/filbertglade/control/tables/document.py
@@ -4,18 +4,23 @@
 
 from filbertglade.control.tables import base
 from filbertglade.inner import commands_pb2
+from filbertglade import packing
 
 
 class DocumentTable(base.Table):
     """The routing document.
 
-    :ivar current: the document with the highest version; its version is 0
-        if there is none yet.
+    :ivar current: the document with the highest version, with its text in
+        compressed form only; its version is 0 if there is none yet.
     """
 
     def __init__(self) -> None:
         self.current = commands_pb2.PutDocument()
 
+    def read_text(self) -> bytes:
+        """Return the document's JSON text; empty if there is none."""
+        return _read_text(self.current)
+
     def apply(
         self, change: commands_pb2.PutDocument
     ) -> commands_pb2.DocumentResult:
@@ -27,10 +32,9 @@
         """
         current = self.current
         if change.version > current.version:
-            self.current = commands_pb2.PutDocument()
-            self.current.CopyFrom(change)
-        differs = (
-            change.version == current.version and change.text != current.text
+            self.current = _pack(change)
+        differs = change.version == current.version and (
+            _read_text(change) != _read_text(current)
         )
         return commands_pb2.DocumentResult(
             version=self.current.version, differs=differs
@@ -45,4 +49,20 @@
 
         :param chunk: a chunk returned by :meth:`dump`.
         """
-        self.current = commands_pb2.PutDocument.FromString(chunk)
+        self.current = _pack(commands_pb2.PutDocument.FromString(chunk))
+
+
+def _pack(stored: commands_pb2.PutDocument) -> commands_pb2.PutDocument:
+    """Return a document with only the compressed form of its text."""
+    packed_text = stored.packed_text
+    if not packed_text and stored.text:
+        packed_text = packing.pack(stored.text)
+    return commands_pb2.PutDocument(
+        version=stored.version, packed_text=packed_text
+    )
+
+
+def _read_text(stored: commands_pb2.PutDocument) -> bytes:
+    if not stored.packed_text:
+        return stored.text
+    return packing.unpack(stored.packed_text) or b''
--- a/filbertglade/fleet/document.py
+++ b/filbertglade/fleet/document.py
@@ -7,14 +7,18 @@
 import dataclasses
 import enum
 import functools
+import time
 import typing
 
 import annotated_types
 import orjson
 import pydantic
 
+from filbertglade.observability import logs
 from filbertglade import schema
 
+log = logs.get_log(__name__)
+
 # Set on the document's classes: newer operators' tools may send more keys.
 LENIENT: pydantic.ConfigDict = {
     'extra': 'ignore',
@@ -384,3 +388,31 @@
         :returns: the customer, or None.
         """
         return self._customers.get(key)
+
+
+def read_index(version: int, text: bytes) -> RoutingIndex | None:
+    """Read an accepted document and index it.
+
+    :param version: the document's version.
+    :param text: the JSON text.
+    :returns: the index; None, after a log line, if the document is invalid.
+    """
+    started_s = time.monotonic()
+    parsed, problems = read_document(text)
+    parsed_s = time.monotonic()
+    if parsed is None:
+        log.error(
+            'document.unreadable',
+            version=version,
+            problems=[str(problem) for problem in problems[:4]],
+        )
+        return None
+    index = RoutingIndex(parsed)
+    log.change(
+        'document.read',
+        version=version,
+        bytes=len(text),
+        parse_ms=round(1000 * (parsed_s - started_s)),
+        index_ms=round(1000 * (time.monotonic() - parsed_s)),
+    )
+    return index
--- /dev/null
+++ b/filbertglade/fleet/document_fetcher.py
@@ -0,0 +1,232 @@
+"""Fetches the routing document from the control hosts."""
+
+import asyncio
+from collections import abc
+import hashlib
+import random
+
+from grpclib import client
+
+from filbertglade import clock
+from filbertglade.control import replication
+from filbertglade.fleet import document
+from filbertglade.fleet import view
+from filbertglade.inner import channels
+from filbertglade.inner import fleet_grpc
+from filbertglade.inner import fleet_pb2
+from filbertglade.observability import logs
+from filbertglade.observability import metrics
+from filbertglade import packing
+from filbertglade import tasks
+
+log = logs.get_log(__name__)
+
+# Longest wait for the next part, in ms: three times the interval at which a
+# control host says that the transfer waits for its turn.
+PART_TIMEOUT_MS = 1200
+# Bounds of the pause before the next try, in ms. It doubles with each failure
+# and is randomised, so that many nodes don't return at the same moment.
+MIN_PAUSE_MS = 20
+MAX_PAUSE_MS = 1000
+
+Stream = client.Stream[fleet_pb2.DocumentRequest, fleet_pb2.DocumentPart]
+
+
+class Download:
+    """What has been received of a document.
+
+    It outlives a broken transfer, and the next one, from any control host,
+    goes on where it ended.
+
+    :ivar version: the document's version; 0 before the first part.
+    :ivar digest: digest of the packed text.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.digest = b''
+        self._total_bytes = 0
+        self._data = bytearray()
+
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes received so far."""
+        return len(self._data)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all bytes have been received."""
+        return bool(self._total_bytes) and (
+            len(self._data) == self._total_bytes
+        )
+
+    def add(self, part: fleet_pb2.DocumentPart) -> bool:
+        """Add a part.
+
+        :param part: a part with data. The first part of another document
+            discards what was received of the previous one.
+        :returns: False if the part doesn't follow the ones before it.
+        """
+        if part.digest != self.digest:
+            self.discard()
+            self.version = part.version
+            self.digest = part.digest
+            self._total_bytes = part.total_bytes
+        if part.offset != len(self._data):
+            return False
+        self._data += part.data
+        return True
+
+    def unpack(self) -> bytes | None:
+        """Return the complete document's text; None if it is damaged."""
+        packed_text = bytes(self._data)
+        if hashlib.sha256(packed_text).digest() != self.digest:
+            return None
+        return packing.unpack(packed_text, document.MAX_DOCUMENT_BYTES)
+
+    def discard(self) -> None:
+        """Forget what was received."""
+        self.version = 0
+        self.digest = b''
+        self._total_bytes = 0
+        self._data = bytearray()
+
+
+class DocumentFetcher:
+    """Keeps the document in force at the version that the leader announces.
+
+    :param fleet_view: the node's view, in which documents are put in force.
+    :param list_hosts: returns the addresses of the control hosts.
+    :param channel_factory: opens channels to control hosts.
+    :param counters: the process's metrics.
+    :param rng: the process's random number generator.
+    """
+
+    def __init__(
+        self,
+        fleet_view: view.FleetView,
+        list_hosts: abc.Callable[[], list[str]],
+        channel_factory: channels.ChannelFactory,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._view = fleet_view
+        self._list_hosts = list_hosts
+        self._channels = channel_factory
+        self._counters = counters
+        self._rng = rng
+        self._tasks = tasks.TaskGroup()
+        self._announced = asyncio.Event()
+        self._download = Download()
+        # A document that this node can't read isn't fetched again.
+        self._unreadable_version = 0
+        fleet_view.add_listener(self._announced.set)
+
+    def start(self) -> None:
+        """Start to fetch documents as they are announced."""
+        self._tasks.start(self._run())
+
+    async def close(self) -> None:
+        """Stop fetching."""
+        await self._tasks.close()
+
+    @property
+    def _is_fetch_due(self) -> bool:
+        held_version = max(self._view.version, self._unreadable_version)
+        return self._view.announced_version > held_version
+
+    async def _run(self) -> None:
+        while True:
+            await self._announced.wait()
+            self._announced.clear()
+            if self._is_fetch_due:
+                await self._fetch_until_held()
+
+    async def _fetch_until_held(self) -> None:
+        """Try the control hosts in a random order until one has sent it."""
+        started_ms = clock.now_ms()
+        tries = 0
+        hosts: list[str] = []
+        while self._is_fetch_due:
+            if not hosts:
+                hosts = self._list_hosts()
+                self._rng.shuffle(hosts)
+            tries += 1
+            await self._fetch(hosts.pop())
+            if self._download.is_complete:
+                self._put_in_force(clock.now_ms() - started_ms, tries)
+            if self._is_fetch_due:
+                await asyncio.sleep(self._find_pause_s(tries))
+
+    def _find_pause_s(self, tries: int) -> float:
+        longest_ms = min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** min(tries, 16))
+        return self._rng.uniform(MIN_PAUSE_MS, longest_ms) / 1000
+
+    async def _fetch(self, host: str) -> None:
+        channel = self._channels.open_channel(host)
+        started_bytes = self._download.received_bytes
+        reason = 'not held'
+        try:
+            stub = fleet_grpc.DocumentsStub(channel)
+            async with stub.Fetch.open() as stream:
+                async with asyncio.timeout(PART_TIMEOUT_MS / 1000):
+                    await stream.send_message(self._build_request(), end=True)
+                reason = await self._receive(stream)
+        except replication.STREAM_ERRORS as error:
+            reason = f'{type(error).__name__}: {error}'
+        finally:
+            channel.close()
+        if not self._download.is_complete:
+            self._counters.count('document_fetch_failures')
+            log.change(
+                'document.not_fetched',
+                host=host,
+                reason=reason,
+                announced=self._view.announced_version,
+                version=self._view.version,
+                bytes_before=started_bytes,
+                bytes=self._download.received_bytes,
+            )
+
+    def _build_request(self) -> fleet_pb2.DocumentRequest:
+        return fleet_pb2.DocumentRequest(
+            least_version=self._view.announced_version,
+            digest=self._download.digest,
+            offset=self._download.received_bytes,
+        )
+
+    async def _receive(self, stream: Stream) -> str:
+        """Receive parts until the document is complete.
+
+        Each part, even one without data, shows that the transfer is alive.
+
+        :returns: how the transfer ended.
+        """
+        while not self._download.is_complete:
+            async with asyncio.timeout(PART_TIMEOUT_MS / 1000):
+                part = await stream.recv_message()
+            if part is None:
+                return 'ended'
+            if part.version and not self._download.add(part):
+                self._download.discard()
+                return 'a part is missing'
+        return 'complete'
+
+    def _put_in_force(self, lasted_ms: int, tries: int) -> None:
+        version = self._download.version
+        text = self._download.unpack()
+        size_bytes = self._download.received_bytes
+        self._download.discard()
+        if text is None:
+            log.error('document.damaged', version=version)
+            return
+        log.change(
+            'document.fetched',
+            version=version,
+            bytes=size_bytes,
+            lasted_ms=lasted_ms,
+            tries=tries,
+        )
+        self._counters.record_ms('document_fetch', lasted_ms)
+        if not self._view.apply_document(version, text):
+            self._unreadable_version = version
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -12,8 +12,10 @@
 from filbertglade.control import replication
 from filbertglade.control import state
 from filbertglade.control import voters as control_voters
+from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
 from filbertglade.fleet import registry
+from filbertglade.fleet import turns
 from filbertglade.fleet import view
 from filbertglade.inner import fleet_grpc
 from filbertglade.inner import fleet_pb2
@@ -34,6 +36,10 @@
 # frames a second.
 MIN_LOAD_INTERVAL_MS = 50
 LOAD_INTERVAL_PER_WATCHER_MS = 2
+# Watchers that are sent the whole view at the same time, and how long each may
+# take while others wait, in ms: after a change of leader all need it at once.
+MAX_WHOLE_VIEWS = 16
+WHOLE_VIEW_TURN_MS = 250
 # Time without a report after which a watcher's stream is ended, in ms.
 WATCHER_TIMEOUT_MS = 3000
 
@@ -92,25 +98,21 @@
 class FrameSize:
     """The bytes of a frame by kind of content.
 
-    :param document_bytes: the document.
     :param view_bytes: endpoints and replicas.
     :param load_bytes: all else.
     """
 
-    document_bytes: int
     view_bytes: int
     load_bytes: int
 
     @property
     def total_bytes(self) -> int:
         """The frame's bytes."""
-        return self.document_bytes + self.view_bytes + self.load_bytes
+        return self.view_bytes + self.load_bytes
 
     @property
     def main_content(self) -> str:
         """The first kind of content that the frame has."""
-        if self.document_bytes:
-            return 'document'
         return 'view' if self.view_bytes else 'load'
 
 
@@ -119,12 +121,9 @@
 
     :param frame: the frame.
     """
-    # Sizing a message serializes it, so the text isn't sized twice.
-    document_bytes = len(frame.document.text)
     view_bytes = sum(item.ByteSize() for item in frame.endpoints)
     view_bytes += sum(item.ByteSize() for item in frame.replicas)
-    rest_bytes = frame.ByteSize() - document_bytes - view_bytes
-    return FrameSize(document_bytes, view_bytes, rest_bytes)
+    return FrameSize(view_bytes, frame.ByteSize() - view_bytes)
 
 
 @dataclasses.dataclass(slots=True)
@@ -172,6 +171,7 @@
         self._load_version = 0
         self._is_stale = True
         self._strikes: list[fleet_pb2.Strike] = []
+        self._view_turns = turns.Turns(MAX_WHOLE_VIEWS, WHOLE_VIEW_TURN_MS)
         self.was_seeded = False
         endpoint_registry.add_listener(self.notify_change)
         agreed.add_listener(lambda command: self.notify_change())
@@ -336,27 +336,38 @@
         changed_event: asyncio.Event,
         report_reader: 'asyncio.Task[None]',
     ) -> None:
-        sent = _SentState(watcher.report.document_version)
-        while not report_reader.done():
-            if not self._voters.is_leader:
-                watcher.note_leaving(LeaveReason.NO_LONGER_LEADER)
-                await stream.send_message(self._build_redirection())
-                return
-            changed_event.clear()
-            frame = self._build_frame(watcher, sent)
-            await self._send_frame(stream, watcher, frame)
-            await asyncio.sleep(BATCH_MS / 1000)
-            await self._wait_for_change(changed_event)
+        sent = _SentState()
+        turn = turns.Turn(self._view_turns)
+        try:
+            while not report_reader.done():
+                if not sent.is_view_begun:
+                    await turn.take(MAX_FRAME_INTERVAL_MS)
+                if not self._voters.is_leader:
+                    watcher.note_leaving(LeaveReason.NO_LONGER_LEADER)
+                    await stream.send_message(self._build_redirection())
+                    return
+                changed_event.clear()
+                # Without a turn, the watcher gets a frame without a view.
+                has_view = sent.is_view_begun or turn.is_held
+                frame = self._build_frame(watcher, sent, has_view)
+                await self._send_frame(stream, watcher, turn, frame)
+                if not has_view:
+                    continue
+                turn.give_up()
+                await asyncio.sleep(BATCH_MS / 1000)
+                await self._wait_for_change(changed_event)
+        finally:
+            turn.give_up()
 
     async def _send_frame(
         self,
         stream: 'server.Stream[fleet_pb2.WatchReport, fleet_pb2.FleetFrame]',
         watcher: ConnectedWatcher,
+        turn: turns.Turn,
         frame: fleet_pb2.FleetFrame,
     ) -> None:
         size = measure_frame(frame)
         for content, size_bytes in (
-            ('document', size.document_bytes),
             ('view', size.view_bytes),
             ('load', size.load_bytes),
         ):
@@ -369,8 +380,10 @@
         watcher.sending_bytes = size.total_bytes
         started_ms = clock.now_ms()
         try:
-            async with asyncio.timeout(WATCHER_TIMEOUT_MS / 1000):
-                await stream.send_message(frame)
+            for message in frames.split_frame(frame):
+                await turn.run(
+                    stream.send_message(message), WATCHER_TIMEOUT_MS
+                )
         finally:
             self._counters.record_ms(
                 'frame_send',
@@ -430,7 +443,7 @@
             self._wake_senders()
 
     def _build_frame(
-        self, watcher: ConnectedWatcher, sent: '_SentState'
+        self, watcher: ConnectedWatcher, sent: '_SentState', has_view: bool
     ) -> fleet_pb2.FleetFrame:
         if self._is_stale:
             self.refresh()
@@ -441,15 +454,12 @@
             entry_nodes=sum(
                 item.report.takes_callers for item in self._watchers.values()
             ),
+            document_version=self._agreed.document.current.version,
         )
-        current = self._agreed.document.current
-        frame.document_version = current.version
-        if current.version > sent.document_version:
-            sent.document_version = current.version
-            frame.document.version = current.version
-            frame.document.text = current.text
         frame.strikes.extend(self._strikes[sent.strikes :])
         sent.strikes = len(self._strikes)
+        if not has_view:
+            return frame
         if self.has_view or sent.is_view_begun or not watcher.report.has_view:
             # A watcher with an older complete view keeps that rather than
             # get an incomplete one; a watcher without any gets what there is.
@@ -515,7 +525,6 @@
 class _SentState:
     """What has been sent to a watcher.
 
-    :param document_version: version of the latest document.
     :param is_view_begun: whether any part of the view was sent.
     :param endpoints: registry version of the latest endpoints; -1 if none.
     :param replicas: version of the latest replicas; -1 if none.
@@ -523,7 +532,6 @@
     :param in_flight: requests in flight by group.
     """
 
-    document_version: int
     is_view_begun: bool = False
     endpoints: int = -1
     replicas: int = -1
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -67,31 +67,31 @@
         """
         self._listeners.append(listener)
 
-    def apply_document(self, received: fleet_pb2.Document) -> None:
+    def apply_document(self, version: int, text: bytes) -> bool:
         """Put a document in force unless a newer one is already.
 
-        :param received: the document.
+        :param version: its version.
+        :param text: the JSON text.
+        :returns: whether the document is valid.
         """
-        if received.version <= self.version and self.index is not None:
-            return
-        started_ms = clock.now_ms()
-        parsed, problems = document.read_document(received.text)
-        parsed_ms = clock.now_ms()
-        if parsed is None:
-            log.error(
-                'document.unreadable',
-                version=received.version,
-                problems=[str(problem) for problem in problems[:4]],
-            )
-            return
-        self.index = document.RoutingIndex(parsed)
+        if version <= self.version and self.index is not None:
+            return True
+        index = document.read_index(version, text)
+        if index is None:
+            return False
+        self.put_in_force(index)
+        return True
+
+    def put_in_force(self, index: document.RoutingIndex) -> None:
+        """Put an indexed document in force.
+
+        :param index: a document that is newer than the one in force.
+        """
+        self.index = index
         log.change(
             'document.in_force',
-            version=received.version,
-            routes=len(parsed.routes),
-            bytes=len(received.text),
-            parse_ms=parsed_ms - started_ms,
-            index_ms=clock.now_ms() - parsed_ms,
+            version=index.document.version,
+            routes=len(index.document.routes),
         )
 
     def apply_frame(self, frame: fleet_pb2.FleetFrame) -> None:
@@ -103,8 +103,6 @@
         self.announced_version = max(
             self.announced_version, frame.document_version
         )
-        if frame.HasField('document'):
-            self.apply_document(frame.document)
         if frame.entry_nodes:
             self.entry_nodes = frame.entry_nodes
         for strike in frame.strikes:
--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -19,6 +19,7 @@
 from filbertglade.inner import commands_pb2
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
+from filbertglade import packing
 from filbertglade.replicas import observed_state
 
 log = logs.get_log(__name__)
@@ -179,7 +180,7 @@
     async def get(self) -> None:
         """Return the newest document."""
         context = self._context
-        text = context.agreed.document.current.text
+        text = context.agreed.document.read_text()
         if not text:
             self.respond(404, {'error': 'no document has been accepted'})
             return
@@ -220,7 +221,9 @@
 
     async def _commit(self, version: int, text: bytes, parse_ms: int) -> None:
         context = self._context
-        put = commands_pb2.PutDocument(version=version, text=text)
+        put = commands_pb2.PutDocument(
+            version=version, packed_text=packing.pack(text)
+        )
         started_ms = clock.now_ms()
         result = await context.voters.submit(
             commands_pb2.Command(put_document=put), COMMIT_TIMEOUT_MS
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -6,7 +6,6 @@
 
 from tornado import httpserver
 
-from filbertglade import clock
 from filbertglade.control import agreement
 from filbertglade.control import file_storage
 from filbertglade.control import identity
@@ -16,6 +15,7 @@
 from filbertglade import failures
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
+from filbertglade.fleet import document_server
 from filbertglade.fleet import publisher
 from filbertglade.fleet import registry
 from filbertglade.fleet import view
@@ -126,6 +126,7 @@
             fleet_view,
             counters,
         )
+        self.documents = document_server.DocumentServer(self._agreed, counters)
         assert settings.listen.control is not None
         self._context = control_api.ControlContext(
             settings.listen.control,
@@ -223,24 +224,14 @@
             index is not None and index.document.version == current.version
         ):
             return
-        started_ms = clock.now_ms()
-        parsed, problems = document.read_document(current.text)
-        parsed_ms = clock.now_ms()
-        if parsed is None:
-            log.error(
-                'document.unreadable',
-                version=current.version,
-                problems=[str(problem) for problem in problems[:4]],
-            )
-            return
-        self._replicas.observed.index = document.RoutingIndex(parsed)
-        log.change(
-            'document.applied',
-            version=current.version,
-            bytes=len(current.text),
-            parse_ms=parsed_ms - started_ms,
-            index_ms=clock.now_ms() - parsed_ms,
+        read = document.read_index(
+            current.version, self._agreed.document.read_text()
         )
+        if read is None:
+            return
+        self._replicas.observed.index = read
+        if current.version > self._view.version:
+            self._view.put_in_force(read)
 
     # Enlisting as a voter
 
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -12,6 +12,7 @@
 
 from filbertglade import failures
 from filbertglade.fleet import dialects
+from filbertglade.fleet import document_fetcher
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.gateway import control_role
@@ -104,6 +105,15 @@
                 rng,
             )
         self._entry_role: entry_role.EntryRole | None = None
+        self._fetcher: document_fetcher.DocumentFetcher | None = None
+        if settings.listen.callers is not None:
+            self._fetcher = document_fetcher.DocumentFetcher(
+                self._view,
+                self._watcher.list_control_hosts,
+                channel_factory,
+                self._counters,
+                rng,
+            )
         if settings.listen.callers is not None:
             self._entry_role = entry_role.EntryRole(
                 settings,
@@ -139,6 +149,7 @@
                 [
                     self._control_role.voters.servicer,
                     self._control_role.publisher,
+                    self._control_role.documents,
                 ]
             )
             host, port = channels.split_address(self._settings.listen.inner)
@@ -147,6 +158,8 @@
             if failure is not None:
                 return failure
         self._watcher.start()
+        if self._fetcher is not None:
+            self._fetcher.start()
         if self._entry_role is not None:
             self._entry_role.start()
         self._listen_metrics()
@@ -217,6 +230,8 @@
             await self._entry_role.close()
         if self._control_role is not None:
             await self._control_role.close()
+        if self._fetcher is not None:
+            await self._fetcher.close()
         await self._watcher.close()
         if self._inner_server is not None:
             self._inner_server.close()
--- a/filbertglade/inner/fleet_grpc.py
+++ b/filbertglade/inner/fleet_grpc.py
@@ -12,6 +12,34 @@
 import filbertglade.inner.fleet_pb2
 
 
+class DocumentsBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Fetch(self, stream: 'grpclib.server.Stream[filbertglade.inner.fleet_pb2.DocumentRequest, filbertglade.inner.fleet_pb2.DocumentPart]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/filbertglade.inner.fleet.Documents/Fetch': grpclib.const.Handler(
+                self.Fetch,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                filbertglade.inner.fleet_pb2.DocumentRequest,
+                filbertglade.inner.fleet_pb2.DocumentPart,
+            ),
+        }
+
+
+class DocumentsStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Fetch = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/filbertglade.inner.fleet.Documents/Fetch',
+            filbertglade.inner.fleet_pb2.DocumentRequest,
+            filbertglade.inner.fleet_pb2.DocumentPart,
+        )
+
+
 class FleetBase(abc.ABC):
 
     @abc.abstractmethod
--- a/tests/fleet/test_document.py
+++ b/tests/fleet/test_document.py
@@ -102,3 +102,20 @@
     assert index.find_customer('key-2').name == 'garden'
     assert index.find_customer('key-3') is None
     assert index.needs_keys
+
+
+def test_a_document_is_logged_with_size_and_time(log_lines):
+    text = documents.write(documents.PLAIN)
+    assert document.read_index(3, text).document.version == 3
+    (line,) = [
+        line for line in log_lines if line['message_type'] == 'document.read'
+    ]
+    assert line['bytes'] == len(text)
+    assert line['parse_ms'] >= 0
+    assert line['index_ms'] >= 0
+
+
+def test_an_unreadable_document_is_logged(log_lines):
+    assert document.read_index(3, b'{}') is None
+    events = [line['message_type'] for line in log_lines]
+    assert events == ['document.unreadable']
--- /dev/null
+++ b/tests/fleet/test_document_transfer.py
@@ -0,0 +1,276 @@
+"""Documents sent by control hosts and fetched by nodes, over gRPC."""
+
+import asyncio
+import random
+
+from grpclib import server
+import pytest
+
+from filbertglade.control import state
+from filbertglade.fleet import document_fetcher
+from filbertglade.fleet import document_server
+from filbertglade.fleet import view
+from filbertglade.inner import commands_pb2
+from filbertglade.inner import fleet_pb2
+from filbertglade.observability import metrics
+from filbertglade import packing
+from tests.control import cluster
+from tests.control import network
+from tests.fleet import documents
+
+HOSTS = ('one', 'two')
+# Time to send a part on a slow link.
+PART_S = 0.01
+
+
+def build_large(version, routes=1500, seed=1):
+    """Return the text of a document that hardly compresses."""
+    rng = random.Random(seed)
+    route = documents.PLAIN['routes'][0]
+    return documents.write(
+        documents.build(
+            version=version,
+            routes=[
+                {
+                    **route,
+                    'name': rng.randbytes(40).hex(),
+                    'path_prefix': f'/{rng.randbytes(60).hex()}/',
+                }
+                for _ in range(routes)
+            ],
+        )
+    )
+
+
+class ControlHost:
+    """A control host that holds documents."""
+
+    def __init__(self):
+        self.agreed = state.AgreedState()
+        self.counters = metrics.Metrics()
+        self.server = document_server.DocumentServer(
+            self.agreed, self.counters
+        )
+
+    def accept(self, version, text):
+        self.agreed.apply(
+            self.agreed.applied_index + 1,
+            commands_pb2.Command(
+                put_document=commands_pb2.PutDocument(
+                    version=version, packed_text=packing.pack(text)
+                )
+            ),
+        )
+
+    @property
+    def sent_bytes(self):
+        return self.counters.counter('inner_bytes_sent', content='document')
+
+
+class Fleet:
+    """Two control hosts and a node that fetches documents."""
+
+    def __init__(self):
+        self.network = network.Network()
+        self.hosts = {name: ControlHost() for name in HOSTS}
+        self.view = view.FleetView()
+        self.counters = metrics.Metrics()
+        self.fetcher = document_fetcher.DocumentFetcher(
+            self.view,
+            lambda: list(HOSTS),
+            network.Channels(
+                self.network, 'node', {name: name for name in HOSTS}
+            ),
+            self.counters,
+            random.Random(1),
+        )
+        self.servers = []
+
+    async def __aenter__(self):
+        self.network.ports['node'] = 1
+        for port, (name, host) in enumerate(self.hosts.items(), 21000):
+            running = server.Server([host.server])
+            await running.start('127.0.0.1', port)
+            self.servers.append(running)
+            self.network.ports[name] = port
+        self.fetcher.start()
+        return self
+
+    async def __aexit__(self, *error):
+        await self.fetcher.close()
+        for running in self.servers:
+            running.close()
+            await running.wait_closed()
+
+    def accept(self, version, text):
+        for host in self.hosts.values():
+            host.accept(version, text)
+
+    def announce(self, version):
+        self.view.apply_frame(
+            fleet_pb2.FleetFrame(is_leader=True, document_version=version)
+        )
+
+    async def wait_for(self, version, limit_s=60):
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + limit_s
+        while self.view.version < version:
+            assert loop.time() < end_s, f'version {self.view.version}'
+            await asyncio.sleep(0.01)
+
+    @property
+    def sent_bytes(self):
+        return sum(host.sent_bytes for host in self.hosts.values())
+
+
+def run(check):
+    async def main():
+        async with Fleet() as fleet:
+            await check(fleet)
+
+    cluster.run(main())
+
+
+@pytest.fixture
+def slow_parts(monkeypatch):
+    send_part = document_server._Transfer._send_part
+
+    async def send_slowly(transfer, part):
+        await asyncio.sleep(PART_S)
+        await send_part(transfer, part)
+
+    monkeypatch.setattr(document_server._Transfer, '_send_part', send_slowly)
+
+
+def test_an_announced_document_is_fetched():
+    async def check(fleet):
+        fleet.accept(3, documents.write(documents.build(version=3)))
+        fleet.announce(3)
+        await fleet.wait_for(3, 1)
+
+    run(check)
+
+
+# Guards against transfers that start over after a break, so that a document
+# which takes longer than a connection lives never arrives.
+def test_a_broken_transfer_goes_on_where_it_ended(slow_parts):
+    async def check(fleet):
+        text = build_large(5)
+        fleet.accept(5, text)
+        fleet.announce(5)
+        size_bytes = len(packing.pack(text))
+        assert size_bytes > 8 * document_server.PART_BYTES
+        breaks = 0
+        while fleet.view.version < 5:
+            await asyncio.sleep(4.5 * PART_S)
+            if fleet.sent_bytes < size_bytes:
+                fleet.network.reset('node')
+                breaks += 1
+        assert breaks > 3
+        # Only what was on the way at a break is sent again.
+        lost_bytes = breaks * 2 * document_server.PART_BYTES
+        assert fleet.sent_bytes <= size_bytes + lost_bytes
+        async with asyncio.timeout(1):
+            await fleet.wait_for(5)
+
+    run(check)
+
+
+def test_another_control_host_is_asked_if_one_lacks_the_version():
+    async def check(fleet):
+        fleet.hosts['one'].accept(4, build_large(4, routes=10))
+        fleet.accept(3, build_large(3, routes=10))
+        fleet.announce(4)
+        await fleet.wait_for(4, 5)
+
+    run(check)
+
+
+def test_a_host_that_applies_the_version_soon_is_waited_for():
+    async def check(fleet):
+        fleet.announce(4)
+        await asyncio.sleep(0.1)
+        fleet.accept(4, build_large(4, routes=10))
+        await fleet.wait_for(4, 0.5)
+        assert fleet.counters.counter('document_fetch_failures') <= 1
+
+    run(check)
+
+
+def test_the_newest_of_several_documents_ends_up_in_force():
+    async def check(fleet):
+        for version in range(2, 12):
+            fleet.accept(version, build_large(version, seed=version))
+            fleet.announce(version)
+            await asyncio.sleep(0.004)
+        await fleet.wait_for(11)
+
+    run(check)
+
+
+def test_an_unreadable_document_is_fetched_once():
+    async def check(fleet):
+        fleet.accept(6, b'{"version": 6}')
+        fleet.announce(6)
+        await asyncio.sleep(10)
+        assert fleet.sent_bytes < 1000
+        fleet.accept(7, documents.write(documents.build(version=7)))
+        fleet.announce(7)
+        await fleet.wait_for(7, 1)
+
+    run(check)
+
+
+def test_control_hosts_that_are_cut_off_are_asked_again_later():
+    async def check(fleet):
+        for name in HOSTS:
+            fleet.network.cut('node', name)
+        fleet.accept(3, build_large(3))
+        fleet.announce(3)
+        await asyncio.sleep(20)
+        # The pauses grow: a bounded number of tries in 20 s.
+        tries = fleet.counters.counter('document_fetch_failures')
+        assert 3 < tries < 40
+        fleet.network.heal()
+        await fleet.wait_for(3, 5)
+
+    run(check)
+
+
+def test_a_damaged_download_is_not_put_in_force():
+    download = document_fetcher.Download()
+    part = fleet_pb2.DocumentPart(
+        version=1, digest=b'x' * 32, total_bytes=4, data=b'data'
+    )
+    assert download.add(part)
+    assert download.is_complete
+    assert download.unpack() is None
+
+
+def test_a_missing_part_is_noticed():
+    download = document_fetcher.Download()
+    first = fleet_pb2.DocumentPart(
+        version=1, digest=b'x', total_bytes=9, data=b'abc'
+    )
+    assert download.add(first)
+    third = fleet_pb2.DocumentPart(
+        version=1, digest=b'x', total_bytes=9, offset=6, data=b'ghi'
+    )
+    assert not download.add(third)
+    assert not download.is_complete
+
+
+def test_parts_of_another_document_replace_those_received():
+    download = document_fetcher.Download()
+    for digest in (b'x', b'y'):
+        for offset in (0, 3):
+            assert download.add(
+                fleet_pb2.DocumentPart(
+                    version=1,
+                    digest=digest,
+                    total_bytes=9,
+                    offset=offset,
+                    data=b'abc',
+                )
+            )
+    assert download.received_bytes == 6
