--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -7,7 +7,6 @@
 
 from filbertglade import clock
 from filbertglade.control import replication
-from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
 from filbertglade.fleet import view
 from filbertglade.inner import channels
@@ -210,11 +209,10 @@
         self, stream: Stream, frame: fleet_pb2.FleetFrame | None
     ) -> None:
         sender = self._tasks.start(self._send_reports(stream))
-        assembler = frames.FrameAssembler()
         try:
             while frame is not None and frame.is_leader:
                 self._received_bytes += frame.ByteSize()
-                self._apply(assembler.add(frame))
+                self._apply(frame)
                 async with asyncio.timeout(LEADER_TIMEOUT_MS / 1000):
                     frame = await stream.recv_message()
             self._apply_redirection('', frame)
@@ -222,9 +220,7 @@
             sender.cancel()
             await asyncio.wait([sender])
 
-    def _apply(self, frame: fleet_pb2.FleetFrame | None) -> None:
-        if frame is None:
-            return
+    def _apply(self, frame: fleet_pb2.FleetFrame) -> None:
         self._control_hosts = list(frame.control_hosts) or self._control_hosts
         self._received_frames += 1
         self._view.apply_frame(frame)
