Send large views to watchers in parts and to a few at a time

A new leader sends every watcher all endpoints and replicas at once, in one frame each, and a watcher gives up after 0.8 s for the first frame and 1.1 s for the others.

Evidence: without the change a watcher leaves while the parts of a frame arrive every 0.88 s (test_watcher.py), and the view of 3,000 replicas is one message (test_publisher.py).

Now a frame over 16 KB is sent in parts, and each part shows that the leader is alive. The whole view is sent to 16 watchers at a time; the others get frames without a view in the meantime, and keep the one that they have. A watcher that takes its view slowly loses its turn.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -12,8 +12,10 @@
 from filbertglade.control import replication
 from filbertglade.control import state
 from filbertglade.control import voters as control_voters
+from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
 from filbertglade.fleet import registry
+from filbertglade.fleet import turns
 from filbertglade.fleet import view
 from filbertglade.inner import fleet_grpc
 from filbertglade.inner import fleet_pb2
@@ -34,6 +36,10 @@
 # frames a second.
 MIN_LOAD_INTERVAL_MS = 50
 LOAD_INTERVAL_PER_WATCHER_MS = 2
+# Watchers that are sent the whole view at the same time, and how long each may
+# take while others wait, in ms: after a change of leader all need it at once.
+MAX_WHOLE_VIEWS = 16
+WHOLE_VIEW_TURN_MS = 250
 # Time without a report after which a watcher's stream is ended, in ms.
 WATCHER_TIMEOUT_MS = 3000
 
@@ -165,6 +171,7 @@
         self._load_version = 0
         self._is_stale = True
         self._strikes: list[fleet_pb2.Strike] = []
+        self._view_turns = turns.Turns(MAX_WHOLE_VIEWS, WHOLE_VIEW_TURN_MS)
         self.was_seeded = False
         endpoint_registry.add_listener(self.notify_change)
         agreed.add_listener(lambda command: self.notify_change())
@@ -330,21 +337,33 @@
         report_reader: 'asyncio.Task[None]',
     ) -> None:
         sent = _SentState()
-        while not report_reader.done():
-            if not self._voters.is_leader:
-                watcher.note_leaving(LeaveReason.NO_LONGER_LEADER)
-                await stream.send_message(self._build_redirection())
-                return
-            changed_event.clear()
-            frame = self._build_frame(watcher, sent)
-            await self._send_frame(stream, watcher, frame)
-            await asyncio.sleep(BATCH_MS / 1000)
-            await self._wait_for_change(changed_event)
+        turn = turns.Turn(self._view_turns)
+        try:
+            while not report_reader.done():
+                if not sent.is_view_begun:
+                    await turn.take(MAX_FRAME_INTERVAL_MS)
+                if not self._voters.is_leader:
+                    watcher.note_leaving(LeaveReason.NO_LONGER_LEADER)
+                    await stream.send_message(self._build_redirection())
+                    return
+                changed_event.clear()
+                # Without a turn, the watcher gets a frame without a view.
+                has_view = sent.is_view_begun or turn.is_held
+                frame = self._build_frame(watcher, sent, has_view)
+                await self._send_frame(stream, watcher, turn, frame)
+                if not has_view:
+                    continue
+                turn.give_up()
+                await asyncio.sleep(BATCH_MS / 1000)
+                await self._wait_for_change(changed_event)
+        finally:
+            turn.give_up()
 
     async def _send_frame(
         self,
         stream: 'server.Stream[fleet_pb2.WatchReport, fleet_pb2.FleetFrame]',
         watcher: ConnectedWatcher,
+        turn: turns.Turn,
         frame: fleet_pb2.FleetFrame,
     ) -> None:
         size = measure_frame(frame)
@@ -361,8 +380,10 @@
         watcher.sending_bytes = size.total_bytes
         started_ms = clock.now_ms()
         try:
-            async with asyncio.timeout(WATCHER_TIMEOUT_MS / 1000):
-                await stream.send_message(frame)
+            for message in frames.split_frame(frame):
+                await turn.run(
+                    stream.send_message(message), WATCHER_TIMEOUT_MS
+                )
         finally:
             self._counters.record_ms(
                 'frame_send',
@@ -422,7 +443,7 @@
             self._wake_senders()
 
     def _build_frame(
-        self, watcher: ConnectedWatcher, sent: '_SentState'
+        self, watcher: ConnectedWatcher, sent: '_SentState', has_view: bool
     ) -> fleet_pb2.FleetFrame:
         if self._is_stale:
             self.refresh()
@@ -437,6 +458,8 @@
         )
         frame.strikes.extend(self._strikes[sent.strikes :])
         sent.strikes = len(self._strikes)
+        if not has_view:
+            return frame
         if self.has_view or sent.is_view_begun or not watcher.report.has_view:
             # A watcher with an older complete view keeps that rather than
             # get an incomplete one; a watcher without any gets what there is.
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -7,6 +7,7 @@
 
 from filbertglade import clock
 from filbertglade.control import replication
+from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
 from filbertglade.fleet import view
 from filbertglade.inner import channels
@@ -209,10 +210,11 @@
         self, stream: Stream, frame: fleet_pb2.FleetFrame | None
     ) -> None:
         sender = self._tasks.start(self._send_reports(stream))
+        assembler = frames.FrameAssembler()
         try:
             while frame is not None and frame.is_leader:
                 self._received_bytes += frame.ByteSize()
-                self._apply(frame)
+                self._apply(assembler.add(frame))
                 async with asyncio.timeout(LEADER_TIMEOUT_MS / 1000):
                     frame = await stream.recv_message()
             self._apply_redirection('', frame)
@@ -220,7 +222,9 @@
             sender.cancel()
             await asyncio.wait([sender])
 
-    def _apply(self, frame: fleet_pb2.FleetFrame) -> None:
+    def _apply(self, frame: fleet_pb2.FleetFrame | None) -> None:
+        if frame is None:
+            return
         self._control_hosts = list(frame.control_hosts) or self._control_hosts
         self._received_frames += 1
         self._view.apply_frame(frame)
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -1,14 +1,17 @@
 """What the leader counts and logs about the streams to its watchers."""
 
 import asyncio
+import itertools
 import types
 
 import pytest
 
 from filbertglade.control import state
+from filbertglade.fleet import frames
 from filbertglade.fleet import publisher
 from filbertglade.fleet import registry
 from filbertglade.fleet import view
+from filbertglade.fleet import watcher
 from filbertglade.inner import commands_pb2
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import metrics
@@ -145,6 +148,51 @@
     assert leader.count_bytes('document') == 0
 
 
+def test_the_view_of_a_large_fleet_is_sent_in_parts():
+    stream = FakeStream()
+    watch(stream, lambda leader: leader.add_replicas(3000))
+    assembler = frames.FrameAssembler()
+    assembled = [assembler.add(message) for message in stream.frames]
+    views = [frame for frame in assembled if frame and frame.replicas]
+    assert [len(frame.replicas) for frame in views] == [3000]
+    largest_bytes = max(frame.ByteSize() for frame in stream.frames)
+    assert largest_bytes < frames.PART_BYTES + 100
+
+
+# Guards against watchers that give up on a new leader, because it sends the
+# whole view to all of them at once.
+def test_watchers_get_frames_while_they_wait_for_the_view():
+    """Load: three times as many watchers as views are sent at a time."""
+
+    async def main():
+        leader = Leader()
+        leader.add_replicas(3000)
+        streams = [
+            FakeStream(pause_s=0.1)
+            for _ in range(3 * publisher.MAX_WHOLE_VIEWS)
+        ]
+        serving = [
+            asyncio.create_task(leader.publisher.Watch(stream))
+            for stream in streams
+        ]
+        await asyncio.sleep(RUN_S)
+        for task in serving:
+            task.cancel()
+        await asyncio.wait(serving)
+        return streams
+
+    for stream in virtual_time.run(main()):
+        times_s = [REPORT_INTERVAL_S, *stream.taken_s]
+        gaps_ms = [
+            1000 * (later_s - earlier_s)
+            for earlier_s, later_s in itertools.pairwise(times_s)
+        ]
+        assert max(gaps_ms) < watcher.FIRST_FRAME_TIMEOUT_MS
+        assembler = frames.FrameAssembler()
+        whole = [assembler.add(message) for message in stream.frames]
+        assert any(frame and len(frame.replicas) == 3000 for frame in whole)
+
+
 @pytest.mark.parametrize(
     'stream, reason, error',
     [
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -5,6 +5,7 @@
 
 from grpclib import server
 
+from filbertglade.fleet import frames
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.inner import fleet_grpc
@@ -97,6 +98,20 @@
     assert {line['frames'] for line in lines} == {1}
 
 
+# Guards against a leader that counts as lost while a large frame is on its way
+# over a slow link.
+def test_parts_of_a_frame_show_that_the_leader_is_alive(log_lines):
+    parts = list(frames.split_frame(VIEW_FRAME))
+    assert len(parts) > 3
+    # Longer than the time-out for all parts, shorter for each.
+    pause_s = 0.8 * watcher.LEADER_TIMEOUT_MS / 1000
+    watch(parts, pause_s * len(parts), pause_s)
+    assert select(log_lines, 'replica.unusable')
+    # The only stream lasts until the watcher is closed.
+    (line,) = select(log_lines, 'leader.unwatched')
+    assert line['reason'] == 'ended'
+
+
 def test_a_control_host_without_a_first_frame_is_logged(log_lines):
     counters = watch([], 2)
     lines = select(log_lines, 'leader.silent')
