Read large documents beside the event loop

What operators and callers would see: with a document near the size limit the leader loses its lease and hosts lose the leader, once for each time that they read it.

Cause: documents were parsed, checked and indexed in one step on the event loop. Meanwhile nothing is read or sent; 11 MB stop it for 0.3 s on an idle machine of full speed, and the leader did it twice.

Now a thread reads the document and decodes its routes in slices, because decoding holds the interpreter's lock. Control hosts likewise, and a leader acknowledges a document after it has read it, or after 0.5 s. Until then announcements for a service that only the new document may name get 503, so that their endpoints try again, in place of 400.

--- a/filbertglade/fleet/document.py
+++ b/filbertglade/fleet/document.py
@@ -27,6 +27,8 @@
 }
 # Largest document, in bytes: leaves room for 10,000 routes of over 1 KB.
 MAX_DOCUMENT_BYTES = 16_777_216
+# Routes that are decoded at a time: some milliseconds on a slow host.
+ROUTES_PER_SLICE = 128
 
 NonEmptyText = typing.Annotated[str, annotated_types.MinLen(1)]
 PositiveFloat = typing.Annotated[float, annotated_types.Gt(0)]
@@ -260,12 +262,36 @@
         data = orjson.loads(text)
     except orjson.JSONDecodeError as error:
         return None, [schema.Problem(schema.ROOT_KEY, f'not JSON: {error}')]
-    document, problems = schema.decode(RoutingDocument, data)
-    if document is not None:
+    document, problems = _decode(data)
+    if document is not None and not problems:
         problems = check_document(document)
     return (None if problems else document), problems
 
 
+def _decode(
+    data: object,
+) -> tuple[RoutingDocument | None, list[schema.Problem]]:
+    """Decode a document, its routes in slices.
+
+    Decoding holds the interpreter's lock. Between two slices the other threads
+    can run.
+    """
+    routes = data.get('routes') if isinstance(data, dict) else None
+    if not isinstance(data, dict) or not isinstance(routes, list):
+        return schema.decode(RoutingDocument, data)
+    document, problems = schema.decode(RoutingDocument, {**data, 'routes': []})
+    decoded: list[Route] = []
+    for start in range(0, len(routes), ROUTES_PER_SLICE):
+        found, more = schema.decode_list(
+            Route, routes[start : start + ROUTES_PER_SLICE], 'routes', start
+        )
+        decoded += found or []
+        problems += more
+    if document is not None:
+        document.routes = decoded
+    return document, problems
+
+
 def check_document(document: RoutingDocument) -> list[schema.Problem]:
     """Check the rules that involve several keys.
 
--- a/filbertglade/fleet/document_fetcher.py
+++ b/filbertglade/fleet/document_fetcher.py
@@ -154,7 +154,7 @@
             tries += 1
             await self._fetch(hosts.pop())
             if self._download.is_complete:
-                self._put_in_force(clock.now_ms() - started_ms, tries)
+                await self._put_in_force(clock.now_ms() - started_ms, tries)
             if self._is_fetch_due:
                 await asyncio.sleep(self._find_pause_s(tries))
 
@@ -212,9 +212,9 @@
                 return 'a part is missing'
         return 'complete'
 
-    def _put_in_force(self, lasted_ms: int, tries: int) -> None:
+    async def _put_in_force(self, lasted_ms: int, tries: int) -> None:
         version = self._download.version
-        text = self._download.unpack()
+        text = await asyncio.to_thread(self._download.unpack)
         size_bytes = self._download.received_bytes
         self._download.discard()
         if text is None:
@@ -228,5 +228,8 @@
             tries=tries,
         )
         self._counters.record_ms('document_fetch', lasted_ms)
-        if not self._view.apply_document(version, text):
+        index = await asyncio.to_thread(document.read_index, version, text)
+        if index is None:
             self._unreadable_version = version
+        else:
+            self._view.put_in_force(index)
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -67,26 +67,13 @@
         """
         self._listeners.append(listener)
 
-    def apply_document(self, version: int, text: bytes) -> bool:
-        """Put a document in force unless a newer one is already.
-
-        :param version: its version.
-        :param text: the JSON text.
-        :returns: whether the document is valid.
-        """
-        if version <= self.version and self.index is not None:
-            return True
-        index = document.read_index(version, text)
-        if index is None:
-            return False
-        self.put_in_force(index)
-        return True
-
     def put_in_force(self, index: document.RoutingIndex) -> None:
-        """Put an indexed document in force.
+        """Put an indexed document in force unless a newer one is already.
 
-        :param index: a document that is newer than the one in force.
+        :param index: the document.
         """
+        if self.index is not None and index.document.version <= self.version:
+            return
         self.index = index
         log.change(
             'document.in_force',
--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -1,5 +1,6 @@
 """The HTTP API of control hosts for endpoints and operators."""
 
+import asyncio
 from collections import abc
 import typing
 
@@ -27,6 +28,9 @@
 # Longest wait for a document's commit, in ms: operators go on to another
 # control host after 1 s.
 COMMIT_TIMEOUT_MS = 2500
+# Longest wait until this host has read a document that it has committed, in
+# ms: then the document is acknowledged all the same.
+READ_TIMEOUT_MS = 500
 # Requests are redirected to the leader only if this host has received a
 # message from it within this time, in ms.
 MAX_LEADER_AGE_MS = 1000
@@ -40,8 +44,9 @@
     :param voters: this host's part in agreement.
     :param endpoint_registry: the endpoints.
     :param counters: the process's metrics.
-    :param replica_beliefs: the leader's view of the replicas, which holds the
+    :param observed: the leader's view of the replicas, which holds the
         document in force.
+    :ivar read_version: version of the newest document that was read.
     """
 
     def __init__(
@@ -59,6 +64,38 @@
         self.registry = endpoint_registry
         self.counters = counters
         self.observed = observed
+        self.read_version = 0
+        self._read_changed = asyncio.Event()
+
+    def set_read_version(self, version: int) -> None:
+        """Tell waiting handlers that a document was read.
+
+        :param version: its version.
+        """
+        self.read_version = version
+        self._read_changed.set()
+        self._read_changed = asyncio.Event()
+
+    @property
+    def is_document_read(self) -> bool:
+        """Whether the newest accepted document was read on this host."""
+        return self.read_version >= self.agreed.document.current.version
+
+    async def wait_for_document(self, timeout_ms: int) -> None:
+        """Wait until the newest accepted document was read on this host.
+
+        :param timeout_ms: longest wait.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                while not self.is_document_read:
+                    await self._read_changed.wait()
+        except TimeoutError:
+            log.change(
+                'document.read_late',
+                version=self.agreed.document.current.version,
+                read=self.read_version,
+            )
 
     def find_leader_address(self) -> str:
         """Return the leader's address for endpoints and operators.
@@ -122,7 +159,11 @@
             self._refuse(endpoint_id, announced)
             return
         index = context.observed.index
-        if index is not None and announced.service not in index.services:
+        is_known = index is None or announced.service in index.services
+        if not is_known and not context.is_document_read:
+            self.respond(503, {'error': 'a new document is being read'})
+            return
+        if not is_known:
             self._refuse(
                 endpoint_id,
                 failures.Failure(
@@ -195,7 +236,9 @@
         context = self._context
         text = self.request.body
         started_ms = clock.now_ms()
-        parsed, problems = document.read_document(text)
+        parsed, problems = await asyncio.to_thread(
+            document.read_document, text
+        )
         parse_ms = clock.now_ms() - started_ms
         if parsed is None:
             log.change(
@@ -221,8 +264,9 @@
 
     async def _commit(self, version: int, text: bytes, parse_ms: int) -> None:
         context = self._context
+        packed_text = await asyncio.to_thread(packing.pack, text)
         put = commands_pb2.PutDocument(
-            version=version, packed_text=packing.pack(text)
+            version=version, packed_text=packed_text
         )
         started_ms = clock.now_ms()
         result = await context.voters.submit(
@@ -243,6 +287,7 @@
             parse_ms=parse_ms,
             commit_ms=clock.now_ms() - started_ms,
         )
+        await context.wait_for_document(READ_TIMEOUT_MS)
         self.respond(200, {'version': result.document.version})
 
 
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -139,7 +139,8 @@
         self._server: httpserver.HTTPServer | None = None
         self._leadership_lock = asyncio.Lock()
         self._refresh_task: asyncio.Task[None] | None = None
-        self._agreed.add_listener(lambda command: self._update_document())
+        self._document_changed = asyncio.Event()
+        self._agreed.add_listener(lambda command: self._document_changed.set())
 
     async def start(self) -> failures.Failure | None:
         """Start all parts.
@@ -153,7 +154,8 @@
         failure = await self.voters.start()
         if failure is not None:
             return failure
-        self._update_document()
+        await self._read_document()
+        self._tasks.start(self._read_documents())
         self._server = control_api.listen(self._context)
         self._tasks.start(self._enlist_repeatedly())
         return None
@@ -217,21 +219,24 @@
             self.publisher.refresh()
             await asyncio.sleep(REFRESH_INTERVAL_MS / 1000)
 
-    def _update_document(self) -> None:
-        current = self._agreed.document.current
-        index = self._replicas.observed.index
-        if not current.version or (
-            index is not None and index.document.version == current.version
-        ):
+    async def _read_documents(self) -> None:
+        """Read each document that was accepted, off the event loop."""
+        while True:
+            await self._document_changed.wait()
+            self._document_changed.clear()
+            await self._read_document()
+
+    async def _read_document(self) -> None:
+        version = self._agreed.document.current.version
+        if version <= self._context.read_version:
             return
-        read = document.read_index(
-            current.version, self._agreed.document.read_text()
+        index = await asyncio.to_thread(
+            document.read_index, version, self._agreed.document.read_text()
         )
-        if read is None:
-            return
-        self._replicas.observed.index = read
-        if current.version > self._view.version:
-            self._view.put_in_force(read)
+        if index is not None:
+            self._replicas.observed.index = index
+            self._view.put_in_force(index)
+        self._context.set_read_version(version)
 
     # Enlisting as a voter
 
--- a/filbertglade/schema.py
+++ b/filbertglade/schema.py
@@ -79,6 +79,34 @@
     return found, problems
 
 
+def decode_list(
+    model: type[Model], items: list[object], path: str, start: int
+) -> tuple[list[Model] | None, list[Problem]]:
+    """Decode a part of a list and check it against a schema.
+
+    :param model: the data class that declares the schema of an item.
+    :param items: parsed TOML or JSON of some items.
+    :param path: key path of the list.
+    :param start: position of the first item in the list.
+    :returns: the objects, or None if there are problems; and the problems.
+    """
+    list_type: typing.Any = list[model]  # type: ignore[valid-type]
+    found, problems, locations = _decode(list_type, items)
+    if found is not None:
+        return found, []
+    return None, [
+        Problem(key_path((path, *_shift(location, start))), problem.message)
+        for problem, location in zip(problems, locations, strict=True)
+    ]
+
+
+def _shift(location: Location, start: int) -> Location:
+    """Return a location in a list whose part begins at a position."""
+    if not location or not isinstance(location[0], int):
+        return location
+    return (location[0] + start, *location[1:])
+
+
 def decode_with_placeholders(
     model: type[Model], data: object
 ) -> tuple[Model | None, list[Problem]]:
