Answer no 404 or 401 while a newer document may exist

Cause: an entry host answered from the document in force as if it were the newest, although it could know that a newer one was on its way, or had had no frame of a leader for longer than any present leader is silent.

Routes and keys that the document in force holds are served by it without a wait, as before: without a leader, holding them would serve nothing. So a revoked key is refused by each host once the newer document is in force there.

request.held and request.refused name the version in force, the announced version and the view's age; explain names 'configuration not here yet'.

Why it works: a final answer now needs proof that no newer document was accepted earlier than a bounded time ago; without it the caller gets the document's answer or one that it may repeat.

Not covered: limits (413, 431) are still those of the document in force, and the age of a frame is counted from its arrival, not from its sending.

--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -48,6 +48,7 @@
         self._by_service: dict[str, list[fleet_pb2.Endpoint]] = {}
         self._by_model: dict[tuple[str, str], list[fleet_pb2.Replica]] = {}
         self._listeners: list[abc.Callable[[], None]] = []
+        self._document_listeners: list[abc.Callable[[], None]] = []
 
     @property
     def version(self) -> int:
@@ -67,6 +68,13 @@
         """
         self._listeners.append(listener)
 
+    def add_document_listener(self, listener: abc.Callable[[], None]) -> None:
+        """Call a function after each document that comes into force.
+
+        :param listener: called on the event loop; it must not block.
+        """
+        self._document_listeners.append(listener)
+
     def apply_document(self, received: fleet_pb2.Document) -> None:
         """Put a document in force unless a newer one is already.
 
@@ -88,6 +96,8 @@
             version=received.version,
             routes=len(parsed.routes),
         )
+        for listener in self._document_listeners:
+            listener()
 
     def apply_frame(self, frame: fleet_pb2.FleetFrame) -> None:
         """Apply a frame from the leader.
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -3,6 +3,7 @@
 import random
 
 from filbertglade import clock
+from filbertglade.fleet import certainty
 from filbertglade.fleet import dialects
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
@@ -58,6 +59,7 @@
     :param retries: the node's part of the retry quota.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
+    :ivar certainty: whether the document in force may be out of date.
     :ivar deadlines: the longest deadline of each route.
     :ivar stopping_since_ms: local clock when the shutdown began; None before.
     """
@@ -87,6 +89,7 @@
         self.retries = retries
         self.counters = counters
         self.rng = rng
+        self.certainty = certainty.DocumentCertainty(fleet_view)
         self.deadlines = DeadlineTracker()
         self.stopping_since_ms: int | None = None
 
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -37,6 +37,14 @@
 STARTUP_RETRY_AFTER_S = 0.8
 # Other nodes accept the request immediately.
 SHUTDOWN_RETRY_AFTER_S = 0.1
+# Another node may have the newer document already; all have it within seconds.
+DOCUMENT_RETRY_AFTER_S = 0.5
+# Longest wait for a newer document, in ms: the leader's longest interval
+# between two frames. A refused caller needs the rest of its time elsewhere.
+MAX_DOCUMENT_WAIT_MS = 250
+# The same as a fraction of the time until the deadline: the rest is for the
+# response, or for another node.
+MAX_WAIT_FRACTION = 0.25
 # Longest time since the last use of a connection that is reused, in ms. It is
 # short for requests that must not run twice: the endpoint may be closing a
 # connection that has been idle for longer.
@@ -46,6 +54,30 @@
 DEFAULT_DEADLINE_MS = 60_000
 
 
+class LookupReason(enum.Enum):
+    """Why a request's route or customer isn't known.
+
+    The values are sent to the caller.
+    """
+
+    SHUTTING_DOWN = 'shutting down'
+    NO_DOCUMENT = 'no document yet'
+    NO_ROUTE = 'no such route'
+    UNKNOWN_KEY = 'unknown key'
+    # The document in force doesn't allow it, and a newer one may.
+    NOT_HERE_YET = 'configuration not here yet'
+
+
+# Status and Retry-After, in s, of the refusal for each reason.
+LOOKUP_REFUSALS: dict[enum.Enum, tuple[int, float | None]] = {
+    LookupReason.SHUTTING_DOWN: (503, SHUTDOWN_RETRY_AFTER_S),
+    LookupReason.NO_DOCUMENT: (503, STARTUP_RETRY_AFTER_S),
+    LookupReason.NO_ROUTE: (404, None),
+    LookupReason.UNKNOWN_KEY: (401, None),
+    LookupReason.NOT_HERE_YET: (503, DOCUMENT_RETRY_AFTER_S),
+}
+
+
 class AttemptOutcome(enum.Enum):
     """How one attempt at one endpoint ended.
 
@@ -131,28 +163,25 @@
     async def _handle(self) -> None:
         shared = self._context
         shared.leader.requests += 1
-        request = self._request
-        request.closes_connection = shared.is_stopping
-        if shared.is_refusing_requests:
-            self._refuse(503, 'shutting down', SHUTDOWN_RETRY_AFTER_S)
-            return
-        index = shared.view.index
-        if index is None:
-            self._refuse(503, 'no document yet', STARTUP_RETRY_AFTER_S)
-            return
-        route = index.find_route(request.hostname, request.path)
-        if route is None:
-            self._refuse(404, 'no such route')
+        caller_ms = self._read_caller_deadline()
+        if caller_ms is not None:
+            self._deadline_ms = self._request.received_ms + min(
+                DEFAULT_DEADLINE_MS, caller_ms
+            )
+        route = self._look_up()
+        if _depends_on_document(route):
+            route = await self._look_up_in_newer(route)
+        if isinstance(route, failures.Failure):
+            status, retry_s = LOOKUP_REFUSALS[route.reason]
+            self._refuse(status, str(route), retry_s)
             return
-        self._route = route
         if route.gap_objective_ms:
             self.suspect_limit_ms = (
                 route.gap_objective_ms * stall_detection.SUSPECT_GAP_FACTOR
             )
-        if not self._authenticate(index):
-            self._refuse(401, 'unknown key')
-            return
         self._read_deadline(route)
+        index = shared.view.index
+        assert index is not None
         if not self._choose_service(index, route):
             self._refuse(503, 'no such service or model', REPAIR_RETRY_AFTER_S)
             return
@@ -164,6 +193,68 @@
         shared.retries.record_request(self._service)
         await self._run_attempts(route)
 
+    def _look_up(self) -> document.Route | failures.Failure:
+        """Find the request's route and customer in the document in force.
+
+        :returns: the route, or why the request can't be served.
+        """
+        shared = self._context
+        request = self._request
+        self._route = self._customer = None
+        request.closes_connection = shared.is_stopping
+        if shared.is_refusing_requests:
+            return failures.Failure(LookupReason.SHUTTING_DOWN)
+        index = shared.view.index
+        if index is None:
+            return failures.Failure(LookupReason.NO_DOCUMENT)
+        route = index.find_route(request.hostname, request.path)
+        if route is None:
+            return failures.Failure(LookupReason.NO_ROUTE)
+        self._route = route
+        if not self._authenticate(index):
+            return failures.Failure(LookupReason.UNKNOWN_KEY)
+        return route
+
+    async def _look_up_in_newer(
+        self, result: document.Route | failures.Failure
+    ) -> document.Route | failures.Failure:
+        """Wait for a document that may hold the request's route and key.
+
+        :param result: why the document in force doesn't allow the request.
+        :returns: the route; the reason, if the document in force is certainly
+            the newest; or that a newer one hasn't come.
+        """
+        certainty = self._context.certainty
+        end_ms = clock.now_ms() + self._limit_wait_ms()
+        while _depends_on_document(result):
+            doubt = certainty.find_doubt()
+            if doubt is None:
+                break
+            limit_ms = end_ms - clock.now_ms()
+            detail = f'{result}; {doubt.value}'
+            if not certainty.has_room:
+                detail = f'{detail}; too many requests wait'
+                limit_ms = 0
+            if limit_ms > 0:
+                self._count('requests_held')
+                self._log(
+                    'request.held',
+                    reason=detail,
+                    limit_ms=limit_ms,
+                    **self._describe_document(),
+                )
+            if limit_ms <= 0 or not await certainty.wait_for_change(limit_ms):
+                return failures.Failure(LookupReason.NOT_HERE_YET, detail)
+            result = self._look_up()
+        return result
+
+    def _limit_wait_ms(self) -> int:
+        """Return how long to wait for a document, in ms; 0 for not at all."""
+        remaining_ms = self._remaining_ms()
+        if self._context.is_stopping or remaining_ms < MIN_REMAINING_MS:
+            return 0
+        return min(MAX_DOCUMENT_WAIT_MS, int(remaining_ms * MAX_WAIT_FRACTION))
+
     def _authenticate(self, index: document.RoutingIndex) -> bool:
         """Identify the customer; return whether the request is permitted."""
         assert self._route is not None
@@ -174,15 +265,20 @@
         return self._route.public
 
     def _read_deadline(self, route: document.Route) -> None:
-        text = self._request.headers.get(self._context.dialect.deadline, '')
         remaining_ms = route.timeout_ms
-        if text.isascii() and text.isdecimal():
-            remaining_ms = min(remaining_ms, int(text))
+        caller_ms = self._read_caller_deadline()
+        if caller_ms is not None:
+            remaining_ms = min(remaining_ms, caller_ms)
             self._is_caller_retry = self._context.deadlines.is_short(
-                route.name, int(text)
+                route.name, caller_ms
             )
         self._deadline_ms = self._request.received_ms + int(remaining_ms)
 
+    def _read_caller_deadline(self) -> int | None:
+        """Return the deadline that the caller sent, in ms; None without."""
+        text = self._request.headers.get(self._context.dialect.deadline, '')
+        return int(text) if text.isascii() and text.isdecimal() else None
+
     def _choose_service(
         self, index: document.RoutingIndex, route: document.Route
     ) -> bool:
@@ -639,11 +735,19 @@
             answer_tokens=self._answer_tokens,
             sends=self._send_count,
             tried=self._tried,
-            document=self._context.view.version,
-            view_age_ms=self._context.view.age_ms(),
+            **self._describe_document(),
         )
         self._request.respond(status, detail.encode() + b'\n', headers)
 
+    def _describe_document(self) -> dict[str, int | None]:
+        """Return the log fields that show how certain the document is."""
+        fleet_view = self._context.view
+        return {
+            'document': fleet_view.version,
+            'announced_document': fleet_view.announced_version,
+            'view_age_ms': fleet_view.age_ms(),
+        }
+
     def _count(self, name: str, outcome: str = '') -> None:
         self._context.counters.count(
             name,
@@ -663,6 +767,14 @@
         )
 
 
+def _depends_on_document(result: document.Route | failures.Failure) -> bool:
+    """Return whether a newer document may allow a request."""
+    return isinstance(result, failures.Failure) and result.reason in (
+        LookupReason.NO_ROUTE,
+        LookupReason.UNKNOWN_KEY,
+    )
+
+
 def _get_route_name(route: document.Route | None) -> str:
     """Return a route's name for metrics; empty for None."""
     return route.name if route is not None else ''
--- a/filbertglade/observability/explain.py
+++ b/filbertglade/observability/explain.py
@@ -181,6 +181,14 @@
             return self._explain_document_refusal(
                 'configuration changed', 'configuration older'
             )
+        if reason.startswith('configuration not here yet'):
+            return (
+                'configuration not here yet: version '
+                f'{fields.get("document")} was in force, '
+                f'{fields.get("announced_document")} announced, and the view '
+                f'{fields.get("view_age_ms")} ms old '
+                f'({reason.partition(": ")[2]})'
+            )
         if 'quota' in reason:
             return f'quota spent: {reason}; {self._explain_failed_attempts()}'
         if re.search(r'crashed \d+ endpoints', reason):
--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -1,4 +1,4 @@
-"""The cause that is named for each of ten kinds of failed requests."""
+"""The cause that is named for each of eleven kinds of failed requests."""
 
 import json
 
@@ -68,6 +68,15 @@
         log_line(1, 'document.accepted', 'control-1', version=9),
         refused(404, 'no such route'),
     ],
+    'configuration not here yet: version 7 was in force, 9 announced': [
+        request_line(1.8, 'request.held', reason='no such route'),
+        refused(
+            503,
+            'configuration not here yet: no such route; a newer version was '
+            'announced',
+            announced_document=9,
+        ),
+    ],
     'full queue': [refused(503, '17 in flight')],
     'revoked key': [
         log_line(0.5, 'document.in_force', version=7),
--- a/tests/platform/test_explaining.py
+++ b/tests/platform/test_explaining.py
@@ -115,6 +115,15 @@
     assert 'leader lost' in await find_cause(running, 'q7')
 
 
+async def test_host_that_may_lack_a_document_is_named(running):
+    running.control.process.send_signal(deployment.signal.SIGSTOP)
+    await asyncio.sleep(1.6)
+    await running.send_request('/nothing/x', X_Request_Id='q10')
+    cause = await find_cause(running, 'q10')
+    assert 'configuration not here yet' in cause
+    assert 'no contact with the leader' in cause
+
+
 async def test_spent_retry_quota_is_named(running):
     entry = running.entries[0]
     await entry.restart('[retries]\nratio = 0.0\nslack = 1\n')
