Ignore absurdly long numbers in callers' headers

Callers saw their connection closed without a response if a deadline or a token count had more than 4300 digits, within the header limit.

Cause: Python refuses to convert such a number, and the exchange's error ended the request.

A number of more than 15 digits counts as none, so the route's own time-out applies.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -50,6 +50,9 @@
 # connection that has been idle for longer.
 NON_IDEMPOTENT_REUSE_MS = 1500
 IDEMPOTENT_REUSE_MS = 60_000
+# Digits of the longest number that is read from a header: every time and count
+# is shorter, and Python converts no number of more than 4300 digits.
+MAX_NUMBER_DIGITS = 15
 # Deadline until the route of a request is known, in ms.
 DEFAULT_DEADLINE_MS = 60_000
 
@@ -277,7 +280,7 @@
     def _read_caller_deadline(self) -> int | None:
         """Return the deadline that the caller sent, in ms; None without."""
         text = self._request.headers.get(self._context.dialect.deadline, '')
-        return int(text) if text.isascii() and text.isdecimal() else None
+        return _parse_number(text)
 
     def _choose_service(
         self, index: document.RoutingIndex, route: document.Route
@@ -782,8 +785,14 @@
 
 def _parse_count(text: str) -> int:
     """Return a token count from a header; 0 if it holds none."""
-    text = text.strip()
-    return int(text) if text.isascii() and text.isdecimal() else 0
+    return _parse_number(text.strip()) or 0
+
+
+def _parse_number(text: str) -> int | None:
+    """Return a number from a header; None if it is none or absurdly long."""
+    if len(text) > MAX_NUMBER_DIGITS:
+        return None
+    return int(text) if text.isascii() and text.isdecimal() else None
 
 
 async def _skip_body(
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -85,6 +85,33 @@
     assert (await running.send_request('/read/x')).status_code == 200
 
 
+@pytest.mark.parametrize(
+    'headers',
+    [
+        {'X_Time_Budget_Ms': '9' * 5000},
+        {
+            'X_Token_Counts': f'{"9" * 5000},10',
+            'X_Model': 'big',
+            'path': '/tell/x',
+            'method': 'POST',
+        },
+    ],
+)
+async def test_absurdly_long_number_is_ignored(running, headers):
+    """Guards against a connection closed without a response.
+
+    Python converts no number of more than 4300 digits.
+    """
+    changed = documents.build(version=9)
+    changed['limits']['max_header_bytes'] = 16384
+    await running.put_until_accepted(changed)
+
+    async def is_served():
+        return await running.is_served(**{'path': '/read/x', **headers})
+
+    await running.wait_until(is_served, 10)
+
+
 @pytest.mark.parametrize(
     'missing', ['service', 'address', 'sequence', 'state']
 )
