Show which hosts lack the newest document

On call one could see that a document had been accepted, and on each host when it came into force, but not whether all hosts had it, without reading the logs of all of them. The leader, to which hosts report their version, now logs document.distributed when all have it, and its metrics count the hosts that are behind.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -172,7 +172,13 @@
         self._is_stale = True
         self._strikes: list[fleet_pb2.Strike] = []
         self._view_turns = turns.Turns(MAX_WHOLE_VIEWS, WHOLE_VIEW_TURN_MS)
+        self._announced_version = 0
+        self._announced_ms = 0
+        self._is_distributed = True
         self.was_seeded = False
+        counters.set_gauge(
+            'document_hosts_behind', lambda: len(self._list_hosts_behind())
+        )
         endpoint_registry.add_listener(self.notify_change)
         agreed.add_listener(lambda command: self.notify_change())
 
@@ -418,6 +424,7 @@
                 totals[group] = totals.get(group, 0) + count
         self._replicas.observed.in_flight = totals
         self._is_stale = False
+        self._track_distribution()
         version = self._version + 1
         changed = False
         present_groups = set()
@@ -442,6 +449,38 @@
             self._version = version
             self._wake_senders()
 
+    def _list_hosts_behind(self) -> list[str]:
+        """Return the connected entry hosts without the newest document."""
+        version = self._agreed.document.current.version
+        return [
+            item.report.node
+            for item in self._watchers.values()
+            if item.report.takes_callers
+            and item.report.document_version < version
+        ]
+
+    def _track_distribution(self) -> None:
+        """Log when all entry hosts have reported the newest document."""
+        version = self._agreed.document.current.version
+        now_ms = clock.now_ms()
+        if version > self._announced_version:
+            self._announced_version = version
+            self._announced_ms = now_ms
+            self._is_distributed = False
+        if self._is_distributed or self._list_hosts_behind():
+            return
+        self._is_distributed = True
+        lasted_ms = now_ms - self._announced_ms
+        self._counters.record_ms('document_distribution', lasted_ms)
+        log.change(
+            'document.distributed',
+            version=version,
+            hosts=sum(
+                item.report.takes_callers for item in self._watchers.values()
+            ),
+            lasted_ms=lasted_ms,
+        )
+
     def _build_frame(
         self, watcher: ConnectedWatcher, sent: '_SentState', has_view: bool
     ) -> fleet_pb2.FleetFrame:
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -30,13 +30,18 @@
     :param ends: whether it ends after them.
     :param takes: number of frames that it takes.
     :param pause_s: time that it needs to take one.
+    :param gets_at: number of the report from which on it has the document.
     :ivar taken_s: when it took each frame.
     """
 
-    def __init__(self, reports=1000, ends=False, takes=1000, pause_s=0.0):
+    def __init__(
+        self, reports=1000, ends=False, takes=1000, pause_s=0.0, gets_at=2
+    ):
         self.frames = []
         self.taken_s = []
         self._pause_s = pause_s
+        self._gets_at = gets_at
+        self._report_count = 0
         self._reports = reports
         self._ends = ends
         self._takes = takes
@@ -48,7 +53,12 @@
             await asyncio.Future()
         self._reports -= 1
         await asyncio.sleep(REPORT_INTERVAL_S)
-        return fleet_pb2.WatchReport(node='n-1', takes_callers=True)
+        self._report_count += 1
+        return fleet_pb2.WatchReport(
+            node='n-1',
+            takes_callers=True,
+            document_version=7 * (self._report_count >= self._gets_at),
+        )
 
     async def send_message(self, frame):
         if len(self.frames) == self._takes:
@@ -97,6 +107,15 @@
             ),
         )
 
+    def read_gauge(self, name):
+        lines = self.counters.render_text().splitlines()
+        (value,) = [
+            line.split()[1]
+            for line in lines
+            if line.split()[0] == f'filbertglade_{name}'
+        ]
+        return int(value)
+
     def count_bytes(self, content):
         return self.counters.counter('inner_bytes_sent', content=content)
 
@@ -193,6 +212,37 @@
         assert any(frame and len(frame.replicas) == 3000 for frame in whole)
 
 
+def test_a_document_that_all_hosts_have_is_logged(log_lines):
+    async def main():
+        leader = Leader()
+        streams = [FakeStream(gets_at=2), FakeStream(gets_at=5)]
+        serving = [
+            asyncio.create_task(leader.publisher.Watch(stream))
+            for stream in streams
+        ]
+        await asyncio.sleep(1.5 * REPORT_INTERVAL_S)
+        leader.put_document()
+        behind = []
+        for _ in range(5):
+            leader.publisher.refresh()
+            behind.append(leader.read_gauge('document_hosts_behind'))
+            await asyncio.sleep(REPORT_INTERVAL_S)
+        for task in serving:
+            task.cancel()
+        await asyncio.wait(serving)
+        return behind
+
+    assert virtual_time.run(main()) == [2, 1, 1, 1, 0]
+    (line,) = [
+        line
+        for line in log_lines
+        if line['message_type'] == 'document.distributed'
+    ]
+    assert (line['version'], line['hosts']) == (7, 2)
+    # From the acceptance to the fifth report of the slower host.
+    assert 3 * 400 <= line['lasted_ms'] <= 4 * 400 + 50
+
+
 @pytest.mark.parametrize(
     'stream, reason, error',
     [
