Send large batches of entries in parts that count as heartbeats

Operators saw leaders step down one after the other, "no quorum within the lease", while a document was on its way to the other control hosts, and callers' commands ended as lost or unsettled.

A request carries a batch of 1 MB or one larger entry, and heartbeats travel behind it on the same stream. Until the whole request has arrived, followers hear nothing and reply to nothing, so the lease runs out after 600 ms; a request that is older than an election time-out also breaks its stream. The next leader begins the same transfer from the start.

Why it works: a request now holds at most what a send window leaves, and larger batches go in parts. A part is a heartbeat with pieces of entries: it is checked under the same lock, counts as contact, and its reply renews the lease from when it was sent, but it stores and acknowledges nothing. The last part is handled as a request with the whole batch, so that match indexes still cover synced entries only. A stream is broken once no reply has come for an election time-out, and the log isn't compacted past a batch in transfer.

--- a/filbertglade/control/follower.py
+++ b/filbertglade/control/follower.py
@@ -1,8 +1,10 @@
 """The follower: accepts log entries and snapshots from the leader."""
 
 import asyncio
+from collections import abc
 import typing
 
+from filbertglade.control import entry_parts
 from filbertglade.control import failures
 from filbertglade.control import state
 from filbertglade.control import store
@@ -26,15 +28,23 @@
 
     def __init__(self, voter: voter_state.VoterState) -> None:
         self._voter = voter
+        # Belongs to the newest stream of a leader.
+        self._assembler = entry_parts.PartAssembler()
 
     # Log entries
 
     async def append(
-        self, request: agreement_pb2.AppendRequest
+        self,
+        request: agreement_pb2.AppendRequest,
+        assembler: entry_parts.PartAssembler,
     ) -> agreement_pb2.AppendReply:
         """Handle an append entries request or a heartbeat.
 
+        A part of a batch is handled like a heartbeat, and the last part like
+        a request with all entries of the batch.
+
         :param request: the leader's request.
+        :param assembler: assembles the batches of this stream.
         :returns: the reply; the entries that it accepts are durable.
         """
         voter = self._voter
@@ -48,6 +58,7 @@
                 voter.record_leader_contact(
                     request.leader, request.log_clock_ms
                 )
+                self._adopt_assembler(assembler)
                 await self._append_entries(request, reply)
             reply.term = voter.term
         return reply
@@ -62,6 +73,12 @@
         voter.step_down(f'{leader} is the leader')
         return True
 
+    def _adopt_assembler(self, assembler: entry_parts.PartAssembler) -> None:
+        """Let only the newest stream hold parts in memory."""
+        if assembler is not self._assembler:
+            self._assembler.clear()
+            self._assembler = assembler
+
     async def _append_entries(
         self,
         request: agreement_pb2.AppendRequest,
@@ -69,11 +86,18 @@
     ) -> None:
         voter = self._voter
         retry_index = self._find_retry_index(request)
+        if not retry_index and request.pieces:
+            if not self._assembler.add(request):
+                # Its beginning was lost: the whole batch is needed again.
+                retry_index = request.previous_index + 1
         if retry_index:
             reply.retry_index = retry_index
             return
-        last_index = request.previous_index + len(request.entries)
-        failure = await self._store_entries(request)
+        entries: abc.Sequence[agreement_pb2.LogEntry] = request.entries
+        if request.completes_batch:
+            entries = self._assembler.take()
+        last_index = request.previous_index + len(entries)
+        failure = await self._store_entries(entries)
         if failure is not None:
             voter.halt(failure)
             return
@@ -106,23 +130,21 @@
         return index
 
     async def _store_entries(
-        self, request: agreement_pb2.AppendRequest
+        self, entries: abc.Sequence[agreement_pb2.LogEntry]
     ) -> failures.StorageFailure | None:
         """Append new entries; entries that conflict are truncated."""
         voter = self._voter
         journal = voter.journal
         new_entries = [
             entry
-            for entry in request.entries
+            for entry in entries
             if entry.index > voter.committed_index
             and journal.term_at(entry.index) != entry.term
         ]
         if new_entries:
             first = new_entries[0].index
             # Entries after a conflicting one conflict too.
-            new_entries = [
-                item for item in request.entries if item.index >= first
-            ]
+            new_entries = [item for item in entries if item.index >= first]
             if first <= journal.last_index:
                 failure = await journal.truncate(first)
                 if failure is not None:
--- a/filbertglade/control/leadership.py
+++ b/filbertglade/control/leadership.py
@@ -4,6 +4,7 @@
 import typing
 
 from filbertglade import clock
+from filbertglade.control import entry_parts
 from filbertglade.control import failures
 from filbertglade.control import quorum
 from filbertglade.control import replication
@@ -37,6 +38,7 @@
     :param voter: the voter that leads.
     :param listener: called with True when the leader starts to act, with False
         when it stops.
+    :ivar commands: the commands that the replicators are sending.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         self._first_index = 0
         self._pending: dict[int, Pending] = {}
         self._appended = asyncio.Event()
+        self.commands = entry_parts.CommandCache()
         self.replicators: list[replication.Replicator] = []
         self._replication_tasks: dict[str, asyncio.Task[typing.Any]] = {}
         self._tasks: list[asyncio.Task[typing.Any]] = []
--- a/filbertglade/control/replication.py
+++ b/filbertglade/control/replication.py
@@ -8,8 +8,10 @@
 from h2 import exceptions as h2_exceptions
 
 from filbertglade import clock
+from filbertglade.control import entry_parts
 from filbertglade.control import failures
 from filbertglade.control import quorum
+from filbertglade.control import send_window
 from filbertglade.inner import agreement_grpc
 from filbertglade.inner import agreement_pb2
 from filbertglade.observability import logs
@@ -75,6 +77,10 @@
         self._stale_before_sequence = 0
         self._in_flight_sent_ms: dict[int, int] = {}
         self._last_sent_ms = 0
+        self._last_reply_ms = 0
+        self._window = self._make_window()
+        # The batch that is being sent in parts, if one is.
+        self._batch: entry_parts.SplitBatch | None = None
         self._woken = asyncio.Event()
         self._snapshot_task: asyncio.Task[None] | None = None
 
@@ -96,6 +102,17 @@
         age_ms = clock.now_ms() - self.acknowledged_sent_ms
         return age_ms < self._voter.settings.control.election_ms
 
+    @property
+    def transfer_base_index(self) -> int | None:
+        """Index after which the voter continues once a transfer is complete.
+
+        It is that of the snapshot being sent to the voter, or of the entry
+        before the batch being sent in parts; None if there is neither.
+        """
+        if self._batch is not None:
+            return self._next_index - 1
+        return self.sending_snapshot_index
+
     def build_reply(self, value: int) -> quorum.VoterReply:
         """Return the voter's reply for counting a quorum.
 
@@ -103,6 +120,12 @@
         """
         return quorum.VoterReply(self.incarnation, self.founding, value)
 
+    def _make_window(self) -> send_window.SendWindow:
+        # A lease lasts for at least three heartbeat intervals.
+        return send_window.SendWindow(
+            self._voter.settings.control.heartbeat_ms
+        )
+
     def wake(self) -> None:
         """Let the stream check for entries to send."""
         self._woken.set()
@@ -124,6 +147,7 @@
                 # An unexpected error ends the stream, but not the replication.
                 log.error('replication.failed', peer=self.name, error=error)
             finally:
+                self._batch = None
                 await self._cancel_snapshot_transfer()
                 channel.close()
             pause = pause_ms * (0.5 + self._voter.rng.random())
@@ -131,10 +155,11 @@
 
     async def _run_stream(self, channel: client.Channel) -> None:
         self._in_flight_sent_ms.clear()
+        self._window = self._make_window()
         self._stale_before_sequence = self._sequence + 1
-        self._next_index = self._voter.journal.last_index + 1
+        self._move_to(self._voter.journal.last_index + 1)
         if self.match_index:
-            self._next_index = self.match_index + 1
+            self._move_to(self.match_index + 1)
         stub = agreement_grpc.AgreementStub(channel)
         async with stub.Append.open() as stream:
             async with asyncio.timeout(self._reply_timeout_s()):
@@ -179,42 +204,76 @@
 
     def _check_reply_timeout(self) -> None:
         oldest_ms = next(iter(self._in_flight_sent_ms.values()), None)
+        if oldest_ms is None:
+            return
+        # As long as replies come, the stream makes progress.
+        silent_since_ms = max(oldest_ms, self._last_reply_ms)
         limit_ms = self._voter.settings.control.election_ms
-        if oldest_ms is not None and clock.now_ms() - oldest_ms > limit_ms:
+        if clock.now_ms() - silent_since_ms > limit_ms:
             raise TimeoutError
 
     def _can_send_entries(self) -> bool:
         return (
             self._next_index <= self._voter.journal.last_index
             and len(self._in_flight_sent_ms) < WINDOW_REQUESTS
+            and self._window.has_room
             and self._snapshot_task is None
         )
 
     def _next_request(self) -> agreement_pb2.AppendRequest:
         """Return a request with the next entries, or a heartbeat."""
         journal = self._voter.journal
+        sends_entries = self._can_send_entries()
         previous_index = self._next_index - 1
         if self._snapshot_task is not None:
             previous_index = journal.last_index
-        entries = []
-        if self._can_send_entries():
-            entries = journal.read(
-                self._next_index, BATCH_BYTES, BATCH_ENTRIES
-            )
-            self._next_index += len(entries)
+        previous_term = journal.term_at(previous_index) or 0
+        if self._batch is not None:
+            # The log may have been compacted since the batch was begun.
+            previous_term = self._batch.previous_term
         self._sequence += 1
         self._last_sent_ms = clock.now_ms()
         self._in_flight_sent_ms[self._sequence] = self._last_sent_ms
-        return agreement_pb2.AppendRequest(
+        request = agreement_pb2.AppendRequest(
             term=self._leading.term,
             leader=self._voter.name,
             sequence=self._sequence,
             previous_index=previous_index,
-            previous_term=journal.term_at(previous_index) or 0,
-            entries=entries,
+            previous_term=previous_term,
             committed_index=self._voter.committed_index,
             log_clock_ms=self._voter.log_clock_ms(),
         )
+        if sends_entries:
+            self._add_entries(request)
+        return request
+
+    def _add_entries(self, request: agreement_pb2.AppendRequest) -> None:
+        """Add the next entries, or the next part of a large batch."""
+        if self._batch is None:
+            entries = self._voter.journal.read(
+                self._next_index, BATCH_BYTES, BATCH_ENTRIES
+            )
+            size_bytes = entry_parts.measure(entries)
+            if size_bytes <= self._window.room_bytes:
+                request.entries.extend(entries)
+                self._next_index += len(entries)
+                self._window.record_sent(request.sequence, size_bytes)
+                return
+            self._batch = entry_parts.SplitBatch(
+                request.previous_term, entries, self._leading.commands
+            )
+        request.part_number = self._batch.part_count
+        pieces = self._batch.take(self._window.part_bytes)
+        request.pieces.extend(pieces)
+        self._window.record_sent(request.sequence, entry_parts.measure(pieces))
+        if self._batch.is_complete:
+            request.completes_batch = True
+            self._move_to(self._next_index + self._batch.entry_count)
+
+    def _move_to(self, next_index: int) -> None:
+        """Set the next index; a batch that isn't complete is abandoned."""
+        self._next_index = next_index
+        self._batch = None
 
     # Replies
 
@@ -238,6 +297,8 @@
         sent_ms = self._in_flight_sent_ms.pop(reply.sequence, None)
         if sent_ms is None:
             return
+        self._last_reply_ms = clock.now_ms()
+        self._window.record_reply(reply.sequence)
         if reply.incarnation != self.incarnation:
             self.match_index = 0
             self.acknowledged_sent_ms = quorum.NO_VALUE
@@ -248,14 +309,15 @@
             self._advance_match_index(reply.match_index)
         elif reply.sequence >= self._stale_before_sequence:
             self._stale_before_sequence = self._sequence + 1
-            self._next_index = max(1, reply.retry_index)
+            self._move_to(max(1, reply.retry_index))
         self._leading.renew_lease()
         self.wake()
 
     def _advance_match_index(self, match_index: int) -> None:
         if match_index > self.match_index:
             self.match_index = match_index
-            self._next_index = max(self._next_index, match_index + 1)
+            if self._next_index <= match_index:
+                self._move_to(match_index + 1)
             self._leading.advance_commit_index()
 
     # Snapshots
@@ -268,9 +330,12 @@
                 return
             self._snapshot_task = None
             self.sending_snapshot_index = None
-            self._next_index = journal.last_index + 1
+            self._move_to(journal.last_index + 1)
             self._stale_before_sequence = self._sequence + 1
-        if journal.term_at(self._next_index - 1) is None:
+        if (
+            self._batch is None
+            and journal.term_at(self._next_index - 1) is None
+        ):
             self.sending_snapshot_index = self._voter.snapshot.index
             self._snapshot_task = self._voter.tasks.start(
                 self._send_snapshot(channel)
--- a/filbertglade/control/service.py
+++ b/filbertglade/control/service.py
@@ -9,6 +9,7 @@
 from grpclib import server
 
 from filbertglade.control import election
+from filbertglade.control import entry_parts
 from filbertglade.control import follower
 from filbertglade.control import voter_state
 from filbertglade.inner import agreement_grpc
@@ -72,11 +73,15 @@
         """
         self._check_voter()
         assert self._follower is not None
-        async for request in stream:
-            reply = await self._run_to_completion(
-                self._follower.append(request)
-            )
-            await stream.send_message(reply)
+        assembler = entry_parts.PartAssembler()
+        try:
+            async for request in stream:
+                reply = await self._run_to_completion(
+                    self._follower.append(request, assembler)
+                )
+                await stream.send_message(reply)
+        finally:
+            assembler.clear()
 
     async def Vote(  # noqa: N802
         self,
--- a/filbertglade/control/snapshots.py
+++ b/filbertglade/control/snapshots.py
@@ -12,8 +12,8 @@
 
 # Memory the log may use before a snapshot is taken.
 LOG_LIMIT_BYTES = 32 << 20
-# Memory of the log above which records that a snapshot transfer to another
-# voter still needs are removed too.
+# Memory of the log above which records that a transfer to another voter still
+# needs are removed too.
 TRANSFER_LIMIT_BYTES = 256 << 20
 # Divides `snapshot_entries`; the result is the number of records before a
 # snapshot that are kept for slow followers.
@@ -94,7 +94,7 @@
         return await voter.journal.compact(first_kept)
 
     def _find_first_needed(self) -> int:
-        """Return the first record needed after a snapshot in transfer.
+        """Return the first record needed after a transfer to a voter.
 
         If it were removed during the transfer, the receiver could not
         continue from the log and would need another snapshot, and so on.
@@ -103,9 +103,9 @@
         if voter.leadership is None:
             return voter.journal.last_index + 1
         sent = [
-            replicator.sending_snapshot_index
+            replicator.transfer_base_index
             for replicator in voter.leadership.replicators
-            if replicator.sending_snapshot_index is not None
+            if replicator.transfer_base_index is not None
         ]
         return min(sent, default=voter.journal.last_index) + 1
 
--- a/tests/control/test_agreement_faults.py
+++ b/tests/control/test_agreement_faults.py
@@ -9,6 +9,7 @@
 import pytest
 
 from filbertglade.control import failures
+from filbertglade.control import send_window
 from filbertglade.inner import commands_pb2
 from tests.control import cluster
 
@@ -284,10 +285,25 @@
     count = 5
 
 
+class SlowLinkMachine(VoterMachine):
+    """Nearly every batch and chunk is sent in parts, over slow links."""
+
+    @stateful.rule(
+        place=strategies.integers(0, 6),
+        rate=strategies.sampled_from((5_000, 50_000)),
+    )
+    def slow_down(self, place, rate):
+        self.group.network.limit_rate(self.pick(place).name, rate)
+
+
 @pytest.mark.parametrize(
-    ('machine', 'examples'), [(VoterMachine, 100), (FiveVoterMachine, 50)]
+    ('machine', 'examples'),
+    [(VoterMachine, 100), (FiveVoterMachine, 50), (SlowLinkMachine, 100)],
 )
-def test_voters_agree_under_faults(machine, examples):
+def test_voters_agree_under_faults(machine, examples, monkeypatch):
+    if machine is SlowLinkMachine:
+        for bound in ('INITIAL', 'MINIMUM', 'LATE', 'MAXIMUM'):
+            monkeypatch.setattr(send_window, f'{bound}_WINDOW_BYTES', 40)
     stateful.run_state_machine_as_test(
         machine,
         settings=hypothesis.settings(
