--- a/filbertglade/control/follower.py
+++ b/filbertglade/control/follower.py
@@ -18,6 +18,7 @@
 CHUNK_WAIT_MS = 10_000
 
 Chunks = typing.AsyncIterator[agreement_pb2.SnapshotChunk]
+SendReply = abc.Callable[[agreement_pb2.SnapshotReply], abc.Awaitable[None]]
 
 
 class Follower:
@@ -155,37 +156,46 @@
     # Snapshots
 
     async def install_snapshot(
-        self, chunks: Chunks
-    ) -> agreement_pb2.SnapshotReply:
+        self, chunks: Chunks, send_reply: SendReply
+    ) -> None:
         """Install a snapshot that replaces the log up to its index.
 
         :param chunks: its chunks, as the leader sends them.
-        :returns: the reply.
+        :param send_reply: sends a reply to the leader; its exceptions are
+            passed on.
         """
         voter = self._voter
         accepted = False
         if voter.failure is None:
             async with voter.snapshot_lock:
-                accepted = await self._receive_snapshot(chunks)
+                accepted = await self._receive_snapshot(chunks, send_reply)
+        if voter.failure is None:
+            await send_reply(self._make_snapshot_reply(accepted))
+
+    def _make_snapshot_reply(
+        self, accepted: bool
+    ) -> agreement_pb2.SnapshotReply:
         return agreement_pb2.SnapshotReply(
-            term=voter.term,
+            term=self._voter.term,
             accepted=accepted,
-            incarnation=voter.identity.incarnation,
+            incarnation=self._voter.identity.incarnation,
         )
 
-    async def _receive_snapshot(self, chunks: Chunks) -> bool:
+    async def _receive_snapshot(
+        self, chunks: Chunks, send_reply: SendReply
+    ) -> bool:
         """Store and load the chunks; return whether it was installed."""
         writer: store.SnapshotWriter | None = None
         loaded = state.AgreedState()
         last: agreement_pb2.SnapshotChunk | None = None
         offset = 0
+        parts: list[bytes] = []
         try:
             while (chunk := await _next_chunk(chunks)) is not None:
                 if chunk.offset != offset or not await self._accept_chunk(
                     chunk
                 ):
                     return False
-                offset += 1
                 if writer is None:
                     point = store.SnapshotPoint(
                         chunk.last_index, chunk.last_term
@@ -197,10 +207,17 @@
                 if chunk.last:
                     last = chunk
                     break
-                failure = await writer.write(chunk.data)
+                await send_reply(self._make_snapshot_reply(True))
+                offset += 1
+                parts.append(chunk.data)
+                if chunk.continues:
+                    continue
+                data = b''.join(parts)
+                parts.clear()
+                failure = await writer.write(data)
                 if failure is not None:
                     return _refuse(failure)
-                loaded.load_chunk(chunk.data)
+                loaded.load_chunk(data)
             if last is None or writer is None:
                 return False
             finishing = self._voter.tasks.start(
--- a/filbertglade/control/replication.py
+++ b/filbertglade/control/replication.py
@@ -37,6 +37,9 @@
 )
 
 Stream = client.Stream[agreement_pb2.AppendRequest, agreement_pb2.AppendReply]
+SnapshotStream = client.Stream[
+    agreement_pb2.SnapshotChunk, agreement_pb2.SnapshotReply
+]
 
 log = logs.get_log(__name__)
 
@@ -360,41 +363,59 @@
         try:
             async with stub.InstallSnapshot.open() as stream:
                 await self._send_chunks(stream, reader)
-                async with asyncio.timeout(SNAPSHOT_REPLY_MS / 1000):
-                    reply = await stream.recv_message()
         except STREAM_ERRORS:
             self._voter.counters.count('agreement_snapshot_breaks')
-            return
         finally:
             reader.close()
             self.wake()
-        if reply is not None:
-            self._voter.observe_term(reply.term)
 
     async def _send_chunks(
-        self,
-        stream: client.Stream[
-            agreement_pb2.SnapshotChunk, agreement_pb2.SnapshotReply
-        ],
-        reader: typing.Any,
+        self, stream: SnapshotStream, reader: typing.Any
     ) -> None:
+        """Send all chunks, in parts that leave room for heartbeats."""
+        window = self._make_window()
         offset = 0
-        while True:
+        ended = False
+        while not ended:
             data = await reader.read()
             if isinstance(data, failures.StorageFailure):
                 log.error('snapshot.unreadable', reason=str(data))
                 raise TimeoutError
-            chunk = agreement_pb2.SnapshotChunk(
-                term=self._leading.term,
-                leader=self._voter.name,
-                last_index=reader.point.index,
-                last_term=reader.point.term,
-                offset=offset,
-                data=data,
-                last=not data,
-            )
-            async with asyncio.timeout(SNAPSHOT_REPLY_MS / 1000):
-                await stream.send_message(chunk, end=not data)
-            if not data:
-                return
-            offset += 1
+            ended = not data
+            sent_bytes = 0
+            while sent_bytes < len(data) or ended:
+                while not window.has_room:
+                    await self._receive_snapshot_reply(stream, window)
+                part = data[sent_bytes : sent_bytes + window.part_bytes]
+                sent_bytes += len(part)
+                chunk = agreement_pb2.SnapshotChunk(
+                    term=self._leading.term,
+                    leader=self._voter.name,
+                    last_index=reader.point.index,
+                    last_term=reader.point.term,
+                    offset=offset,
+                    data=part,
+                    last=ended,
+                    continues=sent_bytes < len(data),
+                )
+                window.record_sent(offset, len(part))
+                async with asyncio.timeout(SNAPSHOT_REPLY_MS / 1000):
+                    await stream.send_message(chunk, end=ended)
+                offset += 1
+                if ended:
+                    break
+        while not window.is_empty:
+            await self._receive_snapshot_reply(stream, window)
+
+    async def _receive_snapshot_reply(
+        self, stream: SnapshotStream, window: send_window.SendWindow
+    ) -> None:
+        async with asyncio.timeout(SNAPSHOT_REPLY_MS / 1000):
+            reply = await stream.recv_message()
+        if reply is None:
+            raise ConnectionError('the peer ended the stream')
+        self._voter.observe_term(reply.term)
+        if not reply.accepted:
+            log.change('snapshot.refused', peer=self.name)
+            raise ConnectionError('the peer refused the snapshot')
+        window.record_reply(window.oldest_sequence)
--- a/filbertglade/control/send_window.py
+++ b/filbertglade/control/send_window.py
@@ -61,6 +61,16 @@
         self._shrunk_at_sequence = 0
         self._last_sequence = 0
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether every part has been replied to."""
+        return not self._in_flight
+
+    @property
+    def oldest_sequence(self) -> int:
+        """Number of the oldest part without a reply; -1 if there is none."""
+        return next(iter(self._in_flight), -1)
+
     @property
     def part_bytes(self) -> int:
         """Size of the next part in bytes."""
--- a/filbertglade/control/service.py
+++ b/filbertglade/control/service.py
@@ -124,10 +124,11 @@
     ) -> None:
         """Install a snapshot.
 
-        :param stream: its chunks, and one reply.
+        :param stream: its chunks, and a reply to each.
         """
         self._check_voter()
         assert self._follower is not None
-        reply = await self._follower.install_snapshot(aiter(stream))
+        await self._follower.install_snapshot(
+            aiter(stream), stream.send_message
+        )
         self._check_voter()
-        await stream.send_message(reply)
--- a/filbertglade/inner/agreement_grpc.py
+++ b/filbertglade/inner/agreement_grpc.py
@@ -52,7 +52,7 @@
             ),
             '/filbertglade.inner.agreement.Agreement/InstallSnapshot': grpclib.const.Handler(
                 self.InstallSnapshot,
-                grpclib.const.Cardinality.STREAM_UNARY,
+                grpclib.const.Cardinality.STREAM_STREAM,
                 filbertglade.inner.agreement_pb2.SnapshotChunk,
                 filbertglade.inner.agreement_pb2.SnapshotReply,
             ),
@@ -80,7 +80,7 @@
             filbertglade.inner.agreement_pb2.HandOverRequest,
             filbertglade.inner.agreement_pb2.HandOverReply,
         )
-        self.InstallSnapshot = grpclib.client.StreamUnaryMethod(
+        self.InstallSnapshot = grpclib.client.StreamStreamMethod(
             channel,
             '/filbertglade.inner.agreement.Agreement/InstallSnapshot',
             filbertglade.inner.agreement_pb2.SnapshotChunk,
--- a/tests/control/test_large_entries.py
+++ b/tests/control/test_large_entries.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from filbertglade.control import snapshots
 from filbertglade.inner import commands_pb2
 from tests.control import cluster
+from tests.control import memory_storage
 
 # The time-outs of gateways.
 TIMINGS = {'election_ms': 700, 'heartbeat_ms': 120, 'lease_ms': 600}
@@ -186,8 +188,12 @@
     cluster.run(scenario())
 
 
-# The log lost what follows a batch in transfer: a snapshot was sent too.
-def test_compaction_does_not_end_a_transfer():
+# The log lost a batch in transfer, or what follows: a snapshot was sent too.
+@pytest.mark.parametrize('is_log_full', [False, True])
+def test_compaction_does_not_end_a_transfer(is_log_full, monkeypatch):
+    if is_log_full:
+        monkeypatch.setattr(snapshots, 'TRANSFER_LIMIT_BYTES', 0)
+
     async def scenario():
         async with cluster.Cluster(5, snapshot_entries=20, **TIMINGS) as group:
             leader = await lead(group)
@@ -202,11 +208,16 @@
                 await cluster.submit(leader, make_claim(number), 1000)
             status = leader.agreement.status()
             assert status.snapshot_index > 50
-            assert status.first_index < 50
+            assert (status.first_index > 50) == is_log_full
             await group.wait_until(
-                lambda: slow.state.applied_index > 100,
+                lambda: slow.agreement.status().last_index > 3,
                 limit_s=end_s - now_s(),
             )
+            if not is_log_full:
+                await group.wait_until(
+                    lambda: slow.state.applied_index > 100,
+                    limit_s=end_s - now_s(),
+                )
             await group.catch_up()
             # Afterwards the records aren't needed any more.
             for number in range(100, 200):
@@ -239,6 +250,77 @@
     cluster.run(scenario())
 
 
+# Large chunks of a snapshot held up heartbeats and began again.
+@pytest.mark.parametrize('slow_end', ['leader', 'learner'])
+@pytest.mark.parametrize(
+    ('size', 'rate'), [(8 * MEGABYTE, MEGABYTE), (MEGABYTE, 60_000)]
+)
+def test_empty_voter_receives_a_large_snapshot(slow_end, size, rate):
+    async def scenario():
+        async with cluster.Cluster(5, snapshot_entries=8, **TIMINGS) as group:
+            leader = await lead(group)
+            await submit(leader, 1, size, 60)
+            for number in range(100):
+                await cluster.submit(leader, make_claim(number), 1000)
+            # The document is in the snapshot and no longer in the log.
+            assert leader.agreement.status().first_index > 40
+            empty = (await group.followers())[0]
+            await empty.stop()
+            empty.disk.wipe()
+            ends = {'leader': leader, 'learner': empty}
+            group.network.limit_rate(ends[slow_end].name, rate)
+            watch = Watch(group, leader)
+            await empty.start()
+            await group.wait_until(
+                lambda: empty.agreement.status().role == 'follower',
+                limit_s=OVERHEAD * size / rate,
+            )
+            await cluster.submit(leader, make_claim(100), 1000)
+            await group.catch_up()
+            assert empty.state.configuration.current.number == 1
+            watch.check()
+
+    cluster.run(scenario())
+
+
+# Chunks that waited for a slow disk took the connection from heartbeats.
+def test_snapshot_for_a_slow_disk_leaves_room_for_heartbeats(monkeypatch):
+    async def write_slowly(writer, chunk):
+        await asyncio.sleep(3)
+        writer._chunks.append(chunk)
+
+    async def scenario():
+        async with cluster.Cluster(5, snapshot_entries=8, **TIMINGS) as group:
+            leader = await lead(group)
+            size = 8 * MEGABYTE
+            await submit(leader, 1, size, 60)
+            document = commands_pb2.PutDocument(version=1, text=b'x' * size)
+            await cluster.submit(
+                leader, commands_pb2.Command(put_document=document), 60_000
+            )
+            for number in range(100):
+                await cluster.submit(leader, make_claim(number), 1000)
+            empty = (await group.followers())[0]
+            await empty.stop()
+            empty.disk.wipe()
+            monkeypatch.setattr(memory_storage._Writer, 'write', write_slowly)
+            watch = Watch(group, leader)
+            await empty.start()
+            await group.wait_until(
+                lambda: empty.agreement.status().role == 'follower'
+            )
+            breaks = leader.counters.counter(
+                'agreement_snapshot_breaks'
+            ) + leader.counters.counter(
+                'agreement_stream_breaks', peer=empty.name
+            )
+            # The stream to the process that was stopped.
+            assert breaks == 1
+            watch.check()
+
+    cluster.run(scenario())
+
+
 def make_claim(number):
     change = commands_pb2.ClaimChange(
         customer='customer',
--- a/tests/control/test_send_window.py
+++ b/tests/control/test_send_window.py
@@ -62,6 +62,7 @@
         assert window.room_bytes > send_window.INITIAL_WINDOW_BYTES
         await asyncio.sleep(1)
         assert window.room_bytes == send_window.INITIAL_WINDOW_BYTES
+        assert window.is_empty
 
     cluster.run(scenario())
 
