Send large commands over connections of their own

Callers who sent a document through a control host that isn't the leader got "leader lost" if its link needed more than a second for it, however long they waited, and the other commands of that host failed with it.

Sending a command to the leader was bounded by the time-out for opening a connection, 1 s. When a large command took longer, the stream was closed, and all commands on it ended as possibly applied. Commands behind it also waited until it was through.

Why it works: a command above 64 KB gets a stream over its own connection, which may take as long as the sender waits; the connection still has to open within the time-out. Smaller commands share the link with it instead of waiting behind it.

--- a/filbertglade/control/submit_stream.py
+++ b/filbertglade/control/submit_stream.py
@@ -16,6 +16,9 @@
 from filbertglade import tasks
 
 MAXIMUM_OUTSTANDING = 1024
+# Commands above this size are sent over a connection of their own. Smaller
+# ones fit into the buffers of a connection.
+LARGE_COMMAND_BYTES = 64 << 10
 
 Reason = failures.SubmitReason
 Result = commands_pb2.CommandResult | failures.SubmitFailure
@@ -34,11 +37,14 @@
     """Sends commands to one control host concurrently.
 
     The stream is opened by the first command, and after a break by the next.
+    A large command gets a stream of its own, so that no other waits for it.
 
     :param settings: the node's settings.
     :param address: the control host's inner address.
     :param channel_factory: opens the channel.
     :param forwarded: whether a control host forwards the commands.
+    :param carries_large: whether large commands are sent on this stream;
+        sending may take as long as their senders wait.
     """
 
     def __init__(
@@ -47,11 +53,15 @@
         address: str,
         channel_factory: channels.ChannelFactory,
         forwarded: bool = False,
+        carries_large: bool = False,
     ) -> None:
         self._settings = settings
         self._address = address
         self._channel_factory = channel_factory
         self._forwarded = forwarded
+        self._carries_large = carries_large
+        # Streams of large commands.
+        self._large: set[SubmitStream] = set()
         self._tasks = tasks.TaskGroup()
         self._runner: asyncio.Task[None] | None = None
         self._sequence = 0
@@ -82,6 +92,10 @@
             return failures.SubmitFailure(
                 Reason.OVERLOADED, 'too many commands are pending'
             )
+        if not self._carries_large and (
+            command.ByteSize() > LARGE_COMMAND_BYTES
+        ):
+            return await self._submit_large(command, timeout_ms)
         self._sequence += 1
         sequence = self._sequence
         outstanding = _Outstanding(asyncio.get_running_loop().create_future())
@@ -108,6 +122,23 @@
             self._outstanding.pop(sequence, None)
             outstanding.future.cancel()
 
+    async def _submit_large(
+        self, command: commands_pb2.Command, timeout_ms: int
+    ) -> Result:
+        stream = SubmitStream(
+            self._settings,
+            self._address,
+            self._channel_factory,
+            self._forwarded,
+            carries_large=True,
+        )
+        self._large.add(stream)
+        try:
+            return await stream.submit(command, timeout_ms)
+        finally:
+            self._large.discard(stream)
+            await stream.close()
+
     def _ensure_running(self) -> None:
         self._woken.set()
         if self._runner is None or self._runner.done():
@@ -115,7 +146,11 @@
 
     async def drain_and_close(self) -> None:
         """Wait for the replies to pending commands, then close."""
-        outstanding = [item.future for item in self._outstanding.values()]
+        outstanding = [
+            item.future
+            for stream in (self, *self._large)
+            for item in stream._outstanding.values()
+        ]
         if outstanding:
             # Each wait is bounded by the command's own time-out.
             await asyncio.wait(outstanding)
@@ -124,6 +159,8 @@
     async def close(self) -> None:
         """Close the stream; pending commands fail."""
         self._closed = True
+        for stream in list(self._large):
+            await stream.close()
         await self._tasks.close()
         self._fail_all(Reason.CLOSING, 'closing')
 
@@ -156,7 +193,9 @@
                 await asyncio.wait([reader])
 
     async def _send_queued(self, stream: Stream) -> None:
-        limit_s = self._settings.timings.connect_timeout_ms / 1000
+        limit_s: float | None = None
+        if not self._carries_large:
+            limit_s = self._settings.timings.connect_timeout_ms / 1000
         while self._queue:
             request = self._queue.popleft()
             outstanding = self._outstanding.get(request.sequence)
--- a/tests/control/test_large_entries.py
+++ b/tests/control/test_large_entries.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from filbertglade.control import failures
 from filbertglade.control import snapshots
 from filbertglade.inner import commands_pb2
 from tests.control import cluster
@@ -321,6 +322,49 @@
     cluster.run(scenario())
 
 
+# A document that took longer to forward than a connection may take to open
+# was lost, and with it the other commands of the stream.
+def test_follower_forwards_a_large_command_over_a_slow_link():
+    async def scenario():
+        async with cluster.Cluster(3, **TIMINGS) as group:
+            leader = await lead(group)
+            follower = (await group.followers())[0]
+            rate = MEGABYTE
+            size = 4 * MEGABYTE
+            group.network.limit_rate(follower.name, rate)
+            watch = Watch(group, leader)
+            started_s = now_s()
+            limit_s = OVERHEAD * size / rate
+            large = asyncio.create_task(submit(follower, 1, size, limit_s))
+            await asyncio.sleep(0.1)
+            for number in range(10):
+                await cluster.submit(follower, make_claim(number), 300)
+            assert now_s() - started_s < size / rate
+            await large
+            watch.check()
+
+    cluster.run(scenario())
+
+
+# A stream that was closed left the connections of large commands open.
+def test_closing_a_stream_ends_its_large_commands():
+    async def scenario():
+        async with cluster.Cluster(3, **TIMINGS) as group:
+            await lead(group)
+            follower = (await group.followers())[0]
+            group.network.limit_rate(follower.name, MEGABYTE)
+            command = cluster.put(1, size=4 * MEGABYTE)
+            work = asyncio.create_task(follower.local.submit(command, 9000))
+            await asyncio.sleep(1)
+            await follower.local.close()
+            async with asyncio.timeout(0.1):
+                result = await work
+            assert isinstance(result, failures.SubmitFailure)
+            assert result.may_have_applied
+
+    cluster.run(scenario())
+
+
 def make_claim(number):
     change = commands_pb2.ClaimChange(
         customer='customer',
