--- a/filbertglade/control/replication.py
+++ b/filbertglade/control/replication.py
@@ -8,8 +8,10 @@
 from h2 import exceptions as h2_exceptions
 
 from filbertglade import clock
+from filbertglade.control import entry_parts
 from filbertglade.control import failures
 from filbertglade.control import quorum
+from filbertglade.control import send_window
 from filbertglade.inner import agreement_grpc
 from filbertglade.inner import agreement_pb2
 from filbertglade.observability import logs
@@ -35,6 +37,9 @@
 )
 
 Stream = client.Stream[agreement_pb2.AppendRequest, agreement_pb2.AppendReply]
+SnapshotStream = client.Stream[
+    agreement_pb2.SnapshotChunk, agreement_pb2.SnapshotReply
+]
 
 log = logs.get_log(__name__)
 
@@ -75,6 +80,10 @@
         self._stale_before_sequence = 0
         self._in_flight_sent_ms: dict[int, int] = {}
         self._last_sent_ms = 0
+        self._last_reply_ms = 0
+        self._window = self._make_window()
+        # The batch that is being sent in parts, if one is.
+        self._batch: entry_parts.SplitBatch | None = None
         self._woken = asyncio.Event()
         # Whether a break was logged since the latest reply.
         self._is_break_logged = False
@@ -98,6 +107,17 @@
         age_ms = clock.now_ms() - self.acknowledged_sent_ms
         return age_ms < self._voter.settings.control.election_ms
 
+    @property
+    def transfer_base_index(self) -> int | None:
+        """Index after which the voter continues once a transfer is complete.
+
+        It is that of the snapshot being sent to the voter, or of the entry
+        before the batch being sent in parts; None if there is neither.
+        """
+        if self._batch is not None:
+            return self._next_index - 1
+        return self.sending_snapshot_index
+
     def build_reply(self, value: int) -> quorum.VoterReply:
         """Return the voter's reply for counting a quorum.
 
@@ -105,6 +125,12 @@
         """
         return quorum.VoterReply(self.incarnation, self.founding, value)
 
+    def _make_window(self) -> send_window.SendWindow:
+        # A lease lasts for at least three heartbeat intervals.
+        return send_window.SendWindow(
+            self._voter.settings.control.heartbeat_ms
+        )
+
     def wake(self) -> None:
         """Let the stream check for entries to send."""
         self._woken.set()
@@ -127,6 +153,7 @@
                 # An unexpected error ends the stream, but not the replication.
                 log.error('replication.failed', peer=self.name, error=error)
             finally:
+                self._batch = None
                 await self._cancel_snapshot_transfer()
                 channel.close()
             pause = pause_ms * (0.5 + self._voter.rng.random())
@@ -167,10 +194,11 @@
 
     async def _run_stream(self, channel: client.Channel) -> None:
         self._in_flight_sent_ms.clear()
+        self._window = self._make_window()
         self._stale_before_sequence = self._sequence + 1
-        self._next_index = self._voter.journal.last_index + 1
+        self._move_to(self._voter.journal.last_index + 1)
         if self.match_index:
-            self._next_index = self.match_index + 1
+            self._move_to(self.match_index + 1)
         stub = agreement_grpc.AgreementStub(channel)
         async with stub.Append.open() as stream:
             async with asyncio.timeout(self._reply_timeout_s()):
@@ -202,7 +230,9 @@
                 async with asyncio.timeout(self._reply_timeout_s()):
                     request = self._next_request()
                     self._count_sent(
-                        'append' if request.entries else 'heartbeat',
+                        'append'
+                        if request.entries or request.pieces
+                        else 'heartbeat',
                         request.ByteSize(),
                     )
                     await stream.send_message(request)
@@ -226,42 +256,76 @@
 
     def _check_reply_timeout(self) -> None:
         oldest_ms = next(iter(self._in_flight_sent_ms.values()), None)
+        if oldest_ms is None:
+            return
+        # As long as replies come, the stream makes progress.
+        silent_since_ms = max(oldest_ms, self._last_reply_ms)
         limit_ms = self._voter.settings.control.election_ms
-        if oldest_ms is not None and clock.now_ms() - oldest_ms > limit_ms:
+        if clock.now_ms() - silent_since_ms > limit_ms:
             raise TimeoutError
 
     def _can_send_entries(self) -> bool:
         return (
             self._next_index <= self._voter.journal.last_index
             and len(self._in_flight_sent_ms) < WINDOW_REQUESTS
+            and self._window.has_room
             and self._snapshot_task is None
         )
 
     def _next_request(self) -> agreement_pb2.AppendRequest:
         """Return a request with the next entries, or a heartbeat."""
         journal = self._voter.journal
+        sends_entries = self._can_send_entries()
         previous_index = self._next_index - 1
         if self._snapshot_task is not None:
             previous_index = journal.last_index
-        entries = []
-        if self._can_send_entries():
-            entries = journal.read(
-                self._next_index, BATCH_BYTES, BATCH_ENTRIES
-            )
-            self._next_index += len(entries)
+        previous_term = journal.term_at(previous_index) or 0
+        if self._batch is not None:
+            # The log may have been compacted since the batch was begun.
+            previous_term = self._batch.previous_term
         self._sequence += 1
         self._last_sent_ms = clock.now_ms()
         self._in_flight_sent_ms[self._sequence] = self._last_sent_ms
-        return agreement_pb2.AppendRequest(
+        request = agreement_pb2.AppendRequest(
             term=self._leading.term,
             leader=self._voter.name,
             sequence=self._sequence,
             previous_index=previous_index,
-            previous_term=journal.term_at(previous_index) or 0,
-            entries=entries,
+            previous_term=previous_term,
             committed_index=self._voter.committed_index,
             log_clock_ms=self._voter.log_clock_ms(),
         )
+        if sends_entries:
+            self._add_entries(request)
+        return request
+
+    def _add_entries(self, request: agreement_pb2.AppendRequest) -> None:
+        """Add the next entries, or the next part of a large batch."""
+        if self._batch is None:
+            entries = self._voter.journal.read(
+                self._next_index, BATCH_BYTES, BATCH_ENTRIES
+            )
+            size_bytes = entry_parts.measure(entries)
+            if size_bytes <= self._window.room_bytes:
+                request.entries.extend(entries)
+                self._next_index += len(entries)
+                self._window.record_sent(request.sequence, size_bytes)
+                return
+            self._batch = entry_parts.SplitBatch(
+                request.previous_term, entries, self._leading.commands
+            )
+        request.part_number = self._batch.part_count
+        pieces = self._batch.take(self._window.part_bytes)
+        request.pieces.extend(pieces)
+        self._window.record_sent(request.sequence, entry_parts.measure(pieces))
+        if self._batch.is_complete:
+            request.completes_batch = True
+            self._move_to(self._next_index + self._batch.entry_count)
+
+    def _move_to(self, next_index: int) -> None:
+        """Set the next index; a batch that isn't complete is abandoned."""
+        self._next_index = next_index
+        self._batch = None
 
     # Replies
 
@@ -285,6 +349,8 @@
         sent_ms = self._in_flight_sent_ms.pop(reply.sequence, None)
         if sent_ms is None:
             return
+        self._last_reply_ms = clock.now_ms()
+        self._window.record_reply(reply.sequence)
         if reply.incarnation != self.incarnation:
             self.match_index = 0
             self.acknowledged_sent_ms = quorum.NO_VALUE
@@ -296,14 +362,15 @@
             self._advance_match_index(reply.match_index)
         elif reply.sequence >= self._stale_before_sequence:
             self._stale_before_sequence = self._sequence + 1
-            self._next_index = max(1, reply.retry_index)
+            self._move_to(max(1, reply.retry_index))
         self._leading.renew_lease()
         self.wake()
 
     def _advance_match_index(self, match_index: int) -> None:
         if match_index > self.match_index:
             self.match_index = match_index
-            self._next_index = max(self._next_index, match_index + 1)
+            if self._next_index <= match_index:
+                self._move_to(match_index + 1)
             self._leading.advance_commit_index()
 
     # Snapshots
@@ -316,9 +383,12 @@
                 return
             self._snapshot_task = None
             self.sending_snapshot_index = None
-            self._next_index = journal.last_index + 1
+            self._move_to(journal.last_index + 1)
             self._stale_before_sequence = self._sequence + 1
-        if journal.term_at(self._next_index - 1) is None:
+        if (
+            self._batch is None
+            and journal.term_at(self._next_index - 1) is None
+        ):
             self.sending_snapshot_index = self._voter.snapshot.index
             self._snapshot_task = self._voter.tasks.start(
                 self._send_snapshot(channel)
@@ -343,42 +413,60 @@
         try:
             async with stub.InstallSnapshot.open() as stream:
                 await self._send_chunks(stream, reader)
-                async with asyncio.timeout(SNAPSHOT_REPLY_MS / 1000):
-                    reply = await stream.recv_message()
         except STREAM_ERRORS:
             self._voter.counters.count('agreement_snapshot_breaks')
-            return
         finally:
             reader.close()
             self.wake()
-        if reply is not None:
-            self._voter.observe_term(reply.term)
 
     async def _send_chunks(
-        self,
-        stream: client.Stream[
-            agreement_pb2.SnapshotChunk, agreement_pb2.SnapshotReply
-        ],
-        reader: typing.Any,
+        self, stream: SnapshotStream, reader: typing.Any
     ) -> None:
+        """Send all chunks, in parts that leave room for heartbeats."""
+        window = self._make_window()
         offset = 0
-        while True:
+        ended = False
+        while not ended:
             data = await reader.read()
             if isinstance(data, failures.StorageFailure):
                 log.error('snapshot.unreadable', reason=str(data))
                 raise TimeoutError
-            chunk = agreement_pb2.SnapshotChunk(
-                term=self._leading.term,
-                leader=self._voter.name,
-                last_index=reader.point.index,
-                last_term=reader.point.term,
-                offset=offset,
-                data=data,
-                last=not data,
-            )
-            self._count_sent('snapshot', chunk.ByteSize())
-            async with asyncio.timeout(SNAPSHOT_REPLY_MS / 1000):
-                await stream.send_message(chunk, end=not data)
-            if not data:
-                return
-            offset += 1
+            ended = not data
+            sent_bytes = 0
+            while sent_bytes < len(data) or ended:
+                while not window.has_room:
+                    await self._receive_snapshot_reply(stream, window)
+                part = data[sent_bytes : sent_bytes + window.part_bytes]
+                sent_bytes += len(part)
+                chunk = agreement_pb2.SnapshotChunk(
+                    term=self._leading.term,
+                    leader=self._voter.name,
+                    last_index=reader.point.index,
+                    last_term=reader.point.term,
+                    offset=offset,
+                    data=part,
+                    last=ended,
+                    continues=sent_bytes < len(data),
+                )
+                window.record_sent(offset, len(part))
+                self._count_sent('snapshot', chunk.ByteSize())
+                async with asyncio.timeout(SNAPSHOT_REPLY_MS / 1000):
+                    await stream.send_message(chunk, end=ended)
+                offset += 1
+                if ended:
+                    break
+        while not window.is_empty:
+            await self._receive_snapshot_reply(stream, window)
+
+    async def _receive_snapshot_reply(
+        self, stream: SnapshotStream, window: send_window.SendWindow
+    ) -> None:
+        async with asyncio.timeout(SNAPSHOT_REPLY_MS / 1000):
+            reply = await stream.recv_message()
+        if reply is None:
+            raise ConnectionError('the peer ended the stream')
+        self._voter.observe_term(reply.term)
+        if not reply.accepted:
+            log.change('snapshot.refused', peer=self.name)
+            raise ConnectionError('the peer refused the snapshot')
+        window.record_reply(window.oldest_sequence)
