Handle no request after the last one of its connection

What callers saw: a caller that had sent its next request before it read "Connection: close" (at a host that was stopping), or behind a stream that was cut, found its connection closed without a response although a worker ran the request; an unsafe one is lost that way.

Cause: tornado goes on reading a connection after a response with "Connection: close" and, from its buffer, even after the connection was closed. The next request was handled like any other and passed on. In the first case the timer that closes the connection after CLOSE_DELAY_S then cut it off.

Why this works: the server remembers the last request of each connection. If it ends the connection, a later head is not accepted, so nothing is passed on; such a request crosses the close, which callers may send again.

--- a/filbertglade/forwarding/server.py
+++ b/filbertglade/forwarding/server.py
@@ -4,6 +4,7 @@
 from collections import abc
 import sys
 import typing
+import weakref
 
 from tornado import httpserver
 from tornado import httputil
@@ -38,6 +39,8 @@
     :ivar is_response_started: whether the head of a response was sent.
     :ivar closes_connection: whether the connection is closed after the
         response.
+    :ivar is_aborted: whether the connection was closed without the end of a
+        response.
     """
 
     def __init__(
@@ -55,6 +58,12 @@
         self.body = b''
         self.is_response_started = False
         self.closes_connection = False
+        self.is_aborted = False
+
+    @property
+    def is_last(self) -> bool:
+        """Whether its connection carries no further response."""
+        return self.closes_connection or self.is_aborted
 
     @property
     def path(self) -> str:
@@ -106,6 +115,7 @@
 
     def abort(self) -> None:
         """Close the connection, so that a cut response can't look complete."""
+        self.is_aborted = True
         stream = getattr(self._connection, 'stream', None)
         if stream is not None:
             stream.close()
@@ -165,6 +175,9 @@
         self.serve = serve
         self._get_limits = get_limits
         self.in_flight: set[_RequestReader] = set()
+        self._last_requests: weakref.WeakKeyDictionary[
+            object, CallerRequest
+        ] = weakref.WeakKeyDictionary()
         self._server: httpserver.HTTPServer | None = None
 
     def listen(self, address: str) -> None:
@@ -207,7 +220,21 @@
         :param request_conn: the connection's interface for this request.
         :returns: the delegate.
         """
-        return _RequestReader(self, request_conn)
+        return _RequestReader(self, server_conn, request_conn)
+
+    def accept_request(
+        self, server_conn: object, request: CallerRequest
+    ) -> bool:
+        """Return whether a request's connection can carry its response.
+
+        :param server_conn: the connection.
+        :param request: the request whose head has been read.
+        """
+        previous = self._last_requests.get(server_conn)
+        if previous is not None and previous.is_last:
+            return False
+        self._last_requests[server_conn] = request
+        return True
 
     def on_close(self, server_conn: object) -> None:
         """Ignore the end of a connection; each request has its own callback.
@@ -220,9 +247,13 @@
     """Reads one request and owns the task that handles it."""
 
     def __init__(
-        self, server: CallerServer, connection: httputil.HTTPConnection
+        self,
+        server: CallerServer,
+        server_conn: object,
+        connection: httputil.HTTPConnection,
     ) -> None:
         self._server = server
+        self._server_conn = server_conn
         self._connection = connection
         self._request: CallerRequest | None = None
         self._chunks: list[bytes] = []
@@ -248,6 +279,11 @@
             headers,
             clock.now_ms(),
         )
+        if not self._server.accept_request(self._server_conn, request):
+            # It was sent before its caller read that the connection ends.
+            log.change('request.ignored')
+            self._is_refused = True
+            return
         self._request = request
         self._server.in_flight.add(self)
         size = sum(
--- /dev/null
+++ b/tests/gateway_forwarding/test_caller_server.py
@@ -0,0 +1,75 @@
+"""The HTTP server for callers, on a loopback connection."""
+
+import asyncio
+
+import pytest
+from tornado import httputil
+
+from filbertglade.forwarding import server
+from tests import cluster
+
+# Longer than the server waits before it closes a connection.
+CLOSE_LIMIT_S = 4 * server.CLOSE_DELAY_S
+# For the server to handle what it has received, on the same event loop.
+SETTLE_S = 0.1
+REQUEST = 'GET /{} HTTP/1.1\r\nHost: desk.example\r\n\r\n'
+
+
+@pytest.fixture
+async def serve_pipelined():
+    """Send requests at once; return the bytes received until the close."""
+    servers = []
+
+    async def run(serve, paths):
+        port = cluster.find_free_ports(1)[0]
+        callers = server.CallerServer(serve, lambda: None)
+        servers.append(callers)
+        callers.listen(f'127.0.0.1:{port}')
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(''.join(REQUEST.format(path) for path in paths).encode())
+        async with asyncio.timeout(CLOSE_LIMIT_S):
+            received = await reader.read()
+        # The server may still read what it has received.
+        await asyncio.sleep(SETTLE_S)
+        writer.close()
+        return received
+
+    yield run
+    for callers in servers:
+        callers.stop()
+        await callers.close()
+
+
+# Guards against LOST: a request that a caller had sent before it read
+# "Connection: close" was passed on, and its connection closed 0.5 s later.
+async def test_no_request_is_handled_after_the_last_of_its_connection(
+    serve_pipelined,
+):
+    handled = []
+
+    async def serve(request):
+        handled.append(request.target)
+        request.closes_connection = True
+        if len(handled) > 1:
+            await asyncio.sleep(CLOSE_LIMIT_S)
+        request.respond(200, b'body')
+
+    received = await serve_pipelined(serve, ['first', 'second'])
+    assert handled == ['/first']
+    assert received.count(b'HTTP/1.1 200') == 1
+
+
+# Guards against LOST: a request behind a cut response was read from the closed
+# connection's buffer and passed on.
+async def test_no_request_is_handled_after_a_cut_response(serve_pipelined):
+    handled = []
+
+    async def serve(request):
+        handled.append(request.target)
+        headers = httputil.HTTPHeaders()
+        await request.begin_response(200, 'OK', headers)
+        await request.write(b'part')
+        request.abort()
+
+    await serve_pipelined(serve, ['first', 'second'])
+    assert handled == ['/first']
