Soak hosts with kept connections, planned work in series, large documents

The soak gets callers that keep a connection through a host's stop, some of them with a request sent before they read "Connection: close"; streams that may not be resumed; SIGHUP, changed settings files and stops in series and overlapping, also SIGTERM twice, during SIGHUP, and with SIGKILL inside the grace period; two operators, documents in quick succession, some with 1,500 to 1,900 added routes, keys that are revoked and given back, older documents that arrive again; workers that leave and come back as another service at the same address.

New checks, beside all old ones: a request whose connection ends without a response was not run (rule LOST), no refused request of any kind ran, routes and keys follow the documents within the users' bounds and never go back, a document is accepted in time, no request reaches a worker that left for longer than drain_ms, runs have the right service and customer, no process ends by itself or outlives its grace period. Numbers of hosts, workers and callers are options; faults and violations are printed with their times.

--- /dev/null
+++ b/tests/platform/soak_deployment.py
@@ -0,0 +1,290 @@
+"""The processes and workers of a soak, in the sizes that it wants."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import signal
+import time
+
+import httpx
+
+from tests import cluster
+from tests.fleet import documents
+from tests.platform import deployment
+
+EVENTS = 6
+EVENT_PAUSE_S = 0.02
+# A worker's wait for an acknowledgement: the users' page on the protocol.
+ACK_TIMEOUT_S = 1.0
+# Time-out of an operator's call: the bound of the product's own wait for a
+# commit, and the transfer of a large document.
+PUT_TIMEOUT_S = 4.0
+
+
+@dataclasses.dataclass
+class Sizes:
+    """How many processes, workers and callers a soak has.
+
+    :param callers: callers that choose a host for each request.
+    :param kept_callers: callers that keep a connection to one host.
+    """
+
+    control_hosts: int = 3
+    entry_hosts: int = 2
+    api_workers: int = 4
+    model_workers: int = 5
+    callers: int = 6
+    kept_callers: int = 8
+
+    @property
+    def tolerated_losses(self):
+        return (self.control_hosts - 1) // 2
+
+
+class SoakDeployment(deployment.Deployment):
+    """Control hosts, any of which may lead, and entry hosts.
+
+    Each host has a loopback address of its own. Three control hosts are seeds,
+    as in the users' deployments.
+    """
+
+    def __init__(self, folder, sizes):
+        self.folder = folder
+        self.sizes = sizes
+        inner, control, front, health = cluster.find_free_ports(4)
+        hosts = [f'127.0.1.{i}' for i in range(1, sizes.control_hosts + 1)]
+        self.seeds = [f'{host}:{control}' for host in hosts[:3]]
+        # Nothing listens there.
+        self.unknown_seed = f'127.0.3.1:{control}'
+        common = (
+            f'seeds = {_write_seeds(self.seeds)}\n'
+            f'tolerated_losses = {sizes.tolerated_losses}\n'
+            'found_cluster = true'
+        )
+        self.control_urls = [f'http://{host}:{control}' for host in hosts]
+        self.controls = [
+            deployment.Process(
+                folder,
+                f'control-{index}',
+                f'inner = "{host}:{inner}"\ncontrol = "{host}:{control}"',
+                f'{common}\ndata_folder = "{folder}/data-{index}"',
+            )
+            for index, host in enumerate(hosts)
+        ]
+        self.entry_addresses = [
+            (f'127.0.2.{i}', front) for i in range(1, sizes.entry_hosts + 1)
+        ]
+        self.front_urls = [
+            f'http://{host}:{port}' for host, port in self.entry_addresses
+        ]
+        self.health_urls = [
+            f'http://{host}:{health}/readyz'
+            for host, _ in self.entry_addresses
+        ]
+        self.entries = [
+            deployment.Process(
+                folder,
+                f'entry-{index}',
+                f'inner = "{host}:{inner}"\ncallers = "{host}:{front}"\n'
+                f'health = "{host}:{health}"',
+                common,
+            )
+            for index, (host, _) in enumerate(self.entry_addresses)
+        ]
+        self.client = httpx.AsyncClient(
+            timeout=10, limits=httpx.Limits(max_connections=400)
+        )
+        self.workers = []
+
+    @property
+    def processes(self):
+        return [*self.controls, *self.entries]
+
+    async def start(self):
+        for process in self.processes:
+            await process.start()
+
+    async def close(self):
+        for worker in self.workers:
+            await worker.close()
+        await self.client.aclose()
+        for process in self.processes:
+            if process.process is None:
+                continue
+            if process.process.returncode is None:
+                process.process.send_signal(signal.SIGCONT)
+            await process.stop(signal.SIGKILL)
+
+    def write_seeds(self, process, seeds):
+        """Replace the seeds in a process's settings file."""
+        lines = [
+            f'seeds = {_write_seeds(seeds)}'
+            if line.startswith('seeds = ')
+            else line
+            for line in process.path.read_text().splitlines()
+        ]
+        replacement = process.path.with_suffix('.new')
+        replacement.write_text('\n'.join(lines) + '\n')
+        replacement.replace(process.path)
+
+    def end_founding(self, process):
+        """Write settings as of a later start: the cluster exists."""
+        text = process.path.read_text()
+        process.path.write_text(
+            text.replace('found_cluster = true', 'found_cluster = false')
+        )
+
+    async def announce(self, endpoint_id, announcement):
+        """Send an announcement to the control hosts until one responds.
+
+        :returns: whether one acknowledged it.
+        """
+        return await self._post_to_control(
+            f'/v1/endpoints/{endpoint_id}/announcement', announcement
+        )
+
+    async def deregister(self, endpoint_id, born_ms):
+        """Send a departure; return whether a host acknowledged it."""
+        return await self._post_to_control(
+            f'/v1/endpoints/{endpoint_id}/departure', {'born': born_ms}
+        )
+
+    async def _post_to_control(self, path, body):
+        for url in random.sample(self.control_urls, len(self.control_urls)):
+            try:
+                response = await self.client.post(
+                    url + path,
+                    json=body,
+                    follow_redirects=True,
+                    timeout=ACK_TIMEOUT_S,
+                )
+            except httpx.TransportError:
+                continue
+            if response.status_code < 500:
+                return response.status_code == 200
+        return False
+
+    async def put(self, data):
+        """Send a document to the control hosts until one responds.
+
+        :returns: the status; None if no host gave a clear response.
+        """
+        text = documents.write(data)
+        for url in random.sample(self.control_urls, len(self.control_urls)):
+            try:
+                response = await self.client.post(
+                    f'{url}/v1/routing',
+                    content=text,
+                    follow_redirects=True,
+                    timeout=PUT_TIMEOUT_S,
+                )
+            except httpx.TransportError:
+                continue
+            if response.status_code < 500:
+                return response.status_code
+        return None
+
+    async def read_versions(self):
+        """Return the document version of each reachable control host."""
+        versions = []
+        for url in self.control_urls:
+            try:
+                response = await self.client.get(
+                    f'{url}/v1/routing', follow_redirects=True, timeout=2
+                )
+            except httpx.TransportError:
+                continue
+            if response.status_code == 200:
+                versions.append(response.json()['version'])
+        return versions
+
+
+def _write_seeds(seeds):
+    return '[' + ', '.join(f'"{seed}"' for seed in seeds) + ']'
+
+
+class SoakWorker(deployment.Worker):
+    """A worker that records what it runs, and may leave and come back.
+
+    :param record: the soak's record.
+    :ivar left_s: when a control host acknowledged that it leaves; None before.
+    """
+
+    def __init__(self, running_deployment, record, endpoint_id, service):
+        super().__init__(running_deployment, endpoint_id, service)
+        self.record = record
+        self.left_s = None
+        self.breaks_at = None
+        self._writers = set()
+        self._running = set()
+        self._port = 0
+        if service == 'models':
+            self.respond = self._stream
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self.handle_connection, '127.0.0.1', self._port, limit=1 << 20
+        )
+        self._port = self.server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{self._port}'
+        self.announcing = asyncio.create_task(self.announce_periodically())
+
+    async def stop(self):
+        """End the process that this worker stands for."""
+        await self.close()
+        for request_id in self._running:
+            self._mark_broken(request_id)
+        for writer in list(self._writers):
+            writer.close()
+
+    def _mark_broken(self, request_id):
+        if request_id in self.record.requests:
+            self.record.requests[request_id].is_broken = True
+
+    async def come_back(self, endpoint_id, service):
+        """Start again at the same address under another id."""
+        self.endpoint_id, self.service = endpoint_id, service
+        self.start_time_ms = int(time.time() * 1000)
+        self.sequence, self.state, self.left_s = 0, 'ready', None
+        self.group, self.staged = None, []
+        self.respond = self._stream if service == 'models' else None
+        await self.start()
+
+    async def handle_connection(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await super().handle_connection(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def handle_request(self, writer, line, headers, body):
+        path = line.split()[1]
+        is_target = (
+            headers.get('X-Target-Instance', self.endpoint_id)
+            == self.endpoint_id
+        )
+        if path not in ('/order', '/report') and is_target:
+            self.record.register_run(self, headers, path)
+            self.pause_s = int(headers.get('X-Work-Ms', 0)) / 1000
+        request_id = headers.get('X-Request-Id')
+        self._running.add(request_id)
+        try:
+            await super().handle_request(writer, line, headers, body)
+        finally:
+            self._running.discard(request_id)
+            # The record has what the checks need.
+            self.requests.clear()
+
+    def build_response(self, headers, text, status='200 OK', more=''):
+        text = f'{self.endpoint_id} ran {headers["X-Request-Id"]}'
+        return super().build_response(headers, text, status, more)
+
+    async def _stream(self, writer, headers):
+        events = int(headers.get('X-Events', EVENTS))
+        if self.breaks_at is not None:
+            self._mark_broken(headers['X-Request-Id'])
+        with contextlib.suppress(ConnectionError):
+            await deployment.EventStreamer(
+                self, events, self.breaks_at, EVENT_PAUSE_S
+            )(writer, headers)
--- /dev/null
+++ b/tests/platform/soak_faults.py
@@ -0,0 +1,377 @@
+"""Faults and planned work of a soak, in series and overlapping."""
+
+import asyncio
+import contextlib
+import random
+import shutil
+import signal
+import time
+
+import httpx
+
+from tests.platform import soak_record
+
+# Bounds of the pause between two faults, and of the duration of a fault.
+PAUSE_S = (0.3, 2.0)
+FAULT_DURATION_S = (0.2, 3.0)
+# Bounds of the pause between two signals of a series, in s.
+SIGNAL_PAUSE_S = (0.0, 0.3)
+# Bounds of the pause between two SIGHUPs or changes of settings, in s.
+RELOAD_PAUSE_S = (0.2, 1.5)
+# Bounds of the pause between two faults of workers, in s.
+WORKER_PAUSE_S = (0.5, 3.0)
+# A wiped voter counts for the quorum only once it is admitted again.
+READMISSION_S = 6.0
+# From SIGTERM until a host no longer counts as ready: rule DRAIN.
+UNREADY_S = 4.0
+# Fewest workers of a service that are left while one of them leaves.
+MIN_WORKERS = 2
+# How long an address is unused before another worker has it: reuse_after_s of
+# the users' page on deployment.
+REUSE_AFTER_S = 2.0
+# Bounds of the time that a worker serves after DRAIN_S: the page on the
+# protocol has it end "a little" later.
+LINGER_S = (0.3, 1.5)
+# A start of a process, with many of them starting on a busy machine.
+START_LIMIT_S = 40.0
+
+
+class Faults:
+    """Causes faults; control hosts stay within the tolerated losses.
+
+    :param record: the soak's record.
+    :param seed: of the choices.
+    :ivar is_over: whether the tasks that run all the time should end.
+    """
+
+    def __init__(self, running_deployment, record, seed):
+        self.deployment = running_deployment
+        self.record = record
+        self.rng = random.Random(seed)
+        self.is_over = False
+        self.count = 0
+        self._reserved = set()
+
+    async def cause_storm(self, seconds):
+        """Cause faults of hosts in two overlapping series."""
+        end_s = time.monotonic() + seconds
+        await asyncio.gather(*(self._run_series(end_s) for _ in range(2)))
+
+    async def _run_series(self, end_s):
+        kinds = [
+            self._kill,
+            self._freeze,
+            self._stop,
+            self._stop,
+            self._stop_twice,
+            self._stop_and_kill,
+            self._reload_and_stop,
+            self._stop_in_turn,
+            self._stop_several,
+            self._wipe,
+        ]
+        while time.monotonic() < end_s:
+            self.count += 1
+            await self.rng.choice(kinds)()
+            await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+
+    def list_tasks(self):
+        """Return coroutines for the planned work that goes on all the time."""
+        return [self._reload_repeatedly(), self._change_workers()]
+
+    # Hosts
+
+    def _reserve(self, wanted=1, is_control=None):
+        """Reserve hosts that no other fault has reserved.
+
+        :param is_control: None for hosts of both kinds.
+        """
+        running = self.deployment
+        entries = [
+            item for item in running.entries if item not in self._reserved
+        ]
+        controls = [
+            item for item in running.controls if item not in self._reserved
+        ]
+        lost = len(running.controls) - len(controls)
+        free = max(0, running.sizes.tolerated_losses - lost)
+        self.rng.shuffle(controls)
+        chosen = []
+        if is_control is not True:
+            # One entry host is left to callers.
+            chosen += entries[1:] if len(entries) > 1 else []
+            self.rng.shuffle(chosen)
+            if len(entries) == len(running.entries) and chosen:
+                # Any of them may be the one that is left.
+                chosen[0] = self.rng.choice(entries)
+                chosen = list(dict.fromkeys(chosen))
+        if is_control is not False:
+            chosen += controls[:free]
+            self.rng.shuffle(chosen)
+        chosen = chosen[:wanted]
+        self._reserved.update(chosen)
+        return chosen
+
+    def _release(self, processes):
+        self._reserved.difference_update(processes)
+
+    def _signal(self, process, number):
+        with contextlib.suppress(ProcessLookupError):
+            process.process.send_signal(number)
+
+    def _log(self, text, processes):
+        names = ', '.join(process.name for process in processes)
+        self.record.log_fault(f'{text} {names}')
+
+    def check_alive(self, process):
+        """Check that a process hasn't ended by itself."""
+        code = process.process.returncode
+        if code is not None:
+            self.record.violate(f'{process.name} ended by itself: {code}')
+
+    async def _wait_until_started(self, process):
+        await self.deployment.wait_until(process.has_started, START_LIMIT_S)
+
+    async def _start(self, process, disruption):
+        self.record.forget_floors(process.name)
+        await process.start()
+        await self._wait_until_started(process)
+        disruption.end_s = self.record.now_s()
+        self._log('started', [process])
+
+    async def _pause(self, bounds=FAULT_DURATION_S):
+        await asyncio.sleep(self.rng.uniform(*bounds))
+
+    async def _kill(self):
+        for process in self._reserve():
+            await self._wait_until_started(process)
+            self.check_alive(process)
+            self._log('kill', [process])
+            disruption = self.record.begin_disruption(process.name)
+            await process.stop(signal.SIGKILL)
+            await self._pause()
+            await self._start(process, disruption)
+            self._release([process])
+
+    async def _freeze(self):
+        for process in self._reserve():
+            self._log('freeze', [process])
+            disruption = self.record.begin_disruption(process.name)
+            self._signal(process, signal.SIGSTOP)
+            await self._pause()
+            self._signal(process, signal.SIGCONT)
+            disruption.end_s = self.record.now_s()
+            self._log('thaw', [process])
+            self._release([process])
+
+    async def _wipe(self):
+        # A host that is back, but behind, can't replace the wiped one.
+        now_s = self.record.now_s()
+        recently = self.record.list_disrupted_control_hosts(
+            now_s - soak_record.CONTACT_S, now_s
+        )
+        if recently:
+            return
+        for process in self._reserve(is_control=True):
+            await self._wait_until_started(process)
+            self.check_alive(process)
+            self._log('wipe', [process])
+            disruption = self.record.begin_disruption(process.name)
+            await process.stop(signal.SIGKILL)
+            index = self.deployment.controls.index(process)
+            shutil.rmtree(self.deployment.folder / f'data-{index}')
+            self.deployment.end_founding(process)
+            await self._start(process, disruption)
+            await asyncio.sleep(READMISSION_S)
+            self._release([process])
+
+    # Stops
+
+    async def _stop(self):
+        await self._stop_and_start(self._reserve(), [])
+
+    async def _stop_twice(self):
+        await self._stop_and_start(self._reserve(), [signal.SIGTERM])
+
+    async def _reload_and_stop(self):
+        """Stop a host while it reloads its settings, and reload it again."""
+        processes = self._reserve()
+        for process in processes:
+            await self._wait_until_started(process)
+            for _ in range(self.rng.randint(1, 5)):
+                self._signal(process, signal.SIGHUP)
+        await self._stop_and_start(processes, [signal.SIGHUP] * 3)
+
+    async def _stop_several(self):
+        """Stop several hosts at the same time."""
+        most = max(2, len(self.deployment.processes) // 2)
+        processes = self._reserve(self.rng.randint(2, most))
+        await self._stop_and_start(processes, [])
+
+    async def _stop_in_turn(self):
+        """Stop and start hosts one after the other."""
+        count = self.rng.randint(2, 4)
+        is_control = self.rng.random() < 0.5
+        for _ in range(count):
+            await self._stop_and_start(self._reserve(1, is_control), [])
+
+    async def _stop_and_start(self, processes, later_signals):
+        """Stop hosts at the same time, then start each one again.
+
+        :param later_signals: sent while they stop.
+        """
+        await asyncio.gather(
+            *(self._restart(process, later_signals) for process in processes)
+        )
+        self._release(processes)
+
+    async def _restart(self, process, later_signals):
+        await self._wait_until_started(process)
+        self.check_alive(process)
+        self._log('SIGTERM', [process])
+        disruption = self.record.begin_disruption(process.name, True)
+        self._signal(process, signal.SIGTERM)
+        watch = asyncio.create_task(self._check_unready(process))
+        for number in later_signals:
+            await self._pause(SIGNAL_PAUSE_S)
+            self._log(number.name, [process])
+            self._signal(process, number)
+        limit_s = soak_record.GRACE_S + soak_record.GRACE_ADDITION_S
+        limit_s += disruption.start_s - self.record.now_s()
+        try:
+            async with asyncio.timeout(limit_s):
+                await process.process.wait()
+        except TimeoutError:
+            self.record.violate(f'{process.name} runs after its grace period')
+            disruption.unplanned_s = self.record.now_s()
+            await process.stop(signal.SIGKILL)
+        else:
+            code = process.process.returncode
+            if code != 0:
+                self.record.violate(f'{process.name} stopped with {code}')
+        await watch
+        self._log('stopped', [process])
+        if self.rng.random() < 0.5:
+            await self._pause()
+        await self._start(process, disruption)
+
+    async def _stop_and_kill(self):
+        """Stop a host, and kill it inside the grace period."""
+        for process in self._reserve():
+            await self._wait_until_started(process)
+            self.check_alive(process)
+            self._log('SIGTERM', [process])
+            disruption = self.record.begin_disruption(process.name, True)
+            self._signal(process, signal.SIGTERM)
+            await self._pause((0.0, soak_record.GRACE_S))
+            disruption.unplanned_s = self.record.now_s()
+            self._log('kill', [process])
+            await process.stop(signal.SIGKILL)
+            await self._start(process, disruption)
+            self._release([process])
+
+    async def _check_unready(self, process):
+        """Check that a stopping entry host doesn't stay ready."""
+        if process not in self.deployment.entries:
+            return
+        index = self.deployment.entries.index(process)
+        ending = process.process
+        await asyncio.sleep(UNREADY_S)
+        if ending is not process.process or ending.returncode is not None:
+            return
+        with contextlib.suppress(httpx.TransportError):
+            response = await self.deployment.client.get(
+                self.deployment.health_urls[index], timeout=1.0
+            )
+            if response.status_code == 200:
+                self.record.violate(f'{process.name} is still ready')
+
+    # Settings
+
+    async def _reload_repeatedly(self):
+        """Reload settings on any hosts, also on those that are stopping."""
+        running = self.deployment
+        while not self.is_over:
+            await self._pause(RELOAD_PAUSE_S)
+            count = self.rng.randint(1, len(running.processes))
+            processes = self.rng.sample(running.processes, count)
+            is_changed = self.rng.random() < 0.5
+            is_signalled = self.rng.random() < 0.7
+            if is_changed:
+                seeds = self.rng.sample(running.seeds, len(running.seeds))
+                if self.rng.random() < 0.5:
+                    seeds.append(running.unknown_seed)
+                    self.rng.shuffle(seeds)
+                for process in processes:
+                    running.write_seeds(process, seeds)
+            repeats = self.rng.choice([1, 1, 10]) if is_signalled else 0
+            self._log(
+                f'settings, changed: {is_changed}, SIGHUP: {repeats},',
+                processes,
+            )
+            for process in processes:
+                # Before its start has been logged, a process has no handler.
+                if not await process.has_started():
+                    continue
+                for _ in range(repeats):
+                    self._signal(process, signal.SIGHUP)
+
+    # Workers
+
+    async def _change_workers(self):
+        """Let workers break streams, restart, leave and come back."""
+        kinds = [
+            self._restart_worker,
+            self._break_streams,
+            self._drain_worker,
+            self._drain_worker,
+        ]
+        while not self.is_over:
+            await self._pause(WORKER_PAUSE_S)
+            await self.rng.choice(kinds)()
+
+    async def _restart_worker(self):
+        worker = self.rng.choice(self.deployment.workers)
+        self.record.log_fault(f'restart {worker.endpoint_id}')
+        worker.start_time_ms = int(time.time() * 1000)
+        worker.sequence, worker.group, worker.staged = 0, None, []
+
+    async def _break_streams(self):
+        worker = self.rng.choice(
+            [item for item in self.deployment.workers if item.respond]
+        )
+        self.record.log_fault(f'break streams of {worker.endpoint_id}')
+        worker.breaks_at = 3
+        await self._pause()
+        worker.breaks_at = None
+        self.record.log_fault(f'no more breaks of {worker.endpoint_id}')
+
+    async def _drain_worker(self):
+        """Let a worker leave, and another start at its address."""
+        workers = self.deployment.workers
+        worker = self.rng.choice(workers)
+        service = worker.service
+        if sum(item.service == service for item in workers) <= MIN_WORKERS:
+            return
+        others = {'api': 'batch', 'batch': 'api', 'models': 'models'}
+        self.record.log_fault(f'drain {worker.endpoint_id}')
+        worker.state = 'leaving'
+        end_s = time.monotonic() + soak_record.CONTACT_S
+        while not await worker.announce():
+            if time.monotonic() > end_s:
+                # Without an acknowledgement it ends some seconds later.
+                break
+            await asyncio.sleep(0.1)
+        else:
+            worker.left_s = self.record.now_s()
+        await asyncio.sleep(soak_record.DRAIN_S)
+        await self._pause(LINGER_S)
+        await self.deployment.deregister(
+            worker.endpoint_id, worker.start_time_ms
+        )
+        await worker.stop()
+        await asyncio.sleep(REUSE_AFTER_S)
+        self.count += 1
+        name = f'{worker.endpoint_id.partition("-again")[0]}-again{self.count}'
+        self.record.log_fault(f'{worker.endpoint_id} comes back as {name}')
+        await worker.come_back(name, others[service])
--- /dev/null
+++ b/tests/platform/soak_record.py
@@ -0,0 +1,423 @@
+"""What a soak has seen, and the checks that need all of it.
+
+Times are seconds since the start of the soak. The bounds come from the users'
+rules and from the largest of their deployments.
+"""
+
+import asyncio
+import collections
+import time
+
+# How long a host must have been undisturbed, and the control hosts stable, for
+# rules with a time bound: touch_ms of the users' larger deployments.
+CONTACT_S = 4.0
+# From a document's acceptance until calm hosts follow it: config_ms of the
+# users' larger deployments.
+CONFIG_APPLY_S = 2.5
+# Addition to CONFIG_APPLY_S while the control hosts are not stable: outer_ms
+# of the users' larger deployments.
+UNSTABLE_ADDITION_S = 6.0
+# From a document's first sending, or the control hosts' stability if later,
+# until its acceptance: ack_ms of the users' larger deployments.
+ACCEPTANCE_S = 5.0
+# After a worker saw a document's effect, its host goes back to no older one:
+# rollback_slack_ms of the users' page on deployment.
+ROLLBACK_SLACK_S = 0.25
+# From the acknowledgement that a worker leaves until no request reaches it:
+# drain_ms of the users' larger deployments.
+DRAIN_S = 2.5
+# A request that crosses the close of its connection was sent at most this
+# long before it: loss_slack_ms of the users' page on deployment.
+LOSS_SLACK_S = 0.2
+# Grace period of the processes; tests/platform/deployment.py sets it.
+GRACE_S = 4.0
+# After the grace period for which a stop is still planned work: rule LOST.
+GRACE_ADDITION_S = 1.0
+# Rule LOST excuses requests that are still running in the last sixth of the
+# grace period and were sent at most this long after SIGTERM.
+EXCUSED_SENT_S = 3.0
+# Rule CONFIG judges added routes from this many requests on, and wants them
+# served a quarter as often as the first routes.
+MIN_ADDED_REQUESTS = 20
+MIN_ADDED_FRACTION = 0.25
+# Lags of the soak's own event loop from this length on are recorded.
+MIN_LAG_S = 0.02
+LAG_POLL_INTERVAL_S = 0.02
+
+REFUSALS = (408, 421, 429, 503)
+SERVICES = {
+    'read': 'api',
+    'write': 'api',
+    'batch': 'batch',
+    'extra': 'api',
+    'tell': 'models',
+    'chat': 'models',
+}
+# Requests of these kinds may run only once.
+UNSAFE_KINDS = ('write', 'chat')
+
+
+class SentRequest:
+    """A request as its caller sent it.
+
+    :param kind: the first part of its path.
+    :param host: name of the entry host.
+    :param customer: the customer whose key it carries.
+    :param sent_s: when it was sent.
+    :ivar run_count: how often a worker began to run it.
+    :ivar is_broken: whether a worker broke its response off.
+    """
+
+    __slots__ = (
+        'customer',
+        'host',
+        'is_broken',
+        'kind',
+        'run_count',
+        'sent_s',
+        'status',
+    )
+
+    def __init__(self, kind, host, customer, sent_s):
+        self.kind = kind
+        self.host = host
+        self.customer = customer
+        self.sent_s = sent_s
+        self.run_count = 0
+        self.is_broken = False
+        self.status = None
+
+
+class Disruption:
+    """A span in which a host was down, frozen or being stopped.
+
+    :ivar end_s: None while it lasts.
+    :ivar term_s: when the host got SIGTERM; None if it didn't.
+    :ivar unplanned_s: when the first unplanned part began, such as a SIGKILL;
+        None without one.
+    """
+
+    __slots__ = ('end_s', 'host', 'start_s', 'term_s', 'unplanned_s')
+
+    def __init__(self, host, start_s, is_planned):
+        self.host = host
+        self.start_s = start_s
+        self.end_s = None
+        self.term_s = start_s if is_planned else None
+        self.unplanned_s = None if is_planned else start_s
+
+    def overlaps(self, start_s, end_s):
+        return self.start_s <= end_s and (
+            self.end_s is None or self.end_s >= start_s
+        )
+
+
+class Record:
+    """Requests, documents, disruptions, and the violations found.
+
+    :param control_hosts: number of control hosts.
+    :ivar violations: a line for each violated invariant.
+    :ivar faults: a line for each step of a fault.
+    :ivar statuses: responses by status, failures by exception type.
+    """
+
+    def __init__(self, control_hosts):
+        self._start_s = time.monotonic()
+        self._control_hosts = control_hosts
+        self.violations = []
+        self.faults = []
+        self.statuses = collections.Counter()
+        self.requests = {}
+        self.disruptions = []
+        self.lags = []
+        self.versions_sent = {}
+        self.versions_accepted = {}
+        self._floors = {}
+        self._unanswered = []
+        self._added_served = collections.Counter()
+        self.number = 0
+
+    def now_s(self):
+        return time.monotonic() - self._start_s
+
+    def violate(self, text):
+        self.violations.append(f'{self.now_s():.3f} s: {text}')
+
+    def log_fault(self, text):
+        self.faults.append(f'{self.now_s():.3f} s: {text}')
+
+    async def measure_lag(self):
+        """Record when the soak's own event loop was late."""
+        while True:
+            before_s = self.now_s()
+            await asyncio.sleep(LAG_POLL_INTERVAL_S)
+            lag_s = self.now_s() - before_s - LAG_POLL_INTERVAL_S
+            if lag_s > MIN_LAG_S:
+                self.lags.append((before_s, lag_s))
+
+    def sum_lags(self, start_s, end_s):
+        """Return how long the soak's event loop was late in a span."""
+        return sum(
+            lag_s
+            for at_s, lag_s in self.lags
+            if at_s + lag_s + LAG_POLL_INTERVAL_S >= start_s and at_s <= end_s
+        )
+
+    # Disruptions
+
+    def begin_disruption(self, host, is_planned=False):
+        disruption = Disruption(host, self.now_s(), is_planned)
+        self.disruptions.append(disruption)
+        return disruption
+
+    def find_disruptions(self, host, start_s, end_s):
+        return [
+            item
+            for item in self.disruptions
+            if item.host == host and item.overlaps(start_s, end_s)
+        ]
+
+    def list_disrupted_control_hosts(self, start_s, end_s):
+        return {
+            item.host
+            for item in self.disruptions
+            if item.host.startswith('control')
+            and item.overlaps(start_s, end_s)
+        }
+
+    def is_stable(self, start_s, end_s):
+        """Tell whether the control hosts were stable, as the users mean it."""
+        return not self.list_disrupted_control_hosts(
+            start_s - CONTACT_S, end_s
+        )
+
+    def is_in_touch(self, host, start_s, end_s):
+        """Tell whether a host was in touch, as the users mean it."""
+        return self.is_stable(start_s, end_s) and not self.find_disruptions(
+            host, start_s - CONTACT_S, end_s
+        )
+
+    def find_apply_s(self, host, start_s, end_s):
+        """Return the time in which a host follows a document.
+
+        :returns: the time in s; None if no rule bounds it.
+        """
+        if self.find_disruptions(host, start_s - CONTACT_S, end_s):
+            return None
+        if self.is_stable(start_s, end_s):
+            return CONFIG_APPLY_S
+        bound_s = CONFIG_APPLY_S + UNSTABLE_ADDITION_S
+        disrupted = self.list_disrupted_control_hosts(
+            start_s - bound_s - CONTACT_S, end_s
+        )
+        is_majority_calm = 2 * len(disrupted) < self._control_hosts
+        return bound_s if is_majority_calm else None
+
+    # Requests
+
+    def register_request(self, kind, host, customer='garden'):
+        """Return the id of a request that is about to be sent."""
+        self.number += 1
+        request_id = f'r{self.number}'
+        self.requests[request_id] = SentRequest(
+            kind, host, customer, self.now_s()
+        )
+        return request_id
+
+    def register_run(self, worker, headers, path):
+        """Check a request that a worker begins to run."""
+        request_id = headers.get('X-Request-Id')
+        request = self.requests.get(request_id)
+        if request is None:
+            self.violate(f'{worker.endpoint_id} runs {request_id}: not sent')
+            return
+        request.run_count += 1
+        if request.run_count > 1 and request.kind in UNSAFE_KINDS:
+            self.violate(f'{request_id} runs again at {worker.endpoint_id}')
+        if not path.startswith(f'/{request.kind}/'):
+            self.violate(f'{request_id} {request.kind} runs as {path}')
+        if SERVICES[request.kind] != worker.service:
+            self.violate(
+                f'{request_id} {request.kind} runs at {worker.endpoint_id} '
+                f'of {worker.service}'
+            )
+        if headers.get('X-Tenant') != request.customer or 'X-Key' in headers:
+            self.violate(
+                f'{request_id} runs for {headers.get("X-Tenant")}, with key: '
+                f'{"X-Key" in headers}'
+            )
+        self._check_drained(worker, request_id, request)
+
+    def _check_drained(self, worker, request_id, request):
+        now_s = self.now_s()
+        if worker.left_s is None or now_s <= worker.left_s + DRAIN_S:
+            return
+        lag_s = self.sum_lags(request.sent_s, now_s)
+        if now_s - lag_s <= worker.left_s + DRAIN_S:
+            return
+        if self.is_in_touch(request.host, worker.left_s, now_s):
+            self.violate(
+                f'{request_id} of {request.host}, sent at '
+                f'{request.sent_s:.3f}, reaches {worker.endpoint_id} '
+                f'{now_s - worker.left_s:.3f} s after it left'
+            )
+
+    def record_response(self, request_id, response):
+        """Check a complete response.
+
+        :param response: has a status, headers and a text.
+        """
+        request = self.requests[request_id]
+        status = response.status
+        request.status = status
+        self.statuses[status] += 1
+        if status in (401, 403, 404) and request.kind != 'extra':
+            if request.customer == 'garden':
+                self.violate(
+                    f'{request_id} {request.kind} at {request.host}, sent at '
+                    f'{request.sent_s:.3f}, got status {status}'
+                )
+        if status != 200:
+            return
+        if response.headers.get('X-Request-Id') != request_id:
+            self.violate(f'{request_id} got the response of another request')
+        signature = response.headers.get('X-Server-Signature')
+        if signature is None:
+            self.violate(f'{request_id} has no signature')
+        elif SERVICES[request.kind] != 'models':
+            endpoint = signature.removesuffix('.sig')
+            if response.text != f'{endpoint} ran {request_id}':
+                self.violate(f'{request_id} got the body {response.text!r}')
+
+    def record_unanswered(self, request_id, was_first, detail):
+        """Record that a connection ended without a complete response.
+
+        :param was_first: whether no other request of the connection waited for
+            a response when it was sent.
+        """
+        self.statuses[detail] += 1
+        self._unanswered.append((request_id, self.now_s(), was_first, detail))
+
+    def check_unanswered(self):
+        """Check all requests whose connection ended without a response."""
+        for request_id, closed_s, was_first, detail in self._unanswered:
+            problem = self._find_loss(request_id, closed_s, was_first)
+            if problem:
+                request = self.requests[request_id]
+                self.violations.append(
+                    f'{closed_s:.3f} s: {request_id} {request.kind} at '
+                    f'{request.host}, sent at {request.sent_s:.3f}: {detail}, '
+                    f'{problem}'
+                )
+
+    def _find_loss(self, request_id, closed_s, was_first):
+        """Return what is wrong with a closed connection; empty if nothing."""
+        request = self.requests[request_id]
+        sent_s = request.sent_s
+        term_s = None
+        for item in self.disruptions:
+            if item.host != request.host:
+                continue
+            is_over = item.end_s is not None and item.end_s < (
+                sent_s - CONTACT_S
+            )
+            if item.unplanned_s is not None and not is_over:
+                if item.unplanned_s <= closed_s:
+                    return ''
+            if item.term_s is not None and item.term_s <= closed_s:
+                if closed_s <= item.term_s + GRACE_S + GRACE_ADDITION_S:
+                    term_s = item.term_s
+        if request.is_broken:
+            return ''
+        if not request.run_count:
+            slack_s = LOSS_SLACK_S + self.sum_lags(sent_s, closed_s)
+            if was_first and closed_s - sent_s > slack_s:
+                return 'not run'
+            return ''
+        if (
+            term_s is not None
+            and closed_s >= term_s + GRACE_S * 5 / 6
+            and sent_s <= term_s + EXCUSED_SENT_S
+        ):
+            return ''
+        if term_s is None:
+            return 'run, without planned work'
+        return f'run, SIGTERM at {term_s:.3f}'
+
+    def check_runs(self):
+        """Check that no refused request ran."""
+        for request_id, request in self.requests.items():
+            if request.run_count and request.status in REFUSALS:
+                self.violations.append(
+                    f'{request_id} {request.kind} at {request.host}, sent at '
+                    f'{request.sent_s:.3f}, ran and got {request.status}'
+                )
+
+    # Documents
+
+    def list_possible_versions(self, host, start_s, end_s, apply_s):
+        """Return the versions that may be in force at a host."""
+        accepted = [
+            version
+            for version, at_s in self.versions_accepted.items()
+            if at_s < start_s - apply_s
+        ]
+        oldest = max(accepted, default=0)
+        for at_s, version in self._floors.get(host, ()):
+            if at_s < start_s - ROLLBACK_SLACK_S:
+                oldest = max(oldest, version)
+        return [
+            version
+            for version, (at_s, _) in self.versions_sent.items()
+            if version >= oldest and at_s <= end_s
+        ]
+
+    def forget_floors(self, host):
+        """Forget which documents a host followed; it has a new process."""
+        self._floors.pop(host, None)
+
+    def check_probe(self, request_id, status, allows, limits_s):
+        """Check the status of a request that shows the document in force.
+
+        :param allows: tells whether a document's content allows the request.
+        :param limits_s: when the request was sent, and answered.
+        """
+        start_s, end_s = limits_s
+        request = self.requests[request_id]
+        host = request.host
+        apply_s = self.find_apply_s(host, start_s, end_s)
+        if apply_s is None:
+            return
+        possible = self.list_possible_versions(host, start_s, end_s, apply_s)
+        allowed = [
+            version
+            for version in possible
+            if allows(self.versions_sent[version][1])
+        ]
+        name = f'{request_id} {request.kind} of {request.customer} at {host}'
+        if status == 200:
+            if not allowed:
+                self.violate(f'{name} is run; versions {possible}')
+            else:
+                floors = self._floors.setdefault(host, [])
+                floors.append((end_s, min(allowed)))
+                del floors[:-20]
+        elif status in (401, 403, 404) and len(allowed) == len(possible):
+            self.violate(
+                f'{name}, sent at {start_s:.3f}, got {status}; versions '
+                f'{possible}'
+            )
+        if len(allowed) == len(possible):
+            self._added_served[request.kind, status == 200] += 1
+
+    def check_added(self):
+        """Check that added routes are served like the first ones."""
+        fractions = {}
+        for kind in ('read', 'extra'):
+            served = self._added_served[kind, True]
+            total = served + self._added_served[kind, False]
+            if total < MIN_ADDED_REQUESTS:
+                return
+            fractions[kind] = served / total
+        if fractions['extra'] < MIN_ADDED_FRACTION * fractions['read']:
+            self.violate(f'fractions served: {fractions}')
