Keep SIGHUP and late signals from ending a gateway process

What operators saw: a host ended with -1 when its settings changed while it started, and with -1 or -15 instead of 0 when a signal came in the last moments of its stop; its last log lines were lost.

Cause: SIGHUP has its default action until the event loop handles it, after imports that take most of the start, and closing the event loop restores the default actions of all signals while the log is still written.

Why this works: the command ignores SIGHUP before its own imports, and reads the settings after that. At the end of its stop the process ignores the signals itself, so the event loop has none left to restore. What remains is SIGHUP while the interpreter and the command line start.

--- a/filbertglade/cli.py
+++ b/filbertglade/cli.py
@@ -1,6 +1,7 @@
 """The command line: parses the arguments and calls the commands."""
 
 import pathlib
+import signal
 import typing
 
 import typer
@@ -47,6 +48,9 @@
     ],
 ) -> None:
     """Run a process that routes plain HTTP requests to endpoints."""
+    # Its settings may change while it starts. Without a handler the signal
+    # would end the process, and the imports take most of the start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from filbertglade.commands import gateway as command
 
     raise typer.Exit(command.run_gateway(settings))
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -27,6 +27,7 @@
 # Interval between two checks of the settings file, in ms: it may change
 # without a signal.
 SETTINGS_POLL_INTERVAL_MS = 1000
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class MetricsHandler(web.RequestHandler):
@@ -163,10 +164,21 @@
 
     def _add_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
 
+    def _ignore_signals(self) -> None:
+        """Ignore signals until the exit.
+
+        When the event loop is closed, it restores their default actions, which
+        end the process before its last log lines are written.
+        """
+        loop = asyncio.get_running_loop()
+        for number in (*STOP_SIGNALS, signal.SIGHUP):
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
     async def _watch_settings(self) -> None:
         while True:
             try:
@@ -217,4 +229,5 @@
             self._inner_server.close()
         if self._metrics_server is not None:
             self._metrics_server.stop()
+        self._ignore_signals()
         log.change('process.stopped', run=self._run_name)
