Fail a stream over only if another replica can take it

What callers saw: streams were cut midway when the head of their group announced that it leaves, although the head went on serving them.

Cause: the leader forms the group again without the leaving endpoint, and each entry host closed its streams to the old group at once, before it looked for another replica. Without one, or without retries left in the quota, it cut the stream. Streams of a silent replica ended the same way, sooner than by their replica's own end.

The test fails without the change: the connection ends while the response's body is read.

Why this works: the old connection is kept until another replica can take the stream. The check comes again with each frame, and with each time-out for a silent replica; a replica that is really lost ends the connection itself.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -104,6 +104,7 @@
         self._run_count = 0
         self._splitter = events.EventSplitter()
         self._connection: upstream.Connection | None = None
+        self._target: choice.Target | None = None
         self._stalled = False
         self.suspect_limit_ms = float(stall_detection.DEFAULT_SUSPECT_MS)
         self._first_byte_ms: int | None = None
@@ -351,6 +352,7 @@
         self._stalled = False
         self._splitter.discard_partial()
         self._connection = connection
+        self._target = target
         load = shared.chooser.count_in_flight(target)
         self._log(
             'request.sent',
@@ -412,15 +414,28 @@
         return await pool.connect(target.key, target.address)
 
     def fail_over(self) -> None:
-        """Leave a stalled replica if the request may be retried."""
+        """Leave a stalled replica if the request can be sent to another."""
         route = self._route
         if route is None or not route.is_idempotent:
             return
         if self._run_count >= route.max_attempts or self._connection is None:
             return
+        if not self._has_other_target(route):
+            return
         self._stalled = True
         self._connection.close()
 
+    def _has_other_target(self, route: document.Route) -> bool:
+        """Return whether a retry would be sent now."""
+        shared = self._context
+        assert self._target is not None
+        tried = [*self._tried, self._target.load_key]
+        target = shared.chooser.choose(self._build_demand(route), tried)
+        if isinstance(target, failures.Failure):
+            return False
+        nodes = shared.view.entry_nodes
+        return shared.retries.count_remaining(self._service, nodes) > 0
+
     def _build_head(self, target: choice.Target) -> bytes:
         customer = self._customer.name if self._customer else ''
         return heads.build_request_head(
--- a/tests/platform/test_calm_day.py
+++ b/tests/platform/test_calm_day.py
@@ -226,6 +226,26 @@
     assert set(resumed) == {'3'}
 
 
+# Guards against LOST: streams were cut at once when the head of their group
+# announced that it leaves and there was no other group.
+async def test_streams_at_a_leaving_head_are_completed(running):
+    heads = [item for item in running.workers if item.group]
+    for head in heads:
+        head.respond.events, head.respond.pause_s = 15, 0.1
+    sending = asyncio.create_task(running.send_request('/tell/x', **STREAM))
+    await asyncio.sleep(0.5)
+    head = next(item for item in heads if item.requests)
+    head.state = 'leaving'
+    assert (await head.announce()).status_code == 200
+    response = await sending
+    ids = [
+        int(line[4:])
+        for line in response.text.splitlines()
+        if line.startswith('id: ')
+    ]
+    assert ids == list(range(1, 16))
+
+
 async def test_rejections_count_as_no_attempt(running):
     """Guards against rejections that use up the attempts of a request.
 
