Let a crashed member of a group excuse its group's streams in the soak

A worker that starts again has left its group. By the users' rules that is a worker that broke off (rule LOST, "Not counted: the worker broke off"; a group that loses a member is broken), so streams of that group may end early. A leaving worker stays sound and excuses nothing.

--- a/tests/platform/soak_deployment.py
+++ b/tests/platform/soak_deployment.py
@@ -204,6 +204,14 @@
     return '[' + ', '.join(f'"{seed}"' for seed in seeds) + ']'
 
 
+def _is_same_group(one, other):
+    return (
+        one is not None
+        and other is not None
+        and (one['name'], one['epoch']) == (other['name'], other['epoch'])
+    )
+
+
 class SoakWorker(deployment.Worker):
     """A worker that records what it runs, and may leave and come back.
 
@@ -216,6 +224,7 @@
         self.record = record
         self.left_s = None
         self.breaks_at = None
+        self.broken_group = None
         self._writers = set()
         self._running = set()
         self._port = 0
@@ -238,6 +247,21 @@
         for writer in list(self._writers):
             writer.close()
 
+    def lose_group(self):
+        """End this worker's part in its group, as a crash does.
+
+        Whatever the group runs, and begins to run under the same epoch, may be
+        broken off.
+        """
+        group, self.group = self.group, None
+        if group is None:
+            return
+        for worker in self.deployment.workers:
+            if _is_same_group(worker.group, group):
+                worker.broken_group = group
+                for request_id in worker._running:
+                    worker._mark_broken(request_id)
+
     def _mark_broken(self, request_id):
         if request_id in self.record.requests:
             self.record.requests[request_id].is_broken = True
@@ -269,6 +293,8 @@
             self.pause_s = int(headers.get('X-Work-Ms', 0)) / 1000
         request_id = headers.get('X-Request-Id')
         self._running.add(request_id)
+        if _is_same_group(self.group, self.broken_group):
+            self._mark_broken(request_id)
         try:
             await super().handle_request(writer, line, headers, body)
         finally:
