--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -172,6 +172,7 @@
         f'{len(record.versions_sent)} documents accepted'
     )
     print('statuses:', dict(record.statuses))
+    print('probes by bound in s:', dict(record.judged))
     lags = sorted((lag_s for _, lag_s in record.lags), reverse=True)
     print(f'own lags: {len(lags)}, longest: {lags[:1]} s')
     print('violations:', len(record.violations))
