Take a stream's retry from the quota before it fails over

What callers saw: streams were cut when their group lost its head, with "quota of retries spent", although the old replica still served them.

Cause: streams that left the same replica at the same moment each saw the last retries of the quota, closed their connections, and took a retry only afterwards. All but the first few then found none.

Why this works: the retry is taken before the connection is closed. A stream that gets none stays at its replica.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -106,6 +106,8 @@
         self._connection: upstream.Connection | None = None
         self._target: choice.Target | None = None
         self._stalled = False
+        # Whether the retry after a failover has been taken from the quota.
+        self._is_retry_taken = False
         self.suspect_limit_ms = float(stall_detection.DEFAULT_SUSPECT_MS)
         self._first_byte_ms: int | None = None
         self._digest = b''
@@ -242,9 +244,12 @@
                 is_overloaded = target.reason is choice.NoTargetReason.FULL
                 self._give_up(outcome, str(target), is_overloaded)
                 return
-            if self._send_count and not self._take_retry():
+            if self._send_count and not (
+                self._is_retry_taken or self._take_retry()
+            ):
                 self._give_up(outcome, 'quota of retries spent')
                 return
+            self._is_retry_taken = False
             outcome = await self._attempt(target, route, demand)
             if outcome is AttemptOutcome.ANSWERED:
                 return
@@ -420,8 +425,11 @@
             return
         if self._run_count >= route.max_attempts or self._connection is None:
             return
-        if not self._has_other_target(route):
+        if self._stalled:
+            return
+        if not (self._has_other_target(route) and self._take_retry()):
             return
+        self._is_retry_taken = True
         self._stalled = True
         self._connection.close()
 
--- a/tests/platform/test_calm_day.py
+++ b/tests/platform/test_calm_day.py
@@ -246,6 +246,44 @@
     assert ids == list(range(1, 16))
 
 
+# Guards against LOST: streams that failed over at the same moment counted on
+# the same last retry of the quota, and all but one were cut.
+async def test_streams_without_a_retry_stay_at_a_leaving_head(running):
+    await running.entries[0].restart('[retries]\nratio = 0.0\nslack = 4\n')
+    for name in ('i-m3', 'i-m4'):
+        worker = await running.add_worker(endpoint_id=name, service='models')
+        worker.respond = deployment.EventStreamer(worker)
+    workers = [item for item in running.workers if item.service == 'models']
+
+    async def has_two_heads():
+        states = [item.group['state'] for item in workers if item.group]
+        return states.count('open') == 2
+
+    await running.wait_until(has_two_heads)
+    await running.wait_until(lambda: running.is_served('/tell/x', **STREAM))
+    # Both groups are in use by then.
+    await asyncio.sleep(0.5)
+    for worker in workers:
+        worker.requests.clear()
+        worker.respond.events, worker.respond.pause_s = 15, 0.1
+    sending = [
+        asyncio.create_task(running.send_request('/tell/x', **STREAM))
+        for _ in range(6)
+    ]
+    await asyncio.sleep(0.5)
+    head = max(workers, key=lambda item: len(item.requests))
+    assert len(head.requests) > 1
+    head.state = 'leaving'
+    assert (await head.announce()).status_code == 200
+    for response in await asyncio.gather(*sending):
+        ids = [
+            int(line[4:])
+            for line in response.text.splitlines()
+            if line.startswith('id: ')
+        ]
+        assert ids == list(range(1, 16))
+
+
 async def test_rejections_count_as_no_attempt(running):
     """Guards against rejections that use up the attempts of a request.
 
