--- a/tests/platform/soak_callers.py
+++ b/tests/platform/soak_callers.py
@@ -9,17 +9,18 @@
 from tests.platform import soak_deployment
 from tests.platform import soak_record
 
-# A caller's wait for a response after the end of its time budget: the half
-# second of rule CONFIG, and the route's time-out if that is later.
+# A caller's wait for a response: the longest time-out of a route, the half
+# second after it of rule CONFIG, and as much for the soak's own lag.
 RESPONSE_TIMEOUT_S = 6.0
 CONNECT_TIMEOUT_S = 1.0
-# Pause of a caller between two requests, in s.
+# Pause of a caller between two requests, and after a failure or refusal, in s:
+# callers retry immediately and more often than they are told.
 REQUEST_PAUSE_S = 0.02
 RECONNECT_PAUSE_S = 0.1
 # How long a caller that saw ``Connection: close`` waits for the close.
 CLOSE_TIMEOUT_S = 2.0
-# Longest work and longest stream that callers ask for: a quarter of the
-# workers' time within the routes' time-outs.
+# Longest work and longest stream that callers ask for: both end within the
+# routes' time-outs and the time budget.
 MAX_WORK_MS = 1500
 MAX_EVENTS = 80
 # Interval between two probes of a host: the least, and what keeps the probes
