Fetch documents from control hosts that reply

What callers would see: 404 or 503 for a new document's routes for more than two seconds on some hosts, while two of five control hosts are down, which is to be borne.

Cause: a host waited 1.2 s for the first reply of a control host that it had drawn, and drew the silent ones again for the next document. And an unexpected error, as with no known control host, ended the fetching for good: the version then stayed as it was until the process ended.

Now a control host replies at once, so a host waits 250 ms before it asks the next one, longer only once all were asked. Silent hosts are asked last and the leader, which has most to send, after the others. An unexpected error is logged, and the next try follows.

--- a/filbertglade/fleet/document_fetcher.py
+++ b/filbertglade/fleet/document_fetcher.py
@@ -24,6 +24,9 @@
 # Longest wait for the next part, in ms: three times the interval at which a
 # control host says that the transfer waits for its turn.
 PART_TIMEOUT_MS = 1200
+# Longest wait for the first reply of a control host, in ms: a host replies at
+# once, and another one may hold the document. It doubles once all were tried.
+FIRST_REPLY_TIMEOUT_MS = 250
 # Bounds of the pause before the next try, in ms. It doubles with each failure
 # and is randomised, so that many nodes don't return at the same moment.
 MIN_PAUSE_MS = 20
@@ -97,6 +100,7 @@
 
     :param fleet_view: the node's view, in which documents are put in force.
     :param list_hosts: returns the addresses of the control hosts.
+    :param find_leader: returns the leader's address; empty if unknown.
     :param channel_factory: opens channels to control hosts.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
@@ -106,12 +110,16 @@
         self,
         fleet_view: view.FleetView,
         list_hosts: abc.Callable[[], list[str]],
+        find_leader: abc.Callable[[], str],
         channel_factory: channels.ChannelFactory,
         counters: metrics.Metrics,
         rng: random.Random,
     ) -> None:
         self._view = fleet_view
         self._list_hosts = list_hosts
+        self._find_leader = find_leader
+        # Control hosts that sent nothing at the latest try.
+        self._silent_hosts: set[str] = set()
         self._channels = channel_factory
         self._counters = counters
         self._rng = rng
@@ -139,39 +147,67 @@
         while True:
             await self._announced.wait()
             self._announced.clear()
-            if self._is_fetch_due:
+            try:
                 await self._fetch_until_held()
+            except Exception as error:
+                # An unexpected error ends one try, but not the fetching.
+                log.error('document.fetch_failed', error=error)
+                await asyncio.sleep(MAX_PAUSE_MS / 1000)
+                self._announced.set()
 
     async def _fetch_until_held(self) -> None:
-        """Try the control hosts in a random order until one has sent it."""
+        """Try the control hosts one after the other until one has sent it."""
         started_ms = clock.now_ms()
-        tries = 0
+        tries = rounds = 0
         hosts: list[str] = []
         while self._is_fetch_due:
             if not hosts:
-                hosts = self._list_hosts()
-                self._rng.shuffle(hosts)
+                hosts = self._order_hosts()
+                rounds += 1
             tries += 1
-            await self._fetch(hosts.pop())
+            if hosts:
+                reply_timeout_ms = min(
+                    PART_TIMEOUT_MS,
+                    FIRST_REPLY_TIMEOUT_MS * 2 ** min(rounds - 1, 16),
+                )
+                await self._fetch(hosts.pop(0), reply_timeout_ms)
             if self._download.is_complete:
                 await self._put_in_force(clock.now_ms() - started_ms, tries)
+                tries = 0
             if self._is_fetch_due:
                 await asyncio.sleep(self._find_pause_s(tries))
 
+    def _order_hosts(self) -> list[str]:
+        """Return the control hosts in the order in which they are tried.
+
+        The order is random, so that they share the work, but the leader, which
+        has most to send, comes after the others, and silent hosts are last.
+        """
+        hosts = self._list_hosts()
+        self._rng.shuffle(hosts)
+        leader = self._find_leader()
+        hosts.sort(
+            key=lambda host: (host in self._silent_hosts, host == leader)
+        )
+        return hosts
+
     def _find_pause_s(self, tries: int) -> float:
         longest_ms = min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** min(tries, 16))
         return self._rng.uniform(MIN_PAUSE_MS, longest_ms) / 1000
 
-    async def _fetch(self, host: str) -> None:
+    async def _fetch(self, host: str, reply_timeout_ms: int) -> None:
         channel = self._channels.open_channel(host)
         started_bytes = self._download.received_bytes
+        self._silent_hosts.add(host)
         reason = 'not held'
         try:
             stub = fleet_grpc.DocumentsStub(channel)
             async with stub.Fetch.open() as stream:
-                async with asyncio.timeout(PART_TIMEOUT_MS / 1000):
+                async with asyncio.timeout(reply_timeout_ms / 1000):
                     await stream.send_message(self._build_request(), end=True)
-                reason = await self._receive(stream)
+                    part = await stream.recv_message()
+                self._silent_hosts.discard(host)
+                reason = await self._receive(stream, part)
         except replication.STREAM_ERRORS as error:
             reason = f'{type(error).__name__}: {error}'
         finally:
@@ -195,22 +231,25 @@
             offset=self._download.received_bytes,
         )
 
-    async def _receive(self, stream: Stream) -> str:
+    async def _receive(
+        self, stream: Stream, part: fleet_pb2.DocumentPart | None
+    ) -> str:
         """Receive parts until the document is complete.
 
         Each part, even one without data, shows that the transfer is alive.
 
+        :param part: the first part.
         :returns: how the transfer ended.
         """
-        while not self._download.is_complete:
-            async with asyncio.timeout(PART_TIMEOUT_MS / 1000):
-                part = await stream.recv_message()
-            if part is None:
-                return 'ended'
+        while part is not None:
             if part.version and not self._download.add(part):
                 self._download.discard()
                 return 'a part is missing'
-        return 'complete'
+            if self._download.is_complete:
+                return 'complete'
+            async with asyncio.timeout(PART_TIMEOUT_MS / 1000):
+                part = await stream.recv_message()
+        return 'ended'
 
     async def _put_in_force(self, lasted_ms: int, tries: int) -> None:
         version = self._download.version
--- a/filbertglade/fleet/document_server.py
+++ b/filbertglade/fleet/document_server.py
@@ -69,6 +69,8 @@
         request = await stream.recv_message()
         if request is None:
             return
+        # Tells the receiver that this host is alive.
+        await stream.send_message(fleet_pb2.DocumentPart())
         if not await self._wait_for_version(request.least_version):
             log.change(
                 'document.not_held',
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -50,6 +50,7 @@
     :param channel_factory: opens channels to control hosts.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
+    :ivar watched_host: the leader that is being watched; empty without one.
     :ivar in_flight: requests in flight here, by group.
     :ivar requests: requests received since the start.
     """
@@ -76,6 +77,7 @@
         self._tasks = tasks.TaskGroup()
         self._control_hosts: list[str] = []
         self._leader = ''
+        self.watched_host = ''
         self._strikes: list[fleet_pb2.Strike] = []
         self._suspicions: list[fleet_pb2.Suspicion] = []
         self._urgent_change = asyncio.Event()
@@ -165,6 +167,7 @@
                     self._apply_redirection(host, frame)
                     return
                 was_followed = True
+                self.watched_host = host
                 log.change('leader.watched', leader=host)
                 await self._follow(stream, frame)
         except replication.STREAM_ERRORS as error:
@@ -173,6 +176,7 @@
                 self._report_failed_attempt(host, error)
         finally:
             channel.close()
+            self.watched_host = ''
             if was_followed:
                 log.change(
                     'leader.unwatched',
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -111,6 +111,7 @@
             self._fetcher = document_fetcher.DocumentFetcher(
                 self._view,
                 self._watcher.list_control_hosts,
+                lambda: self._watcher.watched_host,
                 channel_factory,
                 self._counters,
                 rng,
--- a/tests/fleet/test_document_reading.py
+++ b/tests/fleet/test_document_reading.py
@@ -66,6 +66,7 @@
     fetcher = document_fetcher.DocumentFetcher(
         fleet_view,
         lambda: [f'127.0.0.1:{port}'],
+        lambda: '',
         channels.SocketChannels(),
         counters,
         random.Random(1),
--- a/tests/fleet/test_document_transfer.py
+++ b/tests/fleet/test_document_transfer.py
@@ -68,21 +68,29 @@
 
 
 class Fleet:
-    """Two control hosts and a node that fetches documents."""
+    """Control hosts and a node that fetches documents.
 
-    def __init__(self):
+    :param names: names of the control hosts, which are their addresses.
+    :ivar listed: those that the node knows.
+    :ivar leader: the one that the node watches.
+    """
+
+    def __init__(self, names=HOSTS, seed=1):
         self.network = network.Network()
-        self.hosts = {name: ControlHost() for name in HOSTS}
+        self.hosts = {name: ControlHost() for name in names}
+        self.listed = list(names)
+        self.leader = ''
         self.view = view.FleetView()
         self.counters = metrics.Metrics()
         self.fetcher = document_fetcher.DocumentFetcher(
             self.view,
-            lambda: list(HOSTS),
+            self.list_hosts,
+            lambda: self.leader,
             network.Channels(
-                self.network, 'node', {name: name for name in HOSTS}
+                self.network, 'node', {name: name for name in names}
             ),
             self.counters,
-            random.Random(1),
+            random.Random(seed),
         )
         self.servers = []
 
@@ -102,6 +110,9 @@
             running.close()
             await running.wait_closed()
 
+    def list_hosts(self):
+        return list(self.listed)
+
     def accept(self, version, text):
         for host in self.hosts.values():
             host.accept(version, text)
@@ -123,9 +134,9 @@
         return sum(host.sent_bytes for host in self.hosts.values())
 
 
-def run(check):
+def run(check, **options):
     async def main():
-        async with Fleet() as fleet:
+        async with Fleet(**options) as fleet:
             await check(fleet)
 
     cluster.run(main())
@@ -237,6 +248,56 @@
     run(check)
 
 
+# Guards against hosts that lack a document for seconds, because they wait for
+# control hosts that are down.
+@pytest.mark.parametrize('seed', range(8))
+def test_silent_control_hosts_delay_a_document_little(seed):
+    """Load: two of five control hosts accept connections and never reply."""
+
+    async def check(fleet):
+        fleet.leader = 'three'
+        fleet.network.cut('node', 'one')
+        fleet.network.cut('node', 'two')
+        # Each of the two is waited for only once.
+        end_s = asyncio.get_running_loop().time() + 0.75
+        for version in range(3, 8):
+            fleet.accept(version, build_large(version))
+            fleet.announce(version)
+            now_s = asyncio.get_running_loop().time()
+            await fleet.wait_for(version, end_s - now_s)
+
+    names = ('one', 'two', 'three', 'four', 'five')
+    run(check, names=names, seed=seed)
+
+
+def test_the_leader_is_asked_after_the_other_control_hosts():
+    async def check(fleet):
+        fleet.leader = 'one'
+        for version in range(3, 20):
+            fleet.accept(version, build_large(version, routes=10))
+            fleet.announce(version)
+            await fleet.wait_for(version, 1)
+        assert fleet.hosts['one'].sent_bytes == 0
+        assert fleet.hosts['two'].sent_bytes > 0
+
+    run(check)
+
+
+# Guards against a host that never again fetches a document after an error.
+def test_fetching_goes_on_after_an_unexpected_error():
+    async def check(fleet):
+        fleet.accept(3, documents.write(documents.build(version=3)))
+        fleet.listed = []
+        fleet.announce(3)
+        await asyncio.sleep(5)
+        fleet.listed = None
+        await asyncio.sleep(5)
+        fleet.listed = list(HOSTS)
+        await fleet.wait_for(3, 5)
+
+    run(check)
+
+
 def test_a_damaged_download_is_not_put_in_force():
     download = document_fetcher.Download()
     part = fleet_pb2.DocumentPart(
