Bound what a connection holds for a peer that reads slowly

Through a link of 20 KB/s 3.9 MB of parts were handed over within 0.25 s, so neither the number of transfers at a time nor the turns that slow receivers lose held for documents under 4 MB, and all of it could queue in front of heartbeats.

Cause: the windows of HTTP/2 were 4 MiB for each connection.

Now they have 64 KiB, the smallest size, on all channels between the system's processes. A control host that sends to eight nodes has at most half a megabyte under way.

Without the change test_a_receiver_that_reads_nothing_is_sent_little fails: 2,546,851 bytes were sent to a receiver that reads nothing (bound 81,919).

--- a/filbertglade/inner/channels.py
+++ b/filbertglade/inner/channels.py
@@ -7,6 +7,16 @@
 import abc
 
 from grpclib import client
+from grpclib import config
+
+# Bytes that a peer may send before this process has read them, the smallest
+# window of HTTP/2. With a larger one, whole documents would queue on a link in
+# front of other messages, however few of them are sent at a time.
+WINDOW_BYTES = 65_535
+CHANNEL_CONFIGURATION = config.Configuration(
+    http2_connection_window_size=WINDOW_BYTES,
+    http2_stream_window_size=WINDOW_BYTES,
+)
 
 
 class ChannelFactory(abc.ABC):
@@ -31,7 +41,7 @@
         :returns: the channel; the caller closes it.
         """
         host, port = split_address(address)
-        return client.Channel(host, port)
+        return client.Channel(host, port, config=CHANNEL_CONFIGURATION)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/tests/bounded_links.py
+++ b/tests/bounded_links.py
@@ -250,13 +250,18 @@
     def open_channel(self, address):
         host, port = channels.split_address(address)
         if host == self._host:
-            return client.Channel(host, port)
+            return client.Channel(
+                host, port, config=channels.CHANNEL_CONFIGURATION
+            )
         return _RelayedChannel(self._links_address, self._host, address)
 
 
 class _RelayedChannel(client.Channel):
     def __init__(self, links_address, source, address):
-        super().__init__(*channels.split_address(links_address))
+        super().__init__(
+            *channels.split_address(links_address),
+            config=channels.CHANNEL_CONFIGURATION,
+        )
         self._first_line = f'{source} {address}\n'.encode()
 
     async def _create_connection(self):
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -106,7 +106,7 @@
 
 class _Channel(client.Channel):
     def __init__(self, network, source, target):
-        super().__init__('127.0.0.1', 1)
+        super().__init__('127.0.0.1', 1, config=channels.CHANNEL_CONFIGURATION)
         self.source = source
         self.target = target
         self.lost_bytes = False
--- a/tests/fleet/test_document_transfer.py
+++ b/tests/fleet/test_document_transfer.py
@@ -10,10 +10,13 @@
 from filbertglade.fleet import document_fetcher
 from filbertglade.fleet import document_server
 from filbertglade.fleet import view
+from filbertglade.inner import channels
 from filbertglade.inner import commands_pb2
+from filbertglade.inner import fleet_grpc
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import metrics
 from filbertglade import packing
+from tests import cluster as ports
 from tests.control import cluster
 from tests.control import network
 from tests.fleet import documents
@@ -298,6 +301,29 @@
     run(check)
 
 
+# Guards against documents that queue in the buffers of connections, where no
+# bound on the number of transfers applies.
+async def test_a_receiver_that_reads_nothing_is_sent_little():
+    host = ControlHost()
+    host.accept(3, build_large(3, routes=20_000))
+    (port,) = ports.find_free_ports(1)
+    running = server.Server([host.server])
+    await running.start('127.0.0.1', port)
+    channel = channels.SocketChannels().open_channel(f'127.0.0.1:{port}')
+    stub = fleet_grpc.DocumentsStub(channel)
+    async with stub.Fetch.open() as stream:
+        request = fleet_pb2.DocumentRequest(least_version=3)
+        await stream.send_message(request, end=True)
+        await stream.recv_message()
+        await asyncio.sleep(0.5)
+        limit_bytes = channels.WINDOW_BYTES + document_server.PART_BYTES
+        assert 0 < host.sent_bytes <= limit_bytes
+        await stream.cancel()
+    channel.close()
+    running.close()
+    await running.wait_closed()
+
+
 def test_a_damaged_download_is_not_put_in_force():
     download = document_fetcher.Download()
     part = fleet_pb2.DocumentPart(
