Keep the leader's longest interval between frames in large fleets

What callers would see: in a fleet of some 540 nodes and more, in a quiet time, all nodes lose the leader and find it again, over and over.

Cause: while only the load changes, the interval between frames grows with the number of watchers, and the wait was made of whole intervals. With 89 nodes the longest wait was 356 ms in place of 250, with 600 it was 1,200 ms, longer than the 1,100 ms after which a leader counts as lost. The same wait paces the reports.

Now the last interval ends with the longest wait. The test fails for 89, 600 and 5,000 watchers without the change (356, 1,200 and 10,000 ms).

--- a/filbertglade/fleet/pacing.py
+++ b/filbertglade/fleet/pacing.py
@@ -15,16 +15,16 @@
     :param urgent_change: set by a change that must be sent at once.
     :param has_changed: whether anything less urgent has changed.
     :param interval_ms: time between two calls of ``has_changed``.
-    :param longest_wait_ms: longest wait, rounded up to a multiple of the
-        interval.
+    :param longest_wait_ms: longest wait.
     """
     waited_ms = 0
     while waited_ms < longest_wait_ms:
+        wait_ms = min(interval_ms, longest_wait_ms - waited_ms)
         try:
-            async with asyncio.timeout(interval_ms / 1000):
+            async with asyncio.timeout(wait_ms / 1000):
                 await urgent_change.wait()
             return
         except TimeoutError:
-            waited_ms += interval_ms
+            waited_ms += wait_ms
         if has_changed():
             return
