--- a/filbertglade/fleet/document.py
+++ b/filbertglade/fleet/document.py
@@ -27,8 +27,8 @@
 }
 # Largest document, in bytes: leaves room for 10,000 routes of over 1 KB.
 MAX_DOCUMENT_BYTES = 16_777_216
-# Routes that are decoded at a time: some milliseconds on a slow host.
-ROUTES_PER_SLICE = 128
+# Items of a list that are decoded at a time: some milliseconds on a slow host.
+ITEMS_PER_SLICE = 128
 
 NonEmptyText = typing.Annotated[str, annotated_types.MinLen(1)]
 PositiveFloat = typing.Annotated[float, annotated_types.Gt(0)]
@@ -245,6 +245,10 @@
     customers: list[Customer] | None = None
 
 
+# The lists of a document that may be long, with their items' class.
+_SLICED: dict[str, type] = {'routes': Route, 'customers': Customer}
+
+
 def read_document(
     text: bytes,
 ) -> tuple[RoutingDocument | None, list[schema.Problem]]:
@@ -271,24 +275,32 @@
 def _decode(
     data: object,
 ) -> tuple[RoutingDocument | None, list[schema.Problem]]:
-    """Decode a document, its routes in slices.
+    """Decode a document, its long lists in slices.
 
     Decoding holds the interpreter's lock. Between two slices the other threads
     can run.
     """
-    routes = data.get('routes') if isinstance(data, dict) else None
-    if not isinstance(data, dict) or not isinstance(routes, list):
+    if not isinstance(data, dict):
         return schema.decode(RoutingDocument, data)
-    document, problems = schema.decode(RoutingDocument, {**data, 'routes': []})
-    decoded: list[Route] = []
-    for start in range(0, len(routes), ROUTES_PER_SLICE):
-        found, more = schema.decode_list(
-            Route, routes[start : start + ROUTES_PER_SLICE], 'routes', start
-        )
-        decoded += found or []
-        problems += more
-    if document is not None:
-        document.routes = decoded
+    lists = {
+        key: data[key] for key in _SLICED if isinstance(data.get(key), list)
+    }
+    rest = {**data, **{key: [] for key in lists}}
+    document, problems = schema.decode(RoutingDocument, rest)
+    for key, items in lists.items():
+        decoded: list[object] = []
+        for start in range(0, len(items), ITEMS_PER_SLICE):
+            found: list[object] | None
+            found, more = schema.decode_list(
+                _SLICED[key],
+                items[start : start + ITEMS_PER_SLICE],
+                key,
+                start,
+            )
+            decoded += found or []
+            problems += more
+        if document is not None:
+            setattr(document, key, decoded)
     return document, problems
 
 
--- a/tests/fleet/test_document_reading.py
+++ b/tests/fleet/test_document_reading.py
@@ -5,6 +5,7 @@
 import time
 
 from grpclib import server
+import pytest
 
 from filbertglade.control import state
 from filbertglade.fleet import document
@@ -17,6 +18,7 @@
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import metrics
 from filbertglade import packing
+from filbertglade import schema
 from tests import cluster
 from tests.fleet import documents
 
@@ -93,6 +95,52 @@
     assert pause_ms < watcher.LEADER_TIMEOUT_MS / 4
 
 
+# Guards against one long step in place of many short ones.
+@pytest.mark.parametrize('key', ['routes', 'customers'])
+def test_long_lists_are_decoded_in_slices(key, monkeypatch):
+    sizes = []
+    decode_list = schema.decode_list
+
+    def record_size(model, items, path, start):
+        if path == key:
+            sizes.append(len(items))
+        return decode_list(model, items, path, start)
+
+    monkeypatch.setattr(schema, 'decode_list', record_size)
+    items = {
+        'routes': [
+            {**documents.PLAIN['routes'][0], 'path_prefix': f'/{number}/'}
+            for number in range(1000)
+        ],
+        'customers': [
+            {'name': f'c-{number}', 'keys': [f'key-{number}']}
+            for number in range(1000)
+        ],
+    }
+    text = documents.write(documents.build(**{key: items[key]}))
+    parsed, problems = document.read_document(text)
+    assert problems == []
+    assert len(getattr(parsed, key)) == 1000
+    assert sum(sizes) == 1000
+    assert max(sizes) <= document.ITEMS_PER_SLICE
+
+
+def test_problems_in_any_customer_are_reported_with_its_position():
+    customers = [
+        {'name': f'c-{number}', 'keys': [f'key-{number}']}
+        for number in range(300)
+    ]
+    for position in (127, 128, 299):
+        customers[position]['keys'] = ['']
+    parsed, problems = document.read_document(
+        documents.write(documents.build(customers=customers))
+    )
+    assert parsed is None
+    assert [problem.key for problem in problems] == [
+        f'customers[{position}].keys[0]' for position in (127, 128, 299)
+    ]
+
+
 def test_problems_in_any_route_are_reported_with_its_position():
     routes = [
         {**documents.PLAIN['routes'][0], 'path_prefix': f'/{number}/'}
