Let slow watchers of a large view give up their turns

What callers would see: a host that attaches to a new leader of a large fleet has no view for seconds, because 16 slower hosts are being sent it. A view that was begun kept its turn to its last part, and one that had lost the turn went on without any, so neither bound held.

Now a turn is taken again between two parts. While a watcher waits for it, small frames show that the leader is alive.

A new leader without watchers no longer logs that a document is distributed.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -386,7 +386,14 @@
         watcher.sending_bytes = size.total_bytes
         started_ms = clock.now_ms()
         try:
+            needs_turn = turn.is_held
             for message in frames.split_frame(frame):
+                while needs_turn and turn.is_over:
+                    if not await turn.take(MAX_FRAME_INTERVAL_MS):
+                        # Shows between two parts that this host is alive.
+                        await stream.send_message(
+                            fleet_pb2.FleetFrame(is_leader=True)
+                        )
                 await turn.run(
                     stream.send_message(message), WATCHER_TIMEOUT_MS
                 )
@@ -467,7 +474,10 @@
             self._announced_version = version
             self._announced_ms = now_ms
             self._is_distributed = False
-        if self._is_distributed or self._list_hosts_behind():
+        hosts = sum(
+            item.report.takes_callers for item in self._watchers.values()
+        )
+        if self._is_distributed or not hosts or self._list_hosts_behind():
             return
         self._is_distributed = True
         lasted_ms = now_ms - self._announced_ms
@@ -475,9 +485,7 @@
         log.change(
             'document.distributed',
             version=version,
-            hosts=sum(
-                item.report.takes_callers for item in self._watchers.values()
-            ),
+            hosts=hosts,
             lasted_ms=lasted_ms,
         )
 
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -30,17 +30,25 @@
     :param ends: whether it ends after them.
     :param takes: number of frames that it takes.
     :param pause_s: time that it needs to take one.
+    :param strikes: part of each report.
     :param gets_at: number of the report from which on it has the document.
     :ivar taken_s: when it took each frame.
     """
 
     def __init__(
-        self, reports=1000, ends=False, takes=1000, pause_s=0.0, gets_at=2
+        self,
+        reports=1000,
+        ends=False,
+        takes=1000,
+        pause_s=0.0,
+        gets_at=2,
+        strikes=(),
     ):
         self.frames = []
         self.taken_s = []
         self._pause_s = pause_s
         self._gets_at = gets_at
+        self._strikes = strikes
         self._report_count = 0
         self._reports = reports
         self._ends = ends
@@ -57,6 +65,7 @@
         return fleet_pb2.WatchReport(
             node='n-1',
             takes_callers=True,
+            strikes=self._strikes,
             document_version=7 * (self._report_count >= self._gets_at),
         )
 
@@ -212,6 +221,41 @@
         assert any(frame and len(frame.replicas) == 3000 for frame in whole)
 
 
+# Guards against slow hosts that keep all turns for the whole view, so that
+# others have none for seconds.
+def test_slow_watchers_of_a_large_view_do_not_hold_up_others():
+    """Load: slow watchers take all turns; then another one attaches."""
+
+    async def main():
+        leader = Leader()
+        leader.add_replicas(8000)
+        slow = [
+            FakeStream(pause_s=0.2) for _ in range(publisher.MAX_WHOLE_VIEWS)
+        ]
+        late = FakeStream()
+        serving = [
+            asyncio.create_task(leader.publisher.Watch(stream))
+            for stream in slow
+        ]
+        await asyncio.sleep(2 * REPORT_INTERVAL_S)
+        serving.append(asyncio.create_task(leader.publisher.Watch(late)))
+        attached_s = asyncio.get_running_loop().time() + REPORT_INTERVAL_S
+        await asyncio.sleep(RUN_S)
+        for task in serving:
+            task.cancel()
+        await asyncio.wait(serving)
+        return attached_s, late
+
+    attached_s, late = virtual_time.run(main())
+    (view_at,) = [
+        position
+        for position, message in enumerate(late.frames)
+        if message.is_last_part
+    ]
+    limit_s = 2 * publisher.WHOLE_VIEW_TURN_MS / 1000
+    assert late.taken_s[view_at] - attached_s <= limit_s
+
+
 def test_a_document_that_all_hosts_have_is_logged(log_lines):
     async def main():
         leader = Leader()
