Report and send each crash under a request once

What callers would see: a request that crashes endpoints runs on more of them than the limit, when the host that saw a crash reported it to a control host that doesn't lead, or while the leader was lost: the report was forgotten when it was built. And what a crash costs grew without bound: a leader kept every report of the same crash, and sent all of them to every watcher at the start of its stream.

Now a host keeps its reports until a leader has been sent them. A leader keeps a crash once, and sends the list in the turn of the whole view.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -328,8 +328,8 @@
             self._load_version += 1
         watcher.report = report
         for strike in report.strikes:
-            self._view.record_strike(strike.digest, strike.endpoint)
-            self._strikes.append(strike)
+            if self._view.record_strike(strike.digest, strike.endpoint):
+                self._strikes.append(strike)
         for suspicion in report.suspicions:
             self._replicas.handle_suspicion(suspicion, report.node)
         if report.requests:
@@ -503,10 +503,10 @@
             ),
             document_version=self._agreed.document.current.version,
         )
-        frame.strikes.extend(self._strikes[sent.strikes :])
-        sent.strikes = len(self._strikes)
         if not has_view:
             return frame
+        frame.strikes.extend(self._strikes[sent.strikes :])
+        sent.strikes = len(self._strikes)
         if self.has_view or sent.is_view_begun or not watcher.report.has_view:
             # A watcher with an older complete view keeps that rather than
             # get an incomplete one; a watcher without any gets what there is.
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -183,14 +183,16 @@
 
     # Strikes
 
-    def record_strike(self, digest: bytes, endpoint: str) -> None:
+    def record_strike(self, digest: bytes, endpoint: str) -> bool:
         """Record that a request was running on an endpoint that crashed.
 
         :param digest: digest of the request.
         :param endpoint: the endpoint's incarnation key.
+        :returns: whether it wasn't recorded before.
         """
         strikes = self._strikes.setdefault(digest, {})
-        if endpoint not in strikes:
+        is_new = endpoint not in strikes
+        if is_new:
             log.change(
                 'strike.noted',
                 digest=digest.hex(),
@@ -200,6 +202,7 @@
         strikes[endpoint] = clock.now_ms()
         while len(self._strikes) > MAX_STRUCK_REQUESTS:
             del self._strikes[next(iter(self._strikes))]
+        return is_new
 
     def count_strikes(self, digest: bytes) -> int:
         """Return how many endpoints crashed under a request recently.
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -160,12 +160,14 @@
         try:
             stub = fleet_grpc.FleetStub(channel)
             async with stub.Watch.open() as stream:
+                report = self._build_report()
                 async with asyncio.timeout(FIRST_FRAME_TIMEOUT_MS / 1000):
-                    await stream.send_message(self._build_report())
+                    await stream.send_message(report)
                     frame = await stream.recv_message()
                 if frame is None or not frame.is_leader:
                     self._apply_redirection(host, frame)
                     return
+                self._forget_reported(report)
                 was_followed = True
                 self.watched_host = host
                 log.change('leader.watched', leader=host)
@@ -238,12 +240,19 @@
         try:
             while True:
                 await self._wait_for_change()
+                report = self._build_report()
                 async with asyncio.timeout(LEADER_TIMEOUT_MS / 1000):
-                    await stream.send_message(self._build_report())
+                    await stream.send_message(report)
+                self._forget_reported(report)
         except replication.STREAM_ERRORS:
             # The receiving side detects the loss by its time-out.
             return
 
+    def _forget_reported(self, report: fleet_pb2.WatchReport) -> None:
+        """Forget the strikes and suspicions that the leader was sent."""
+        del self._strikes[: len(report.strikes)]
+        del self._suspicions[: len(report.suspicions)]
+
     async def _wait_for_change(self) -> None:
         """Wait for a change, or until the next report is due."""
         self._urgent_change.clear()
@@ -259,8 +268,6 @@
         )
 
     def _build_report(self) -> fleet_pb2.WatchReport:
-        strikes, self._strikes = self._strikes, []
-        suspicions, self._suspicions = self._suspicions, []
         self._reported_in_flight = dict(self.in_flight)
         return fleet_pb2.WatchReport(
             node=self._node,
@@ -272,8 +279,8 @@
                 for group, count in self.in_flight.items()
                 if count
             },
-            strikes=strikes,
-            suspicions=suspicions,
+            strikes=self._strikes,
+            suspicions=self._suspicions,
             requests=self.requests,
             has_view=bool(self._view.endpoints or self._view.replicas),
         )
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -256,6 +256,15 @@
     assert late.taken_s[view_at] - attached_s <= limit_s
 
 
+def test_a_strike_is_sent_once_however_often_it_is_reported():
+    stream = FakeStream(
+        strikes=[fleet_pb2.Strike(digest=b'x', endpoint='i-1')]
+    )
+    watch(stream)
+    strikes = [item for frame in stream.frames for item in frame.strikes]
+    assert len(strikes) == 1
+
+
 def test_a_document_that_all_hosts_have_is_logged(log_lines):
     async def main():
         leader = Leader()
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -33,9 +33,10 @@
     def __init__(self, sent_frames, pause_s):
         self._frames = sent_frames
         self._pause_s = pause_s
+        self.reports = []
 
     async def Watch(self, stream):
-        await stream.recv_message()
+        self.reports.append(await stream.recv_message())
         for frame in self._frames:
             await stream.send_message(frame)
             await asyncio.sleep(self._pause_s)
@@ -120,3 +121,42 @@
     failures = counters.counter('leader_watch_failures', reason='TimeoutError')
     assert failures == 2
     assert not select(log_lines, 'leader.unwatched')
+
+
+# Guards against crashes that other hosts never learn of, because the host that
+# saw them reported them to a control host that didn't lead.
+def test_strikes_are_kept_until_a_leader_has_them():
+    redirection = fleet_pb2.FleetFrame(leader=ADDRESS)
+
+    async def main():
+        links = network.Network()
+        links.ports = {'follower': PORT + 1, 'leader': PORT, 'host': 0}
+        follower, leader = FakeLeader([redirection], 0), FakeLeader([FRAME], 0)
+        servers = [server.Server([follower]), server.Server([leader])]
+        await servers[0].start('127.0.0.1', PORT + 1)
+        await servers[1].start('127.0.0.1', PORT)
+        other = '127.0.0.2:9000'
+        fleet_watcher = watcher.Watcher(
+            'host',
+            'run',
+            [other],
+            True,
+            view.FleetView(),
+            network.Channels(
+                links, 'host', {ADDRESS: 'leader', other: 'follower'}
+            ),
+            metrics.Metrics(),
+            random.Random(1),
+        )
+        fleet_watcher.report_strike(b'x', 'i-1')
+        fleet_watcher.start()
+        await asyncio.sleep(3)
+        await fleet_watcher.close()
+        for running in servers:
+            running.close()
+            await running.wait_closed()
+        return follower.reports, leader.reports
+
+    to_follower, to_leader = virtual_time.run(main())
+    assert len(to_follower[0].strikes) == 1
+    assert [len(report.strikes) for report in to_leader][:2] == [1, 0]
