Go on reading documents after an unexpected error

An unexpected exception ended the task that reads accepted documents. The leader went on acknowledging documents that it never put in force.

The new test failed before: the view was without the document 10 s after its acknowledgement.

--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -42,6 +42,9 @@
 ENLIST_TIMEOUT_MS = 500
 # Interval between two updates of the replicas sent to watchers, in ms.
 REFRESH_INTERVAL_MS = 50
+# Pause before a document is read again after an unexpected error, in ms: an
+# operator sends it again after as long, and reading takes less.
+READ_RETRY_INTERVAL_MS = 1000
 
 
 class VoterSettings:
@@ -224,7 +227,16 @@
         while True:
             await self._document_changed.wait()
             self._document_changed.clear()
-            await self._read_document()
+            try:
+                await self._read_document()
+            except Exception as error:
+                log.error(
+                    'document.read_failed',
+                    version=self._agreed.document.current.version,
+                    error=error,
+                )
+                await asyncio.sleep(READ_RETRY_INTERVAL_MS / 1000)
+                self._document_changed.set()
 
     async def _read_document(self) -> None:
         version = self._agreed.document.current.version
--- /dev/null
+++ b/tests/gateway/test_control_role.py
@@ -0,0 +1,90 @@
+"""A control host reads the documents that it has accepted."""
+
+import asyncio
+import contextlib
+import random
+
+import httpx
+
+from filbertglade.fleet import dialects
+from filbertglade.fleet import document
+from filbertglade.fleet import view
+from filbertglade.gateway import control_role
+from filbertglade.inner import channels
+from filbertglade.observability import metrics
+from filbertglade.settings import gateway
+from tests import cluster
+from tests.fleet import documents
+
+POLL_S = 0.01
+
+
+class NoWatcher:
+    """Stands for the stream to the leader, which this host itself is."""
+
+    def list_control_hosts(self):
+        return []
+
+
+@contextlib.asynccontextmanager
+async def run_control_host(folder):
+    """Run the only control host of a cluster until it leads.
+
+    :returns: the URL of its routing document, and its view.
+    """
+    inner, control = (
+        f'127.0.0.1:{port}' for port in cluster.find_free_ports(2)
+    )
+    fleet_view = view.FleetView()
+    role = control_role.ControlRole(
+        gateway.GatewaySettings(
+            'one',
+            'central',
+            'north',
+            gateway.GatewayListenSettings(inner, control=control),
+            gateway.GatewayControlSettings(
+                [inner],
+                data_folder=str(folder / 'data'),
+                found_cluster=True,
+                tolerated_losses=0,
+            ),
+        ),
+        dialects.DEFAULT,
+        fleet_view,
+        NoWatcher(),
+        channels.SocketChannels(),
+        metrics.Metrics(),
+        random.Random(1),
+    )
+    assert await role.start() is None
+    async with asyncio.timeout(10):
+        while not role.voters.is_leader:  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
+    yield f'http://{control}/v1/routing', fleet_view
+    await role.close()
+
+
+# Guards against a leader that acknowledges documents and never puts them in
+# force, because an error has ended the task that reads them.
+async def test_documents_are_read_after_an_unexpected_error(
+    tmp_path, monkeypatch
+):
+    read_index = document.read_index
+    versions = []
+
+    def fail_once(version, text):
+        versions.append(version)
+        if len(versions) == 1:
+            raise MemoryError
+        return read_index(version, text)
+
+    monkeypatch.setattr(document, 'read_index', fail_once)
+    async with run_control_host(tmp_path) as (url, fleet_view):
+        async with httpx.AsyncClient(timeout=10) as client:
+            text = documents.write(documents.build(version=7))
+            response = await client.post(url, content=text)
+        assert response.status_code == 200
+        async with asyncio.timeout(10):
+            while fleet_view.version != 7:  # noqa: ASYNC110
+                await asyncio.sleep(POLL_S)
+    assert versions == [7, 7]
