Read documents one at a time

Documents that arrive together, and one that was accepted meanwhile, were parsed in threads at the same time. One thread now reads all documents of a process.

The new test failed before: three documents were read at the same time.

--- a/filbertglade/fleet/document.py
+++ b/filbertglade/fleet/document.py
@@ -4,6 +4,9 @@
 takes effect. Unknown keys are allowed in it and ignored.
 """
 
+import asyncio
+from collections import abc
+from concurrent import futures
 import dataclasses
 import enum
 import functools
@@ -30,6 +33,11 @@
 # Routes that are decoded at a time: some milliseconds on a slow host.
 ROUTES_PER_SLICE = 128
 
+# Reads the process's documents: one at a time, as reading takes several
+# times a document's size in memory.
+_READER = futures.ThreadPoolExecutor(1, 'document')
+
+Result = typing.TypeVar('Result')
 NonEmptyText = typing.Annotated[str, annotated_types.MinLen(1)]
 PositiveFloat = typing.Annotated[float, annotated_types.Gt(0)]
 NonNegativeFloat = typing.Annotated[float, annotated_types.Ge(0)]
@@ -245,6 +253,19 @@
     customers: list[Customer] | None = None
 
 
+async def read_in_turn(
+    read: abc.Callable[..., Result], *arguments: typing.Any
+) -> Result:
+    """Read a document off the event loop, once those before it are read.
+
+    :param read: the function that reads it.
+    :param arguments: its arguments.
+    :returns: its result.
+    """
+    loop = asyncio.get_running_loop()
+    return await loop.run_in_executor(_READER, read, *arguments)
+
+
 def read_document(
     text: bytes,
 ) -> tuple[RoutingDocument | None, list[schema.Problem]]:
--- a/filbertglade/fleet/document_fetcher.py
+++ b/filbertglade/fleet/document_fetcher.py
@@ -228,7 +228,7 @@
             tries=tries,
         )
         self._counters.record_ms('document_fetch', lasted_ms)
-        index = await asyncio.to_thread(document.read_index, version, text)
+        index = await document.read_in_turn(document.read_index, version, text)
         if index is None:
             self._unreadable_version = version
         else:
--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -236,7 +236,7 @@
         context = self._context
         text = self.request.body
         started_ms = clock.now_ms()
-        parsed, problems = await asyncio.to_thread(
+        parsed, problems = await document.read_in_turn(
             document.read_document, text
         )
         parse_ms = clock.now_ms() - started_ms
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -242,7 +242,7 @@
         version = self._agreed.document.current.version
         if version <= self._context.read_version:
             return
-        index = await asyncio.to_thread(
+        index = await document.read_in_turn(
             document.read_index, version, self._agreed.document.read_text()
         )
         if index is not None:
--- a/tests/gateway/test_control_role.py
+++ b/tests/gateway/test_control_role.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import time
 
 import httpx
 
@@ -88,3 +89,36 @@
             while fleet_view.version != 7:  # noqa: ASYNC110
                 await asyncio.sleep(POLL_S)
     assert versions == [7, 7]
+
+
+# Guards against a control host that exceeds its memory, because it reads
+# several large documents at the same time.
+async def test_documents_are_read_one_at_a_time(tmp_path, monkeypatch):
+    read_document = document.read_document
+    reading = []
+    most = []
+
+    def read_slowly(text):
+        reading.append(1)
+        most.append(len(reading))
+        time.sleep(0.05)
+        reading.pop()
+        return read_document(text)
+
+    monkeypatch.setattr(document, 'read_document', read_slowly)
+    async with run_control_host(tmp_path) as (url, fleet_view):
+        async with httpx.AsyncClient(timeout=10) as client:
+            responses = await asyncio.gather(
+                *(
+                    client.post(
+                        url, content=documents.write_routes(version, 100_000)
+                    )
+                    for version in (7, 8, 9)
+                )
+            )
+        assert [item.status_code for item in responses] == [200] * 3
+        async with asyncio.timeout(10):
+            while fleet_view.version != 9:  # noqa: ASYNC110
+                await asyncio.sleep(POLL_S)
+    assert len(most) > 3
+    assert max(most) == 1
