Let a document that is sent again join its commit

Operators send a document again after a second, and a commit may take 2.5 s. Each resend was read, packed, logged and replicated whole again, and waited in the log before the next document. The same text now joins the acceptance in progress, which goes on when its senders leave or time out. A version that the agreed state holds or has overtaken is acknowledged from there, by a leader with its lease and the required voters.

A text that is committed already isn't parsed again: the compressed forms are compared first.

--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -12,22 +12,28 @@
 from filbertglade.control import agreement
 from filbertglade.control import failures as control_failures
 from filbertglade.control import state
+from filbertglade.control.tables import document as document_table
 from filbertglade import failures
 from filbertglade.fleet import document
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import registry
+from filbertglade.gateway import pending_documents
 from filbertglade.inner import channels
 from filbertglade.inner import commands_pb2
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
 from filbertglade import packing
 from filbertglade.replicas import observed_state
+from filbertglade import schema
 
 log = logs.get_log(__name__)
 
 # Longest wait for a document's commit, in ms: operators go on to another
 # control host after 1 s.
 COMMIT_TIMEOUT_MS = 2500
+# Longest time that a document in the log is waited for, in ms: the largest
+# takes 14 s over a link of 10 Mbit/s. Until then a resend adds no entry.
+ENTRY_TIMEOUT_MS = 30_000
 # Longest wait until this host has read a document that it has committed, in
 # ms: then the document is acknowledged all the same.
 READ_TIMEOUT_MS = 500
@@ -36,6 +42,22 @@
 MAX_LEADER_AGE_MS = 1000
 
 
+class Outcome:
+    """The response to every sender of a document.
+
+    :param status: the HTTP status.
+    :param body: the body.
+    """
+
+    __slots__ = ('status', 'body')
+
+    def __init__(
+        self, status: int, body: abc.Mapping[str, typing.Any]
+    ) -> None:
+        self.status = status
+        self.body = body
+
+
 class ControlContext:
     """What the handlers share.
 
@@ -46,6 +68,7 @@
     :param counters: the process's metrics.
     :param observed: the leader's view of the replicas, which holds the
         document in force.
+    :ivar documents: the documents that are being accepted.
     :ivar read_version: version of the newest document that was read.
     """
 
@@ -64,6 +87,7 @@
         self.registry = endpoint_registry
         self.counters = counters
         self.observed = observed
+        self.documents = pending_documents.PendingDocuments[Outcome]()
         self.read_version = 0
         self._read_changed = asyncio.Event()
 
@@ -234,61 +258,109 @@
     async def post(self) -> None:
         """Commit a document if it is valid."""
         context = self._context
-        text = self.request.body
-        started_ms = clock.now_ms()
-        parsed, problems = await document.read_in_turn(
-            document.read_document, text
+        outcome = await context.documents.join(
+            self.request.body, self._accept, COMMIT_TIMEOUT_MS
         )
-        parse_ms = clock.now_ms() - started_ms
-        if parsed is None:
+        if outcome is None:
             log.change(
-                'document.refused',
-                bytes=len(text),
-                problems=[str(problem) for problem in problems[:8]],
-            )
-            self.respond(
-                400, {'errors': [str(problem) for problem in problems[:64]]}
+                'document.unsettled',
+                bytes=len(self.request.body),
+                reason='not committed in time',
             )
+            self.respond(503, {'error': 'not committed in time'})
             return
+        if outcome.status == 200:
+            await context.wait_for_document(READ_TIMEOUT_MS)
+        self.respond(outcome.status, outcome.body)
+
+    async def _accept(self, checked: asyncio.Event) -> Outcome:
+        """Check a document and commit it unless its version is outdated.
+
+        :param checked: set when the commit begins.
+        """
+        context = self._context
+        text = self.request.body
+        packed_text = await asyncio.to_thread(packing.pack, text)
+        started_ms = clock.now_ms()
+        held = context.agreed.document.current
+        version = held.version
+        if packed_text != held.packed_text:
+            parsed, problems = await document.read_in_turn(
+                document.read_document, text
+            )
+            if parsed is None:
+                return self._refuse(problems)
+            version = parsed.version
+        parse_ms = clock.now_ms() - started_ms
         if not context.voters.has_required_voters:
             log.change(
                 'document.deferred',
-                version=parsed.version,
+                version=version,
                 voters=len(context.agreed.voters.incarnations),
             )
-            self.respond(
+            return Outcome(
                 503, {'error': 'too few control hosts are voters yet'}
             )
-            return
-        await self._commit(parsed.version, text, parse_ms)
-
-    async def _commit(self, version: int, text: bytes, parse_ms: int) -> None:
-        context = self._context
-        packed_text = await asyncio.to_thread(packing.pack, text)
+        checked.set()
+        started_ms = clock.now_ms()
         put = commands_pb2.PutDocument(
             version=version, packed_text=packed_text
         )
-        started_ms = clock.now_ms()
-        result = await context.voters.submit(
-            commands_pb2.Command(put_document=put), COMMIT_TIMEOUT_MS
-        )
+        result = await self._commit(put)
         if isinstance(result, control_failures.SubmitFailure):
             log.change(
                 'document.unsettled', version=version, reason=str(result)
             )
-            self.respond(503, {'error': str(result)})
-            return
+            return Outcome(503, {'error': str(result)})
         log.change(
             'document.accepted',
             version=version,
-            in_force=result.document.version,
-            differs=result.document.differs,
+            in_force=result.version,
+            differs=result.differs,
             bytes=len(text),
             parse_ms=parse_ms,
             commit_ms=clock.now_ms() - started_ms,
         )
-        await context.wait_for_document(READ_TIMEOUT_MS)
-        self.respond(200, {'version': result.document.version})
+        return Outcome(200, {'version': result.version})
+
+    def _refuse(self, problems: list[schema.Problem]) -> Outcome:
+        log.change(
+            'document.refused',
+            bytes=len(self.request.body),
+            problems=[str(problem) for problem in problems[:8]],
+        )
+        return Outcome(
+            400, {'errors': [str(problem) for problem in problems[:64]]}
+        )
+
+    async def _commit(
+        self, put: commands_pb2.PutDocument
+    ) -> commands_pb2.DocumentResult | control_failures.SubmitFailure:
+        """Commit a document, or acknowledge it from the agreed state.
+
+        What is in the agreed state is committed, and a version that isn't
+        higher changes nothing.
+        """
+        context = self._context
+        held = context.agreed.document.current
+        if put.version > held.version:
+            result = await context.voters.submit(
+                commands_pb2.Command(put_document=put), ENTRY_TIMEOUT_MS
+            )
+            if isinstance(result, control_failures.SubmitFailure):
+                return result
+            return result.document
+        differs = put.version == held.version and not await asyncio.to_thread(
+            document_table.has_same_text, put, held
+        )
+        if not context.voters.is_leader:
+            return control_failures.SubmitFailure(
+                control_failures.SubmitReason.NO_LEADER,
+                'this host no longer leads',
+            )
+        return commands_pb2.DocumentResult(
+            version=held.version, differs=differs
+        )
 
 
 def listen(context: ControlContext) -> httpserver.HTTPServer:
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -186,6 +186,7 @@
         await self._replicas.close()
         await self._tasks.close()
         await self.voters.close()
+        await self._context.documents.close()
         self._client.close()
 
     # Leading
