Send a node its configuration document once, in parts

Seen by operators: a large document never comes into force on nodes behind a slow or busy link, and these nodes lose their attachment and with it their groups.

Cause: each frame to a node, every 250 ms or 20 ms, held the whole document until the node's report named its number. The copies queued up, no whole frame arrived within the presence limit of 4 s, and the next stream began with the document again.

Why it works: a stream loses nothing without ending, so a document is sent once on each stream and number, in parts of 16 KB, one a frame, and at most four that the node hasn't counted. Every frame is small, shows that the control host is alive, and carries loads and ages as before. A newer document abandons the one that is being sent. The rule of the newest document is unchanged: the first one takes force only by a proof for its number, for which the node now holds it, as it isn't sent again.

A node of an older build takes only documents of at most 16 KB from a newer control host and logs configuration.unreadable for larger ones.

--- a/filbertglade/membership/attachment.py
+++ b/filbertglade/membership/attachment.py
@@ -11,6 +11,7 @@
 from filbertglade.inner import membership_grpc
 from filbertglade.inner import membership_pb2
 from filbertglade.membership import announcements
+from filbertglade.membership import document_parts
 from filbertglade.membership import frame_age
 from filbertglade.membership import leader_search
 from filbertglade.membership import line_reader
@@ -65,6 +66,8 @@
         self._sequence = 0
         self._started_ms = 0
         self._outbox = report_outbox.ReportOutbox(settings.name)
+        # Of the present stream: a new one starts with a document's first part.
+        self._parts = document_parts.PartAssembler()
         self.is_draining = False
         self.control_host = ''
 
@@ -190,6 +193,7 @@
         timings = self._settings.timings
         age_bound = frame_age.FrameAgeBound()
         reader = line_reader.LineReader(self._fleet)
+        self._parts = document_parts.PartAssembler()
         leader_seen_ms = clock.now_ms()
         async with asyncio.timeout(timings.connect_timeout_ms / 1000):
             await stream.send_message(self._build_frame(age_bound))
@@ -285,7 +289,9 @@
             draining=self.is_draining,
         )
         frame = membership_pb2.NodeFrame(
-            clock=age_bound.stamp(), report=report
+            clock=age_bound.stamp(),
+            report=report,
+            configuration_parts=self._parts.part_count,
         )
         # Without an echo of its clock, the control host cannot bound the age
         # of these.
@@ -319,13 +325,21 @@
 
         The first document is put in force only if it is proven to be the
         newest: an earlier process on this node may have had a newer one than
-        the control host has applied so far.
+        the control host has applied so far. It is held until a frame proves
+        it, which must be a frame that names the same document.
         """
         is_proven = age_ms is not None and self._is_proven(frame, age_ms)
-        if frame.HasField('configuration') and (
-            is_proven or self._fleet.is_confirmed
-        ):
-            self._fleet.put_in_force(frame.configuration)
+        if frame.HasField('configuration'):
+            self._parts.add(frame.configuration)
+            # The control host sends more once it knows that this arrived.
+            self._outbox.send_trigger.fire()
+        is_held_proven = (
+            is_proven and self._parts.number == frame.configuration_number
+        )
+        if is_held_proven or self._fleet.is_confirmed:
+            update = self._parts.take()
+            if update is not None:
+                self._fleet.put_in_force(update)
         if is_proven and self._fleet.number >= frame.configuration_number:
             self._fleet.is_confirmed = True
 
--- a/filbertglade/membership/node_link.py
+++ b/filbertglade/membership/node_link.py
@@ -8,6 +8,7 @@
 from filbertglade.inner import membership_pb2
 from filbertglade.membership import configuration_freshness
 from filbertglade.membership import customer_shares
+from filbertglade.membership import document_parts
 from filbertglade.membership import frame_age
 from filbertglade.membership import reported_state
 from filbertglade.membership import routing_lines
@@ -52,6 +53,7 @@
             agreed, reported.presence, limit_ms
         )
         self.shares = customer_shares.ShareTable()
+        self.documents = document_parts.DocumentCache(agreed)
 
     def refresh(self) -> None:
         """Rebuild lines and shares from the reports, once for all nodes."""
@@ -74,7 +76,7 @@
         self._stream = stream
         self._age_bound = frame_age.FrameAgeBound()
         self._node = ''
-        self._node_number = 0
+        self._parts = document_parts.PartWriter(source.documents)
         self._version = 0
         self._strikes_read = 0
         self._cache_events_read = source.reported.cache_events.end
@@ -104,7 +106,7 @@
 
     def _handle_frame(self, frame: membership_pb2.NodeFrame) -> None:
         self._source.counters.count('node_frames_received')
-        self._node_number = frame.report.configuration_number
+        self._parts.note_frame(frame)
         self._node = frame.report.node
         age_ms = self._age_bound.observe(frame.clock)
         if age_ms is not None:
@@ -126,7 +128,8 @@
                     await self._stream.send_message(frame)
             except stream_errors.StreamErrors:
                 return
-            await trigger.wait(timings.relay_ms / 1000, seen_count)
+            if not self._parts.is_part_due:
+                await trigger.wait(timings.relay_ms / 1000, seen_count)
 
     def _build_frame(
         self,
@@ -146,12 +149,8 @@
         if leader_age_ms is not None:
             frame.leader_known = True
             frame.leader_age_ms = leader_age_ms
-        current = self._source.agreed.configuration.current
-        frame.configuration_number = current.number
-        if current.number > self._node_number:
-            frame.configuration.number = current.number
-            frame.configuration.change_id = current.change_id
-            frame.configuration.document = current.document
+        frame.configuration_number = self._source.documents.number
+        self._parts.write(frame)
 
     def _write_events(self, frame: membership_pb2.ControlFrame) -> None:
         reported = self._source.reported
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -288,6 +288,8 @@
     def __init__(self):
         # In bytes/s; 0 if it isn't bounded.
         self.rate = 0
+        # Bytes that passed it while it was bounded.
+        self.passed_bytes = 0
         self._takers = {}
         self._busy = False
 
@@ -310,6 +312,7 @@
                 finish()
                 continue
             self._busy = True
+            self.passed_bytes += size
             asyncio.get_running_loop().call_later(
                 size / self.rate, self._finish, finish
             )
