Wait for a request's last decision in the tests of explain

The tests read the logs once any decision after the sending was there, and a failed attempt is one: test_full_worker_is_named failed in one of nine runs beside other work on the code before this change, with 'the last event is try.failed', and test_worker_that_reset_is_named once. They now wait for the decision that ended the request, as long as before.

--- a/tests/platform/test_explaining.py
+++ b/tests/platform/test_explaining.py
@@ -14,10 +14,19 @@
     return next(item for item in running.workers if item.endpoint_id == name)
 
 
+FINAL_DECISIONS = (
+    'request.answered',
+    'request.cut',
+    'request.left',
+    'request.refused',
+)
+
+
 async def find_cause(running, request):
     """Return the cause of a request's failure that explain finds in the logs.
 
-    Polls until the logs hold a decision after the sending of the request.
+    Polls until the logs hold the decision that ended the request: a process
+    writes its log after the response.
     """
     paths = [item.log for item in (running.control, *running.entries)]
     for _ in range(20):
@@ -26,7 +35,7 @@
         )
         if (
             explanation is not None
-            and explanation.decisions[-1].name != 'request.sent'
+            and explanation.decisions[-1].name in FINAL_DECISIONS
         ):
             return explanation.cause
         await asyncio.sleep(0.1)
