--- a/filbertglade/fleet/document_server.py
+++ b/filbertglade/fleet/document_server.py
@@ -22,8 +22,8 @@
 # Transfers that send at the same time: few of them use memory, and each is
 # complete earlier than if all shared the link.
 MAX_ACTIVE_TRANSFERS = 8
-# How long a transfer keeps its turn while others wait, in ms: most are complete
-# by then, so that few are under way and hold buffers.
+# How long a transfer keeps its turn while others wait, in ms: most are
+# complete by then, so that few are under way and hold buffers.
 TURN_MS = 1000
 # How long one part may take before its transfer loses the turn, in ms: a slow
 # receiver must not hold up the others.
