--- a/filbertglade/fleet/certainty.py
+++ b/filbertglade/fleet/certainty.py
@@ -9,7 +9,7 @@
 # Age of the latest frame beyond which the leader is lost, in ms: the watcher's
 # time-out, and the time to find a leader that still leads once more.
 MAX_CONTACT_AGE_MS = watcher.LEADER_TIMEOUT_MS + 100
-# Requests that may wait at once; bounds the memory for their bodies.
+# Requests that may wait at once, each with its body in memory.
 MAX_WAITING_REQUESTS = 64
 
 
--- a/tests/fleet/test_certainty.py
+++ b/tests/fleet/test_certainty.py
@@ -19,7 +19,7 @@
     [
         (25, 25, 0, None),
         (25, 25, LIMIT_MS, None),
-        # The incident of 2026-12-04: version 25 is on its way for seconds.
+        # A newer version is on its way.
         (23, 25, 0, certainty.Doubt.NEWER_ANNOUNCED),
         (0, 25, 0, certainty.Doubt.NEWER_ANNOUNCED),
         # The leader is lost: what it accepted last may be unknown here.
--- a/tests/gateway_forwarding/test_uncertain_document.py
+++ b/tests/gateway_forwarding/test_uncertain_document.py
@@ -1,7 +1,7 @@
 """Requests that the document in force here doesn't allow, offline.
 
-The load pattern is that of the incident of 2026-12-04: a new document is
-accepted while its copies take seconds to reach all entry hosts.
+The load: a new document is accepted while its copies take seconds to reach all
+entry hosts.
 """
 
 import asyncio
--- a/tests/platform/test_uncertain_document.py
+++ b/tests/platform/test_uncertain_document.py
@@ -14,8 +14,7 @@
 ):
     """Guards against 404 and 401 by a host that may lack a new document.
 
-    Callers never repeat a request after 404 or 401, so 477 proper requests
-    were lost while hosts had an older document (incident of 2026-12-04).
+    Callers never repeat a request after 404 or 401.
     """
     unknown = [{'path': '/nothing/x'}, {'path': '/read/x', 'X_Key': 'key-9'}]
     statuses = [
