Log why a crash under a request was counted or not

The logs told neither under which digest a request was looked up nor why a response that broke off gave no strike, so the hypotheses of the incident could not be told apart from them.

request.sent names the digest and the strikes known for it; strike.not_counted names the reason; strike.received shows that a report reached a leader. Nothing is decided differently.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -330,7 +330,15 @@
             self._load_version += 1
         watcher.report = report
         for strike in report.strikes:
-            if self._view.record_strike(strike.digest, strike.endpoint):
+            is_new = self._view.record_strike(strike.digest, strike.endpoint)
+            log.change(
+                'strike.received',
+                digest=strike.digest.hex(),
+                endpoint=strike.endpoint,
+                watcher=report.node,
+                is_new=is_new,
+            )
+            if is_new:
                 self._strikes.append(strike)
         for suspicion in report.suspicions:
             self._replicas.handle_suspicion(suspicion, report.node)
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -463,6 +463,8 @@
             endpoint=target.key,
             group=target.group,
             epoch=target.epoch,
+            digest=self._digest.hex(),
+            strikes=shared.view.count_strikes(self._digest),
             load=load,
             slowness=target.slowness,
             standing=demand.admission_class.value,
@@ -485,6 +487,7 @@
                 outcome, keep = await self._forward_response(target, route)
         except TimeoutError:
             outcome = AttemptOutcome.TIMED_OUT
+            self._log_not_counted(target, 'no response in time')
         finally:
             if target.group:
                 shared.stall_detector.remove_stream(target, self)
@@ -635,18 +638,29 @@
     ) -> None:
         """Record that a connection broke while the request was in flight."""
         if self._stalled:
+            self._log_not_counted(target, 'the replica stalled')
             return
         shared = self._context
         self._log('answer.broken', endpoint=target.key, reason=detail)
         shared.pool.drop(target.key)
         if connection.is_reused and self._first_byte_ms is None:
             # The endpoint may just have closed an idle connection.
+            self._log_not_counted(target, 'no byte on a kept connection')
             return
         if target.group:
             shared.faults.record(target, detail)
             shared.leader.report_suspicion(target.group, target.epoch, detail)
         shared.leader.report_strike(self._digest, target.key)
 
+    def _log_not_counted(self, target: choice.Target, reason: str) -> None:
+        """Log why a response that broke off gives the request no strike."""
+        self._log(
+            'strike.not_counted',
+            endpoint=target.key,
+            digest=self._digest.hex(),
+            reason=reason,
+        )
+
     async def _forward_body(
         self, connection: upstream.Connection, head: upstream.ResponseHead
     ) -> None:
