Send struck requests in single trials instead of refusing them

What callers saw: a POST that was in flight on two or more endpoints that crashed for another reason was refused by every host for five minutes. With requests without a body counted too, this would befall every common path.

Cause: two strikes meant a flat ban, and nothing a request did could end it.

Now the leader lets one host at a time send such a request to one endpoint. Evidence of innocence is a run that ends, so common requests are free again after their first trial; a killing one never gets there.

--- /dev/null
+++ b/filbertglade/fleet/crash_reports.py
@@ -0,0 +1,156 @@
+"""What a host tells the leader about requests that crash endpoints."""
+
+import asyncio
+from collections import abc
+import itertools
+
+from filbertglade import clock
+from filbertglade.fleet import struck_requests
+from filbertglade.inner import fleet_pb2
+from filbertglade.observability import logs
+
+log = logs.get_log(__name__)
+
+# Most strikes, and most answered requests, that wait to be reported.
+MAX_WAITING = 1000
+
+
+class CrashReports:
+    """Strikes, answered requests and trials of one host.
+
+    :param struck: the strikes that the host knows.
+    :param notify: called when the next report should be sent at once.
+    """
+
+    def __init__(
+        self,
+        struck: struck_requests.StruckRequests,
+        notify: abc.Callable[[], None],
+    ) -> None:
+        self._struck = struck
+        self._notify = notify
+        self._trial_numbers = itertools.count(1)
+        # By digest and endpoint: when the crash was noted, and the trial.
+        self._strikes: dict[tuple[bytes, str], tuple[int, int]] = {}
+        self._served: dict[bytes, None] = {}
+        self._asked: dict[int, fleet_pb2.TrialRequest] = {}
+        self._answers: dict[int, asyncio.Future[fleet_pb2.TrialAnswer]] = {}
+        self._ends: list[fleet_pb2.TrialEnd] = []
+
+    def report_strike(
+        self, digest: bytes, endpoint: str, trial: int = 0
+    ) -> None:
+        """Report that an endpoint crashed under a request.
+
+        :param digest: the request's digest.
+        :param endpoint: the endpoint's incarnation key.
+        :param trial: the trial in which it was sent; 0 for none.
+        """
+        self._struck.add_strike(digest, endpoint, is_trial=bool(trial))
+        self._strikes[digest, endpoint] = (clock.now_ms(), trial)
+        _drop_oldest(self._strikes)
+        self._notify()
+
+    def report_served(self, digest: bytes) -> None:
+        """Report that an endpoint answered a struck request completely.
+
+        :param digest: the request's digest.
+        """
+        self._struck.clear(digest)
+        for strike_key in [key for key in self._strikes if key[0] == digest]:
+            del self._strikes[strike_key]
+        self._served[digest] = None
+        _drop_oldest(self._served)
+        self._notify()
+
+    async def ask_for_trial(
+        self, digest: bytes, lasts_ms: int, limit_ms: int
+    ) -> fleet_pb2.TrialAnswer | None:
+        """Ask the leader whether a struck request may be sent once.
+
+        :param digest: the request's digest.
+        :param lasts_ms: longest time that the trial takes.
+        :param limit_ms: longest wait for the answer.
+        :returns: the answer; None if none came in time.
+        """
+        trial = next(self._trial_numbers)
+        self._asked[trial] = fleet_pb2.TrialRequest(
+            trial=trial, digest=digest, lasts_ms=lasts_ms
+        )
+        answer = asyncio.get_running_loop().create_future()
+        self._answers[trial] = answer
+        self._notify()
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                return await answer
+        except TimeoutError:
+            return None
+        finally:
+            self._asked.pop(trial, None)
+            self._answers.pop(trial, None)
+
+    def end_trial(self, trial: int, digest: bytes, was_sent: bool) -> None:
+        """Report a trial in which no endpoint crashed or answered.
+
+        :param trial: its number.
+        :param digest: the request's digest.
+        :param was_sent: whether it was sent to an endpoint.
+        """
+        self._ends.append(
+            fleet_pb2.TrialEnd(trial=trial, digest=digest, was_sent=was_sent)
+        )
+        self._notify()
+
+    # The stream to the leader
+
+    def write(self, report: fleet_pb2.WatchReport) -> None:
+        """Write all that waits to a report.
+
+        :param report: the report.
+        """
+        now_ms = clock.now_ms()
+        for (digest, endpoint), (noted_ms, trial) in self._strikes.items():
+            report.strikes.append(
+                fleet_pb2.Strike(
+                    digest=digest,
+                    endpoint=endpoint,
+                    age_ms=now_ms - noted_ms,
+                    trial=trial,
+                )
+            )
+        report.served.extend(self._served)
+        report.trial_requests.extend(self._asked.values())
+        report.trial_ends.extend(self._ends)
+
+    def forget_sent(self, report: fleet_pb2.WatchReport) -> None:
+        """Forget what a report carried that the leader was sent.
+
+        :param report: the report.
+        """
+        for strike in report.strikes:
+            self._strikes.pop((strike.digest, strike.endpoint), None)
+        for digest in report.served:
+            self._served.pop(digest, None)
+        for request in report.trial_requests:
+            self._asked.pop(request.trial, None)
+        del self._ends[: len(report.trial_ends)]
+
+    def apply(self, frame: fleet_pb2.FleetFrame) -> None:
+        """Apply the leader's answers.
+
+        :param frame: a frame from the leader.
+        """
+        for answer in frame.trial_answers:
+            if answer.is_cleared:
+                self._struck.clear(answer.digest)
+            waiting = self._answers.get(answer.trial)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(answer)
+            elif answer.is_granted:
+                # The request that asked has been given up meanwhile.
+                self.end_trial(answer.trial, answer.digest, was_sent=False)
+
+
+def _drop_oldest(waiting: dict) -> None:  # type: ignore[type-arg]
+    while len(waiting) > MAX_WAITING:
+        del waiting[next(iter(waiting))]
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -15,6 +15,8 @@
 from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
 from filbertglade.fleet import registry
+from filbertglade.fleet import struck_requests
+from filbertglade.fleet import trials
 from filbertglade.fleet import turns
 from filbertglade.fleet import view
 from filbertglade.inner import fleet_grpc
@@ -63,9 +65,11 @@
 
     :param report: its latest report.
     :param attached_ms: local clock at its first report.
+    :param changed_event: set when it must be sent a frame at once.
     :param frames: number of frames sent.
     :param sent_bytes: bytes of these frames.
     :param sending_bytes: bytes of the frame that is being sent; 0 if none is.
+    :param trial_answers: answers to its trial requests that wait to be sent.
     :param leave_reason: why its stream ended; None while it runs.
     :param leave_error: type and text of the exception that ended it; empty if
         there was none.
@@ -73,9 +77,15 @@
 
     report: fleet_pb2.WatchReport
     attached_ms: int
+    changed_event: asyncio.Event = dataclasses.field(
+        default_factory=asyncio.Event
+    )
     frames: int = 0
     sent_bytes: int = 0
     sending_bytes: int = 0
+    trial_answers: list[fleet_pb2.TrialAnswer] = dataclasses.field(
+        default_factory=list
+    )
     leave_reason: LeaveReason | None = None
     leave_error: str = ''
 
@@ -140,7 +150,8 @@
     :param membership: the control hosts.
     :param endpoint_registry: the endpoints.
     :param replicas: the controller of the groups.
-    :param fleet_view: this host's own view; it stores the strikes.
+    :param fleet_view: this host's own view, with the strikes that an earlier
+        leader knew.
     :param counters: the process's metrics.
     :ivar was_seeded: whether the registry started with endpoints that a
         previous leader had reported.
@@ -170,7 +181,8 @@
         self._version = 0
         self._load_version = 0
         self._is_stale = True
-        self._strikes: list[fleet_pb2.Strike] = []
+        self._struck = struck_requests.StruckRequests()
+        self._arbiter = trials.TrialArbiter(self._struck, counters)
         self._view_turns = turns.Turns(
             MAX_WHOLE_VIEWS, WHOLE_VIEW_TURN_MS, WHOLE_VIEW_TURN_MS
         )
@@ -208,7 +220,8 @@
         self._versioned_replicas.clear()
         self._removed_versions.clear()
         self._is_stale = True
-        self._strikes = self._view.list_strikes()
+        self._struck.replace_with(self._view.struck)
+        self._arbiter.start_leading()
 
     # Serving
 
@@ -257,7 +270,7 @@
         report_reader = asyncio.get_running_loop().create_task(
             self._read_reports(stream, watcher)
         )
-        changed_event = asyncio.Event()
+        changed_event = watcher.changed_event
         self._sender_events.add(changed_event)
         log.change('watcher.attached', watcher=first.node)
         try:
@@ -329,8 +342,28 @@
         if watcher.report.in_flight != report.in_flight:
             self._load_version += 1
         watcher.report = report
+        self._apply_crashes(watcher, report)
+        for suspicion in report.suspicions:
+            self._replicas.handle_suspicion(suspicion, report.node)
+        if report.requests:
+            self._replicas.has_traffic = True
+
+    def _apply_crashes(
+        self, watcher: ConnectedWatcher, report: fleet_pb2.WatchReport
+    ) -> None:
+        """Apply what a watcher reports of requests that crash endpoints.
+
+        Strikes come first: they decide about the trials that are asked for.
+        """
+        before = self._struck.trials_version
         for strike in report.strikes:
-            is_new = self._view.record_strike(strike.digest, strike.endpoint)
+            is_new = self._struck.add_strike(
+                strike.digest,
+                strike.endpoint,
+                strike.age_ms,
+                is_trial=bool(strike.trial),
+            )
+            self._arbiter.record_crash(strike.digest, strike.trial, report.run)
             log.change(
                 'strike.received',
                 digest=strike.digest.hex(),
@@ -338,12 +371,19 @@
                 watcher=report.node,
                 is_new=is_new,
             )
-            if is_new:
-                self._strikes.append(strike)
-        for suspicion in report.suspicions:
-            self._replicas.handle_suspicion(suspicion, report.node)
-        if report.requests:
-            self._replicas.has_traffic = True
+        for digest in report.served:
+            self._arbiter.record_served(digest)
+            self._struck.clear(digest)
+        for end in report.trial_ends:
+            self._arbiter.record_end(end, report.run)
+        for request in report.trial_requests:
+            watcher.trial_answers.append(
+                self._arbiter.decide(request, report.run)
+            )
+        if self._struck.trials_version != before:
+            self._wake_senders()
+        elif watcher.trial_answers:
+            watcher.changed_event.set()
 
     async def _send_frames(
         self,
@@ -515,8 +555,10 @@
         )
         if not has_view:
             return frame
-        frame.strikes.extend(self._strikes[sent.strikes :])
-        sent.strikes = len(self._strikes)
+        self._struck.write_changes(frame, sent.struck)
+        sent.struck = self._struck.version
+        frame.trial_answers.extend(watcher.trial_answers)
+        watcher.trial_answers.clear()
         if self.has_view or sent.is_view_begun or not watcher.report.has_view:
             # A watcher with an older complete view keeps that rather than
             # get an incomplete one; a watcher without any gets what there is.
@@ -585,12 +627,12 @@
     :param is_view_begun: whether any part of the view was sent.
     :param endpoints: registry version of the latest endpoints; -1 if none.
     :param replicas: version of the latest replicas; -1 if none.
-    :param strikes: number of strikes.
+    :param struck: version of the latest struck requests; -1 if none.
     :param in_flight: requests in flight by group.
     """
 
     is_view_begun: bool = False
     endpoints: int = -1
     replicas: int = -1
-    strikes: int = 0
+    struck: int = -1
     in_flight: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -5,18 +5,12 @@
 from filbertglade import clock
 from filbertglade.fleet import document
 from filbertglade.fleet import endpoints
+from filbertglade.fleet import struck_requests
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
 
 log = logs.get_log(__name__)
 
-# How long a strike counts against a request, in ms.
-STRIKE_LIFETIME_MS = 300_000
-# Crashed endpoints after which a request is refused on every node.
-STRIKE_LIMIT = 2
-# Most requests whose strikes are kept; the oldest are dropped first.
-MAX_STRUCK_REQUESTS = 10_000
-
 
 class FleetView:
     """Endpoints, replicas and the document in force, as the leader sends them.
@@ -32,6 +26,7 @@
     :ivar replicas: replicas by group.
     :ivar in_flight: requests in flight from all nodes, by group.
     :ivar entry_nodes: number of nodes that accept callers.
+    :ivar struck: requests under which endpoints crashed.
     :ivar last_frame_ms: local clock at the leader's latest frame; None if none
         was received.
     """
@@ -44,7 +39,7 @@
         self.in_flight: dict[str, int] = {}
         self.entry_nodes = 1
         self.last_frame_ms: int | None = None
-        self._strikes: dict[bytes, dict[str, int]] = {}
+        self.struck = struck_requests.StruckRequests()
         self._by_service: dict[str, list[fleet_pb2.Endpoint]] = {}
         self._by_model: dict[tuple[str, str], list[fleet_pb2.Replica]] = {}
         self._listeners: list[abc.Callable[[], None]] = []
@@ -102,8 +97,7 @@
         )
         if frame.entry_nodes:
             self.entry_nodes = frame.entry_nodes
-        for strike in frame.strikes:
-            self.record_strike(strike.digest, strike.endpoint)
+        self.struck.apply_changes(frame.cleared, frame.struck)
         if frame.is_whole:
             self.endpoints.clear()
             self.replicas.clear()
@@ -180,45 +174,3 @@
         :param model: the model's name.
         """
         return self._by_model.get((service, model), [])
-
-    # Strikes
-
-    def record_strike(self, digest: bytes, endpoint: str) -> bool:
-        """Record that a request was running on an endpoint that crashed.
-
-        :param digest: digest of the request.
-        :param endpoint: the endpoint's incarnation key.
-        :returns: whether it wasn't recorded before.
-        """
-        strikes = self._strikes.setdefault(digest, {})
-        is_new = endpoint not in strikes
-        if is_new:
-            log.change(
-                'strike.noted',
-                digest=digest.hex(),
-                endpoint=endpoint,
-                strikes=len(strikes) + 1,
-            )
-        strikes[endpoint] = clock.now_ms()
-        while len(self._strikes) > MAX_STRUCK_REQUESTS:
-            del self._strikes[next(iter(self._strikes))]
-        return is_new
-
-    def count_strikes(self, digest: bytes) -> int:
-        """Return how many endpoints crashed under a request recently.
-
-        :param digest: digest of the request.
-        """
-        oldest_ms = clock.now_ms() - STRIKE_LIFETIME_MS
-        strikes = self._strikes.get(digest, {})
-        return sum(
-            recorded_ms >= oldest_ms for recorded_ms in strikes.values()
-        )
-
-    def list_strikes(self) -> list[fleet_pb2.Strike]:
-        """Return all recorded strikes."""
-        return [
-            fleet_pb2.Strike(digest=digest, endpoint=endpoint)
-            for digest, strikes in self._strikes.items()
-            for endpoint in strikes
-        ]
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -7,6 +7,7 @@
 
 from filbertglade import clock
 from filbertglade.control import replication
+from filbertglade.fleet import crash_reports
 from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
 from filbertglade.fleet import view
@@ -51,6 +52,7 @@
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
     :ivar watched_host: the leader that is being watched; empty without one.
+    :ivar crashes: what is reported of requests that crash endpoints.
     :ivar in_flight: requests in flight here, by group.
     :ivar requests: requests received since the start.
     """
@@ -78,9 +80,11 @@
         self._control_hosts: list[str] = []
         self._leader = ''
         self.watched_host = ''
-        self._strikes: list[fleet_pb2.Strike] = []
         self._suspicions: list[fleet_pb2.Suspicion] = []
         self._urgent_change = asyncio.Event()
+        self.crashes = crash_reports.CrashReports(
+            fleet_view.struck, self._urgent_change.set
+        )
         self._reported_in_flight: dict[str, int] = {}
         # Of the current stream.
         self._received_frames = 0
@@ -107,18 +111,6 @@
         """Return the control hosts named by the leader, then the seeds."""
         return list(dict.fromkeys([*self._control_hosts, *self._seeds]))
 
-    def report_strike(self, digest: bytes, endpoint: str) -> None:
-        """Report to all nodes that an endpoint crashed under a request.
-
-        :param digest: digest of the request.
-        :param endpoint: the endpoint's incarnation key.
-        """
-        self._view.record_strike(digest, endpoint)
-        self._strikes.append(
-            fleet_pb2.Strike(digest=digest, endpoint=endpoint)
-        )
-        self._urgent_change.set()
-
     def report_suspicion(self, group: str, epoch: int, reason: str) -> None:
         """Report to the leader that a group seems to have stalled.
 
@@ -234,6 +226,7 @@
         self._control_hosts = list(frame.control_hosts) or self._control_hosts
         self._received_frames += 1
         self._view.apply_frame(frame)
+        self.crashes.apply(frame)
         self._counters.count('fleet_frames')
 
     async def _send_reports(self, stream: Stream) -> None:
@@ -249,8 +242,8 @@
             return
 
     def _forget_reported(self, report: fleet_pb2.WatchReport) -> None:
-        """Forget the strikes and suspicions that the leader was sent."""
-        del self._strikes[: len(report.strikes)]
+        """Forget the crashes and suspicions that the leader was sent."""
+        self.crashes.forget_sent(report)
         del self._suspicions[: len(report.suspicions)]
 
     async def _wait_for_change(self) -> None:
@@ -269,7 +262,7 @@
 
     def _build_report(self) -> fleet_pb2.WatchReport:
         self._reported_in_flight = dict(self.in_flight)
-        return fleet_pb2.WatchReport(
+        report = fleet_pb2.WatchReport(
             node=self._node,
             run=self._run_name,
             document_version=self._view.version,
@@ -279,8 +272,9 @@
                 for group, count in self.in_flight.items()
                 if count
             },
-            strikes=self._strikes,
             suspicions=self._suspicions,
             requests=self.requests,
             has_view=bool(self._view.endpoints or self._view.replicas),
         )
+        self.crashes.write(report)
+        return report
--- /dev/null
+++ b/filbertglade/forwarding/containment.py
@@ -0,0 +1,181 @@
+"""Contains requests that crash the endpoints that run them."""
+
+import asyncio
+import enum
+
+from filbertglade import clock
+from filbertglade import failures
+from filbertglade.fleet import crash_reports
+from filbertglade.fleet import view
+from filbertglade.observability import metrics
+
+# Longest wait for a trial, in ms: the leader's longest interval between two
+# frames and its batching. A refused caller needs the rest of its time.
+MAX_WAIT_MS = 300
+# The same as a fraction of the time until the deadline.
+MAX_WAIT_FRACTION = 0.25
+# Requests that may wait at once, each with its body in memory.
+MAX_WAITING_REQUESTS = 64
+# Interval between two looks at what the leader has cleared, in ms.
+POLL_INTERVAL_MS = 10
+# When to come back if the leader gave no answer, in ms.
+NO_ANSWER_RETRY_MS = 500
+
+
+class StruckReason(enum.Enum):
+    """Why a struck request isn't sent now."""
+
+    STRUCK = 'endpoints crashed under this request'
+
+
+class Permission:
+    """Permission to send a request to one endpoint.
+
+    :param trial: number of the trial; 0 if the request needs none.
+    """
+
+    __slots__ = ('is_ended', 'trial')
+
+    def __init__(self, trial: int = 0) -> None:
+        self.trial = trial
+        self.is_ended = not trial
+
+
+class Containment:
+    """Sends struck requests in trials only, as the leader permits.
+
+    :param fleet_view: the node's view.
+    :param reports: what this host reports to the leader.
+    :param counters: the process's metrics.
+    """
+
+    def __init__(
+        self,
+        fleet_view: view.FleetView,
+        reports: crash_reports.CrashReports,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._struck = fleet_view.struck
+        self._reports = reports
+        self._counters = counters
+        self._waiting = 0
+        # Digests for which this host asks the leader now.
+        self._asking: set[bytes] = set()
+        # When this host may ask again, by digest.
+        self._retry_ms: dict[bytes, int] = {}
+
+    async def admit(
+        self, digest: bytes, remaining_ms: int
+    ) -> Permission | failures.Failure:
+        """Wait until a request may be sent to an endpoint.
+
+        :param digest: its digest.
+        :param remaining_ms: time until its deadline.
+        :returns: the permission, or why it may not be sent;
+            :meth:`find_retry_ms` tells when to come back.
+        """
+        if not self._struck.needs_trial(digest):
+            return Permission()
+        if self._waiting >= MAX_WAITING_REQUESTS:
+            return self._refuse(digest)
+        self._waiting += 1
+        try:
+            return await self._wait(digest, remaining_ms)
+        finally:
+            self._waiting -= 1
+
+    async def _wait(
+        self, digest: bytes, remaining_ms: int
+    ) -> Permission | failures.Failure:
+        limit_ms = min(MAX_WAIT_MS, int(remaining_ms * MAX_WAIT_FRACTION))
+        end_ms = clock.now_ms() + limit_ms
+        while self._struck.needs_trial(digest):
+            now_ms = clock.now_ms()
+            may_ask_ms = self._retry_ms.get(digest, 0)
+            if now_ms >= end_ms or may_ask_ms >= end_ms:
+                return self._refuse(digest)
+            if digest in self._asking or now_ms < may_ask_ms:
+                await asyncio.sleep(POLL_INTERVAL_MS / 1000)
+                continue
+            trial = await self._ask(digest, remaining_ms, end_ms - now_ms)
+            if trial:
+                return Permission(trial)
+        self._retry_ms.pop(digest, None)
+        return Permission()
+
+    async def _ask(
+        self, digest: bytes, remaining_ms: int, limit_ms: int
+    ) -> int:
+        """Ask the leader for a trial; return its number, 0 if refused."""
+        self._asking.add(digest)
+        try:
+            answer = await self._reports.ask_for_trial(
+                digest, remaining_ms, limit_ms
+            )
+        finally:
+            self._asking.discard(digest)
+        if answer is not None and answer.is_granted:
+            return answer.trial
+        retry_ms = NO_ANSWER_RETRY_MS
+        if answer is not None:
+            retry_ms = answer.retry_after_ms
+        self._retry_ms[digest] = clock.now_ms() + retry_ms
+        return 0
+
+    def _refuse(self, digest: bytes) -> failures.Failure:
+        self._counters.count('struck_requests_refused')
+        count = self._struck.count_strikes(digest)
+        return failures.Failure(
+            StruckReason.STRUCK, f'{count}, digest {digest.hex()}'
+        )
+
+    def find_retry_ms(self, digest: bytes) -> int:
+        """Return when a refused request may come back, in ms from now.
+
+        :param digest: its digest.
+        """
+        now_ms = clock.now_ms()
+        if len(self._retry_ms) > MAX_WAITING_REQUESTS:
+            self._retry_ms = {
+                key: at_ms
+                for key, at_ms in self._retry_ms.items()
+                if at_ms > now_ms
+            }
+        remaining_ms = self._retry_ms.get(digest, 0) - now_ms
+        return max(remaining_ms, POLL_INTERVAL_MS)
+
+    def record_served(self, digest: bytes, permission: Permission) -> None:
+        """Record that an endpoint answered a request completely.
+
+        :param digest: the request's digest.
+        :param permission: the permission with which it was sent.
+        """
+        permission.is_ended = True
+        if permission.trial or self._struck.find(digest) is not None:
+            self._retry_ms.pop(digest, None)
+            self._reports.report_served(digest)
+
+    def record_crash(
+        self, digest: bytes, endpoint: str, permission: Permission
+    ) -> None:
+        """Record that an endpoint crashed while it ran a request.
+
+        :param digest: the request's digest.
+        :param endpoint: the endpoint's incarnation key.
+        :param permission: the permission with which it was sent.
+        """
+        permission.is_ended = True
+        self._reports.report_strike(digest, endpoint, permission.trial)
+
+    def end(
+        self, digest: bytes, permission: Permission, was_sent: bool
+    ) -> None:
+        """End a trial of which nothing else was recorded.
+
+        :param digest: the request's digest.
+        :param permission: the permission with which it was sent, or not.
+        :param was_sent: whether it was sent to an endpoint.
+        """
+        if not permission.is_ended:
+            permission.is_ended = True
+            self._reports.end_trial(permission.trial, digest, was_sent)
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -8,6 +8,7 @@
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.forwarding import choice
+from filbertglade.forwarding import containment
 from filbertglade.forwarding import quota
 from filbertglade.forwarding import stall_detection
 from filbertglade.forwarding import upstream
@@ -60,6 +61,7 @@
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
     :ivar certainty: whether the document in force may be out of date.
+    :ivar containment: contains requests that crash endpoints.
     :ivar deadlines: the longest deadline of each route.
     :ivar stopping_since_ms: local clock when the shutdown began; None before.
     """
@@ -90,6 +92,9 @@
         self.counters = counters
         self.rng = rng
         self.certainty = certainty.DocumentCertainty(fleet_view)
+        self.containment = containment.Containment(
+            fleet_view, leader.crashes, counters
+        )
         self.deadlines = DeadlineTracker()
         self.stopping_since_ms: int | None = None
 
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -11,9 +11,9 @@
 from filbertglade import clock
 from filbertglade import failures
 from filbertglade.fleet import document
-from filbertglade.fleet import view
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import choice
+from filbertglade.forwarding import containment
 from filbertglade.forwarding import context
 from filbertglade.forwarding import events
 from filbertglade.forwarding import heads
@@ -141,6 +141,9 @@
         self._connection: upstream.Connection | None = None
         self._target: choice.Target | None = None
         self._stalled = False
+        # Of the current attempt.
+        self._permission = containment.Permission()
+        self._has_sent = False
         # Whether the retry after a failover has been taken from the quota.
         self._is_retry_taken = False
         self.suspect_limit_ms = float(stall_detection.DEFAULT_SUSPECT_MS)
@@ -192,10 +195,6 @@
             self._refuse(503, 'no such service or model', REPAIR_RETRY_AFTER_S)
             return
         self._digest = self._digest_request()
-        strikes = shared.view.count_strikes(self._digest)
-        if strikes >= view.STRIKE_LIMIT:
-            self._refuse(503, f'crashed {strikes} endpoints')
-            return
         shared.retries.record_request(self._service)
         await self._run_attempts(route)
 
@@ -332,13 +331,14 @@
     # Attempts
 
     async def _run_attempts(self, route: document.Route) -> None:
+        shared = self._context
         outcome: AttemptOutcome | None = None
         for _ in range(EXTRA_ATTEMPTS + route.max_attempts):
             if self._remaining_ms() < MIN_REMAINING_MS:
                 outcome = outcome or AttemptOutcome.TIMED_OUT
                 break
             demand = self._build_demand(route)
-            target = self._context.chooser.choose(demand, self._tried)
+            target = shared.chooser.choose(demand, self._tried)
             if isinstance(target, failures.Failure):
                 is_overloaded = target.reason is choice.NoTargetReason.FULL
                 self._give_up(outcome, str(target), is_overloaded)
@@ -349,7 +349,19 @@
                 self._give_up(outcome, 'quota of retries spent')
                 return
             self._is_retry_taken = False
-            outcome = await self._attempt(target, route, demand)
+            permission = await shared.containment.admit(
+                self._digest, self._remaining_ms()
+            )
+            if isinstance(permission, failures.Failure):
+                self._give_up_struck(outcome, str(permission))
+                return
+            self._permission = permission
+            try:
+                outcome = await self._attempt(target, route, demand)
+            finally:
+                shared.containment.end(
+                    self._digest, permission, self._has_sent
+                )
             if outcome is AttemptOutcome.ANSWERED:
                 return
             self._tried.append(target.load_key)
@@ -357,6 +369,16 @@
                 break
         self._give_up(outcome, 'tries used up')
 
+    def _give_up_struck(
+        self, outcome: AttemptOutcome | None, detail: str
+    ) -> None:
+        """End a request that may not be sent as endpoints crashed."""
+        if self._send_count:
+            self._give_up(outcome, detail)
+            return
+        retry_ms = self._context.containment.find_retry_ms(self._digest)
+        self._refuse(503, detail, retry_ms / 1000)
+
     def _remaining_ms(self) -> int:
         return self._deadline_ms - clock.now_ms()
 
@@ -443,6 +465,7 @@
     ) -> AttemptOutcome:
         """Send the request to one target and forward its response."""
         shared = self._context
+        self._has_sent = False
         connection = await self._connect(target, route)
         if isinstance(connection, failures.Failure):
             shared.faults.record(target, str(connection))
@@ -451,6 +474,7 @@
                     target.group, target.epoch, str(connection)
                 )
             return AttemptOutcome.UNREACHABLE
+        self._has_sent = True
         self._send_count += 1
         self._run_count += 1
         self._stalled = False
@@ -464,7 +488,8 @@
             group=target.group,
             epoch=target.epoch,
             digest=self._digest.hex(),
-            strikes=shared.view.count_strikes(self._digest),
+            strikes=shared.view.struck.count_strikes(self._digest),
+            trial=self._permission.trial,
             load=load,
             slowness=target.slowness,
             standing=demand.admission_class.value,
@@ -587,6 +612,9 @@
                 self._service, shared.view.entry_nodes
             ):
                 await _skip_body(connection, head)
+                shared.containment.record_served(
+                    self._digest, self._permission
+                )
                 return AttemptOutcome.FAILED, connection.is_reusable(head)
         if self._request.is_response_started and not head.is_success:
             # The head has been forwarded already, so a resumed stream can't
@@ -650,7 +678,9 @@
         if target.group:
             shared.faults.record(target, detail)
             shared.leader.report_suspicion(target.group, target.epoch, detail)
-        shared.leader.report_strike(self._digest, target.key)
+        shared.containment.record_crash(
+            self._digest, target.key, self._permission
+        )
 
     def _log_not_counted(self, target: choice.Target, reason: str) -> None:
         """Log why a response that broke off gives the request no strike."""
@@ -732,6 +762,7 @@
         self, target: choice.Target, head: upstream.ResponseHead
     ) -> None:
         shared = self._context
+        shared.containment.record_served(self._digest, self._permission)
         now_ms = clock.now_ms()
         first_ms = (self._first_byte_ms or now_ms) - self._request.received_ms
         self._count('requests', outcome=str(head.status))
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -261,7 +261,7 @@
         strikes=[fleet_pb2.Strike(digest=b'x', endpoint='i-1')]
     )
     watch(stream)
-    strikes = [item for frame in stream.frames for item in frame.strikes]
+    strikes = [item for frame in stream.frames for item in frame.struck]
     assert len(strikes) == 1
 
 
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -148,7 +148,7 @@
             metrics.Metrics(),
             random.Random(1),
         )
-        fleet_watcher.report_strike(b'x', 'i-1')
+        fleet_watcher.crashes.report_strike(b'x', 'i-1')
         fleet_watcher.start()
         await asyncio.sleep(3)
         await fleet_watcher.close()
--- a/tests/gateway_forwarding/test_uncertain_document.py
+++ b/tests/gateway_forwarding/test_uncertain_document.py
@@ -84,6 +84,8 @@
 
 class Leader:
     requests = 0
+    # No test here has a request under which an endpoint crashed.
+    crashes = None
 
 
 class Call:
