Recognize the repeats of a request without a body

What callers saw: a request without a body (number-lookup) crashed endpoint after endpoint; each of its repeats was sent as if it were the first (BUDGET).

Cause: its digest held the request's id, and every repeat has a new one.

The digest is that of method, host, path, customer and body: what makes a repeat the same request. That common requests share it is safe since struck requests are sent in trials: a run that ends clears the strikes.

Ten sends of a GET at two hosts, on new connections: 20 workers crashed before, within the rule's 3 and 3 now (the test). On kept connections 9 crash still, and 20 with a body: the next fault.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -319,13 +319,10 @@
         request = self._request
         customer = self._customer.name if self._customer else ''
         digest = hashlib.sha256(
-            f'{request.hostname} {request.target} {customer} '.encode()
+            f'{request.method} {request.hostname} {request.target} '
+            f'{customer} '.encode()
         )
         digest.update(request.body)
-        if not request.body:
-            # Without a body, equal requests of different callers are common,
-            # so the request id tells them apart.
-            digest.update(self._request_id.encode())
         return digest.digest()[:16]
 
     # Attempts
