Count the crash of an endpoint on a kept connection

And any other broken connection counted one, though the endpoint ran on.

A connection that closes isn't a crash. Now the host looks at the address: if it refuses connections, the endpoint has ended, and this counts, whatever the connection.

A refused connection has a reason of its own now, UpstreamReason.REFUSED, so test_an_address_without_a_listener_refuses asserts that one in place of UNREACHABLE: as strict, of the narrower case.

--- a/filbertglade/fleet/crash_reports.py
+++ b/filbertglade/fleet/crash_reports.py
@@ -11,7 +11,8 @@
 
 log = logs.get_log(__name__)
 
-# Most strikes, and most answered requests, that wait to be reported.
+# Most strikes, broken responses and answered requests that wait to be
+# reported, of each kind.
 MAX_WAITING = 1000
 
 
@@ -32,6 +33,8 @@
         self._trial_numbers = itertools.count(1)
         # By digest and endpoint: when the crash was noted, and the trial.
         self._strikes: dict[tuple[bytes, str], tuple[int, int]] = {}
+        # When each response broke off.
+        self._broken: list[tuple[int, fleet_pb2.BrokenResponse]] = []
         self._served: dict[bytes, None] = {}
         self._asked: dict[int, fleet_pb2.TrialRequest] = {}
         self._answers: dict[int, asyncio.Future[fleet_pb2.TrialAnswer]] = {}
@@ -51,6 +54,15 @@
         _drop_oldest(self._strikes)
         self._notify()
 
+    def report_broken(self, broken: fleet_pb2.BrokenResponse) -> None:
+        """Report a response that broke off, maybe because of a crash.
+
+        :param broken: what is known of it.
+        """
+        self._broken.append((clock.now_ms(), broken))
+        del self._broken[:-MAX_WAITING]
+        self._notify()
+
     def report_served(self, digest: bytes) -> None:
         """Report that an endpoint answered a struck request completely.
 
@@ -118,6 +130,9 @@
                     trial=trial,
                 )
             )
+        for noted_ms, broken in self._broken:
+            broken.age_ms = now_ms - noted_ms
+            report.broken_responses.append(broken)
         report.served.extend(self._served)
         report.trial_requests.extend(self._asked.values())
         report.trial_ends.extend(self._ends)
@@ -129,6 +144,7 @@
         """
         for strike in report.strikes:
             self._strikes.pop((strike.digest, strike.endpoint), None)
+        del self._broken[: len(report.broken_responses)]
         for digest in report.served:
             self._served.pop(digest, None)
         for request in report.trial_requests:
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -12,6 +12,7 @@
 from filbertglade.control import replication
 from filbertglade.control import state
 from filbertglade.control import voters as control_voters
+from filbertglade.fleet import crash_evidence
 from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
 from filbertglade.fleet import registry
@@ -183,6 +184,9 @@
         self._is_stale = True
         self._struck = struck_requests.StruckRequests()
         self._arbiter = trials.TrialArbiter(self._struck, counters)
+        self._evidence = crash_evidence.CrashEvidence(
+            endpoint_registry, self._struck, self._arbiter, counters
+        )
         self._view_turns = turns.Turns(
             MAX_WHOLE_VIEWS, WHOLE_VIEW_TURN_MS, WHOLE_VIEW_TURN_MS
         )
@@ -222,6 +226,7 @@
         self._is_stale = True
         self._struck.replace_with(self._view.struck)
         self._arbiter.start_leading()
+        self._evidence.clear()
 
     # Serving
 
@@ -371,6 +376,8 @@
                 watcher=report.node,
                 is_new=is_new,
             )
+        for broken in report.broken_responses:
+            self._evidence.add(broken, report.run, self._list_members(broken))
         for digest in report.served:
             self._arbiter.record_served(digest)
             self._struck.clear(digest)
@@ -385,6 +392,17 @@
         elif watcher.trial_answers:
             watcher.changed_event.set()
 
+    def _list_members(
+        self, broken: fleet_pb2.BrokenResponse
+    ) -> abc.Iterable[str]:
+        """Return the endpoints whose crash may have broken a response off."""
+        if not broken.group:
+            return (broken.endpoint,)
+        record = self._agreed.replicas.records.get(broken.group)
+        if record is None or record.epoch != broken.epoch:
+            return (broken.endpoint,)
+        return record.endpoints
+
     async def _send_frames(
         self,
         stream: 'server.Stream[fleet_pb2.WatchReport, fleet_pb2.FleetFrame]',
@@ -475,6 +493,8 @@
 
     def refresh(self) -> None:
         """Update the replicas and the load, once for all watchers."""
+        if self._evidence.judge():
+            self._wake_senders()
         totals: dict[str, int] = {}
         for watcher in self._watchers.values():
             for group, count in watcher.report.in_flight.items():
--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -61,6 +61,8 @@
         self._key_by_id: dict[str, str] = {}
         self._key_by_address: dict[str, str] = {}
         self._ended_ms: dict[str, int] = {}
+        # Ended incarnations that had not announced that they leave.
+        self._crashed: set[str] = set()
         self.removed_versions: dict[str, int] = {}
         self.version = 0
         # Local clock when the newest incarnation was added.
@@ -167,6 +169,8 @@
             self._key_by_address.get(endpoint.address),
         ):
             if other is not None and other != key and other in self.entries:
+                if not self.entries[other].endpoint.leaving:
+                    self._crashed.add(other)
                 self._remove(other, f'replaced by {key}')
 
     def deregister(self, endpoint_id: str, born_ms: int) -> None:
@@ -184,6 +188,18 @@
         self._remove(key, 'departed')
         self._publish_change()
 
+    def has_crashed(self, key: str) -> bool:
+        """Return whether an incarnation seems to have crashed.
+
+        :param key: its incarnation key.
+        :returns: whether it is silent, or another one has its id or address
+            although it didn't announce that it leaves.
+        """
+        entry = self.entries.get(key)
+        if entry is not None:
+            return entry.endpoint.silent
+        return key in self._crashed
+
     def mark_silent(self, key: str, reason: str) -> None:
         """Mark an endpoint silent until its next announcement.
 
@@ -209,6 +225,8 @@
         for key, entry in list(self.entries.items()):
             age_ms = now_ms - entry.last_announced_ms
             if age_ms > FORGET_MS:
+                if not entry.endpoint.leaving:
+                    self._crashed.add(key)
                 self._remove(key, 'forgotten')
                 self._publish_change()
             elif age_ms > self._silence_ms:
@@ -219,6 +237,7 @@
             if now_ms - ended_ms > ENDED_RETENTION_MS
         ]:
             del self._ended_ms[key]
+            self._crashed.discard(key)
             self.removed_versions.pop(key, None)
 
     def _add(self, endpoint: fleet_pb2.Endpoint) -> None:
--- a/filbertglade/forwarding/containment.py
+++ b/filbertglade/forwarding/containment.py
@@ -7,7 +7,14 @@
 from filbertglade import failures
 from filbertglade.fleet import crash_reports
 from filbertglade.fleet import view
+from filbertglade.forwarding import choice
+from filbertglade.forwarding import crash_check
+from filbertglade.inner import fleet_pb2
+from filbertglade.observability import logs
 from filbertglade.observability import metrics
+from filbertglade import tasks
+
+log = logs.get_log(__name__)
 
 # Longest wait for a trial, in ms: the leader's longest interval between two
 # frames and its batching. A refused caller needs the rest of its time.
@@ -18,6 +25,9 @@
 MAX_WAITING_REQUESTS = 64
 # Interval between two looks at what the leader has cleared, in ms.
 POLL_INTERVAL_MS = 10
+# How long a request waits for the sign of a crash before it may be sent to
+# another endpoint, in ms: several round trips between data centres.
+CHECK_WAIT_MS = 60
 # When to come back if the leader gave no answer, in ms.
 NO_ANSWER_RETRY_MS = 500
 
@@ -46,6 +56,8 @@
 
     :param fleet_view: the node's view.
     :param reports: what this host reports to the leader.
+    :param check: looks at the addresses of endpoints.
+    :param faults: targets to exclude.
     :param counters: the process's metrics.
     """
 
@@ -53,8 +65,13 @@
         self,
         fleet_view: view.FleetView,
         reports: crash_reports.CrashReports,
+        check: crash_check.CrashCheck,
+        faults: choice.FaultTracker,
         counters: metrics.Metrics,
     ) -> None:
+        self._check = check
+        self._faults = faults
+        self._tasks = tasks.TaskGroup()
         self._struck = fleet_view.struck
         self._reports = reports
         self._counters = counters
@@ -155,17 +172,46 @@
             self._retry_ms.pop(digest, None)
             self._reports.report_served(digest)
 
-    def record_crash(
-        self, digest: bytes, endpoint: str, permission: Permission
+    async def record_broken(
+        self, digest: bytes, target: choice.Target, permission: Permission
     ) -> None:
-        """Record that an endpoint crashed while it ran a request.
+        """Find out whether an endpoint crashed as its response broke off.
+
+        Returns when it is known, or after a short time.
 
         :param digest: the request's digest.
-        :param endpoint: the endpoint's incarnation key.
+        :param target: the endpoint, or the head of the replica.
         :param permission: the permission with which it was sent.
         """
         permission.is_ended = True
-        self._reports.report_strike(digest, endpoint, permission.trial)
+        judged = self._tasks.start(
+            self._judge(digest, target, permission.trial)
+        )
+        await asyncio.wait([judged], timeout=CHECK_WAIT_MS / 1000)
+
+    async def _judge(
+        self, digest: bytes, target: choice.Target, trial: int
+    ) -> None:
+        sign = await self._check.look_at(target)
+        log.change(
+            'endpoint.looked_at',
+            digest=digest.hex(),
+            endpoint=target.key,
+            sign=sign.value,
+        )
+        if sign is crash_check.EndpointSign.ENDED:
+            self._faults.record(target, sign.value)
+            self._reports.report_strike(digest, target.key, trial)
+            return
+        self._reports.report_broken(
+            fleet_pb2.BrokenResponse(
+                digest=digest,
+                endpoint=target.key,
+                group=target.group,
+                epoch=target.epoch,
+                trial=trial,
+            )
+        )
 
     def end(
         self, digest: bytes, permission: Permission, was_sent: bool
@@ -179,3 +225,7 @@
         if not permission.is_ended:
             permission.is_ended = True
             self._reports.end_trial(permission.trial, digest, was_sent)
+
+    async def close(self) -> None:
+        """Stop looking at endpoints."""
+        await self._tasks.close()
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -9,6 +9,7 @@
 from filbertglade.fleet import watcher
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import containment
+from filbertglade.forwarding import crash_check
 from filbertglade.forwarding import quota
 from filbertglade.forwarding import stall_detection
 from filbertglade.forwarding import upstream
@@ -93,7 +94,11 @@
         self.rng = rng
         self.certainty = certainty.DocumentCertainty(fleet_view)
         self.containment = containment.Containment(
-            fleet_view, leader.crashes, counters
+            fleet_view,
+            leader.crashes,
+            crash_check.CrashCheck(pool),
+            faults,
+            counters,
         )
         self.deadlines = DeadlineTracker()
         self.stopping_since_ms: int | None = None
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -594,7 +594,7 @@
             shared.dialect.request_id, self._request_id, self._request.method
         )
         if isinstance(head, failures.Failure):
-            self._record_broken_connection(target, connection, str(head))
+            await self._record_broken(target, connection, str(head))
             return AttemptOutcome.BROKEN, False
         if self._is_not_run(head):
             await _skip_body(connection, head)
@@ -623,7 +623,7 @@
             else:
                 await self._forward_body(connection, head)
         except upstream.IncompleteResponse as error:
-            self._record_broken_connection(target, connection, str(error))
+            await self._record_broken(target, connection, str(error))
             return AttemptOutcome.CUT, False
         self._record_response(target, head)
         return AttemptOutcome.ANSWERED, connection.is_reusable(head)
@@ -655,7 +655,7 @@
                     f'answered {head.status}',
                 )
 
-    def _record_broken_connection(
+    async def _record_broken(
         self,
         target: choice.Target,
         connection: upstream.Connection,
@@ -668,15 +668,12 @@
         shared = self._context
         self._log('answer.broken', endpoint=target.key, reason=detail)
         shared.pool.drop(target.key)
-        if connection.is_reused and self._first_byte_ms is None:
-            # The endpoint may just have closed an idle connection.
-            self._log_not_counted(target, 'no byte on a kept connection')
-            return
-        if target.group:
+        was_idle = connection.is_reused and self._first_byte_ms is None
+        if target.group and not was_idle:
             shared.faults.record(target, detail)
             shared.leader.report_suspicion(target.group, target.epoch, detail)
-        shared.containment.record_crash(
-            self._digest, target.key, self._permission
+        await shared.containment.record_broken(
+            self._digest, target, self._permission
         )
 
     def _log_not_counted(self, target: choice.Target, reason: str) -> None:
--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -61,6 +61,8 @@
 class UpstreamReason(enum.Enum):
     """Why an endpoint gave no response."""
 
+    # Nothing was sent: no process listens at the address.
+    REFUSED = 'refused'
     # Nothing was sent.
     UNREACHABLE = 'unreachable'
     # The connection broke after sending; the request may have run.
@@ -413,7 +415,11 @@
             )
         except (OSError, TimeoutError, iostream.StreamClosedError) as error:
             detail = f'{address}: {type(error).__name__}: {error}'
-            return failures.Failure(UpstreamReason.UNREACHABLE, detail)
+            cause = getattr(error, 'real_error', error)
+            reason = UpstreamReason.UNREACHABLE
+            if isinstance(cause, ConnectionRefusedError):
+                reason = UpstreamReason.REFUSED
+            return failures.Failure(reason, detail)
         stream.set_nodelay(True)
         stream.socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -155,4 +155,5 @@
         if self._health_server is not None:
             self._health_server.stop()
         await self._tasks.close()
+        await self._context.containment.close()
         self._pool.close()
--- a/tests/gateway_forwarding/test_upstream.py
+++ b/tests/gateway_forwarding/test_upstream.py
@@ -226,6 +226,6 @@
     assert pool.take_idle('e', 10_000) is connection
 
 
-async def test_an_address_without_a_listener_is_unreachable(pool):
+async def test_an_address_without_a_listener_refuses(pool):
     failure = await pool.connect('e', '127.0.0.1:9')
-    assert failure.reason is upstream.UpstreamReason.UNREACHABLE
+    assert failure.reason is upstream.UpstreamReason.REFUSED
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -218,3 +218,22 @@
         for number in range(20)
     ]
     assert statuses == [200] * 20
+
+
+# Guards against the refusal of requests whose connections are only reset.
+async def test_request_on_reset_connections_is_sent_again(crashing):
+    async def reset(writer, headers):
+        writer.transport.abort()
+
+    for worker in crashing.workers:
+        worker.respond = reset
+    for number in range(SENDS):
+        response = await crashing.send_request('/read/common', number % 2)
+        assert response.status_code == 502
+    for worker in crashing.workers:
+        worker.respond = None
+    statuses = [
+        (await crashing.send_request('/read/common', number % 2)).status_code
+        for number in range(20)
+    ]
+    assert statuses == [200] * 20
