Tell the next leader of strikes that the last one may not have passed on

Cause: a host forgot a strike once the stream to the leader had taken it. A stream that took a message proves no receipt, and a receipt no further copy.

A host keeps what it reported, strikes, broken responses and running trials, and tells it to each leader that it finds, with the age, until the request is cleared or forgotten.

The new test failed before: the second leader got no strike. In test_strikes_are_kept_until_a_leader_has_them the second stream was expected to carry none, which was this fault; it asserts exactly one now.

--- a/filbertglade/fleet/crash_reports.py
+++ b/filbertglade/fleet/crash_reports.py
@@ -5,6 +5,7 @@
 import itertools
 
 from filbertglade import clock
+from filbertglade.fleet import crash_evidence
 from filbertglade.fleet import struck_requests
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
@@ -36,6 +37,12 @@
         # When each response broke off.
         self._broken: list[tuple[int, fleet_pb2.BrokenResponse]] = []
         self._served: dict[bytes, None] = {}
+        # What the leader was sent. It may be lost before it tells the others,
+        # so the next one is sent it again.
+        self._sent_strikes: dict[tuple[bytes, str], tuple[int, int]] = {}
+        self._sent_broken: list[tuple[int, fleet_pb2.BrokenResponse]] = []
+        # Trials that run, with the local clock at their end.
+        self._running: dict[int, tuple[int, fleet_pb2.TrialRequest]] = {}
         self._asked: dict[int, fleet_pb2.TrialRequest] = {}
         self._answers: dict[int, asyncio.Future[fleet_pb2.TrialAnswer]] = {}
         self._ends: list[fleet_pb2.TrialEnd] = []
@@ -50,6 +57,7 @@
         :param trial: the trial in which it was sent; 0 for none.
         """
         self._struck.add_strike(digest, endpoint, is_trial=bool(trial))
+        self._forget_running(digest)
         self._strikes[digest, endpoint] = (clock.now_ms(), trial)
         _drop_oldest(self._strikes)
         self._notify()
@@ -69,8 +77,10 @@
         :param digest: the request's digest.
         """
         self._struck.clear(digest)
-        for strike_key in [key for key in self._strikes if key[0] == digest]:
-            del self._strikes[strike_key]
+        for strikes in (self._strikes, self._sent_strikes):
+            for strike_key in [key for key in strikes if key[0] == digest]:
+                del strikes[strike_key]
+        self._forget_running(digest)
         self._served[digest] = None
         _drop_oldest(self._served)
         self._notify()
@@ -86,15 +96,19 @@
         :returns: the answer; None if none came in time.
         """
         trial = next(self._trial_numbers)
-        self._asked[trial] = fleet_pb2.TrialRequest(
+        request = fleet_pb2.TrialRequest(
             trial=trial, digest=digest, lasts_ms=lasts_ms
         )
+        self._asked[trial] = request
         answer = asyncio.get_running_loop().create_future()
         self._answers[trial] = answer
         self._notify()
         try:
             async with asyncio.timeout(limit_ms / 1000):
-                return await answer
+                result = await answer
+            if result.is_granted:
+                self._running[trial] = (clock.now_ms() + lasts_ms, request)
+            return result
         except TimeoutError:
             return None
         finally:
@@ -108,13 +122,45 @@
         :param digest: the request's digest.
         :param was_sent: whether it was sent to an endpoint.
         """
+        self._forget_running(digest)
         self._ends.append(
             fleet_pb2.TrialEnd(trial=trial, digest=digest, was_sent=was_sent)
         )
         self._notify()
 
+    def _forget_running(self, digest: bytes) -> None:
+        self._running = {
+            trial: (end_ms, request)
+            for trial, (end_ms, request) in self._running.items()
+            if request.digest != digest
+        }
+
     # The stream to the leader
 
+    def start_stream(self) -> None:
+        """Let the next report tell another leader all that it must know."""
+        now_ms = clock.now_ms()
+        strikes = {
+            strike_key: noted
+            for strike_key, noted in self._sent_strikes.items()
+            if self._struck.find(strike_key[0]) is not None
+        }
+        self._strikes = {**strikes, **self._strikes}
+        self._sent_strikes = {}
+        self._broken = [
+            (noted_ms, broken)
+            for noted_ms, broken in [*self._sent_broken, *self._broken]
+            if now_ms - noted_ms < crash_evidence.EVIDENCE_MS
+        ]
+        self._sent_broken = []
+        for trial, (end_ms, request) in list(self._running.items()):
+            if now_ms >= end_ms:
+                del self._running[trial]
+                continue
+            request.is_running = True
+            request.lasts_ms = end_ms - now_ms
+            self._asked[trial] = request
+
     def write(self, report: fleet_pb2.WatchReport) -> None:
         """Write all that waits to a report.
 
@@ -143,7 +189,13 @@
         :param report: the report.
         """
         for strike in report.strikes:
-            self._strikes.pop((strike.digest, strike.endpoint), None)
+            strike_key = (strike.digest, strike.endpoint)
+            noted = self._strikes.pop(strike_key, None)
+            if noted is not None:
+                self._sent_strikes[strike_key] = noted
+        _drop_oldest(self._sent_strikes)
+        self._sent_broken += self._broken[: len(report.broken_responses)]
+        del self._sent_broken[:-MAX_WAITING]
         del self._broken[: len(report.broken_responses)]
         for digest in report.served:
             self._served.pop(digest, None)
@@ -162,7 +214,7 @@
             waiting = self._answers.get(answer.trial)
             if waiting is not None and not waiting.done():
                 waiting.set_result(answer)
-            elif answer.is_granted:
+            elif answer.is_granted and answer.trial not in self._running:
                 # The request that asked has been given up meanwhile.
                 self.end_trial(answer.trial, answer.digest, was_sent=False)
 
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -152,6 +152,7 @@
         try:
             stub = fleet_grpc.FleetStub(channel)
             async with stub.Watch.open() as stream:
+                self.crashes.start_stream()
                 report = self._build_report()
                 async with asyncio.timeout(FIRST_FRAME_TIMEOUT_MS / 1000):
                     await stream.send_message(report)
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -159,4 +159,58 @@
 
     to_follower, to_leader = virtual_time.run(main())
     assert len(to_follower[0].strikes) == 1
-    assert [len(report.strikes) for report in to_leader][:2] == [1, 0]
+    # That the leader took it proves no receipt, so each stream carries it.
+    assert [len(report.strikes) for report in to_leader][:2] == [1, 1]
+
+
+# Guards against strikes that only a lost leader has received.
+def test_strikes_are_reported_to_the_next_leader_again():
+    async def main():
+        links = network.Network()
+        links.ports = {'first': PORT, 'second': PORT + 1, 'host': 0}
+        leaders = {
+            'first': FakeLeader([FRAME], pause_s=0),
+            'second': FakeLeader([FRAME], pause_s=0),
+        }
+        servers = [server.Server([item]) for item in leaders.values()]
+        await servers[0].start('127.0.0.1', PORT)
+        other = '127.0.0.2:9000'
+        fleet_watcher = watcher.Watcher(
+            'host',
+            'run',
+            [ADDRESS],
+            True,
+            view.FleetView(),
+            network.Channels(
+                links, 'host', {ADDRESS: 'first', other: 'second'}
+            ),
+            metrics.Metrics(),
+            random.Random(1),
+        )
+        crashes = fleet_watcher.crashes
+        crashes.report_strike(b'x', 'i-1')
+        crashes.report_strike(b'y', 'i-1')
+        crashes.report_broken(
+            fleet_pb2.BrokenResponse(digest=b'z', endpoint='i-2')
+        )
+        fleet_watcher.start()
+        await asyncio.sleep(0.5)
+        crashes.report_served(b'y')
+        fleet_watcher.set_seeds([other])
+        servers[0].close()
+        await servers[0].wait_closed()
+        await servers[1].start('127.0.0.1', PORT + 1)
+        await asyncio.sleep(5)
+        await fleet_watcher.close()
+        servers[1].close()
+        await servers[1].wait_closed()
+        return leaders
+
+    leaders = virtual_time.run(main())
+    for name in ('first', 'second'):
+        report = leaders[name].reports[0]
+        digests = {strike.digest for strike in report.strikes}
+        assert digests == {'first': {b'x', b'y'}, 'second': {b'x'}}[name]
+        assert [item.digest for item in report.broken_responses] == [b'z']
+    (strike,) = leaders['second'].reports[0].strikes
+    assert strike.age_ms >= 500
