Count crashes under which a request waits until its deadline

What callers would see: a request that ends its endpoints by silence, or late in a stream, is sent to one after the other: it ends by its deadline or by a stalled replica, and neither was a strike.

Cause: only a broken connection was looked into.

Requests that end so are reported to the leader like broken responses; they get a strike if the endpoint, or a member of its group, falls silent or starts again within 6 s. A timeout at an endpoint that runs on is none.

The leader judges waiting responses ten times a second, so many of them cost little.

--- a/filbertglade/fleet/crash_evidence.py
+++ b/filbertglade/fleet/crash_evidence.py
@@ -22,6 +22,8 @@
 # endpoint is silent after two announcement intervals, and one that crashed is
 # back after some seconds.
 EVIDENCE_MS = 6000
+# Time between two judgements of the responses that wait, in ms.
+JUDGE_INTERVAL_MS = 100
 # Most broken responses that wait for evidence.
 MAX_PENDING = 10_000
 
@@ -65,6 +67,7 @@
         self._pending: collections.deque[_Pending] = collections.deque(
             maxlen=MAX_PENDING
         )
+        self._judged_ms = 0
 
     def clear(self) -> None:
         """Forget the responses that an earlier leadership waited for."""
@@ -90,9 +93,10 @@
 
         :returns: whether there is a new strike.
         """
-        if not self._pending:
-            return False
         now_ms = clock.now_ms()
+        if not self._pending or now_ms - self._judged_ms < JUDGE_INTERVAL_MS:
+            return False
+        self._judged_ms = now_ms
         has_strike = False
         waiting = []
         for pending in self._pending:
--- a/filbertglade/fleet/crash_reports.py
+++ b/filbertglade/fleet/crash_reports.py
@@ -69,7 +69,6 @@
         """
         self._broken.append((clock.now_ms(), broken))
         del self._broken[:-MAX_WAITING]
-        self._notify()
 
     def report_served(self, digest: bytes) -> None:
         """Report that an endpoint answered a struck request completely.
--- a/filbertglade/forwarding/containment.py
+++ b/filbertglade/forwarding/containment.py
@@ -203,6 +203,23 @@
             self._faults.record(target, sign.value)
             self._reports.report_strike(digest, target.key, trial)
             return
+        self._report_broken(digest, target, trial)
+
+    def record_silence(
+        self, digest: bytes, target: choice.Target, permission: Permission
+    ) -> None:
+        """Record that a request ended without a complete response in time.
+
+        :param digest: the request's digest.
+        :param target: the endpoint, or the head of the replica.
+        :param permission: the permission with which it was sent.
+        """
+        permission.is_ended = True
+        self._report_broken(digest, target, permission.trial)
+
+    def _report_broken(
+        self, digest: bytes, target: choice.Target, trial: int
+    ) -> None:
         self._reports.report_broken(
             fleet_pb2.BrokenResponse(
                 digest=digest,
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -509,7 +509,6 @@
                 outcome, keep = await self._forward_response(target, route)
         except TimeoutError:
             outcome = AttemptOutcome.TIMED_OUT
-            self._log_not_counted(target, 'no response in time')
         finally:
             if target.group:
                 shared.stall_detector.remove_stream(target, self)
@@ -524,6 +523,10 @@
             AttemptOutcome.CUT,
         ):
             outcome = AttemptOutcome.STALLED
+        if outcome in (AttemptOutcome.STALLED, AttemptOutcome.TIMED_OUT):
+            shared.containment.record_silence(
+                self._digest, target, self._permission
+            )
         if outcome is not AttemptOutcome.ANSWERED:
             self._log('try.failed', endpoint=target.key, outcome=outcome.value)
         return outcome
@@ -663,7 +666,7 @@
     ) -> None:
         """Record that a connection broke while the request was in flight."""
         if self._stalled:
-            self._log_not_counted(target, 'the replica stalled')
+            # It was this node that closed the connection.
             return
         shared = self._context
         self._log('answer.broken', endpoint=target.key, reason=detail)
@@ -676,15 +679,6 @@
             self._digest, target, self._permission
         )
 
-    def _log_not_counted(self, target: choice.Target, reason: str) -> None:
-        """Log why a response that broke off gives the request no strike."""
-        self._log(
-            'strike.not_counted',
-            endpoint=target.key,
-            digest=self._digest.hex(),
-            reason=reason,
-        )
-
     async def _forward_body(
         self, connection: upstream.Connection, head: upstream.ResponseHead
     ) -> None:
