--- a/filbertglade/fleet/dialects.py
+++ b/filbertglade/fleet/dialects.py
@@ -14,6 +14,8 @@
     :param target: id of the only endpoint that may run the request.
     :param not_run: in a response: the request was not run.
     :param load: in a response: running and waiting requests, and slots.
+    :param limit: in a response: requests a second that the endpoint takes from
+        all nodes together.
     :param faulty_endpoint: in a response: the endpoint at fault.
     :param model: the model that a request is for.
     :param token_counts: prompt tokens and maximum output tokens.
@@ -30,6 +32,7 @@
     target: str = 'Filbertglade-Endpoint'
     not_run: str = 'Filbertglade-Not-Run'
     load: str = 'Filbertglade-Load'
+    limit: str = 'Filbertglade-Limit'
     faulty_endpoint: str = 'Filbertglade-Faulty-Endpoint'
     model: str = 'Filbertglade-Model'
     token_counts: str = 'Filbertglade-Token-Counts'
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -648,6 +648,7 @@
             status=head.status,
             faulty=faulty,
             load=load,
+            limit=head.headers.get(shared.dialect.limit),
         )
         if head.status == 421 or faulty:
             shared.faults.record(target, f'{head.status} {faulty}')
@@ -773,6 +774,7 @@
             longest_pause_ms=self._longest_pause_ms,
             sends=self._send_count,
             load=head.headers.get(shared.dialect.load, ''),
+            limit=head.headers.get(shared.dialect.limit),
         )
 
     def _refuse(
--- a/filbertglade/platform/dialect.py
+++ b/filbertglade/platform/dialect.py
@@ -16,6 +16,7 @@
     target='X-Target-Instance',
     not_run='X-Not-Executed',
     load='X-Instance-Load',
+    limit='Server-Limit',
     faulty_endpoint='At-Server',
     model='X-Model',
     token_counts='X-Token-Counts',
