Keep the limits that endpoints name, over all hosts together

What callers and operators saw: endpoints in need that had named how many requests a second they take got several times as many (LIMIT).

Cause: no host read the header, so none knew of a limit (hypothesis 1: the counts of requests are the same before and after it was named).

A host reports a limit, or its end, to the leader, which tells all hosts and gives out single requests of it, by demand, with the regular frames. A host sends to such an endpoint only what it was given and hasn't expired; what expires goes back. With stale shares it sends less; without a leader each host sends its equal part, spread by a random phase. What has no place goes to other endpoints, or is refused at once with a time to come back. A limit ends with an answer that names none or with the incarnation; of a group it is the head's. 0 counts as 0.1, so the end is seen; what is no decimal number is logged and limits nothing.

The choosers of existing tests get an Allowances; nothing is asserted less.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -4,6 +4,7 @@
 from collections import abc
 import dataclasses
 import enum
+import random
 
 from grpclib import server
 
@@ -13,6 +14,7 @@
 from filbertglade.control import state
 from filbertglade.control import voters as control_voters
 from filbertglade.fleet import crash_evidence
+from filbertglade.fleet import endpoint_limits
 from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
 from filbertglade.fleet import registry
@@ -71,6 +73,8 @@
     :param sent_bytes: bytes of these frames.
     :param sending_bytes: bytes of the frame that is being sent; 0 if none is.
     :param trial_answers: answers to its trial requests that wait to be sent.
+    :param allowances: what it may send to endpoints with limits, and hasn't
+        been told.
     :param leave_reason: why its stream ended; None while it runs.
     :param leave_error: type and text of the exception that ended it; empty if
         there was none.
@@ -87,6 +91,9 @@
     trial_answers: list[fleet_pb2.TrialAnswer] = dataclasses.field(
         default_factory=list
     )
+    allowances: list[fleet_pb2.Allowance] = dataclasses.field(
+        default_factory=list
+    )
     leave_reason: LeaveReason | None = None
     leave_error: str = ''
 
@@ -187,6 +194,9 @@
         self._evidence = crash_evidence.CrashEvidence(
             endpoint_registry, self._struck, self._arbiter, counters
         )
+        self._limits = endpoint_limits.EndpointLimits(
+            counters, random.Random()
+        )
         self._view_turns = turns.Turns(
             MAX_WHOLE_VIEWS, WHOLE_VIEW_TURN_MS, WHOLE_VIEW_TURN_MS
         )
@@ -227,6 +237,7 @@
         self._struck.replace_with(self._view.struck)
         self._arbiter.start_leading()
         self._evidence.clear()
+        self._limits.start_leading(self._view.limits)
 
     # Serving
 
@@ -348,6 +359,7 @@
             self._load_version += 1
         watcher.report = report
         self._apply_crashes(watcher, report)
+        self._apply_limits(report)
         for suspicion in report.suspicions:
             self._replicas.handle_suspicion(suspicion, report.node)
         if report.requests:
@@ -392,6 +404,27 @@
         elif watcher.trial_answers:
             watcher.changed_event.set()
 
+    def _apply_limits(self, report: fleet_pb2.WatchReport) -> None:
+        before = self._limits.version
+        for limit in report.limits:
+            self._limits.record(limit, report.run)
+        self._limits.record_demand(report.limited_demand, report.run)
+        self._limits.record_unused(report.unused_allowances)
+        if self._limits.version != before:
+            self._wake_senders()
+
+    def _divide_limits(self) -> None:
+        """Give watchers requests to endpoints with limits.
+
+        They go with the next regular frames.
+        """
+        self._limits.end_absent(self._registry.entries.__contains__)
+        allowances = self._limits.divide()
+        if not allowances:
+            return
+        for watcher in self._watchers.values():
+            watcher.allowances += allowances.get(watcher.report.run, ())
+
     def _list_members(
         self, broken: fleet_pb2.BrokenResponse
     ) -> abc.Iterable[str]:
@@ -495,6 +528,7 @@
         """Update the replicas and the load, once for all watchers."""
         if self._evidence.judge():
             self._wake_senders()
+        self._divide_limits()
         totals: dict[str, int] = {}
         for watcher in self._watchers.values():
             for group, count in watcher.report.in_flight.items():
@@ -579,6 +613,10 @@
         sent.struck = self._struck.version
         frame.trial_answers.extend(watcher.trial_answers)
         watcher.trial_answers.clear()
+        self._limits.write_changes(frame, sent.limits)
+        sent.limits = self._limits.version
+        frame.allowances.extend(watcher.allowances)
+        watcher.allowances.clear()
         if self.has_view or sent.is_view_begun or not watcher.report.has_view:
             # A watcher with an older complete view keeps that rather than
             # get an incomplete one; a watcher without any gets what there is.
@@ -648,6 +686,7 @@
     :param endpoints: registry version of the latest endpoints; -1 if none.
     :param replicas: version of the latest replicas; -1 if none.
     :param struck: version of the latest struck requests; -1 if none.
+    :param limits: version of the latest limits; -1 if none.
     :param in_flight: requests in flight by group.
     """
 
@@ -655,4 +694,5 @@
     endpoints: int = -1
     replicas: int = -1
     struck: int = -1
+    limits: int = -1
     in_flight: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -27,6 +27,9 @@
     :ivar in_flight: requests in flight from all nodes, by group.
     :ivar entry_nodes: number of nodes that accept callers.
     :ivar struck: requests under which endpoints crashed.
+    :ivar limits: requests a second that endpoints in need take from all hosts
+        together, by incarnation key, each with the local clock when this host
+        learned of it.
     :ivar last_frame_ms: local clock at the leader's latest frame; None if none
         was received.
     """
@@ -39,6 +42,8 @@
         self.in_flight: dict[str, int] = {}
         self.entry_nodes = 1
         self.last_frame_ms: int | None = None
+        self.limits: dict[str, tuple[int, float]] = {}
+        self._allowances: dict[str, int] = {}
         self.struck = struck_requests.StruckRequests()
         self._by_service: dict[str, list[fleet_pb2.Endpoint]] = {}
         self._by_model: dict[tuple[str, str], list[fleet_pb2.Replica]] = {}
@@ -98,6 +103,11 @@
         if frame.entry_nodes:
             self.entry_nodes = frame.entry_nodes
         self.struck.apply_changes(frame.cleared, frame.struck)
+        for limit in frame.limits:
+            self.set_limit(limit.endpoint, limit.requests_per_s)
+        for allowance in frame.allowances:
+            allowed = self._allowances.get(allowance.endpoint, 0)
+            self._allowances[allowance.endpoint] = allowed + allowance.requests
         if frame.is_whole:
             self.endpoints.clear()
             self.replicas.clear()
@@ -124,6 +134,31 @@
         for listener in self._listeners:
             listener()
 
+    def set_limit(self, endpoint: str, requests_per_s: float) -> None:
+        """Set an endpoint's limit.
+
+        :param endpoint: its incarnation key.
+        :param requests_per_s: requests a second; 0 for no limit.
+        """
+        if requests_per_s:
+            self.limits[endpoint] = (clock.now_ms(), requests_per_s)
+        else:
+            self.limits.pop(endpoint, None)
+
+    def find_limit(self, endpoint: str) -> float | None:
+        """Return an endpoint's limit, in requests a second.
+
+        :param endpoint: its incarnation key.
+        :returns: the limit; None without one.
+        """
+        known = self.limits.get(endpoint)
+        return known[1] if known is not None else None
+
+    def take_allowances(self) -> dict[str, int]:
+        """Return what the leader has newly allowed, by endpoint."""
+        taken, self._allowances = self._allowances, {}
+        return taken
+
     def _apply_replica(self, replica: fleet_pb2.Replica) -> None:
         previous = self.replicas.get(replica.group)
         if previous is None or (previous.epoch, previous.usable) != (
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -1,6 +1,7 @@
 """A node's stream to the leader: frames in, reports out."""
 
 import asyncio
+from collections import abc
 import random
 
 from grpclib import client
@@ -55,6 +56,10 @@
     :ivar crashes: what is reported of requests that crash endpoints.
     :ivar in_flight: requests in flight here, by group.
     :ivar requests: requests received since the start.
+    :ivar limited_demand: requests since the last report that endpoints with
+        limits could have taken, by incarnation key.
+    :ivar unused_allowances: requests that this host was allowed to send to
+        them since the last report and didn't send in time.
     """
 
     def __init__(
@@ -81,6 +86,8 @@
         self._leader = ''
         self.watched_host = ''
         self._suspicions: list[fleet_pb2.Suspicion] = []
+        # By endpoint, with the local clock at the answer that named it.
+        self._limits: dict[str, tuple[int, fleet_pb2.EndpointLimit]] = {}
         self._urgent_change = asyncio.Event()
         self.crashes = crash_reports.CrashReports(
             fleet_view.struck, self._urgent_change.set
@@ -91,6 +98,8 @@
         self._received_bytes = 0
         self.in_flight: dict[str, int] = {}
         self.requests = 0
+        self.limited_demand: dict[str, int] = {}
+        self.unused_allowances: dict[str, int] = {}
 
     def start(self) -> None:
         """Start watching."""
@@ -123,6 +132,23 @@
         )
         self._urgent_change.set()
 
+    def report_limit(self, limit: fleet_pb2.EndpointLimit) -> None:
+        """Report to the leader that an endpoint named another limit.
+
+        :param limit: the limit, or its end.
+        """
+        self._limits[limit.endpoint] = (clock.now_ms(), limit)
+        self._urgent_change.set()
+
+    def _report_known_limits(self) -> None:
+        """Let the next report name all limits for a new leader."""
+        for endpoint, (named_ms, requests_per_s) in self._view.limits.items():
+            if endpoint not in self._limits:
+                limit = fleet_pb2.EndpointLimit(
+                    endpoint=endpoint, requests_per_s=requests_per_s
+                )
+                self._limits[endpoint] = (named_ms, limit)
+
     async def _run(self) -> None:
         while True:
             for host in self._order_control_hosts():
@@ -153,6 +179,7 @@
             stub = fleet_grpc.FleetStub(channel)
             async with stub.Watch.open() as stream:
                 self.crashes.start_stream()
+                self._report_known_limits()
                 report = self._build_report()
                 async with asyncio.timeout(FIRST_FRAME_TIMEOUT_MS / 1000):
                     await stream.send_message(report)
@@ -246,6 +273,13 @@
         """Forget the crashes and suspicions that the leader was sent."""
         self.crashes.forget_sent(report)
         del self._suspicions[: len(report.suspicions)]
+        for limit in report.limits:
+            _, current = self._limits[limit.endpoint]
+            # It may have been named anew while the report was sent.
+            if current.requests_per_s == limit.requests_per_s:
+                del self._limits[limit.endpoint]
+        _subtract(self.limited_demand, report.limited_demand)
+        _subtract(self.unused_allowances, report.unused_allowances)
 
     async def _wait_for_change(self) -> None:
         """Wait for a change, or until the next report is due."""
@@ -274,8 +308,21 @@
                 if count
             },
             suspicions=self._suspicions,
+            limited_demand=self.limited_demand,
+            unused_allowances=self.unused_allowances,
             requests=self.requests,
             has_view=bool(self._view.endpoints or self._view.replicas),
         )
+        now_ms = clock.now_ms()
+        for named_ms, limit in self._limits.values():
+            limit.age_ms = now_ms - named_ms
+            report.limits.append(limit)
         self.crashes.write(report)
         return report
+
+
+def _subtract(counts: dict[str, int], sent: abc.Mapping[str, int]) -> None:
+    for key, count in sent.items():
+        counts[key] -= count
+        if not counts[key]:
+            del counts[key]
--- a/filbertglade/forwarding/choice.py
+++ b/filbertglade/forwarding/choice.py
@@ -10,6 +10,7 @@
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
+from filbertglade.forwarding import allowances
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
 
@@ -21,6 +22,8 @@
 
     NO_ENDPOINT = 'no endpoint'
     FULL = 'full'
+    # All endpoints have named limits, which are used up.
+    LIMITED = 'limits used up'
 
 
 # Cost of a target in another data centre, in requests in flight.
@@ -186,6 +189,7 @@
     :param fleet_view: the node's view.
     :param loads: counts of the requests in flight.
     :param faults: targets to exclude.
+    :param allowed: what may be sent to targets that name limits.
     :param rng: the process's random number generator.
     """
 
@@ -195,8 +199,10 @@
         fleet_view: view.FleetView,
         loads: LoadTracker,
         faults: FaultTracker,
+        allowed: allowances.Allowances,
         rng: random.Random,
     ) -> None:
+        self._allowed = allowed
         self._data_centre = data_centre
         self._view = fleet_view
         self._loads = loads
@@ -244,6 +250,15 @@
         ]
         if not candidates:
             return failures.Failure(NoTargetReason.NO_ENDPOINT)
+        for target in candidates:
+            self._allowed.record_demand(target.key)
+        candidates = [
+            target
+            for target in candidates
+            if self._allowed.may_send(target.key)
+        ]
+        if not candidates:
+            return failures.Failure(NoTargetReason.LIMITED)
         if not demand.model:
             return self._choose_by_expected_load(candidates)
         loads = {
@@ -306,6 +321,17 @@
         is_remote = target.data_centre != self._data_centre
         return load + is_remote * CROSS_DATA_CENTRE_REQUESTS
 
+    def sum_limits(self, service: str, model: str) -> float:
+        """Return the limits of all targets, in requests a second.
+
+        :param service: the service's name.
+        :param model: the model's name; empty for a plain service.
+        """
+        return sum(
+            self._view.find_limit(target.key) or 0.0
+            for target in self.list_targets(service, model)
+        )
+
     def count_in_flight(self, target: Target) -> int:
         """Return the requests in flight on a target, of all nodes.
 
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -7,6 +7,7 @@
 from filbertglade.fleet import dialects
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
+from filbertglade.forwarding import allowances
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import containment
 from filbertglade.forwarding import crash_check
@@ -56,6 +57,7 @@
     :param chooser: chooses targets.
     :param loads: counts of the requests in flight.
     :param faults: targets to exclude.
+    :param allowed: what may be sent to targets that name limits.
     :param stall_detector: detects replicas that stall.
     :param pool: connections to endpoints.
     :param retries: the node's part of the retry quota.
@@ -75,6 +77,7 @@
         chooser: choice.Chooser,
         loads: choice.LoadTracker,
         faults: choice.FaultTracker,
+        allowed: allowances.Allowances,
         stall_detector: stall_detection.StallDetector,
         pool: upstream.UpstreamPool,
         retries: quota.RetryQuota,
@@ -87,6 +90,7 @@
         self.chooser = chooser
         self.loads = loads
         self.faults = faults
+        self.allowed = allowed
         self.stall_detector = stall_detector
         self.pool = pool
         self.retries = retries
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -35,6 +35,9 @@
 REPAIR_RETRY_AFTER_S = 1.2
 OVERLOAD_RETRY_AFTER_S = 1.0
 STARTUP_RETRY_AFTER_S = 0.8
+# Least Retry-After of requests beyond the limits of all endpoints, in s: the
+# leader divides the limits several times a second.
+MIN_LIMITED_RETRY_S = 0.3
 # Other nodes accept the request immediately.
 SHUTDOWN_RETRY_AFTER_S = 0.1
 # Another node may have the newer document already; all have it within seconds.
@@ -337,8 +340,7 @@
             demand = self._build_demand(route)
             target = shared.chooser.choose(demand, self._tried)
             if isinstance(target, failures.Failure):
-                is_overloaded = target.reason is choice.NoTargetReason.FULL
-                self._give_up(outcome, str(target), is_overloaded)
+                self._give_up_without_target(outcome, target)
                 return
             if self._send_count and not (
                 self._is_retry_taken or self._take_retry()
@@ -353,9 +355,18 @@
                 self._give_up_struck(outcome, str(permission))
                 return
             self._permission = permission
+            if not shared.allowed.may_send(target.key):
+                # Another request took what was allowed during the wait.
+                shared.containment.end(self._digest, permission, False)
+                self._is_retry_taken = self._send_count > 0
+                continue
+            taken = shared.allowed.take(target.key)
+            self._has_sent = False
             try:
                 outcome = await self._attempt(target, route, demand)
             finally:
+                if not self._has_sent:
+                    shared.allowed.give_back(target.key, taken)
                 shared.containment.end(
                     self._digest, permission, self._has_sent
                 )
@@ -366,6 +377,20 @@
                 break
         self._give_up(outcome, 'tries used up')
 
+    def _give_up_without_target(
+        self, outcome: AttemptOutcome | None, failure: failures.Failure
+    ) -> None:
+        """End a request for which there is no target now."""
+        if failure.reason is not choice.NoTargetReason.LIMITED:
+            is_overloaded = failure.reason is choice.NoTargetReason.FULL
+            self._give_up(outcome, str(failure), is_overloaded)
+            return
+        limit = self._context.chooser.sum_limits(self._service, self._model)
+        retry_s = max(1 / limit if limit else 0.0, MIN_LIMITED_RETRY_S)
+        self._give_up(
+            outcome, str(failure), retry_s=min(retry_s, OVERLOAD_RETRY_AFTER_S)
+        )
+
     def _give_up_struck(
         self, outcome: AttemptOutcome | None, detail: str
     ) -> None:
@@ -427,6 +452,7 @@
         outcome: AttemptOutcome | None,
         detail: str,
         is_overloaded: bool = False,
+        retry_s: float = REPAIR_RETRY_AFTER_S,
     ) -> None:
         """End a request that no endpoint has completed."""
         if self._request.is_response_started:
@@ -439,12 +465,8 @@
             AttemptOutcome.UNREACHABLE,
             AttemptOutcome.NOT_RUN,
         ):
-            is_overloaded |= outcome is AttemptOutcome.NOT_RUN
-            retry_s = (
-                OVERLOAD_RETRY_AFTER_S
-                if is_overloaded
-                else REPAIR_RETRY_AFTER_S
-            )
+            if is_overloaded or outcome is AttemptOutcome.NOT_RUN:
+                retry_s = OVERLOAD_RETRY_AFTER_S
             self._refuse(503, detail, retry_s)
             return
         status = 504 if outcome is AttemptOutcome.TIMED_OUT else 502
@@ -462,7 +484,6 @@
     ) -> AttemptOutcome:
         """Send the request to one target and forward its response."""
         shared = self._context
-        self._has_sent = False
         connection = await self._connect(target, route)
         if isinstance(connection, failures.Failure):
             shared.faults.record(target, str(connection))
@@ -599,6 +620,9 @@
         if isinstance(head, failures.Failure):
             await self._record_broken(target, connection, str(head))
             return AttemptOutcome.BROKEN, False
+        shared.allowed.record_answer(
+            target.key, head.headers.get(shared.dialect.limit)
+        )
         if self._is_not_run(head):
             await _skip_body(connection, head)
             self._record_rejection(target, head)
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -11,6 +11,7 @@
 from filbertglade.fleet import document
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
+from filbertglade.forwarding import allowances
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import context
 from filbertglade.forwarding import exchange
@@ -73,6 +74,9 @@
         self._tasks = tasks.TaskGroup()
         loads = choice.LoadTracker(fleet_view, fleet_watcher.in_flight)
         faults = choice.FaultTracker()
+        allowed = allowances.Allowances(
+            fleet_view, fleet_watcher, counters, rng
+        )
         stall_detector = stall_detection.StallDetector(
             faults, fleet_watcher, fleet_view
         )
@@ -83,10 +87,11 @@
             fleet_view,
             fleet_watcher,
             choice.Chooser(
-                settings.data_centre, fleet_view, loads, faults, rng
+                settings.data_centre, fleet_view, loads, faults, allowed, rng
             ),
             loads,
             faults,
+            allowed,
             stall_detector,
             self._pool,
             quota.RetryQuota(settings.retries),
--- a/tests/gateway_forwarding/test_load.py
+++ b/tests/gateway_forwarding/test_load.py
@@ -3,16 +3,19 @@
 import asyncio
 import collections
 import random
+import types
 
 from filbertglade.fleet import document
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
+from filbertglade.forwarding import allowances
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import context
 from filbertglade.forwarding import events
 from filbertglade.forwarding import quota
 from filbertglade.forwarding import stall_detection
 from filbertglade.inner import fleet_pb2
+from filbertglade.observability import metrics
 from filbertglade.settings import gateway
 from tests import virtual_time
 
@@ -40,8 +43,15 @@
         self.in_flight = {}
         self.loads = choice.LoadTracker(self.view, self.in_flight)
         self.faults = choice.FaultTracker()
+        rng = random.Random(seed)
+        self.leader = types.SimpleNamespace(
+            limited_demand={}, unused_allowances={}
+        )
+        self.allowed = allowances.Allowances(
+            self.view, self.leader, metrics.Metrics(), rng
+        )
         self.chooser = choice.Chooser(
-            'north', self.view, self.loads, self.faults, random.Random(seed)
+            'north', self.view, self.loads, self.faults, self.allowed, rng
         )
         self.send_frame(replicas, is_whole=True)
 
--- a/tests/gateway_forwarding/test_uncertain_document.py
+++ b/tests/gateway_forwarding/test_uncertain_document.py
@@ -12,6 +12,7 @@
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
 from filbertglade.fleet import view
+from filbertglade.forwarding import allowances
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import context
 from filbertglade.forwarding import exchange
@@ -132,13 +133,17 @@
         rng = random.Random(1)
         loads = choice.LoadTracker(self.view, {})
         faults = choice.FaultTracker()
+        allowed = allowances.Allowances(
+            self.view, Leader(), metrics.Metrics(), rng
+        )
         self.shared = context.ForwardingContext(
             dialects.DEFAULT,
             self.view,
             Leader(),
-            choice.Chooser('north', self.view, loads, faults, rng),
+            choice.Chooser('north', self.view, loads, faults, allowed, rng),
             loads,
             faults,
+            allowed,
             None,
             Pool(),
             quota.RetryQuota(gateway.RetryQuotaSettings()),
