Bound the response bodies that a host keeps in memory

What callers saw: one endpoint that sends a body without end ended every entry host that its requests reached: 836 MB in 2.5 s, at a limit of 200 MB.

Cause: a body was kept until it was complete, however long it became.

Up to 1 MB of a response and 32 MB of all are kept. What is longer is forwarded as it arrives, as fast as its caller reads, and is cut at the deadline; it is never sent by a second endpoint, since its caller has a part of it. So long responses that are right are served whole, as before.

--- /dev/null
+++ b/filbertglade/forwarding/body_budget.py
@@ -0,0 +1,60 @@
+"""Bounds the response bodies that a host keeps in memory."""
+
+# Most bytes of one response that are kept until it is complete. A longer one
+# is forwarded as it arrives, and can't be sent again by another endpoint.
+MAX_RESPONSE_BYTES = 1_048_576
+# The same for all responses together: a small part of an entry host's memory.
+MAX_HELD_BYTES = 33_554_432
+
+
+class BodyBudget:
+    """The bytes of responses that this host keeps.
+
+    :ivar held_bytes: their number.
+    """
+
+    def __init__(self) -> None:
+        self.held_bytes = 0
+
+    def begin(self) -> 'HeldBody':
+        """Return a new response's body."""
+        return HeldBody(self)
+
+
+class HeldBody:
+    """The part of a response's body that is kept.
+
+    :param budget: the bytes that all responses share.
+    """
+
+    __slots__ = ('_budget', '_bytes', '_chunks')
+
+    def __init__(self, budget: BodyBudget) -> None:
+        self._budget = budget
+        self._bytes = 0
+        self._chunks: list[bytes] = []
+
+    def add(self, chunk: bytes) -> bool:
+        """Keep a chunk; return whether the body is still within the bounds.
+
+        :param chunk: the next bytes of the body.
+        """
+        self._chunks.append(chunk)
+        self._bytes += len(chunk)
+        self._budget.held_bytes += len(chunk)
+        return (
+            self._bytes <= MAX_RESPONSE_BYTES
+            and self._budget.held_bytes <= MAX_HELD_BYTES
+        )
+
+    def take(self) -> bytes:
+        """Return what was kept, and keep it no longer."""
+        body = b''.join(self._chunks)
+        self.discard()
+        return body
+
+    def discard(self) -> None:
+        """Keep nothing."""
+        self._budget.held_bytes -= self._bytes
+        self._bytes = 0
+        self._chunks = []
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -8,6 +8,7 @@
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.forwarding import allowances
+from filbertglade.forwarding import body_budget
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import containment
 from filbertglade.forwarding import crash_check
@@ -65,6 +66,7 @@
     :param rng: the process's random number generator.
     :ivar certainty: whether the document in force may be out of date.
     :ivar containment: contains requests that crash endpoints.
+    :ivar bodies: the response bodies that are kept in memory.
     :ivar deadlines: the longest deadline of each route.
     :ivar stopping_since_ms: local clock when the shutdown began; None before.
     """
@@ -104,6 +106,10 @@
             faults,
             counters,
         )
+        self.bodies = body_budget.BodyBudget()
+        counters.set_gauge(
+            'held_response_bytes', lambda: self.bodies.held_bytes
+        )
         self.deadlines = DeadlineTracker()
         self.stopping_since_ms: int | None = None
 
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -12,6 +12,7 @@
 from filbertglade import failures
 from filbertglade.fleet import document
 from filbertglade.forwarding import admission
+from filbertglade.forwarding import body_budget
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import containment
 from filbertglade.forwarding import context
@@ -151,6 +152,8 @@
         self._is_retry_taken = False
         self.suspect_limit_ms = float(stall_detection.DEFAULT_SUSPECT_MS)
         self._first_byte_ms: int | None = None
+        # Whether a body that is too long to be kept is being forwarded.
+        self._is_passing_body = False
         self._digest = b''
         self._is_caller_retry = False
         self._last_byte_ms = 0
@@ -443,7 +446,7 @@
     ) -> bool:
         if outcome in (AttemptOutcome.UNREACHABLE, AttemptOutcome.NOT_RUN):
             return True
-        if self._run_count >= route.max_attempts:
+        if self._run_count >= route.max_attempts or self._is_passing_body:
             return False
         return outcome in RETRYABLE and route.is_idempotent
 
@@ -707,16 +710,38 @@
     async def _forward_body(
         self, connection: upstream.Connection, head: upstream.ResponseHead
     ) -> None:
-        """Forward a response after all of its body has been buffered."""
-        chunks = [chunk async for chunk in connection.read_body(head)]
+        """Forward a response once it is complete, or too long to be kept."""
+        held = self._context.bodies.begin()
+        try:
+            async for chunk in connection.read_body(head):
+                if self._is_passing_body:
+                    await self._write(chunk)
+                elif not held.add(chunk):
+                    await self._begin_passing(head, held)
+            if not self._is_passing_body:
+                self._first_byte_ms = clock.now_ms()
+                body = held.take()
+                headers = heads.strip_headers(head.headers)
+                if head.length is None or self._request.method != 'HEAD':
+                    headers['Content-Length'] = str(len(body))
+                await self._begin_response(head, headers)
+                await self._write(body)
+        finally:
+            held.discard()
+        self._request.finish()
+
+    async def _begin_passing(
+        self, head: upstream.ResponseHead, held: body_budget.HeldBody
+    ) -> None:
+        """Begin to forward a long body as it arrives."""
+        self._is_passing_body = True
         self._first_byte_ms = clock.now_ms()
-        body = b''.join(chunks)
+        self._log('body.passed_on', length=head.length)
         headers = heads.strip_headers(head.headers)
-        if head.length is None or self._request.method != 'HEAD':
-            headers['Content-Length'] = str(len(body))
+        if head.length is None:
+            headers.pop('Content-Length', None)
         await self._begin_response(head, headers)
-        await self._write(body)
-        self._request.finish()
+        await self._write(held.take())
 
     async def _forward_stream(
         self,
