Let others run while a host reads bytes that are already there

What callers saw: an endpoint that sends tiny chunks or trailers without end took every entry host that its requests reach out of service: it answered no other request for 10 s, and not even the request's own deadline passed.

Cause: a read that finds bytes in the buffer doesn't wait, so the event loop never got its turn; and trailers were bounded each, not together.

Every 16 reads of a body other tasks and timers run. All trailers together have the bound of a head.

--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -39,6 +39,8 @@
 MAX_IDLE_CONNECTIONS = 16
 MAX_HEAD_BYTES = 65_536
 CHUNK_BYTES = 65_536
+# Reads after which other tasks run: a read that finds bytes doesn't wait.
+READS_PER_TURN = 16
 # Late responses to other requests that are skipped on one connection.
 MAX_STRAY_RESPONSES = 2
 
@@ -112,6 +114,7 @@
         self.idle_limit_ms = DEFAULT_IDLE_MS
         self._first_byte: asyncio.Future[bytes] | None = None
         self._written: asyncio.Future[None] | None = None
+        self._reads = 0
 
     def watch(self) -> None:
         """Read the first byte of the next response, or the connection's end.
@@ -180,6 +183,12 @@
             UpstreamReason.MALFORMED, 'too many responses to other requests'
         )
 
+    async def _let_others_run(self) -> None:
+        """Let other tasks and timers run after some reads."""
+        self._reads += 1
+        if self._reads % READS_PER_TURN == 0:
+            await asyncio.sleep(0)
+
     async def _read_head(self, method: str) -> ResponseHead | failures.Failure:
         try:
             while True:
@@ -217,6 +226,7 @@
                     )
                     remaining -= len(chunk)
                     yield chunk
+                    await self._let_others_run()
             else:
                 async for chunk in self._read_to_end():
                     yield chunk
@@ -242,27 +252,33 @@
                 )
                 size -= len(chunk)
                 yield chunk
+                await self._let_others_run()
             if await self.stream.read_bytes(2) != b'\r\n':
                 raise IncompleteResponse(
                     'chunk is longer than its declared size'
                 )
 
     async def _skip_trailers(self) -> None:
+        remaining = MAX_HEAD_BYTES
         while True:
-            line = await self.stream.read_until(
-                b'\r\n', max_bytes=MAX_HEAD_BYTES
-            )
+            line = await self.stream.read_until(b'\r\n', max_bytes=remaining)
             if line == b'\r\n':
                 return
+            remaining -= len(line)
+            if remaining <= 0:
+                raise IncompleteResponse('trailers are too long')
+            await self._let_others_run()
 
     async def _read_to_end(self) -> abc.AsyncIterator[bytes]:
         while True:
             try:
-                yield await self.stream.read_bytes(CHUNK_BYTES, partial=True)
+                chunk = await self.stream.read_bytes(CHUNK_BYTES, partial=True)
             except iostream.StreamClosedError as error:
                 if error.real_error is not None:
                     raise
                 return
+            yield chunk
+            await self._let_others_run()
 
     def is_reusable(self, head: ResponseHead) -> bool:
         """Return whether the connection can carry another request.
