Bound the event that a host keeps until it is complete

What callers saw: an endpoint that sends an event without end took every entry host that its requests reach out of service: it answered no other request for 10 s, its memory grew.

Cause: an incomplete event was kept without a bound and searched from its start with every chunk, which takes quadratic time.

An event has at most 1 MB, and counts among the 32 MB of bodies that a host keeps; beyond that its stream is cut, and may be resumed elsewhere. Only new bytes are searched.

An event of 1 MB in 65,000 chunks is split within 0.3 s.

--- a/filbertglade/forwarding/body_budget.py
+++ b/filbertglade/forwarding/body_budget.py
@@ -47,6 +47,16 @@
             and self._budget.held_bytes <= MAX_HELD_BYTES
         )
 
+    def set_size(self, size_bytes: int) -> bool:
+        """Count bytes that are kept elsewhere.
+
+        :param size_bytes: their number now.
+        :returns: whether all kept bytes are within the bounds.
+        """
+        self._budget.held_bytes += size_bytes - self._bytes
+        self._bytes = size_bytes
+        return not size_bytes or self._budget.held_bytes <= MAX_HELD_BYTES
+
     def take(self) -> bytes:
         """Return what was kept, and keep it no longer."""
         body = b''.join(self._chunks)
--- a/filbertglade/forwarding/events.py
+++ b/filbertglade/forwarding/events.py
@@ -2,10 +2,19 @@
 
 import re
 
+# Longest event, in bytes; it is kept in memory until it is complete.
+MAX_EVENT_BYTES = 1_048_576
+# Bytes of the longest end of an event, less one.
+_END_OVERLAP = 3
+
 _END = re.compile(rb'\r?\n\r?\n')
 _ID = re.compile(rb'(?:^|\n)id: ?([^\r\n]*)')
 
 
+class EventTooLong(Exception):  # noqa: N818
+    """More bytes of an event have arrived than may be kept."""
+
+
 class EventSplitter:
     """Buffers the event that has not arrived completely.
 
@@ -16,19 +25,31 @@
     def __init__(self) -> None:
         self.last_id = ''
         self.count = 0
-        self._partial = b''
+        self._partial = bytearray()
+
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes of the event that has not arrived completely."""
+        return len(self._partial)
 
     def split(self, chunk: bytes) -> bytes:
         """Add bytes and return the events that they complete.
 
         :param chunk: the next bytes of the stream.
+        :raises EventTooLong: the event after them is too long.
         """
-        data = self._partial + chunk
+        start = max(0, len(self._partial) - _END_OVERLAP)
+        self._partial += chunk
         end = 0
-        for found in _END.finditer(data):
+        for found in _END.finditer(self._partial, start):
             end = found.end()
             self.count += 1
-        complete, self._partial = data[:end], data[end:]
+        if len(self._partial) - end > MAX_EVENT_BYTES:
+            raise EventTooLong(f'an event exceeds {MAX_EVENT_BYTES} bytes')
+        if not end:
+            return b''
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
         ids = _ID.findall(complete)
         if ids:
             self.last_id = ids[-1].decode('latin-1')
@@ -36,9 +57,10 @@
 
     def finish(self) -> bytes:
         """Return the buffered bytes when the stream has ended regularly."""
-        partial, self._partial = self._partial, b''
+        partial = bytes(self._partial)
+        self._partial.clear()
         return partial
 
     def discard_partial(self) -> None:
         """Discard an incomplete event after its stream broke."""
-        self._partial = b''
+        self._partial.clear()
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -655,6 +655,9 @@
         except upstream.IncompleteResponse as error:
             await self._record_broken(target, connection, str(error))
             return AttemptOutcome.CUT, False
+        except events.EventTooLong as error:
+            self._log('answer.broken', endpoint=target.key, reason=str(error))
+            return AttemptOutcome.CUT, False
         self._record_response(target, head)
         return AttemptOutcome.ANSWERED, connection.is_reusable(head)
 
@@ -757,12 +760,18 @@
                 # is not known.
                 headers.pop('Content-Length', None)
             await self._begin_response(head, headers)
-        async for chunk in connection.read_body(head):
-            self._record_pause()
-            self._context.stall_detector.record_event(target, self)
-            complete = self._splitter.split(chunk)
-            if complete:
-                await self._write(complete)
+        held = self._context.bodies.begin()
+        try:
+            async for chunk in connection.read_body(head):
+                self._record_pause()
+                self._context.stall_detector.record_event(target, self)
+                complete = self._splitter.split(chunk)
+                if not held.set_size(self._splitter.partial_bytes):
+                    raise events.EventTooLong('too many bytes are kept')
+                if complete:
+                    await self._write(complete)
+        finally:
+            held.discard()
         rest = self._splitter.finish()
         if rest:
             await self._write(rest)
--- a/tests/gateway_forwarding/test_load.py
+++ b/tests/gateway_forwarding/test_load.py
@@ -3,8 +3,11 @@
 import asyncio
 import collections
 import random
+import time
 import types
 
+import pytest
+
 from filbertglade.fleet import document
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
@@ -447,3 +450,33 @@
         assert node.choose(answer_tokens=5000, **demand) == 'same'
 
     run(check)
+
+
+# Guards against a host that searches a long event from its start with every
+# chunk.
+def test_long_event_in_small_chunks_is_split_in_time():
+    """Load: an event of the longest size, in 65,000 chunks."""
+    splitter = events.EventSplitter()
+    started_s = time.thread_time()
+    for _ in range(events.MAX_EVENT_BYTES // 16 - 1):
+        assert splitter.split(b'x' * 16) == b''
+    assert len(splitter.split(b'\n\n')) == events.MAX_EVENT_BYTES - 14
+    assert splitter.count == 1
+    # A callers' objective, in s: others wait while it is searched.
+    assert time.thread_time() - started_s <= 0.3
+
+
+def test_event_beyond_the_longest_size_is_given_up():
+    splitter = events.EventSplitter()
+    splitter.split(b'id: 1\n\n' + b'x' * events.MAX_EVENT_BYTES)
+    assert (splitter.count, splitter.last_id) == (1, '1')
+    with pytest.raises(events.EventTooLong):
+        splitter.split(b'x')
+
+
+def test_end_of_an_event_may_be_spread_over_chunks():
+    splitter = events.EventSplitter()
+    chunks = [b'id: 1\r', b'\n', b'\r', b'\nid: 2\n', b'\nid: 3']
+    parts = [splitter.split(chunk) for chunk in chunks]
+    assert parts == [b'', b'', b'', b'id: 1\r\n\r\n', b'id: 2\n\n']
+    assert splitter.last_id == '2'
