Bound the interim responses before a response

What callers saw: an endpoint that sends interim responses (102) without end took every entry host that its requests reach out of service: it answered no other request for 10 s.

Cause: interim responses were skipped without a bound, in reads that find bytes and so never let the event loop run.

After 100 of them the connection is given up; between reads others run. The test failed before; the requests are served by the other endpoint now.

--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -41,6 +41,9 @@
 CHUNK_BYTES = 65_536
 # Reads after which other tasks run: a read that finds bytes doesn't wait.
 READS_PER_TURN = 16
+# Most interim responses before a response. Endpoints that need long send one
+# every few seconds.
+MAX_INTERIM_RESPONSES = 100
 # Late responses to other requests that are skipped on one connection.
 MAX_STRAY_RESPONSES = 2
 
@@ -191,7 +194,8 @@
 
     async def _read_head(self, method: str) -> ResponseHead | failures.Failure:
         try:
-            while True:
+            for _ in range(MAX_INTERIM_RESPONSES + 1):
+                await self._let_others_run()
                 self.watch()
                 assert self._first_byte is not None
                 first, self._first_byte = await self._first_byte, None
@@ -201,6 +205,9 @@
                 head = _parse_head(first + rest, method)
                 if isinstance(head, failures.Failure) or head.status >= 200:
                     return head
+            return failures.Failure(
+                UpstreamReason.MALFORMED, 'too many interim responses'
+            )
         except (
             iostream.StreamClosedError,
             iostream.UnsatisfiableReadError,
