Give up connections with long bodies that nobody needs

What callers saw: a request that an endpoint rejected or failed, with a body without end, waited until its deadline and got a 504, although another endpoint was free; others were refused with 503 meanwhile.

Cause: the body of a response that is not forwarded was read to its end, so that the connection could be used again, however long that took.

At most 256 kB are read within 100 ms; then the connection is closed and the request goes on to another endpoint at once. The same holds for responses to other requests. A struck request counts as answered only by a whole body.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -627,7 +627,7 @@
             target.key, head.headers.get(shared.dialect.limit)
         )
         if self._is_not_run(head):
-            await _skip_body(connection, head)
+            await connection.skip_body(head)
             self._record_rejection(target, head)
             self._run_count -= 1
             return AttemptOutcome.NOT_RUN, connection.is_reusable(head)
@@ -638,10 +638,10 @@
             if shared.retries.count_remaining(
                 self._service, shared.view.entry_nodes
             ):
-                await _skip_body(connection, head)
-                shared.containment.record_served(
-                    self._digest, self._permission
-                )
+                if await connection.skip_body(head):
+                    shared.containment.record_served(
+                        self._digest, self._permission
+                    )
                 return AttemptOutcome.FAILED, connection.is_reusable(head)
         if self._request.is_response_started and not head.is_success:
             # The head has been forwarded already, so a resumed stream can't
@@ -909,13 +909,3 @@
     if len(text) > MAX_NUMBER_DIGITS:
         return None
     return int(text) if text.isascii() and text.isdecimal() else None
-
-
-async def _skip_body(
-    connection: upstream.Connection, head: upstream.ResponseHead
-) -> None:
-    try:
-        async for _chunk in connection.read_body(head):
-            pass
-    except upstream.IncompleteResponse:
-        connection.close()
--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -39,6 +39,11 @@
 MAX_IDLE_CONNECTIONS = 16
 MAX_HEAD_BYTES = 65_536
 CHUNK_BYTES = 65_536
+# Most bytes of a body that nobody needs that are read so that its connection
+# can be used again, and longest time for it, in ms: both are less than what a
+# new connection costs.
+MAX_SKIPPED_BYTES = 262_144
+MAX_SKIP_MS = 100
 # Reads after which other tasks run: a read that finds bytes doesn't wait.
 READS_PER_TURN = 16
 # Most interim responses before a response. Endpoints that need long send one
@@ -177,11 +182,11 @@
             if named is None or named == request_id:
                 return head
             log.change('answer.stray', endpoint=self.key, named=named)
-            try:
-                async for _chunk in self.read_body(head):
-                    pass
-            except IncompleteResponse as error:
-                return failures.Failure(UpstreamReason.BROKEN, str(error))
+            if not await self.skip_body(head):
+                return failures.Failure(
+                    UpstreamReason.BROKEN,
+                    'the body of a response to another request',
+                )
         return failures.Failure(
             UpstreamReason.MALFORMED, 'too many responses to other requests'
         )
@@ -246,6 +251,29 @@
                 f'{type(error).__name__}: {error}'
             ) from error
 
+    async def skip_body(self, head: ResponseHead) -> bool:
+        """Skip a body that nobody needs, or close the connection.
+
+        :param head: the response's head.
+        :returns: whether all of it was read.
+        """
+        remaining = MAX_SKIPPED_BYTES
+        if (head.length or 0) <= remaining:
+            try:
+                async with asyncio.timeout(MAX_SKIP_MS / 1000):
+                    async for chunk in self.read_body(head):
+                        remaining -= len(chunk)
+                        if remaining < 0:
+                            break
+                    else:
+                        return True
+            except (IncompleteResponse, TimeoutError):
+                # Closed below, like one that is too long.
+                pass
+        log.change('answer.not_skipped', endpoint=self.key, status=head.status)
+        self.close()
+        return False
+
     async def _read_chunks(self) -> abc.AsyncIterator[bytes]:
         while True:
             line = await self.stream.read_until(b'\r\n', max_bytes=256)
