Bound the responses of engines to orders and probes

What operators would see: a control host that ends for lack of memory, as an engine responds to orders or probes without end. Found while looking for the cause of the endless responses elsewhere.

Cause: the HTTP client keeps up to 100 MB of each response, of which only the status counts.

--- a/filbertglade/replicas/orders.py
+++ b/filbertglade/replicas/orders.py
@@ -16,6 +16,9 @@
 # Time-out of a probe, in ms: several round trips between data centres.
 PROBE_TIMEOUT_MS = 160
 MAX_CONCURRENT_REQUESTS = 128
+# Longest response to an order or a probe, in bytes: only its status counts.
+# All concurrent ones together fit in a control host's memory.
+MAX_RESPONSE_BYTES = 131_072
 
 
 class OrderAction(enum.StrEnum):
@@ -128,7 +131,10 @@
     def __init__(self, dialect: dialects.Dialect) -> None:
         self._dialect = dialect
         self._client = httpclient.AsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CONCURRENT_REQUESTS
+            force_instance=True,
+            max_clients=MAX_CONCURRENT_REQUESTS,
+            max_buffer_size=MAX_RESPONSE_BYTES,
+            max_body_size=MAX_RESPONSE_BYTES,
         )
 
     def close(self) -> None:
--- /dev/null
+++ b/tests/replicas/test_engine_client.py
@@ -0,0 +1,55 @@
+"""Responses of engines to orders and probes, on real connections."""
+
+import asyncio
+
+import psutil
+import pytest
+
+from filbertglade.fleet import dialects
+from filbertglade.inner import fleet_pb2
+from filbertglade.replicas import orders
+
+ORDERS = 32
+# A part of the memory of a control host on the users' smallest machines.
+MAX_ADDED_BYTES = 50_000_000
+BLOCK = b'x' * 65_536
+
+
+# Guards against a control host that ends for lack of memory, as endpoints
+# respond to its orders without end.
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'HTTP/1.1 200 OK\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n',
+    ],
+)
+async def test_response_without_end_is_bounded(head):
+    sent = []
+
+    async def serve(reader, writer):
+        writer.write(head)
+        try:
+            while True:
+                writer.write(BLOCK)
+                await writer.drain()
+                sent.append(len(BLOCK))
+                await asyncio.sleep(0)
+        except ConnectionError:
+            return
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    endpoint = fleet_pb2.Endpoint(id='i-1', address=f'127.0.0.1:{port}')
+    client = orders.HttpEngineClient(dialects.DEFAULT)
+    order = orders.Order(orders.OrderAction.LEAVE, 'g-1', 1)
+    process = psutil.Process()
+    before_bytes = process.memory_info().rss
+    answers = await asyncio.gather(
+        *(client.send(endpoint, order, 1) for _ in range(ORDERS))
+    )
+    assert process.memory_info().rss - before_bytes <= MAX_ADDED_BYTES
+    assert answers == [orders.OrderOutcome.UNKNOWN] * ORDERS
+    assert sum(sent) <= MAX_ADDED_BYTES
+    client.close()
+    server.close()
