Answer 502 and not 503 once an endpoint may have run a request

Cause: the status followed the last attempt. If that found no endpoint or a refused connection, the earlier run was forgotten.

The status says "not run" only if no attempt may have run the request.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -463,7 +463,7 @@
             self._count('requests_cut')
             self._request.abort()
             return
-        if outcome in (
+        if not self._run_count and outcome in (
             None,
             AttemptOutcome.UNREACHABLE,
             AttemptOutcome.NOT_RUN,
@@ -472,10 +472,13 @@
                 retry_s = OVERLOAD_RETRY_AFTER_S
             self._refuse(503, detail, retry_s)
             return
+        # From here on an endpoint may have run the request, so no status may
+        # say that it has not.
         status = 504 if outcome is AttemptOutcome.TIMED_OUT else 502
         if outcome is AttemptOutcome.TIMED_OUT and not self._send_count:
             status = 503
-        self._refuse(status, f'{outcome.value}: {detail}')
+        reason = outcome.value if outcome is not None else 'not sent again'
+        self._refuse(status, f'{reason}: {detail}')
 
     # One attempt
 
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -75,16 +75,16 @@
         self.announcing.cancel()
         self.server.close()
         if not self.is_silent:
-            self._abort_connections()
+            self.abort_connections()
         self.restarting = asyncio.create_task(self._come_back())
 
-    def _abort_connections(self):
+    def abort_connections(self):
         for writer in self._writers:
             writer.transport.abort()
 
     async def _come_back(self):
         await asyncio.sleep(RESTART_S)
-        self._abort_connections()
+        self.abort_connections()
         first_id = self.endpoint_id.partition('-again')[0]
         self.endpoint_id = f'{first_id}-again{len(self.crash_times_s)}'
         self.start_time_ms = int(time.time() * 1000)
@@ -257,3 +257,24 @@
         for number in range(20)
     ]
     assert statuses == [200] * 20
+
+
+# Guards against a 503, which promises that a request has not run, after a run
+# that crashed its worker.
+async def test_request_that_ran_is_not_answered_as_if_it_had_not(crashing):
+    near, far = crashing.workers[:2]
+    for worker in crashing.workers[2:]:
+        worker.state = 'leaving'
+        await worker.announce()
+        worker.announcing.cancel()
+    # The near one is chosen first. Nobody knows yet that the far one has
+    # ended.
+    far.fields['zone'] = 'south'
+    await asyncio.sleep(0.5)
+    far.server.close()
+    far.abort_connections()
+    response = await crashing.send_request(
+        '/read/killing', method='POST', content=b'{}'
+    )
+    assert len(near.crash_times_s) == 1
+    assert response.status_code == 502
