Let workers of the soak crash, name limits and send without end

A caller sends a request that crashes the worker that runs it, and one that is answered without end; workers name limits for some seconds. Checked: BUDGET (three late sends after the third crash), LIMIT (by the hosts that passed it on, not disrupted), the memory of entry hosts (200 MB), and all that was checked before.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -7,12 +7,15 @@
 
 import argparse
 import asyncio
+import contextlib
 import dataclasses
 import pathlib
 import shutil
 import sys
 import tempfile
 
+import psutil
+
 from tests.platform import soak_callers
 from tests.platform import soak_deployment
 from tests.platform import soak_faults
@@ -27,6 +30,8 @@
 # A calm span: the rules hold again after CONTACT_S, and a document sent then
 # is in force after CONFIG_APPLY_S; what is left is for requests.
 CALM_S = soak_record.CONTACT_S + soak_record.CONFIG_APPLY_S + 2.5
+# Between two looks at the memory of all entry hosts, in s.
+MEMORY_POLL_INTERVAL_S = 0.1
 # Between two attempts to be served at the start and the end, in s.
 SERVED_POLL_INTERVAL_S = 0.2
 
@@ -59,7 +64,10 @@
                 *self.faults.list_tasks(),
             )
         ]
-        lag = asyncio.create_task(self.record.measure_lag())
+        watching = [
+            asyncio.create_task(self.record.measure_lag()),
+            asyncio.create_task(self._measure_memory()),
+        ]
         end_s = self.record.now_s() + seconds
         while self.record.now_s() < end_s:
             remaining_s = end_s - self.record.now_s() - CALM_S
@@ -78,9 +86,22 @@
         for part in (self.callers, self.operators, self.faults):
             part.is_over = True
         await asyncio.gather(*tasks)
-        lag.cancel()
+        for task in watching:
+            task.cancel()
         await self._check()
 
+    async def _measure_memory(self):
+        while True:
+            for process in self.deployment.entries:
+                with contextlib.suppress(psutil.Error):
+                    resident_bytes = (
+                        psutil.Process(process.process.pid).memory_info().rss
+                    )
+                    self.record.peak_bytes = max(
+                        self.record.peak_bytes, resident_bytes
+                    )
+            await asyncio.sleep(MEMORY_POLL_INTERVAL_S)
+
     async def _add_workers(self):
         services = ['api', 'batch'] * self.sizes.api_workers
         services = services[: self.sizes.api_workers]
@@ -124,6 +145,11 @@
         record.check_unanswered(self._was_read)
         record.check_runs()
         record.check_added()
+        record.check_contained()
+        for worker in self.deployment.workers:
+            worker.end_limit()
+        if record.peak_bytes > soak_record.MEMORY_BYTES:
+            record.violate(f'an entry host had {record.peak_bytes} bytes')
         for process in self.deployment.processes:
             self.faults.check_alive(process)
         versions = await self.deployment.read_versions()
@@ -183,6 +209,10 @@
     )
     print('statuses:', dict(record.statuses))
     print('probes by bound in s:', dict(record.judged))
+    print(
+        f'runs that crash a worker: {len(record.killing_runs)}, limits judged:'
+        f' {record.judged_limits}, peak memory: {record.peak_bytes}'
+    )
     print('workers that left calmly:', record.judged_drains)
     lags = sorted((lag_s for _, lag_s in record.lags), reverse=True)
     print(f'own lags: {len(lags)}, longest: {lags[:1]} s')
--- a/tests/platform/soak_callers.py
+++ b/tests/platform/soak_callers.py
@@ -23,6 +23,8 @@
 # routes' time-outs and the time budget.
 MAX_WORK_MS = 1500
 MAX_EVENTS = 80
+# Bounds of the pause between two requests that cause trouble, in s.
+TROUBLE_PAUSE_S = (0.2, 1.5)
 # Interval between two probes of a host: the least, and what keeps the probes
 # of many hosts a small part of the soak's own work.
 PROBE_INTERVAL_S = 0.3
@@ -120,7 +122,17 @@
         for number in range(sizes.kept_callers):
             is_eager = number % 4 == 3
             tasks.append(self.keep_connection(number, is_eager))
-        return [*tasks, self.probe_repeatedly()]
+        return [*tasks, self.probe_repeatedly(), self.send_troubles()]
+
+    async def send_troubles(self):
+        """Send requests that crash workers or get bytes without end."""
+        while not self.is_over:
+            path = self.rng.choice(
+                [soak_deployment.KILLING_PATH, soak_deployment.ENDLESS_PATH]
+            )
+            index = self.rng.randrange(self.deployment.sizes.entry_hosts)
+            await self.send_request('read', index, path)
+            await asyncio.sleep(self.rng.uniform(*TROUBLE_PAUSE_S))
 
     # Callers that choose a host for each request
 
--- a/tests/platform/soak_deployment.py
+++ b/tests/platform/soak_deployment.py
@@ -15,6 +15,16 @@
 
 EVENTS = 6
 EVENT_PAUSE_S = 0.02
+# Paths of requests that crash their worker, and that are answered without
+# end.
+KILLING_PATH = '/read/killing'
+ENDLESS_PATH = '/read/endless'
+# How long a worker that crashed is away.
+CRASHED_S = 1.5
+# An endless response: some 60 MB a second, until its connection is closed.
+ENDLESS_BLOCK = b'10000\r\n' + b'x' * 65_536 + b'\r\n'
+ENDLESS_PAUSE_S = 0.001
+MAX_ENDLESS_BLOCKS = 10_000
 # A worker's wait for an acknowledgement: the users' page on the protocol.
 ACK_TIMEOUT_S = 1.0
 # Time-out of an operator's call: the bound of the product's own wait for a
@@ -217,17 +227,27 @@
 
     :param record: the soak's record.
     :ivar left_s: when a control host acknowledged that it leaves; None before.
+    :ivar limit_per_s: the limit that its answers name; None for none.
+    :ivar limited_s: when it began to name that limit.
+    :ivar arrivals: since then, when each request arrived, and from which host.
+    :ivar told_s: since then, when each host first passed such an answer on.
     """
 
     def __init__(self, running_deployment, record, endpoint_id, service):
         super().__init__(running_deployment, endpoint_id, service)
         self.record = record
+        self.limit_per_s = None
+        self.limited_s = 0.0
+        self.arrivals = []
+        self.told_s = {}
         self.left_s = None
         self.breaks_at = None
         self.broken_group = None
         self._writers = set()
         self._running = set()
         self._port = 0
+        self.is_crashed = False
+        self._restarting = None
         if service == 'models':
             self.respond = self._stream
 
@@ -272,6 +292,7 @@
         self.start_time_ms = int(time.time() * 1000)
         self.sequence, self.state, self.left_s = 0, 'ready', None
         self.group, self.staged = None, []
+        self.end_limit()
         self.respond = self._stream if service == 'models' else None
         await self.start()
 
@@ -290,6 +311,14 @@
         )
         if path not in ('/order', '/report') and is_target:
             self.record.register_run(self, headers, path)
+            self._note_arrival(headers)
+            if path == KILLING_PATH:
+                self._running.add(headers.get('X-Request-Id'))
+                self.crash(writer)
+                return
+            if path == ENDLESS_PATH:
+                await self._send_endlessly(writer, headers)
+                return
             self.pause_s = int(headers.get('X-Work-Ms', 0)) / 1000
         request_id = headers.get('X-Request-Id')
         self._running.add(request_id)
@@ -302,7 +331,71 @@
             # The record has what the checks need.
             self.requests.clear()
 
+    # Troubles
+
+    def crash(self, writer):
+        """End as a process that crashes; come back under another id.
+
+        A worker that is leaving only breaks the connection.
+        """
+        if self.is_crashed or self.state != 'ready':
+            writer.transport.abort()
+            return
+        self.record.crash_count += 1
+        self.is_crashed = True
+        self._restarting = asyncio.create_task(self._crash_and_restart())
+
+    async def _crash_and_restart(self):
+        self.lose_group()
+        await self.stop()
+        await asyncio.sleep(CRASHED_S)
+        name = self.endpoint_id.partition('-crash')[0]
+        await self.come_back(
+            f'{name}-crash{self.record.crash_count}', self.service
+        )
+        self.is_crashed = False
+
+    async def _send_endlessly(self, writer, headers):
+        self._mark_broken(headers['X-Request-Id'])
+        more = 'Transfer-Encoding: chunked\r\n'
+        writer.write(self.build_head(headers, more))
+        with contextlib.suppress(ConnectionError):
+            for _ in range(MAX_ENDLESS_BLOCKS):
+                writer.write(ENDLESS_BLOCK)
+                await writer.drain()
+                # The soak's own tasks run too.
+                await asyncio.sleep(ENDLESS_PAUSE_S)
+        writer.transport.abort()
+
+    def build_head(self, headers, more):
+        return (
+            'HTTP/1.1 200 OK\r\n'
+            f'X-Request-Id: {headers["X-Request-Id"]}\r\n'
+            f'X-Server-Signature: {self.endpoint_id}.sig\r\n{more}\r\n'
+        ).encode()
+
+    def begin_limit(self, limit_per_s):
+        """Name a limit in all answers from now on."""
+        self.limit_per_s = limit_per_s
+        self.limited_s = self.record.now_s()
+        self.arrivals, self.told_s = [], {}
+
+    def end_limit(self):
+        """Check the limit that was named, and name it no longer."""
+        if self.limit_per_s is not None:
+            self.record.check_limit(self)
+        self.limit_per_s = None
+
+    def _note_arrival(self, headers):
+        request = self.record.requests.get(headers.get('X-Request-Id'))
+        if self.limit_per_s is not None and request is not None:
+            self.arrivals.append((self.record.now_s(), request.host))
+
     def build_response(self, headers, text, status='200 OK', more=''):
+        request = self.record.requests.get(headers['X-Request-Id'])
+        if self.limit_per_s is not None and request is not None:
+            more += f'Server-Limit: {self.limit_per_s}\r\n'
+            self.told_s.setdefault(request.host, self.record.now_s())
         text = f'{self.endpoint_id} ran {headers["X-Request-Id"]}'
         return super().build_response(headers, text, status, more)
 
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -25,6 +25,9 @@
 READMISSION_S = 6.0
 # From SIGTERM until a host no longer counts as ready: rule DRAIN.
 UNREADY_S = 4.0
+# Bounds of the time for which a worker names a limit, in s: the rule judges it
+# from soak_record.CONTACT_S on.
+LIMIT_DURATION_S = (6.0, 14.0)
 # Fewest workers of a service that are left while one of them leaves.
 MIN_WORKERS = 2
 # How long an address is unused before another worker has it: reuse_after_s of
@@ -52,6 +55,7 @@
         self.is_over = False
         self.count = 0
         self._reserved = set()
+        self._limits = []
 
     async def cause_storm(self, seconds):
         """Cause faults of hosts in two overlapping series."""
@@ -324,6 +328,8 @@
         kinds = [
             self._restart_worker,
             self._break_streams,
+            self._limit_worker,
+            self._limit_worker,
             self.drain_worker,
             self.drain_worker,
         ]
@@ -338,6 +344,29 @@
         worker.lose_group()
         worker.sequence, worker.staged = 0, []
 
+    async def _limit_worker(self):
+        """Let a worker name a limit until it leaves, or for some time."""
+        free = [
+            item
+            for item in self.deployment.workers
+            if item.limit_per_s is None and item.state == 'ready'
+        ]
+        if not free:
+            return
+        worker = self.rng.choice(free)
+        limit_per_s = round(self.rng.uniform(0.5, 4.0), 1)
+        self.record.log_fault(f'{worker.endpoint_id} names {limit_per_s}')
+        worker.begin_limit(limit_per_s)
+        self._limits.append(
+            asyncio.create_task(self._end_limit(worker, worker.limited_s))
+        )
+
+    async def _end_limit(self, worker, limited_s):
+        await self._pause(LIMIT_DURATION_S)
+        if worker.limited_s == limited_s and worker.limit_per_s is not None:
+            self.record.log_fault(f'{worker.endpoint_id} names no limit')
+            worker.end_limit()
+
     async def _break_streams(self):
         worker = self.rng.choice(
             [item for item in self.deployment.workers if item.respond]
@@ -351,7 +380,9 @@
     async def drain_worker(self):
         """Let a worker leave, and another start at its address."""
         ready = [
-            item for item in self.deployment.workers if item.state == 'ready'
+            item
+            for item in self.deployment.workers
+            if item.state == 'ready' and not item.is_crashed
         ]
         counts = collections.Counter(item.service for item in ready)
         ready = [item for item in ready if counts[item.service] > MIN_WORKERS]
--- a/tests/platform/soak_record.py
+++ b/tests/platform/soak_record.py
@@ -46,6 +46,20 @@
 MIN_LAG_S = 0.02
 LAG_POLL_INTERVAL_S = 0.02
 
+# Rule BUDGET: from CONTACT_S after a request has crashed its third worker, it
+# is sent this often at the most.
+FREE_CRASHES = 3
+MAX_LATE_SENDS = 3
+# Rule LIMIT: in some LIMIT_WINDOW_S a worker gets at most LIMIT_FACTOR times
+# what its limit allows, and LIMIT_SLACK, from hosts that passed it on TOLD_S
+# before.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+TOLD_S = 0.5
+# Memory of an entry host in the users' largest deployments, in bytes.
+MEMORY_BYTES = 200_000_000
+
 REFUSALS = (408, 421, 429, 503)
 SERVICES = {
     'read': 'api',
@@ -143,6 +157,10 @@
         self._unanswered = []
         self._added_served = collections.Counter()
         self.number = 0
+        self.crash_count = 0
+        self.killing_runs = []
+        self.judged_limits = 0
+        self.peak_bytes = 0
 
     def now_s(self):
         return time.monotonic() - self._start_s
@@ -248,6 +266,48 @@
                 f'{"X-Key" in headers}'
             )
         self._check_drained(worker, request_id, request)
+        if path == '/read/killing':
+            self.killing_runs.append((self.now_s(), request.host))
+
+    def check_contained(self):
+        """Check how often a request was sent that crashes its workers."""
+        if len(self.killing_runs) <= FREE_CRASHES:
+            return
+        third_s = self.killing_runs[FREE_CRASHES - 1][0]
+        late = [
+            f'{at_s:.3f} by {host}'
+            for at_s, host in self.killing_runs
+            if at_s > third_s + CONTACT_S
+            and not self.find_disruptions(host, at_s - CONTACT_S, at_s)
+        ]
+        if len(late) > MAX_LATE_SENDS:
+            self.violate(
+                f'{len(self.killing_runs)} workers crashed, the third at '
+                f'{third_s:.3f}; sent again {late}'
+            )
+
+    def check_limit(self, worker):
+        """Check the requests that a worker got while it named a limit."""
+        times_s = [
+            at_s
+            for at_s, host in worker.arrivals
+            if at_s > worker.limited_s + CONTACT_S
+            and at_s > worker.told_s.get(host, at_s) + TOLD_S
+            and not self.find_disruptions(host, at_s - CONTACT_S, at_s)
+        ]
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * worker.limit_per_s
+        allowed += LIMIT_SLACK
+        self.judged_limits += bool(times_s)
+        for start_s in times_s:
+            end_s = start_s + LIMIT_WINDOW_S
+            count = sum(start_s <= at_s < end_s for at_s in times_s)
+            if count > allowed:
+                self.violate(
+                    f'{worker.endpoint_id} with a limit of '
+                    f'{worker.limit_per_s} a second got {count} requests '
+                    f'from {start_s:.3f} on, allowed {allowed}'
+                )
+                return
 
     def _check_drained(self, worker, request_id, request):
         now_s = self.now_s()
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -23,3 +23,7 @@
     # Calm hosts were judged by the tightest bound.
     assert record.judged[soak_record.CONFIG_APPLY_S] > 0
     assert record.judged_drains > 0
+    # A request crashed workers, and was contained.
+    assert record.killing_runs
+    # Endless responses were sent through hosts, which stayed small.
+    assert record.peak_bytes > 0
