--- a/tests/platform/soak_deployment.py
+++ b/tests/platform/soak_deployment.py
@@ -245,20 +245,11 @@
         self.broken_group = None
         self._writers = set()
         self._running = set()
-        self._port = 0
         self.is_crashed = False
         self._restarting = None
         if service == 'models':
             self.respond = self._stream
 
-    async def start(self):
-        self.server = await asyncio.start_server(
-            self.handle_connection, '127.0.0.1', self._port, limit=1 << 20
-        )
-        self._port = self.server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{self._port}'
-        self.announcing = asyncio.create_task(self.announce_periodically())
-
     async def stop(self):
         """End the process that this worker stands for."""
         await self.close()
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -41,15 +41,6 @@
         self.closes = False
         self.is_silent = False
         self._writers = set()
-        self._port = 0
-
-    async def start(self):
-        self.server = await asyncio.start_server(
-            self.handle_connection, '127.0.0.1', self._port, limit=1 << 20
-        )
-        self._port = self.server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{self._port}'
-        self.announcing = asyncio.create_task(self.announce_periodically())
 
     async def handle_connection(self, reader, writer):
         self._writers.add(writer)
@@ -147,21 +138,28 @@
         await _use_connections(running)
 
 
-# Guards against a request without a body that crashes worker after worker,
-# since each repeat counts as another request.
-@pytest.mark.parametrize('body', [b'', b'{"name": "x"}'], ids=['none', 'body'])
-async def test_killing_request_on_new_connections_is_contained(crashing, body):
-    await _close_connections(crashing)
+async def _send_killing(running, body, keeps_connections):
+    """Send a killing request again and again, and check the crashes."""
     for number in range(SENDS):
-        await crashing.send_request(
+        if keeps_connections:
+            await _use_connections(running)
+        await running.send_request(
             '/read/killing',
             number % 2,
             method='POST' if body else 'GET',
             content=body,
         )
         await asyncio.sleep(SEND_INTERVAL_S)
-    assert len(_list_crashes(crashing)) >= 1
-    _check_contained(_list_crashes(crashing))
+    assert len(_list_crashes(running)) >= 1
+    _check_contained(_list_crashes(running))
+
+
+# Guards against a request without a body that crashes worker after worker,
+# since each repeat counts as another request.
+@pytest.mark.parametrize('body', [b'', b'{"name": "x"}'], ids=['none', 'body'])
+async def test_killing_request_on_new_connections_is_contained(crashing, body):
+    await _close_connections(crashing)
+    await _send_killing(crashing, body, keeps_connections=False)
 
 
 # Guards against a request that crashes worker after worker, since the crash
@@ -170,17 +168,7 @@
 async def test_killing_request_on_kept_connections_is_contained(
     crashing, body
 ):
-    for number in range(SENDS):
-        await _use_connections(crashing)
-        await crashing.send_request(
-            '/read/killing',
-            number % 2,
-            method='POST' if body else 'GET',
-            content=body,
-        )
-        await asyncio.sleep(SEND_INTERVAL_S)
-    assert len(_list_crashes(crashing)) >= 1
-    _check_contained(_list_crashes(crashing))
+    await _send_killing(crashing, body, keeps_connections=True)
 
 
 # Guards against a request that crashes worker after worker, since it ends by
