Show which voters don't reply, and how many more may be lost

Added, without a change of logic: `election.no_quorum` with each voter's reply, `voters.silent` with the losses left on the leader, the state of the log in `voter.halted`; gauges `agreement_halted_ms`, `agreement_voters`, `agreement_voters_replying`, a counter of campaigns without a quorum; and in the status `losses_left`, and `counts` and `reply_age_ms` of each voter. The golden record of /v1/status has the new fields.

--- a/filbertglade/administration/rendering.py
+++ b/filbertglade/administration/rendering.py
@@ -103,6 +103,7 @@
             'leader': status.leader,
             'term': status.term,
             'committed_index': status.committed_index,
+            'losses_left': status.losses_left,
             'configuration': _render_change(
                 self._agreed.configuration.current
             ),
@@ -111,6 +112,8 @@
                     'name': voter.name,
                     'incarnation': voter.incarnation,
                     'match_index': voter.match_index,
+                    'counts': voter.counts,
+                    'reply_age_ms': voter.reply_age_ms,
                 }
                 for voter in status.voters
             ],
--- a/filbertglade/commands/status.py
+++ b/filbertglade/commands/status.py
@@ -8,7 +8,7 @@
 from filbertglade.commands import config
 
 TABLES = {
-    'voters': ('name', 'incarnation', 'match_index'),
+    'voters': ('name', 'incarnation', 'match_index', 'counts', 'reply_age_ms'),
     'nodes': (
         'name',
         'data_centre',
@@ -48,6 +48,7 @@
         f'leader {status["leader"]}  term {status["term"]}  '
         f'configuration {current["number"]} {current["change_id"]}'.rstrip()
     )
+    typer.echo(f'losses left: {status["losses_left"]}')
     if status['silent_nodes']:
         typer.echo(f'silent nodes: {_render(status["silent_nodes"])}')
     for title, columns in TABLES.items():
--- a/filbertglade/control/agreement.py
+++ b/filbertglade/control/agreement.py
@@ -89,6 +89,7 @@
             self._rng,
         )
         self._voter = voter
+        self._set_gauges()
         elector = election.Elector(voter, self._notify)
         snapshotter = snapshots.Snapshotter(voter)
         voter.tasks.start(elector.run())
@@ -107,6 +108,17 @@
         )
         return None
 
+    def _set_gauges(self) -> None:
+        gauges: dict[str, abc.Callable[[], float]] = {
+            'agreement_halted_ms': lambda: self.status().halted_ms or 0,
+            'agreement_voters': lambda: len(self._state.voters.incarnations),
+            'agreement_voters_replying': (
+                lambda: self.status().replying_count or 0
+            ),
+        }
+        for name, read in gauges.items():
+            self._counters.set_gauge(name, read)
+
     async def close(self) -> None:
         """Step down, stop all tasks and release the data folder."""
         voter = self._voter
--- a/filbertglade/control/election.py
+++ b/filbertglade/control/election.py
@@ -38,6 +38,8 @@
     ) -> None:
         self._voter = voter
         self._listener = listener
+        # Replies to the last campaign without a quorum, as logged.
+        self._logged_replies: dict[str, str] = {}
 
     # Campaigning
 
@@ -166,11 +168,14 @@
             unled=is_early,
         )
         votes = {voter.name: voter.build_reply(GRANTED)}
+        replies: dict[str, str] = {}
         without_leader: set[str] = set()
         peers = voter.peers
         pending = {
             voter.tasks.start(
-                self._request_vote(host, request, votes, without_leader)
+                self._request_vote(
+                    host, request, votes, replies, without_leader
+                )
             )
             for host in peers
         }
@@ -179,20 +184,41 @@
                 is_early and pre_vote and len(without_leader) < len(peers)
             ):
                 if not pending:
+                    if not is_early:
+                        self._log_no_quorum(term, pre_vote, replies)
                     return False
                 _, pending = await asyncio.wait(
                     pending, return_when=asyncio.FIRST_COMPLETED
                 )
+            self._logged_replies = {}
             return True
         finally:
             for task in pending:
                 task.cancel()
 
+    def _log_no_quorum(
+        self, term: int, pre_vote: bool, replies: dict[str, str]
+    ) -> None:
+        """Log who refused; repetitions of the same replies add no line."""
+        self._voter.counters.count('agreement_elections_without_quorum')
+        if replies == self._logged_replies:
+            return
+        self._logged_replies = replies
+        tables = self._voter.voter_tables()
+        log.change(
+            'election.no_quorum',
+            term=term,
+            pre_vote=pre_vote,
+            replies=dict(sorted(replies.items())),
+            voter_counts=[len(table.incarnations) for table in tables],
+        )
+
     async def _request_vote(
         self,
         host: model.ControlHostSettings,
         request: agreement_pb2.VoteRequest,
         votes: dict[str, quorum.VoterReply],
+        replies: dict[str, str],
         without_leader: set[str],
     ) -> None:
         voter = self._voter
@@ -203,10 +229,12 @@
                 voter.settings.control.election_ms / 1000
             ):
                 reply = await stub.Vote(request)
-        except replication.STREAM_ERRORS:
+        except replication.STREAM_ERRORS as error:
+            replies[host.name] = f'{type(error).__name__}: {error}'
             return
         finally:
             channel.close()
+        replies[host.name] = reply.reason or 'granted'
         if reply.unled:
             without_leader.add(host.name)
         if reply.granted:
--- a/filbertglade/control/leadership.py
+++ b/filbertglade/control/leadership.py
@@ -64,6 +64,8 @@
         self.replicators: list[replication.Replicator] = []
         self._replication_tasks: dict[str, asyncio.Task[typing.Any]] = {}
         self._tasks: list[asyncio.Task[typing.Any]] = []
+        # Voters of the table that don't reply, as last logged.
+        self._silent: set[str] = set()
 
     @property
     def term(self) -> int:
@@ -336,10 +338,65 @@
                 return
             self._refresh_replicators()
             self._update_voters()
+            self._log_silent_voters()
             left_ms = self._lease_end_ms - clock.now_ms()
             wait_ms = min(interval_ms, max(1, left_ms))
             await asyncio.sleep(wait_ms / 1000)
 
+    def _list_replying(self) -> set[str]:
+        """Return the voters that reply and count, this one included."""
+        current_quorum = self._voter.quorum()
+        replying = {
+            replicator.name
+            for replicator in self.replicators
+            if replicator.replied_recently
+            and current_quorum.counts_in_last_table(
+                replicator.name, replicator.build_reply(0)
+            )
+        }
+        if current_quorum.counts_in_last_table(
+            self._voter.name, self._voter.build_reply(0)
+        ):
+            replying.add(self._voter.name)
+        return replying
+
+    def replying_count(self) -> int:
+        """Return how many voters reply and count, this one included."""
+        return len(self._list_replying())
+
+    def losses_left(self) -> int:
+        """Return how many of these may be lost without losing the quorum.
+
+        It is negative if there is no quorum.
+        """
+        tables = self._voter.voter_tables()
+        member_count = len(
+            tables[-1].incarnations or self._voter.membership.founders
+        )
+        return self.replying_count() - (member_count // 2 + 1)
+
+    def _log_silent_voters(self) -> None:
+        """Log which voters have stopped or resumed replying."""
+        voter = self._voter
+        # After its election a leader has had no time to get replies yet.
+        waited_ms = clock.now_ms() - self._started_ms
+        if waited_ms < voter.settings.control.election_ms:
+            return
+        replying = self._list_replying()
+        table = voter.state.voters.incarnations
+        silent = {name for name in table if name not in replying}
+        if silent == self._silent:
+            return
+        log.change(
+            'voters.silent',
+            silent=sorted(silent),
+            newly_silent=sorted(silent - self._silent),
+            replying_again=sorted(self._silent & replying),
+            voter_count=len(table),
+            losses_left=self.losses_left(),
+        )
+        self._silent = silent
+
     def _log_lost_quorum(self) -> None:
         log.change(
             'leader.quorum_lost',
--- a/filbertglade/control/replication.py
+++ b/filbertglade/control/replication.py
@@ -102,11 +102,21 @@
     @property
     def replied_recently(self) -> bool:
         """Whether a request sent within an election time-out was answered."""
-        if self.acknowledged_sent_ms == quorum.NO_VALUE:
+        age_ms = self.acknowledged_age_ms
+        if age_ms is None:
             return False
-        age_ms = clock.now_ms() - self.acknowledged_sent_ms
         return age_ms < self._voter.settings.control.election_ms
 
+    @property
+    def acknowledged_age_ms(self) -> int | None:
+        """Time since the latest request that was answered was sent.
+
+        It is None if there is no such request.
+        """
+        if self.acknowledged_sent_ms == quorum.NO_VALUE:
+            return None
+        return clock.now_ms() - self.acknowledged_sent_ms
+
     @property
     def transfer_base_index(self) -> int | None:
         """Index after which the voter continues once a transfer is complete.
@@ -180,12 +190,9 @@
             A time is None if there is no such request.
         """
         now_ms = clock.now_ms()
-        acknowledged_age_ms = None
-        if self.acknowledged_sent_ms != quorum.NO_VALUE:
-            acknowledged_age_ms = now_ms - self.acknowledged_sent_ms
         oldest_ms = next(iter(self._in_flight_sent_ms.values()), None)
         return {
-            'acknowledged_age_ms': acknowledged_age_ms,
+            'acknowledged_age_ms': self.acknowledged_age_ms,
             'in_flight': len(self._in_flight_sent_ms),
             'oldest_in_flight_ms': (
                 None if oldest_ms is None else now_ms - oldest_ms
--- a/filbertglade/control/voter_state.py
+++ b/filbertglade/control/voter_state.py
@@ -57,6 +57,7 @@
     :param rng: the process's random numbers.
     :ivar mutex: held during changes of term, vote or log that await.
     :ivar leader: the leader of this term; empty if unknown.
+    :ivar halted_since_ms: time at which this voter halted; None if it didn't.
     :ivar leader_contact_ms: time of the last contact with a leader, or, while
         this voter leads, of the quorum's; None if there was none.
     """
@@ -95,6 +96,7 @@
         )
         self.leadership: leadership.Leadership | None = None
         self.failure: base_failures.Failure | None = None
+        self.halted_since_ms: int | None = None
         self.applied = asyncio.Event()
         self._candidate = False
         self._commit_advanced = asyncio.Event()
@@ -316,9 +318,19 @@
         """
         if self.failure is not None:
             return
+        role = self.role
         self.failure = failure
+        self.halted_since_ms = clock.now_ms()
         self.counters.count('agreement_halts')
-        log.error('voter.halted', reason=str(failure))
+        log.error(
+            'voter.halted',
+            reason=str(failure),
+            role=role.value,
+            term=self.term,
+            last_index=self.journal.last_index,
+            synced_index=self.journal.synced_index,
+            committed_index=self.committed_index,
+        )
         self.step_down('halted')
 
     # Commit
--- a/filbertglade/control/voter_status.py
+++ b/filbertglade/control/voter_status.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from filbertglade import clock
 from filbertglade.control import voter_state
 
 HALTED = 'halted'
@@ -16,11 +17,18 @@
         empty if it has none.
     :param match_index: index up to which its log is known to match; always 0
         for other voters if the reporting voter isn't the leader.
+    :param counts: whether its newest reply came from the data folder that the
+        voter table lists; only the leader knows it of other voters.
+    :param reply_age_ms: age of the newest request that it has replied to; 0
+        for the reporting voter; None if there is none or the reporting voter
+        isn't the leader.
     """
 
     name: str
     incarnation: str
     match_index: int
+    counts: bool
+    reply_age_ms: int | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +46,12 @@
     :param snapshot_index: index of the last record that the snapshot covers.
     :param incarnation: incarnation of this voter's data folder.
     :param voters: status of all voters.
+    :param failure: why it halted; empty if it didn't.
+    :param halted_ms: time since it halted; None if it didn't.
+    :param replying_count: number of voters that count and replied within an
+        election time-out, the leader included; None unless it leads.
+    :param losses_left: how many of these may be lost before nothing is agreed
+        any more; None unless it leads.
     """
 
     name: str
@@ -51,6 +65,10 @@
     snapshot_index: int
     incarnation: str
     voters: list[VoterStatus]
+    failure: str = ''
+    halted_ms: int | None = None
+    replying_count: int | None = None
+    losses_left: int | None = None
 
 
 def build_halted_status(name: str) -> AgreementStatus:
@@ -66,6 +84,10 @@
 
     :param voter: the voter.
     """
+    leading = voter.leadership
+    halted_ms = None
+    if voter.halted_since_ms is not None:
+        halted_ms = clock.now_ms() - voter.halted_since_ms
     return AgreementStatus(
         name=voter.name,
         role=voter.role.value,
@@ -78,19 +100,34 @@
         snapshot_index=voter.snapshot.index,
         incarnation=voter.identity.incarnation,
         voters=_list_voters(voter),
+        failure='' if voter.failure is None else str(voter.failure),
+        halted_ms=halted_ms,
+        replying_count=None if leading is None else leading.replying_count(),
+        losses_left=None if leading is None else leading.losses_left(),
     )
 
 
 def _list_voters(voter: voter_state.VoterState) -> list[VoterStatus]:
+    table = voter.state.voters.incarnations
     matches = {voter.name: voter.journal.synced_index}
+    incarnations = {voter.name: voter.identity.incarnation}
+    reply_ages_ms: dict[str, int | None] = {voter.name: 0}
     if voter.leadership is not None:
         for replicator in voter.leadership.replicators:
             matches[replicator.name] = replicator.match_index
-    table = voter.state.voters.incarnations
+            incarnations[replicator.name] = replicator.incarnation
+            reply_ages_ms[replicator.name] = replicator.acknowledged_age_ms
     hosts = voter.membership.list_hosts(table)
     names = [host.name for host in hosts]
     names += [name for name in table if name not in names]
     return [
-        VoterStatus(name, table.get(name, ''), matches.get(name, 0))
+        VoterStatus(
+            name,
+            table.get(name, ''),
+            matches.get(name, 0),
+            counts=bool(table.get(name))
+            and incarnations.get(name) == table[name],
+            reply_age_ms=reply_ages_ms.get(name),
+        )
         for name in names
     ]
--- a/tests/recording.py
+++ b/tests/recording.py
@@ -29,7 +29,7 @@
         'term',
     )
 )
-ALWAYS_VARYING_FIELDS = frozenset(('requests_per_s',))
+ALWAYS_VARYING_FIELDS = frozenset(('reply_age_ms', 'requests_per_s'))
 VARYING_PATTERNS = (
     (re.compile(r'127\.0\.0\.1:\d+'), '<address>'),
     (re.compile(r'\b(swap-writer)-\d+\b'), r'\1-<epoch>'),
