Say in the logs how an answer was framed and how it ended

request.answered and answer.broken now have framing, connection and rest_bytes. No change of logic.

Tests close connections in order where they abort a transport without unread data; reset_connection sends a reset.

--- a/filbertglade/forwarding/events.py
+++ b/filbertglade/forwarding/events.py
@@ -20,11 +20,14 @@
 
     :ivar last_id: id of the last complete event; empty before the first.
     :ivar count: number of complete events so far.
+    :ivar rest_bytes: bytes after the last complete event of a stream that has
+        ended regularly.
     """
 
     def __init__(self) -> None:
         self.last_id = ''
         self.count = 0
+        self.rest_bytes = 0
         self._partial = bytearray()
 
     @property
@@ -58,6 +61,7 @@
     def finish(self) -> bytes:
         """Return the buffered bytes when the stream has ended regularly."""
         partial = bytes(self._partial)
+        self.rest_bytes = len(partial)
         self._partial.clear()
         return partial
 
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -659,9 +659,9 @@
             await self._record_broken(target, connection, str(error))
             return AttemptOutcome.CUT, False
         except events.EventTooLong as error:
-            self._log('answer.broken', endpoint=target.key, reason=str(error))
+            self._log_broken(target, connection, str(error))
             return AttemptOutcome.CUT, False
-        self._record_response(target, head)
+        self._record_response(target, connection, head)
         return AttemptOutcome.ANSWERED, connection.is_reusable(head)
 
     def _is_not_run(self, head: upstream.ResponseHead) -> bool:
@@ -703,7 +703,7 @@
             # It was this node that closed the connection.
             return
         shared = self._context
-        self._log('answer.broken', endpoint=target.key, reason=detail)
+        self._log_broken(target, connection, detail)
         shared.pool.drop(target.key)
         was_idle = connection.is_reused and self._first_byte_ms is None
         if target.group and not was_idle:
@@ -713,6 +713,20 @@
             self._digest, target, self._permission
         )
 
+    def _log_broken(
+        self,
+        target: choice.Target,
+        connection: upstream.Connection,
+        detail: str,
+    ) -> None:
+        self._log(
+            'answer.broken',
+            endpoint=target.key,
+            reason=detail,
+            rest_bytes=self._splitter.partial_bytes,
+            **connection.describe_end(),
+        )
+
     async def _forward_body(
         self, connection: upstream.Connection, head: upstream.ResponseHead
     ) -> None:
@@ -809,7 +823,10 @@
     # The end
 
     def _record_response(
-        self, target: choice.Target, head: upstream.ResponseHead
+        self,
+        target: choice.Target,
+        connection: upstream.Connection,
+        head: upstream.ResponseHead,
     ) -> None:
         shared = self._context
         shared.containment.record_served(self._digest, self._permission)
@@ -832,6 +849,8 @@
             first_byte_ms=first_ms,
             total_ms=now_ms - self._request.received_ms,
             events=self._splitter.count,
+            rest_bytes=self._splitter.rest_bytes,
+            **connection.describe_end(),
             longest_pause_ms=self._longest_pause_ms,
             sends=self._send_count,
             load=head.headers.get(shared.dialect.load, ''),
--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -106,6 +106,13 @@
         """Whether the status is a 2xx one."""
         return 200 <= self.status < 300
 
+    @property
+    def framing(self) -> str:
+        """What ends the body: ``chunks``, ``length`` or ``connection``."""
+        if self.is_chunked:
+            return 'chunks'
+        return 'connection' if self.length is None else 'length'
+
 
 class Connection:
     """One connection to an endpoint.
@@ -123,6 +130,7 @@
         self._first_byte: asyncio.Future[bytes] | None = None
         self._written: asyncio.Future[None] | None = None
         self._reads = 0
+        self._head: ResponseHead | None = None
 
     def watch(self) -> None:
         """Read the first byte of the next response, or the connection's end.
@@ -150,6 +158,7 @@
         :param head: the request's head.
         :param body: its body.
         """
+        self._head = None
         self._written = asyncio.ensure_future(self.stream.write(head + body))
         self._written.add_done_callback(_retrieve_exception)
 
@@ -180,6 +189,7 @@
                 return head
             named = head.headers.get(request_id_header)
             if named is None or named == request_id:
+                self._head = head
                 return head
             log.change('answer.stray', endpoint=self.key, named=named)
             if not await self.skip_body(head):
@@ -191,6 +201,14 @@
             UpstreamReason.MALFORMED, 'too many responses to other requests'
         )
 
+    def describe_end(self) -> dict[str, str]:
+        """Return the log fields that show how a response ended."""
+        ending = 'closed' if self.stream.closed() else 'open'
+        if self.stream.error is not None:
+            ending = type(self.stream.error).__name__
+        framing = self._head.framing if self._head is not None else 'no head'
+        return {'framing': framing, 'connection': ending}
+
     async def _let_others_run(self) -> None:
         """Let other tasks and timers run after some reads."""
         self._reads += 1
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -6,6 +6,8 @@
 import os
 import pathlib
 import signal
+import socket
+import struct
 import sys
 import time
 
@@ -362,6 +364,14 @@
             self.group = None
 
 
+def reset_connection(writer):
+    """Reset a connection; to abort its transport may close it in order."""
+    writer.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
+
+
 class EventStreamer:
     """Responds with a stream of numbered events.
 
