Ignore signals in one step when a process ends

Cause: removing a handler from the event loop first restores the default action and only then was the signal ignored. A signal between the two ends the process. The new test records that the default action was restored, and fails on the code before.

Signals now have handlers of the process's own, on a wake-up socket as the event loop uses, and go from handled to ignored without a step between.

--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -23,6 +23,7 @@
 from filbertglade.observability import memory
 from filbertglade.observability import metrics
 from filbertglade.settings import gateway
+from filbertglade import signals
 from filbertglade import tasks
 
 log = logs.get_log(__name__)
@@ -30,7 +31,6 @@
 # Interval between two checks of the settings file, in ms: it may change
 # without a signal.
 SETTINGS_POLL_INTERVAL_MS = 1000
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class MetricsHandler(web.RequestHandler):
@@ -129,6 +129,13 @@
         self._metrics_server: httpserver.HTTPServer | None = None
         self._stopping = asyncio.Event()
         self._reload_requested = asyncio.Event()
+        self._signals = signals.SignalHandlers(
+            {
+                signal.SIGTERM: self._stopping.set,
+                signal.SIGINT: self._stopping.set,
+                signal.SIGHUP: self._reload_requested.set,
+            }
+        )
 
     async def start(self) -> failures.Failure | None:
         """Start all parts.
@@ -145,7 +152,7 @@
         )
         self._tasks.start(self._loop_delay.run())
         self._settings_text = self._path.read_bytes()
-        self._add_signal_handlers()
+        self._signals.install()
         if self._control_role is not None:
             self._inner_server = grpc_server.Server(
                 [
@@ -181,23 +188,6 @@
         host, port = channels.split_address(address)
         self._metrics_server.listen(port, host)
 
-    def _add_signal_handlers(self) -> None:
-        loop = asyncio.get_running_loop()
-        for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
-
-    def _ignore_signals(self) -> None:
-        """Ignore signals until the exit.
-
-        When the event loop is closed, it restores their default actions, which
-        end the process before its last log lines are written.
-        """
-        loop = asyncio.get_running_loop()
-        for number in (*STOP_SIGNALS, signal.SIGHUP):
-            loop.remove_signal_handler(number)
-            signal.signal(number, signal.SIG_IGN)
-
     async def _watch_settings(self) -> None:
         while True:
             try:
@@ -250,5 +240,5 @@
             self._inner_server.close()
         if self._metrics_server is not None:
             self._metrics_server.stop()
-        self._ignore_signals()
+        self._signals.ignore()
         log.change('process.stopped', run=self._run_name)
--- a/tests/commands/test_gateway.py
+++ b/tests/commands/test_gateway.py
@@ -1,5 +1,7 @@
 """Signals to a gateway process while it starts and ends."""
 
+import multiprocessing
+import os
 import signal
 import subprocess
 import time
@@ -98,3 +100,35 @@
             process.wait()
     assert process.returncode == 0
     assert 'process.stopped' in settings_path.with_name('log').read_text()
+
+
+def _run_and_record_defaults(path, restored):
+    """Run a gateway; record the signals that get their default action."""
+    set_handler = signal.signal
+
+    def set_and_record(number, handler):
+        previous = set_handler(number, handler)
+        if handler is signal.SIG_DFL:
+            restored.put(int(number))
+        return previous
+
+    signal.signal = set_and_record
+    os._exit(gateway.run_gateway(path))
+
+
+# Guards against hosts that ended with -1 when a signal came just between the
+# removal of its handler and the moment from which it was ignored.
+def test_no_default_action_is_restored_during_the_stop(settings_path):
+    context = multiprocessing.get_context('spawn')
+    restored = context.Queue()
+    process = context.Process(
+        target=_run_and_record_defaults, args=(settings_path, restored)
+    )
+    process.start()
+    data = settings_path.with_name('data') / 'voter.json'
+    cluster.wait_until(data.exists, 'started')
+    while process.is_alive():
+        os.kill(process.pid, signal.SIGTERM)
+        process.join(0.5)
+    assert process.exitcode == 0
+    assert restored.empty()
