--- a/tests/gateway_forwarding/test_uncertain_document.py
+++ b/tests/gateway_forwarding/test_uncertain_document.py
@@ -74,6 +74,9 @@
     def is_reusable(self, head):
         return True
 
+    def describe_end(self):
+        return {}
+
 
 class Pool:
     def take_idle(self, key, max_idle_ms):
