Log what a start finds in the data folder

voter.started names the term and the indexes that a voter starts with, but neither the files that it found, nor how long reading them took; a refusal is a line on stderr without host and time. Hypotheses about folders that are refused or lose what was acknowledged can't be told apart without these.

folder.read and folder.refused name the files and their sizes before any of them is changed, temporary ones included, the bytes cut, and the time taken. No logic is changed. Nothing is synced by a start, so no line says so.

--- a/filbertglade/control/file_storage.py
+++ b/filbertglade/control/file_storage.py
@@ -10,6 +10,7 @@
 import dataclasses
 import pathlib
 
+from filbertglade import clock
 from filbertglade.control import disk_worker
 from filbertglade.control import failures
 from filbertglade.control import files
@@ -17,6 +18,7 @@
 from filbertglade.control import segments
 from filbertglade.control import snapshot_files
 from filbertglade.control import store
+from filbertglade.observability import logs
 
 VOTE_NAME = 'vote.json'
 
@@ -24,6 +26,8 @@
 StorageFailure = failures.StorageFailure
 Storage = store.Storage
 
+log = logs.get_log(__name__)
+
 
 class FileStorage(store.Storage):
     """A data folder on disk.
@@ -44,13 +48,40 @@
         :param name: name of the node.
         :returns: content of the folder, or why it can't be used.
         """
+        started_ms = clock.now_ms()
+        found = await self._worker.run(self._list_files, Reason.READ_FAILED)
         stored = await self._worker.run(
             lambda: self._open(name), Reason.READ_FAILED
         )
+        took_ms = clock.now_ms() - started_ms
         if isinstance(stored, StorageFailure):
             self._identity.unlock()
+            log.error(
+                'folder.refused',
+                reason=str(stored),
+                found=str(found),
+                took_ms=took_ms,
+            )
+        else:
+            log.change(
+                'folder.read',
+                found=str(found),
+                cut_bytes=stored.cut_bytes,
+                entries=len(stored.entries),
+                committed_index=stored.committed_index,
+                took_ms=took_ms,
+            )
         return stored
 
+    def _list_files(self) -> dict[str, int]:
+        """Return the sizes of the files, before any of them is changed."""
+        if not self._folder.exists():
+            return {}
+        return {
+            path.name: path.stat().st_size
+            for path in sorted(self._folder.iterdir())
+        }
+
     def _open(self, name: str) -> store.StoredState | StorageFailure:
         self._folder.mkdir(parents=True, exist_ok=True)
         stored_identity = self._identity.open(name)
--- a/tests/control/test_file_storage.py
+++ b/tests/control/test_file_storage.py
@@ -118,6 +118,32 @@
     assert (await read(folder)).entries[-1].term == 2
 
 
+# Guards against starts whose log doesn't tell what was found in the folder,
+# what was cut or why it was refused.
+async def test_reading_a_folder_is_logged(folder, log_lines):
+    await write(folder, [2, 1])
+    (path,) = log_files(folder)
+    size = path.stat().st_size
+    os.truncate(path, size - 1)
+    (folder / 'vote.json.tmp').write_bytes(b'half')
+    log_lines.clear()
+    await read(folder)
+    (line,) = log_lines
+    assert line['message_type'] == 'folder.read'
+    assert line['entries'] == 2
+    assert line['cut_bytes'] == size // 3 - 1
+    assert f"'{path.name}': {size - 1}" in line['found']
+    assert "'vote.json.tmp': 4" in line['found']
+    assert line['took_ms'] >= 0
+    (folder / 'vote.json').unlink()
+    await read(folder)
+    line = log_lines[-1]
+    assert line['message_type'] == 'folder.refused'
+    assert 'vote.json is missing' in line['reason']
+    assert 'vote.json' not in line['found']
+    assert path.name in line['found']
+
+
 async def test_torn_batch_may_miss_its_beginning(folder):
     """A crash may persist only later pages of an unsynced batch."""
     await write(folder, [2, 3])
