--- a/tests/control/memory_storage.py
+++ b/tests/control/memory_storage.py
@@ -28,6 +28,12 @@
     # Whether the write at which it crashes becomes durable nevertheless.
     last_write_stays: bool = False
     fails_writes: bool = False
+    # The writes that it refuses: methods of the storage, 'snapshot' for the
+    # commit of a snapshot.
+    refused: frozenset[str] = frozenset()
+    # Whether a refused write reaches the disk nevertheless: when the sync
+    # after it failed, for instance.
+    refused_write_stays: bool = False
     write_s: float = 0.001
 
     def mark_founding(self, name):
@@ -49,13 +55,15 @@
         self.disk = disk
         self.crashed = asyncio.Event()
 
-    async def _write(self, change):
+    async def _write(self, change, kind):
         if self.crashed.is_set():
             await asyncio.Future()
         await asyncio.sleep(self.disk.write_s)
         if self.crashed.is_set():
             await asyncio.Future()
-        if self.disk.fails_writes:
+        if self.disk.fails_writes or kind in self.disk.refused:
+            if self.disk.refused_write_stays:
+                change()
             return WRITE_FAILED
         if self.disk.writes_left is not None:
             self.disk.writes_left -= 1
@@ -91,7 +99,9 @@
         )
 
     async def save_vote(self, vote):
-        return await self._write(lambda: setattr(self.disk, 'vote', vote))
+        return await self._write(
+            lambda: setattr(self.disk, 'vote', vote), 'save_vote'
+        )
 
     async def append(self, entries, committed_index):
         def change():
@@ -104,7 +114,7 @@
                 min(committed_index, entries[0].index - 1),
             )
 
-        return await self._write(change)
+        return await self._write(change, 'append')
 
     async def truncate(self, first_index):
         def change():
@@ -114,7 +124,7 @@
                 if entry.index < first_index
             ]
 
-        return await self._write(change)
+        return await self._write(change, 'truncate')
 
     async def compact(self, first_kept):
         def change():
@@ -124,7 +134,7 @@
                 if entry.index >= first_kept
             ]
 
-        return await self._write(change)
+        return await self._write(change, 'compact')
 
     async def begin_snapshot(self, point):
         return _Writer(self, point)
@@ -142,7 +152,7 @@
             self.disk.point = point
             self.disk.chunks = chunks
 
-        return await self._write(change)
+        return await self._write(change, 'snapshot')
 
 
 class _Writer(store.SnapshotWriter):
--- a/tests/control/test_file_storage.py
+++ b/tests/control/test_file_storage.py
@@ -8,6 +8,7 @@
 
 from filbertglade.control import failures
 from filbertglade.control import file_storage
+from filbertglade.control import files
 from filbertglade.control import identity
 from filbertglade.control import segments
 from filbertglade.control import store
@@ -66,6 +67,83 @@
     assert stored.committed_index == 4
 
 
+def record_syncs(monkeypatch):
+    """Return a set to which the paths of all synced files are added."""
+    synced = set()
+    for name in ('fsync', 'fdatasync'):
+        sync = getattr(os, name)
+
+        def record(descriptor, sync=sync):
+            synced.add(os.readlink(f'/proc/self/fd/{descriptor}'))
+            sync(descriptor)
+
+        monkeypatch.setattr(os, name, record)
+    return synced
+
+
+# Guards against records that a process wrote and, as it was killed, didn't
+# sync: the next process acknowledges them, and a power loss takes them back.
+async def test_records_are_synced_before_they_count_as_stored(
+    folder, monkeypatch
+):
+    await write(folder, [1])
+    opened, _ = await open_folder(folder)
+    with monkeypatch.context() as patches:
+        patches.setattr(os, 'fdatasync', lambda descriptor: None)
+        assert await opened.append([entry(2)], 0) is None
+    await opened.close()
+    synced = record_syncs(monkeypatch)
+    stored = await read(folder)
+    assert [item.index for item in stored.entries] == [1, 2]
+    assert str(log_files(folder)[-1]) in synced
+
+
+# Guards against a vote whose file was renamed by a process that was killed
+# before it synced the folder: a power loss lets the voter vote again.
+async def test_vote_is_synced_before_it_counts_as_stored(folder, monkeypatch):
+    await write(folder, [1])
+    opened, _ = await open_folder(folder)
+    with monkeypatch.context() as patches:
+        patches.setattr(files, 'sync_folder', lambda synced_folder: None)
+        assert await opened.save_vote(store.Vote(2, 'two')) is None
+    await opened.close()
+    synced = record_syncs(monkeypatch)
+    assert (await read(folder)).vote == store.Vote(2, 'two')
+    assert str(folder) in synced
+
+
+# Guards against a snapshot whose rename a power loss takes back after the one
+# before it was removed: the voter then refuses to start, for good.
+async def test_snapshot_is_synced_before_the_one_before_it_is_removed(
+    folder, monkeypatch
+):
+    await write(folder, [4])
+    opened, _ = await open_folder(folder)
+    for index in (2, 3):
+        writer = await opened.begin_snapshot(store.SnapshotPoint(index, 1))
+        with monkeypatch.context() as patches:
+            if index == 3:
+                patches.setattr(files, 'sync_folder', fail_to_sync)
+            failure = await writer.commit()
+        assert (failure is None) == (index == 2)
+    await opened.close()
+    synced = record_syncs(monkeypatch)
+    is_synced_at_removal = []
+    unlink = pathlib.Path.unlink
+
+    def record_removal(path, missing_ok=False):
+        is_synced_at_removal.append(str(folder) in synced)
+        unlink(path, missing_ok)
+
+    monkeypatch.setattr(pathlib.Path, 'unlink', record_removal)
+    assert (await read(folder)).snapshot == store.SnapshotPoint(3, 1)
+    assert is_synced_at_removal == [True]
+
+
+def fail_to_sync(folder):
+    raise OSError('the sync failed')
+
+
 async def test_founding_is_marked_once(folder):
     settings = cluster.make_settings('one', ['one'], str(folder))
     again = identity.init_control(settings)
--- /dev/null
+++ b/tests/control/test_lost_disks.py
@@ -0,0 +1,405 @@
+"""Random orders of refused writes, lost disks, power losses and exchanges.
+
+Five control hosts tolerate the loss of two disks at once. A lost disk counts
+until its host is a voter again, and has had the time to catch up.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+
+import pytest
+
+from tests.control import cluster
+from tests.control import test_refused_writes
+from tests.control import test_seeded_voters
+
+HOST_COUNT = 5
+TOLERATED_LOSSES = 2
+# Time for which a host that is back still counts as lost.
+CATCH_UP_S = 4
+# Within this time after the last fault a leader acts again, and every host is
+# a voter that has all acknowledged changes.
+RECOVERY_S = 12
+STEPS = 14
+CONTROL = {'snapshot_entries': 8, 'heartbeat_ms': 100}
+WRITES = ('save_vote', 'append', 'truncate', 'compact', 'snapshot')
+SEEDS = range(12)
+
+
+@dataclasses.dataclass(frozen=True)
+class Failure:
+    """What an order of faults broke.
+
+    :param kind: what is missing: a leader, a change or a voter.
+    :param roles: the roles of all hosts, sorted.
+    """
+
+    kind: str
+    roles: tuple[str, ...]
+
+
+class FixedGroup:
+    """Control hosts that the settings list."""
+
+    def __init__(self, seed):
+        self._cluster = cluster.Cluster(HOST_COUNT, seed, **CONTROL)
+        self.hosts = list(self._cluster.nodes.values())
+        self.faults = self._cluster.faults
+
+    async def start(self):
+        await self._cluster.start()
+
+    async def stop(self):
+        await self._cluster.stop()
+
+    async def start_host(self, host):
+        assert await host.start() is None
+
+    async def replace(self, host):
+        """Return the host that replaces another; None if none can."""
+        return None
+
+
+class SeededGroup:
+    """Control hosts that find each other through seeds."""
+
+    def __init__(self, seed):
+        self._fleet = test_seeded_voters.Fleet(HOST_COUNT, seed, **CONTROL)
+        self.hosts = list(self._fleet.hosts.values())
+        self.faults = []
+        # Addresses can't be used again.
+        self._used = {host.name for host in self.hosts}
+
+    async def start(self):
+        await self._fleet.start()
+
+    async def stop(self):
+        await self._fleet.stop()
+
+    async def start_host(self, host):
+        await host.start()
+
+    async def replace(self, host):
+        """Replace a host by one with another address, if there is one."""
+        fleet = self._fleet
+        addresses = test_seeded_voters.ADDRESSES
+        unused = [name for name in addresses if name not in self._used]
+        if not unused:
+            return None
+        self._used.add(unused[0])
+        await host.stop()
+        del fleet.hosts[host.name]
+        new_host = test_seeded_voters.Host(fleet, unused[0])
+        fleet.hosts[new_host.name] = new_host
+        self.hosts[self.hosts.index(host)] = new_host
+        await new_host.start()
+        return new_host
+
+
+class Scenario:
+    """Draws faults from a seed, and checks what they broke.
+
+    :param group: the control hosts.
+    :param seed: seed of the faults.
+    :param restarts_halted: whether a process whose voter halted is restarted
+        once its disk takes writes again.
+    """
+
+    def __init__(self, group, seed, restarts_halted=False):
+        self.group = group
+        self.rng = random.Random(seed)
+        self.restarts_halted = restarts_halted
+        self.story = []
+        self.failures = []
+        self.changes = test_refused_writes.Changes(group)
+        # Time from which the disk of a host doesn't count as lost any more;
+        # infinite until the host is a voter again.
+        self.lost_until_s = {}
+        self.tasks = []
+        # Held while a host is stopped and started.
+        self.locks = collections.defaultdict(asyncio.Lock)
+
+    async def run(self):
+        await self.group.start()
+        try:
+            await self._run()
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+            for host in self.group.hosts:
+                host.disk.writes_left = None
+            await self.group.stop()
+        return self.failures
+
+    async def _run(self):
+        if not await self._wait(self._all_are_voters, 60):
+            self._fail('founding')
+            return
+        self._start(self._send_changes())
+        self._start(self._watch())
+        for _ in range(STEPS):
+            action = self.rng.choice(
+                (
+                    self._pass_time,
+                    self._pass_time,
+                    self._refuse_writes,
+                    self._refuse_writes,
+                    self._restart,
+                    self._lose_power_at_a_write,
+                    self._lose_power,
+                    self._lose_disks,
+                    self._lose_disks,
+                    self._hand_over,
+                    self._replace,
+                )
+            )
+            await action()
+        await self._settle()
+
+    def _start(self, work):
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.append(task)
+
+    def _note(self, *words):
+        at_s = asyncio.get_running_loop().time()
+        self.story.append(f'{at_s:8.3f} ' + ' '.join(map(str, words)))
+
+    def _fail(self, kind):
+        roles = sorted(self._role(host) for host in self.group.hosts)
+        self._note('failure:', kind, roles)
+        self.failures.append(Failure(kind, tuple(roles)))
+
+    def _role(self, host):
+        if host.agreement is None:
+            return 'down'
+        return host.agreement.status().role
+
+    @property
+    def leader(self):
+        for host in self.group.hosts:
+            if host.agreement is not None and host.agreement.is_leader:
+                return host
+        return None
+
+    async def _wait(self, condition, limit_s):
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + limit_s
+        while not condition():
+            if loop.time() >= end_s:
+                return False
+            await asyncio.sleep(0.02)
+        return True
+
+    # Changes
+
+    async def _send_changes(self):
+        while True:
+            leader = self.leader
+            if leader is not None:
+                await self.changes.send(leader, timeout_ms=1000)
+            await asyncio.sleep(self.rng.choice((0.005, 0.1, 0.4)))
+
+    async def _watch(self):
+        """Check leaders all the time, and count down lost disks."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.02)
+            acting = [
+                host
+                for host in self.group.hosts
+                if host.agreement is not None and host.agreement.is_leader
+            ]
+            if len(acting) > 1:
+                self._fail('two leaders')
+            for host, until_s in list(self.lost_until_s.items()):
+                if until_s == float('inf') and self._counts(host):
+                    self.lost_until_s[host] = loop.time() + CATCH_UP_S
+                elif until_s <= loop.time():
+                    del self.lost_until_s[host]
+            for host in self.group.hosts:
+                if (
+                    self.restarts_halted
+                    and self._role(host) == 'halted'
+                    and not host.disk.refused
+                    and not self.locks[host].locked()
+                ):
+                    self._note('restarts the halted', host.name)
+                    async with self.locks[host]:
+                        await host.stop()
+                        await self.group.start_host(host)
+
+    def _counts(self, host):
+        """Whether the leader's applied table lists a host's disk."""
+        leader = self.leader
+        if leader is None or host.agreement is None:
+            return False
+        table = leader.state.voters.incarnations
+        return (
+            host.agreement.is_voter
+            and table.get(host.name) == host.disk.identity.incarnation
+        )
+
+    # Faults
+
+    async def _pass_time(self):
+        await asyncio.sleep(self.rng.choice((0.05, 0.5, 2, 6)))
+
+    async def _refuse_writes(self):
+        host = self.rng.choice(self.group.hosts)
+        kinds = frozenset(
+            self.rng.sample(WRITES, self.rng.randint(1, len(WRITES)))
+        )
+        stays = self.rng.random() < 0.5
+        for_s = self.rng.choice((0.05, 0.5, 3))
+        self._note('refuses', host.name, sorted(kinds), stays, for_s)
+        self._start(self._refuse(host, kinds, stays, for_s))
+
+    async def _refuse(self, host, kinds, stays, for_s):
+        host.disk.refused = kinds
+        host.disk.refused_write_stays = stays
+        await asyncio.sleep(for_s)
+        host.disk.refused = frozenset()
+
+    async def _restart(self):
+        host = self.rng.choice(self.group.hosts)
+        self._note('restarts', host.name)
+        await self._stop_and_start([host])
+
+    async def _lose_power(self):
+        self._note('all lose power')
+        await self._stop_and_start(self.group.hosts)
+
+    async def _lose_power_at_a_write(self):
+        host = self.rng.choice(self.group.hosts)
+        disk = host.disk
+        disk.last_write_stays = self.rng.random() < 0.5
+        disk.writes_left = self.rng.randint(1, 4)
+        self._note('loses power at a write', host.name, disk.writes_left)
+        storage = host.storage
+        await self._wait(storage.crashed.is_set, 2)
+        await self._stop_and_start([host])
+
+    async def _lose_disks(self):
+        """Lose disks, just after a change was acknowledged."""
+        count = self.rng.randint(1, TOLERATED_LOSSES)
+        lost = self.rng.sample(self.group.hosts, count)
+        if len({*lost, *self.lost_until_s}) > TOLERATED_LOSSES:
+            await self._pass_time()
+            return
+        acknowledged = self.changes.acknowledged_version
+        await self._wait(
+            lambda: self.changes.acknowledged_version > acknowledged, 2
+        )
+        stopped = lost
+        if self.rng.random() < 0.5:
+            stopped = self.group.hosts
+        self._note(
+            'lose disks',
+            [host.name for host in lost],
+            'others lose power' if stopped is not lost else '',
+        )
+        await self._stop_and_start(stopped, lost)
+
+    async def _stop_and_start(self, hosts, lost=()):
+        async with contextlib.AsyncExitStack() as stack:
+            for host in hosts:
+                await stack.enter_async_context(self.locks[host])
+            for host in hosts:
+                await host.stop()
+                host.disk.writes_left = None
+            for host in lost:
+                self.lost_until_s[host] = float('inf')
+                host.disk.wipe()
+            order = list(hosts)
+            self.rng.shuffle(order)
+            for host in order:
+                await asyncio.sleep(self.rng.choice((0, 0.1, 0.4)))
+                await self.group.start_host(host)
+
+    async def _replace(self):
+        """Replace a host for good by one with an empty disk."""
+        host = self.rng.choice(self.group.hosts)
+        if len({host, *self.lost_until_s}) > TOLERATED_LOSSES:
+            return
+        async with self.locks[host]:
+            new_host = await self.group.replace(host)
+        if new_host is not None:
+            self._note('replaces', host.name, 'by', new_host.name)
+            self.lost_until_s.pop(host, None)
+            self.lost_until_s[new_host] = float('inf')
+
+    async def _hand_over(self):
+        leader = self.leader
+        if leader is not None:
+            self._note('hands over', leader.name)
+            await leader.agreement.transfer_leadership()
+
+    # The end
+
+    async def _settle(self):
+        for host in self.group.hosts:
+            host.disk.refused = frozenset()
+            host.disk.writes_left = None
+        self._note('the last fault is over')
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + RECOVERY_S
+        if not await self._wait(lambda: self.leader, RECOVERY_S):
+            self._fail('no leader')
+            return
+        acknowledged = self.changes.acknowledged_version
+        if not await self._wait(
+            lambda: self.changes.acknowledged_version > acknowledged,
+            end_s - loop.time(),
+        ):
+            self._fail('no change acknowledged')
+        if not await self._wait(self._all_are_voters, end_s - loop.time()):
+            self._fail('not all hosts are voters')
+        if self.group.faults:
+            self._fail(str(self.group.faults[0]))
+
+    def _all_are_voters(self):
+        """Whether all hosts are voters and have all acknowledged changes."""
+        return all(
+            self._counts(host) and self.changes.are_in_force_at(host)
+            for host in self.group.hosts
+        )
+
+
+def play(group_type, seed, restarts_halted):
+    scenario = Scenario(group_type(seed), seed, restarts_halted)
+    cluster.run(scenario.run())
+    return scenario
+
+
+def check_all(group_type, restarts_halted):
+    """Play all seeds; fail with what each one broke."""
+    broken = {}
+    for seed in SEEDS:
+        scenario = play(group_type, seed, restarts_halted)
+        if scenario.failures:
+            broken[seed] = scenario
+    assert not broken, '\n'.join(
+        f'seed {seed}: {scenario.failures}\n' + '\n'.join(scenario.story)
+        for seed, scenario in broken.items()
+    )
+
+
+# Guards against combinations of lost disks, refused writes, power losses and
+# exchanges that end agreement or lose a change, though no more disks are lost
+# at once than is tolerated.
+@pytest.mark.parametrize('group_type', [FixedGroup, SeededGroup])
+def test_tolerated_losses_in_any_order_are_survived(group_type):
+    check_all(group_type, restarts_halted=False)
+
+
+# The same for hosts whose halted voters are restarted by a supervisor: what is
+# broken here has another cause than a voter that stays halted.
+@pytest.mark.parametrize('group_type', [FixedGroup, SeededGroup])
+def test_tolerated_losses_are_survived_if_halted_voters_are_restarted(
+    group_type,
+):
+    check_all(group_type, restarts_halted=True)
--- a/tests/control/test_seeded_voters.py
+++ b/tests/control/test_seeded_voters.py
@@ -33,7 +33,11 @@
     async def start(self):
         fleet = self.fleet
         control = model.ControlSettings(
-            hosts=[], data_folder='memory', election_ms=700, lease_ms=600
+            hosts=[],
+            data_folder='memory',
+            election_ms=700,
+            lease_ms=600,
+            **fleet.control,
         )
         settings = type('Settings', (), {})()
         settings.name, settings.control = self.name, control
@@ -85,9 +89,10 @@
 
 
 class Fleet:
-    def __init__(self, count):
+    def __init__(self, count, seed=5, **control):
         self.seeds = ADDRESSES[:3]
-        self.rng = random.Random(5)
+        self.control = control
+        self.rng = random.Random(seed)
         self.network = network.Network()
         self.port = 30000
         self.hosts = {name: Host(self, name) for name in ADDRESSES[:count]}
