--- a/tests/replicas/test_engine_client.py
+++ b/tests/replicas/test_engine_client.py
@@ -8,6 +8,7 @@
 from filbertglade.fleet import dialects
 from filbertglade.inner import fleet_pb2
 from filbertglade.replicas import orders
+from tests.platform import deployment
 
 ORDERS = 32
 # A part of the memory of a control host on the users' smallest machines.
@@ -53,3 +54,31 @@
     assert sum(sent) <= MAX_ADDED_BYTES
     client.close()
     server.close()
+
+
+# Guards against an order that counts as begun, or a probe as answered, though
+# the answer was broken off.
+@pytest.mark.parametrize(
+    'head', [b'Content-Length: 20\r\n', b'Transfer-Encoding: chunked\r\n']
+)
+@pytest.mark.parametrize('is_reset', [False, True], ids=['closed', 'reset'])
+async def test_answer_that_is_cut_off_tells_nothing(head, is_reset):
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n' + head + b'\r\n5\r\n{')
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if is_reset:
+            deployment.reset_connection(writer)
+        writer.transport.abort()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    endpoint = fleet_pb2.Endpoint(id='i-1', address=f'127.0.0.1:{port}')
+    client = orders.HttpEngineClient(dialects.DEFAULT)
+    order = orders.Order(orders.OrderAction.LEAVE, 'g-1', 1)
+    outcome = await client.send(endpoint, order, 1)
+    assert outcome is orders.OrderOutcome.UNKNOWN
+    assert not await client.probe(endpoint)
+    client.close()
+    server.close()
