--- /dev/null
+++ b/tests/requests/test_service_answers_without_length.py
@@ -0,0 +1,183 @@
+"""Answers of services without a length, through a node as a real process."""
+
+import contextlib
+import json
+import socket
+import threading
+import time
+import uuid
+
+import httpx
+import pytest
+
+from tests import cluster as clusters
+from tests.requests import request_cluster
+
+BODY = b'text ' * 4000
+PART = BODY[:9000]
+EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+EVENTS_PART = EVENTS[:-6]
+CHUNKED = 'Transfer-Encoding: chunked\r\n'
+
+
+class RawService:
+    """A service's host that sends given bytes and closes its connection.
+
+    :ivar more: further header lines of its answers.
+    :ivar body: the bytes that follow the head.
+    :ivar is_crashing: whether its address refuses once an answer has ended.
+    """
+
+    def __init__(self, node):
+        self.more = ''
+        self.body = BODY
+        self.is_crashing = False
+        self._node = node
+        self._run = uuid.uuid4().hex
+        self._sequence = 0
+        self._is_closed = False
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        host, port = self._listener.getsockname()
+        self.address = f'{host}:{port}'
+        for work in (self._accept, self._announce):
+            threading.Thread(target=work, daemon=True).start()
+
+    def close(self):
+        self._is_closed = True
+        # Wakes up the thread that accepts, so that the address refuses.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _announce(self):
+        token, received_s = '', 0.0
+        while not self._is_closed:
+            self._sequence += 1
+            held_ms = int((time.monotonic() - received_s) * 1000)
+            with contextlib.suppress(httpx.TransportError, KeyError):
+                token = httpx.post(
+                    f'{self._node.url}/v1/announce',
+                    json={
+                        'host': 'raw-1',
+                        'run': self._run,
+                        'sequence': self._sequence,
+                        'region': self._node.region,
+                        'data_centre': self._node.data_centre,
+                        'address': self.address,
+                        'token': token,
+                        'held_ms': held_ms if token else 0,
+                        'leaving': False,
+                        'service': request_cluster.SERVICE,
+                    },
+                ).json()['token']
+                received_s = time.monotonic()
+            time.sleep(0.1)
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._answer, args=(connection,), daemon=True
+            ).start()
+
+    def _answer(self, connection):
+        request = b''
+        while b'\r\n\r\n' not in request:
+            data = connection.recv(65_536)
+            if not data:
+                return
+            request += data
+        connection.sendall(f'HTTP/1.1 200 OK\r\n{self.more}\r\n'.encode())
+        connection.sendall(self.body)
+        time.sleep(0.1)
+        if self.is_crashing:
+            self.close()
+        connection.close()
+
+
+@pytest.fixture(scope='module')
+def node(tmp_path_factory):
+    cluster = clusters.Cluster(tmp_path_factory.mktemp('services'))
+    (started,) = cluster.configure_nodes(1, 0, request_cluster.TIMINGS)
+    try:
+        cluster.start_nodes()
+        clusters.wait_until(cluster.find_leader, 'a leader')
+        response = httpx.put(
+            f'{started.administration_url}/v1/config',
+            json=request_cluster.build_document(1),
+        )
+        assert response.status_code == 200, response.text
+        yield started
+    finally:
+        cluster.close()
+
+
+@pytest.fixture
+def service(node):
+    raw = RawService(node)
+    clusters.wait_until(lambda: ask(node)[0] == 200, 'the service serving')
+    yield raw
+    raw.close()
+
+
+def ask(node):
+    """Return an answer's status and body; None for one that was cut."""
+    url = f'{node.url}/services/{request_cluster.SERVICE}/beans'
+    try:
+        response = httpx.get(
+            url, headers=request_cluster.AUTHORIZED, timeout=10
+        )
+    except httpx.TransportError:
+        return None, b''
+    return response.status_code, response.content
+
+
+def check_not_complete(status, content, part):
+    """Check that a caller can tell a part from a complete answer.
+
+    A stream may end with an event that names the outcome.
+    """
+    if status == 200:
+        assert content != part
+        last = content.removeprefix(part).partition(b'data: ')[2]
+        assert 'outcome' in json.dumps(json.loads(last))
+
+
+# Guards against the loss of answers that end with their connection.
+@pytest.mark.parametrize('kind', ['plain', 'event-stream'])
+def test_whole_answer_without_length_is_served(service, node, kind):
+    service.more = f'Content-Type: text/{kind}\r\n'
+    service.body = EVENTS if kind == 'event-stream' else BODY
+    assert ask(node) == (200, service.body)
+
+
+# Guards against the part of a body that a crashed host has sent, served as a
+# complete answer with a length.
+def test_body_of_a_crashed_host_does_not_look_complete(service, node):
+    service.more = 'Content-Type: text/plain\r\n'
+    service.body = PART
+    service.is_crashing = True
+    check_not_complete(*ask(node), PART)
+
+
+# Guards against a stream that ends inside an event, served as complete.
+@pytest.mark.parametrize('is_crashing', [False, True], ids=['live', 'crash'])
+@pytest.mark.parametrize('framing', ['connection', 'chunks', 'length'])
+def test_stream_that_ends_inside_an_event_does_not_look_complete(
+    service, node, framing, is_crashing
+):
+    service.more = 'Content-Type: text/event-stream\r\n'
+    service.body = EVENTS_PART
+    if framing == 'chunks':
+        service.more += CHUNKED
+        service.body = b'%x\r\n%s\r\n0\r\n\r\n' % (
+            len(EVENTS_PART),
+            EVENTS_PART,
+        )
+    if framing == 'length':
+        service.more += f'Content-Length: {len(EVENTS_PART)}\r\n'
+    service.is_crashing = is_crashing
+    check_not_complete(*ask(node), EVENTS_PART)
