Add a failing test for disks lost after a host was replaced

A host that is replaced by one with another address stays in the voter table until it has been silent for 5 s (REPLACE_AFTER_MS), and each new leader counts that time anew. Its successor has had its time to catch up after 4 s. Two disks lost in between leave two of five voters: nothing is agreed any more.

--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -403,3 +403,31 @@
     group_type,
 ):
     check_all(group_type, restarts_halted=True)
+
+
+# Guards against a replaced host that still counts in the voter table when its
+# successor has had the time to catch up, so that two lost disks are one too
+# many.
+def test_two_lost_disks_after_a_host_was_replaced_do_not_end_agreement():
+    async def work():
+        group = SeededGroup(seed=1)
+        scenario = Scenario(group, seed=1)
+        await group.start()
+        try:
+            assert await scenario._wait(scenario._all_are_voters, 60)
+            await asyncio.sleep(CATCH_UP_S)
+            leader = scenario.leader
+            followers = [host for host in group.hosts if host is not leader]
+            await group.replace(followers[0])
+            await asyncio.sleep(CATCH_UP_S + 0.1)
+            assert scenario.leader is leader
+            assert await scenario.changes.send(leader)
+            await scenario._stop_and_start(followers[1:3], followers[1:3])
+            # The leader's lease may outlast the losses.
+            await asyncio.sleep(1)
+            assert await scenario._wait(lambda: scenario.leader, RECOVERY_S)
+            assert await scenario._wait(scenario._all_are_voters, RECOVERY_S)
+        finally:
+            await group.stop()
+
+    cluster.run(work())
