Write nothing to a log after a failed change until it is opened

A control host may refuse its own folder at a start, for good: 'record 7 follows record 7', or a gap between segments.

Cause: a failed write was forgotten if the task that waited for it had been cancelled, and what it left in the file's buffer was written later. A compaction of several segments synced the folder once, so that a loss of power could take back one removal and not the next.

The log now refuses changes from the first failed one until it is opened again, appends without a buffer, and syncs after each removed segment. The model of the disk in the tests knows unbuffered files.

--- a/filbertglade/control/segments.py
+++ b/filbertglade/control/segments.py
@@ -4,10 +4,12 @@
 the remaining records needn't be rewritten.
 """
 
+from collections import abc
+import contextlib
 import dataclasses
+import io
 import os
 import pathlib
-import typing
 
 from filbertglade.control import failures
 from filbertglade.control import file_records
@@ -46,8 +48,10 @@
         self._folder = folder
         # Index of the first record of each segment, ascending.
         self._first_indexes: list[int] = []
-        self._file: typing.BinaryIO | None = None
+        self._file: io.FileIO | None = None
         self._size_bytes = 0
+        # Whether a change failed, so that the state on disk is unknown.
+        self._is_doubtful = False
 
     def open(self, point: store.SnapshotPoint) -> OpenedLog | StorageFailure:
         """Read all segments, and remove a torn tail.
@@ -58,6 +62,8 @@
         :returns: the records, or the damage found.
         :raises OSError: a system call failed.
         """
+        self._size_bytes = 0
+        self._is_doubtful = False
         self._first_indexes = sorted(
             int(path.name[len(SEGMENT_PREFIX) :])
             for path in self._folder.glob(SEGMENT_PREFIX + '*')
@@ -139,6 +145,22 @@
             committed.
         :raises OSError: a system call failed.
         """
+        with self._changing():
+            self._append(entries, committed_index)
+
+    @contextlib.contextmanager
+    def _changing(self) -> abc.Iterator[None]:
+        """Refuse changes from the first failed one until the next opening.
+
+        :raises OSError: this change or an earlier one failed.
+        """
+        if self._is_doubtful:
+            raise OSError('an earlier change of the log failed')
+        self._is_doubtful = True
+        yield
+        self._is_doubtful = False
+
+    def _append(self, entries: list[LogEntry], committed_index: int) -> None:
         batch_first = entries[0].index
         # A crash may tear this batch: the stored index must not include it.
         committed_index = min(committed_index, batch_first - 1)
@@ -149,12 +171,13 @@
             )
             for entry in entries
         )
-        file.write(data)
-        file.flush()
+        remaining = memoryview(data)
+        while remaining:
+            remaining = remaining[file.write(remaining) :]
         os.fdatasync(file.fileno())
         self._size_bytes += len(data)
 
-    def _open_segment(self, next_index: int) -> typing.BinaryIO:
+    def _open_segment(self, next_index: int) -> io.FileIO:
         """Return the file to append to; start a new segment if needed."""
         if self._file is not None and self._size_bytes < SEGMENT_BYTES:
             return self._file
@@ -164,18 +187,41 @@
             self._size_bytes = 0
         path = self._path(self._first_indexes[-1])
         is_new = not path.exists()
-        self._file = open(path, 'ab')
+        # A buffer would keep what a failed write left, and write it later.
+        self._file = open(path, 'ab', buffering=0)
         self._size_bytes = self._file.tell()
         if is_new:
             files.sync_folder(self._folder)
         return self._file
 
+    def rewrite_last_segment(self) -> None:
+        """Make the records durable that were read from the last segment.
+
+        A sync alone isn't enough: after one that failed, the system may take
+        what it holds in memory for written. Segments before the last one are
+        durable, as nothing is written after a failure.
+
+        :raises OSError: a system call failed.
+        """
+        if not self._first_indexes:
+            return
+        path = self._path(self._first_indexes[-1])
+        data = path.read_bytes()
+        with open(path, 'r+b') as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+
     def truncate(self, first_index: int) -> None:
         """Remove the end of the log.
 
         :param first_index: index of the first record to remove.
         :raises OSError: a system call failed.
         """
+        with self._changing():
+            self._truncate(first_index)
+
+    def _truncate(self, first_index: int) -> None:
         self._close_file()
         # Removes the last segment first, so that a crash leaves no gap.
         while self._first_indexes and self._first_indexes[-1] >= first_index:
@@ -200,14 +246,16 @@
         :param first_kept: index of the first record to keep.
         :raises OSError: a system call failed.
         """
-        removed = False
+        with self._changing():
+            self._compact(first_kept)
+
+    def _compact(self, first_kept: int) -> None:
+        # Syncs after each removal, so that a loss of power leaves no gap.
         while (
             len(self._first_indexes) > 1
             and self._first_indexes[1] <= first_kept
         ):
             self._path(self._first_indexes.pop(0)).unlink()
-            removed = True
-        if removed:
             files.sync_folder(self._folder)
 
     def close(self) -> None:
--- a/tests/control/modelled_disk.py
+++ b/tests/control/modelled_disk.py
@@ -239,10 +239,14 @@
 
     # Calls
 
-    def _open(self, path, mode='r', *arguments, **options):
+    def _open(self, path, mode='r', buffering=-1, *arguments, **options):
         if not self._contains(path) or 'b' not in mode or mode == 'rb':
-            return REAL['open_file'](path, mode, *arguments, **options)
+            return REAL['open_file'](
+                path, mode, buffering, *arguments, **options
+            )
         file = RecordedFile(self, pathlib.Path(path), mode)
+        if not buffering:
+            return file
         if '+' in mode:
             return io.BufferedRandom(file)
         return io.BufferedWriter(file)
