Make durable what a start reads from a data folder

A founder killed while its folder was marked became a learner.

Cause: what could be read was taken for durable. A killed process leaves writes and names that aren't synced, and after a failed sync a later one that succeeds doesn't cover them.

A start now syncs the names, writes the vote and the last segment again, and only then counts what it read. It also proves that the disk has room.

--- a/filbertglade/control/file_storage.py
+++ b/filbertglade/control/file_storage.py
@@ -21,6 +21,9 @@
 from filbertglade.observability import logs
 
 VOTE_NAME = 'vote.json'
+# Room on the disk that a voter needs to start, in bytes: more than a usual
+# batch of records.
+PROBE_BYTES = 65_536
 
 Reason = failures.StorageReason
 StorageFailure = failures.StorageFailure
@@ -33,12 +36,13 @@
     """A data folder on disk.
 
     :param folder: the folder; created if it is missing.
+    :param is_founder: whether an empty folder becomes a founding voter's.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, is_founder: bool = False) -> None:
         self._folder = folder
         self._worker = disk_worker.DiskWorker()
-        self._identity = identity.IdentityFile(folder)
+        self._identity = identity.IdentityFile(folder, is_founder)
         self._log = segments.SegmentedLog(folder)
         self._snapshots = snapshot_files.SnapshotFiles(folder)
 
@@ -49,6 +53,7 @@
         :returns: content of the folder, or why it can't be used.
         """
         started_ms = clock.now_ms()
+        await self._snapshots.finish_pending()
         found = await self._worker.run(self._list_files, Reason.READ_FAILED)
         stored = await self._worker.run(
             lambda: self._open(name), Reason.READ_FAILED
@@ -83,18 +88,27 @@
         }
 
     def _open(self, name: str) -> store.StoredState | StorageFailure:
+        self._log.close()
+        self._identity.unlock()
         self._folder.mkdir(parents=True, exist_ok=True)
         stored_identity = self._identity.open(name)
         if isinstance(stored_identity, StorageFailure):
             return stored_identity
         self._remove_temporary_files()
+        # A killed process may have left names that aren't durable.
+        files.sync_folder(self._folder)
         vote = self._read_vote()
         if isinstance(vote, StorageFailure):
             return vote
+        # Fails while the disk has no room for what a voter appends.
+        files.probe_folder(self._folder, PROBE_BYTES)
+        if vote is not None:
+            self._write_vote(vote)
         point = self._snapshots.open()
         log = self._log.open(point)
         if isinstance(log, StorageFailure):
             return log
+        self._log.rewrite_last_segment()
         if vote is None:
             if log.entries or point.index:
                 return self._build_damage_failure(f'{VOTE_NAME} is missing')
@@ -129,12 +143,13 @@
 
         :param vote: the new term and vote.
         """
-        path = self._folder / VOTE_NAME
         return await self._worker.run(
-            lambda: files.write_json(path, dataclasses.asdict(vote)),
-            Reason.WRITE_FAILED,
+            lambda: self._write_vote(vote), Reason.WRITE_FAILED
         )
 
+    def _write_vote(self, vote: store.Vote) -> None:
+        files.write_json(self._folder / VOTE_NAME, dataclasses.asdict(vote))
+
     async def append(
         self, entries: list[segments.LogEntry], committed_index: int
     ) -> StorageFailure | None:
--- a/filbertglade/control/files.py
+++ b/filbertglade/control/files.py
@@ -41,6 +41,21 @@
     sync_folder(path.parent)
 
 
+def probe_folder(folder: pathlib.Path, size_bytes: int) -> None:
+    """Write and remove a temporary file.
+
+    :param folder: the folder.
+    :param size_bytes: size of the file.
+    :raises OSError: the disk doesn't take that many bytes.
+    """
+    probe = folder / ('probe' + TEMPORARY_SUFFIX)
+    with open(probe, 'wb') as file:
+        file.write(bytes(size_bytes))
+        file.flush()
+        os.fsync(file.fileno())
+    probe.unlink()
+
+
 def write_json(path: pathlib.Path, values: dict[str, typing.Any]) -> None:
     """Write values as JSON with a checksum, atomically and durably.
 
--- a/filbertglade/control/identity.py
+++ b/filbertglade/control/identity.py
@@ -22,29 +22,31 @@
     """Reads and locks the identity file of a data folder.
 
     :param folder: the data folder.
+    :param is_founder: whether an empty folder becomes a founding voter's.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, is_founder: bool = False) -> None:
         self._folder = folder
+        self._is_founder = is_founder
         self._path = folder / IDENTITY_NAME
         self._lock: int | None = None
 
     def open(self, name: str) -> store.Identity | StorageFailure:
-        """Read and lock the file; create a learner's in an empty folder.
+        """Read and lock the file; create one in an empty folder.
 
         :param name: the node's name.
         :returns: the identity, or why the folder can't be used.
         :raises OSError: a system call failed.
         """
         if not self._path.exists():
-            if self._is_folder_used():
+            if list_used(self._folder):
                 return StorageFailure(
                     Reason.BROKEN,
                     f'{self._folder}: {IDENTITY_NAME} is missing',
                 )
             write_identity(
                 self._folder,
-                store.Identity(name, new_incarnation(), False),
+                store.Identity(name, new_incarnation(), self._is_founder),
             )
         if not self._try_lock():
             return StorageFailure(
@@ -52,12 +54,6 @@
             )
         return self._read(name)
 
-    def _is_folder_used(self) -> bool:
-        return any(
-            not path.name.endswith(files.TEMPORARY_SUFFIX)
-            for path in self._folder.iterdir()
-        )
-
     def _read(self, name: str) -> store.Identity | StorageFailure:
         values = files.read_json(self._path)
         if isinstance(values, StorageFailure):
@@ -85,6 +81,21 @@
             self._lock = None
 
 
+def list_used(folder: pathlib.Path) -> list[str]:
+    """Return the names in a folder but those of temporary files.
+
+    A process that was killed may have left these.
+
+    :param folder: the data folder.
+    :raises OSError: a system call failed.
+    """
+    return sorted(
+        path.name
+        for path in folder.iterdir()
+        if not path.name.endswith(files.TEMPORARY_SUFFIX)
+    )
+
+
 def new_incarnation() -> str:
     """Return a random name for a new incarnation of a data folder.
 
@@ -114,7 +125,7 @@
     identity = store.Identity(settings.name, new_incarnation(), founding=True)
     try:
         folder.mkdir(parents=True, exist_ok=True)
-        present = sorted(path.name for path in folder.iterdir())
+        present = list_used(folder)
         if present:
             return StorageFailure(
                 Reason.NOT_EMPTY, f'{folder} holds {", ".join(present[:3])}'
--- a/filbertglade/control/snapshot_files.py
+++ b/filbertglade/control/snapshot_files.py
@@ -39,6 +39,10 @@
         self._folder = folder
         self._worker = disk_worker.DiskWorker()
 
+    async def finish_pending(self) -> None:
+        """Wait for the writes and reads that were begun."""
+        await self._worker.run(lambda: None, Reason.READ_FAILED)
+
     def open(self) -> store.SnapshotPoint:
         """Find the newest snapshot and remove older ones.
 
--- a/filbertglade/control/store.py
+++ b/filbertglade/control/store.py
@@ -109,14 +109,19 @@
     """A voter's data folder.
 
     A change is durable once its method has returned without a failure. After
-    a failed write nothing more may be written: the state on disk is then
-    unknown. Methods that change the log must not be called concurrently.
+    a failed write nothing more may be written until the folder was opened
+    again: the state on disk is then unknown. Methods that change the log must
+    not be called concurrently.
     """
 
     @abc.abstractmethod
     async def open(self, name: str) -> StoredState | StorageFailure:
         """Read the folder; an empty one is set up as a learner's.
 
+        It may be called again after a failure. What it returns is durable: a
+        process that was killed, or a failed write, may have left content that
+        can be read and isn't synced.
+
         :param name: name of the node.
         :returns: content of the folder, or why it can't be used.
         """
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -8,7 +8,6 @@
 
 from filbertglade.control import agreement
 from filbertglade.control import file_storage
-from filbertglade.control import identity
 from filbertglade.control import replication
 from filbertglade.control import state
 from filbertglade.control import voters
@@ -100,11 +99,16 @@
             settings.list_seeds(), settings.control.tolerated_losses
         )
         self._agreed = state.AgreedState()
-        folder = pathlib.Path(settings.control.data_folder)
+        is_founder = (
+            settings.control.found_cluster
+            and settings.listen.inner in self.membership.seeds
+        )
         self.voters = agreement.Agreement(
             self._voter_settings,
             self._agreed,
-            file_storage.FileStorage(folder),
+            file_storage.FileStorage(
+                pathlib.Path(settings.control.data_folder), is_founder
+            ),
             channel_factory,
             counters,
             rng,
@@ -150,9 +154,6 @@
 
         :returns: None, or why the host cannot take part in agreement.
         """
-        failure = self._init_founder()
-        if failure is not None:
-            return failure
         self.voters.add_leadership_listener(self._handle_leadership_change)
         failure = await self.voters.start()
         if failure is not None:
@@ -163,21 +164,6 @@
         self._tasks.start(self._enlist_repeatedly())
         return None
 
-    def _init_founder(self) -> failures.Failure | None:
-        """Initialise the data folder of a host that founds a cluster.
-
-        Only if the settings say so, this host is a seed and the folder is
-        empty.
-        """
-        control = self._settings.control
-        own = self._settings.listen.inner
-        if not control.found_cluster or own not in self.membership.seeds:
-            return None
-        folder = pathlib.Path(control.data_folder)
-        if folder.exists() and any(folder.iterdir()):
-            return None
-        return identity.init_control(self._voter_settings)
-
     async def close(self) -> None:
         """Hand leadership over if this host leads, then stop all parts."""
         if self._server is not None:
--- a/tests/control/test_file_storage.py
+++ b/tests/control/test_file_storage.py
@@ -132,7 +132,8 @@
     unlink = pathlib.Path.unlink
 
     def record_removal(path, missing_ok=False):
-        is_synced_at_removal.append(str(folder) in synced)
+        if path.name.startswith('snapshot-'):
+            is_synced_at_removal.append(str(folder) in synced)
         unlink(path, missing_ok)
 
     monkeypatch.setattr(pathlib.Path, 'unlink', record_removal)
