Start a voter again once its disk takes writes

Cause: a voter that failed a write replied to nothing until a restart, and nothing restarts a process that runs.

The process now closes the halted voter and starts another one from what the folder holds, which the start makes durable. Nothing that the old voter kept in memory was acknowledged. While the disk refuses, it tries again after 0.5 to 4 s, and the status says why. A host may also start while its disk refuses writes.

Tests that look at a halted voter keep its disk refusing writes, and the tests' storage in memory refuses to open then, as a folder does.

--- a/filbertglade/control/agreement.py
+++ b/filbertglade/control/agreement.py
@@ -1,5 +1,6 @@
 """The replicated log, as the other packages use it on a control host."""
 
+import asyncio
 from collections import abc
 import random
 
@@ -21,9 +22,16 @@
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
 from filbertglade.settings import model
+from filbertglade import tasks
 
 log = logs.get_log(__name__)
 
+# Interval between two attempts to start a voter whose disk refuses to read or
+# write, in ms. It grows, as each reads the folder, and begins anew once a
+# voter has run for longer than the longest interval.
+MIN_RESTART_INTERVAL_MS = 500
+MAX_RESTART_INTERVAL_MS = 4000
+
 
 class Agreement(submitter.Submitter):
     """This control host's voter in the replicated log, a Raft group.
@@ -58,6 +66,10 @@
         self._counters = counters
         self._rng = rng
         self._voter: voter_state.VoterState | None = None
+        # Why the last start failed; None if it didn't.
+        self._start_failure: base_failures.Failure | None = None
+        # Starts the voter again; None before the start and after the end.
+        self._restarting: tasks.TaskGroup | None = None
         self._listeners: list[abc.Callable[[bool], None]] = []
         self._servicer = service.AgreementServicer()
 
@@ -69,15 +81,31 @@
     async def start(self) -> base_failures.Failure | None:
         """Load the stored state and start this voter's tasks.
 
+        If the disk doesn't read or write now, the voter starts once it does.
+
         :returns: None, or why this voter can't start.
         """
-        stored = await self._storage.open(self._settings.name)
-        if isinstance(stored, failures.StorageFailure):
-            return stored
-        failure = await snapshots.load_snapshot(self._storage, self._state)
-        if failure is not None:
+        failure = await self._start_voter()
+        if failure is not None and not _is_transient(failure):
             await self._storage.close()
             return failure
+        self._set_gauges()
+        self._restarting = tasks.TaskGroup()
+        self._restarting.start(self._restart_repeatedly())
+        return None
+
+    async def _start_voter(self) -> base_failures.Failure | None:
+        """Start a voter from what its folder holds.
+
+        :returns: None, or why it can't start.
+        """
+        stored = await self._storage.open(self._settings.name)
+        if isinstance(stored, failures.StorageFailure):
+            return self._record_failed_start(stored)
+        if stored.snapshot.index > self._state.applied_index:
+            failure = await snapshots.load_snapshot(self._storage, self._state)
+            if failure is not None:
+                return self._record_failed_start(failure)
         voter = voter_state.VoterState(
             self._settings,
             self._membership,
@@ -89,7 +117,7 @@
             self._rng,
         )
         self._voter = voter
-        self._set_gauges()
+        self._start_failure = None
         elector = election.Elector(voter, self._notify)
         snapshotter = snapshots.Snapshotter(voter)
         voter.tasks.start(elector.run())
@@ -108,6 +136,43 @@
         )
         return None
 
+    def _record_failed_start(
+        self, failure: base_failures.Failure
+    ) -> base_failures.Failure:
+        """Show in the status why there is no voter that takes part."""
+        if str(failure) != str(self._start_failure):
+            log.error('voter.not_started', reason=str(failure))
+        self._start_failure = failure
+        return failure
+
+    async def _restart_repeatedly(self) -> None:
+        """Start this voter again whenever its disk works after a failure.
+
+        What is in memory but not on the disk is dropped with the old voter,
+        as it would be with its process. It acknowledged none of it.
+        """
+        interval_ms = MIN_RESTART_INTERVAL_MS
+        while True:
+            started_ms = clock.now_ms()
+            voter = self._voter
+            if voter is not None:
+                await voter.halted.wait()
+                assert voter.failure is not None
+                if not _is_transient(voter.failure):
+                    return
+                await voter.tasks.close()
+            if clock.now_ms() - started_ms > MAX_RESTART_INTERVAL_MS:
+                interval_ms = MIN_RESTART_INTERVAL_MS
+            failure = self._start_failure
+            while True:
+                await asyncio.sleep(interval_ms / 1000)
+                interval_ms = min(2 * interval_ms, MAX_RESTART_INTERVAL_MS)
+                failure = await self._start_voter()
+                if failure is None:
+                    break
+                if not _is_transient(failure):
+                    return
+
     def _set_gauges(self) -> None:
         gauges: dict[str, abc.Callable[[], float]] = {
             'agreement_halted_ms': lambda: self.status().halted_ms or 0,
@@ -121,13 +186,15 @@
 
     async def close(self) -> None:
         """Step down, stop all tasks and release the data folder."""
-        voter = self._voter
-        if voter is None:
+        if self._restarting is None:
             return
-        self._voter = None
+        await self._restarting.close()
+        self._restarting = None
         self._servicer.close()
-        voter.step_down('closing')
-        await voter.tasks.close()
+        voter, self._voter = self._voter, None
+        if voter is not None:
+            voter.step_down('closing')
+            await voter.tasks.close()
         await self._storage.close()
 
     # Leadership
@@ -225,6 +292,8 @@
     @property
     def failure(self) -> base_failures.Failure | None:
         """Why this voter halted; None if it didn't."""
+        if self._start_failure is not None:
+            return self._start_failure
         return None if self._voter is None else self._voter.failure
 
     # Commands
@@ -253,5 +322,12 @@
         """Return this voter's status."""
         voter = self._voter
         if voter is None:
-            return voter_status.build_halted_status(self._settings.name)
-        return voter_status.build_status(voter)
+            return voter_status.build_halted_status(
+                self._settings.name, self._start_failure
+            )
+        return voter_status.build_status(voter, self._start_failure)
+
+
+def _is_transient(failure: base_failures.Failure) -> bool:
+    """Return whether the disk may work again by itself."""
+    return failure.reason in failures.TRANSIENT_REASONS
--- a/filbertglade/control/failures.py
+++ b/filbertglade/control/failures.py
@@ -65,6 +65,10 @@
     WRITE_FAILED = 'write-failed'
 
 
+# The disk may read and write again later, with nothing lost that was synced.
+TRANSIENT_REASONS = (StorageReason.READ_FAILED, StorageReason.WRITE_FAILED)
+
+
 class StorageFailure(failures.Failure):
     """Failure of a data folder that can't be used."""
 
--- a/filbertglade/control/follower.py
+++ b/filbertglade/control/follower.py
@@ -246,7 +246,7 @@
         voter = self._voter
         point = store.SnapshotPoint(last.last_index, last.last_term)
         async with voter.mutex:
-            if voter.term != last.term:
+            if voter.failure is not None or voter.term != last.term:
                 await writer.abort()
                 return False
             if voter.journal.term_at(point.index) == point.term or (
@@ -265,7 +265,8 @@
                 voter.halt(failure)
                 return False
             voter.snapshot = point
-            voter.state.adopt(loaded)
+            if point.index > voter.state.applied_index:
+                voter.state.adopt(loaded)
             voter.commit(point.index)
         log.change('snapshot.installed', index=point.index)
         return True
--- a/filbertglade/control/voter_state.py
+++ b/filbertglade/control/voter_state.py
@@ -40,7 +40,7 @@
     # Its folder's incarnation isn't in the voter table: it receives the log,
     # but doesn't vote or count.
     LEARNER = 'learner'
-    # It failed to store or to apply: it replies to nothing until restarted.
+    # It failed to store or to apply: it replies to nothing any more.
     HALTED = 'halted'
 
 
@@ -57,6 +57,7 @@
     :param rng: the process's random numbers.
     :ivar mutex: held during changes of term, vote or log that await.
     :ivar leader: the leader of this term; empty if unknown.
+    :ivar halted: set once this voter has halted.
     :ivar halted_since_ms: time at which this voter halted; None if it didn't.
     :ivar leader_contact_ms: time of the last contact with a leader, or, while
         this voter leads, of the quorum's; None if there was none.
@@ -97,6 +98,7 @@
         self.leadership: leadership.Leadership | None = None
         self.failure: base_failures.Failure | None = None
         self.halted_since_ms: int | None = None
+        self.halted = asyncio.Event()
         self.applied = asyncio.Event()
         self._candidate = False
         self._commit_advanced = asyncio.Event()
@@ -312,7 +314,9 @@
         leading.stop(reason)
 
     def halt(self, failure: base_failures.Failure) -> None:
-        """Stop until a restart: no reply may cover state that isn't durable.
+        """Stop for good: no reply may cover state that isn't durable.
+
+        Once the disk works again, another voter starts from what it holds.
 
         :param failure: what went wrong.
         """
@@ -332,6 +336,7 @@
             committed_index=self.committed_index,
         )
         self.step_down('halted')
+        self.halted.set()
 
     # Commit
 
--- a/filbertglade/control/voter_status.py
+++ b/filbertglade/control/voter_status.py
@@ -4,6 +4,7 @@
 
 from filbertglade import clock
 from filbertglade.control import voter_state
+from filbertglade import failures
 
 HALTED = 'halted'
 
@@ -71,19 +72,27 @@
     losses_left: int | None = None
 
 
-def build_halted_status(name: str) -> AgreementStatus:
-    """Return the status of a halted voter.
+def build_halted_status(
+    name: str, failure: failures.Failure | None
+) -> AgreementStatus:
+    """Return the status of a host without a voter.
 
     :param name: name of the voter.
+    :param failure: why it hasn't started; None if it was closed.
     """
-    return AgreementStatus(name, HALTED, 0, '', 0, 0, 0, 0, 0, '', [])
+    detail = '' if failure is None else str(failure)
+    return AgreementStatus(name, HALTED, 0, '', 0, 0, 0, 0, 0, '', [], detail)
 
 
-def build_status(voter: voter_state.VoterState) -> AgreementStatus:
+def build_status(
+    voter: voter_state.VoterState, start_failure: failures.Failure | None
+) -> AgreementStatus:
     """Return the status of a voter.
 
     :param voter: the voter.
+    :param start_failure: why it could not be started again after it halted.
     """
+    failure = start_failure or voter.failure
     leading = voter.leadership
     halted_ms = None
     if voter.halted_since_ms is not None:
@@ -100,7 +109,7 @@
         snapshot_index=voter.snapshot.index,
         incarnation=voter.identity.incarnation,
         voters=_list_voters(voter),
-        failure='' if voter.failure is None else str(voter.failure),
+        failure='' if failure is None else str(failure),
         halted_ms=halted_ms,
         replying_count=None if leading is None else leading.replying_count(),
         losses_left=None if leading is None else leading.losses_left(),
--- a/tests/control/memory_storage.py
+++ b/tests/control/memory_storage.py
@@ -9,6 +9,8 @@
 WRITE_FAILED = failures.StorageFailure(
     failures.StorageReason.WRITE_FAILED, 'no space left on device'
 )
+# Writes that make durable what is read when a folder is opened.
+OPENING_WRITES = frozenset(('append', 'save_vote'))
 
 
 @dataclasses.dataclass
@@ -78,6 +80,8 @@
 
     async def open(self, name):
         disk = self.disk
+        if disk.fails_writes or disk.refused & OPENING_WRITES:
+            return WRITE_FAILED
         if disk.identity is None:
             disk.incarnation_count += 1
             incarnation = f'{name}-{disk.incarnation_count}'
--- a/tests/control/test_voter_status.py
+++ b/tests/control/test_voter_status.py
@@ -41,14 +41,13 @@
 
 
 async def halt_follower(group):
-    """Let a follower's disk refuse a write; return it and the leader."""
+    """Let a follower's disk refuse writes; return it and the leader."""
     leader = await group.leader()
     await group.catch_up()
     voter = (await group.followers())[0]
     voter.disk.fails_writes = True
     await cluster.submit(leader, cluster.put(1))
     await group.wait_until(lambda: voter.agreement.status().role == 'halted')
-    voter.disk.fails_writes = False
     return voter, leader
 
 
@@ -63,6 +62,7 @@
             assert 'no space left' in status.failure
             assert 10_000 <= status.halted_ms <= 10_100
             assert read_gauge(voter, 'agreement_halted_ms') >= 10_000
+            voter.disk.fails_writes = False
             await voter.restart()
             status = voter.agreement.status()
             assert (status.failure, status.halted_ms) == ('', None)
@@ -93,6 +93,7 @@
             others = [node for node in group.up if node not in (voter, leader)]
             await others[0].stop()
             await group.wait_until(lambda: losses_left(leader) == 0)
+            voter.disk.fails_writes = False
             await voter.restart()
             await others[0].start()
             await group.wait_until(lambda: losses_left(leader) == 2)
