--- a/tests/requests/request_cluster.py
+++ b/tests/requests/request_cluster.py
@@ -78,7 +78,9 @@
     def records(self, kind: str, **fields: object) -> list[dict]:
         """Return the endpoints' records of a kind, filtered by fields."""
         found = []
-        for line in self._record.read_text().splitlines():
+        # What follows the last end of a line is still being written.
+        ended = self._record.read_text().rpartition('\n')[0]
+        for line in ended.splitlines():
             entry = json.loads(line)
             if entry['kind'] == kind and all(
                 entry.get(name) == value for name, value in fields.items()
