Hold connections of the soak, and trouble one host in a row

One more caller for each entry host closes no connection: it lets them idle, and holds each until its host has closed it or is gone, also through SIGTERM. A new fault lets one host suffer three to five kills, freezes, stops and quick changes of settings, each as soon as it has started again, while the document changes several times. It overlaps with the other series.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -53,6 +53,7 @@
         self.callers = soak_callers.Callers(*parts)
         self.operators = soak_operators.Operators(*parts)
         self.faults = soak_faults.Faults(*parts)
+        self.faults.change_quickly = self.operators.change_quickly
         if 'endings' in without:
             self.callers.ending_share = 0.0
 
--- a/tests/platform/soak_callers.py
+++ b/tests/platform/soak_callers.py
@@ -21,6 +21,10 @@
 RECONNECT_PAUSE_S = 0.1
 # How long a caller that saw ``Connection: close`` waits for the close.
 CLOSE_TIMEOUT_S = 2.0
+# A holding caller closes no connection: it waits until its host does, or is
+# gone. The longest wait, and the bounds of its pause between two requests.
+HOLD_TIMEOUT_S = soak_record.GRACE_S + soak_record.GRACE_ADDITION_S + 1.0
+HOLD_PAUSE_S = (0.0, 3.0)
 # Longest work and longest stream that callers ask for: both end within the
 # routes' time-outs and the time budget.
 MAX_WORK_MS = 1500
@@ -146,6 +150,8 @@
         for number in range(sizes.kept_callers):
             is_eager = number % 4 == 3
             tasks.append(self.keep_connection(number, is_eager))
+        for index in range(sizes.entry_hosts):
+            tasks.append(self.keep_connection(index, is_holding=True))
         return [*tasks, self.probe_repeatedly(), self.send_troubles()]
 
     async def send_troubles(self):
@@ -223,11 +229,13 @@
 
     # Callers that keep a connection
 
-    async def keep_connection(self, number, is_eager):
+    async def keep_connection(self, number, is_eager=False, is_holding=False):
         """Use connections to one host until each is closed.
 
         :param is_eager: whether it sends a request before it has read the
             response to the one before, so it sees ``Connection: close`` late.
+        :param is_holding: whether it lets connections idle, and closes none
+            before its host has done so.
         """
         index = number % self.deployment.sizes.entry_hosts
         while not self.is_over:
@@ -241,13 +249,17 @@
                 await asyncio.sleep(RECONNECT_PAUSE_S)
                 continue
             try:
-                await self._use_connection(index, reader, writer, is_eager)
+                await self._use_connection(
+                    index, reader, writer, is_eager, is_holding
+                )
             except TimeoutError:
                 self.record.statuses['no response in time'] += 1
             finally:
                 writer.close()
 
-    async def _use_connection(self, index, reader, writer, is_eager):
+    async def _use_connection(
+        self, index, reader, writer, is_eager, is_holding
+    ):
         """Send requests until the connection ends or is to be closed."""
         waiting = []
         is_closing = False
@@ -281,7 +293,12 @@
                 await asyncio.sleep(RECONNECT_PAUSE_S)
             elif not waiting:
                 await asyncio.sleep(self.rng.uniform(0, 4 * REQUEST_PAUSE_S))
-        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            if is_holding and not waiting and not is_closing:
+                await asyncio.sleep(self.rng.uniform(*HOLD_PAUSE_S))
+                # A host that is going may have closed it meanwhile.
+                is_closing = reader.at_eof()
+        wait_s = HOLD_TIMEOUT_S if is_holding else CLOSE_TIMEOUT_S
+        async with asyncio.timeout(wait_s):
             await self._expect_close(reader, is_closing)
 
     async def _expect_close(self, reader, is_closing):
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -15,6 +15,12 @@
 # Bounds of the pause between two faults, and of the duration of a fault.
 PAUSE_S = (0.3, 2.0)
 FAULT_DURATION_S = (0.2, 3.0)
+# Series of faults that overlap.
+SERIES = 2
+# Bounds of the number of faults that one host suffers in a row, and of the
+# pause between them, in s.
+ROW_LENGTH = (3, 5)
+ROW_PAUSE_S = (0.0, 0.5)
 # Bounds of the pause between two signals of a series, in s.
 SIGNAL_PAUSE_S = (0.0, 0.3)
 # Bounds of the pause between two SIGHUPs or changes of settings, in s.
@@ -46,6 +52,7 @@
     :param record: the soak's record.
     :param seed: of the choices.
     :ivar is_over: whether the tasks that run all the time should end.
+    :ivar change_quickly: changes the document several times.
     """
 
     def __init__(self, running_deployment, record, seed):
@@ -54,13 +61,14 @@
         self.rng = random.Random(seed)
         self.is_over = False
         self.count = 0
+        self.change_quickly = None
         self._reserved = set()
         self._limits = []
 
     async def cause_storm(self, seconds):
-        """Cause faults of hosts in two overlapping series."""
+        """Cause faults of hosts in overlapping series."""
         end_s = time.monotonic() + seconds
-        await asyncio.gather(*(self._run_series(end_s) for _ in range(2)))
+        await asyncio.gather(*(self._run_series(end_s) for _ in range(SERIES)))
 
     async def _run_series(self, end_s):
         kinds = [
@@ -74,6 +82,8 @@
             self._stop_in_turn,
             self._stop_several,
             self._wipe,
+            self._trouble_one,
+            self._trouble_one,
         ]
         while time.monotonic() < end_s:
             self.count += 1
@@ -149,26 +159,67 @@
 
     async def _kill(self):
         for process in self._reserve():
-            await self._wait_until_started(process)
-            self.check_alive(process)
-            self._log('kill', [process])
-            disruption = self.record.begin_disruption(process.name)
-            await process.stop(signal.SIGKILL)
-            await self._pause()
-            await self._start(process, disruption)
+            await self._kill_one(process)
             self._release([process])
 
+    async def _kill_one(self, process):
+        await self._wait_until_started(process)
+        self.check_alive(process)
+        self._log('kill', [process])
+        disruption = self.record.begin_disruption(process.name)
+        await process.stop(signal.SIGKILL)
+        await self._pause()
+        await self._start(process, disruption)
+
     async def _freeze(self):
         for process in self._reserve():
-            self._log('freeze', [process])
-            disruption = self.record.begin_disruption(process.name)
-            self._signal(process, signal.SIGSTOP)
-            await self._pause()
-            self._signal(process, signal.SIGCONT)
-            disruption.end_s = self.record.now_s()
-            self._log('thaw', [process])
+            await self._freeze_one(process)
             self._release([process])
 
+    async def _freeze_one(self, process):
+        self._log('freeze', [process])
+        disruption = self.record.begin_disruption(process.name)
+        self._signal(process, signal.SIGSTOP)
+        await self._pause()
+        self._signal(process, signal.SIGCONT)
+        disruption.end_s = self.record.now_s()
+        self._log('thaw', [process])
+
+    async def _trouble_one(self):
+        """Cause several faults of one host in a row, while documents change.
+
+        Each begins as soon as the host has started again.
+        """
+        for process in self._reserve():
+            count = self.rng.randint(*ROW_LENGTH)
+            self.count += count - 1
+            steps = self.rng.choices(
+                [
+                    self._kill_one,
+                    self._freeze_one,
+                    self._restart,
+                    self._restart,
+                    self._change_settings_quickly,
+                ],
+                k=count,
+            )
+            changing = asyncio.create_task(self.change_quickly())
+            for step in steps:
+                await step(process)
+                await self._pause(ROW_PAUSE_S)
+            await changing
+            self._release([process])
+
+    async def _change_settings_quickly(self, process):
+        running = self.deployment
+        await self._wait_until_started(process)
+        for _ in range(self.rng.randint(2, 5)):
+            seeds = self.rng.sample(running.seeds, len(running.seeds))
+            running.write_seeds(process, seeds)
+            self._log('new settings, SIGHUP', [process])
+            self._signal(process, signal.SIGHUP)
+            await self._pause(SIGNAL_PAUSE_S)
+
     async def _wipe(self):
         # A host that is back, but behind, can't replace the wiped one.
         now_s = self.record.now_s()
@@ -230,7 +281,7 @@
         )
         self._release(processes)
 
-    async def _restart(self, process, later_signals):
+    async def _restart(self, process, later_signals=()):
         await self._wait_until_started(process)
         self.check_alive(process)
         self._log('SIGTERM', [process])
--- a/tests/platform/soak_operators.py
+++ b/tests/platform/soak_operators.py
@@ -105,13 +105,17 @@
             if step == 'late':
                 await self._send_late()
             elif step == 'quick':
-                for _ in range(self.rng.randint(2, 5)):
-                    await self._change(self.rng.choice(STEPS[:5]))
-                    await asyncio.sleep(QUICK_PAUSE_S)
+                await self.change_quickly()
             else:
                 await self._change(step)
             await asyncio.sleep(self.rng.uniform(*PAUSE_S))
 
+    async def change_quickly(self):
+        """Change the document several times without much of a pause."""
+        for _ in range(self.rng.randint(2, 5)):
+            await self._change(self.rng.choice(STEPS[:5]))
+            await asyncio.sleep(QUICK_PAUSE_S)
+
     async def _change(self, step):
         self._version += self.rng.randint(1, 3)
         version, old = self._version, self._content
