Lose disks at the end of the soak, right after a change

Once the last request has been served after the last storm, operators send one more change; as soon as it is acknowledged, as many control hosts as tolerated are killed, their folders emptied, and started again without the founding flag. Within 12 s of the last start (recovery_s of the users' page on deployment) the change must be read back from the control hosts that respond, one at least, and requests be served.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -22,9 +22,10 @@
 from tests.platform import soak_operators
 from tests.platform import soak_record
 
-# From the last fault until all requests are served again: processes start, a
-# leader is elected, groups are repaired. A bound for busy machines.
-RECOVERY_S = 30.0
+# Until all requests are served at first, and again after the last storm:
+# processes start, a leader is elected, groups are repaired. A bound for busy
+# machines.
+START_S = 30.0
 # Bounds of the spans of faults, in s, between which the hosts are calm.
 STORM_S = (5.0, 10.0)
 # A calm span: the rules hold again after CONTACT_S, and a document sent then
@@ -62,10 +63,10 @@
         await self._add_workers()
         await self.operators.start()
         await self._wait_until_served()
-        tasks = [
+        calling = list(map(asyncio.create_task, self.callers.list_tasks()))
+        planned = [
             asyncio.create_task(item)
             for item in (
-                *self.callers.list_tasks(),
                 *self.operators.list_tasks(),
                 *self.faults.list_tasks(),
             )
@@ -89,13 +90,42 @@
             await self._wait_until_served()
         except AssertionError:
             self.record.violate('requests fail after the last fault')
-        for part in (self.callers, self.operators, self.faults):
-            part.is_over = True
-        await asyncio.gather(*tasks)
+        self.operators.is_over = self.faults.is_over = True
+        await asyncio.gather(*planned)
+        await self._lose_disks()
+        self.callers.is_over = True
+        await asyncio.gather(*calling)
         for task in watching:
             task.cancel()
         await self._check()
 
+    async def _lose_disks(self):
+        """Lose disks right after a change; it must be in force again."""
+        try:
+            await self.operators.send_last()
+        except AssertionError:
+            self.record.violate('the last document is not accepted')
+        await self.faults.lose_disks()
+        start_s = self.record.now_s()
+        results = await asyncio.gather(
+            self.deployment.wait_until(
+                self.operators.is_read_back, soak_record.RECOVERY_S
+            ),
+            self._wait_until_served(soak_record.RECOVERY_S),
+            return_exceptions=True,
+        )
+        lag_s = self.record.sum_lags(start_s, self.record.now_s())
+        names = [f'document {self.operators.accepted} is not read back']
+        names.append('requests are not served')
+        for name, result in zip(names, results, strict=True):
+            if isinstance(result, AssertionError):
+                self.record.violate(
+                    f'{name} {soak_record.RECOVERY_S} s after the last start; '
+                    f'own lags {lag_s:.1f} s'
+                )
+            elif result is not None:
+                raise result
+
     async def _measure_memory(self):
         while True:
             for process in self.deployment.entries:
@@ -119,14 +149,14 @@
             await worker.start()
             self.deployment.workers.append(worker)
 
-    async def _wait_until_served(self):
+    async def _wait_until_served(self, limit_s=START_S):
         await asyncio.gather(
             *(
                 self.deployment.wait_until(
                     lambda index=index, kind=kind: self._is_served(
                         index, kind
                     ),
-                    RECOVERY_S,
+                    limit_s,
                 )
                 for index in range(self.sizes.entry_hosts)
                 for kind in ('read', 'tell')
--- a/tests/platform/soak_deployment.py
+++ b/tests/platform/soak_deployment.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import random
+import shutil
 import signal
 import time
 
@@ -145,6 +146,12 @@
             text.replace('found_cluster = true', 'found_cluster = false')
         )
 
+    def wipe(self, process):
+        """Empty the data folder of a control host that isn't running."""
+        index = self.controls.index(process)
+        shutil.rmtree(self.folder / f'data-{index}')
+        self.end_founding(process)
+
     async def announce(self, endpoint_id, announcement):
         """Send an announcement to the control hosts until one responds.
 
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -4,7 +4,6 @@
 import collections
 import contextlib
 import random
-import shutil
 import signal
 import time
 
@@ -42,6 +41,8 @@
 # Bounds of the time that a worker serves after DRAIN_S: the page on the
 # protocol has it end "a little" later.
 LINGER_S = (0.3, 1.5)
+# Share of the last losses of disks with which all control hosts are killed.
+ALL_KILLED_SHARE = 0.3
 # A start of a process, with many of them starting on a busy machine.
 START_LIMIT_S = 40.0
 
@@ -59,6 +60,8 @@
         self.deployment = running_deployment
         self.record = record
         self.rng = random.Random(seed)
+        # However many draws there were before, a seed has the same end.
+        self._last_rng = random.Random(f'{seed} losses')
         self.is_over = False
         self.count = 0
         self.change_quickly = None
@@ -105,11 +108,11 @@
         entries = [
             item for item in running.entries if item not in self._reserved
         ]
+        lost = len(self._reserved.intersection(running.controls))
+        free = max(0, running.sizes.tolerated_losses - lost)
         controls = [
             item for item in running.controls if item not in self._reserved
         ]
-        lost = len(running.controls) - len(controls)
-        free = max(0, running.sizes.tolerated_losses - lost)
         self.rng.shuffle(controls)
         chosen = []
         if is_control is not True:
@@ -234,13 +237,34 @@
             self._log('wipe', [process])
             disruption = self.record.begin_disruption(process.name)
             await process.stop(signal.SIGKILL)
-            index = self.deployment.controls.index(process)
-            shutil.rmtree(self.deployment.folder / f'data-{index}')
-            self.deployment.end_founding(process)
+            self.deployment.wipe(process)
             await self._start(process, disruption)
             await asyncio.sleep(READMISSION_S)
             self._release([process])
 
+    async def lose_disks(self):
+        """Lose as many disks as is tolerated, and start their hosts again.
+
+        All control hosts may be killed at the same moment.
+        """
+        running = self.deployment
+        controls = list(running.controls)
+        is_all = self._last_rng.random() < ALL_KILLED_SHARE
+        self._last_rng.shuffle(controls)
+        lost = controls[: running.sizes.tolerated_losses]
+        killed = controls if is_all else lost
+        disruptions = []
+        for process in killed:
+            self.check_alive(process)
+            disruptions.append(self.record.begin_disruption(process.name))
+            self._signal(process, signal.SIGKILL)
+        self._log('kill at the end', killed)
+        await asyncio.gather(*(item.process.wait() for item in killed))
+        for process in lost:
+            running.wipe(process)
+        self._log('disks lost at the end', lost)
+        await asyncio.gather(*map(self._start, killed, disruptions))
+
     # Stops
 
     async def _stop(self):
--- a/tests/platform/soak_operators.py
+++ b/tests/platform/soak_operators.py
@@ -147,6 +147,22 @@
                 return
             await asyncio.sleep(RETRY_PAUSE_S)
 
+    async def send_last(self):
+        """Change the document once more, until that is acknowledged."""
+        self._version += 1
+        new = Content(self._version, ADDED_ROUTES[0])
+        self.record.log_fault(f'document {self._version}: last')
+        await self.deployment.wait_until(
+            lambda: self._send(new, self._version), soak_record.ACCEPTANCE_S
+        )
+
+    async def is_read_back(self):
+        """Tell whether control hosts respond with the newest document."""
+        versions = await self.deployment.read_versions()
+        if versions and max(versions) != self.accepted:
+            self.record.log_fault(f'read {versions}, not {self.accepted}')
+        return set(versions) == {self.accepted}
+
     async def _send(self, content, version):
         """Send a document once; return whether it was accepted."""
         sent = self.record.versions_sent
--- a/tests/platform/soak_record.py
+++ b/tests/platform/soak_record.py
@@ -48,6 +48,10 @@
 MIN_LAG_S = 0.02
 LAG_POLL_INTERVAL_S = 0.02
 
+# Rules LOST and RECOVER: from the last host's start after the final fault
+# until the last acknowledged document is read back and requests are served.
+RECOVERY_S = 12.0
+
 # Rule BUDGET: from CONTACT_S after a request has crashed its third worker, it
 # is sent this often at the most.
 FREE_CRASHES = 3
