Let a control host's disk refuse writes in the soak

Early in the soak, all writes to files of one control host fail for two to four seconds: the soak limits the size of the files of its own child, and lifts the limit again. The host's log goes through a pipe, so that the limit leaves it alone. Nobody restarts that host later, other than the last loss of disks with all control hosts killed; the disks lost then are those of others. If the process ends by itself within a second of the trouble, it is started again, as the users' page on deployment says.

Today's code breaks: the voter halts (write-failed: [Errno 27] File too large) and stays so.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -35,8 +35,9 @@
 MEMORY_POLL_INTERVAL_S = 0.1
 # Between two attempts to be served at the start and the end, in s.
 SERVED_POLL_INTERVAL_S = 0.2
-# Troubles that can be left out: answers that end in another way than usual.
-OPTIONAL = ('endings',)
+# Troubles that can be left out: answers that end in another way than usual; a
+# disk that refuses writes.
+OPTIONAL = ('endings', 'refusal')
 
 
 class Soak:
@@ -55,6 +56,7 @@
         self.operators = soak_operators.Operators(*parts)
         self.faults = soak_faults.Faults(*parts)
         self.faults.change_quickly = self.operators.change_quickly
+        self.without = without
         if 'endings' in without:
             self.callers.ending_share = 0.0
 
@@ -75,6 +77,8 @@
             asyncio.create_task(self.record.measure_lag()),
             asyncio.create_task(self._measure_memory()),
         ]
+        if 'refusal' not in self.without:
+            planned.append(asyncio.create_task(self.faults.refuse_writes()))
         end_s = self.record.now_s() + seconds
         while self.record.now_s() < end_s:
             remaining_s = end_s - self.record.now_s() - CALM_S
--- a/tests/platform/soak_deployment.py
+++ b/tests/platform/soak_deployment.py
@@ -3,9 +3,12 @@
 import asyncio
 import contextlib
 import dataclasses
+import os
 import random
+import resource
 import shutil
 import signal
+import threading
 import time
 
 import httpx
@@ -53,6 +56,40 @@
         return (self.control_hosts - 1) // 2
 
 
+class ControlProcess(deployment.Process):
+    """A control host, whose disk may refuse writes.
+
+    A limit on the size of its files stands for that. So its log is written by
+    the soak.
+    """
+
+    async def start(self, stdout=None):
+        read_end, write_end = os.pipe()
+        threading.Thread(
+            target=self._copy_log, args=(read_end,), daemon=True
+        ).start()
+        with open(write_end, 'wb') as output:
+            await super().start(output if stdout is None else stdout)
+
+    def _copy_log(self, read_end):
+        with (
+            open(read_end, 'rb', buffering=0) as source,
+            self.log.open('ab', buffering=0) as log,
+        ):
+            shutil.copyfileobj(source, log)
+
+    def refuse_writes(self, is_refusing):
+        """Let all writes to files fail, or let them succeed again."""
+        if self.process.returncode is not None:
+            return
+        _, most = resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE)
+        limit = 0 if is_refusing else most
+        # Python ignores SIGXFSZ, so a write beyond the limit fails.
+        resource.prlimit(
+            self.process.pid, resource.RLIMIT_FSIZE, (limit, most)
+        )
+
+
 class SoakDeployment(deployment.Deployment):
     """Control hosts, any of which may lead, and entry hosts.
 
@@ -75,7 +112,7 @@
         )
         self.control_urls = [f'http://{host}:{control}' for host in hosts]
         self.controls = [
-            deployment.Process(
+            ControlProcess(
                 folder,
                 f'control-{index}',
                 f'inner = "{host}:{inner}"\ncontrol = "{host}:{control}"',
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -41,6 +41,15 @@
 # Bounds of the time that a worker serves after DRAIN_S: the page on the
 # protocol has it end "a little" later.
 LINGER_S = (0.3, 1.5)
+# Bounds of the time before a disk refuses writes, and of that for which it
+# does, in s.
+BEFORE_REFUSAL_S = (0.5, 3.0)
+REFUSAL_S = (2.0, 4.0)
+# A process that ends by itself is started again after this time: the users'
+# page on deployment. The rules excuse an end up to EXCUSED_END_S later than
+# the fault.
+RESTART_DELAY_S = 0.5
+EXCUSED_END_S = 1.0
 # Share of the last losses of disks with which all control hosts are killed.
 ALL_KILLED_SHARE = 0.3
 # A start of a process, with many of them starting on a busy machine.
@@ -65,6 +74,7 @@
         self.is_over = False
         self.count = 0
         self.change_quickly = None
+        self._refused = None
         self._reserved = set()
         self._limits = []
 
@@ -110,9 +120,9 @@
         ]
         lost = len(self._reserved.intersection(running.controls))
         free = max(0, running.sizes.tolerated_losses - lost)
-        controls = [
-            item for item in running.controls if item not in self._reserved
-        ]
+        # Whose disk refused writes is to recover without a restart.
+        unused = self._reserved | {self._refused}
+        controls = [item for item in running.controls if item not in unused]
         self.rng.shuffle(controls)
         chosen = []
         if is_control is not True:
@@ -242,15 +252,38 @@
             await asyncio.sleep(READMISSION_S)
             self._release([process])
 
+    async def refuse_writes(self):
+        """Let the disk of one control host refuse writes for some time."""
+        for process in self._reserve(is_control=True):
+            await self._pause(BEFORE_REFUSAL_S)
+            self.check_alive(process)
+            self._refused = process
+            self._log('writes fail at', [process])
+            disruption = self.record.begin_disruption(process.name)
+            process.refuse_writes(True)
+            await self._pause(REFUSAL_S)
+            process.refuse_writes(False)
+            self._log('writes succeed at', [process])
+            await asyncio.sleep(EXCUSED_END_S)
+            if process.process.returncode is None:
+                disruption.end_s = self.record.now_s()
+            else:
+                self._log('ended', [process])
+                await asyncio.sleep(RESTART_DELAY_S)
+                await self._start(process, disruption)
+            self._release([process])
+
     async def lose_disks(self):
         """Lose as many disks as is tolerated, and start their hosts again.
 
-        All control hosts may be killed at the same moment.
+        These are others than the one that refused writes. All control hosts
+        may be killed at the same moment.
         """
         running = self.deployment
         controls = list(running.controls)
         is_all = self._last_rng.random() < ALL_KILLED_SHARE
         self._last_rng.shuffle(controls)
+        controls.sort(key=lambda process: process is self._refused)
         lost = controls[: running.sizes.tolerated_losses]
         killed = controls if is_all else lost
         disruptions = []
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -9,7 +9,7 @@
 
 
 @pytest.mark.parametrize(
-    ('seed', 'without'), [(1, ('endings',)), (2, ())], ids=['1', '2']
+    ('seed', 'without'), [(1, ('endings', 'refusal')), (2, ())], ids=['1', '2']
 )
 async def test_random_faults_break_no_invariant(tmp_path, seed, without):
     """Check all of a soak's invariants.
