Let the soak watch its own workers and the machine

A soak on an overloaded machine blamed the product: its own workers announced themselves 6 times in 9.8 s in place of 30, so no group held. In each calm span, and where requests fail after the last fault or after the loss of disks, the soak now counts its workers' announcements and their acknowledgements. If fewer than half are acknowledged, that is a violation; but if the workers began fewer than half, while the processors were busy for 90% of the span or the soak's own event loop was late for 15% of it, it is an overload. Overloads are printed with all these figures beside any violations, which stay. A soak with an overload alone exits with code 2, and its test fails: it proves nothing.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -19,6 +19,8 @@
 KEY = 'key-1'
 # Longest wait for processes to be ready: a bound for busy machines only.
 READY_S = 40
+# Pause of a worker between two announcements, in s.
+ANNOUNCE_PAUSE_S = 0.3
 
 
 class Process:
@@ -276,7 +278,7 @@
         while True:
             with contextlib.suppress(httpx.TransportError):
                 await self.announce()
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(ANNOUNCE_PAUSE_S)
 
     async def announce(self):
         self.sequence += 1
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -2,7 +2,8 @@
 
 Run as ``python -m tests.platform.soak [SECONDS [SEED]] [OPTIONS]`` from the
 repository's root. If an invariant is violated, it prints the violations and
-faults with their times, keeps the processes' logs and exits with code 1.
+faults with their times, keeps the processes' logs and exits with code 1. If
+only the machine was overloaded, it prints by how much and exits with code 2.
 """
 
 import argparse
@@ -31,10 +32,11 @@
 # A calm span: the rules hold again after CONTACT_S, and a document sent then
 # is in force after CONFIG_APPLY_S; what is left is for requests.
 CALM_S = soak_record.CONTACT_S + soak_record.CONFIG_APPLY_S + 2.5
-# Between two looks at the memory of all entry hosts, in s.
-MEMORY_POLL_INTERVAL_S = 0.1
+# Between two looks at the memory of all entry hosts, and the processors, in s.
+USE_POLL_INTERVAL_S = 0.1
 # Between two attempts to be served at the start and the end, in s.
 SERVED_POLL_INTERVAL_S = 0.2
+EXIT_OVERLOADED = 2
 # Troubles that can be left out: answers that end in another way than usual; a
 # disk that refuses writes.
 OPTIONAL = ('endings', 'refusal')
@@ -75,7 +77,7 @@
         ]
         watching = [
             asyncio.create_task(self.record.measure_lag()),
-            asyncio.create_task(self._measure_memory()),
+            asyncio.create_task(self._measure_use()),
         ]
         if 'refusal' not in self.without:
             planned.append(asyncio.create_task(self.faults.refuse_writes()))
@@ -86,14 +88,18 @@
             await self.faults.cause_storm(max(1.0, min(storm_s, remaining_s)))
             self.record.log_fault('calm')
             await asyncio.sleep(soak_record.CONTACT_S)
+            calm_s = self.record.now_s()
             await asyncio.gather(
                 self.faults.drain_worker(),
                 asyncio.sleep(CALM_S - soak_record.CONTACT_S),
             )
+            self._check_announcements(calm_s)
+        calm_s = self.record.now_s()
         try:
             await self._wait_until_served()
         except AssertionError:
             self.record.violate('requests fail after the last fault')
+            self._check_announcements(calm_s)
         self.operators.is_over = self.faults.is_over = True
         await asyncio.gather(*planned)
         await self._lose_disks()
@@ -129,9 +135,19 @@
                 )
             elif result is not None:
                 raise result
+        if results != [None, None]:
+            self._check_announcements(start_s, is_calm=False)
 
-    async def _measure_memory(self):
+    def _check_announcements(self, start_s, is_calm=True):
+        self.record.check_announcements(
+            self.deployment.workers, start_s, is_calm
+        )
+
+    async def _measure_use(self):
         while True:
+            self.record.loads.append(
+                (self.record.now_s(), psutil.cpu_percent() / 100)
+            )
             for process in self.deployment.entries:
                 with contextlib.suppress(psutil.Error):
                     resident_bytes = (
@@ -140,7 +156,7 @@
                     self.record.peak_bytes = max(
                         self.record.peak_bytes, resident_bytes
                     )
-            await asyncio.sleep(MEMORY_POLL_INTERVAL_S)
+            await asyncio.sleep(USE_POLL_INTERVAL_S)
 
     async def _add_workers(self):
         services = ['api', 'batch'] * self.sizes.api_workers
@@ -261,10 +277,13 @@
     print('workers that left calmly:', record.judged_drains)
     lags = sorted((lag_s for _, lag_s in record.lags), reverse=True)
     print(f'own lags: {len(lags)}, longest: {lags[:1]} s')
+    print('announcements judged:', record.judged_announcements)
+    for line in record.overloads:
+        print('overload of this machine:', line)
     print('violations:', len(record.violations))
-    if record.violations:
+    if record.violations or record.overloads:
         print('logs:', folder)
-        sys.exit(1)
+        sys.exit(1 if record.violations else EXIT_OVERLOADED)
     shutil.rmtree(folder)
 
 
--- a/tests/platform/soak_deployment.py
+++ b/tests/platform/soak_deployment.py
@@ -274,6 +274,9 @@
     """A worker that records what it runs, and may leave and come back.
 
     :param record: the soak's record.
+    :ivar started_s: when it started.
+    :ivar announced_s: since then, when each announcement began.
+    :ivar acknowledged_s: since then, when each acknowledgement came.
     :ivar left_s: when a control host acknowledged that it leaves; None before.
     :ivar limit_per_s: the limit that its answers name; None for none.
     :ivar limited_s: when it began to name that limit.
@@ -288,6 +291,9 @@
         self.limited_s = 0.0
         self.arrivals = []
         self.told_s = {}
+        self.started_s = 0.0
+        self.announced_s = []
+        self.acknowledged_s = []
         self.left_s = None
         self.is_breaking = False
         self.broken_group = None
@@ -298,6 +304,18 @@
         if service == 'models':
             self.respond = self._stream
 
+    async def start(self):
+        self.started_s = self.record.now_s()
+        self.announced_s, self.acknowledged_s = [], []
+        await super().start()
+
+    async def announce(self):
+        self.announced_s.append(self.record.now_s())
+        is_acknowledged = await super().announce()
+        if is_acknowledged:
+            self.acknowledged_s.append(self.record.now_s())
+        return is_acknowledged
+
     async def stop(self):
         """End the process that this worker stands for."""
         await self.close()
--- a/tests/platform/soak_record.py
+++ b/tests/platform/soak_record.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import collections
+import os
 import time
 
+from tests.platform import deployment
 from tests.platform import soak_endings
 
 # How long a host must have been undisturbed, and the control hosts stable, for
@@ -63,6 +65,13 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 TOLD_S = 0.5
+# A worker that announces itself less than this share as often as it should is
+# short of announcements. The machine is overloaded if its processors were
+# busy, or the soak's own event loop late, for more than these shares of the
+# time.
+MIN_ANNOUNCED_SHARE = 0.5
+OVERLOAD_BUSY_SHARE = 0.9
+OVERLOAD_LAG_SHARE = 0.15
 # Memory of an entry host in the users' largest deployments, in bytes.
 MEMORY_BYTES = 200_000_000
 
@@ -145,10 +154,15 @@
 
     :param control_hosts: number of control hosts.
     :ivar violations: a line for each violated invariant.
+    :ivar overloads: a line for each span in which the machine was overloaded,
+        so that workers of the soak didn't announce themselves as they should.
+    :ivar loads: at which times which share of the processors was busy.
     :ivar faults: a line for each step of a fault.
     :ivar statuses: responses by status, failures by exception type.
     :ivar judged: requests that show the document in force, by the bound in s
         that applied to them; None without a bound.
+    :ivar judged_announcements: workers whose announcements were counted, once
+        for each span.
     :ivar judged_drains: workers that left while the control hosts were stable.
     """
 
@@ -156,6 +170,8 @@
         self._start_s = time.monotonic()
         self._control_hosts = control_hosts
         self.violations = []
+        self.overloads = []
+        self.loads = []
         self.faults = []
         self.statuses = collections.Counter()
         self.judged = collections.Counter()
@@ -172,6 +188,7 @@
         self.crash_count = 0
         self.killing_runs = []
         self.judged_limits = 0
+        self.judged_announcements = 0
         self.peak_bytes = 0
 
     def now_s(self):
@@ -200,6 +217,51 @@
             if at_s + lag_s + LAG_POLL_INTERVAL_S >= start_s and at_s <= end_s
         )
 
+    def check_announcements(self, workers, start_s, is_calm):
+        """Check that the workers announced themselves as often as they should.
+
+        :param start_s: start of the span to check; its end is now.
+        :param is_calm: whether only an overload excuses a shortage, unless
+            control hosts were disrupted.
+        """
+        now_s = self.now_s()
+        duration_s = now_s - start_s
+        due = duration_s / deployment.ANNOUNCE_PAUSE_S
+        counts = {
+            worker.endpoint_id: [
+                sum(at_s >= start_s for at_s in times_s)
+                for times_s in (worker.acknowledged_s, worker.announced_s)
+            ]
+            for worker in workers
+            if worker.started_s < start_s and not worker.announcing.done()
+        }
+        least = MIN_ANNOUNCED_SHARE * due
+        short = {
+            name: f'{acknowledged} of {begun}'
+            for name, (acknowledged, begun) in counts.items()
+            if acknowledged < least
+        }
+        # Otherwise only the control hosts' acknowledgements are missing.
+        is_soak_late = any(begun < least for _, begun in counts.values())
+        self.judged_announcements += len(counts)
+        if not short:
+            return
+        busy = [share for at_s, share in self.loads if at_s > start_s]
+        busy_share = sum(busy) / len(busy) if busy else 0.0
+        lag_share = self.sum_lags(start_s, now_s) / duration_s
+        text = (
+            f'workers had their announcements acknowledged {short} times in '
+            f'{duration_s:.1f} s in place of {due:.0f}; processors busy '
+            f'{busy_share:.0%}, own event loop late {lag_share:.0%}, load '
+            f'{os.getloadavg()[0]:.1f}'
+        )
+        if is_soak_late and (
+            busy_share > OVERLOAD_BUSY_SHARE or lag_share > OVERLOAD_LAG_SHARE
+        ):
+            self.overloads.append(f'{now_s:.3f} s: {text}')
+        elif is_calm and self.is_stable(start_s, now_s):
+            self.violate(text)
+
     # Disruptions
 
     def begin_disruption(self, host, is_planned=False):
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -18,13 +18,16 @@
     """
     result = await soak.soak(tmp_path, SECONDS, seed, without=without)
     record = result.record
-    assert record.violations == [], record.faults
+    assert record.violations == [], (record.overloads, record.faults)
+    # A soak on an overloaded machine proves nothing.
+    assert record.overloads == []
     assert result.faults.count >= 3
     assert record.statuses[200] > 100
     assert len(record.versions_accepted) >= 10
     # Calm hosts were judged by the tightest bound.
     assert record.judged[soak_record.CONFIG_APPLY_S] > 0
     assert record.judged_drains > 0
+    assert record.judged_announcements > 0
     # A request crashed workers, and was contained.
     assert record.killing_runs
     # Endless responses were sent through hosts, which stayed small.
