--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -17,6 +17,9 @@
 from filbertglade.forwarding import upstream
 from filbertglade.observability import metrics
 
+# Minimum remaining time before the deadline for sending a request, in ms: no
+# endpoint responds faster.
+MIN_REMAINING_MS = 30
 # Fraction of a route's longest deadline below which a request counts as a
 # caller's retry after a refusal.
 RETRY_DEADLINE_FRACTION = 0.95
