Pass on an answer without a stated end as just that

Cause: an orderly end of the connection was taken for the end of an answer without length and chunks, which then got a length or a last chunk; and complete framing was taken for a complete stream, though it ended inside an event. A crashed process's connections end in order too.

Now a stream that ends inside an event is broken off, whatever its framing. An answer whose end isn't stated is passed on without a length and chunks, after a look at its endpoint's address: if it refuses and the endpoint wasn't leaving, the answer broke off. A connection that ends an answer is reset unless the answer was finished, also if this process ends, and for HTTP/1.0 callers. A resumed part without a stated end gets no last chunk. A failure that breaks off doesn't clear the strikes of its request.

Three cases asked for a last chunk after a resumed part whose end nobody stated. They now ask that all events arrive and that no last chunk claims more; the framed ones are resumed by a framed answer.

--- a/filbertglade/forwarding/choice.py
+++ b/filbertglade/forwarding/choice.py
@@ -229,6 +229,14 @@
             for item in self._view.list_endpoints(service)
         ]
 
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether an endpoint is leaving, or has left.
+
+        :param target: the endpoint, or the replica that it leads.
+        """
+        endpoint = self._view.endpoints.get(target.key)
+        return endpoint is None or endpoint.leaving
+
     def choose(
         self, demand: admission.Demand, tried: abc.Container[str]
     ) -> Target | failures.Failure:
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -68,6 +68,7 @@
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
     :ivar certainty: whether the document in force may be out of date.
+    :ivar crash_check: looks at the addresses of endpoints.
     :ivar containment: contains requests that crash endpoints.
     :ivar bodies: the response bodies that are kept in memory.
     :ivar deadlines: the longest deadline of each route.
@@ -102,10 +103,11 @@
         self.counters = counters
         self.rng = rng
         self.certainty = certainty.DocumentCertainty(fleet_view)
+        self.crash_check = crash_check.CrashCheck(pool)
         self.containment = containment.Containment(
             fleet_view,
             leader.crashes,
-            crash_check.CrashCheck(pool),
+            self.crash_check,
             faults,
             counters,
         )
--- a/filbertglade/forwarding/delivery.py
+++ b/filbertglade/forwarding/delivery.py
@@ -10,6 +10,7 @@
 from filbertglade.forwarding import body_budget
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import context
+from filbertglade.forwarding import crash_check
 from filbertglade.forwarding import events
 from filbertglade.forwarding import heads
 from filbertglade.forwarding import request_record
@@ -18,9 +19,22 @@
 from filbertglade.forwarding import upstream
 
 
+# Longest wait for what an endpoint's address shows after a response without a
+# stated end, in ms: several round trips between data centres, and the time
+# that a new connection has to stay open.
+END_CHECK_MS = 150
+# Time before a request's deadline that is left to send what has arrived, in
+# ms.
+END_MARGIN_MS = 50
+EVENT_STREAM_TYPE = 'text/event-stream'
+
+
 class Delivery:
     """Passes one request's response on, over all attempts.
 
+    A response whose end its endpoint doesn't state is passed on without a
+    stated end too.
+
     :param shared: state that all requests share.
     :param request: the request.
     :param record: logs the decisions.
@@ -29,6 +43,8 @@
     :ivar first_byte_ms: local clock at the first part of the response; None
         before.
     :ivar longest_pause_ms: longest pause between parts of a stream.
+    :ivar is_survival_known: whether the endpoint is known to have survived the
+        request that it responded to.
     :ivar is_passing_body: whether a body that is too long to be kept is being
         forwarded.
     """
@@ -48,6 +64,7 @@
         self.first_byte_ms: int | None = None
         self.longest_pause_ms = 0
         self.is_passing_body = False
+        self.is_survival_known = False
         self._last_byte_ms = 0
 
     async def forward(
@@ -62,6 +79,7 @@
         :param connection: the connection to it.
         :param head: the head of its response.
         :raises upstream.IncompleteResponse: the response broke off.
+        :raises upstream.UnstatedEnd: nothing states that it is complete.
         :raises events.EventTooLong: an event is too long to be kept.
         """
         route = self._record.route
@@ -69,10 +87,13 @@
         if route.kind is document.RouteKind.STREAMING and head.is_success:
             await self._forward_stream(target, connection, head, route)
         else:
-            await self._forward_body(connection, head)
+            await self._forward_body(target, connection, head)
 
     async def _forward_body(
-        self, connection: upstream.Connection, head: upstream.ResponseHead
+        self,
+        target: choice.Target,
+        connection: upstream.Connection,
+        head: upstream.ResponseHead,
     ) -> None:
         """Forward a response once it is complete, or too long to be kept."""
         held = self._context.bodies.begin()
@@ -82,11 +103,12 @@
                     await self._write(chunk)
                 elif not held.add(chunk):
                     await self._begin_passing(head, held)
+            await self._check_end(target, head)
             if not self.is_passing_body:
                 self.first_byte_ms = clock.now_ms()
                 body = held.take()
                 headers = heads.strip_headers(head.headers)
-                if head.length is None or self._request.method != 'HEAD':
+                if head.has_stated_end and self._request.method != 'HEAD':
                     headers['Content-Length'] = str(len(body))
                 await self._begin_response(head, headers)
                 await self._write(body)
@@ -134,11 +156,52 @@
                     await self._write(complete)
         finally:
             held.discard()
-        rest = self.splitter.finish()
+        if self.splitter.is_inside_event and _is_event_stream(head):
+            raise upstream.IncompleteResponse('ended inside an event')
+        await self._check_end(target, head)
+        if self._request.states_end and not head.has_stated_end:
+            raise upstream.UnstatedEnd('a resumed part has no stated end')
+        rest = self.splitter.take_partial()
         if rest:
             await self._write(rest)
         self._request.finish()
 
+    async def _check_end(
+        self, target: choice.Target, head: upstream.ResponseHead
+    ) -> None:
+        """Check that a response without a stated end has not broken off.
+
+        The connections of a crashed endpoint end like those of a complete
+        response.
+
+        An endpoint that was about to leave may have ended after its response.
+
+        :raises upstream.IncompleteResponse: the endpoint has crashed.
+        """
+        shared = self._context
+        self.is_survival_known = head.has_stated_end
+        if head.has_stated_end or 300 <= head.status < 500:
+            # A refusal of this kind took no work that could crash anything.
+            return
+        left_ms = self._record.deadline_ms - clock.now_ms() - END_MARGIN_MS
+        sign = crash_check.EndpointSign.UNKNOWN
+        try:
+            async with asyncio.timeout(min(END_CHECK_MS, left_ms) / 1000):
+                sign = await shared.crash_check.look_at(target)
+        except TimeoutError:
+            # Nothing tells; the response goes out within its deadline.
+            pass
+        is_leaving = shared.chooser.is_leaving(target)
+        self._record.write(
+            'answer.end_checked',
+            endpoint=target.key,
+            sign=sign.value,
+            leaving=is_leaving,
+        )
+        self.is_survival_known = sign is crash_check.EndpointSign.LISTENING
+        if sign is crash_check.EndpointSign.ENDED and not is_leaving:
+            raise upstream.IncompleteResponse('its endpoint has ended')
+
     def _record_pause(self) -> None:
         """Record the pause before a part of a stream."""
         now_ms = clock.now_ms()
@@ -154,7 +217,7 @@
     ) -> None:
         try:
             await self._request.begin_response(
-                head.status, head.reason, headers
+                head.status, head.reason, headers, head.has_stated_end
             )
         except iostream.StreamClosedError as error:
             raise asyncio.CancelledError from error
@@ -164,3 +227,9 @@
             await self._request.write(chunk)
         except iostream.StreamClosedError as error:
             raise asyncio.CancelledError from error
+
+
+def _is_event_stream(head: upstream.ResponseHead) -> bool:
+    """Return whether a body consists of events; a streaming route's does."""
+    media_type = head.headers.get('Content-Type', EVENT_STREAM_TYPE)
+    return media_type.partition(';')[0].strip().lower() == EVENT_STREAM_TYPE
--- a/filbertglade/forwarding/events.py
+++ b/filbertglade/forwarding/events.py
@@ -58,8 +58,13 @@
             self.last_id = ids[-1].decode('latin-1')
         return complete
 
-    def finish(self) -> bytes:
-        """Return the buffered bytes when the stream has ended regularly."""
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether a part of an event has arrived, and not all of it."""
+        return bool(self._partial.strip(b'\r\n'))
+
+    def take_partial(self) -> bytes:
+        """Return the bytes that have arrived after the last event's end."""
         partial = bytes(self._partial)
         self.rest_bytes = len(partial)
         self._partial.clear()
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -91,7 +91,7 @@
             shared.counters,
         )
         self._delivery = delivery.Delivery(shared, request, self._record, self)
-        self._deadline_ms = request.received_ms + DEFAULT_DEADLINE_MS
+        self._record.deadline_ms = request.received_ms + DEFAULT_DEADLINE_MS
         self._prompt_tokens = 0
         self._answer_tokens = 0
         self._tried: list[str] = []
@@ -132,11 +132,11 @@
         shared.leader.requests += 1
         caller_ms = self._read_caller_deadline()
         if caller_ms is not None:
-            self._deadline_ms = self._request.received_ms + min(
+            self._record.deadline_ms = self._request.received_ms + min(
                 DEFAULT_DEADLINE_MS, caller_ms
             )
         route = await lookup.RouteLookup(
-            shared, self._request, self._record, self._deadline_ms
+            shared, self._request, self._record
         ).find()
         if isinstance(route, failures.Failure):
             status, retry_s = lookup.LOOKUP_REFUSALS[route.reason]
@@ -164,7 +164,9 @@
             self._is_caller_retry = self._context.deadlines.is_short(
                 route.name, caller_ms
             )
-        self._deadline_ms = self._request.received_ms + int(remaining_ms)
+        self._record.deadline_ms = self._request.received_ms + int(
+            remaining_ms
+        )
 
     def _read_caller_deadline(self) -> int | None:
         """Return the deadline that the caller sent, in ms; None without."""
@@ -288,7 +290,7 @@
         self._refuse(503, detail, retry_ms / 1000)
 
     def _remaining_ms(self) -> int:
-        return self._deadline_ms - clock.now_ms()
+        return self._record.deadline_ms - clock.now_ms()
 
     def _build_demand(self, route: document.Route) -> admission.Demand:
         """Return what the request demands of a replica now."""
@@ -537,6 +539,10 @@
                     shared.containment.record_served(
                         self._digest, self._permission
                     )
+                else:
+                    await shared.containment.record_broken(
+                        self._digest, target, self._permission
+                    )
                 return AttemptOutcome.FAILED, connection.is_reusable(head)
         if self._request.is_response_started and not head.is_success:
             # The head has been forwarded already, so a resumed stream can't
@@ -547,7 +553,7 @@
         except upstream.IncompleteResponse as error:
             await self._record_broken(target, connection, str(error))
             return AttemptOutcome.CUT, False
-        except events.EventTooLong as error:
+        except (events.EventTooLong, upstream.UnstatedEnd) as error:
             self._log_broken(target, connection, str(error))
             return AttemptOutcome.CUT, False
         self._record_response(target, connection, head)
@@ -592,7 +598,7 @@
             # It was this node that closed the connection.
             return
         shared = self._context
-        self._record.write('answer.broken', endpoint=target.key, reason=detail)
+        self._log_broken(target, connection, detail)
         shared.pool.drop(target.key)
         was_idle = (
             connection.is_reused and self._delivery.first_byte_ms is None
@@ -627,7 +633,8 @@
         head: upstream.ResponseHead,
     ) -> None:
         shared = self._context
-        shared.containment.record_served(self._digest, self._permission)
+        if self._delivery.is_survival_known:
+            shared.containment.record_served(self._digest, self._permission)
         now_ms = clock.now_ms()
         first_ms = (
             self._delivery.first_byte_ms or now_ms
--- a/filbertglade/forwarding/lookup.py
+++ b/filbertglade/forwarding/lookup.py
@@ -54,7 +54,6 @@
     :param shared: state that all requests share.
     :param request: the request.
     :param record: gets the route and the customer.
-    :param deadline_ms: the caller's deadline, by the local clock.
     """
 
     def __init__(
@@ -62,12 +61,10 @@
         shared: context.ForwardingContext,
         request: server.CallerRequest,
         record: request_record.RequestRecord,
-        deadline_ms: int,
     ) -> None:
         self._context = shared
         self._request = request
         self._record = record
-        self._deadline_ms = deadline_ms
 
     async def find(self) -> document.Route | failures.Failure:
         """Find the request's route and customer.
@@ -137,7 +134,7 @@
 
     def _limit_wait_ms(self) -> int:
         """Return how long to wait for a document, in ms; 0 for not at all."""
-        remaining_ms = self._deadline_ms - clock.now_ms()
+        remaining_ms = self._record.deadline_ms - clock.now_ms()
         if (
             self._context.is_stopping
             or remaining_ms < context.MIN_REMAINING_MS
--- a/filbertglade/forwarding/request_record.py
+++ b/filbertglade/forwarding/request_record.py
@@ -19,6 +19,7 @@
     :ivar route: the request's route; None until it is known.
     :ivar customer: the caller's customer; None if there is none.
     :ivar service: name of the service that is to run it.
+    :ivar deadline_ms: its deadline, by the local clock.
     :ivar model: name of the model; empty for a plain service.
     """
 
@@ -26,6 +27,7 @@
         '_counters',
         '_view',
         'customer',
+        'deadline_ms',
         'model',
         'request_id',
         'route',
@@ -43,6 +45,7 @@
         self._counters = counters
         self.route: document.Route | None = None
         self.customer: document.Customer | None = None
+        self.deadline_ms = 0
         self.service = ''
         self.model = ''
 
--- a/filbertglade/forwarding/server.py
+++ b/filbertglade/forwarding/server.py
@@ -2,6 +2,9 @@
 
 import asyncio
 from collections import abc
+import re
+import socket
+import struct
 import sys
 import typing
 import weakref
@@ -26,6 +29,12 @@
 MAX_HEADER_BYTES = 1_048_576
 # Limits in force until a document sets others.
 DEFAULT_LIMITS = document.Limits()
+# Values of SO_LINGER: a closed connection is reset, or ends in order once all
+# was sent.
+LINGER_RESET = struct.pack('ii', 1, 0)
+LINGER_OFF = struct.pack('ii', 0, 0)
+
+_LINE_BREAK = re.compile(r'[\r\n]')
 
 
 class CallerRequest:
@@ -59,6 +68,9 @@
         self.is_response_started = False
         self.closes_connection = False
         self.is_aborted = False
+        self._takes_chunks = start_line.version != 'HTTP/1.0'
+        # Whether only the end of the connection ends the response.
+        self._ends_with_connection = False
 
     @property
     def is_last(self) -> bool:
@@ -76,20 +88,41 @@
         host = self.headers.get('Host', '')
         return host.rpartition(':')[0] if ':' in host else host
 
+    @property
+    def states_end(self) -> bool:
+        """Whether the response that was begun has a length or chunks."""
+        return not self._ends_with_connection
+
     async def begin_response(
-        self, status: int, reason: str, headers: httputil.HTTPHeaders
+        self,
+        status: int,
+        reason: str,
+        headers: httputil.HTTPHeaders,
+        states_end: bool = True,
     ) -> None:
         """Send the head of the response.
 
         :param status: the status.
         :param reason: the reason phrase.
         :param headers: the headers; without a length the body is sent with
-            chunked transfer coding.
+            chunked transfer coding if the caller knows it.
+        :param states_end: False to let the body end with the connection.
         :raises StreamClosedError: the caller has disconnected.
         """
         self.is_response_started = True
+        if self.method != 'HEAD' and not (
+            states_end and (self._takes_chunks or 'Content-Length' in headers)
+        ):
+            self._ends_with_connection = self.closes_connection = True
         if self.closes_connection:
             headers['Connection'] = 'close'
+        if self._ends_with_connection:
+            # Only finish() lets the connection end in order, so that it is
+            # also reset when this process ends.
+            self._set_linger(LINGER_RESET)
+            # The connection would add chunks to a body without a length.
+            await self._connection.write(_build_head(status, reason, headers))
+            return
         line = httputil.ResponseStartLine('HTTP/1.1', status, reason)
         await self._connection.write_headers(line, headers)
 
@@ -102,10 +135,14 @@
         await self._connection.write(chunk)
 
     def finish(self) -> None:
-        """End the response."""
+        """End the response, all of which has been written."""
         try:
+            if self._ends_with_connection:
+                self._set_linger(LINGER_OFF)
             self._connection.finish()
-        except (iostream.StreamClosedError, httputil.HTTPOutputError) as error:
+            if self._ends_with_connection:
+                self._end_writing()
+        except (OSError, httputil.HTTPOutputError) as error:
             log.change('answer.unfinished', error=error)
             self.abort()
             return
@@ -113,6 +150,12 @@
             loop = asyncio.get_running_loop()
             loop.call_later(CLOSE_DELAY_S, self.abort)
 
+    def _end_writing(self) -> None:
+        """End the connection for the caller, which has yet to read it."""
+        stream = getattr(self._connection, 'stream', None)
+        if stream is not None and not stream.closed():
+            stream.socket.shutdown(socket.SHUT_WR)
+
     def abort(self) -> None:
         """Close the connection, so that a cut response can't look complete."""
         self.is_aborted = True
@@ -120,6 +163,13 @@
         if stream is not None:
             stream.close()
 
+    def _set_linger(self, value: bytes) -> None:
+        stream = getattr(self._connection, 'stream', None)
+        if stream is not None and not stream.closed():
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, value
+            )
+
     def respond(
         self,
         status: int,
@@ -148,6 +198,20 @@
         self.finish()
 
 
+def _build_head(
+    status: int, reason: str, headers: httputil.HTTPHeaders
+) -> bytes:
+    """Return the head of a response.
+
+    :raises ValueError: a header contains a line break.
+    """
+    lines = [f'HTTP/1.1 {status} {reason}']
+    lines += [f'{name}: {value}' for name, value in headers.get_all()]
+    if any(_LINE_BREAK.search(line) for line in lines):
+        raise ValueError('a header of a response contains a line break')
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
+
+
 def _retrieve_exception(future: 'asyncio.Future[typing.Any]') -> None:
     if not future.cancelled():
         future.exception()
--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -84,6 +84,10 @@
     """The body of a response was cut off or framed wrongly."""
 
 
+class UnstatedEnd(Exception):  # noqa: N818
+    """Nothing states that a resumed response is complete."""
+
+
 @dataclasses.dataclass(slots=True)
 class ResponseHead:
     """The head of a response.
@@ -113,6 +117,15 @@
             return 'chunks'
         return 'connection' if self.length is None else 'length'
 
+    @property
+    def has_stated_end(self) -> bool:
+        """Whether the endpoint states where the body ends.
+
+        Without a length and chunks the body ends with its connection, and so
+        does one that breaks off.
+        """
+        return self.is_chunked or self.length is not None
+
 
 class Connection:
     """One connection to an endpoint.
@@ -273,10 +286,10 @@
         """Skip a body that nobody needs, or close the connection.
 
         :param head: the response's head.
-        :returns: whether all of it was read.
+        :returns: whether all of it was certainly read.
         """
         remaining = MAX_SKIPPED_BYTES
-        if (head.length or 0) <= remaining:
+        if head.has_stated_end and (head.length or 0) <= remaining:
             try:
                 async with asyncio.timeout(MAX_SKIP_MS / 1000):
                     async for chunk in self.read_body(head):
@@ -342,7 +355,7 @@
         """
         if self.stream.closed() or not self.is_written:
             return False
-        if head.length is None and not head.is_chunked:
+        if not head.has_stated_end:
             return False
         if 'close' in head.headers.get('Connection', '').lower():
             return False
--- a/tests/gateway_forwarding/test_load.py
+++ b/tests/gateway_forwarding/test_load.py
@@ -195,7 +195,7 @@
         b'id: 2\r\ndata: b\r\n\r\n'
     )
     assert (splitter.last_id, splitter.count) == ('2', 2)
-    assert splitter.finish() == b''
+    assert splitter.take_partial() == b''
 
 
 class Stream:
--- a/tests/platform/test_answers_without_length.py
+++ b/tests/platform/test_answers_without_length.py
@@ -569,6 +569,11 @@
         Answer(None, STOPS_AT, framing=framings[0], end=end),
         Answer(framing=framings[1]),
     )
+    if framings[1] == 'connection':
+        # Nothing states the end, so the chunks that were begun don't either.
+        check_cut_stream(received)
+        assert received.body == EVENT_STREAM
+        return
     check_whole_stream(received)
 
 
@@ -613,7 +618,7 @@
     received = await case.ask(
         '/stream/',
         Answer(None, STOPS_AT, framing=framing, has_last_chunk=True),
-        Answer(),
+        Answer(framing='chunks'),
     )
     check_whole_stream(received)
 
