Count a body that was reset as incomplete

Cause: tornado reads such a body until its connection closes and takes a reset for that end too; it keeps the error on the stream. The pool looked only at whether the body was said to be finished.

Evidence: test_body_that_is_reset_is_not_complete of requests/test_bodies_without_length.py failed for both types of content and passes now.

Why it works: a body whose framing states its end stays complete, whatever happens to its connection afterwards. Any other body is complete only if the connection was closed without an error. The rest of the request path treats it as any answer that broke off.

--- a/filbertglade/requests/endpoint_pool.py
+++ b/filbertglade/requests/endpoint_pool.py
@@ -18,6 +18,7 @@
 from filbertglade import failures
 from filbertglade.inner import channels
 from filbertglade.requests import endpoint_response
+from filbertglade.requests import response_source
 from filbertglade.requests import streamed_response
 from filbertglade.settings import model
 
@@ -221,6 +222,12 @@
             is_complete = False
         if receiver.is_detached:
             return is_complete
+        if receiver.is_finished and stream.error is not None:
+            # The library takes a reset for the end of a body without framing.
+            start_line, headers = receiver.head.result()
+            receiver.is_finished = response_source.is_framed(
+                start_line.code, headers
+            )
         await receiver.chunks.put(None)
         if is_complete and receiver.is_finished and not stream.closed():
             connection.detach()
--- a/filbertglade/requests/endpoint_response.py
+++ b/filbertglade/requests/endpoint_response.py
@@ -15,7 +15,6 @@
 FIRST_FINAL_STATUS = 200
 # Longest wait for the end of a response whose content is complete.
 DRAIN_TIMEOUT_S = 1.0
-BODILESS_STATUSES = (204, 304)
 MAX_QUEUED_CHUNKS = 4
 
 Head = tuple[httputil.ResponseStartLine, httputil.HTTPHeaders]
@@ -101,7 +100,7 @@
         return (
             coding.strip().lower() == 'chunked'
             and 'Content-Length' not in headers
-            and start_line.code not in BODILESS_STATUSES
+            and start_line.code not in response_source.BODILESS_STATUSES
             and response_source.is_event_stream(headers)
         )
 
@@ -135,11 +134,7 @@
     @property
     def is_framed(self) -> bool:
         """Whether a complete body can be told from a truncated one."""
-        return (
-            'Content-Length' in self.headers
-            or 'Transfer-Encoding' in self.headers
-            or self.status in BODILESS_STATUSES
-        )
+        return response_source.is_framed(self.status, self.headers)
 
     @abc.abstractmethod
     async def read(
--- a/filbertglade/requests/response_source.py
+++ b/filbertglade/requests/response_source.py
@@ -7,6 +7,7 @@
 from filbertglade.requests import outcomes
 
 EVENT_STREAM_TYPE = 'text/event-stream'
+BODILESS_STATUSES = (204, 304)
 
 
 def is_event_stream(headers: httputil.HTTPHeaders) -> bool:
@@ -18,6 +19,19 @@
     return media_type.partition(';')[0].strip().lower() == EVENT_STREAM_TYPE
 
 
+def is_framed(status: int, headers: httputil.HTTPHeaders) -> bool:
+    """Return whether a complete body can be told from a truncated one.
+
+    :param status: the HTTP status code.
+    :param headers: the response headers.
+    """
+    return (
+        'Content-Length' in headers
+        or 'Transfer-Encoding' in headers
+        or status in BODILESS_STATUSES
+    )
+
+
 class ResponseSource(abc.ABC):
     """A response whose head has been received and whose body arrives in parts.
 
