Don't state the end of a body that a host didn't state

Cause: the end of the connection counts as the end of such a body, but the operating system closes a crashed process's connections in order too. The node then framed what it had anew, which adds a statement that nobody made.

Evidence: test_body_of_a_crashed_host_does_not_look_complete and the case connection-crash of the streams that end inside an event failed before. New: 20 cases on raw sockets, which all failed before, for HTTP/1.0, HEAD, empty and long bodies, streams, and hosts that crash.

Why it works: after such an end the host's address is looked at, as after other answers that broke off. If it takes no connection, the answer is incomplete and treated like those. Otherwise the caller gets it as it came: it ends with its connection, without length, chunks or X-Outcome: complete. A reset then is the only difference between an end and a break, so the caller's connection is reset if such an answer breaks off. An answer to HEAD has no body that could break off; it gets no length either.

--- a/filbertglade/entry/handlers.py
+++ b/filbertglade/entry/handlers.py
@@ -4,6 +4,8 @@
 from collections import abc
 import functools
 import json
+import socket
+import struct
 
 from tornado import iostream
 
@@ -64,6 +66,8 @@
         self._requests = requests
         self._counters = counters
         self._task: asyncio.Task[None] | None = None
+        # Whether the end of the connection is the end of the response.
+        self._is_unframed = False
 
     def compute_etag(self) -> str | None:
         """Return no entity tag: only the endpoint may set one.
@@ -120,6 +124,7 @@
                 await self._forward_buffered(response)
             elif request.is_service:
                 self._copy_status_and_headers(response)
+                await self._begin(response)
                 await self._forward_stream(response)
             else:
                 await self._forward_events(response)
@@ -161,6 +166,7 @@
             parts.append(part)
             size += len(part)
         self._copy_status_and_headers(response)
+        await self._begin(response)
         self.write(b''.join(parts))
         await self._flush()
         await self._forward_stream(response)
@@ -173,8 +179,16 @@
         if reported == outcomes.Outcome.NOT_RUN.value:
             outcome = outcomes.Outcome.NOT_RUN
         self._copy_status_and_headers(response)
-        self.set_header(outcomes.OUTCOME_HEADER, outcome.value)
         self._count(outcome)
+        if not response.is_framed:
+            if outcome is not outcomes.Outcome.COMPLETE:
+                self.set_header(outcomes.OUTCOME_HEADER, outcome.value)
+            await self._begin(response)
+            self.write(body)
+            await self._flush()
+            self._end_connection()
+            return
+        self.set_header(outcomes.OUTCOME_HEADER, outcome.value)
         length = response.headers.get('Content-Length')
         if self.request.method == 'HEAD' and length:
             self.set_header('Content-Length', length)
@@ -199,10 +213,33 @@
                 return
             if part is None:
                 self._count(outcomes.Outcome.COMPLETE)
+                if self._is_unframed:
+                    self._end_connection()
                 return
             self.write(part)
             await self._flush()
 
+    async def _begin(self, response: response_source.ResponseSource) -> None:
+        """Write the head of a response whose end its endpoint won't state.
+
+        The HTTP library would add chunks. It writes no framing if its head
+        is written as a part of the body.
+        """
+        if response.is_framed:
+            return
+        self._is_unframed = True
+        self.set_header('Connection', 'close')
+        lines = [f'HTTP/1.1 {self.get_status()} {self._reason}']
+        for name, value in self._headers.get_all():
+            lines.append(f'{name}: {value}')
+        head = '\r\n'.join(lines) + '\r\n\r\n'
+        self._headers_written = True
+        connection = self.request.connection
+        assert connection is not None
+        await self._await_write(
+            functools.partial(connection.write, head.encode('latin1'))
+        )
+
     async def _write_events(self, part: bytes) -> None:
         if not self._headers_written:
             self.write(part)
@@ -229,8 +266,16 @@
             raise CallerDisconnected from error
 
     def _drop_connection(self) -> None:
-        connection = self.request.connection
-        stream = getattr(connection, 'stream', None)
+        stream = getattr(self.request.connection, 'stream', None)
+        if self._is_unframed and stream is not None and not stream.closed():
+            # Only a reset differs from the end of the response.
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+        self._end_connection()
+
+    def _end_connection(self) -> None:
+        stream = getattr(self.request.connection, 'stream', None)
         if stream is not None:
             stream.close()
 
--- a/filbertglade/requests/dispatch.py
+++ b/filbertglade/requests/dispatch.py
@@ -139,6 +139,22 @@
             )
         return self._record_crash(candidate)
 
+    async def check_unstated_end(
+        self, candidate: selection.Candidate
+    ) -> attempt_failure.AttemptFailure | None:
+        """Check a body that ended with its connection.
+
+        A crashed process's connections are closed in order too.
+
+        :param candidate: the endpoint.
+        :returns: the failure of the attempt if the endpoint crashed; None if
+            nothing tells whether the body is complete.
+        """
+        await asyncio.sleep(PROBE_DELAY_S)
+        if await self._context.pool.is_reachable(candidate.address):
+            return None
+        return self._record_crash(candidate)
+
     def _record_crash(
         self, candidate: selection.Candidate
     ) -> attempt_failure.AttemptFailure:
--- a/filbertglade/requests/execution.py
+++ b/filbertglade/requests/execution.py
@@ -301,7 +301,7 @@
                 return await self._classify_cut(chunk)
             if chunk is None:
                 if self._buffer.finish(response):
-                    return None
+                    return await self._check_end(response)
                 return attempt_failure.AttemptFailure(
                     Reason.ENDPOINT_FAILED, 'the response was truncated'
                 )
@@ -309,6 +309,28 @@
         self._is_body_started = True
         return None
 
+    async def _check_end(
+        self, response: endpoint_response.EndpointResponse
+    ) -> attempt_failure.AttemptFailure | None:
+        """Return why a body that has ended is incomplete; None if it isn't."""
+        if response.is_framed or self._request.call.method == 'HEAD':
+            return None
+        if self.is_framed:
+            # A retry's response, after a head that promised a stated end.
+            cut = failures.Failure(
+                endpoint_response.EndpointFailureReason.BROKEN,
+                'the end of the body was not stated',
+            )
+            return await self._classify_cut(cut)
+        assert self._choice.candidate is not None
+        failure = await self._dispatch.check_unstated_end(
+            self._choice.candidate
+        )
+        if failure is not None:
+            self._response = None
+            response.cancel()
+        return failure
+
     async def _classify_cut(
         self, failure: failures.Failure
     ) -> attempt_failure.AttemptFailure:
@@ -334,6 +356,8 @@
             if isinstance(chunk, failures.Failure):
                 return await self._classify_cut(chunk)
             if self._splitter is None:
+                if chunk is None:
+                    return await self._check_end(response)
                 self._is_body_started = True
                 return chunk
             if chunk is None:
--- a/filbertglade/requests/response_source.py
+++ b/filbertglade/requests/response_source.py
@@ -47,6 +47,11 @@
         """Whether the body is a stream of server-sent events."""
         return is_event_stream(self.headers)
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether a complete body can be told from a truncated one."""
+        return is_framed(self.status, self.headers)
+
     @abc.abstractmethod
     async def read(self) -> bytes | None | outcomes.Refusal:
         """Return the next part of the body.
--- a/tests/requests/test_service_answers_without_length.py
+++ b/tests/requests/test_service_answers_without_length.py
@@ -181,3 +181,64 @@
         service.more += f'Content-Length: {len(EVENTS_PART)}\r\n'
     service.is_crashing = is_crashing
     check_not_complete(*ask(node), EVENTS_PART)
+
+
+def ask_raw(node, method='GET', version='1.1'):
+    """Return an answer's head and the bytes until its connection ends."""
+    host, port = node.url.removeprefix('http://').split(':')
+    lines = [
+        f'{method} /services/{request_cluster.SERVICE}/beans HTTP/{version}',
+        'Host: x',
+        *(f'{k}: {v}' for k, v in request_cluster.AUTHORIZED.items()),
+    ]
+    with socket.create_connection((host, int(port)), 5) as connection:
+        connection.sendall(('\r\n'.join(lines) + '\r\n\r\n').encode())
+        received = b''
+        while data := connection.recv(65_536):
+            received += data
+    head, _, body = received.partition(b'\r\n\r\n')
+    return head.decode().lower(), body
+
+
+# Guards against an end that the service did not state, stated by the node.
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+@pytest.mark.parametrize('method', ['GET', 'HEAD'])
+@pytest.mark.parametrize(
+    'kind, body',
+    [
+        ('plain', BODY),
+        ('plain', b''),
+        ('plain', BODY * 300),
+        ('event-stream', EVENTS),
+    ],
+    ids=['short', 'empty', 'long', 'stream'],
+)
+def test_end_that_was_not_stated_is_the_end_of_the_connection(
+    service, node, kind, body, method, version
+):
+    service.more = f'Content-Type: text/{kind}\r\n'
+    service.body = body if method == 'GET' else b''
+    head, received = ask_raw(node, method, version)
+    assert head.startswith('http/1.1 200 ')
+    assert 'content-length' not in head
+    assert 'transfer-encoding' not in head
+    assert 'x-outcome: complete' not in head
+    assert 'connection: close' in head
+    assert received == service.body
+
+
+# Guards against a stream or a long body of a crashed host that ends as if it
+# were complete: only a reset tells an answer broken off from one that has
+# neither a length nor chunks.
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+@pytest.mark.parametrize(
+    'kind, body',
+    [('event-stream', EVENTS), ('plain', BODY * 300)],
+    ids=['stream', 'long'],
+)
+def test_answer_of_a_crashed_host_is_reset(service, node, kind, body, version):
+    service.more = f'Content-Type: text/{kind}\r\n'
+    service.body = body
+    service.is_crashing = True
+    with pytest.raises(ConnectionResetError):
+        ask_raw(node, version=version)
