Break off a service's stream that ends inside an event

Cause: a service's stream is passed on unsplit, so nothing looked at where it ended. Streams of models need [DONE] and are not concerned.

Why it works: the last four bytes tell whether a stream ends with an empty line, whatever its line ends are. If not, it counts as broken off, and the caller's connection is closed without a last chunk, or is reset if the endpoint stated no end. An HTTP/1.0 caller gets no chunks, so a stream with a stated end that breaks off still looks complete to it. A stream with a content coding can't be judged by its bytes and is passed on as it ends.

A service's stream that broke off before its first byte and was sent again was split as a model's is, and failed without [DONE]; it is now passed on like the first. No test shows that alone.

--- a/filbertglade/requests/event_stream.py
+++ b/filbertglade/requests/event_stream.py
@@ -7,6 +7,8 @@
 EVENT_END = b'\n\n'
 DONE = b'data: [DONE]'
 DATA = b'data:'
+# Bytes of the longest end of an event.
+END_BYTES = 4
 MAX_EVENT_BYTES = 1_048_576
 MAX_UNPARSED_BYTES = 4096
 # Bytes of a JSON string that need no unescaping.
@@ -55,6 +57,31 @@
         return events
 
 
+class EventEnd:
+    """Tells whether a stream that is passed on unsplit ends inside an event.
+
+    Events end with an empty line; lines end with CR LF, LF or CR.
+    """
+
+    __slots__ = ('_tail',)
+
+    def __init__(self) -> None:
+        self._tail = EVENT_END
+
+    def feed(self, chunk: bytes) -> None:
+        """Add a part of the stream.
+
+        :param chunk: the part.
+        """
+        self._tail = (self._tail + chunk[-END_BYTES:])[-END_BYTES:]
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the parts so far end inside an event."""
+        tail = self._tail.replace(b'\r\n', b'\n').replace(b'\r', b'\n')
+        return not tail.endswith(EVENT_END)
+
+
 def _starts_line(events: bytes, position: int) -> bool:
     return position == 0 or events[position - 1 : position] == b'\n'
 
--- a/filbertglade/requests/execution.py
+++ b/filbertglade/requests/execution.py
@@ -63,6 +63,8 @@
         self._is_body_started = False
         self._splitter: event_stream.EventSplitter | None = None
         self._progress = event_stream.StreamProgress()
+        # The end of a service's stream, which is passed on unsplit.
+        self._event_end: event_stream.EventEnd | None = None
         self._buffer = buffered_body.BufferedBody()
         self.request_id = endpoint_calls.new_request_id()
         self.status = 0
@@ -280,16 +282,16 @@
             response.cancel()
             return failure
         self._response = response
-        if self._is_head_sent:
+        if not self._is_head_sent:
+            self.status = response.status
+            self.headers = response.headers
+            if not self.is_event_stream:
+                return await self._buffer_body()
+        if not self._request.is_service:
             self._splitter = event_stream.EventSplitter()
-            return None
-        self.status = response.status
-        self.headers = response.headers
-        if self.is_event_stream:
-            if not self._request.is_service:
-                self._splitter = event_stream.EventSplitter()
-            return None
-        return await self._buffer_body()
+        elif 'Content-Encoding' not in response.headers:
+            self._event_end = event_stream.EventEnd()
+        return None
 
     async def _buffer_body(self) -> attempt_failure.AttemptFailure | None:
         response = self._response
@@ -313,15 +315,23 @@
         self, response: endpoint_response.EndpointResponse
     ) -> attempt_failure.AttemptFailure | None:
         """Return why a body that has ended is incomplete; None if it isn't."""
+        if self._event_end is not None and self._event_end.is_inside_event:
+            return await self._classify_cut(
+                failures.Failure(
+                    endpoint_response.EndpointFailureReason.BROKEN,
+                    'the stream ended inside an event',
+                )
+            )
         if response.is_framed or self._request.call.method == 'HEAD':
             return None
         if self.is_framed:
             # A retry's response, after a head that promised a stated end.
-            cut = failures.Failure(
-                endpoint_response.EndpointFailureReason.BROKEN,
-                'the end of the body was not stated',
+            return await self._classify_cut(
+                failures.Failure(
+                    endpoint_response.EndpointFailureReason.BROKEN,
+                    'the end of the body was not stated',
+                )
             )
-            return await self._classify_cut(cut)
         assert self._choice.candidate is not None
         failure = await self._dispatch.check_unstated_end(
             self._choice.candidate
@@ -358,6 +368,8 @@
             if self._splitter is None:
                 if chunk is None:
                     return await self._check_end(response)
+                if self._event_end is not None:
+                    self._event_end.feed(chunk)
                 self._is_body_started = True
                 return chunk
             if chunk is None:
--- a/tests/requests/test_event_stream.py
+++ b/tests/requests/test_event_stream.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from filbertglade.requests import event_stream
 
@@ -71,3 +72,21 @@
     broken = build_event('d', True, '').replace(b'"d"', b'"\xff"')
     progress.add(b'data: ' + broken + b'\n\n')
     assert (progress.text, progress.tokens) == ('abc', 3)
+
+
+# Guards against an end of a stream that is misjudged by how its bytes arrive
+# or how its lines end.
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
+@pytest.mark.parametrize('part_bytes', [1, 2, 3, 100])
+def test_end_inside_an_event_is_told(line_end, part_bytes):
+    stream = b'id: 1\ndata: a\n\ndata: b\n\n'.replace(b'\n', line_end)
+    event_end = event_stream.EventEnd()
+    assert not event_end.is_inside_event
+    for start in range(0, len(stream), part_bytes):
+        event_end.feed(stream[start : start + part_bytes])
+        received = stream[: start + part_bytes]
+        is_inside = not received.endswith(2 * line_end)
+        # LF may still follow CR, but the empty line has ended.
+        if line_end == b'\r\n' and received.endswith(b'\r\n\r'):
+            is_inside = False
+        assert event_end.is_inside_event is is_inside
--- a/tests/requests/test_service_answers_without_length.py
+++ b/tests/requests/test_service_answers_without_length.py
@@ -1,6 +1,7 @@
 """Answers of services without a length, through a node as a real process."""
 
 import contextlib
+import gzip
 import json
 import socket
 import threading
@@ -242,3 +243,16 @@
     service.is_crashing = True
     with pytest.raises(ConnectionResetError):
         ask_raw(node, version=version)
+
+
+# Guards against a compressed stream whose bytes are taken for its events.
+def test_stream_with_a_content_coding_is_not_judged_by_its_bytes(
+    service, node
+):
+    body = gzip.compress(EVENTS)
+    service.more = (
+        'Content-Type: text/event-stream\r\nContent-Encoding: gzip\r\n'
+        f'Content-Length: {len(body)}\r\n'
+    )
+    service.body = body
+    assert ask(node) == (200, EVENTS)
