Take an order's cut answer or time-out for an unreachable host

What was seen: an order whose answer is cut off, or doesn't come in time, ends in an exception in the control host's task and its log, and not in the failure that the sender waits for; the pause after a failed order is then not set.

Cause: tornado's client raises time-outs and closed connections even where it doesn't raise error statuses, and they are no OSErrors.

Evidence: 8 of the 9 cases of groups/test_order_client.py failed before; the ninth, a reset before the head, is an OSError and passed.

Why it works: these exceptions are all HTTPErrors, and statuses aren't raised here, so what is caught is an answer that did not come whole. It counts as UNREACHABLE like a refused connection; orders are idempotent and sent again.

--- a/filbertglade/groups/orders.py
+++ b/filbertglade/groups/orders.py
@@ -175,7 +175,8 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
-        except OSError as error:
+        except (OSError, httpclient.HTTPError) as error:
+            # Time-outs and cut answers are raised, other than error statuses.
             return failures.Failure(OrderReason.UNREACHABLE, str(error))
         if response.code == 200:
             return None
