Don't end an answer whose endpoint left and ended

Whether the answer was whole isn't known, so it is broken off, without a strike or a fault for the endpoint.

--- a/filbertglade/forwarding/delivery.py
+++ b/filbertglade/forwarding/delivery.py
@@ -174,9 +174,9 @@
         The connections of a crashed endpoint end like those of a complete
         response.
 
-        An endpoint that was about to leave may have ended after its response.
-
         :raises upstream.IncompleteResponse: the endpoint has crashed.
+        :raises upstream.UnstatedEnd: it was leaving, and has ended before its
+            response did or after it.
         """
         shared = self._context
         self.is_survival_known = head.has_stated_end
@@ -199,8 +199,11 @@
             leaving=is_leaving,
         )
         self.is_survival_known = sign is crash_check.EndpointSign.LISTENING
-        if sign is crash_check.EndpointSign.ENDED and not is_leaving:
-            raise upstream.IncompleteResponse('its endpoint has ended')
+        if sign is not crash_check.EndpointSign.ENDED:
+            return
+        if is_leaving:
+            raise upstream.UnstatedEnd('its endpoint has left')
+        raise upstream.IncompleteResponse('its endpoint has ended')
 
     def _record_pause(self) -> None:
         """Record the pause before a part of a stream."""
