--- a/tests/control/test_refused_writes.py
+++ b/tests/control/test_refused_writes.py
@@ -22,6 +22,9 @@
 # Entries between two snapshots.
 SNAPSHOT_ENTRIES = 8
 SUBMIT_TIMEOUT_MS = 3000
+READ_FAILED = failures.StorageFailure(
+    failures.StorageReason.READ_FAILED, 'input/output error'
+)
 
 
 class Changes:
@@ -231,3 +234,38 @@
         )
 
     test_seeded_voters.run(work)
+
+
+# Guards against a host that never takes part again because its snapshot could
+# not be read once.
+def test_voter_whose_snapshot_was_not_read_at_first_counts_again():
+    async def scenario():
+        async with make_group() as group:
+            changes = Changes(group)
+            await changes.send_many(3 * SNAPSHOT_ENTRIES)
+            await group.catch_up()
+            voter = (await group.followers())[0]
+            await voter.stop()
+            assert voter.disk.point.index
+            make_storage = voter.make_storage
+
+            def make_failing_storage():
+                storage = make_storage()
+                read_snapshot = storage.read_snapshot
+
+                async def fail_once():
+                    storage.read_snapshot = read_snapshot
+                    return READ_FAILED
+
+                storage.read_snapshot = fail_once
+                return storage
+
+            voter.make_storage = make_failing_storage
+            assert await voter.start() is None
+            assert not is_voter(voter)
+            await group.wait_until(
+                lambda: is_voter(voter) and changes.are_in_force_at(voter),
+                RECOVERY_S,
+            )
+
+    cluster.run(scenario())
--- a/tests/platform/test_answers_without_length.py
+++ b/tests/platform/test_answers_without_length.py
@@ -543,6 +543,21 @@
     )
 
 
+# Guards against an entry host that is killed, and whose caller takes the end
+# of the connection for the end of its answer.
+async def test_stream_of_a_killed_host_does_not_look_complete(case):
+    asking = asyncio.create_task(case.ask('/once/', Answer(pause_s=0.5)))
+
+    async def has_begun():
+        return len(case.sent_s) >= STOPS_AT
+
+    await case.running.wait_until(has_begun)
+    case.running.entries[0].process.kill()
+    received = await asking
+    check_cut_stream(received)
+    assert received.end == 'reset'
+
+
 # Guards against streams without length that are held back, lost or left open.
 @pytest.mark.parametrize('path', ['/once/', '/stream/'])
 async def test_whole_stream_is_passed_on_as_it_arrives(case, path):
