Let tests of log lines see the lines of their own test only

The log library keeps lines until its first destination is added, and gives them to that one: lines of earlier tests in the same process. It fails each time after test_refused_writes.py, and passes with the change.

--- a/tests/control/test_voter_status.py
+++ b/tests/control/test_voter_status.py
@@ -19,6 +19,8 @@
         lines.append(json.loads(json.dumps(message, default=str)))
 
     eliot.add_destinations(add)
+    # The first destination also gets what was logged before it was added.
+    lines.clear()
     yield lines
     eliot.remove_destination(add)
 
