--- a/filbertglade/fleet/dialects.py
+++ b/filbertglade/fleet/dialects.py
@@ -16,6 +16,7 @@
     :param load: in a response: running and waiting requests, and slots.
     :param limit: in a response: requests a second that the endpoint takes from
         all nodes together.
+    :param leaving: in a response: the endpoint is leaving.
     :param faulty_endpoint: in a response: the endpoint at fault.
     :param model: the model that a request is for.
     :param token_counts: prompt tokens and maximum output tokens.
@@ -33,6 +34,7 @@
     not_run: str = 'Filbertglade-Not-Run'
     load: str = 'Filbertglade-Load'
     limit: str = 'Filbertglade-Limit'
+    leaving: str = 'Filbertglade-Leaving'
     faulty_endpoint: str = 'Filbertglade-Faulty-Endpoint'
     model: str = 'Filbertglade-Model'
     token_counts: str = 'Filbertglade-Token-Counts'
--- a/filbertglade/platform/dialect.py
+++ b/filbertglade/platform/dialect.py
@@ -17,6 +17,7 @@
     not_run='X-Not-Executed',
     load='X-Instance-Load',
     limit='Server-Limit',
+    leaving='Server-Leaving',
     faulty_endpoint='At-Server',
     model='X-Model',
     token_counts='X-Token-Counts',
