Tell the leader and all hosts that an endpoint says it leaves

What callers saw: a host that read of a departure in an answer kept it to itself, so each of the other hosts would need a bad try of its own.

A host reports the incarnation to the leader with its next report, and to each new leader again. The leader marks it leaving in the registry, as an announced departure does: all hosts learn of it with the regular frames, and groups are formed without it. The mark ends with the incarnation; an announcement that says otherwise may have been sent before and changes nothing. An endpoint that hasn't announced itself to a new leader yet is marked when it does.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -360,6 +360,8 @@
         watcher.report = report
         self._apply_crashes(watcher, report)
         self._apply_limits(report)
+        for endpoint in report.leaving:
+            self._registry.mark_leaving(endpoint, report.node)
         for suspicion in report.suspicions:
             self._replicas.handle_suspicion(suspicion, report.node)
         if report.requests:
--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -20,6 +20,9 @@
 ENDED_RETENTION_MS = 120_000
 # Time without an announcement after which an entry is removed, in ms.
 FORGET_MS = 45_000
+# Most endpoints that are remembered as leaving before their announcements
+# arrive: several times those of the largest fleet.
+MAX_EARLY_LEAVING = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +66,9 @@
         self._ended_ms: dict[str, int] = {}
         # Ended incarnations that had not announced that they leave.
         self._crashed: set[str] = set()
+        # Incarnations that are leaving though they haven't announced
+        # themselves here yet, the oldest first.
+        self._early_leaving: dict[str, None] = {}
         self.removed_versions: dict[str, int] = {}
         self.version = 0
         # Local clock when the newest incarnation was added.
@@ -188,6 +194,29 @@
         self._remove(key, 'departed')
         self._publish_change()
 
+    def mark_leaving(self, key: str, source: str) -> None:
+        """Mark an endpoint leaving until its incarnation ends.
+
+        No announcement takes it back: an endpoint that has begun to leave
+        ends, and announcements may have been sent before.
+
+        :param key: its incarnation key.
+        :param source: the host to which it said so, for the log.
+        """
+        if key in self._ended_ms:
+            return
+        entry = self.entries.get(key)
+        if entry is None:
+            if len(self._early_leaving) >= MAX_EARLY_LEAVING:
+                del self._early_leaving[next(iter(self._early_leaving))]
+            self._early_leaving[key] = None
+            return
+        if entry.endpoint.leaving:
+            return
+        entry.endpoint.leaving = True
+        log.change('endpoint.said_leaving', endpoint=key, source=source)
+        self._mark_changed(entry)
+
     def has_crashed(self, key: str) -> bool:
         """Return whether an incarnation seems to have crashed.
 
@@ -242,6 +271,9 @@
 
     def _add(self, endpoint: fleet_pb2.Endpoint) -> None:
         key = endpoints.get_key(endpoint)
+        if key in self._early_leaving:
+            del self._early_leaving[key]
+            endpoint.leaving = True
         entry = EndpointEntry(endpoint, clock.now_ms())
         self.entries[key] = entry
         self._key_by_id[endpoint.id] = key
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -11,6 +11,7 @@
 from filbertglade.fleet import crash_reports
 from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
+from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.inner import channels
 from filbertglade.inner import fleet_grpc
@@ -88,6 +89,9 @@
         self._suspicions: list[fleet_pb2.Suspicion] = []
         # By endpoint, with the local clock at the answer that named it.
         self._limits: dict[str, tuple[int, fleet_pb2.EndpointLimit]] = {}
+        # Endpoints that have said that they leave, each with whether the
+        # watched leader has been told.
+        self._leaving: dict[str, bool] = {}
         self._urgent_change = asyncio.Event()
         self.crashes = crash_reports.CrashReports(
             fleet_view.struck, self._urgent_change.set
@@ -140,6 +144,16 @@
         self._limits[limit.endpoint] = (clock.now_ms(), limit)
         self._urgent_change.set()
 
+    def report_leaving(self, endpoint: str) -> None:
+        """Report to the leader that an endpoint says that it leaves.
+
+        :param endpoint: its incarnation key.
+        """
+        if len(self._leaving) >= statements.MAX_ENDPOINTS:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[endpoint] = False
+        self._urgent_change.set()
+
     def _report_known_limits(self) -> None:
         """Let the next report name all limits for a new leader."""
         for endpoint, (named_ms, requests_per_s) in self._view.limits.items():
@@ -180,6 +194,8 @@
             async with stub.Watch.open() as stream:
                 self.crashes.start_stream()
                 self._report_known_limits()
+                # A new leader knows of no departures but the announced ones.
+                self._leaving = dict.fromkeys(self._leaving, False)
                 report = self._build_report()
                 async with asyncio.timeout(FIRST_FRAME_TIMEOUT_MS / 1000):
                     await stream.send_message(report)
@@ -270,7 +286,7 @@
             return
 
     def _forget_reported(self, report: fleet_pb2.WatchReport) -> None:
-        """Forget the crashes and suspicions that the leader was sent."""
+        """Forget what the leader was sent."""
         self.crashes.forget_sent(report)
         del self._suspicions[: len(report.suspicions)]
         for limit in report.limits:
@@ -278,6 +294,9 @@
             # It may have been named anew while the report was sent.
             if current.requests_per_s == limit.requests_per_s:
                 del self._limits[limit.endpoint]
+        for endpoint in report.leaving:
+            if endpoint in self._leaving:
+                self._leaving[endpoint] = True
         _subtract(self.limited_demand, report.limited_demand)
         _subtract(self.unused_allowances, report.unused_allowances)
 
@@ -312,6 +331,7 @@
             unused_allowances=self.unused_allowances,
             requests=self.requests,
             has_view=bool(self._view.endpoints or self._view.replicas),
+            leaving=[key for key, told in self._leaving.items() if not told],
         )
         now_ms = clock.now_ms()
         for named_ms, limit in self._limits.values():
