Read what engines state in answers to orders and probes

A control host learns from them that an engine leaves, like an entry host from answers to requests. An engine that turned an order away with 503 and Retry-After gets neither orders nor probes from that host until the time is over; a probe that isn't sent counts as answered, as the engine has just answered and its announcements tell if it ends.

--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -17,6 +17,7 @@
 from filbertglade.fleet import document_server
 from filbertglade.fleet import publisher
 from filbertglade.fleet import registry
+from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.gateway import control_api
@@ -115,7 +116,11 @@
             self.membership,
         )
         self._registry = registry.Registry(settings.endpoints.announce_ms)
-        self._client = orders.HttpEngineClient(dialect)
+        stated = statements.EndpointStatements(dialect.leaving, counters, rng)
+        stated.add_leaving_listener(
+            lambda key: self._registry.mark_leaving(key, settings.name)
+        )
+        self._client = orders.HttpEngineClient(dialect, stated)
         self._replicas = controller.ReplicaController(
             settings,
             self._agreed,
--- a/filbertglade/replicas/orders.py
+++ b/filbertglade/replicas/orders.py
@@ -8,6 +8,8 @@
 from tornado import httpclient
 
 from filbertglade.fleet import dialects
+from filbertglade.fleet import endpoints
+from filbertglade.fleet import statements
 from filbertglade.inner import fleet_pb2
 
 # Time-out of an order, in ms. Engines respond at once; an order without a
@@ -126,10 +128,16 @@
     """Sends orders and probes over HTTP.
 
     :param dialect: names of headers and paths.
+    :param stated: what engines state in their answers.
     """
 
-    def __init__(self, dialect: dialects.Dialect) -> None:
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        stated: statements.EndpointStatements,
+    ) -> None:
         self._dialect = dialect
+        self._stated = stated
         self._client = httpclient.AsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_CONCURRENT_REQUESTS,
@@ -151,6 +159,8 @@
         :param fencing_token: higher with each leader.
         :returns: the outcome.
         """
+        if self._stated.find_pause_ms(endpoints.get_key(endpoint)):
+            return OrderOutcome.REFUSED
         body = json.dumps(order.build_body(fencing_token))
         status = await self._fetch(
             endpoint,
@@ -169,6 +179,9 @@
         :param endpoint: the engine.
         :returns: whether it responded in time.
         """
+        if self._stated.find_pause_ms(endpoints.get_key(endpoint)):
+            # It has just answered; its announcements tell if it ends.
+            return True
         status = await self._fetch(
             endpoint,
             'GET',
@@ -203,4 +216,10 @@
         except (OSError, httpclient.HTTPError):
             # Time-outs are raised even where error statuses are not.
             return None
-        return None if response.code == 599 else int(response.code)
+        if response.code == 599:
+            return None
+        status = int(response.code)
+        self._stated.read(
+            endpoints.get_key(endpoint), status, response.headers
+        )
+        return status
--- a/tests/replicas/test_engine_client.py
+++ b/tests/replicas/test_engine_client.py
@@ -1,12 +1,15 @@
 """Responses of engines to orders and probes, on real connections."""
 
 import asyncio
+import random
 
 import psutil
 import pytest
 
 from filbertglade.fleet import dialects
+from filbertglade.fleet import statements
 from filbertglade.inner import fleet_pb2
+from filbertglade.observability import metrics
 from filbertglade.replicas import orders
 from tests.platform import deployment
 
@@ -42,7 +45,7 @@
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
     endpoint = fleet_pb2.Endpoint(id='i-1', address=f'127.0.0.1:{port}')
-    client = orders.HttpEngineClient(dialects.DEFAULT)
+    client = _build_client()
     order = orders.Order(orders.OrderAction.LEAVE, 'g-1', 1)
     process = psutil.Process()
     before_bytes = process.memory_info().rss
@@ -56,6 +59,13 @@
     server.close()
 
 
+def _build_client():
+    stated = statements.EndpointStatements(
+        dialects.DEFAULT.leaving, metrics.Metrics(), random.Random(1)
+    )
+    return orders.HttpEngineClient(dialects.DEFAULT, stated)
+
+
 # Guards against an order that counts as begun, or a probe as answered, though
 # the answer was broken off.
 @pytest.mark.parametrize(
@@ -75,7 +85,7 @@
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
     endpoint = fleet_pb2.Endpoint(id='i-1', address=f'127.0.0.1:{port}')
-    client = orders.HttpEngineClient(dialects.DEFAULT)
+    client = _build_client()
     order = orders.Order(orders.OrderAction.LEAVE, 'g-1', 1)
     outcome = await client.send(endpoint, order, 1)
     assert outcome is orders.OrderOutcome.UNKNOWN
