Put what endpoints say and show of themselves into one part

forwarding/evidence.py decides from statements (leaving, Retry-After, limits), faults, stalls, crashes and load who may be sent what.

New in it: an endpoint whose answer says that it leaves gets nothing new from this host, whatever the leader says, unless it is the last one of its service; that one is sent requests for one second more, half the time for which it serves. After a 503 with Retry-After nothing reaches the endpoint from this host until the time is over; if no other endpoint can take a request it is refused at once, with the time of the next one that can. What a 421 says of limits is no longer taken for the endpoint that was asked: another one has the address.

--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -200,6 +200,17 @@
         ]
         return responsive or remaining
 
+    def list_leaving(self, service: str) -> list[fleet_pb2.Endpoint]:
+        """Return the endpoints of a service that are leaving.
+
+        :param service: the service's name.
+        """
+        return [
+            endpoint
+            for endpoint in self._by_service.get(service, ())
+            if endpoint.leaving
+        ]
+
     def list_replicas(
         self, service: str, model: str
     ) -> list[fleet_pb2.Replica]:
--- a/filbertglade/forwarding/containment.py
+++ b/filbertglade/forwarding/containment.py
@@ -7,8 +7,9 @@
 from filbertglade import failures
 from filbertglade.fleet import crash_reports
 from filbertglade.fleet import view
-from filbertglade.forwarding import choice
 from filbertglade.forwarding import crash_check
+from filbertglade.forwarding import faults
+from filbertglade.forwarding import targets
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
@@ -57,7 +58,7 @@
     :param fleet_view: the node's view.
     :param reports: what this host reports to the leader.
     :param check: looks at the addresses of endpoints.
-    :param faults: targets to exclude.
+    :param fault_tracker: targets to exclude.
     :param counters: the process's metrics.
     """
 
@@ -66,11 +67,11 @@
         fleet_view: view.FleetView,
         reports: crash_reports.CrashReports,
         check: crash_check.CrashCheck,
-        faults: choice.FaultTracker,
+        fault_tracker: faults.FaultTracker,
         counters: metrics.Metrics,
     ) -> None:
         self._check = check
-        self._faults = faults
+        self._faults = fault_tracker
         self._tasks = tasks.TaskGroup()
         self._struck = fleet_view.struck
         self._reports = reports
@@ -173,7 +174,7 @@
             self._reports.report_served(digest)
 
     async def record_broken(
-        self, digest: bytes, target: choice.Target, permission: Permission
+        self, digest: bytes, target: targets.Target, permission: Permission
     ) -> None:
         """Find out whether an endpoint crashed as its response broke off.
 
@@ -190,7 +191,7 @@
         await asyncio.wait([judged], timeout=CHECK_WAIT_MS / 1000)
 
     async def _judge(
-        self, digest: bytes, target: choice.Target, trial: int
+        self, digest: bytes, target: targets.Target, trial: int
     ) -> None:
         sign = await self._check.look_at(target)
         log.change(
@@ -206,7 +207,7 @@
         self._report_broken(digest, target, trial)
 
     def record_silence(
-        self, digest: bytes, target: choice.Target, permission: Permission
+        self, digest: bytes, target: targets.Target, permission: Permission
     ) -> None:
         """Record that a request ended without a complete response in time.
 
@@ -218,7 +219,7 @@
         self._report_broken(digest, target, permission.trial)
 
     def _report_broken(
-        self, digest: bytes, target: choice.Target, trial: int
+        self, digest: bytes, target: targets.Target, trial: int
     ) -> None:
         self._reports.report_broken(
             fleet_pb2.BrokenResponse(
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -7,13 +7,10 @@
 from filbertglade.fleet import dialects
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
-from filbertglade.forwarding import allowances
 from filbertglade.forwarding import body_budget
 from filbertglade.forwarding import choice
-from filbertglade.forwarding import containment
-from filbertglade.forwarding import crash_check
+from filbertglade.forwarding import evidence
 from filbertglade.forwarding import quota
-from filbertglade.forwarding import stall_detection
 from filbertglade.forwarding import upstream
 from filbertglade.observability import metrics
 
@@ -59,17 +56,12 @@
     :param fleet_view: the node's view.
     :param leader: the stream to the leader.
     :param chooser: chooses targets.
-    :param loads: counts of the requests in flight.
-    :param faults: targets to exclude.
-    :param allowed: what may be sent to targets that name limits.
-    :param stall_detector: detects replicas that stall.
+    :param known: what endpoints have said and shown.
     :param pool: connections to endpoints.
     :param retries: the node's part of the retry quota.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
     :ivar certainty: whether the document in force may be out of date.
-    :ivar crash_check: looks at the addresses of endpoints.
-    :ivar containment: contains requests that crash endpoints.
     :ivar bodies: the response bodies that are kept in memory.
     :ivar deadlines: the longest deadline of each route.
     :ivar stopping_since_ms: local clock when the shutdown began; None before.
@@ -81,10 +73,7 @@
         fleet_view: view.FleetView,
         leader: watcher.Watcher,
         chooser: choice.Chooser,
-        loads: choice.LoadTracker,
-        faults: choice.FaultTracker,
-        allowed: allowances.Allowances,
-        stall_detector: stall_detection.StallDetector,
+        known: evidence.EndpointEvidence,
         pool: upstream.UpstreamPool,
         retries: quota.RetryQuota,
         counters: metrics.Metrics,
@@ -94,23 +83,12 @@
         self.view = fleet_view
         self.leader = leader
         self.chooser = chooser
-        self.loads = loads
-        self.faults = faults
-        self.allowed = allowed
-        self.stall_detector = stall_detector
+        self.known = known
         self.pool = pool
         self.retries = retries
         self.counters = counters
         self.rng = rng
         self.certainty = certainty.DocumentCertainty(fleet_view)
-        self.crash_check = crash_check.CrashCheck(pool)
-        self.containment = containment.Containment(
-            fleet_view,
-            leader.crashes,
-            self.crash_check,
-            faults,
-            counters,
-        )
         self.bodies = body_budget.BodyBudget()
         counters.set_gauge(
             'held_response_bytes', lambda: self.bodies.held_bytes
--- a/filbertglade/forwarding/crash_check.py
+++ b/filbertglade/forwarding/crash_check.py
@@ -4,7 +4,7 @@
 import enum
 
 from filbertglade import failures
-from filbertglade.forwarding import choice
+from filbertglade.forwarding import targets
 from filbertglade.forwarding import upstream
 
 # How long a new connection must stay open to show that the endpoint runs, in
@@ -35,7 +35,7 @@
         self._pool = pool
         self._checks: dict[str, asyncio.Task[EndpointSign]] = {}
 
-    async def look_at(self, target: choice.Target) -> EndpointSign:
+    async def look_at(self, target: targets.Target) -> EndpointSign:
         """Find out whether an endpoint still listens.
 
         :param target: the endpoint.
@@ -49,7 +49,7 @@
             check.add_done_callback(lambda _: self._checks.pop(target.key))
         return await asyncio.shield(check)
 
-    async def _connect(self, target: choice.Target) -> EndpointSign:
+    async def _connect(self, target: targets.Target) -> EndpointSign:
         connection = await self._pool.connect(target.key, target.address)
         if isinstance(connection, upstream.Connection):
             connection.watch()
--- a/filbertglade/forwarding/delivery.py
+++ b/filbertglade/forwarding/delivery.py
@@ -8,7 +8,6 @@
 from filbertglade import clock
 from filbertglade.fleet import document
 from filbertglade.forwarding import body_budget
-from filbertglade.forwarding import choice
 from filbertglade.forwarding import context
 from filbertglade.forwarding import crash_check
 from filbertglade.forwarding import events
@@ -16,6 +15,7 @@
 from filbertglade.forwarding import request_record
 from filbertglade.forwarding import server
 from filbertglade.forwarding import stall_detection
+from filbertglade.forwarding import targets
 from filbertglade.forwarding import upstream
 
 
@@ -69,7 +69,7 @@
 
     async def forward(
         self,
-        target: choice.Target,
+        target: targets.Target,
         connection: upstream.Connection,
         head: upstream.ResponseHead,
     ) -> None:
@@ -91,7 +91,7 @@
 
     async def _forward_body(
         self,
-        target: choice.Target,
+        target: targets.Target,
         connection: upstream.Connection,
         head: upstream.ResponseHead,
     ) -> None:
@@ -131,7 +131,7 @@
 
     async def _forward_stream(
         self,
-        target: choice.Target,
+        target: targets.Target,
         connection: upstream.Connection,
         head: upstream.ResponseHead,
         route: document.Route,
@@ -148,7 +148,9 @@
         try:
             async for chunk in connection.read_body(head):
                 self._record_pause()
-                self._context.stall_detector.record_event(target, self._stream)
+                self._context.known.stall_detector.record_event(
+                    target, self._stream
+                )
                 complete = self.splitter.split(chunk)
                 if not held.set_size(self.splitter.partial_bytes):
                     raise events.EventTooLong('too many bytes are kept')
@@ -167,7 +169,7 @@
         self._request.finish()
 
     async def _check_end(
-        self, target: choice.Target, head: upstream.ResponseHead
+        self, target: targets.Target, head: upstream.ResponseHead
     ) -> None:
         """Check that a response without a stated end has not broken off.
 
@@ -187,11 +189,11 @@
         sign = crash_check.EndpointSign.UNKNOWN
         try:
             async with asyncio.timeout(min(END_CHECK_MS, left_ms) / 1000):
-                sign = await shared.crash_check.look_at(target)
+                sign = await shared.known.crash_check.look_at(target)
         except TimeoutError:
             # Nothing tells; the response goes out within its deadline.
             pass
-        is_leaving = shared.chooser.is_leaving(target)
+        is_leaving = shared.known.is_leaving(target)
         self._record.write(
             'answer.end_checked',
             endpoint=target.key,
--- /dev/null
+++ b/filbertglade/forwarding/evidence.py
@@ -0,0 +1,422 @@
+"""What endpoints say and show of themselves, and what follows from it.
+
+Answers state that an endpoint leaves, when it wants the next request and how
+many it takes. Attempts show faults, stalls, crashes and load. This part
+decides from all of it who may be sent what now.
+"""
+
+from collections import abc
+import enum
+import random
+
+from filbertglade import failures
+from filbertglade.fleet import dialects
+from filbertglade.fleet import statements
+from filbertglade.fleet import view
+from filbertglade.fleet import watcher
+from filbertglade.forwarding import allowances
+from filbertglade.forwarding import containment
+from filbertglade.forwarding import crash_check
+from filbertglade.forwarding import faults
+from filbertglade.forwarding import loads
+from filbertglade.forwarding import stall_detection
+from filbertglade.forwarding import targets
+from filbertglade.forwarding import upstream
+from filbertglade.observability import metrics
+
+# How long the last endpoint of a service is sent requests after its answers
+# say that it leaves, in ms. Endpoints serve for twice as long at least, so a
+# request that arrives by then is answered.
+LAST_ENDPOINT_MS = 1000
+# Retry-After times of refusals, in s. A group is repaired within one to two
+# seconds; a slot becomes free within a fraction of a second.
+REPAIR_RETRY_AFTER_S = 1.2
+OVERLOAD_RETRY_AFTER_S = 1.0
+# Least Retry-After of requests beyond the limits of all endpoints, in s: the
+# leader divides the limits several times a second.
+MIN_LIMITED_RETRY_S = 0.3
+MISDIRECTED_STATUS = 421
+
+
+class NoTargetReason(enum.Enum):
+    """Why no target was chosen."""
+
+    NO_ENDPOINT = 'no endpoint'
+    FULL = 'full'
+    # All endpoints have named limits, which are used up.
+    LIMITED = 'limits used up'
+    # All endpoints have said that they want no requests for some time.
+    PAUSED = 'endpoints want no requests now'
+
+
+class NoTarget(failures.Failure):
+    """No target may be sent a request now.
+
+    :ivar retry_s: when one may be, in s.
+    """
+
+    __slots__ = ('retry_s',)
+    retry_s: float
+
+    def __init__(
+        self,
+        reason: NoTargetReason,
+        retry_s: float = REPAIR_RETRY_AFTER_S,
+        detail: str = '',
+    ) -> None:
+        super().__init__(reason, detail)
+        object.__setattr__(self, 'retry_s', retry_s)
+
+
+class WithdrawnReason(enum.Enum):
+    """Why a target that was chosen may not be sent the request any more."""
+
+    CHANGED = 'the endpoint may not be sent it any more'
+
+
+class Sign(enum.Enum):
+    """What an attempt has shown of its endpoint."""
+
+    NOTHING = enum.auto()
+    UNREACHABLE = enum.auto()
+    # The connection broke while the request was in flight.
+    BROKEN = enum.auto()
+    # The same on a kept connection before any answer: the endpoint may have
+    # closed it before the request arrived.
+    BROKEN_KEPT = enum.auto()
+    # A response that reports a failure broke off.
+    BROKEN_FAILURE = enum.auto()
+    # No complete response in time.
+    SILENT = enum.auto()
+    # A complete response, after which the endpoint is known to run.
+    SURVIVED = enum.auto()
+
+
+class Clearance:
+    """Leave to send one request to one endpoint.
+
+    :param target: the endpoint, or the head of the replica.
+    :param digest: digest of the request.
+    :param permission: says whether the request is sent in a trial.
+    :param is_last_resort: whether the endpoint leaves, and no other can be
+        sent the request.
+    :param allowance_ms: what was taken of the endpoint's limit; None without
+        a limit.
+    :ivar has_begun: whether anything may have been sent.
+    """
+
+    __slots__ = (
+        'allowance_ms',
+        'digest',
+        'has_begun',
+        'is_last_resort',
+        'permission',
+        'stream',
+        'target',
+    )
+
+    def __init__(
+        self,
+        target: targets.Target,
+        digest: bytes,
+        permission: containment.Permission,
+        is_last_resort: bool,
+        allowance_ms: int | None,
+    ) -> None:
+        self.target = target
+        self.digest = digest
+        self.permission = permission
+        self.is_last_resort = is_last_resort
+        self.allowance_ms = allowance_ms
+        self.has_begun = False
+        self.stream: stall_detection.Stream | None = None
+
+
+class EndpointEvidence:
+    """What endpoints have said and shown, and who may be sent what.
+
+    :param dialect: the header names in use.
+    :param fleet_view: the node's view.
+    :param leader: the stream to the leader.
+    :param pool: connections to endpoints.
+    :param counters: the process's metrics.
+    :param rng: the process's random number generator.
+    :ivar loads: counts of the requests in flight.
+    :ivar stall_detector: detects replicas that stall.
+    :ivar containment: contains requests that crash endpoints.
+    :ivar crash_check: looks at the addresses of endpoints.
+    """
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        fleet_view: view.FleetView,
+        leader: watcher.Watcher,
+        pool: upstream.UpstreamPool,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._dialect = dialect
+        self._view = fleet_view
+        self._leader = leader
+        self._pool = pool
+        self._statements = statements.EndpointStatements(
+            dialect.leaving, counters, rng
+        )
+        self._statements.add_leaving_listener(self._handle_leaving)
+        self._faults = faults.FaultTracker()
+        self._allowed = allowances.Allowances(
+            fleet_view, leader, counters, rng
+        )
+        self.loads = loads.LoadTracker(fleet_view, leader.in_flight)
+        self.stall_detector = stall_detection.StallDetector(
+            self._faults, leader, fleet_view
+        )
+        self.crash_check = crash_check.CrashCheck(pool)
+        self.containment = containment.Containment(
+            fleet_view,
+            leader.crashes,
+            self.crash_check,
+            self._faults,
+            counters,
+        )
+
+    async def close(self) -> None:
+        """Stop looking at endpoints."""
+        await self.containment.close()
+
+    # Before a request is sent
+
+    def select(
+        self, candidates: list[targets.Target], tried: abc.Container[str]
+    ) -> list[targets.Target] | NoTarget:
+        """Select the targets that may be sent a request now.
+
+        :param candidates: targets that could run it.
+        :param tried: load keys of those that were tried already.
+        :returns: the targets, or why there is none.
+        """
+        staying = [
+            target for target in candidates if not self._has_left(target)
+        ]
+        selected = self._select_open(staying, tried)
+        if selected:
+            return selected
+        leaving = [
+            target for target in candidates if self.is_last_resort(target)
+        ]
+        return self._select_open(leaving, tried) or selected
+
+    def _select_open(
+        self, candidates: list[targets.Target], tried: abc.Container[str]
+    ) -> list[targets.Target] | NoTarget:
+        open_now = [
+            target
+            for target in candidates
+            if target.load_key not in tried
+            and not self._faults.is_excluded(target)
+            and not self._statements.find_pause_ms(target.key)
+        ]
+        if not open_now:
+            return self._explain_none(candidates)
+        for target in open_now:
+            self._allowed.record_demand(target.key)
+        allowed = [
+            target for target in open_now if self._allowed.may_send(target.key)
+        ]
+        return allowed or self._explain_limited(candidates)
+
+    def _explain_none(self, candidates: list[targets.Target]) -> NoTarget:
+        pauses_ms = [
+            self._statements.find_pause_ms(target.key) for target in candidates
+        ]
+        running_ms = [pause_ms for pause_ms in pauses_ms if pause_ms]
+        if not running_ms:
+            return NoTarget(NoTargetReason.NO_ENDPOINT)
+        retry_s = min(running_ms) / 1000
+        if len(running_ms) < len(candidates):
+            # The others are at fault, or couldn't take this request.
+            retry_s = min(retry_s, REPAIR_RETRY_AFTER_S)
+        return NoTarget(
+            NoTargetReason.PAUSED, retry_s, f'{len(running_ms)} endpoints'
+        )
+
+    def _explain_limited(self, candidates: list[targets.Target]) -> NoTarget:
+        limit = sum(
+            self._view.find_limit(target.key) or 0.0 for target in candidates
+        )
+        retry_s = max(1 / limit if limit else 0.0, MIN_LIMITED_RETRY_S)
+        return NoTarget(
+            NoTargetReason.LIMITED, min(retry_s, OVERLOAD_RETRY_AFTER_S)
+        )
+
+    def _has_left(self, target: targets.Target) -> bool:
+        return self._statements.find_leaving_age_ms(target.key) is not None
+
+    def is_last_resort(self, target: targets.Target) -> bool:
+        """Return whether an endpoint that leaves is sent what no other takes.
+
+        :param target: the endpoint, or the head of the replica.
+        """
+        age_ms = self._statements.find_leaving_age_ms(target.key)
+        return age_ms is not None and age_ms < LAST_ENDPOINT_MS
+
+    def is_returning(self, target: targets.Target) -> bool:
+        """Return whether other targets go before one after its pause.
+
+        :param target: the target.
+        """
+        return self._statements.is_returning(target.key)
+
+    async def ask(
+        self, target: targets.Target, digest: bytes, remaining_ms: int
+    ) -> Clearance | failures.Failure:
+        """Ask whether a request may be sent to a target.
+
+        It may wait for a trial of a request that crashes endpoints.
+
+        :param target: the target, from :meth:`select`.
+        :param digest: the request's digest.
+        :param remaining_ms: time until its deadline.
+        :returns: the clearance, which :meth:`end` takes back;
+            :class:`WithdrawnReason` if another target has to be chosen, or
+            why the request may not be sent at all.
+        """
+        is_last_resort = self._has_left(target)
+        permission = await self.containment.admit(digest, remaining_ms)
+        if isinstance(permission, failures.Failure):
+            return permission
+        # The wait may have changed what the endpoint takes.
+        if not (
+            self._may_begin(target, is_last_resort)
+            and self._allowed.may_send(target.key)
+        ):
+            self.containment.end(digest, permission, False)
+            return failures.Failure(WithdrawnReason.CHANGED, target.key)
+        return Clearance(
+            target,
+            digest,
+            permission,
+            is_last_resort,
+            self._allowed.take(target.key),
+        )
+
+    def _may_begin(self, target: targets.Target, is_last_resort: bool) -> bool:
+        if self._statements.find_pause_ms(target.key):
+            return False
+        if not self._has_left(target):
+            return True
+        return is_last_resort and self.is_last_resort(target)
+
+    def begin(
+        self, clearance: Clearance, stream: stall_detection.Stream
+    ) -> bool:
+        """Note that a request is sent now, if it still may be.
+
+        :param clearance: its clearance.
+        :param stream: told if the replica stalls.
+        :returns: whether it may be sent.
+        """
+        target = clearance.target
+        if not self._may_begin(target, clearance.is_last_resort):
+            return False
+        clearance.has_begun = True
+        self.loads.record_start(target)
+        if target.group:
+            clearance.stream = stream
+            self.stall_detector.add_stream(target, stream)
+        return True
+
+    # What attempts show
+
+    def is_not_run(self, head: upstream.ResponseHead) -> bool:
+        """Return whether a response says that the request was not run.
+
+        :param head: its head.
+        """
+        return (
+            head.status == MISDIRECTED_STATUS
+            or self._dialect.not_run in head.headers
+        )
+
+    def read_head(
+        self, clearance: Clearance, head: upstream.ResponseHead
+    ) -> None:
+        """Record what the head of a response says of its endpoint.
+
+        :param clearance: the clearance of the request.
+        :param head: the head.
+        """
+        target = clearance.target
+        self._statements.read(target.key, head.status, head.headers)
+        if head.status != MISDIRECTED_STATUS:
+            self._allowed.record_answer(
+                target.key, head.headers.get(self._dialect.limit)
+            )
+        if not self.is_not_run(head):
+            self._faults.clear(target)
+            return
+        faulty = head.headers.get(self._dialect.faulty_endpoint, '')
+        if head.status == MISDIRECTED_STATUS or faulty:
+            self._faults.record(target, f'{head.status} {faulty}')
+            self._report_suspicion(target, f'answered {head.status}')
+
+    async def record(
+        self, clearance: Clearance, sign: Sign, detail: str = ''
+    ) -> None:
+        """Record what an attempt has shown of its endpoint.
+
+        After a broken connection it returns when it is known whether the
+        endpoint crashed, or after a short time.
+
+        :param clearance: the clearance of the request.
+        :param sign: what it has shown.
+        :param detail: what was observed, for the log and the leader.
+        """
+        target, digest = clearance.target, clearance.digest
+        permission = clearance.permission
+        if sign in (Sign.BROKEN, Sign.BROKEN_KEPT):
+            self._pool.drop(target.key)
+        if sign is Sign.UNREACHABLE or (sign is Sign.BROKEN and target.group):
+            self._faults.record(target, detail)
+            self._report_suspicion(target, detail)
+        if sign in (Sign.BROKEN, Sign.BROKEN_KEPT, Sign.BROKEN_FAILURE):
+            await self.containment.record_broken(digest, target, permission)
+        elif sign is Sign.SILENT:
+            self.containment.record_silence(digest, target, permission)
+        elif sign is Sign.SURVIVED:
+            self.containment.record_served(digest, permission)
+
+    def end(self, clearance: Clearance) -> None:
+        """Take a clearance back, whatever became of the request.
+
+        :param clearance: the clearance.
+        """
+        target = clearance.target
+        if clearance.has_begun:
+            self.loads.record_end(target)
+            if clearance.stream is not None:
+                self.stall_detector.remove_stream(target, clearance.stream)
+        else:
+            self._allowed.give_back(target.key, clearance.allowance_ms)
+        self.containment.end(
+            clearance.digest, clearance.permission, clearance.has_begun
+        )
+
+    def is_leaving(self, target: targets.Target) -> bool:
+        """Return whether an endpoint is leaving, or has left.
+
+        :param target: the endpoint, or the replica that it leads.
+        """
+        if self._has_left(target):
+            return True
+        endpoint = self._view.endpoints.get(target.key)
+        return endpoint is None or endpoint.leaving
+
+    def _handle_leaving(self, key: str) -> None:
+        self._pool.drop(key)
+        self._leader.report_leaving(key)
+
+    def _report_suspicion(self, target: targets.Target, detail: str) -> None:
+        if target.group:
+            self._leader.report_suspicion(target.group, target.epoch, detail)
--- a/filbertglade/forwarding/request_record.py
+++ b/filbertglade/forwarding/request_record.py
@@ -21,6 +21,9 @@
     :ivar service: name of the service that is to run it.
     :ivar deadline_ms: its deadline, by the local clock.
     :ivar model: name of the model; empty for a plain service.
+    :ivar send_count: number of sends to endpoints.
+    :ivar run_count: those that ran the request or may have run it; the others
+        were rejected by endpoints that say that they did not run it.
     """
 
     __slots__ = (
@@ -31,6 +34,8 @@
         'model',
         'request_id',
         'route',
+        'run_count',
+        'send_count',
         'service',
     )
 
@@ -48,6 +53,8 @@
         self.deadline_ms = 0
         self.service = ''
         self.model = ''
+        self.send_count = 0
+        self.run_count = 0
 
     @property
     def route_name(self) -> str:
--- a/filbertglade/forwarding/stall_detection.py
+++ b/filbertglade/forwarding/stall_detection.py
@@ -6,7 +6,8 @@
 from filbertglade import clock
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
-from filbertglade.forwarding import choice
+from filbertglade.forwarding import faults
+from filbertglade.forwarding import targets
 from filbertglade.observability import logs
 
 log = logs.get_log(__name__)
@@ -61,7 +62,7 @@
         'waiting',
     )
 
-    def __init__(self, target: choice.Target) -> None:
+    def __init__(self, target: targets.Target) -> None:
         self.target = target
         self.started: set[Stream] = set()
         self.waiting: set[Stream] = set()
@@ -78,24 +79,24 @@
 class StallDetector:
     """Detects replicas that stall, and fails over their streams.
 
-    :param faults: where stalled replicas are recorded.
+    :param fault_tracker: where stalled replicas are recorded.
     :param leader: the stream on which suspicions are reported.
     :param fleet_view: the node's view.
     """
 
     def __init__(
         self,
-        faults: choice.FaultTracker,
+        fault_tracker: faults.FaultTracker,
         leader: watcher.Watcher,
         fleet_view: view.FleetView,
     ) -> None:
         self._view = fleet_view
         fleet_view.add_listener(self.fail_over_unusable)
-        self._faults = faults
+        self._faults = fault_tracker
         self._leader = leader
         self._progress: dict[tuple[str, int], _ReplicaProgress] = {}
 
-    def add_stream(self, target: choice.Target, stream: Stream) -> None:
+    def add_stream(self, target: targets.Target, stream: Stream) -> None:
         """Add a stream that waits for its first event.
 
         :param target: the replica that serves it.
@@ -108,7 +109,7 @@
             self._progress[replica_key] = progress
         progress.waiting.add(stream)
 
-    def record_event(self, target: choice.Target, stream: Stream) -> None:
+    def record_event(self, target: targets.Target, stream: Stream) -> None:
         """Record that a part of a stream has arrived.
 
         :param target: the replica that serves it.
@@ -127,7 +128,7 @@
         progress.waiting.discard(stream)
         progress.started.add(stream)
 
-    def remove_stream(self, target: choice.Target, stream: Stream) -> None:
+    def remove_stream(self, target: targets.Target, stream: Stream) -> None:
         """Remove a stream that has ended.
 
         :param target: the replica that served it.
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -11,13 +11,12 @@
 from filbertglade.fleet import document
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
-from filbertglade.forwarding import allowances
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import context
+from filbertglade.forwarding import evidence
 from filbertglade.forwarding import exchange
 from filbertglade.forwarding import quota
 from filbertglade.forwarding import server
-from filbertglade.forwarding import stall_detection
 from filbertglade.forwarding import upstream
 from filbertglade.inner import channels
 from filbertglade.observability import logs
@@ -72,27 +71,16 @@
         self._settings = settings
         self._view = fleet_view
         self._tasks = tasks.TaskGroup()
-        loads = choice.LoadTracker(fleet_view, fleet_watcher.in_flight)
-        faults = choice.FaultTracker()
-        allowed = allowances.Allowances(
-            fleet_view, fleet_watcher, counters, rng
-        )
-        stall_detector = stall_detection.StallDetector(
-            faults, fleet_watcher, fleet_view
-        )
-        self._stall_detector = stall_detector
         self._pool = upstream.UpstreamPool(counters)
+        self._known = evidence.EndpointEvidence(
+            dialect, fleet_view, fleet_watcher, self._pool, counters, rng
+        )
         self._context = context.ForwardingContext(
             dialect,
             fleet_view,
             fleet_watcher,
-            choice.Chooser(
-                settings.data_centre, fleet_view, loads, faults, allowed, rng
-            ),
-            loads,
-            faults,
-            allowed,
-            stall_detector,
+            choice.Chooser(settings.data_centre, fleet_view, self._known, rng),
+            self._known,
             self._pool,
             quota.RetryQuota(settings.retries),
             counters,
@@ -132,7 +120,7 @@
             self._health_server = httpserver.HTTPServer(application)
             host, port = channels.split_address(listen.health)
             self._health_server.listen(port, host)
-        self._tasks.start(self._stall_detector.run())
+        self._tasks.start(self._known.stall_detector.run())
 
     async def drain(self) -> None:
         """Finish the requests in flight, within the grace period."""
@@ -160,5 +148,5 @@
         if self._health_server is not None:
             self._health_server.stop()
         await self._tasks.close()
-        await self._context.containment.close()
+        await self._known.close()
         self._pool.close()
--- a/tests/gateway_forwarding/test_crash_check.py
+++ b/tests/gateway_forwarding/test_crash_check.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from filbertglade.forwarding import choice
 from filbertglade.forwarding import crash_check
+from filbertglade.forwarding import targets
 from filbertglade.forwarding import upstream
 from filbertglade.observability import metrics
 from tests import cluster
@@ -20,7 +20,7 @@
 
 async def look_at(pool, address):
     check = crash_check.CrashCheck(pool)
-    target = choice.Target('i-1@1', 'i-1', address, 'north', 4)
+    target = targets.Target('i-1@1', 'i-1', address, 'north', 4)
     return await check.look_at(target)
 
 
--- a/tests/gateway_forwarding/test_load.py
+++ b/tests/gateway_forwarding/test_load.py
@@ -8,13 +8,16 @@
 
 import pytest
 
+from filbertglade.fleet import dialects
 from filbertglade.fleet import document
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
-from filbertglade.forwarding import allowances
 from filbertglade.forwarding import choice
+from filbertglade.forwarding import containment
 from filbertglade.forwarding import context
 from filbertglade.forwarding import events
+from filbertglade.forwarding import evidence
+from filbertglade.forwarding import faults
 from filbertglade.forwarding import quota
 from filbertglade.forwarding import stall_detection
 from filbertglade.inner import fleet_pb2
@@ -44,20 +47,39 @@
     def __init__(self, *replicas, seed=1):
         self.view = view.FleetView()
         self.in_flight = {}
-        self.loads = choice.LoadTracker(self.view, self.in_flight)
-        self.faults = choice.FaultTracker()
         rng = random.Random(seed)
         self.leader = types.SimpleNamespace(
-            limited_demand={}, unused_allowances={}
+            in_flight=self.in_flight,
+            limited_demand={},
+            unused_allowances={},
+            # No test here has a request under which an endpoint crashed.
+            crashes=None,
+            report_suspicion=self._report_suspicion,
         )
-        self.allowed = allowances.Allowances(
-            self.view, self.leader, metrics.Metrics(), rng
-        )
-        self.chooser = choice.Chooser(
-            'north', self.view, self.loads, self.faults, self.allowed, rng
+        self.suspicions = []
+        self.known = evidence.EndpointEvidence(
+            dialects.DEFAULT,
+            self.view,
+            self.leader,
+            None,
+            metrics.Metrics(),
+            rng,
         )
+        self.loads = self.known.loads
+        self.chooser = choice.Chooser('north', self.view, self.known, rng)
         self.send_frame(replicas, is_whole=True)
 
+    def _report_suspicion(self, group, epoch, reason):
+        self.suspicions.append((group, epoch))
+
+    async def record_fault(self, target):
+        clearance = evidence.Clearance(
+            target, b'', containment.Permission(), False, None
+        )
+        await self.known.record(
+            clearance, evidence.Sign.UNREACHABLE, 'refused'
+        )
+
     def send_frame(self, replicas=(), is_whole=False, **in_flight):
         self.view.apply_frame(
             fleet_pb2.FleetFrame(
@@ -136,18 +158,18 @@
         node = Node(replica('a'), replica('b'), replica('c', usable=False))
         assert node.choose(tried=['a']) == 'b'
         target = node.choose_target(tried=['b'])
-        node.faults.record(target, 'no answer')
+        await node.record_fault(target)
         assert node.choose(tried=['b']) is None
-        await asyncio.sleep(choice.FAULT_EXCLUSION_MS / 1000 + 0.1)
+        await asyncio.sleep(faults.FAULT_EXCLUSION_MS / 1000 + 0.1)
         assert node.choose(tried=['b']) == 'a'
 
     run(check)
 
 
 def test_a_group_formed_anew_is_no_longer_excluded():
-    def check():
+    async def check():
         node = Node(replica('a'))
-        node.faults.record(node.choose_target(), 'silent')
+        await node.record_fault(node.choose_target())
         assert node.choose() is None
         renewed = replica('a')
         renewed.epoch = 2
@@ -208,14 +230,6 @@
         self.failovers += 1
 
 
-class Leader:
-    def __init__(self):
-        self.suspicions = []
-
-    def report_suspicion(self, group, epoch, reason):
-        self.suspicions.append((group, epoch))
-
-
 def test_silent_replica_is_suspected_and_left_only_on_the_verdict():
     """A short silence alone must not make streams fail over.
 
@@ -224,10 +238,7 @@
 
     async def check():
         node = Node(replica('a'))
-        leader = Leader()
-        detector = stall_detection.StallDetector(
-            node.faults, leader, node.view
-        )
+        detector = node.known.stall_detector
         running = asyncio.get_running_loop().create_task(detector.run())
         target = node.choose_target()
         stream, waiting = Stream(), Stream()
@@ -236,9 +247,9 @@
         for _ in range(10):
             detector.record_event(target, stream)
             await asyncio.sleep(0.05)
-        assert not leader.suspicions
+        assert not node.suspicions
         await asyncio.sleep(0.5)
-        assert leader.suspicions == [('a', 1)]
+        assert node.suspicions == [('a', 1)]
         assert stream.failovers == 0
         node.send_frame([replica('a', usable=False)])
         assert (stream.failovers, waiting.failovers) == (1, 1)
@@ -250,9 +261,7 @@
 def test_streams_fail_over_after_long_silence_without_a_verdict():
     async def check():
         node = Node(replica('a'))
-        detector = stall_detection.StallDetector(
-            node.faults, Leader(), node.view
-        )
+        detector = node.known.stall_detector
         running = asyncio.get_running_loop().create_task(detector.run())
         target = node.choose_target()
         stream = Stream()
--- a/tests/gateway_forwarding/test_uncertain_document.py
+++ b/tests/gateway_forwarding/test_uncertain_document.py
@@ -12,9 +12,9 @@
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
 from filbertglade.fleet import view
-from filbertglade.forwarding import allowances
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import context
+from filbertglade.forwarding import evidence
 from filbertglade.forwarding import exchange
 from filbertglade.forwarding import quota
 from filbertglade.forwarding import server
@@ -88,6 +88,10 @@
 
 class Leader:
     requests = 0
+
+    def __init__(self):
+        self.in_flight = {}
+
     # No test here has a request under which an endpoint crashed.
     crashes = None
 
@@ -134,23 +138,20 @@
     def __init__(self):
         self.view = view.FleetView()
         rng = random.Random(1)
-        loads = choice.LoadTracker(self.view, {})
-        faults = choice.FaultTracker()
-        allowed = allowances.Allowances(
-            self.view, Leader(), metrics.Metrics(), rng
+        counters = metrics.Metrics()
+        pool = Pool()
+        known = evidence.EndpointEvidence(
+            dialects.DEFAULT, self.view, Leader(), pool, counters, rng
         )
         self.shared = context.ForwardingContext(
             dialects.DEFAULT,
             self.view,
             Leader(),
-            choice.Chooser('north', self.view, loads, faults, allowed, rng),
-            loads,
-            faults,
-            allowed,
-            None,
-            Pool(),
+            choice.Chooser('north', self.view, known, rng),
+            known,
+            pool,
             quota.RetryQuota(gateway.RetryQuotaSettings()),
-            metrics.Metrics(),
+            counters,
             rng,
         )
         self.view.apply_frame(
