--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -51,6 +51,49 @@
     run_check(check)
 
 
+# Guards against an announcement that takes back what an answer has said.
+def test_departure_that_a_host_was_told_of_is_final():
+    def check(endpoint_registry):
+        endpoint_registry.apply(build_endpoint(sequence=1))
+        before = endpoint_registry.version
+        endpoint_registry.mark_leaving('i-1@1000', 'entry-1')
+        endpoint_registry.mark_leaving('i-1@1000', 'entry-2')
+        assert endpoint_registry.version == before + 1
+        endpoint_registry.apply(build_endpoint(sequence=2))
+        entry = endpoint_registry.entries['i-1@1000']
+        assert not entry.is_usable
+        assert entry.version == before + 1
+        endpoint_registry.apply(build_endpoint(sequence=1, born_ms=2000))
+        assert endpoint_registry.entries['i-1@2000'].is_usable
+        # It ended in order, so no request is blamed for its end.
+        assert not endpoint_registry.has_crashed('i-1@1000')
+
+    run_check(check)
+
+
+# Guards against a new leader that hears of a departure before the endpoint
+# announces itself to it.
+def test_departure_counts_for_an_endpoint_that_announces_itself_later():
+    def check(endpoint_registry):
+        endpoint_registry.mark_leaving('i-1@1000', 'entry-1')
+        endpoint_registry.apply(build_endpoint(sequence=9))
+        endpoint_registry.apply(build_endpoint('i-2', address='10.0.0.2:80'))
+        assert not endpoint_registry.entries['i-1@1000'].is_usable
+        assert endpoint_registry.entries['i-2@1000'].is_usable
+
+    run_check(check)
+
+
+def test_departures_of_unknown_endpoints_are_bounded():
+    def check(endpoint_registry):
+        for number in range(registry.MAX_EARLY_LEAVING + 1):
+            endpoint_registry.mark_leaving(f'i-{number}@1000', 'entry-1')
+        endpoint_registry.apply(build_endpoint('i-0'))
+        assert endpoint_registry.entries['i-0@1000'].is_usable
+
+    run_check(check)
+
+
 def test_a_new_incarnation_does_not_inherit_the_epoch():
     def check(endpoint_registry):
         joined = build_endpoint(sequence=50)
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -163,7 +163,7 @@
     assert [len(report.strikes) for report in to_leader][:2] == [1, 1]
 
 
-# Guards against strikes that only a lost leader has received.
+# Guards against strikes and departures that only a lost leader has received.
 def test_strikes_are_reported_to_the_next_leader_again():
     async def main():
         links = network.Network()
@@ -187,6 +187,7 @@
             metrics.Metrics(),
             random.Random(1),
         )
+        fleet_watcher.report_leaving('i-3')
         crashes = fleet_watcher.crashes
         crashes.report_strike(b'x', 'i-1')
         crashes.report_strike(b'y', 'i-1')
@@ -212,5 +213,9 @@
         digests = {strike.digest for strike in report.strikes}
         assert digests == {'first': {b'x', b'y'}, 'second': {b'x'}}[name]
         assert [item.digest for item in report.broken_responses] == [b'z']
+        # Each stream carries it, as its receipt isn't acknowledged.
+        assert {tuple(item.leaving) for item in leaders[name].reports} == {
+            ('i-3',)
+        }
     (strike,) = leaders['second'].reports[0].strikes
     assert strike.age_ms >= 500
--- a/tests/replicas/test_engine_client.py
+++ b/tests/replicas/test_engine_client.py
@@ -59,10 +59,12 @@
     server.close()
 
 
-def _build_client():
+def _build_client(handle_leaving=None):
     stated = statements.EndpointStatements(
         dialects.DEFAULT.leaving, metrics.Metrics(), random.Random(1)
     )
+    if handle_leaving is not None:
+        stated.add_leaving_listener(handle_leaving)
     return orders.HttpEngineClient(dialects.DEFAULT, stated)
 
 
@@ -92,3 +94,39 @@
     assert not await client.probe(endpoint)
     client.close()
     server.close()
+
+
+# Guards against orders and probes to an engine that wants none for a time, and
+# against an engine that leaves and is taken for one that stays.
+async def test_what_an_engine_states_is_obeyed():
+    arrivals = []
+
+    async def serve(reader, writer):
+        arrivals.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(
+            b'HTTP/1.1 503 Busy\r\nRetry-After: 0.4\r\n'
+            b'Filbertglade-Leaving: 1\r\nContent-Length: 0\r\n'
+            b'Connection: close\r\n\r\n'
+        )
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    endpoint = fleet_pb2.Endpoint(
+        id='i-1', born_ms=1000, address=f'127.0.0.1:{port}'
+    )
+    seen_leaving = []
+    client = _build_client(seen_leaving.append)
+    order = orders.Order(orders.OrderAction.LEAVE, 'g-1', 1)
+    for _ in range(3):
+        outcome = await client.send(endpoint, order, 1)
+        assert outcome is orders.OrderOutcome.REFUSED
+        assert await client.probe(endpoint)
+    assert len(arrivals) == 1
+    assert seen_leaving == ['i-1@1000']
+    await asyncio.sleep(0.45)
+    await client.send(endpoint, order, 1)
+    assert len(arrivals) == 2
+    client.close()
+    server.close()
