Forget a departure long after it was stated

An endpoint that announces no start time has the same key in all its incarnations, so one that left and returned under its id would never have been used again by a host that had read of its departure, nor by a leader that was told of it before the endpoint announced itself. Found by reading; the test came with the change.

--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -67,8 +67,8 @@
         # Ended incarnations that had not announced that they leave.
         self._crashed: set[str] = set()
         # Incarnations that are leaving though they haven't announced
-        # themselves here yet, the oldest first.
-        self._early_leaving: dict[str, None] = {}
+        # themselves here yet, by the local clock, the oldest first.
+        self._early_leaving_ms: dict[str, int] = {}
         self.removed_versions: dict[str, int] = {}
         self.version = 0
         # Local clock when the newest incarnation was added.
@@ -207,9 +207,9 @@
             return
         entry = self.entries.get(key)
         if entry is None:
-            if len(self._early_leaving) >= MAX_EARLY_LEAVING:
-                del self._early_leaving[next(iter(self._early_leaving))]
-            self._early_leaving[key] = None
+            if len(self._early_leaving_ms) >= MAX_EARLY_LEAVING:
+                del self._early_leaving_ms[next(iter(self._early_leaving_ms))]
+            self._early_leaving_ms[key] = clock.now_ms()
             return
         if entry.endpoint.leaving:
             return
@@ -271,9 +271,10 @@
 
     def _add(self, endpoint: fleet_pb2.Endpoint) -> None:
         key = endpoints.get_key(endpoint)
-        if key in self._early_leaving:
-            del self._early_leaving[key]
-            endpoint.leaving = True
+        early_ms = self._early_leaving_ms.pop(key, None)
+        if early_ms is not None:
+            age_ms = clock.now_ms() - early_ms
+            endpoint.leaving |= age_ms < ENDED_RETENTION_MS
         entry = EndpointEntry(endpoint, clock.now_ms())
         self.entries[key] = entry
         self._key_by_id[endpoint.id] = key
--- a/filbertglade/fleet/statements.py
+++ b/filbertglade/fleet/statements.py
@@ -24,6 +24,10 @@
 # Most endpoints of which a statement is remembered: several times those of
 # the largest fleet.
 MAX_ENDPOINTS = 4096
+# How long it is kept that an endpoint leaves, in ms: longer than any takes to
+# end. Without an end an incarnation that has no start time, and returns under
+# the same id, would never be used again.
+LEAVING_KEPT_MS = 600_000
 # For a random part of this fraction of its pause, and of this time in ms, an
 # endpoint is asked only if no other one may be: hosts that were turned away
 # together come back one after the other.
@@ -122,8 +126,9 @@
         if LEAVING_VALUE not in values:
             self._note_unreadable(endpoint, self._leaving_header, text)
             return
-        if endpoint in self._leaving_ms:
+        if self.find_leaving_age_ms(endpoint) is not None:
             return
+        self._leaving_ms.pop(endpoint, None)
         if len(self._leaving_ms) >= MAX_ENDPOINTS:
             del self._leaving_ms[next(iter(self._leaving_ms))]
         self._leaving_ms[endpoint] = clock.now_ms()
@@ -184,10 +189,6 @@
             text=text[:MAX_TEXT_LENGTH],
         )
 
-    def list_leaving(self) -> list[str]:
-        """Return the endpoints that have stated that they leave."""
-        return list(self._leaving_ms)
-
     def find_leaving_age_ms(self, endpoint: str) -> int | None:
         """Return how long ago an endpoint first stated that it leaves, in ms.
 
@@ -195,7 +196,10 @@
         :returns: the time; None if it has not.
         """
         at_ms = self._leaving_ms.get(endpoint)
-        return None if at_ms is None else clock.now_ms() - at_ms
+        if at_ms is None:
+            return None
+        age_ms = clock.now_ms() - at_ms
+        return age_ms if age_ms < LEAVING_KEPT_MS else None
 
     def find_pause_ms(self, endpoint: str) -> int:
         """Return how long an endpoint wants nothing from this host, in ms.
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -89,9 +89,10 @@
         self._suspicions: list[fleet_pb2.Suspicion] = []
         # By endpoint, with the local clock at the answer that named it.
         self._limits: dict[str, tuple[int, fleet_pb2.EndpointLimit]] = {}
-        # Endpoints that have said that they leave, each with whether the
-        # watched leader has been told.
-        self._leaving: dict[str, bool] = {}
+        # Endpoints that have said that they leave, by the local clock when
+        # they did, and those of which the watched leader hasn't been told.
+        self._leaving_ms: dict[str, int] = {}
+        self._unreported_leaving: set[str] = set()
         self._urgent_change = asyncio.Event()
         self.crashes = crash_reports.CrashReports(
             fleet_view.struck, self._urgent_change.set
@@ -149,11 +150,25 @@
 
         :param endpoint: its incarnation key.
         """
-        if len(self._leaving) >= statements.MAX_ENDPOINTS:
-            del self._leaving[next(iter(self._leaving))]
-        self._leaving[endpoint] = False
+        if len(self._leaving_ms) >= statements.MAX_ENDPOINTS:
+            del self._leaving_ms[next(iter(self._leaving_ms))]
+        self._leaving_ms[endpoint] = clock.now_ms()
+        self._unreported_leaving.add(endpoint)
         self._urgent_change.set()
 
+    def _report_known_departures(self) -> None:
+        """Let the next report name all departures for a new leader.
+
+        It knows of the announced ones only.
+        """
+        end_ms = clock.now_ms() - statements.LEAVING_KEPT_MS
+        self._leaving_ms = {
+            endpoint: said_ms
+            for endpoint, said_ms in self._leaving_ms.items()
+            if said_ms > end_ms
+        }
+        self._unreported_leaving = set(self._leaving_ms)
+
     def _report_known_limits(self) -> None:
         """Let the next report name all limits for a new leader."""
         for endpoint, (named_ms, requests_per_s) in self._view.limits.items():
@@ -194,8 +209,7 @@
             async with stub.Watch.open() as stream:
                 self.crashes.start_stream()
                 self._report_known_limits()
-                # A new leader knows of no departures but the announced ones.
-                self._leaving = dict.fromkeys(self._leaving, False)
+                self._report_known_departures()
                 report = self._build_report()
                 async with asyncio.timeout(FIRST_FRAME_TIMEOUT_MS / 1000):
                     await stream.send_message(report)
@@ -294,9 +308,7 @@
             # It may have been named anew while the report was sent.
             if current.requests_per_s == limit.requests_per_s:
                 del self._limits[limit.endpoint]
-        for endpoint in report.leaving:
-            if endpoint in self._leaving:
-                self._leaving[endpoint] = True
+        self._unreported_leaving.difference_update(report.leaving)
         _subtract(self.limited_demand, report.limited_demand)
         _subtract(self.unused_allowances, report.unused_allowances)
 
@@ -331,7 +343,7 @@
             unused_allowances=self.unused_allowances,
             requests=self.requests,
             has_view=bool(self._view.endpoints or self._view.replicas),
-            leaving=[key for key, told in self._leaving.items() if not told],
+            leaving=self._unreported_leaving,
         )
         now_ms = clock.now_ms()
         for named_ms, limit in self._limits.values():
--- a/tests/fleet/test_statements.py
+++ b/tests/fleet/test_statements.py
@@ -69,6 +69,21 @@
     run(check)
 
 
+# Guards against an endpoint without a start time that left once, returns under
+# the same id and is never used again.
+def test_departure_is_forgotten_long_after():
+    async def check(answers):
+        answers.read(Leaving='1')
+        await asyncio.sleep(statements.LEAVING_KEPT_MS / 1000 - 1)
+        assert answers.is_leaving()
+        await asyncio.sleep(1)
+        assert not answers.is_leaving()
+        answers.read(Leaving='1')
+        assert answers.is_leaving()
+
+    run(check)
+
+
 # Guards against values that are no statement.
 @pytest.mark.parametrize('text', ['0', '', 'yes', '11', '1' * 9000])
 def test_other_value_is_no_departure(text):
@@ -176,9 +191,9 @@
             key = f'i-{number}@1'
             answers.read(key, Leaving='1', Retry_After=str(number + 1))
             answers.read(key, Retry_After='soon')
-        assert len(answers.stated.list_leaving()) == statements.MAX_ENDPOINTS
         assert answers.is_leaving(key)
-        assert not answers.is_leaving('i-0@1')
+        for number in range(100):
+            assert not answers.is_leaving(f'i-{number}@1')
         # The pauses that are over or end first are forgotten first.
         assert answers.stated.find_pause_ms(key)
         assert not answers.stated.find_pause_ms('i-0@1')
