Let the soak's workers say that they leave, and turn requests away

Endpoints state two things of themselves in their answers that the soak's workers never did: that they leave, and for how long they want no request.

A worker that leaves now says so in all its answers, rejections included. It leaves after an announcement as before, after its departure alone, or without a word to the control hosts; in calm spans one of each kind that is judged leaves. Beside that, a worker turns requests away for one to four seconds, of all hosts or of one of them, and each answer names another time to wait, in decimals.

Two checks have the users' rules. DRAIN: no request that its caller sent later than two seconds after a host was told reaches that worker from that host. BUDGET: no more than two requests reach it between half a second after such a rejection and the end of the time that it names. Neither asks whether the host is in touch; only a disruption of that host since then excuses it. A soak tells its hosts apart by the requests' ids, as each host sends on what its own callers sent. An answer whose host had left, or that is reset, tells nobody anything.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -38,8 +38,9 @@
 SERVED_POLL_INTERVAL_S = 0.2
 EXIT_OVERLOADED = 2
 # Troubles that can be left out: answers that end in another way than usual; a
-# disk that refuses writes.
-OPTIONAL = ('endings', 'refusal')
+# disk that refuses writes; workers whose answers say that they leave, or turn
+# requests away for a time.
+OPTIONAL = ('endings', 'refusal', 'statements')
 
 
 class Soak:
@@ -59,6 +60,7 @@
         self.faults = soak_faults.Faults(*parts)
         self.faults.change_quickly = self.operators.change_quickly
         self.without = without
+        self.faults.has_statements = 'statements' not in without
         if 'endings' in without:
             self.callers.ending_share = 0.0
 
@@ -90,7 +92,7 @@
             await asyncio.sleep(soak_record.CONTACT_S)
             calm_s = self.record.now_s()
             await asyncio.gather(
-                self.faults.drain_worker(),
+                *self.faults.drain_calmly(),
                 asyncio.sleep(CALM_S - soak_record.CONTACT_S),
             )
             self._check_announcements(calm_s)
@@ -204,6 +206,7 @@
         record.check_contained()
         for worker in self.deployment.workers:
             worker.end_limit()
+            worker.end_life()
         if record.peak_bytes > soak_record.MEMORY_BYTES:
             record.violate(f'an entry host had {record.peak_bytes} bytes')
         for process in self.deployment.processes:
@@ -274,7 +277,11 @@
         f'runs that crash a worker: {len(record.killing_runs)}, limits judged:'
         f' {record.judged_limits}, peak memory: {record.peak_bytes}'
     )
-    print('workers that left calmly:', record.judged_drains)
+    print(
+        f'workers that left calmly: {record.judged_drains}, hosts told that '
+        f'one leaves: {record.judged_leavings}, asked to pause: '
+        f'{record.judged_pauses}'
+    )
     lags = sorted((lag_s for _, lag_s in record.lags), reverse=True)
     print(f'own lags: {len(lags)}, longest: {lags[:1]} s')
     print('announcements judged:', record.judged_announcements)
--- a/tests/platform/soak_deployment.py
+++ b/tests/platform/soak_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import json
 import os
 import random
 import resource
@@ -17,6 +18,7 @@
 from tests.fleet import documents
 from tests.platform import deployment
 from tests.platform import soak_endings
+from tests.platform import soak_record
 
 EVENTS = 6
 # Paths of requests that crash their worker, and that are answered without
@@ -31,6 +33,9 @@
 MAX_ENDLESS_BLOCKS = 10_000
 # A worker's wait for an acknowledgement: the users' page on the protocol.
 ACK_TIMEOUT_S = 1.0
+LEAVING_LINE = 'Server-Leaving: 1\r\n'
+# Bounds of the time that a worker names when it turns a request away, in s.
+RETRY_AFTER_S = (0.7, 4.0)
 # Time-out of an operator's call: the bound of the product's own wait for a
 # commit, and the transfer of a large document.
 PUT_TIMEOUT_S = 4.0
@@ -282,6 +287,10 @@
     :ivar limited_s: when it began to name that limit.
     :ivar arrivals: since then, when each request arrived, and from which host.
     :ivar told_s: since then, when each host first passed such an answer on.
+    :ivar is_leaving: whether it leaves, announced or not.
+    :ivar says_leaving: whether its answers say so.
+    :ivar turned_hosts: the hosts whose requests it turns away.
+    :ivar told: what it has told each host since its start.
     """
 
     def __init__(self, running_deployment, record, endpoint_id, service):
@@ -297,8 +306,15 @@
         self.left_s = None
         self.is_breaking = False
         self.broken_group = None
-        self._writers = set()
-        self._running = set()
+        self.is_leaving = False
+        self.says_leaving = False
+        self.turned_hosts = ()
+        self.told = {}
+        self._turning_rng = None
+        # The reader of each open connection, by its writer, and of each
+        # running request, by its id.
+        self._readers = {}
+        self._running = {}
         self.is_crashed = False
         self._restarting = None
         if service == 'models':
@@ -321,8 +337,21 @@
         await self.close()
         for request_id in self._running:
             self.note_end(request_id)
-        for writer in list(self._writers):
+        for writer in list(self._readers):
             writer.close()
+        self.end_life()
+
+    def end_life(self):
+        """Check what this life of the worker has told hosts."""
+        self.record.check_told(self)
+        self.told = {}
+
+    def restart(self):
+        """Start again under the same id, knowing nothing."""
+        self.end_life()
+        self.start_time_ms = int(time.time() * 1000)
+        self.lose_group()
+        self.sequence, self.staged = 0, []
 
     def note_end(self, request_id, is_silent=False):
         """Record that an answer breaks off.
@@ -347,7 +376,7 @@
             item.is_crashed and item.service == self.service
             for item in self.deployment.workers
         )
-        return 'reset' if others or self.state != 'ready' else 'crash'
+        return 'reset' if others or self.is_leaving else 'crash'
 
     def lose_group(self):
         """End this worker's part in its group, as a crash does.
@@ -375,15 +404,17 @@
         self.sequence, self.state, self.left_s = 0, 'ready', None
         self.group, self.staged = None, []
         self.end_limit()
+        self.is_leaving = self.says_leaving = False
+        self.turned_hosts = ()
         self.respond = self._stream if service == 'models' else None
         await self.start()
 
     async def handle_connection(self, reader, writer):
-        self._writers.add(writer)
+        self._readers[writer] = reader
         try:
             await super().handle_connection(reader, writer)
         finally:
-            self._writers.discard(writer)
+            del self._readers[writer]
 
     async def handle_request(self, writer, line, headers, body):
         path = line.split()[1]
@@ -391,35 +422,55 @@
             headers.get('X-Target-Instance', self.endpoint_id)
             == self.endpoint_id
         )
-        if path not in ('/order', '/report') and is_target:
-            self.record.register_run(self, headers, path)
-            self._note_arrival(headers)
-            if path == KILLING_PATH:
-                self._running.add(headers.get('X-Request-Id'))
-                self.crash(writer)
-                return
-            if path == ENDLESS_PATH:
-                await self._send_endlessly(writer, headers)
-                return
-            self.pause_s = int(headers.get('X-Work-Ms', 0)) / 1000
+        if path in ('/order', '/report') or not is_target:
+            self._answer_other(writer, path, body)
+            return
         request_id = headers.get('X-Request-Id')
-        self._running.add(request_id)
-        if _is_same_group(self.group, self.broken_group):
-            self._mark_broken(request_id)
+        self._running[request_id] = self._readers[writer]
         try:
-            if (
-                is_target
-                and soak_endings.HEADER in headers
-                and (self.service != 'models')
-            ):
-                await soak_endings.send_answer(self, writer, headers, None)
-                return
-            await super().handle_request(writer, line, headers, body)
+            await self._handle_own(writer, line, headers, body)
         finally:
-            self._running.discard(request_id)
+            self._running.pop(request_id, None)
             # The record has what the checks need.
             self.requests.clear()
 
+    def _answer_other(self, writer, path, body):
+        """Answer an order, a report, or a request for another worker."""
+        status, text = '421 Misdirected', ''
+        if path == '/order':
+            self.apply_order(json.loads(body))
+            status = '202 Accepted'
+        elif path == '/report':
+            status, text = '200 OK', '{}'
+        more = LEAVING_LINE if self.says_leaving else ''
+        writer.write(
+            f'HTTP/1.1 {status}\r\n{more}Content-Length: {len(text)}\r\n\r\n'
+            f'{text}'.encode()
+        )
+
+    async def _handle_own(self, writer, line, headers, body):
+        path, request_id = line.split()[1], headers.get('X-Request-Id')
+        self._note_arrival(headers)
+        request = self.record.requests.get(request_id)
+        if request is not None and request.host in self.turned_hosts:
+            writer.write(self._build_rejection(headers, request.host))
+            return
+        self.record.register_run(self, headers, path)
+        if path == KILLING_PATH:
+            self._mark_broken(request_id)
+            self.crash(writer)
+            return
+        if path == ENDLESS_PATH:
+            await self._send_endlessly(writer, headers)
+            return
+        self.pause_s = int(headers.get('X-Work-Ms', 0)) / 1000
+        if _is_same_group(self.group, self.broken_group):
+            self._mark_broken(request_id)
+        if soak_endings.HEADER in headers and self.service != 'models':
+            await soak_endings.send_answer(self, writer, headers, None)
+            return
+        await super().handle_request(writer, line, headers, body)
+
     # Troubles
 
     def crash(self, writer):
@@ -427,7 +478,7 @@
 
         A worker that is leaving only breaks the connection.
         """
-        if self.is_crashed or self.state != 'ready':
+        if self.is_crashed or self.is_leaving:
             writer.transport.abort()
             return
         self.record.crash_count += 1
@@ -456,13 +507,85 @@
                 await asyncio.sleep(ENDLESS_PAUSE_S)
         writer.transport.abort()
 
-    def build_head(self, headers, more):
+    def build_head(self, headers, more, is_read=True):
+        """Return the head of an answer.
+
+        :param is_read: whether its host surely reads it.
+        """
+        more += self._say_leaving(headers, is_read)
         return (
             'HTTP/1.1 200 OK\r\n'
             f'X-Request-Id: {headers["X-Request-Id"]}\r\n'
             f'X-Server-Signature: {self.endpoint_id}.sig\r\n{more}\r\n'
         ).encode()
 
+    def leave(self, says_leaving):
+        """Begin to leave.
+
+        :param says_leaving: whether all answers say so from now on.
+        """
+        self.is_leaving, self.says_leaving = True, says_leaving
+
+    def begin_turning_away(self, hosts, rng):
+        """Turn the requests of some hosts away from now on.
+
+        :param rng: source of the times for which the answers ask.
+        """
+        self.turned_hosts, self._turning_rng = hosts, rng
+
+    def find_told(self, host):
+        """Return what this worker has told a host since its start."""
+        return self.told.setdefault(host, soak_record.Told())
+
+    def has_arrivals(self, since_s):
+        """Tell whether any host sent requests from a moment on."""
+        return any(
+            told.arrivals and told.arrivals[-1][0] >= since_s
+            for told in self.told.values()
+        )
+
+    def _is_read(self, request_id):
+        """Tell whether a running request's sender waits for its answer."""
+        reader = self._running.get(request_id)
+        return (
+            reader is not None
+            and not reader.at_eof()
+            and reader.exception() is None
+        )
+
+    def _say_leaving(self, headers, is_read=True):
+        if not self.says_leaving:
+            return ''
+        request_id = headers['X-Request-Id']
+        request = self.record.requests.get(request_id)
+        if is_read and request is not None and self._is_read(request_id):
+            told = self.find_told(request.host)
+            if told.leaving_s is None:
+                told.leaving_s = self.record.now_s()
+        return LEAVING_LINE
+
+    def _say_limit(self, headers):
+        request = self.record.requests.get(headers['X-Request-Id'])
+        if self.limit_per_s is None or request is None:
+            return ''
+        self.told_s.setdefault(request.host, self.record.now_s())
+        return f'Server-Limit: {self.limit_per_s}\r\n'
+
+    def _build_rejection(self, headers, host):
+        pause_s = round(
+            self._turning_rng.uniform(*RETRY_AFTER_S),
+            self._turning_rng.randint(1, 3),
+        )
+        if self._is_read(headers['X-Request-Id']):
+            self.find_told(host).pauses.append((self.record.now_s(), pause_s))
+        return (
+            'HTTP/1.1 503 Service Unavailable\r\n'
+            f'X-Request-Id: {headers["X-Request-Id"]}\r\n'
+            f'X-Not-Executed: 1\r\nRetry-After: {pause_s}\r\n'
+            f'{self._say_limit(headers)}{self._say_leaving(headers)}'
+            'Content-Length: 0\r\n\r\n'
+        ).encode()
+
     def begin_limit(self, limit_per_s):
         """Name a limit in all answers from now on."""
         self.limit_per_s = limit_per_s
@@ -476,15 +599,13 @@
         self.limit_per_s = None
 
     def _note_arrival(self, headers):
+        self.record.register_arrival(self, headers.get('X-Request-Id'))
         request = self.record.requests.get(headers.get('X-Request-Id'))
         if self.limit_per_s is not None and request is not None:
             self.arrivals.append((self.record.now_s(), request.host))
 
     def build_response(self, headers, text, status='200 OK', more=''):
-        request = self.record.requests.get(headers['X-Request-Id'])
-        if self.limit_per_s is not None and request is not None:
-            more += f'Server-Limit: {self.limit_per_s}\r\n'
-            self.told_s.setdefault(request.host, self.record.now_s())
+        more += self._say_limit(headers) + self._say_leaving(headers)
         text = f'{self.endpoint_id} ran {headers["X-Request-Id"]}'
         return super().build_response(headers, text, status, more)
 
--- a/tests/platform/soak_endings.py
+++ b/tests/platform/soak_endings.py
@@ -114,7 +114,8 @@
         more += 'Transfer-Encoding: chunked\r\n'
     elif framing == 'stated':
         more += f'Content-Length: {BODY_BYTES}\r\n'
-    writer.write(worker.build_head(headers, more))
+    # A reset may take the head away from a host that hasn't read it yet.
+    writer.write(worker.build_head(headers, more, is_read=way != 'reset'))
     with contextlib.suppress(ConnectionError):
         for piece in sent:
             if is_chunked:
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -33,6 +33,19 @@
 # Bounds of the time for which a worker names a limit, in s: the rule judges it
 # from soak_record.CONTACT_S on.
 LIMIT_DURATION_S = (6.0, 14.0)
+# How a worker leaves: after it has announced that or has only been
+# deregistered, or without a word but in its answers.
+LEAVING_WAYS = ('announced', 'deregistered', 'unannounced')
+# Bounds of the time that a worker serves which leaves without announcing it,
+# in s: the rule judges it from soak_record.LEAVING_S on.
+UNANNOUNCED_S = (3.0, 5.0)
+# A worker is in use if it got a request in this time, in s.
+IN_USE_S = 1.0
+# Bounds of the pause before a worker turns requests away, and of the time for
+# which it does, in s; share of those that turn one host away.
+TURNING_PAUSE_S = (0.5, 3.0)
+TURNING_S = (1.0, 4.0)
+ONE_HOST_SHARE = 0.5
 # Fewest workers of a service that are left while one of them leaves.
 MIN_WORKERS = 2
 # How long an address is unused before another worker has it: reuse_after_s of
@@ -63,6 +76,8 @@
     :param seed: of the choices.
     :ivar is_over: whether the tasks that run all the time should end.
     :ivar change_quickly: changes the document several times.
+    :ivar has_statements: whether answers of workers say that these leave, or
+        turn requests away for a time.
     """
 
     def __init__(self, running_deployment, record, seed):
@@ -74,6 +89,9 @@
         self.is_over = False
         self.count = 0
         self.change_quickly = None
+        self.has_statements = True
+        # Their choices leave those of the other troubles as they are.
+        self._statement_rng = random.Random(f'{seed} statements')
         self._refused = None
         self._reserved = set()
         self._limits = []
@@ -105,7 +123,10 @@
 
     def list_tasks(self):
         """Return coroutines for the planned work that goes on all the time."""
-        return [self._reload_repeatedly(), self._change_workers()]
+        tasks = [self._reload_repeatedly(), self._change_workers()]
+        if self.has_statements:
+            tasks.append(self._turn_away_repeatedly())
+        return tasks
 
     # Hosts
 
@@ -438,8 +459,8 @@
             self._break_streams,
             self._limit_worker,
             self._limit_worker,
-            self.drain_worker,
-            self.drain_worker,
+            self._drain_somehow,
+            self._drain_somehow,
         ]
         while not self.is_over:
             await self._pause(WORKER_PAUSE_S)
@@ -448,16 +469,14 @@
     async def _restart_worker(self):
         worker = self.rng.choice(self.deployment.workers)
         self.record.log_fault(f'restart {worker.endpoint_id}')
-        worker.start_time_ms = int(time.time() * 1000)
-        worker.lose_group()
-        worker.sequence, worker.staged = 0, []
+        worker.restart()
 
     async def _limit_worker(self):
         """Let a worker name a limit until it leaves, or for some time."""
         free = [
             item
             for item in self.deployment.workers
-            if item.limit_per_s is None and item.state == 'ready'
+            if item.limit_per_s is None and not item.is_leaving
         ]
         if not free:
             return
@@ -485,24 +504,101 @@
         worker.is_breaking = False
         self.record.log_fault(f'no more breaks of {worker.endpoint_id}')
 
-    async def drain_worker(self):
-        """Let a worker leave, and another start at its address."""
+    async def _turn_away_repeatedly(self):
+        """Let workers turn requests away for a time, some of one host only."""
+        rng = self._statement_rng
+        while not self.is_over:
+            await asyncio.sleep(rng.uniform(*TURNING_PAUSE_S))
+            free = [
+                item
+                for item in self._list_dispensable_workers()
+                if item.service != 'models'
+                or (item.group is not None and item.group['state'] == 'open')
+            ]
+            if not free:
+                continue
+            worker = rng.choice(free)
+            hosts = [process.name for process in self.deployment.entries]
+            if rng.random() < ONE_HOST_SHARE:
+                hosts = [rng.choice(hosts)]
+            names = ', '.join(hosts)
+            self.record.log_fault(f'{worker.endpoint_id} turns {names} away')
+            worker.begin_turning_away(hosts, rng)
+            await asyncio.sleep(rng.uniform(*TURNING_S))
+            self.record.log_fault(f'{worker.endpoint_id} turns none away')
+            worker.turned_hosts = ()
+
+    def _list_dispensable_workers(self):
+        """Return the workers without which their services have enough."""
         ready = [
             item
             for item in self.deployment.workers
-            if item.state == 'ready' and not item.is_crashed
+            if not item.is_leaving and not item.is_crashed
         ]
         counts = collections.Counter(item.service for item in ready)
-        ready = [item for item in ready if counts[item.service] > MIN_WORKERS]
+        return [item for item in ready if counts[item.service] > MIN_WORKERS]
+
+    def drain_calmly(self):
+        """Return coroutines for workers that leave while hosts are calm."""
+        ways = ['announced']
+        if self.has_statements:
+            ways.append('unannounced')
+        return [self.drain_worker(way) for way in ways]
+
+    async def _drain_somehow(self):
+        way = 'announced'
+        if self.has_statements:
+            way = self._statement_rng.choice(LEAVING_WAYS)
+        await self.drain_worker(way)
+
+    async def drain_worker(self, way='announced'):
+        """Let a worker leave, and another start at its address.
+
+        :param way: one of LEAVING_WAYS.
+        """
+        ready = self._list_dispensable_workers()
         if not ready:
             return
+        if way == 'unannounced':
+            # Hosts learn of it from its answers alone.
+            since_s = self.record.now_s() - IN_USE_S
+            used = [item for item in ready if item.has_arrivals(since_s)]
+            ready = used or ready
         worker = self.rng.choice(ready)
         service = worker.service
         others = {'api': 'batch', 'batch': 'api', 'models': 'models'}
-        self.record.log_fault(f'drain {worker.endpoint_id}')
-        worker.state = 'leaving'
+        self.record.log_fault(f'drain {worker.endpoint_id}, {way}')
+        worker.leave(self.has_statements)
+        if way == 'unannounced':
+            await self._pause(UNANNOUNCED_S)
+            worker.lose_group()
+        else:
+            await self._leave_openly(worker, way == 'deregistered')
+        await worker.stop()
+        await asyncio.sleep(REUSE_AFTER_S)
+        self.count += 1
+        name = f'{worker.endpoint_id.partition("-again")[0]}-again{self.count}'
+        self.record.log_fault(f'{worker.endpoint_id} comes back as {name}')
+        await worker.come_back(name, others[service])
+
+    async def _leave_openly(self, worker, is_deregistered):
+        """Tell the control hosts that a worker leaves, and serve on a while.
+
+        :param is_deregistered: whether only its departure tells them.
+        """
+
+        async def deregister():
+            return await self.deployment.deregister(
+                worker.endpoint_id, worker.start_time_ms
+            )
+
+        if is_deregistered:
+            worker.announcing.cancel()
+        else:
+            worker.state = 'leaving'
+        tell = deregister if is_deregistered else worker.announce
         end_s = time.monotonic() + soak_record.CONTACT_S
-        while not await worker.announce():
+        while not await tell():
             if time.monotonic() > end_s:
                 # Without an acknowledgement it ends some seconds later.
                 break
@@ -514,12 +610,5 @@
         now_s = self.record.now_s()
         if worker.left_s and self.record.is_stable(worker.left_s, now_s):
             self.record.judged_drains += 1
-        await self.deployment.deregister(
-            worker.endpoint_id, worker.start_time_ms
-        )
-        await worker.stop()
-        await asyncio.sleep(REUSE_AFTER_S)
-        self.count += 1
-        name = f'{worker.endpoint_id.partition("-again")[0]}-again{self.count}'
-        self.record.log_fault(f'{worker.endpoint_id} comes back as {name}')
-        await worker.come_back(name, others[service])
+        if not is_deregistered:
+            await deregister()
--- a/tests/platform/soak_record.py
+++ b/tests/platform/soak_record.py
@@ -30,6 +30,14 @@
 # From the acknowledgement that a worker leaves until no request reaches it:
 # drain_ms of the users' larger deployments.
 DRAIN_S = 2.5
+# Rule DRAIN: from a host's first answer of a worker with Server-Leaving until
+# no request reaches that worker from that host that was sent later: drain_ms
+# of the users' pages.
+LEAVING_S = 2.0
+# Rule BUDGET: between PAUSE_SLACK_S after a worker's 503 with Retry-After and
+# the end of that time, so many requests may reach it from that host.
+PAUSE_SLACK_S = 0.5
+MAX_PAUSED_ARRIVALS = 2
 # A request that crosses the close of its connection was sent at most this
 # long before it: loss_slack_ms of the users' page on deployment.
 LOSS_SLACK_S = 0.2
@@ -149,6 +157,24 @@
         )
 
 
+class Told:
+    """What a worker has told one host since its start, and what arrived.
+
+    :ivar leaving_s: when an answer first said that the worker leaves; None
+        before.
+    :ivar pauses: of each 503 with Retry-After, when it was sent and the time
+        that it names, in s.
+    :ivar arrivals: when each request arrived, and its id.
+    """
+
+    __slots__ = ('arrivals', 'leaving_s', 'pauses')
+
+    def __init__(self):
+        self.leaving_s = None
+        self.pauses = []
+        self.arrivals = []
+
+
 class Record:
     """Requests, documents, disruptions, and the violations found.
 
@@ -164,6 +190,9 @@
     :ivar judged_announcements: workers whose announcements were counted, once
         for each span.
     :ivar judged_drains: workers that left while the control hosts were stable.
+    :ivar judged_leavings: pairs of a worker and a host that it told that it
+        leaves, both undisturbed for LEAVING_S from then on.
+    :ivar judged_pauses: pauses for which a worker asked an undisturbed host.
     """
 
     def __init__(self, control_hosts):
@@ -188,6 +217,8 @@
         self.crash_count = 0
         self.killing_runs = []
         self.judged_limits = 0
+        self.judged_leavings = 0
+        self.judged_pauses = 0
         self.judged_announcements = 0
         self.peak_bytes = 0
 
@@ -317,6 +348,15 @@
         self.requests[request_id] = request
         return request_id
 
+    def register_arrival(self, worker, request_id):
+        """Check a request that reaches a worker, which may reject it."""
+        request = self.requests.get(request_id)
+        if request is None:
+            return
+        told = worker.find_told(request.host)
+        told.arrivals.append((self.now_s(), request_id))
+        self._check_drained(worker, request_id, request)
+
     def register_run(self, worker, headers, path):
         """Check a request that a worker begins to run."""
         request_id = headers.get('X-Request-Id')
@@ -339,7 +379,6 @@
                 f'{request_id} runs for {headers.get("X-Tenant")}, with key: '
                 f'{"X-Key" in headers}'
             )
-        self._check_drained(worker, request_id, request)
         if path == '/read/killing':
             self.killing_runs.append((self.now_s(), request.host))
 
@@ -383,6 +422,76 @@
                 )
                 return
 
+    def check_told(self, worker):
+        """Check what reached a worker after its answers told hosts something.
+
+        It has just ended, or the soak has.
+        """
+        for host, told in worker.told.items():
+            if told.leaving_s is not None:
+                self._check_leaving(worker, host, told)
+            self._check_pauses(worker, host, told)
+
+    def _check_leaving(self, worker, host, told):
+        start_s, end_s = told.leaving_s, told.leaving_s + LEAVING_S
+        if self.now_s() > end_s and not self.find_disruptions(
+            host, start_s, end_s
+        ):
+            self.judged_leavings += 1
+        late = [
+            f'{request_id}, sent at {self.requests[request_id].sent_s:.3f}'
+            for at_s, request_id in told.arrivals
+            if self.requests[request_id].sent_s > end_s
+            and not self.find_disruptions(host, start_s, at_s)
+        ]
+        if late:
+            self.violate(
+                f'{worker.endpoint_id} told {host} at {start_s:.3f} that it '
+                f'leaves; requests sent later than {LEAVING_S} s after that '
+                f'reach it: {len(late)}, first {late[0]}'
+            )
+
+    def _check_pauses(self, worker, host, told):
+        broken = []
+        for answered_s, pause_s in told.pauses:
+            if pause_s <= PAUSE_SLACK_S:
+                continue
+            if not self.find_disruptions(
+                host, answered_s, answered_s + pause_s
+            ):
+                self.judged_pauses += 1
+            early = self._list_early(host, told, answered_s, pause_s)
+            if len(early) > MAX_PAUSED_ARRIVALS:
+                broken.append(
+                    f'at {answered_s:.3f} for {pause_s} s; requests that '
+                    f'reach it until then: {len(early)}, first {early[0]}'
+                )
+        if broken:
+            self.violate(
+                f'{worker.endpoint_id} turned {host} away {broken[0]} (so '
+                f'{len(broken)} of {len(told.pauses)} times)'
+            )
+
+    def _list_early(self, host, told, answered_s, pause_s):
+        """Return the requests that reach a worker before a pause is over."""
+        return [
+            f'{request_id} at {at_s:.3f}'
+            for at_s, request_id in told.arrivals
+            if answered_s + PAUSE_SLACK_S
+            < at_s - self._find_wait_s(request_id, at_s)
+            and at_s < answered_s + pause_s
+            and not self.find_disruptions(host, answered_s, at_s)
+        ]
+
+    def _find_wait_s(self, request_id, at_s):
+        """Return how long a request may have waited for the soak to read it.
+
+        :param at_s: when it was read.
+        """
+        sent_s = self.requests[request_id].sent_s
+        since_s = max(sent_s, at_s - PAUSE_SLACK_S)
+        return min(at_s - sent_s, self.sum_lags(since_s, at_s))
+
     def _check_drained(self, worker, request_id, request):
         now_s = self.now_s()
         if worker.left_s is None or now_s <= worker.left_s + DRAIN_S:
--- a/tests/platform/test_soak_checks.py
+++ b/tests/platform/test_soak_checks.py
@@ -1,10 +1,13 @@
 """The soak's own checks, without processes."""
 
+import asyncio
+import random
 import types
 
 import pytest
 
 from tests.platform import soak_callers
+from tests.platform import soak_deployment
 from tests.platform import soak_endings
 from tests.platform import soak_record
 
@@ -72,6 +75,177 @@
     assert (record.violations == []) == is_right, record.violations
 
 
+def tell_and_send(arrivals, leaving_s=None, pauses=(), sent_before_s=0.0):
+    """Return the record of a worker that told a host something.
+
+    :param arrivals: when requests of that host reach the worker, in s.
+    :param sent_before_s: how long before that their callers sent them.
+    """
+    record = soak_record.Record(3)
+    told = soak_record.Told()
+    told.leaving_s, told.pauses = leaving_s, list(pauses)
+    worker = types.SimpleNamespace(
+        endpoint_id='i-1',
+        left_s=None,
+        told={'entry-0': told},
+        find_told=lambda host: told,
+    )
+    for at_s in arrivals:
+        record.now_s = lambda at_s=at_s: at_s - sent_before_s
+        request_id = record.register_request('read', 'entry-0')
+        record.now_s = lambda at_s=at_s: at_s
+        record.register_arrival(worker, request_id)
+    record.now_s = lambda: 30.0
+    return record, worker
+
+
+def disrupt(record, host, start_s, end_s):
+    disruption = record.begin_disruption(host)
+    disruption.start_s, disruption.end_s = start_s, end_s
+
+
+@pytest.mark.parametrize(
+    ('arrivals', 'sent_before_s', 'disrupted', 'is_right'),
+    [
+        # The worker leaves from 10 s on.
+        ([9.0, 11.9], 0.0, None, True),
+        ([12.1], 0.0, None, False),
+        ([12.1], 0.2, None, True),
+        ([12.1], 0.0, ('entry-0', 10.5, 11.0), True),
+        ([12.1], 0.0, ('entry-0', 12.0, None), True),
+        ([12.1], 0.0, ('entry-0', 8.0, 9.9), False),
+        ([12.1], 0.0, ('entry-0', 12.2, None), False),
+        ([12.1], 0.0, ('entry-1', 10.5, 11.0), False),
+        ([12.1], 0.0, ('control-0', 10.5, 11.0), False),
+    ],
+)
+def test_requests_after_a_host_was_told_that_a_worker_leaves(
+    arrivals, sent_before_s, disrupted, is_right
+):
+    record, worker = tell_and_send(
+        arrivals, leaving_s=10.0, sent_before_s=sent_before_s
+    )
+    if disrupted:
+        disrupt(record, *disrupted)
+    record.check_told(worker)
+    assert (record.violations == []) == is_right, record.violations
+
+
+@pytest.mark.parametrize(
+    ('arrivals', 'pauses', 'disrupted', 'lag', 'is_right'),
+    [
+        # What was on its way, and two more, may arrive.
+        ([10.1, 10.2, 10.4, 11.0, 11.9], [(10.0, 2.0)], None, None, True),
+        ([11.0, 11.1, 11.9], [(10.0, 2.0)], None, None, False),
+        ([11.0, 11.1, 12.1], [(10.0, 2.0)], None, None, True),
+        ([10.3, 10.35, 10.4], [(10.0, 0.45)], None, None, True),
+        # A shorter pause doesn't shorten one that has begun.
+        ([13.0] * 3, [(10.0, 4.0), (10.1, 0.7)], None, None, False),
+        # Only the disruption of that host excuses, and what came after it.
+        ([11.0] * 3, [(10.0, 2.0)], ('entry-0', 10.2, 10.3), None, True),
+        ([11.0] * 3, [(10.0, 2.0)], ('entry-0', 8.0, 9.9), None, False),
+        ([11.0] * 3, [(10.0, 2.0)], ('entry-0', 11.1, None), None, False),
+        ([11.0] * 3, [(10.0, 2.0)], ('entry-1', 10.2, 10.3), None, False),
+        ([11.0] * 3, [(10.0, 2.0)], ('control-0', 10.2, 10.3), None, False),
+        # The soak itself may read requests late.
+        ([10.7] * 3, [(10.0, 2.0)], None, (10.3, 0.35), True),
+        ([11.7] * 3, [(10.0, 2.0)], None, (10.3, 0.35), False),
+    ],
+)
+def test_requests_while_a_worker_wants_none(
+    arrivals, pauses, disrupted, lag, is_right
+):
+    record, worker = tell_and_send(arrivals, pauses=pauses, sent_before_s=0.5)
+    if disrupted:
+        disrupt(record, *disrupted)
+    if lag:
+        record.lags.append(lag)
+    record.check_told(worker)
+    assert (record.violations == []) == is_right, record.violations
+
+
+# Guards against checks that nothing could violate.
+def test_told_hosts_are_counted_if_they_were_undisturbed():
+    record, worker = tell_and_send(
+        [], leaving_s=10.0, pauses=[(10.0, 2.0), (20.0, 0.4)]
+    )
+    record.check_told(worker)
+    assert (record.judged_leavings, record.judged_pauses) == (1, 1)
+    disrupt(record, 'entry-0', 11.0, 11.5)
+    record.check_told(worker)
+    assert (record.judged_leavings, record.judged_pauses) == (1, 1)
+
+
+@pytest.fixture
+async def stating_worker():
+    """A worker of a soak, whose announcements nobody gets."""
+
+    async def announce(*_):
+        return False
+
+    running = types.SimpleNamespace(announce=announce, workers=[])
+    worker = soak_deployment.SoakWorker(
+        running, soak_record.Record(3), 'i-1', 'api'
+    )
+    await worker.start()
+    yield worker
+    await worker.stop()
+
+
+async def send_to_worker(worker, host, target='i-1'):
+    """Send a request as a host does; return its response."""
+    request_id = worker.record.register_request('read', host)
+    reader, writer = await asyncio.open_connection(*worker.address.split(':'))
+    headers = {'X-Request-Id': request_id, 'X-Tenant': 'garden'}
+    headers['X-Target-Instance'] = target
+    lines = [f'{name}: {value}' for name, value in headers.items()]
+    writer.write(
+        '\r\n'.join(['GET /read/x HTTP/1.1', *lines, '', '']).encode()
+    )
+    response = await soak_callers.read_response(reader)
+    writer.close()
+    return response
+
+
+async def test_worker_says_in_all_answers_that_it_leaves(stating_worker):
+    worker = stating_worker
+    assert (
+        'Server-Leaving'
+        not in (await send_to_worker(worker, 'entry-0')).headers
+    )
+    worker.leave(True)
+    # An answer for another worker doesn't tell which one leaves.
+    misdirected = await send_to_worker(worker, 'entry-1', target='i-2')
+    assert misdirected.status == 421
+    assert misdirected.headers['Server-Leaving'] == '1'
+    for status in (200, 503):
+        response = await send_to_worker(worker, 'entry-0')
+        assert response.status == status
+        assert response.headers['Server-Leaving'] == '1'
+        worker.begin_turning_away(['entry-0'], random.Random(1))
+    assert worker.told['entry-0'].leaving_s is not None
+    assert 'entry-1' not in worker.told
+    assert worker.record.violations == []
+
+
+async def test_worker_turns_requests_of_one_host_away(stating_worker):
+    worker = stating_worker
+    worker.begin_turning_away(['entry-0'], random.Random(1))
+    pauses = []
+    for _ in range(3):
+        response = await send_to_worker(worker, 'entry-0')
+        assert (response.status, response.headers['X-Not-Executed']) == (
+            503,
+            '1',
+        )
+        pauses.append(float(response.headers['Retry-After']))
+        assert (await send_to_worker(worker, 'entry-1')).status == 200
+    assert len(set(pauses)) == 3
+    assert [item for _, item in worker.told['entry-0'].pauses] == pauses
+    assert worker.told['entry-1'].pauses == []
+    assert worker.record.violations == []
+
+
 @pytest.mark.parametrize(
     ('acknowledged', 'begun', 'busy_share', 'found'),
     [
