Don't take the close of a host's own connection for the end of a response

Callers got a part of a stream as a whole one: 200, some whole events, and an end in order. The stream had neither a length nor chunks, and its host had moved it to another replica: it closed the connection to the first one, read the end of it as the end of the stream, found the endpoint alive (answer.end_checked, accepts connections) and finished the response instead of resuming it. The log has request.retry 50 ms before request.answered, with one send.

A connection now knows that its own host closed it, and a body that ends with its connection is then incomplete, as a framed one already was. So the stream is resumed after its last event.

--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -144,6 +144,7 @@
         self._written: asyncio.Future[None] | None = None
         self._reads = 0
         self._head: ResponseHead | None = None
+        self._is_closed_here = False
 
     def watch(self) -> None:
         """Read the first byte of the next response, or the connection's end.
@@ -163,6 +164,7 @@
 
     def close(self) -> None:
         """Close the connection."""
+        self._is_closed_here = True
         self.stream.close()
 
     def send(self, head: bytes, body: bytes) -> None:
@@ -340,7 +342,7 @@
             try:
                 chunk = await self.stream.read_bytes(CHUNK_BYTES, partial=True)
             except iostream.StreamClosedError as error:
-                if error.real_error is not None:
+                if error.real_error is not None or self._is_closed_here:
                     raise
                 return
             yield chunk
