Show that crashes some time after a failure crash too many workers

A worker answers 500, breaks off inside the body and crashes 250 ms later, and so does each worker that gets a repeat.

--- a/tests/platform/test_answers_without_length.py
+++ b/tests/platform/test_answers_without_length.py
@@ -28,6 +28,9 @@
 PASS_S = 0.5
 # An answer is over at its route's timeout and half a second: rule CONFIG.
 END_S = 6.0
+# Longer than a host looks at an address, and shorter than the pause between
+# two sends.
+LATE_CRASH_S = 0.25
 ENDS = ['crash', 'close', 'reset']
 ROUTES = [
     *documents.PLAIN['routes'],
@@ -446,33 +449,45 @@
     assert 'content-length' not in received.headers
 
 
-# Guards against strikes that are forgotten as a failure that broke off counts
-# as an answer to the request that crashes its workers, or as no crash.
-@pytest.mark.parametrize(
-    'more', [b'', b'Content-Length: 99\r\n'], ids=['connection', 'length']
-)
-async def test_failure_that_breaks_off_is_no_proof_of_an_answer(
-    empty_deployment, more
-):
-    crashes_s = []
-
-    class FailingWorker(test_crashing_requests.CrashingWorker):
-        async def handle_request(self, writer, line, headers, body):
-            if line.split()[1] == self.killing_path:
-                writer.write(
-                    b'HTTP/1.1 500 Error\r\n%sX-Request-Id: %s\r\n\r\npart'
-                    % (more, headers['X-Request-Id'].encode())
-                )
-                await writer.drain()
-                crashes_s.append(time.monotonic())
-            await super().handle_request(writer, line, headers, body)
+class FailingWorker(test_crashing_requests.CrashingWorker):
+    """A worker that breaks off a failure and crashes.
 
-    # All workers of the service crash: an answer of another one, also on a
-    # connection that a host kept, would clear the strikes.
-    running = empty_deployment
+    :ivar framing: the header line that frames the failure; empty without one.
+    :ivar crashes_after_s: time from the failure to the crash.
+    :ivar closes: whether it closes the connection before this time.
+    """
+
+    def __init__(self, running, endpoint_id, framing, crashes_after_s, closes):
+        super().__init__(running, endpoint_id)
+        self.framing = framing
+        self.crashes_after_s = crashes_after_s
+        self.closes = closes
+
+    async def handle_request(self, writer, line, headers, body):
+        if line.split()[1] == self.killing_path:
+            writer.write(
+                b'HTTP/1.1 500 Error\r\n%sX-Request-Id: %s\r\n\r\npart'
+                % (self.framing, headers['X-Request-Id'].encode())
+            )
+            await writer.drain()
+            if self.closes:
+                writer.transport.abort()
+            if self.crashes_after_s:
+                await asyncio.sleep(self.crashes_after_s)
+        await super().handle_request(writer, line, headers, body)
+
+
+async def _send_killing(running, framing, crashes_after_s=0.0, closes=False):
+    """Send a request that crashes its workers, and check the crashes.
+
+    All workers of the service crash: an answer of another one would clear the
+    strikes.
+    """
     await running.put_until_accepted(documents.PLAIN)
     for number in range(test_crashing_requests.WORKERS):
-        worker = FailingWorker(running, f'i-failing-{number}')
+        worker = FailingWorker(
+            running, f'i-failing-{number}', framing, crashes_after_s, closes
+        )
         await worker.start()
         running.workers.append(worker)
     await running.wait_until(lambda: _knows_all(running))
@@ -483,8 +498,32 @@
         await asyncio.sleep(test_crashing_requests.SEND_INTERVAL_S)
     await asyncio.sleep(test_crashing_requests.RESTART_S)
     assert 200 not in statuses, statuses
-    assert crashes_s
-    test_crashing_requests._check_contained(crashes_s)
+    crashes = test_crashing_requests._list_crashes(running)
+    assert crashes
+    test_crashing_requests._check_contained(crashes)
+
+
+FRAMINGS = [b'', b'Content-Length: 99\r\n']
+FRAMING_IDS = ['connection', 'length']
+
+
+# Guards against strikes that are forgotten as a failure that broke off counts
+# as an answer to the request that crashes its workers, or as no crash.
+@pytest.mark.parametrize('more', FRAMINGS, ids=FRAMING_IDS)
+async def test_failure_that_breaks_off_is_no_proof_of_an_answer(
+    empty_deployment, more
+):
+    await _send_killing(empty_deployment, more)
+
+
+# Guards against the same where the worker crashes some time after its failure
+# has broken off, so that its address still accepts connections.
+@pytest.mark.parametrize('framing', FRAMINGS, ids=FRAMING_IDS)
+@pytest.mark.parametrize('closes', [True, False], ids=['closes', 'open'])
+async def test_failure_before_a_late_crash_is_no_proof_of_an_answer(
+    empty_deployment, framing, closes
+):
+    await _send_killing(empty_deployment, framing, LATE_CRASH_S, closes)
 
 
 async def _knows_all(running):
