--- a/tests/bounded_links.py
+++ b/tests/bounded_links.py
@@ -218,6 +218,13 @@
             self._process.stdin.close()
             await self._process.wait()
 
+    def send_signal(self, number):
+        """Send the relay process a signal.
+
+        :param number: the signal.
+        """
+        self._process.send_signal(number)
+
     async def read_counters(self):
         """Return the bytes that each link has carried.
 
