--- a/tests/gateway_forwarding/test_containment.py
+++ b/tests/gateway_forwarding/test_containment.py
@@ -7,9 +7,10 @@
 
 from filbertglade.fleet import crash_reports
 from filbertglade.fleet import view
-from filbertglade.forwarding import choice
 from filbertglade.forwarding import containment
 from filbertglade.forwarding import crash_check
+from filbertglade.forwarding import faults
+from filbertglade.forwarding import targets
 from filbertglade.forwarding import upstream
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import metrics
@@ -45,7 +46,7 @@
     async def start(self):
         self.server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
         port = self.server.sockets[0].getsockname()[1]
-        self.target = choice.Target(
+        self.target = targets.Target(
             KEY, 'i-1', f'127.0.0.1:{port}', 'north', 4
         )
 
@@ -89,7 +90,7 @@
         endpoint.view,
         endpoint.reports,
         crash_check.CrashCheck(pool),
-        choice.FaultTracker(),
+        faults.FaultTracker(),
         counters,
     )
     yield made
