Count an engine that asks for a pause in answer to a probe as alive

The probe that learned of a pause took the engine for silent, so its group would have been formed anew; only later probes counted as answered. Found by reading; the test, with the probe first, failed before.

--- a/filbertglade/replicas/orders.py
+++ b/filbertglade/replicas/orders.py
@@ -179,7 +179,8 @@
         :param endpoint: the engine.
         :returns: whether it responded in time.
         """
-        if self._stated.find_pause_ms(endpoints.get_key(endpoint)):
+        key = endpoints.get_key(endpoint)
+        if self._stated.find_pause_ms(key):
             # It has just answered; its announcements tell if it ends.
             return True
         status = await self._fetch(
@@ -189,7 +190,7 @@
             None,
             PROBE_TIMEOUT_MS,
         )
-        return status == 200
+        return status == 200 or self._stated.find_pause_ms(key) > 0
 
     async def _fetch(
         self,
--- a/tests/replicas/test_engine_client.py
+++ b/tests/replicas/test_engine_client.py
@@ -120,9 +120,9 @@
     client = _build_client(seen_leaving.append)
     order = orders.Order(orders.OrderAction.LEAVE, 'g-1', 1)
     for _ in range(3):
+        assert await client.probe(endpoint)
         outcome = await client.send(endpoint, order, 1)
         assert outcome is orders.OrderOutcome.REFUSED
-        assert await client.probe(endpoint)
     assert len(arrivals) == 1
     assert seen_leaving == ['i-1@1000']
     await asyncio.sleep(0.45)
