--- a/tests/requests/test_service_answers_without_length.py
+++ b/tests/requests/test_service_answers_without_length.py
@@ -6,12 +6,12 @@
 import socket
 import threading
 import time
-import uuid
 
 import httpx
 import pytest
 
 from tests import cluster as clusters
+from tests.requests import announcing
 from tests.requests import request_cluster
 
 BODY = b'text ' * 4000
@@ -33,47 +33,18 @@
         self.more = ''
         self.body = BODY
         self.is_crashing = False
-        self._node = node
-        self._run = uuid.uuid4().hex
-        self._sequence = 0
-        self._is_closed = False
         self._listener = socket.create_server(('127.0.0.1', 0))
         host, port = self._listener.getsockname()
-        self.address = f'{host}:{port}'
-        for work in (self._accept, self._announce):
-            threading.Thread(target=work, daemon=True).start()
+        self._announcer = announcing.Announcer(node, 'raw-1', f'{host}:{port}')
+        threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self):
-        self._is_closed = True
+        self._announcer.close()
         # Wakes up the thread that accepts, so that the address refuses.
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
-    def _announce(self):
-        token, received_s = '', 0.0
-        while not self._is_closed:
-            self._sequence += 1
-            held_ms = int((time.monotonic() - received_s) * 1000)
-            with contextlib.suppress(httpx.TransportError, KeyError):
-                token = httpx.post(
-                    f'{self._node.url}/v1/announce',
-                    json={
-                        'host': 'raw-1',
-                        'run': self._run,
-                        'sequence': self._sequence,
-                        'region': self._node.region,
-                        'data_centre': self._node.data_centre,
-                        'address': self.address,
-                        'token': token,
-                        'held_ms': held_ms if token else 0,
-                        'leaving': False,
-                        'service': request_cluster.SERVICE,
-                    },
-                ).json()['token']
-                received_s = time.monotonic()
-            time.sleep(0.1)
-
     def _accept(self):
         while True:
             try:
@@ -99,23 +70,6 @@
         connection.close()
 
 
-@pytest.fixture(scope='module')
-def node(tmp_path_factory):
-    cluster = clusters.Cluster(tmp_path_factory.mktemp('services'))
-    (started,) = cluster.configure_nodes(1, 0, request_cluster.TIMINGS)
-    try:
-        cluster.start_nodes()
-        clusters.wait_until(cluster.find_leader, 'a leader')
-        response = httpx.put(
-            f'{started.administration_url}/v1/config',
-            json=request_cluster.build_document(1),
-        )
-        assert response.status_code == 200, response.text
-        yield started
-    finally:
-        cluster.close()
-
-
 @pytest.fixture
 def service(node):
     raw = RawService(node)
