Let a broken kept connection be a try of its request

Callers of a request that crashes the process which runs it lost more processes than its tries: one send crashed 5 of a worker that outlives them, since the pool sent each call again on a new connection when a kept one broke. That try was not counted and took nothing from the retry budget. It concerned requests that may run repeatedly; others never use a kept connection.

The pool now sends a call once and reports a kept connection that broke before the head of the response. The request is sent again only if it may run again, as one of its two retries and within the budget. It is not resumed: an engine that closed an idle connection has nothing to resume and would be left out. The other idle connections to the endpoint are closed.

The second sending had hidden that the pool doesn't notice a connection whose endpoint closed it when idle: with the change alone, a worker that closes idle connections got its callers refused once the retry budget was used up. The pool now looks at the socket before it uses a connection again.

--- a/filbertglade/requests/dispatch.py
+++ b/filbertglade/requests/dispatch.py
@@ -132,10 +132,15 @@
             )
         await asyncio.sleep(PROBE_DELAY_S)
         if await self._context.pool.is_reachable(candidate.address):
+            # An endpoint that closed an idle connection has nothing to resume.
+            was_idle = (
+                failure.reason
+                is endpoint_response.EndpointFailureReason.KEPT_BROKEN
+            )
             return attempt_failure.AttemptFailure(
                 Reason.ENDPOINT_FAILED,
                 str(failure),
-                may_resume=self._request.is_stream,
+                may_resume=self._request.is_stream and not was_idle,
             )
         return self._record_crash(candidate)
 
--- a/filbertglade/requests/endpoint_pool.py
+++ b/filbertglade/requests/endpoint_pool.py
@@ -8,6 +8,7 @@
 from collections import abc
 import dataclasses
 import functools
+import socket
 import typing
 
 from tornado import http1connection
@@ -66,12 +67,14 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        for streams in self._idle.values():
-            for stream in streams:
-                stream.close()
-        self._idle.clear()
+        for address in list(self._idle):
+            self._drop_idle(address)
         self._client.close()
 
+    def _drop_idle(self, address: str) -> None:
+        for stream in self._idle.pop(address, ()):
+            stream.close()
+
     async def start_call(
         self,
         address: str,
@@ -87,6 +90,8 @@
         :param may_send: called once a connection is open; nothing is awaited
             between its return and the first byte of the call.
         :returns: the response, whose body is not read yet, or the failure.
+            A call is sent once: whether it may run again is the caller's to
+            judge.
         """
         stream = (
             None if call.needs_new_connection else self._take_idle(address)
@@ -110,15 +115,11 @@
             is not endpoint_response.EndpointFailureReason.BROKEN
         ):
             return response
-        # The endpoint may have closed the idle connection: use a new one.
-        call.needs_new_connection = True
-        retried = await self.start_call(address, call, timeout_ms, may_send)
-        if isinstance(retried, endpoint_response.EndpointResponse):
-            return retried
-        # The first connection may also have broken because the endpoint
-        # crashed while it ran the call.
+        # The others have probably ended with it.
+        self._drop_idle(address)
         return failures.Failure(
-            endpoint_response.EndpointFailureReason.BROKEN, retried.detail
+            endpoint_response.EndpointFailureReason.KEPT_BROKEN,
+            response.detail,
         )
 
     async def _send(
@@ -190,8 +191,9 @@
         idle = self._idle.get(address)
         while idle:
             stream = idle.pop()
-            if not stream.closed():
+            if _is_usable(stream):
                 return stream
+            stream.close()
         return None
 
     async def _connect(
@@ -258,6 +260,22 @@
         }
 
 
+def _is_usable(stream: iostream.IOStream) -> bool:
+    """Return whether an idle connection is open and has no bytes to read.
+
+    The stream itself doesn't notice its end while nobody reads from it.
+    """
+    if stream.closed():
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def _write_call(
     address: str,
     stream: iostream.IOStream,
--- a/filbertglade/requests/endpoint_response.py
+++ b/filbertglade/requests/endpoint_response.py
@@ -27,6 +27,9 @@
     UNREACHABLE = 'unreachable'
     # The connection broke after the request, or a part of it, was sent.
     BROKEN = 'broken'
+    # A connection that had been kept broke before the head of the response:
+    # the endpoint had closed it when idle, or it crashed under the call.
+    KEPT_BROKEN = 'kept-broken'
     # Nothing was received within the time-out.
     TIMED_OUT = 'timed-out'
     # `may_send` refused the call before any of it was sent.
--- a/tests/requests/test_kept_connections.py
+++ b/tests/requests/test_kept_connections.py
@@ -92,11 +92,14 @@
 
     :ivar idle_s: for how long.
     :ivar closed: number of connections closed.
+    :ivar is_late: whether it closes a connection as its second request
+        arrives, in place of earlier.
     """
 
     def __init__(self, node):
         self.idle_s = 0.05
         self.closed = 0
+        self.is_late = False
         self._listener = socket.create_server(('127.0.0.1', 0))
         host, port = self._listener.getsockname()
         self._announcer = announcing.Announcer(
@@ -125,8 +128,13 @@
             connection.settimeout(20)
             while b'\r\n\r\n' in connection.recv(65_536):
                 connection.sendall(OK)
+                if self.is_late:
+                    connection.settimeout(20)
+                    connection.recv(65_536)
+                    break
                 connection.settimeout(self.idle_s)
-            return
+            else:
+                return
         self.closed += 1
 
 
@@ -160,3 +168,15 @@
         assert ask(node).headers['X-Outcome'] == 'complete'
     assert closing.closed >= CLOSED_CALLS
     assert before == (count(node, 'retries'), count(node, 'retries_denied'))
+
+
+# Guards against a request that fails since the worker closed its connection
+# just as it was sent.
+def test_request_on_a_connection_that_is_being_closed_is_retried(
+    node, closing
+):
+    closing.is_late = True
+    assert ask(node).status_code == 200
+    before = count(node, 'retries'), closing.closed
+    assert ask(node).headers['X-Outcome'] == 'complete'
+    assert before == (count(node, 'retries') - 1, closing.closed - 1)
