--- a/filbertglade/requests/attempt_failure.py
+++ b/filbertglade/requests/attempt_failure.py
@@ -14,6 +14,8 @@
     :param may_resume: whether the endpoint may still hold the run, so that
         its stream can be resumed.
     :param is_final: whether the request must not be retried.
+    :param is_unsent: whether nothing was sent, since the endpoint made a
+        statement after it was chosen.
     :param retry_after_ms: after how many milliseconds the caller may retry.
     """
 
@@ -21,4 +23,5 @@
     detail: str = ''
     may_resume: bool = False
     is_final: bool = False
+    is_unsent: bool = False
     retry_after_ms: int = outcomes.RETRY_AFTER_MS
--- a/filbertglade/requests/dispatch.py
+++ b/filbertglade/requests/dispatch.py
@@ -67,12 +67,16 @@
         """
         chosen_ms = clock.now_ms()
         is_stale = False
+        is_permitted = True
 
         def may_send() -> bool:
-            nonlocal is_stale
+            nonlocal is_stale, is_permitted
             # After a pause of the process the endpoint must be chosen again.
             is_stale = clock.now_ms() - chosen_ms > CHOICE_VALID_MS
-            if is_stale or not self._permission.begin_dispatch():
+            is_permitted = self._choice.may_send(candidate, is_resumption)
+            if is_stale or not is_permitted:
+                return False
+            if not self._permission.begin_dispatch():
                 return False
             self.was_sent = True
             return True
@@ -83,6 +87,9 @@
             candidate.address, call, timeout_ms, may_send
         )
         if not isinstance(response, failures.Failure):
+            self._context.permitted.read(
+                candidate, response.status, response.headers
+            )
             return response
         if (
             response.reason
@@ -91,7 +98,9 @@
             return attempt_failure.AttemptFailure(
                 Reason.NO_ENDPOINT,
                 'the request was not sent in time',
-                is_final=not is_stale,
+                is_final=is_permitted and not is_stale,
+                is_unsent=not is_permitted,
+                retry_after_ms=self._choice.retry_after_ms,
             )
         return await self._classify_no_response(
             candidate, response, is_resumption
@@ -197,12 +206,18 @@
             self._choice.exclude(candidate)
             if not self.may_have_run:
                 self._permission.undo_dispatch()
-            return attempt_failure.AttemptFailure(Reason.NO_ENDPOINT, detail)
+            return attempt_failure.AttemptFailure(
+                Reason.NO_ENDPOINT,
+                detail,
+                retry_after_ms=self._choice.retry_after_ms,
+            )
         if is_error:
             self._choice.exclude(candidate)
             self.may_have_run = True
             return attempt_failure.AttemptFailure(
-                Reason.ENDPOINT_FAILED, detail
+                Reason.ENDPOINT_FAILED,
+                detail,
+                retry_after_ms=self._choice.retry_after_ms,
             )
         if sent_status not in (None, response.status):
             self._choice.exclude(candidate)
--- a/filbertglade/requests/endpoint_choice.py
+++ b/filbertglade/requests/endpoint_choice.py
@@ -42,6 +42,8 @@
 
         :returns: whether there is one now that is not excluded.
         """
+        if self.is_withheld:
+            return False
         wait_ms = self._context.wait_limits.remaining_ms(self._request.target)
         end_ms = min(clock.now_ms() + wait_ms, self._request.deadline_ms)
         while (remaining_ms := end_ms - clock.now_ms()) > 0:
@@ -63,6 +65,7 @@
                 outcomes.RefusalReason.NO_ENDPOINT,
                 f'no endpoint serves {self._request.target!r} now',
                 is_final=True,
+                retry_after_ms=self.retry_after_ms,
             )
         self._context.wait_limits.note_served(self._request.target)
         self.candidate = candidate
@@ -72,7 +75,45 @@
 
     def _list_eligible(self) -> list[selection.Candidate]:
         listed = self._list_candidates()
-        return [item for item in listed if item.name not in self._excluded]
+        return self._context.permitted.select(
+            [item for item in listed if item.name not in self._excluded]
+        )
+
+    def _find_retry_after_ms(self) -> int | None:
+        return self._context.permitted.find_retry_after_ms(
+            self._list_candidates()
+        )
+
+    @property
+    def is_withheld(self) -> bool:
+        """Whether statements of all endpoints leave none to choose."""
+        return (
+            self._find_retry_after_ms() is not None
+            and not self._list_eligible()
+        )
+
+    @property
+    def retry_after_ms(self) -> int:
+        """After how many milliseconds a caller who is refused may retry."""
+        return self._find_retry_after_ms() or outcomes.RETRY_AFTER_MS
+
+    def may_send(
+        self, candidate: selection.Candidate, is_resumption: bool
+    ) -> bool:
+        """Return whether a chosen endpoint may still be sent the request.
+
+        :param candidate: the endpoint.
+        :param is_resumption: whether the request resumes a run on it.
+        """
+        permitted = self._context.permitted
+        if permitted.is_paused(candidate):
+            return False
+        if is_resumption or not permitted.is_leaving(candidate):
+            return True
+        return any(
+            item.incarnation == candidate.incarnation
+            for item in self._list_eligible()
+        )
 
     def _list_candidates(self) -> list[selection.Candidate]:
         request = self._request
--- a/filbertglade/requests/execution.py
+++ b/filbertglade/requests/execution.py
@@ -172,10 +172,12 @@
         )
         if failure.is_final or not (may_run_again or failure.may_resume):
             return refusal
-        if self._retries >= retry_budget.MAX_RETRIES:
-            return refusal
         if self._is_body_started and not self._can_continue(failure):
             return refusal
+        if failure.is_unsent and self._remaining_ms() > 0:
+            return None
+        if self._retries >= retry_budget.MAX_RETRIES:
+            return refusal
         if self._crashes and not failure.may_resume:
             await self._wait_for_strike_relay()
             obstacle = self._context.strikes.find_obstacle(
@@ -183,6 +185,11 @@
             )
             if obstacle is not None:
                 return dataclasses.replace(obstacle, outcome=self.outcome)
+        if self._choice.is_withheld and not failure.may_resume:
+            # A retry would be sent nowhere.
+            return dataclasses.replace(
+                refusal, retry_after_ms=self._choice.retry_after_ms
+            )
         if self._remaining_ms() <= 0 or not self._context.budget.take():
             return refusal
         self._retries += 1
--- a/filbertglade/requests/execution_context.py
+++ b/filbertglade/requests/execution_context.py
@@ -7,6 +7,7 @@
 from filbertglade.observability import metrics
 from filbertglade.requests import endpoint_pool
 from filbertglade.requests import endpoint_wait
+from filbertglade.requests import permitted_endpoints
 from filbertglade.requests import retry_budget
 from filbertglade.requests import strikes
 from filbertglade.routing import selection
@@ -24,6 +25,7 @@
     :param selector: the policy that chooses endpoints.
     :param budget: the retry budget.
     :param strikes: the strikes of requests.
+    :param permitted: which endpoints may be sent requests.
     :param wait_limits: until when requests wait for an endpoint.
     :param counters: the process's metrics.
     """
@@ -35,5 +37,6 @@
     selector: selection.Selector
     budget: retry_budget.RetryBudget
     strikes: strikes.StrikeTracker
+    permitted: permitted_endpoints.PermittedEndpoints
     wait_limits: endpoint_wait.EndpointWaitLimits
     counters: metrics.Metrics
--- a/filbertglade/requests/request_runner.py
+++ b/filbertglade/requests/request_runner.py
@@ -9,6 +9,8 @@
 from filbertglade.admission import permits
 from filbertglade import clock
 from filbertglade.control import submitter
+from filbertglade.fleet import dialects
+from filbertglade.fleet import statements
 from filbertglade.inner import channels
 from filbertglade.membership import attachment
 from filbertglade.membership import view
@@ -25,6 +27,7 @@
 from filbertglade.requests import execution_context
 from filbertglade.requests import in_flight_counter
 from filbertglade.requests import outcomes
+from filbertglade.requests import permitted_endpoints
 from filbertglade.requests import response_joins
 from filbertglade.requests import response_source
 from filbertglade.requests import retry_budget
@@ -93,6 +96,12 @@
             selector=policies.build_selector(settings, fleet, rng),
             budget=retry_budget.RetryBudget(counters),
             strikes=strikes.StrikeTracker(fleet, attached, counters),
+            permitted=permitted_endpoints.PermittedEndpoints(
+                statements.EndpointStatements(
+                    dialects.DEFAULT.leaving, counters, rng
+                ),
+                rng,
+            ),
             wait_limits=endpoint_wait.EndpointWaitLimits(settings),
             counters=counters,
         )
--- a/filbertglade/routing/selection.py
+++ b/filbertglade/routing/selection.py
@@ -46,6 +46,11 @@
         """The endpoint's key, by which its history is kept."""
         return EndpointKey(self.name, self.epoch)
 
+    @property
+    def incarnation(self) -> str:
+        """Identifies the process that takes its requests."""
+        return f'{self.host}/{self.run}'
+
 
 @dataclasses.dataclass(slots=True)
 class RequestFeatures:
