--- a/filbertglade/fleet/statements.py
+++ b/filbertglade/fleet/statements.py
@@ -24,6 +24,10 @@
 # Most endpoints of which a statement is remembered: several times those of
 # the largest fleet.
 MAX_ENDPOINTS = 4096
+# How long the last endpoint of a service is sent requests after its answers
+# say that it leaves, in ms. Endpoints serve for twice as long at least, so a
+# request that arrives by then is answered.
+LAST_ENDPOINT_MS = 1000
 # How long it is kept that an endpoint leaves, in ms: longer than any takes to
 # end. Without an end an incarnation that has no start time, and returns under
 # the same id, would never be used again.
@@ -201,6 +205,14 @@
         age_ms = clock.now_ms() - at_ms
         return age_ms if age_ms < LEAVING_KEPT_MS else None
 
+    def is_last_resort(self, endpoint: str) -> bool:
+        """Return whether an endpoint that leaves is sent what no other takes.
+
+        :param endpoint: its incarnation key.
+        """
+        age_ms = self.find_leaving_age_ms(endpoint)
+        return age_ms is not None and age_ms < LAST_ENDPOINT_MS
+
     def find_pause_ms(self, endpoint: str) -> int:
         """Return how long an endpoint wants nothing from this host, in ms.
 
--- a/filbertglade/forwarding/evidence.py
+++ b/filbertglade/forwarding/evidence.py
@@ -24,10 +24,6 @@
 from filbertglade.forwarding import upstream
 from filbertglade.observability import metrics
 
-# How long the last endpoint of a service is sent requests after its answers
-# say that it leaves, in ms. Endpoints serve for twice as long at least, so a
-# request that arrives by then is answered.
-LAST_ENDPOINT_MS = 1000
 # Retry-After times of refusals, in s. A group is repaired within one to two
 # seconds; a slot becomes free within a fraction of a second.
 REPAIR_RETRY_AFTER_S = 1.2
@@ -258,8 +254,7 @@
 
         :param target: the endpoint, or the head of the replica.
         """
-        age_ms = self._statements.find_leaving_age_ms(target.key)
-        return age_ms is not None and age_ms < LAST_ENDPOINT_MS
+        return self._statements.is_last_resort(target.key)
 
     def is_returning(self, target: targets.Target) -> bool:
         """Return whether other targets go before one after its pause.
--- a/filbertglade/requests/permitted_endpoints.py
+++ b/filbertglade/requests/permitted_endpoints.py
@@ -7,9 +7,6 @@
 from filbertglade.requests import outcomes
 from filbertglade.routing import selection
 
-# For this long after it first stated that it leaves, an endpoint is sent
-# requests if no other one may be, in ms.
-LAST_ENDPOINT_MS = 1000
 # Callers that are refused together are told times up to so much longer than
 # that until the next endpoint may be asked.
 RETRY_SPREAD = 0.25
@@ -74,8 +71,8 @@
                 staying.append(item)
             elif stated.find_pause_ms(key):
                 continue
-            elif (age_ms := stated.find_leaving_age_ms(key)) is not None:
-                if age_ms < LAST_ENDPOINT_MS:
+            elif self.is_leaving(item):
+                if stated.is_last_resort(key):
                     last.append(item)
             elif stated.is_returning(key):
                 returning.append(item)
