Count the reading of documents, not its wait for a core

test_large_document_reaches_all_hosts_in_time[write_routes] took 2.51 s (bound 2.5) in one whole run at load 20 to 31. With one core for it and four busy processes it failed in 3 of 3 runs: 2.99, 3.09 and 3.14 s.

Cause: the 20 hosts of these tests share one process, whose one thread reads their documents one after the other. The link had carried all of it within 0.2 s; the other 2.8 to 3.0 s are 20 readings that used 0.46 to 0.49 s of processor time and waited for the core otherwise. In a deployment each host reads its own document in a process of its own.

Now a host's delay doesn't include the time in which, between the arrival of its document and the end of its reading, the shared process used no processor. All processor time counts as before, the readings of other hosts as well, and the bounds are the same: only a lack of cores makes the delay shorter. Time in which a reading sleeps would no longer count; none does.

--- a/tests/fleet/fleet_hosts.py
+++ b/tests/fleet/fleet_hosts.py
@@ -12,11 +12,13 @@
 import asyncio
 import collections
 import pathlib
+import time
 
 import httpx
 import psutil
 
 from filbertglade.commands import gateway as gateway_command
+from filbertglade.fleet import document
 from filbertglade.gateway import process
 from filbertglade.observability import line_writer
 from filbertglade.observability import logs
@@ -79,11 +81,71 @@
         )
 
 
+Usage = collections.namedtuple('Usage', 'at_s used_s')
+
+
+def measure_usage():
+    """Return the time and the processor time used by this process until now.
+
+    :returns: both, in s; the time is that of event loops.
+    """
+    return Usage(time.monotonic(), time.process_time())
+
+
+class Readings:
+    """The documents that the watching hosts have read.
+
+    All of them are read by one thread of the process that the hosts share, one
+    after the other, so that each wait for a core delays all hosts behind it.
+    """
+
+    def __init__(self):
+        self._readings = []
+        self._read_in_turn = document.read_in_turn
+
+    def install(self):
+        """Note from now on what is read."""
+        document.read_in_turn = self.read_in_turn
+
+    def remove(self):
+        """Undo :meth:`install`."""
+        document.read_in_turn = self._read_in_turn
+
+    async def read_in_turn(self, read, *arguments):
+        """Read a document as :func:`document.read_in_turn` does."""
+        began = measure_usage()
+
+        def read_and_measure():
+            return read(*arguments), measure_usage()
+
+        result, ended = await self._read_in_turn(read_and_measure)
+        self._readings.append((result, began, ended))
+        return result
+
+    def find_wait_s(self, index, since):
+        """Return how long a document's reading waited for a core, in s.
+
+        From the time at which the document was complete until it was read, the
+        thread always had work, on this document or on those before it: the
+        time in which the process used no processor, it had none.
+
+        :param index: the document.
+        :param since: the usage from which on waiting counts.
+        """
+        for result, began, ended in self._readings:
+            if result is index:
+                begin = max(began, since)
+                used_s = ended.used_s - begin.used_s
+                return max(0.0, ended.at_s - begin.at_s - used_s)
+        return 0.0
+
+
 class WatchingHost:
     """An entry host in the test's event loop.
 
     :ivar versions: the document versions it had, each with the loop's time
         at which it was first seen.
+    :ivar indexes: the documents, by version.
     :ivar endpoints: when each endpoint was first seen, by its id.
     """
 
@@ -91,6 +153,7 @@
         self.name = name
         self.host = host
         self.versions = []
+        self.indexes = {}
         self.endpoints = {}
         self._path = path
         self._process = None
@@ -117,6 +180,7 @@
         """Note what has changed in the host's view."""
         if self.view.version != self.version:
             self.versions.append((self.view.version, now_s))
+            self.indexes[self.view.version] = self.view.index
         for endpoint in self.view.endpoints.values():
             self.endpoints.setdefault(endpoint.id, now_s)
 
@@ -179,10 +243,12 @@
             self.watchers.append(WatchingHost(name, host, written.path))
         self.links = bounded_links.Links(rates)
         self.client = httpx.AsyncClient(timeout=10, follow_redirects=True)
+        self.readings = Readings()
         self._observing = None
         self._next_port = 1
 
     async def __aenter__(self):
+        self.readings.install()
         try:
             await self._start()
         except BaseException:
@@ -202,6 +268,7 @@
         assert await self.wait_until(self._has_first_state, READY_S)
 
     async def __aexit__(self, *error):
+        self.readings.remove()
         if self._observing is not None:
             self._observing.cancel()
         for watcher in self.watchers:
