Watch an endpoint that still listens when its response breaks off

An endpoint may break off a response and crash a little later. The host's only look at its address came before, showed a process that listens, and left the crash to the leader, which knows it when the endpoint is back or silent: 1 to 2 s later. Repeats reached other endpoints meanwhile.

The look leaves a connection open and keeps it. The host now waits for its closing, for 2 s, and looks again: an address that refuses then is a strike at once. It asks for no other connection while the endpoint lives, and looks at most three times if the endpoint closes connections by itself. As at the leader an answer that came after the response broke off outweighs the strike, and an endpoint that left gives none.

--- a/filbertglade/fleet/crash_reports.py
+++ b/filbertglade/fleet/crash_reports.py
@@ -48,17 +48,27 @@
         self._ends: list[fleet_pb2.TrialEnd] = []
 
     def report_strike(
-        self, digest: bytes, endpoint: str, trial: int = 0
+        self,
+        digest: bytes,
+        endpoint: str,
+        trial: int = 0,
+        broken_ms: int | None = None,
     ) -> None:
         """Report that an endpoint crashed under a request.
 
         :param digest: the request's digest.
         :param endpoint: the endpoint's incarnation key.
         :param trial: the trial in which it was sent; 0 for none.
+        :param broken_ms: local clock when the response broke off; None for
+            now. An answer after this time outweighs the strike.
         """
-        self._struck.add_strike(digest, endpoint, is_trial=bool(trial))
+        now_ms = clock.now_ms()
+        noted_ms = now_ms if broken_ms is None else broken_ms
+        self._struck.add_strike(
+            digest, endpoint, now_ms - noted_ms, is_trial=bool(trial)
+        )
         self._forget_running(digest)
-        self._strikes[digest, endpoint] = (clock.now_ms(), trial)
+        self._strikes[digest, endpoint] = (noted_ms, trial)
         _drop_oldest(self._strikes)
         self._notify()
 
--- a/filbertglade/forwarding/containment.py
+++ b/filbertglade/forwarding/containment.py
@@ -72,6 +72,7 @@
         self._check = check
         self._faults = faults
         self._tasks = tasks.TaskGroup()
+        self._view = fleet_view
         self._struck = fleet_view.struck
         self._reports = reports
         self._counters = counters
@@ -192,18 +193,42 @@
     async def _judge(
         self, digest: bytes, target: choice.Target, trial: int
     ) -> None:
-        sign = await self._check.look_at(target)
-        log.change(
-            'endpoint.looked_at',
-            digest=digest.hex(),
-            endpoint=target.key,
-            sign=sign.value,
-        )
-        if sign is crash_check.EndpointSign.ENDED:
-            self._faults.record(target, sign.value)
+        broken_ms = clock.now_ms()
+        look = await self._check.look(target)
+        _log_sign(digest, target, look.sign)
+        if look.sign is crash_check.EndpointSign.ENDED:
+            self._faults.record(target, look.sign.value)
             self._reports.report_strike(digest, target.key, trial)
             return
         self._report_broken(digest, target, trial)
+        if look.sign is crash_check.EndpointSign.LISTENING:
+            self._tasks.start(
+                self._watch(digest, target, trial, look, broken_ms)
+            )
+
+    async def _watch(
+        self,
+        digest: bytes,
+        target: choice.Target,
+        trial: int,
+        look: crash_check.Look,
+        broken_ms: int,
+    ) -> None:
+        """Count a crash that comes after the response broke off.
+
+        The leader would find it as well, but only when the endpoint is back or
+        has been silent for long; repeats would crash others until then. It
+        judges alone where it knows that the endpoint left.
+        """
+        if not await self._check.wait_for_end(target, look):
+            return
+        endpoint = self._view.endpoints.get(target.key)
+        if endpoint is None or endpoint.leaving:
+            return
+        sign = crash_check.EndpointSign.ENDED
+        _log_sign(digest, target, sign)
+        self._faults.record(target, sign.value)
+        self._reports.report_strike(digest, target.key, trial, broken_ms)
 
     def record_silence(
         self, digest: bytes, target: choice.Target, permission: Permission
@@ -246,3 +271,14 @@
     async def close(self) -> None:
         """Stop looking at endpoints."""
         await self._tasks.close()
+
+
+def _log_sign(
+    digest: bytes, target: choice.Target, sign: crash_check.EndpointSign
+) -> None:
+    log.change(
+        'endpoint.looked_at',
+        digest=digest.hex(),
+        endpoint=target.key,
+        sign=sign.value,
+    )
--- a/filbertglade/forwarding/crash_check.py
+++ b/filbertglade/forwarding/crash_check.py
@@ -1,8 +1,10 @@
 """Checks whether an endpoint crashed when a response broke off."""
 
 import asyncio
+import dataclasses
 import enum
 
+from filbertglade import clock
 from filbertglade import failures
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import upstream
@@ -10,6 +12,13 @@
 # How long a new connection must stay open to show that the endpoint runs, in
 # ms: the kernel may still accept connections for a process that is ending.
 SETTLE_MS = 50
+# How long the end of an endpoint that listens is waited for, in ms: one that
+# answers and crashes does so within this time, and later the leader has missed
+# its announcements.
+WATCH_MS = 2000
+# Most looks at an address in this time: an endpoint may close connections that
+# it doesn't use.
+MAX_WATCH_LOOKS = 3
 
 
 class EndpointSign(enum.Enum):
@@ -25,6 +34,19 @@
     UNKNOWN = 'unreachable'
 
 
+@dataclasses.dataclass(slots=True)
+class Look:
+    """A look at an endpoint's address.
+
+    :param sign: what it shows.
+    :param closing: done when the connection that was left open has closed;
+        None if none was left open.
+    """
+
+    sign: EndpointSign
+    closing: asyncio.Future[None] | None = None
+
+
 class CrashCheck:
     """Looks at endpoints' addresses, once for all broken responses.
 
@@ -33,11 +55,18 @@
 
     def __init__(self, pool: upstream.UpstreamPool) -> None:
         self._pool = pool
-        self._checks: dict[str, asyncio.Task[EndpointSign]] = {}
+        self._checks: dict[str, asyncio.Task[Look]] = {}
 
     async def look_at(self, target: choice.Target) -> EndpointSign:
         """Find out whether an endpoint still listens.
 
+        :param target: the endpoint.
+        """
+        return (await self.look(target)).sign
+
+    async def look(self, target: choice.Target) -> Look:
+        """Look at an endpoint's address.
+
         :param target: the endpoint.
         """
         check = self._checks.get(target.key)
@@ -49,19 +78,44 @@
             check.add_done_callback(lambda _: self._checks.pop(target.key))
         return await asyncio.shield(check)
 
-    async def _connect(self, target: choice.Target) -> EndpointSign:
+    async def wait_for_end(self, target: choice.Target, look: Look) -> bool:
+        """Wait a while for the end of an endpoint that was found to listen.
+
+        A process that crashes may have closed or answered a request some time
+        before. The connection that the look left open shows when it ends.
+
+        :param target: the endpoint.
+        :param look: the look that found it listening.
+        :returns: whether it has ended.
+        """
+        end_ms = clock.now_ms() + WATCH_MS
+        for _ in range(MAX_WATCH_LOOKS):
+            if look.closing is None:
+                break
+            left_ms = max(0, end_ms - clock.now_ms())
+            await asyncio.wait([look.closing], timeout=left_ms / 1000)
+            if not look.closing.done():
+                break
+            look = await self.look(target)
+        return look.sign is EndpointSign.ENDED
+
+    async def _connect(self, target: choice.Target) -> Look:
         connection = await self._pool.connect(target.key, target.address)
         if isinstance(connection, upstream.Connection):
             connection.watch()
             await asyncio.sleep(SETTLE_MS / 1000)
             if connection.is_clean:
+                closing = asyncio.get_running_loop().create_future()
+                connection.stream.set_close_callback(
+                    lambda: closing.set_result(None)
+                )
                 self._pool.keep(connection)
-                return EndpointSign.LISTENING
+                return Look(EndpointSign.LISTENING, closing)
             connection.close()
             connection = await self._pool.connect(target.key, target.address)
         if isinstance(connection, failures.Failure):
             if connection.reason is upstream.UpstreamReason.REFUSED:
-                return EndpointSign.ENDED
-            return EndpointSign.UNKNOWN
+                return Look(EndpointSign.ENDED)
+            return Look(EndpointSign.UNKNOWN)
         connection.close()
-        return EndpointSign.LISTENING
+        return Look(EndpointSign.LISTENING)
