Don't take a failure without a stated end for an answer

A worker answers 500 without a length, closes the connection, and crashes 250 ms later. The last try's failure is passed on; its worker still listened when it was looked at, so the request counted as answered, which clears its strikes on all hosts.

Such a failure now counts like one that broke off: it proves nothing, its endpoint is looked at and watched, and a crash is a strike.

--- a/filbertglade/forwarding/attempt.py
+++ b/filbertglade/forwarding/attempt.py
@@ -263,7 +263,10 @@
         except (events.EventTooLong, upstream.UnstatedEnd) as error:
             self._log_broken(connection, str(error))
             return AttemptOutcome.CUT, False
-        if self._delivery.is_survival_known:
+        if head.status >= 500 and not head.has_stated_end:
+            # It may have crashed while it wrote this, or be about to.
+            self._sign = evidence.Sign.BROKEN_FAILURE
+        elif self._delivery.is_survival_known:
             self._sign = evidence.Sign.SURVIVED
         self._log_response(connection, head)
         return AttemptOutcome.ANSWERED, connection.is_reusable(head)
