Test a moved stream whose only other group turns it away

A member of a group leaves, and a host moves a stream of that group to the other one, whose head turns it away for a moment. The stream is cut at once, though its caller waits for the rest and most of its time is left.

--- a/tests/platform/test_answers_without_length.py
+++ b/tests/platform/test_answers_without_length.py
@@ -22,6 +22,8 @@
 LONG_BODY = b'0123456789abcdef' * 196_608
 LONG_PART_BYTES = 1_600_000
 EVENTS = 6
+# Events of a stream that its host moves to another group.
+MOVED_EVENTS = 60
 STOPS_AT = 3
 # Longest time from an event's sending to its arrival: pass_ms of the users'
 # pages is 120 ms; the rest is for busy machines.
@@ -95,6 +97,9 @@
 EVENT_STREAM = b''.join(build_event(number) for number in range(1, EVENTS + 1))
 
 
+MOVED_STREAM = b''.join(map(build_event, range(1, MOVED_EVENTS + 1)))
+
+
 class ScriptedWorker(deployment.Worker):
     """A worker that gives the next answer of a script that workers share.
 
@@ -718,9 +723,12 @@
         writer.close()
 
 
-# Guards against a stream without a length that looks complete when its host
-# leaves it to resume it elsewhere.
-async def test_stream_that_its_host_leaves_is_resumed(running):
+async def _move_stream(running, prepare=None):
+    """Let a member of the group leave that serves a long stream.
+
+    :param prepare: called with the other group's members before that.
+    :returns: the model workers, and the stream's response.
+    """
     for name in ('i-m3', 'i-m4'):
         await running.add_worker(endpoint_id=name, service='models')
     workers = [item for item in running.workers if item.service == 'models']
@@ -739,27 +747,63 @@
     await running.wait_until(are_both_used)
     for worker in workers:
         worker.requests.clear()
-        worker.respond.events = 60
+        worker.respond.events = MOVED_EVENTS
         worker.respond.pause_s = 0.04
     streaming = asyncio.create_task(send())
-    await running.wait_until(_is_any_used(workers))
+
+    async def is_any_used():
+        return any(item.requests for item in workers)
+
+    await running.wait_until(is_any_used)
     (head,) = [item for item in workers if item.requests]
-    (member,) = [
+    members = [
         item
         for item in workers
-        if item is not head
-        and item.group
-        and item.group['name'] == head.group['name']
+        if item.group and item.group['name'] == head.group['name']
     ]
+    if prepare is not None:
+        prepare([item for item in workers if item not in members])
+    (member,) = [item for item in members if item is not head]
     member.state = 'leaving'
     await member.announce()
-    response = await streaming
-    assert response.content == b''.join(map(build_event, range(1, 61)))
+    return workers, await streaming
+
+
+# Guards against a stream without a length that looks complete when its host
+# leaves it to resume it elsewhere.
+async def test_stream_that_its_host_leaves_is_resumed(running):
+    workers, response = await _move_stream(running)
+    assert response.content == MOVED_STREAM
     assert sum(bool(item.requests) for item in workers) == 2
 
 
-def _is_any_used(workers):
-    async def is_any_used():
-        return any(item.requests for item in workers)
+class TurningStreamer(BareStreamer):
+    """Turns the first request away for a time."""
+
+    retry_after_s = 0.5
+    turned_s = None
+
+    async def __call__(self, writer, headers):
+        if self.turned_s is not None:
+            await super().__call__(writer, headers)
+            return
+        self.turned_s = time.monotonic()
+        self.worker.requests.clear()
+        writer.write(
+            'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n'
+            f'X-Request-Id: {headers["X-Request-Id"]}\r\n'
+            f'Retry-After: {self.retry_after_s}\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
+        )
 
-    return is_any_used
+
+# Guards against a stream that is cut while its caller could still get the rest
+# of it, as the only other group wants no requests for a moment.
+async def test_stream_that_is_turned_away_is_resumed_later(running):
+    def prepare(others):
+        for worker in others:
+            worker.respond = TurningStreamer(worker, MOVED_EVENTS)
+
+    workers, response = await _move_stream(running, prepare)
+    assert response.content == MOVED_STREAM
+    assert sum(bool(item.requests) for item in workers) == 2
