Let a started response wait for a target rather than be cut

Callers lost streams of which they had a part. A member of a group left, the leader formed the group again, and the host moved the stream to the only other group; that turned it away (503 with Retry-After), and with no target left the host cut the response at once, with 2.6 of 3 s left to its deadline. The first group served again within a second, but a tried one wasn't asked again.

Once a response has started, a host now looks for a target every 100 ms until the deadline, and asks tried ones too if nothing speaks against them any more. The attempts that a route allows and the quota of retries stay as they are, and so do responses that have not started: they are refused at once.

The log says request.waited.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -15,10 +15,13 @@
 from filbertglade.forwarding import request_record
 from filbertglade.forwarding import server
 from filbertglade.forwarding import stall_detection
+from filbertglade.forwarding import targets
 
 # Attempts beyond the route's limit, which only counts those that may have run
 # the request.
 EXTRA_ATTEMPTS = 3
+# Interval between looks for a target while a response waits for one, in ms.
+TARGET_POLL_MS = 100
 # Largest part by which the Retry-After of a refusal is changed at random.
 RETRY_SPREAD = 0.25
 # Digits of the longest number that is read from a header: every time and count
@@ -183,6 +186,11 @@
                 break
             demand = self._build_demand(route)
             target = self._context.chooser.choose(demand, self._tried)
+            if (
+                isinstance(target, evidence.NoTarget)
+                and self._request.is_response_started
+            ):
+                target = await self._wait_for_target(route, target)
             if isinstance(target, evidence.NoTarget):
                 self._give_up_without_target(outcome, target)
                 return
@@ -216,6 +224,35 @@
             retry_s = evidence.OVERLOAD_RETRY_AFTER_S
         self._give_up(outcome, 'tries used up', retry_s)
 
+    async def _wait_for_target(
+        self, route: document.Route, failure: evidence.NoTarget
+    ) -> targets.Target | evidence.NoTarget:
+        """Wait until a response that has started can be resumed.
+
+        A response that is cut is lost, with what its caller has of it. Targets
+        that were tried may be asked again once nothing speaks against them.
+
+        :param failure: why there is no target now.
+        :returns: the target, or why there was none until the deadline.
+        """
+        start_ms = clock.now_ms()
+        target: targets.Target | evidence.NoTarget = failure
+        while isinstance(target, evidence.NoTarget):
+            left_ms = self._remaining_ms() - context.MIN_REMAINING_MS
+            if left_ms <= 0:
+                break
+            await asyncio.sleep(min(TARGET_POLL_MS, left_ms) / 1000)
+            target = self._context.chooser.choose(
+                self._build_demand(route), ()
+            )
+        self._record.write(
+            'request.waited',
+            reason=str(failure),
+            waited_ms=clock.now_ms() - start_ms,
+            left_ms=self._remaining_ms(),
+        )
+        return target
+
     async def _try(
         self,
         clearance: evidence.Clearance,
