Bound the wait of a started response for a target

A response that can't be resumed was held until its deadline before it was cut. Within the time in which a lost member is detected and its group repaired a target comes, or none will; its caller then learns at once that the rest is lost.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -11,6 +11,7 @@
 from filbertglade.forwarding import context
 from filbertglade.forwarding import delivery
 from filbertglade.forwarding import evidence
+from filbertglade.forwarding import faults
 from filbertglade.forwarding import lookup
 from filbertglade.forwarding import request_record
 from filbertglade.forwarding import server
@@ -20,7 +21,10 @@
 # Attempts beyond the route's limit, which only counts those that may have run
 # the request.
 EXTRA_ATTEMPTS = 3
-# Interval between looks for a target while a response waits for one, in ms.
+# How long a response that has started waits for a target, in ms: within this
+# time a lost member is detected and its group repaired. Interval between looks
+# for one.
+MAX_TARGET_WAIT_MS = faults.FAULT_EXCLUSION_MS
 TARGET_POLL_MS = 100
 # Largest part by which the Retry-After of a refusal is changed at random.
 RETRY_SPREAD = 0.25
@@ -233,12 +237,16 @@
         that were tried may be asked again once nothing speaks against them.
 
         :param failure: why there is no target now.
-        :returns: the target, or why there was none until the deadline.
+        :returns: the target, or why there was none for
+            :data:`MAX_TARGET_WAIT_MS` or until the deadline.
         """
         start_ms = clock.now_ms()
         target: targets.Target | evidence.NoTarget = failure
         while isinstance(target, evidence.NoTarget):
-            left_ms = self._remaining_ms() - context.MIN_REMAINING_MS
+            left_ms = min(
+                self._remaining_ms() - context.MIN_REMAINING_MS,
+                start_ms + MAX_TARGET_WAIT_MS - clock.now_ms(),
+            )
             if left_ms <= 0:
                 break
             await asyncio.sleep(min(TARGET_POLL_MS, left_ms) / 1000)
