--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -20,6 +20,9 @@
 ENDED_RETENTION_MS = 120_000
 # Time without an announcement after which an entry is removed, in ms.
 FORGET_MS = 45_000
+# Most endpoints that are remembered as leaving before their announcements
+# arrive: several times those of the largest fleet.
+MAX_EARLY_LEAVING = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +66,9 @@
         self._ended_ms: dict[str, int] = {}
         # Ended incarnations that had not announced that they leave.
         self._crashed: set[str] = set()
+        # Incarnations that are leaving though they haven't announced
+        # themselves here yet, by the local clock, the oldest first.
+        self._early_leaving_ms: dict[str, int] = {}
         self.removed_versions: dict[str, int] = {}
         self.version = 0
         # Local clock when the newest incarnation was added.
@@ -188,6 +194,29 @@
         self._remove(key, 'departed')
         self._publish_change()
 
+    def mark_leaving(self, key: str, source: str) -> None:
+        """Mark an endpoint leaving until its incarnation ends.
+
+        No announcement takes it back: an endpoint that has begun to leave
+        ends, and announcements may have been sent before.
+
+        :param key: its incarnation key.
+        :param source: the host to which it said so, for the log.
+        """
+        if key in self._ended_ms:
+            return
+        entry = self.entries.get(key)
+        if entry is None:
+            if len(self._early_leaving_ms) >= MAX_EARLY_LEAVING:
+                del self._early_leaving_ms[next(iter(self._early_leaving_ms))]
+            self._early_leaving_ms[key] = clock.now_ms()
+            return
+        if entry.endpoint.leaving:
+            return
+        entry.endpoint.leaving = True
+        log.change('endpoint.said_leaving', endpoint=key, source=source)
+        self._mark_changed(entry)
+
     def has_crashed(self, key: str) -> bool:
         """Return whether an incarnation seems to have crashed.
 
@@ -242,6 +271,10 @@
 
     def _add(self, endpoint: fleet_pb2.Endpoint) -> None:
         key = endpoints.get_key(endpoint)
+        early_ms = self._early_leaving_ms.pop(key, None)
+        if early_ms is not None:
+            age_ms = clock.now_ms() - early_ms
+            endpoint.leaving |= age_ms < ENDED_RETENTION_MS
         entry = EndpointEntry(endpoint, clock.now_ms())
         self.entries[key] = entry
         self._key_by_id[endpoint.id] = key
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -11,6 +11,7 @@
 from filbertglade.fleet import crash_reports
 from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
+from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.inner import channels
 from filbertglade.inner import fleet_grpc
@@ -88,6 +89,10 @@
         self._suspicions: list[fleet_pb2.Suspicion] = []
         # By endpoint, with the local clock at the answer that named it.
         self._limits: dict[str, tuple[int, fleet_pb2.EndpointLimit]] = {}
+        # Endpoints that have said that they leave, by the local clock when
+        # they did, and those of which the watched leader hasn't been told.
+        self._leaving_ms: dict[str, int] = {}
+        self._unreported_leaving: set[str] = set()
         self._urgent_change = asyncio.Event()
         self.crashes = crash_reports.CrashReports(
             fleet_view.struck, self._urgent_change.set
@@ -140,6 +145,30 @@
         self._limits[limit.endpoint] = (clock.now_ms(), limit)
         self._urgent_change.set()
 
+    def report_leaving(self, endpoint: str) -> None:
+        """Report to the leader that an endpoint says that it leaves.
+
+        :param endpoint: its incarnation key.
+        """
+        if len(self._leaving_ms) >= statements.MAX_ENDPOINTS:
+            del self._leaving_ms[next(iter(self._leaving_ms))]
+        self._leaving_ms[endpoint] = clock.now_ms()
+        self._unreported_leaving.add(endpoint)
+        self._urgent_change.set()
+
+    def _report_known_departures(self) -> None:
+        """Let the next report name all departures for a new leader.
+
+        It knows of the announced ones only.
+        """
+        end_ms = clock.now_ms() - statements.LEAVING_KEPT_MS
+        self._leaving_ms = {
+            endpoint: said_ms
+            for endpoint, said_ms in self._leaving_ms.items()
+            if said_ms > end_ms
+        }
+        self._unreported_leaving = set(self._leaving_ms)
+
     def _report_known_limits(self) -> None:
         """Let the next report name all limits for a new leader."""
         for endpoint, (named_ms, requests_per_s) in self._view.limits.items():
@@ -180,6 +209,7 @@
             async with stub.Watch.open() as stream:
                 self.crashes.start_stream()
                 self._report_known_limits()
+                self._report_known_departures()
                 report = self._build_report()
                 async with asyncio.timeout(FIRST_FRAME_TIMEOUT_MS / 1000):
                     await stream.send_message(report)
@@ -270,7 +300,7 @@
             return
 
     def _forget_reported(self, report: fleet_pb2.WatchReport) -> None:
-        """Forget the crashes and suspicions that the leader was sent."""
+        """Forget what the leader was sent."""
         self.crashes.forget_sent(report)
         del self._suspicions[: len(report.suspicions)]
         for limit in report.limits:
@@ -278,6 +308,7 @@
             # It may have been named anew while the report was sent.
             if current.requests_per_s == limit.requests_per_s:
                 del self._limits[limit.endpoint]
+        self._unreported_leaving.difference_update(report.leaving)
         _subtract(self.limited_demand, report.limited_demand)
         _subtract(self.unused_allowances, report.unused_allowances)
 
@@ -312,6 +343,7 @@
             unused_allowances=self.unused_allowances,
             requests=self.requests,
             has_view=bool(self._view.endpoints or self._view.replicas),
+            leaving=self._unreported_leaving,
         )
         now_ms = clock.now_ms()
         for named_ms, limit in self._limits.values():
