--- a/tests/platform/stating.py
+++ b/tests/platform/stating.py
@@ -149,11 +149,16 @@
         self.has_told.set()
         return stated
 
-    async def start_again(self, endpoint_id):
-        """End with all connections, and start anew at the same address."""
-        await self.close()
+    def close_abruptly(self):
+        """End with all connections."""
+        self.announcing.cancel()
+        self.server.close()
         for writer in self._writers:
             writer.transport.abort()
+
+    async def start_again(self, endpoint_id):
+        """End with all connections, and start anew at the same address."""
+        self.close_abruptly()
         await asyncio.sleep(0.3)
         self.endpoint_id = endpoint_id
         self.start_time_ms = int(time.time() * 1000)
--- a/tests/platform/test_endpoint_pauses.py
+++ b/tests/platform/test_endpoint_pauses.py
@@ -273,6 +273,137 @@
     assert callers.count_statuses().keys() == {200}, seen
 
 
+# Guards against endpoints that are all refused for as long as one of them
+# asked, and against header lines in another notation that are not read.
+async def test_each_endpoint_comes_back_at_its_own_time(four_stating):
+    lines = [
+        (1.0, 'Retry-After: 1.0'),
+        (2.0, 'retry-after: 2'),
+        (2.5, 'Retry-After:2.50'),
+        (3.0, 'RETRY-AFTER:   3.0  '),
+    ]
+    ends_s = []
+    for worker, (_, line) in zip(four_stating.workers, lines, strict=True):
+        worker.statement = stating.Statement(
+            f'{stating.NOT_RUN}{line}\r\n', stating.REFUSAL, (0,)
+        )
+    callers = stating.Callers(four_stating)
+    refused = await callers.send()
+    for worker, (pause_s, _) in zip(four_stating.workers, lines, strict=True):
+        assert len(worker.told_s[0]) == 1
+        ends_s.append(worker.told_s[0][0] + pause_s)
+        worker.statement = None
+    assert refused.status == 503
+    assert float(refused.retry_after) >= ends_s[0] - refused.ended_s - 0.01
+    sent = await callers.send_until(ends_s[-1] + 1, entries=(0,))
+    seen = callers.describe(*four_stating.workers)
+    for worker, (pause_s, _) in zip(four_stating.workers, lines, strict=True):
+        assert not list_within(worker, 0, pause_s, 0.0), (seen, pause_s)
+        # Within the part of the pause for which others go first, and after.
+        latest_s = worker.told_s[0][0] + pause_s * (1 + SPREAD) + USED_AGAIN_S
+        assert worker.list_arrivals(0, 0.0, latest_s), (seen, pause_s)
+    for call in sent:
+        if call.ended_s < ends_s[0]:
+            assert call.status == 503, seen
+            assert float(call.retry_after) >= ends_s[0] - call.ended_s - 0.01
+        elif call.sent_s > ends_s[0] + 0.1:
+            assert call.status == 200, seen
+
+
+# Guards against a stream that ends, or comes back, when an endpoint turns its
+# resumption away.
+async def test_resumption_that_is_turned_away_goes_on_elsewhere(four_stating):
+    for worker in four_stating.workers:
+        worker.streamer.breaks_at = 3
+    callers = stating.Callers(four_stating, '/stream/x')
+    sending = asyncio.create_task(callers.send())
+
+    async def has_begun():
+        return any(worker.arrivals for worker in four_stating.workers)
+
+    await four_stating.wait_until(has_begun, 5)
+    others = [item for item in four_stating.workers if not item.arrivals]
+    once = ask_for(PAUSE_S, count=1)
+    for worker in others:
+        worker.streamer.breaks_at = None
+        worker.streamer.pause_s = 0.02
+        worker.statement = once
+    call = await sending
+    assert stating.is_whole(call), call
+    (pausing,) = (item for item in others if item.told_s[0])
+    for worker in four_stating.workers:
+        worker.statement = None
+        worker.streamer.breaks_at = None
+    end_s = pausing.told_s[0][0] + PAUSE_S
+    callers.path = '/read/x'
+    await callers.send_until(end_s - 0.1, entries=(0,))
+    seen = describe_within(callers, pausing, PAUSE_S)
+    assert not list_within(pausing, 0, PAUSE_S), seen
+    assert callers.count_statuses().keys() == {200}, seen
+
+
+# Guards against a pause that is forgotten as its answer breaks off after the
+# head.
+async def test_pause_of_a_refusal_that_breaks_off_is_kept(four_stating):
+    worker = four_stating.workers[0]
+
+    async def break_off(writer, headers):
+        worker.told_s[0].append(time.monotonic())
+        worker.has_told.set()
+        writer.write(
+            f'HTTP/1.1 {stating.REFUSAL}\r\nContent-Length: 99\r\n'
+            f'X-Request-Id: {headers["X-Request-Id"]}\r\n{stating.NOT_RUN}'
+            f'Retry-After: {PAUSE_S}\r\n\r\npart'.encode()
+        )
+        await writer.drain()
+        writer.transport.abort()
+
+    worker.respond = break_off
+    callers = stating.Callers(four_stating)
+    sending = asyncio.create_task(callers.send_for(PAUSE_S, entries=(0,)))
+    await worker.has_told.wait()
+    await asyncio.sleep(stating.ON_THE_WAY_S)
+    worker.respond = None
+    await sending
+    seen = describe_within(callers, worker, PAUSE_S)
+    assert not list_within(worker, 0, PAUSE_S), seen
+    assert callers.count_statuses().keys() == {200}, seen
+
+
+# Guards against a pause that outlasts the endpoint that asked for it.
+async def test_next_incarnation_is_used_during_the_pause(four_stating):
+    worker = four_stating.workers[0]
+    worker.statement = ask_for(600)
+    callers = stating.Callers(four_stating)
+    await callers.send_for(1)
+    assert worker.told_s[0] and worker.told_s[1]
+    await worker.start_again(worker.endpoint_id)
+    started_s = time.monotonic()
+    await callers.send_for(3)
+    seen = callers.describe(worker)
+    for entry in stating.ENTRIES:
+        assert worker.list_arrivals(entry, started_s), seen
+    assert callers.count_statuses().keys() == {200}, seen
+
+
+# Guards against a pause that another answer than 503 is taken for.
+@pytest.mark.parametrize('status', ['200 OK', '500 Error', '429 Too Many'])
+async def test_other_status_pauses_nothing(four_stating, status):
+    worker = four_stating.workers[0]
+    not_run = stating.NOT_RUN if status.startswith('429') else ''
+    worker.statement = stating.Statement(
+        f'{not_run}Retry-After: 60\r\n', status, count=5
+    )
+    callers = stating.Callers(four_stating)
+    start_s = time.monotonic()
+    await callers.send_for(3)
+    seen = callers.describe(worker)
+    assert worker.statement.count == 0, seen
+    assert callers.count_statuses().keys() == {200}, seen
+    for entry in stating.ENTRIES:
+        assert worker.list_arrivals(entry, start_s + 2), seen
+
+
 # Guards against values that crash a host, or pause a worker that asked for
 # nothing.
 @pytest.mark.parametrize(
