--- a/tests/platform/test_leaving_endpoints.py
+++ b/tests/platform/test_leaving_endpoints.py
@@ -19,6 +19,8 @@
 # Longest time that a refused request is held.
 HELD_S = 0.5
 MAX_RETRY_AFTER_S = 2.0
+# What a worker that wants no requests for a moment asks for.
+PAUSE_S = 1.5
 # What says it: an answer, a rejection, the head of a stream, or the answer to
 # a stream that is resumed.
 KINDS = ['answer', 'rejection', 'stream', 'resumed']
@@ -259,6 +261,100 @@
     assert {call.status for call in served} == {200}, seen
 
 
+# Guards against the same without a leader, and against the use of the last
+# worker by a host for as long as another one has told it nothing.
+async def test_hosts_without_a_leader_stop_at_their_last_worker(one_stating):
+    one_stating.control.process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(0.5)
+    worker = one_stating.workers[0]
+    worker.statement = build_leaving()
+    callers = stating.Callers(one_stating)
+    first = await callers.send_for(0.5, entries=(0,))
+    sent = [*first, *await callers.send_for(3)]
+    seen = callers.describe(worker)
+    for entry in stating.ENTRIES:
+        told_s = worker.told_s[entry][0]
+        assert not worker.list_arrivals(
+            entry, told_s + LAST_S + stating.ON_THE_WAY_S
+        ), seen
+        for call in sent:
+            if call.entry != entry:
+                continue
+            if call.sent_s < told_s + LAST_S - 0.1:
+                assert call.status == 200, seen
+            elif call.sent_s > told_s + LAST_S + 0.1:
+                assert call.status == 503, seen
+                assert call.held_s < HELD_S
+                assert 0 < float(call.retry_after) <= MAX_RETRY_AFTER_S
+
+
+# Guards against a worker that left long ago and is asked as the others can't
+# be for a moment.
+@pytest.mark.parametrize('reason', ['pause', 'dead'])
+async def test_leaving_worker_does_not_stand_in_for_others(
+    one_stating, reason
+):
+    leaving = one_stating.workers[0]
+    other = await stating.add_worker(one_stating, 'i-other')
+    callers = stating.Callers(one_stating)
+
+    async def are_used():
+        await callers.send_for(0.5)
+        return all(
+            other.list_arrivals(entry, 0.0) for entry in stating.ENTRIES
+        )
+
+    await one_stating.wait_until(are_used)
+    callers.calls.clear()
+    leaving.statement = build_leaving()
+    sending = asyncio.create_task(callers.send_for(2, entries=(0,)))
+    await leaving.has_told.wait()
+    told_s = leaving.told_s[0][0]
+    await sending
+    assert callers.count_statuses().keys() == {200}
+    if reason == 'pause':
+        other.statement = stating.Statement(
+            f'{stating.NOT_RUN}Retry-After: {PAUSE_S}\r\n', stating.REFUSAL
+        )
+    else:
+        other.close_abruptly()
+    sent = await callers.send_for(1.2)
+    seen = callers.describe(leaving, other)
+    assert {call.status for call in sent} <= {503, 502}, seen
+    assert max(call.held_s for call in sent) < HELD_S, seen
+    refused = [call for call in sent if call.status == 503]
+    assert len(refused) > 0.9 * len(sent), seen
+    for call in refused:
+        assert 0 < float(call.retry_after) <= 1.3 * PAUSE_S + 0.3, call
+    assert not leaving.list_arrivals(0, told_s + stating.ON_THE_WAY_S), seen
+    assert not leaving.list_arrivals(1, told_s + ALL_KNOW_S), seen
+
+
+# Guards against a statement that is forgotten as its answer breaks off after
+# the head.
+async def test_leaving_in_an_answer_that_breaks_off_counts(four_stating):
+    worker = four_stating.workers[0]
+
+    async def break_off(writer, headers):
+        worker.told_s[0].append(time.monotonic())
+        worker.has_told.set()
+        writer.write(
+            f'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n{stating.LEAVING}'
+            f'X-Request-Id: {headers["X-Request-Id"]}\r\n\r\npart'.encode()
+        )
+        await writer.drain()
+        writer.transport.abort()
+
+    worker.respond = break_off
+    callers = stating.Callers(four_stating)
+    sending = asyncio.create_task(callers.send_for(3, entries=(0,)))
+    await worker.has_told.wait()
+    await asyncio.sleep(stating.ON_THE_WAY_S)
+    worker.respond = None
+    await sending
+    check_left(worker, callers, worker.told_s[0][0], worker.told_s[0][0])
+
+
 # Guards against a worker that is taken for a leaving one by an answer of
 # another worker, which has its address.
 async def test_misdirected_request_says_nothing_of_the_worker(four_stating):
