--- a/tests/platform/stating.py
+++ b/tests/platform/stating.py
@@ -33,6 +33,7 @@
         'resumable': True,
     },
 ]
+MODEL_REQUEST = {'method': 'POST', 'content': b'{"a": 1}', 'X_Model': 'big'}
 EVENTS = 15
 EVENT_PAUSE_S = 0.2
 
@@ -309,3 +310,36 @@
         for worker in running.workers
         for entry in ENTRIES
     )
+
+
+def list_heads(running):
+    """Return the workers that lead an open group."""
+    return [
+        item
+        for item in running.workers
+        if item.group and item.group['state'] == 'open'
+    ]
+
+
+async def start_groups(running, count):
+    """Start model workers of which two groups are formed and used.
+
+    :returns: callers that send requests to them.
+    """
+    for number in range(1, count + 1):
+        worker = await add_worker(running, f'i-m{number}', service='models')
+        worker.streamer.pause_s = 0.01
+    callers = Callers(running, '/tell/x', 0.1, **MODEL_REQUEST)
+
+    async def are_used():
+        await callers.send_for(0.5)
+        heads = list_heads(running)
+        return len(heads) == 2 and all(
+            head.list_arrivals(entry, 0.0)
+            for head in heads
+            for entry in ENTRIES
+        )
+
+    await running.wait_until(are_used)
+    callers.calls.clear()
+    return callers
--- a/tests/platform/test_leaving_endpoints.py
+++ b/tests/platform/test_leaving_endpoints.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.fleet import documents
 from tests.platform import stating
 
 # Within this time after the first answer that says so, all hosts know it.
@@ -211,6 +212,45 @@
     assert callers.count_statuses().keys() == {200}, seen
 
 
+# Guards against a new document or changed settings that take back what
+# workers have said.
+async def test_new_document_and_settings_take_nothing_back(four_stating):
+    leaving, pausing = four_stating.workers[:2]
+    leaving.statement = build_leaving()
+    pausing.statement = stating.Statement(
+        f'{stating.NOT_RUN}Retry-After: 30\r\n', stating.REFUSAL
+    )
+    callers = stating.Callers(four_stating)
+    await callers.send_for(1.5)
+    changed = documents.build(version=9, routes=stating.ROUTES)
+    assert (await four_stating.put(changed)).status_code == 200
+    for process in four_stating.entries:
+        text = process.path.read_text()
+        process.path.write_text(
+            text.replace('seeds = [', 'seeds = ["127.0.0.1:9", ')
+        )
+
+    async def are_changed():
+        await callers.send_for(0.2)
+        logged = [
+            {line['message_type'] for line in process.read_log()}
+            for process in four_stating.entries
+        ]
+        return all('settings.reloaded' in types for types in logged)
+
+    await four_stating.wait_until(are_changed, 5)
+    changed_s = time.monotonic()
+    await callers.send_for(3)
+    seen = callers.describe(leaving, pausing)
+    assert callers.count_statuses().keys() == {200}, seen
+    for entry in stating.ENTRIES:
+        assert not leaving.list_arrivals(entry, changed_s), seen
+        assert pausing.told_s[entry], seen
+        assert not pausing.list_arrivals(
+            entry, pausing.told_s[entry][0] + stating.ON_THE_WAY_S
+        ), seen
+
+
 # Guards against a worker that isn't used again, since one that had its id or
 # its address said that it leaves.
 @pytest.mark.parametrize('endpoint_id', ['i-0', 'i-next'])
@@ -387,45 +427,11 @@
         assert worker.list_arrivals(entry, since_s), (entry, seen)
 
 
-MODEL_REQUEST = {'method': 'POST', 'content': b'{"a": 1}', 'X_Model': 'big'}
-
-
-def list_heads(running):
-    """Return the workers that lead an open group."""
-    return [
-        item
-        for item in running.workers
-        if item.group and item.group['state'] == 'open'
-    ]
-
-
 # Guards against a group that goes on with a head that has said in the head of
 # a stream that it leaves.
 async def test_group_is_formed_again_without_a_leaving_head(four_stating):
-    for number in range(1, 6):
-        await stating.add_worker(
-            four_stating, f'i-m{number}', service='models'
-        )
-
-    async def has_two_heads():
-        return len(list_heads(four_stating)) == 2
-
-    await four_stating.wait_until(has_two_heads)
-    callers = stating.Callers(four_stating, '/tell/x', 0.1, **MODEL_REQUEST)
-    for worker in four_stating.workers:
-        worker.streamer.pause_s = 0.01
-
-    async def are_used():
-        await callers.send_for(0.5)
-        return all(
-            head.list_arrivals(entry, 0.0)
-            for head in list_heads(four_stating)
-            for entry in stating.ENTRIES
-        )
-
-    await four_stating.wait_until(are_used)
-    callers.calls.clear()
-    head = list_heads(four_stating)[0]
+    callers = await stating.start_groups(four_stating, 5)
+    head = stating.list_heads(four_stating)[0]
     # The stream that says so is still running when others begin.
     head.streamer.pause_s = stating.EVENT_PAUSE_S
     head.statement = build_leaving()
@@ -442,14 +448,16 @@
 
     # Nobody orders a worker that leaves to give its group up.
     async def is_formed_again():
-        heads = [item for item in list_heads(four_stating) if item != head]
+        heads = [
+            item for item in stating.list_heads(four_stating) if item != head
+        ]
         epochs = [item.group['epoch'] for item in heads]
         return len(heads) == 2 and max(epochs) > head.group['epoch']
 
     await four_stating.wait_until(is_formed_again, 10)
     again_s = time.monotonic()
     await callers.send_for(2)
-    for item in list_heads(four_stating):
+    for item in stating.list_heads(four_stating):
         if item is not head:
             assert item.list_arrivals(0, again_s), item.endpoint_id
             joined = [order for order in item.orders if 'members' in order]
