Test the pause of a group's head, and of all heads

On the code that doesn't read it 4 streams reach the head from the host that was asked, later than 0.5 s after it, 25 in 2.5 s; all are served.

--- a/tests/platform/test_endpoint_pauses.py
+++ b/tests/platform/test_endpoint_pauses.py
@@ -342,6 +342,35 @@
     assert callers.count_statuses().keys() == {200}, seen
 
 
+# Guards against streams for a group during the pause that its head asked for,
+# and against groups that all pause and whose callers aren't told for how long.
+async def test_pause_of_the_head_of_a_group_is_kept(four_stating):
+    callers = await stating.start_groups(four_stating, 4)
+    first, second = stating.list_heads(four_stating)
+    first.statement = ask_for(PAUSE_S, entries=(0,), count=1)
+    sending = asyncio.create_task(callers.send_for(PAUSE_S))
+    await first.has_told.wait()
+    await sending
+    seen = describe_within(callers, first, PAUSE_S)
+    assert not list_within(first, 0, PAUSE_S), seen
+    assert all(stating.is_whole(call) for call in callers.calls), seen
+    end_s = first.told_s[0][0] + PAUSE_S
+    await callers.send_until(end_s + SPREAD * PAUSE_S + USED_AGAIN_S)
+    assert first.list_arrivals(0, end_s), seen
+    assert all(stating.is_whole(call) for call in callers.calls), seen
+    for head in (first, second):
+        head.statement = ask_for(SHORT_PAUSE_S, entries=(0,), count=1)
+    await callers.send()
+    end_s = SHORT_PAUSE_S + min(head.told_s[0][-1] for head in (first, second))
+    refused = await callers.send_until(end_s - 0.3, entries=(0,))
+    assert {call.status for call in refused} == {503}, seen
+    for call in refused:
+        assert call.held_s < HELD_S
+        assert float(call.retry_after) >= end_s - call.ended_s - ROUNDING_S
+    assert not list_within(first, 0, SHORT_PAUSE_S), seen
+    assert not list_within(second, 0, SHORT_PAUSE_S), seen
+
+
 # Guards against a pause that is forgotten as its answer breaks off after the
 # head.
 async def test_pause_of_a_refusal_that_breaks_off_is_kept(four_stating):
