--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -11,14 +11,21 @@
 from filbertglade.forwarding import context
 from filbertglade.forwarding import delivery
 from filbertglade.forwarding import evidence
+from filbertglade.forwarding import faults
 from filbertglade.forwarding import lookup
 from filbertglade.forwarding import request_record
 from filbertglade.forwarding import server
 from filbertglade.forwarding import stall_detection
+from filbertglade.forwarding import targets
 
 # Attempts beyond the route's limit, which only counts those that may have run
 # the request.
 EXTRA_ATTEMPTS = 3
+# How long a response that has started waits for a target, in ms: within this
+# time a lost member is detected and its group repaired. Interval between looks
+# for one.
+MAX_TARGET_WAIT_MS = faults.FAULT_EXCLUSION_MS
+TARGET_POLL_MS = 100
 # Largest part by which the Retry-After of a refusal is changed at random.
 RETRY_SPREAD = 0.25
 # Digits of the longest number that is read from a header: every time and count
@@ -183,6 +190,11 @@
                 break
             demand = self._build_demand(route)
             target = self._context.chooser.choose(demand, self._tried)
+            if (
+                isinstance(target, evidence.NoTarget)
+                and self._request.is_response_started
+            ):
+                target = await self._wait_for_target(route, target)
             if isinstance(target, evidence.NoTarget):
                 self._give_up_without_target(outcome, target)
                 return
@@ -216,6 +228,39 @@
             retry_s = evidence.OVERLOAD_RETRY_AFTER_S
         self._give_up(outcome, 'tries used up', retry_s)
 
+    async def _wait_for_target(
+        self, route: document.Route, failure: evidence.NoTarget
+    ) -> targets.Target | evidence.NoTarget:
+        """Wait until a response that has started can be resumed.
+
+        A response that is cut is lost, with what its caller has of it. Targets
+        that were tried may be asked again once nothing speaks against them.
+
+        :param failure: why there is no target now.
+        :returns: the target, or why there was none for
+            :data:`MAX_TARGET_WAIT_MS` or until the deadline.
+        """
+        start_ms = clock.now_ms()
+        target: targets.Target | evidence.NoTarget = failure
+        while isinstance(target, evidence.NoTarget):
+            left_ms = min(
+                self._remaining_ms() - context.MIN_REMAINING_MS,
+                start_ms + MAX_TARGET_WAIT_MS - clock.now_ms(),
+            )
+            if left_ms <= 0:
+                break
+            await asyncio.sleep(min(TARGET_POLL_MS, left_ms) / 1000)
+            target = self._context.chooser.choose(
+                self._build_demand(route), ()
+            )
+        self._record.write(
+            'request.waited',
+            reason=str(failure),
+            waited_ms=clock.now_ms() - start_ms,
+            left_ms=self._remaining_ms(),
+        )
+        return target
+
     async def _try(
         self,
         clearance: evidence.Clearance,
