Show a missed probe that counts as a crash

A leader marks an endpoint silent that doesn't answer one probe within 160 ms; whatever broke off there in the last 6 s counts as a crash at once, although the endpoint announces itself as ever.

--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -154,3 +154,18 @@
         assert 0 < answer.retry_after_ms <= trials.INCONCLUSIVE_PAUSE_MS
 
     run(check)
+
+
+# Guards against strikes for an endpoint that misses the time-out of one probe
+# and announces itself as ever.
+def test_endpoint_that_misses_one_probe_has_not_crashed():
+    async def check(leader):
+        leader.report(b'x', 1)
+        await asyncio.sleep(0.2)
+        leader.registry.mark_silent('i-1@1', 'no answer to a probe')
+        leader.evidence.judge()
+        await leader.run(8)
+        assert not leader.registry.has_crashed('i-1@1')
+        assert leader.struck.count_strikes(b'x') == 0
+
+    run(check)
