Count no silence after a stated departure, and no missed probe, as a crash

A leader took each silent endpoint for a crashed one. One that had said that it leaves and ended without another call struck the requests that ended with it, and so did one that missed the 160 ms of a single probe, though it announced itself right after: such requests are refused until a trial is answered. Found in review, by reading.

An endpoint that leaves has not crashed; one that is silent has once its announcement is overdue as well.

--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -59,6 +59,7 @@
     """
 
     def __init__(self, announce_ms: int) -> None:
+        self._announce_ms = announce_ms
         self._silence_ms = announce_ms * SILENCE_INTERVALS
         self.entries: dict[str, EndpointEntry] = {}
         self._key_by_id: dict[str, str] = {}
@@ -225,9 +226,16 @@
             although it didn't announce that it leaves.
         """
         entry = self.entries.get(key)
-        if entry is not None:
-            return entry.endpoint.silent
-        return key in self._crashed
+        if entry is None:
+            return key in self._crashed
+        # One probe that wasn't answered in time tells less than a missing
+        # announcement.
+        age_ms = clock.now_ms() - entry.last_announced_ms
+        return (
+            entry.endpoint.silent
+            and not entry.endpoint.leaving
+            and age_ms > self._announce_ms
+        )
 
     def mark_silent(self, key: str, reason: str) -> None:
         """Mark an endpoint silent until its next announcement.
