--- a/filbertglade/forwarding/attempt.py
+++ b/filbertglade/forwarding/attempt.py
@@ -7,6 +7,7 @@
 from filbertglade import clock
 from filbertglade import failures
 from filbertglade.fleet import document
+from filbertglade.fleet import statements
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import context
 from filbertglade.forwarding import delivery
@@ -116,6 +117,7 @@
             return AttemptOutcome.UNREACHABLE
         if not known.begin(self.clearance, self._stream):
             self._context.pool.keep(connection)
+            self._log_failed(AttemptOutcome.WITHDRAWN)
             return AttemptOutcome.WITHDRAWN
         self._record.send_count += 1
         self._record.run_count += 1
@@ -124,9 +126,7 @@
         outcome = await self._exchange(connection, may_retry_failure)
         await known.record(self.clearance, self._sign, self._detail)
         if outcome is not AttemptOutcome.ANSWERED:
-            self._record.write(
-                'try.failed', endpoint=self._target.key, outcome=outcome.value
-            )
+            self._log_failed(outcome)
         return outcome
 
     async def _connect(self) -> upstream.Connection | failures.Failure:
@@ -286,6 +286,11 @@
 
     # The log
 
+    def _log_failed(self, outcome: AttemptOutcome) -> None:
+        self._record.write(
+            'try.failed', endpoint=self._target.key, outcome=outcome.value
+        )
+
     def _log_rejection(self, head: upstream.ResponseHead) -> None:
         dialect = self._context.dialect
         self._record.write(
@@ -296,7 +301,7 @@
             load=head.headers.get(dialect.load, ''),
             limit=head.headers.get(dialect.limit),
             leaving=head.headers.get(dialect.leaving),
-            retry_after=head.headers.get('Retry-After'),
+            retry_after=head.headers.get(statements.RETRY_AFTER_HEADER),
         )
 
     def _log_broken(
