Let refusals after a rejection name the same time as before

After a rejection, a spent quota of retries and a refused trial had begun to say 1.2 s in place of 1.0 when the parts were put together. A refusal whose time is the earliest is spread over a quarter above it, as its comment says; it was half. Found in review, by reading; no test of its own.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -223,10 +223,7 @@
             self._tried.append(target.load_key)
             if not self._may_try_another(outcome, route):
                 break
-        retry_s = evidence.REPAIR_RETRY_AFTER_S
-        if outcome is attempt.AttemptOutcome.NOT_RUN:
-            retry_s = evidence.OVERLOAD_RETRY_AFTER_S
-        self._give_up(outcome, 'tries used up', retry_s)
+        self._give_up(outcome, 'tries used up')
 
     async def _wait_for_target(
         self, route: document.Route, failure: evidence.NoTarget
@@ -291,10 +288,7 @@
     ) -> None:
         """End a request for which there is no target now."""
         is_paused = failure.reason is evidence.NoTargetReason.PAUSED
-        retry_s = failure.retry_s
-        if outcome is attempt.AttemptOutcome.NOT_RUN and not is_paused:
-            retry_s = evidence.OVERLOAD_RETRY_AFTER_S
-        self._give_up(outcome, str(failure), retry_s, is_paused)
+        self._give_up(outcome, str(failure), failure.retry_s, is_paused)
 
     def _give_up_struck(
         self, outcome: attempt.AttemptOutcome | None, detail: str
@@ -379,6 +373,8 @@
             attempt.AttemptOutcome.UNREACHABLE,
             attempt.AttemptOutcome.NOT_RUN,
         ):
+            if outcome is attempt.AttemptOutcome.NOT_RUN and not is_earliest:
+                retry_s = evidence.OVERLOAD_RETRY_AFTER_S
             self._refuse(503, detail, retry_s, is_earliest)
             return
         # From here on an endpoint may have run the request, so no status may
@@ -444,8 +440,8 @@
         headers = {}
         if retry_s is not None:
             # Callers that are refused together come back one by one.
-            part = 2 * self._context.rng.random() - (not is_earliest)
-            retry_s *= 1 + RETRY_SPREAD * part
+            least = 0.0 if is_earliest else -RETRY_SPREAD
+            retry_s *= 1 + self._context.rng.uniform(least, RETRY_SPREAD)
             headers['Retry-After'] = f'{retry_s:.2f}'
         self._record.count('refusals', outcome=str(status))
         self._record.write(
