Keep a departure no longer than the leader refuses an ended incarnation

An endpoint without a start time that left and returned under its id after 120 s was marked leaving for good, as hosts reported its earlier departure for 600 s on each new stream. On the users' platform each start has an id of its own. test_earlier_departure_marks_no_endpoint_that_has_returned failed and passes.

--- a/filbertglade/fleet/statements.py
+++ b/filbertglade/fleet/statements.py
@@ -29,9 +29,9 @@
 # request that arrives by then is answered.
 LAST_ENDPOINT_MS = 1000
 # How long it is kept that an endpoint leaves, in ms: longer than any takes to
-# end. Without an end an incarnation that has no start time, and returns under
-# the same id, would never be used again.
-LEAVING_KEPT_MS = 600_000
+# end, and no longer than the leader refuses an ended incarnation. One without
+# a start time may return under the same key then.
+LEAVING_KEPT_MS = 120_000
 # For a random part of this fraction of its pause, and of this time in ms, an
 # endpoint is asked only if no other one may be: hosts that were turned away
 # together come back one after the other.
