Let both parts of a host obey what an endpoint states

A host that answers callers and leads kept two records of statements: requests went on to an endpoint that had asked for a pause in answer to a probe.

--- a/filbertglade/forwarding/evidence.py
+++ b/filbertglade/forwarding/evidence.py
@@ -31,7 +31,6 @@
 # Least Retry-After of requests beyond the limits of all endpoints, in s: the
 # leader divides the limits several times a second.
 MIN_LIMITED_RETRY_S = 0.3
-MISDIRECTED_STATUS = 421
 
 
 class NoTargetReason(enum.Enum):
@@ -135,6 +134,7 @@
     :param fleet_view: the node's view.
     :param leader: the stream to the leader.
     :param pool: connections to endpoints.
+    :param stated: what endpoints state in their answers.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
     :ivar loads: counts of the requests in flight.
@@ -149,6 +149,7 @@
         fleet_view: view.FleetView,
         leader: watcher.Watcher,
         pool: upstream.UpstreamPool,
+        stated: statements.EndpointStatements,
         counters: metrics.Metrics,
         rng: random.Random,
     ) -> None:
@@ -156,10 +157,8 @@
         self._view = fleet_view
         self._leader = leader
         self._pool = pool
-        self._statements = statements.EndpointStatements(
-            dialect.leaving, counters, rng
-        )
-        self._statements.add_leaving_listener(self._handle_leaving)
+        self._statements = stated
+        stated.add_leaving_listener(self._handle_leaving)
         self._faults = faults.FaultTracker()
         self._allowed = allowances.Allowances(
             fleet_view, leader, counters, rng
@@ -277,13 +276,13 @@
             :class:`WithdrawnReason` if another target has to be chosen, or
             why the request may not be sent at all.
         """
-        is_last_resort = self._has_left(target)
+        has_left = self._has_left(target)
         permission = await self.containment.admit(digest, remaining_ms)
         if isinstance(permission, failures.Failure):
             return permission
         # The wait may have changed what the endpoint takes.
         if not (
-            self._may_begin(target, is_last_resort)
+            self._may_begin(target, has_left)
             and self._allowed.may_send(target.key)
         ):
             self.containment.end(digest, permission, False)
@@ -292,7 +291,7 @@
             target,
             digest,
             permission,
-            is_last_resort,
+            has_left,
             self._allowed.take(target.key),
         )
 
@@ -330,7 +329,7 @@
         :param head: its head.
         """
         return (
-            head.status == MISDIRECTED_STATUS
+            head.status == statements.MISDIRECTED_STATUS
             or self._dialect.not_run in head.headers
         )
 
@@ -344,7 +343,7 @@
         """
         target = clearance.target
         self._statements.read(target.key, head.status, head.headers)
-        if head.status != MISDIRECTED_STATUS:
+        if head.status != statements.MISDIRECTED_STATUS:
             self._allowed.record_answer(
                 target.key, head.headers.get(self._dialect.limit)
             )
@@ -352,7 +351,7 @@
             self._faults.clear(target)
             return
         faulty = head.headers.get(self._dialect.faulty_endpoint, '')
-        if head.status == MISDIRECTED_STATUS or faulty:
+        if head.status == statements.MISDIRECTED_STATUS or faulty:
             self._faults.record(target, f'{head.status} {faulty}')
             self._report_suspicion(target, f'answered {head.status}')
 
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -76,6 +76,7 @@
     :param fleet_view: the node's view; a new leader starts from it.
     :param fleet_watcher: the node's stream to the leader.
     :param channel_factory: opens channels to other control hosts.
+    :param stated: what endpoints state in their answers to this process.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
     """
@@ -87,6 +88,7 @@
         fleet_view: view.FleetView,
         fleet_watcher: watcher.Watcher,
         channel_factory: channels.ChannelFactory,
+        stated: statements.EndpointStatements,
         counters: metrics.Metrics,
         rng: random.Random,
     ) -> None:
@@ -116,7 +118,6 @@
             self.membership,
         )
         self._registry = registry.Registry(settings.endpoints.announce_ms)
-        stated = statements.EndpointStatements(dialect.leaving, counters, rng)
         stated.add_leaving_listener(
             lambda key: self._registry.mark_leaving(key, settings.name)
         )
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -9,6 +9,7 @@
 from filbertglade import clock
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
+from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.forwarding import choice
@@ -55,6 +56,7 @@
     :param dialect: names of headers.
     :param fleet_view: the node's view.
     :param fleet_watcher: the node's stream to the leader.
+    :param stated: what endpoints state in their answers to this process.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
     """
@@ -65,6 +67,7 @@
         dialect: dialects.Dialect,
         fleet_view: view.FleetView,
         fleet_watcher: watcher.Watcher,
+        stated: statements.EndpointStatements,
         counters: metrics.Metrics,
         rng: random.Random,
     ) -> None:
@@ -73,7 +76,13 @@
         self._tasks = tasks.TaskGroup()
         self._pool = upstream.UpstreamPool(counters)
         self._known = evidence.EndpointEvidence(
-            dialect, fleet_view, fleet_watcher, self._pool, counters, rng
+            dialect,
+            fleet_view,
+            fleet_watcher,
+            self._pool,
+            stated,
+            counters,
+            rng,
         )
         self._context = context.ForwardingContext(
             dialect,
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -13,6 +13,7 @@
 from filbertglade import failures
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document_fetcher
+from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.gateway import control_role
@@ -94,6 +95,7 @@
             self._counters,
             rng,
         )
+        stated = statements.EndpointStatements(dialect.leaving, counters, rng)
         self._control_role: control_role.ControlRole | None = None
         if settings.is_control_host:
             self._control_role = control_role.ControlRole(
@@ -102,6 +104,7 @@
                 self._view,
                 self._watcher,
                 channel_factory,
+                stated,
                 self._counters,
                 rng,
             )
@@ -122,6 +125,7 @@
                 dialect,
                 self._view,
                 self._watcher,
+                stated,
                 self._counters,
                 rng,
             )
--- a/tests/gateway/test_control_role.py
+++ b/tests/gateway/test_control_role.py
@@ -9,6 +9,7 @@
 
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
+from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.gateway import control_role
 from filbertglade.inner import channels
@@ -37,6 +38,7 @@
         f'127.0.0.1:{port}' for port in cluster.find_free_ports(2)
     )
     fleet_view = view.FleetView()
+    counters, rng = metrics.Metrics(), random.Random(1)
     role = control_role.ControlRole(
         gateway.GatewaySettings(
             'one',
@@ -54,8 +56,9 @@
         fleet_view,
         NoWatcher(),
         channels.SocketChannels(),
-        metrics.Metrics(),
-        random.Random(1),
+        statements.EndpointStatements(dialects.DEFAULT.leaving, counters, rng),
+        counters,
+        rng,
     )
     assert await role.start() is None
     async with asyncio.timeout(10):
--- a/tests/gateway_forwarding/test_evidence.py
+++ b/tests/gateway_forwarding/test_evidence.py
@@ -62,8 +62,15 @@
         )
         self.pool = Pool()
         rng = random.Random(1)
+        counters = metrics.Metrics()
         self.known = evidence.EndpointEvidence(
-            DIALECT, self.view, leader, self.pool, metrics.Metrics(), rng
+            DIALECT,
+            self.view,
+            leader,
+            self.pool,
+            statements.EndpointStatements(DIALECT.leaving, counters, rng),
+            counters,
+            rng,
         )
         self.chooser = choice.Chooser('north', self.view, self.known, rng)
         self.send_frame(*endpoint_ids, is_whole=True)
--- a/tests/gateway_forwarding/test_load.py
+++ b/tests/gateway_forwarding/test_load.py
@@ -10,6 +10,7 @@
 
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
+from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import choice
@@ -62,6 +63,7 @@
             self.view,
             self.leader,
             None,
+            statements.EndpointStatements('Leaving', metrics.Metrics(), rng),
             metrics.Metrics(),
             rng,
         )
--- a/tests/gateway_forwarding/test_stated_departures.py
+++ b/tests/gateway_forwarding/test_stated_departures.py
@@ -10,6 +10,7 @@
 from filbertglade import failures
 from filbertglade.fleet import crash_reports
 from filbertglade.fleet import dialects
+from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import choice
@@ -55,8 +56,15 @@
             report_limit=lambda limit: None,
         )
         rng = random.Random(1)
+        counters = metrics.Metrics()
         self.known = evidence.EndpointEvidence(
-            DIALECT, self.view, leader, Pool(), metrics.Metrics(), rng
+            DIALECT,
+            self.view,
+            leader,
+            Pool(),
+            statements.EndpointStatements(DIALECT.leaving, counters, rng),
+            counters,
+            rng,
         )
         self.chooser = choice.Chooser('north', self.view, self.known, rng)
         self.clearance = None
--- a/tests/gateway_forwarding/test_uncertain_document.py
+++ b/tests/gateway_forwarding/test_uncertain_document.py
@@ -11,6 +11,7 @@
 
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
+from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import context
@@ -141,7 +142,15 @@
         counters = metrics.Metrics()
         pool = Pool()
         known = evidence.EndpointEvidence(
-            dialects.DEFAULT, self.view, Leader(), pool, counters, rng
+            dialects.DEFAULT,
+            self.view,
+            Leader(),
+            pool,
+            statements.EndpointStatements(
+                dialects.DEFAULT.leaving, counters, rng
+            ),
+            counters,
+            rng,
         )
         self.shared = context.ForwardingContext(
             dialects.DEFAULT,
