Strike no request for the end of an endpoint that had left

The end of an endpoint that had said, announced or completed its departure was a strike for what ran there, as its address refuses: two such ends put a popular request into trials, and it was refused until one was answered. The host now leaves the judgement to the leader, which knows of the departure. For a group it asks whether the leader still calls it usable: hosts aren't told of the endpoints of models, so each of them counted as one that leaves.

--- a/filbertglade/forwarding/containment.py
+++ b/filbertglade/forwarding/containment.py
@@ -1,6 +1,7 @@
 """Contains requests that crash the endpoints that run them."""
 
 import asyncio
+from collections import abc
 import enum
 
 from filbertglade import clock
@@ -59,6 +60,7 @@
     :param reports: what this host reports to the leader.
     :param check: looks at the addresses of endpoints.
     :param fault_tracker: targets to exclude.
+    :param is_leaving: tells whether an endpoint leaves, or has left.
     :param counters: the process's metrics.
     """
 
@@ -68,12 +70,13 @@
         reports: crash_reports.CrashReports,
         check: crash_check.CrashCheck,
         fault_tracker: faults.FaultTracker,
+        is_leaving: abc.Callable[[targets.Target], bool],
         counters: metrics.Metrics,
     ) -> None:
         self._check = check
         self._faults = fault_tracker
         self._tasks = tasks.TaskGroup()
-        self._view = fleet_view
+        self._is_leaving = is_leaving
         self._struck = fleet_view.struck
         self._reports = reports
         self._counters = counters
@@ -199,8 +202,11 @@
         _log_sign(digest, target, look.sign)
         if look.sign is crash_check.EndpointSign.ENDED:
             self._faults.record(target, look.sign.value)
-            self._reports.report_strike(digest, target.key, trial)
-            return
+            if not self._is_leaving(target):
+                self._reports.report_strike(
+                    digest, target.key, trial, broken_ms
+                )
+                return
         self._report_broken(digest, target, trial)
         if look.sign is crash_check.EndpointSign.LISTENING:
             self._tasks.start(
@@ -223,8 +229,7 @@
         """
         if not await self._check.wait_for_end(target, look):
             return
-        endpoint = self._view.endpoints.get(target.key)
-        if endpoint is None or endpoint.leaving:
+        if self._is_leaving(target):
             return
         sign = crash_check.EndpointSign.ENDED
         _log_sign(digest, target, sign)
--- a/filbertglade/forwarding/evidence.py
+++ b/filbertglade/forwarding/evidence.py
@@ -173,6 +173,7 @@
             leader.crashes,
             self.crash_check,
             self._faults,
+            self.is_leaving,
             counters,
         )
 
@@ -404,6 +405,12 @@
         """
         if self._has_left(target):
             return True
+        if target.group:
+            # Hosts aren't told of the endpoints of models.
+            replica = self._view.replicas.get(target.group)
+            return not (
+                replica and replica.usable and replica.epoch == target.epoch
+            )
         endpoint = self._view.endpoints.get(target.key)
         return endpoint is None or endpoint.leaving
 
--- a/tests/gateway_forwarding/test_containment.py
+++ b/tests/gateway_forwarding/test_containment.py
@@ -64,6 +64,9 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def is_leaving(self, target):
+        return self.view.endpoints[target.key].leaving
+
     def count_strikes(self):
         return self.view.struck.count_strikes(DIGEST)
 
@@ -91,6 +94,7 @@
         endpoint.reports,
         crash_check.CrashCheck(pool),
         faults.FaultTracker(),
+        endpoint.is_leaving,
         counters,
     )
     yield made
