Don't take a late answer for the beginning of a departure

The last endpoint of a service had announced its departure; 5 s later the answer to a slow request said so too, and the host sent it requests for one more second, as for a departure that it had just learned of. A statement about a departure that is known by other means begins no such second. test_late_answer_makes_no_announced_departure_recent failed and passes.

--- a/filbertglade/fleet/statements.py
+++ b/filbertglade/fleet/statements.py
@@ -68,6 +68,18 @@
     returned_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Departure:
+    """An endpoint's first statement that it leaves.
+
+    :param said_ms: local clock when it was read.
+    :param was_announced: whether it was known before by other means.
+    """
+
+    said_ms: int
+    was_announced: bool
+
+
 class EndpointStatements:
     """What endpoints have stated in their answers to this host.
 
@@ -89,7 +101,7 @@
         self._leaving_header = leaving_header
         self._counters = counters
         self._rng = rng
-        self._leaving_ms: dict[str, int] = {}
+        self._leaving: dict[str, _Departure] = {}
         self._pauses: dict[str, _Pause] = {}
         # Endpoints whose unreadable statements were logged.
         self._unreadable: set[tuple[str, str]] = set()
@@ -107,24 +119,32 @@
         self._listeners.append(listener)
 
     def read(
-        self, endpoint: str, status: int, headers: abc.Mapping[str, str]
+        self,
+        endpoint: str,
+        status: int,
+        headers: abc.Mapping[str, str],
+        was_announced: bool = False,
     ) -> None:
         """Read what an answer states of its endpoint.
 
         :param endpoint: the endpoint's incarnation key.
         :param status: the answer's status.
         :param headers: its headers, by names in any case.
+        :param was_announced: whether it is known by other means that the
+            endpoint leaves, so that it may have begun to long ago.
         """
         if status == MISDIRECTED_STATUS:
             return
         leaving = headers.get(self._leaving_header)
         if leaving is not None:
-            self._read_leaving(endpoint, leaving)
+            self._read_leaving(endpoint, leaving, was_announced)
         retry_after = headers.get(RETRY_AFTER_HEADER)
         if status == PAUSE_STATUS and retry_after is not None:
             self._read_pause(endpoint, retry_after)
 
-    def _read_leaving(self, endpoint: str, text: str) -> None:
+    def _read_leaving(
+        self, endpoint: str, text: str, was_announced: bool
+    ) -> None:
         # Headers of the same name arrive joined by commas.
         values = {value.strip() for value in text.split(',')}
         if LEAVING_VALUE not in values:
@@ -132,10 +152,10 @@
             return
         if self.find_leaving_age_ms(endpoint) is not None:
             return
-        self._leaving_ms.pop(endpoint, None)
-        if len(self._leaving_ms) >= MAX_ENDPOINTS:
-            del self._leaving_ms[next(iter(self._leaving_ms))]
-        self._leaving_ms[endpoint] = clock.now_ms()
+        self._leaving.pop(endpoint, None)
+        if len(self._leaving) >= MAX_ENDPOINTS:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[endpoint] = _Departure(clock.now_ms(), was_announced)
         self._counters.count('endpoints_seen_leaving')
         log.change('endpoint.leaving_seen', endpoint=endpoint)
         for listener in self._listeners:
@@ -199,10 +219,10 @@
         :param endpoint: its incarnation key.
         :returns: the time; None if it has not.
         """
-        at_ms = self._leaving_ms.get(endpoint)
-        if at_ms is None:
+        departure = self._leaving.get(endpoint)
+        if departure is None:
             return None
-        age_ms = clock.now_ms() - at_ms
+        age_ms = clock.now_ms() - departure.said_ms
         return age_ms if age_ms < LEAVING_KEPT_MS else None
 
     def is_last_resort(self, endpoint: str) -> bool:
@@ -211,7 +231,9 @@
         :param endpoint: its incarnation key.
         """
         age_ms = self.find_leaving_age_ms(endpoint)
-        return age_ms is not None and age_ms < LAST_ENDPOINT_MS
+        if age_ms is None or self._leaving[endpoint].was_announced:
+            return False
+        return age_ms < LAST_ENDPOINT_MS
 
     def find_pause_ms(self, endpoint: str) -> int:
         """Return how long an endpoint wants nothing from this host, in ms.
--- a/filbertglade/forwarding/evidence.py
+++ b/filbertglade/forwarding/evidence.py
@@ -343,7 +343,12 @@
         :param head: the head.
         """
         target = clearance.target
-        self._statements.read(target.key, head.status, head.headers)
+        self._statements.read(
+            target.key,
+            head.status,
+            head.headers,
+            was_announced=self.is_leaving(target),
+        )
         if head.status != statements.MISDIRECTED_STATUS:
             self._allowed.record_answer(
                 target.key, head.headers.get(self._dialect.limit)
