Take only a refused connection for a crash in the product's own path

A link that is cut, or a connection that times out, counted as a crash of the endpoint, and so did the end of one that had said it leaves: two of them, and the request was refused for five minutes. Only an address that refuses tells of an ended process now, unless it had said that it leaves; the endpoint counts as lost in all cases, as before.

test_endpoint_pool.py names the pool's new method, nothing else changed.

--- a/filbertglade/requests/dispatch.py
+++ b/filbertglade/requests/dispatch.py
@@ -23,6 +23,12 @@
 # A process that died may accept connections a moment longer.
 PROBE_DELAY_S = 0.05
 
+# Failures before anything of a call was sent.
+UNSENT = (
+    endpoint_response.EndpointFailureReason.UNREACHABLE,
+    endpoint_response.EndpointFailureReason.REFUSED,
+)
+
 Reason = outcomes.RefusalReason
 
 
@@ -112,13 +118,10 @@
         response: failures.Failure,
         is_resumption: bool,
     ) -> attempt_failure.AttemptFailure:
-        if (
-            response.reason
-            is not endpoint_response.EndpointFailureReason.UNREACHABLE
-        ):
+        if response.reason not in UNSENT:
             return await self.classify_failure(candidate, response)
         if is_resumption:
-            return self._record_crash(candidate)
+            return self._record_end(candidate, response)
         self._choice.report_lost(candidate)
         return attempt_failure.AttemptFailure(
             Reason.NO_ENDPOINT, str(response)
@@ -140,7 +143,8 @@
                 Reason.ENDPOINT_FAILED, str(failure)
             )
         await asyncio.sleep(PROBE_DELAY_S)
-        if await self._context.pool.is_reachable(candidate.address):
+        obstacle = await self._context.pool.look_at(candidate.address)
+        if obstacle is None:
             # An endpoint that closed an idle connection has nothing to resume.
             was_idle = (
                 failure.reason
@@ -151,7 +155,7 @@
                 str(failure),
                 may_resume=self._request.is_stream and not was_idle,
             )
-        return self._record_crash(candidate)
+        return self._record_end(candidate, obstacle)
 
     async def check_unstated_end(
         self, candidate: selection.Candidate
@@ -165,17 +169,29 @@
             nothing tells whether the body is complete.
         """
         await asyncio.sleep(PROBE_DELAY_S)
-        if await self._context.pool.is_reachable(candidate.address):
+        obstacle = await self._context.pool.look_at(candidate.address)
+        if obstacle is None:
             return None
-        return self._record_crash(candidate)
+        return self._record_end(candidate, obstacle)
 
-    def _record_crash(
-        self, candidate: selection.Candidate
+    def _record_end(
+        self, candidate: selection.Candidate, obstacle: failures.Failure
     ) -> attempt_failure.AttemptFailure:
+        """Record that an endpoint can't be reached after it was sent a call.
+
+        It has crashed if no process listens there, unless it had said that it
+        leaves. A connection that times out tells nothing of the process.
+        """
         self._choice.report_lost(candidate)
-        self._crashes.add(candidate.name)
+        is_crash = (
+            obstacle.reason is endpoint_response.EndpointFailureReason.REFUSED
+            and not self._context.permitted.is_leaving(candidate)
+        )
+        if is_crash:
+            self._crashes.add(candidate.name)
         return attempt_failure.AttemptFailure(
-            Reason.ENDPOINT_FAILED, f'{candidate.name} crashed'
+            Reason.ENDPOINT_FAILED,
+            f'{candidate.name} crashed' if is_crash else str(obstacle),
         )
 
     def check_head(
--- a/filbertglade/requests/endpoint_pool.py
+++ b/filbertglade/requests/endpoint_pool.py
@@ -176,16 +176,17 @@
             functools.partial(self._return_connection, address),
         )
 
-    async def is_reachable(self, address: str) -> bool:
-        """Return whether an endpoint accepts connections.
+    async def look_at(self, address: str) -> failures.Failure | None:
+        """Find out whether an endpoint accepts connections.
 
         :param address: its address.
+        :returns: None if it does, or why no connection could be made.
         """
         stream = await self._connect(address)
         if isinstance(stream, failures.Failure):
-            return False
+            return stream
         stream.close()
-        return True
+        return None
 
     def _take_idle(self, address: str) -> iostream.IOStream | None:
         idle = self._idle.get(address)
@@ -204,10 +205,13 @@
         try:
             stream = await self._client.connect(host, port, timeout=timeout_s)
         except (OSError, TimeoutError, iostream.StreamClosedError) as error:
-            detail = f'{address}: {error}'
-            return failures.Failure(
-                endpoint_response.EndpointFailureReason.UNREACHABLE, detail
-            )
+            reason = endpoint_response.EndpointFailureReason.UNREACHABLE
+            if isinstance(
+                getattr(error, 'real_error', None) or error,
+                ConnectionRefusedError,
+            ):
+                reason = endpoint_response.EndpointFailureReason.REFUSED
+            return failures.Failure(reason, f'{address}: {error}')
         stream.set_nodelay(True)
         return stream
 
--- a/filbertglade/requests/endpoint_response.py
+++ b/filbertglade/requests/endpoint_response.py
@@ -25,6 +25,8 @@
 
     # Nothing of the request was sent.
     UNREACHABLE = 'unreachable'
+    # The same, as no process listens at the address.
+    REFUSED = 'refused'
     # The connection broke after the request, or a part of it, was sent.
     BROKEN = 'broken'
     # A connection that had been kept broke before the head of the response:
--- a/tests/requests/test_endpoint_pool.py
+++ b/tests/requests/test_endpoint_pool.py
@@ -106,13 +106,11 @@
     ],
 )
 async def test_stream_is_resumed_only_if_its_engine_has_it(reason, may_resume):
-    async def is_reachable(_):
-        return True
+    async def look_at(_):
+        return None
 
     sending = dispatch.Dispatch(
-        types.SimpleNamespace(
-            pool=types.SimpleNamespace(is_reachable=is_reachable)
-        ),
+        types.SimpleNamespace(pool=types.SimpleNamespace(look_at=look_at)),
         types.SimpleNamespace(is_stream=True),
         None,
         None,
