Don't let a host's own delays hide that an endpoint has crashed

The worker had crashed. The host looks at the address of an endpoint after an answer without a stated end, for at most 150 ms, and passes the answer on if nothing tells; it was reading a large document meanwhile (document.fetched to document.read, 122 ms, between other requests), and the refusal was read 11 ms too late (answer.end_checked unreachable, then endpoint.looked_at refuses connections).

The time is now waited for in steps of 25 ms, so that a delay of the process uses up one step, however long it is. An address that doesn't answer holds an answer for no longer than before.

--- a/filbertglade/forwarding/crash_check.py
+++ b/filbertglade/forwarding/crash_check.py
@@ -10,6 +10,8 @@
 # How long a new connection must stay open to show that the endpoint runs, in
 # ms: the kernel may still accept connections for a process that is ending.
 SETTLE_MS = 50
+# Steps of a bounded wait, in ms: a delay of this process uses up one of them.
+STEP_MS = 25
 
 
 class EndpointSign(enum.Enum):
@@ -49,6 +51,27 @@
             check.add_done_callback(lambda _: self._checks.pop(target.key))
         return await asyncio.shield(check)
 
+    async def look_within(
+        self, target: targets.Target, limit_ms: int
+    ) -> EndpointSign:
+        """Find out in a bounded time whether an endpoint still listens.
+
+        Delays of this process use up little of the time: an answer that waits
+        to be read is not missed because of them.
+
+        :param target: the endpoint.
+        :param limit_ms: the time, in ms.
+        """
+        look = asyncio.ensure_future(self.look_at(target))
+        try:
+            for _ in range(limit_ms // STEP_MS):
+                done, _ = await asyncio.wait({look}, timeout=STEP_MS / 1000)
+                if done:
+                    return look.result()
+        finally:
+            look.cancel()
+        return EndpointSign.UNKNOWN
+
     async def _connect(self, target: targets.Target) -> EndpointSign:
         connection = await self._pool.connect(target.key, target.address)
         if isinstance(connection, upstream.Connection):
--- a/filbertglade/forwarding/delivery.py
+++ b/filbertglade/forwarding/delivery.py
@@ -186,13 +186,10 @@
             # A refusal of this kind took no work that could crash anything.
             return
         left_ms = self._record.deadline_ms - clock.now_ms() - END_MARGIN_MS
-        sign = crash_check.EndpointSign.UNKNOWN
-        try:
-            async with asyncio.timeout(min(END_CHECK_MS, left_ms) / 1000):
-                sign = await shared.known.crash_check.look_at(target)
-        except TimeoutError:
-            # Nothing tells; the response goes out within its deadline.
-            pass
+        # If nothing tells, the response goes out within its deadline.
+        sign = await shared.known.crash_check.look_within(
+            target, min(END_CHECK_MS, left_ms)
+        )
         is_leaving = shared.known.is_leaving(target)
         self._record.write(
             'answer.end_checked',
--- a/tests/gateway_forwarding/test_crash_check.py
+++ b/tests/gateway_forwarding/test_crash_check.py
@@ -1,9 +1,11 @@
 """What an endpoint's address shows, on real connections."""
 
 import asyncio
+import time
 
 import pytest
 
+from filbertglade import failures
 from filbertglade.forwarding import crash_check
 from filbertglade.forwarding import targets
 from filbertglade.forwarding import upstream
@@ -53,3 +55,39 @@
     port = server.sockets[0].getsockname()[1]
     sign = await look_at(pool, f'127.0.0.1:{port}')
     assert sign is crash_check.EndpointSign.ENDED
+
+
+class BusyPool:
+    """Connects while other work keeps the process busy.
+
+    :param busy_s: how long it is busy at a time, three times in all; None if
+        the address never answers.
+    """
+
+    def __init__(self, busy_s):
+        self.busy_s = busy_s
+
+    async def connect(self, key, address):
+        if self.busy_s is None:
+            await asyncio.sleep(10)
+        for _ in range(3):
+            time.sleep(self.busy_s)
+            await asyncio.sleep(0)
+        return failures.Failure(upstream.UpstreamReason.REFUSED, address)
+
+
+# Guards against an answer of a crashed endpoint that is taken for complete, as
+# the host was too busy to see in time that the address refuses.
+@pytest.mark.parametrize(
+    ('busy_s', 'sign'),
+    [
+        (0.08, crash_check.EndpointSign.ENDED),
+        (None, crash_check.EndpointSign.UNKNOWN),
+    ],
+)
+async def test_bounded_look_at_an_address(busy_s, sign):
+    check = crash_check.CrashCheck(BusyPool(busy_s))
+    target = targets.Target('i-1@1', 'i-1', '127.0.0.1:1', 'north', 4)
+    start_s = time.monotonic()
+    assert await check.look_within(target, 150) is sign
+    assert time.monotonic() - start_s < 1.0
