--- a/filbertglade/forwarding/crash_check.py
+++ b/filbertglade/forwarding/crash_check.py
@@ -19,6 +19,8 @@
 # Most looks at an address in this time: an endpoint may close connections that
 # it doesn't use.
 MAX_WATCH_LOOKS = 3
+# Steps of a bounded wait, in ms: a delay of this process uses up one of them.
+STEP_MS = 25
 
 
 class EndpointSign(enum.Enum):
@@ -99,6 +101,27 @@
             look = await self.look(target)
         return look.sign is EndpointSign.ENDED
 
+    async def look_within(
+        self, target: targets.Target, limit_ms: int
+    ) -> EndpointSign:
+        """Find out in a bounded time whether an endpoint still listens.
+
+        Delays of this process use up little of the time: an answer that waits
+        to be read is not missed because of them.
+
+        :param target: the endpoint.
+        :param limit_ms: the time, in ms.
+        """
+        look = asyncio.ensure_future(self.look_at(target))
+        try:
+            for _ in range(limit_ms // STEP_MS):
+                done, _ = await asyncio.wait({look}, timeout=STEP_MS / 1000)
+                if done:
+                    return look.result()
+        finally:
+            look.cancel()
+        return EndpointSign.UNKNOWN
+
     async def _connect(self, target: targets.Target) -> Look:
         connection = await self._pool.connect(target.key, target.address)
         if isinstance(connection, upstream.Connection):
