--- a/filbertglade/control/agreement.py
+++ b/filbertglade/control/agreement.py
@@ -163,7 +163,6 @@
                 await voter.tasks.close()
             if clock.now_ms() - started_ms > MAX_RESTART_INTERVAL_MS:
                 interval_ms = MIN_RESTART_INTERVAL_MS
-            failure = self._start_failure
             while True:
                 await asyncio.sleep(interval_ms / 1000)
                 interval_ms = min(2 * interval_ms, MAX_RESTART_INTERVAL_MS)
--- a/filbertglade/forwarding/attempt.py
+++ b/filbertglade/forwarding/attempt.py
@@ -108,14 +108,13 @@
             the response reports a failure.
         :returns: the outcome.
         """
-        known = self._context.known
         connection = await self._connect()
         if isinstance(connection, failures.Failure):
-            await known.record(
+            await self._context.evidence.record(
                 self.clearance, evidence.Sign.UNREACHABLE, str(connection)
             )
             return AttemptOutcome.UNREACHABLE
-        if not known.begin(self.clearance, self._stream):
+        if not self._context.evidence.begin(self.clearance, self._stream):
             self._context.pool.keep(connection)
             self._log_failed(AttemptOutcome.WITHDRAWN)
             return AttemptOutcome.WITHDRAWN
@@ -124,7 +123,9 @@
         self._delivery.splitter.discard_partial()
         self._log_sent(connection, demand)
         outcome = await self._exchange(connection, may_retry_failure)
-        await known.record(self.clearance, self._sign, self._detail)
+        await self._context.evidence.record(
+            self.clearance, self._sign, self._detail
+        )
         if outcome is not AttemptOutcome.ANSWERED:
             self._log_failed(outcome)
         return outcome
@@ -156,7 +157,7 @@
     ) -> None:
         shared, target = self._context, self._target
         digest = self.clearance.digest
-        load = shared.known.loads.count_in_flight(target) - 1
+        load = shared.evidence.loads.count_in_flight(target) - 1
         self._record.write(
             'request.sent',
             endpoint=target.key,
@@ -230,7 +231,6 @@
 
         :returns: the outcome, and whether the connection may be reused.
         """
-        known = self._context.known
         head = await connection.read_head(
             self._context.dialect.request_id,
             self._record.request_id,
@@ -239,8 +239,8 @@
         if isinstance(head, failures.Failure):
             self._note_broken(connection, str(head))
             return AttemptOutcome.BROKEN, False
-        known.read_head(self.clearance, head)
-        if known.is_not_run(head):
+        self._context.evidence.read_head(self.clearance, head)
+        if self._context.evidence.is_not_run(head):
             await connection.skip_body(head)
             self._log_rejection(head)
             self._record.run_count -= 1
--- a/filbertglade/forwarding/choice.py
+++ b/filbertglade/forwarding/choice.py
@@ -18,7 +18,7 @@
 
     :param data_centre: this node's data centre.
     :param fleet_view: the node's view.
-    :param known: what endpoints have said and shown.
+    :param endpoint_evidence: what endpoints have said and shown.
     :param rng: the process's random number generator.
     """
 
@@ -26,12 +26,12 @@
         self,
         data_centre: str,
         fleet_view: view.FleetView,
-        known: evidence.EndpointEvidence,
+        endpoint_evidence: evidence.EndpointEvidence,
         rng: random.Random,
     ) -> None:
         self._data_centre = data_centre
         self._view = fleet_view
-        self._known = known
+        self._evidence = endpoint_evidence
         self._rng = rng
 
     def list_targets(self, service: str, model: str) -> list[targets.Target]:
@@ -49,7 +49,7 @@
         leaving = map(targets.from_endpoint, self._view.list_leaving(service))
         return [
             *map(targets.from_endpoint, staying),
-            *filter(self._known.is_last_resort, leaving),
+            *filter(self._evidence.is_last_resort, leaving),
         ]
 
     def choose(
@@ -66,13 +66,13 @@
         :returns: the target, or why there is none.
         """
         listed = self.list_targets(demand.service, demand.model)
-        candidates = self._known.select(listed, tried)
+        candidates = self._evidence.select(listed, tried)
         if isinstance(candidates, failures.Failure):
             return candidates
         preferred = [
             target
             for target in candidates
-            if not self._known.is_returning(target)
+            if not self._evidence.is_returning(target)
         ]
         chosen = self._choose_among(preferred, demand) if preferred else None
         return chosen or self._choose_among(candidates, demand)
@@ -83,7 +83,7 @@
         if not demand.model:
             return self._choose_by_expected_load(candidates)
         loads = {
-            target: self._known.loads.count_in_flight(target)
+            target: self._evidence.loads.count_in_flight(target)
             for target in candidates
         }
         available = [
@@ -129,7 +129,7 @@
             ((self._compute_cost(target), target) for target in options),
             key=lambda item: item[0],
         )
-        unreported = self._known.loads.estimate_unreported(options[0].model)
+        unreported = self._evidence.loads.estimate_unreported(options[0].model)
         level, placed = costs[0][0], 0.0
         for filled_count, (cost, _) in enumerate(costs[1:], start=1):
             if placed + filled_count * (cost - level) >= unreported:
@@ -145,7 +145,7 @@
 
     def _compute_cost(self, target: targets.Target) -> float:
         load = (
-            self._known.loads.count_in_flight(target) + 1
+            self._evidence.loads.count_in_flight(target) + 1
         ) * target.slowness
         is_remote = target.data_centre != self._data_centre
         return load + is_remote * CROSS_DATA_CENTRE_REQUESTS
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -56,7 +56,7 @@
     :param fleet_view: the node's view.
     :param leader: the stream to the leader.
     :param chooser: chooses targets.
-    :param known: what endpoints have said and shown.
+    :param endpoint_evidence: what endpoints have said and shown.
     :param pool: connections to endpoints.
     :param retries: the node's part of the retry quota.
     :param counters: the process's metrics.
@@ -73,7 +73,7 @@
         fleet_view: view.FleetView,
         leader: watcher.Watcher,
         chooser: choice.Chooser,
-        known: evidence.EndpointEvidence,
+        endpoint_evidence: evidence.EndpointEvidence,
         pool: upstream.UpstreamPool,
         retries: quota.RetryQuota,
         counters: metrics.Metrics,
@@ -83,7 +83,7 @@
         self.view = fleet_view
         self.leader = leader
         self.chooser = chooser
-        self.known = known
+        self.evidence = endpoint_evidence
         self.pool = pool
         self.retries = retries
         self.counters = counters
--- a/filbertglade/forwarding/delivery.py
+++ b/filbertglade/forwarding/delivery.py
@@ -148,7 +148,7 @@
         try:
             async for chunk in connection.read_body(head):
                 self._record_pause()
-                self._context.known.stall_detector.record_event(
+                self._context.evidence.stall_detector.record_event(
                     target, self._stream
                 )
                 complete = self.splitter.split(chunk)
@@ -187,10 +187,10 @@
             return
         left_ms = self._record.deadline_ms - clock.now_ms() - END_MARGIN_MS
         # If nothing tells, the response goes out within its deadline.
-        sign = await shared.known.crash_check.look_within(
+        sign = await shared.evidence.crash_check.look_within(
             target, min(END_CHECK_MS, left_ms)
         )
-        is_leaving = shared.known.is_leaving(target)
+        is_leaving = shared.evidence.is_leaving(target)
         self._record.write(
             'answer.end_checked',
             endpoint=target.key,
--- a/filbertglade/forwarding/evidence.py
+++ b/filbertglade/forwarding/evidence.py
@@ -98,6 +98,7 @@
     :param allowance_ms: what was taken of the endpoint's limit; None without
         a limit.
     :ivar has_begun: whether anything may have been sent.
+    :ivar stream: told if the replica stalls; None without a replica.
     """
 
     __slots__ = (
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -204,7 +204,7 @@
                 self._give_up(outcome, 'quota of retries spent')
                 return
             self._is_retry_taken = False
-            clearance = await self._context.known.ask(
+            clearance = await self._context.evidence.ask(
                 target, self._digest, self._remaining_ms()
             )
             if isinstance(clearance, failures.Failure):
@@ -279,7 +279,7 @@
             )
         finally:
             self._attempt = None
-            self._context.known.end(clearance)
+            self._context.evidence.end(clearance)
 
     def _give_up_without_target(
         self,
@@ -297,7 +297,7 @@
         if self._record.send_count:
             self._give_up(outcome, detail)
             return
-        containment = self._context.known.containment
+        containment = self._context.evidence.containment
         retry_ms = containment.find_retry_ms(self._digest)
         self._refuse(503, detail, retry_ms / 1000)
 
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -75,7 +75,7 @@
         self._view = fleet_view
         self._tasks = tasks.TaskGroup()
         self._pool = upstream.UpstreamPool(counters)
-        self._known = evidence.EndpointEvidence(
+        self._evidence = evidence.EndpointEvidence(
             dialect,
             fleet_view,
             fleet_watcher,
@@ -88,8 +88,10 @@
             dialect,
             fleet_view,
             fleet_watcher,
-            choice.Chooser(settings.data_centre, fleet_view, self._known, rng),
-            self._known,
+            choice.Chooser(
+                settings.data_centre, fleet_view, self._evidence, rng
+            ),
+            self._evidence,
             self._pool,
             quota.RetryQuota(settings.retries),
             counters,
@@ -129,7 +131,7 @@
             self._health_server = httpserver.HTTPServer(application)
             host, port = channels.split_address(listen.health)
             self._health_server.listen(port, host)
-        self._tasks.start(self._known.stall_detector.run())
+        self._tasks.start(self._evidence.stall_detector.run())
 
     async def drain(self) -> None:
         """Finish the requests in flight, within the grace period."""
@@ -157,5 +159,5 @@
         if self._health_server is not None:
             self._health_server.stop()
         await self._tasks.close()
-        await self._known.close()
+        await self._evidence.close()
         self._pool.close()
--- a/tests/gateway_forwarding/test_attempt.py
+++ b/tests/gateway_forwarding/test_attempt.py
@@ -23,7 +23,7 @@
             target=types.SimpleNamespace(key='i-1@1000', address='')
         )
         tried = attempt.Attempt(
-            types.SimpleNamespace(known=known, pool=pool),
+            types.SimpleNamespace(evidence=known, pool=pool),
             None,
             record,
             None,
