Keep the exit codes of the soak's processes

The host had logged its stop; ten SIGHUPs were sent to it while it exited. The event loop's call for that looks first whether the child has exited, and so reaps it; the loop's own wait then finds no child and reports 255 ("Unknown child process pid 16314" in the soak's output, the pid of that host).

The soak now sends signals itself. A host that exits with another code than 0, or by a signal, is found as before.

--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import os
 import random
 import signal
 import time
@@ -165,8 +166,12 @@
         self._reserved.difference_update(processes)
 
     def _signal(self, process, number):
+        if process.process.returncode is not None:
+            return
+        # The event loop's own call reaps a child that has just exited; its
+        # exit code would be lost.
         with contextlib.suppress(ProcessLookupError):
-            process.process.send_signal(number)
+            os.kill(process.process.pid, number)
 
     def _log(self, text, processes):
         names = ', '.join(process.name for process in processes)
