--- a/filbertglade/forwarding/containment.py
+++ b/filbertglade/forwarding/containment.py
@@ -1,6 +1,7 @@
 """Contains requests that crash the endpoints that run them."""
 
 import asyncio
+from collections import abc
 import enum
 
 from filbertglade import clock
@@ -59,6 +60,7 @@
     :param reports: what this host reports to the leader.
     :param check: looks at the addresses of endpoints.
     :param fault_tracker: targets to exclude.
+    :param is_leaving: tells whether an endpoint leaves, or has left.
     :param counters: the process's metrics.
     """
 
@@ -68,11 +70,13 @@
         reports: crash_reports.CrashReports,
         check: crash_check.CrashCheck,
         fault_tracker: faults.FaultTracker,
+        is_leaving: abc.Callable[[targets.Target], bool],
         counters: metrics.Metrics,
     ) -> None:
         self._check = check
         self._faults = fault_tracker
         self._tasks = tasks.TaskGroup()
+        self._is_leaving = is_leaving
         self._struck = fleet_view.struck
         self._reports = reports
         self._counters = counters
@@ -193,18 +197,44 @@
     async def _judge(
         self, digest: bytes, target: targets.Target, trial: int
     ) -> None:
-        sign = await self._check.look_at(target)
-        log.change(
-            'endpoint.looked_at',
-            digest=digest.hex(),
-            endpoint=target.key,
-            sign=sign.value,
-        )
-        if sign is crash_check.EndpointSign.ENDED:
-            self._faults.record(target, sign.value)
-            self._reports.report_strike(digest, target.key, trial)
-            return
+        broken_ms = clock.now_ms()
+        look = await self._check.look(target)
+        _log_sign(digest, target, look.sign)
+        if look.sign is crash_check.EndpointSign.ENDED:
+            self._faults.record(target, look.sign.value)
+            if not self._is_leaving(target):
+                self._reports.report_strike(
+                    digest, target.key, trial, broken_ms
+                )
+                return
         self._report_broken(digest, target, trial)
+        if look.sign is crash_check.EndpointSign.LISTENING:
+            self._tasks.start(
+                self._watch(digest, target, trial, look, broken_ms)
+            )
+
+    async def _watch(
+        self,
+        digest: bytes,
+        target: targets.Target,
+        trial: int,
+        look: crash_check.Look,
+        broken_ms: int,
+    ) -> None:
+        """Count a crash that comes after the response broke off.
+
+        The leader would find it as well, but only when the endpoint is back or
+        has been silent for long; repeats would crash others until then. It
+        judges alone where it knows that the endpoint left.
+        """
+        if not await self._check.wait_for_end(target, look):
+            return
+        if self._is_leaving(target):
+            return
+        sign = crash_check.EndpointSign.ENDED
+        _log_sign(digest, target, sign)
+        self._faults.record(target, sign.value)
+        self._reports.report_strike(digest, target.key, trial, broken_ms)
 
     def record_silence(
         self, digest: bytes, target: targets.Target, permission: Permission
@@ -247,3 +277,14 @@
     async def close(self) -> None:
         """Stop looking at endpoints."""
         await self._tasks.close()
+
+
+def _log_sign(
+    digest: bytes, target: targets.Target, sign: crash_check.EndpointSign
+) -> None:
+    log.change(
+        'endpoint.looked_at',
+        digest=digest.hex(),
+        endpoint=target.key,
+        sign=sign.value,
+    )
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -11,6 +11,7 @@
 from filbertglade.forwarding import context
 from filbertglade.forwarding import delivery
 from filbertglade.forwarding import evidence
+from filbertglade.forwarding import faults
 from filbertglade.forwarding import lookup
 from filbertglade.forwarding import request_record
 from filbertglade.forwarding import server
@@ -20,7 +21,10 @@
 # Attempts beyond the route's limit, which only counts those that may have run
 # the request.
 EXTRA_ATTEMPTS = 3
-# Interval between looks for a target while a response waits for one, in ms.
+# How long a response that has started waits for a target, in ms: within this
+# time a lost member is detected and its group repaired. Interval between looks
+# for one.
+MAX_TARGET_WAIT_MS = faults.FAULT_EXCLUSION_MS
 TARGET_POLL_MS = 100
 # Largest part by which the Retry-After of a refusal is changed at random.
 RETRY_SPREAD = 0.25
@@ -219,10 +223,7 @@
             self._tried.append(target.load_key)
             if not self._may_try_another(outcome, route):
                 break
-        retry_s = evidence.REPAIR_RETRY_AFTER_S
-        if outcome is attempt.AttemptOutcome.NOT_RUN:
-            retry_s = evidence.OVERLOAD_RETRY_AFTER_S
-        self._give_up(outcome, 'tries used up', retry_s)
+        self._give_up(outcome, 'tries used up')
 
     async def _wait_for_target(
         self, route: document.Route, failure: evidence.NoTarget
@@ -233,12 +234,16 @@
         that were tried may be asked again once nothing speaks against them.
 
         :param failure: why there is no target now.
-        :returns: the target, or why there was none until the deadline.
+        :returns: the target, or why there was none for
+            :data:`MAX_TARGET_WAIT_MS` or until the deadline.
         """
         start_ms = clock.now_ms()
         target: targets.Target | evidence.NoTarget = failure
         while isinstance(target, evidence.NoTarget):
-            left_ms = self._remaining_ms() - context.MIN_REMAINING_MS
+            left_ms = min(
+                self._remaining_ms() - context.MIN_REMAINING_MS,
+                start_ms + MAX_TARGET_WAIT_MS - clock.now_ms(),
+            )
             if left_ms <= 0:
                 break
             await asyncio.sleep(min(TARGET_POLL_MS, left_ms) / 1000)
@@ -283,10 +288,7 @@
     ) -> None:
         """End a request for which there is no target now."""
         is_paused = failure.reason is evidence.NoTargetReason.PAUSED
-        retry_s = failure.retry_s
-        if outcome is attempt.AttemptOutcome.NOT_RUN and not is_paused:
-            retry_s = evidence.OVERLOAD_RETRY_AFTER_S
-        self._give_up(outcome, str(failure), retry_s, is_paused)
+        self._give_up(outcome, str(failure), failure.retry_s, is_paused)
 
     def _give_up_struck(
         self, outcome: attempt.AttemptOutcome | None, detail: str
@@ -371,6 +373,8 @@
             attempt.AttemptOutcome.UNREACHABLE,
             attempt.AttemptOutcome.NOT_RUN,
         ):
+            if outcome is attempt.AttemptOutcome.NOT_RUN and not is_earliest:
+                retry_s = evidence.OVERLOAD_RETRY_AFTER_S
             self._refuse(503, detail, retry_s, is_earliest)
             return
         # From here on an endpoint may have run the request, so no status may
@@ -436,8 +440,8 @@
         headers = {}
         if retry_s is not None:
             # Callers that are refused together come back one by one.
-            part = 2 * self._context.rng.random() - (not is_earliest)
-            retry_s *= 1 + RETRY_SPREAD * part
+            least = 0.0 if is_earliest else -RETRY_SPREAD
+            retry_s *= 1 + self._context.rng.uniform(least, RETRY_SPREAD)
             headers['Retry-After'] = f'{retry_s:.2f}'
         self._record.count('refusals', outcome=str(status))
         self._record.write(
