--- a/tests/platform/soak_deployment.py
+++ b/tests/platform/soak_deployment.py
@@ -512,6 +512,7 @@
 
         :param is_read: whether its host surely reads it.
         """
+        more += self._say_limit(headers, is_read)
         more += self._say_leaving(headers, is_read)
         return (
             'HTTP/1.1 200 OK\r\n'
@@ -564,11 +565,12 @@
                 told.leaving_s = self.record.now_s()
         return LEAVING_LINE
 
-    def _say_limit(self, headers):
+    def _say_limit(self, headers, is_read=True):
         request = self.record.requests.get(headers['X-Request-Id'])
         if self.limit_per_s is None or request is None:
             return ''
-        self.told_s.setdefault(request.host, self.record.now_s())
+        if is_read:
+            self.told_s.setdefault(request.host, self.record.now_s())
         return f'Server-Limit: {self.limit_per_s}\r\n'
 
     def _build_rejection(self, headers, host):
