Send endless requests until one reaches the endless endpoint

test_interim_responses_without_end_are_given_up failed once, in a whole run beside three busy processes: "assert 0", the endless worker had sent nothing. The host's log shows why: a request of the test's own was in flight there, and the four endless ones, whose targets are drawn by load, all went to the sound worker within 25 ms and were answered. That is allowed. The test now sends them again until one arrives, ten times at most, and requires 200 of all that the sound worker answered; its other checks are unchanged.

--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -21,6 +21,8 @@
 READ_S = 1.0
 # Requests that get bytes without end at the same time.
 REQUESTS = 4
+# Most times that they are sent until one reaches the endless worker.
+MAX_ROUNDS = 10
 BLOCK = b'x' * 65_536
 ROUTES = [
     *documents.PLAIN['routes'],
@@ -135,9 +137,14 @@
     peaks, times_s = [], []
     watching = asyncio.create_task(_watch_memory(running.entries[0], peaks))
     asking = asyncio.create_task(_ask_others(running, times_s))
-    ends = await asyncio.gather(
-        *(_send_endless(running, path) for _ in range(REQUESTS))
-    )
+    for _ in range(MAX_ROUNDS):
+        ends = await asyncio.gather(
+            *(_send_endless(running, path) for _ in range(REQUESTS))
+        )
+        if running.workers[0].sent_bytes:
+            break
+        # The host chose the sound worker for all of them.
+        assert ends == [200] * REQUESTS
     await asyncio.sleep(0.2)
     for task in (watching, asking):
         task.cancel()
