Say plainly what a clearance and two signs of endpoints are

Names and comments only: whether an endpoint says that it leaves was called whether it has left, and the time at which a request of a limit expires what was taken of the limit.

--- a/filbertglade/forwarding/attempt.py
+++ b/filbertglade/forwarding/attempt.py
@@ -57,7 +57,7 @@
     :param request: the request.
     :param record: logs the decisions.
     :param passed_on: passes the response on to the caller.
-    :param clearance: leave to send the request to the endpoint.
+    :param clearance: lets the request be sent to the endpoint.
     :param stream: told if the endpoint's replica stalls.
     :ivar clearance: the same.
     :ivar is_stalled: whether this host closed the connection as the replica
--- a/filbertglade/forwarding/crash_check.py
+++ b/filbertglade/forwarding/crash_check.py
@@ -1,4 +1,4 @@
-"""Checks whether an endpoint crashed when a response broke off."""
+"""Checks by its address whether an endpoint has crashed."""
 
 import asyncio
 import dataclasses
--- a/filbertglade/forwarding/evidence.py
+++ b/filbertglade/forwarding/evidence.py
@@ -79,7 +79,7 @@
     # The same on a kept connection before any answer: the endpoint may have
     # closed it before the request arrived.
     BROKEN_KEPT = enum.auto()
-    # A response that reports a failure broke off.
+    # A response that reports a failure broke off, or didn't state its end.
     BROKEN_FAILURE = enum.auto()
     # No complete response in time.
     SILENT = enum.auto()
@@ -88,15 +88,15 @@
 
 
 class Clearance:
-    """Leave to send one request to one endpoint.
+    """One request that may be sent to one endpoint, and what it was given.
 
     :param target: the endpoint, or the head of the replica.
     :param digest: digest of the request.
     :param permission: says whether the request is sent in a trial.
     :param is_last_resort: whether the endpoint leaves, and no other can be
         sent the request.
-    :param allowance_ms: what was taken of the endpoint's limit; None without
-        a limit.
+    :param allowance_ms: local clock at which the request that was taken of
+        the endpoint's limit expires; None without a limit.
     :ivar has_begun: whether anything may have been sent.
     :ivar stream: told if the replica stalls; None without a replica.
     """
@@ -194,7 +194,7 @@
         :returns: the targets, or why there is none.
         """
         staying = [
-            target for target in candidates if not self._has_left(target)
+            target for target in candidates if not self._says_leaving(target)
         ]
         selected = self._select_open(staying, tried)
         if selected:
@@ -247,7 +247,7 @@
             NoTargetReason.LIMITED, min(retry_s, OVERLOAD_RETRY_AFTER_S)
         )
 
-    def _has_left(self, target: targets.Target) -> bool:
+    def _says_leaving(self, target: targets.Target) -> bool:
         return self._statements.find_leaving_age_ms(target.key) is not None
 
     def is_last_resort(self, target: targets.Target) -> bool:
@@ -278,13 +278,13 @@
             :class:`WithdrawnReason` if another target has to be chosen, or
             why the request may not be sent at all.
         """
-        has_left = self._has_left(target)
+        says_leaving = self._says_leaving(target)
         permission = await self.containment.admit(digest, remaining_ms)
         if isinstance(permission, failures.Failure):
             return permission
         # The wait may have changed what the endpoint takes.
         if not (
-            self._may_begin(target, has_left)
+            self._may_begin(target, says_leaving)
             and self._allowed.may_send(target.key)
         ):
             self.containment.end(digest, permission, False)
@@ -293,14 +293,14 @@
             target,
             digest,
             permission,
-            has_left,
+            says_leaving,
             self._allowed.take(target.key),
         )
 
     def _may_begin(self, target: targets.Target, is_last_resort: bool) -> bool:
         if self._statements.find_pause_ms(target.key):
             return False
-        if not self._has_left(target):
+        if not self._says_leaving(target):
             return True
         return is_last_resort and self.is_last_resort(target)
 
@@ -409,7 +409,7 @@
 
         :param target: the endpoint, or the replica that it leads.
         """
-        if self._has_left(target):
+        if self._says_leaving(target):
             return True
         if target.group:
             # Hosts aren't told of the endpoints of models.
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -21,7 +21,7 @@
 READ_S = 1.0
 # Requests that get bytes without end at the same time.
 REQUESTS = 4
-# Most times that they are sent until one reaches the endless worker.
+# Most rounds of them until one reaches the endless worker.
 MAX_ROUNDS = 10
 BLOCK = b'x' * 65_536
 ROUTES = [
