Give each run of tests ports that no other one has

Cause: each test process began its ports at a place that its process id chose, so runs of tests that started together could choose the same ones. Change: a process takes ports from blocks whose first port it holds.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -41,23 +41,36 @@
 # between its choice and its use.
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
-PORTS_PER_PROCESS = 100
-PORTS_PER_WORKER = 5000
+# A test process holds the first port of each block that it takes ports from.
+BLOCK_PORTS = 100
 
-_ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
-# Concurrent test processes start at different ports.
-_worker_number = int(
-    os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw')
-)
-_skipped_ports = (
-    os.getpid() * PORTS_PER_PROCESS + _worker_number * PORTS_PER_WORKER
-)
-_skipped_ports %= LAST_PORT - FIRST_PORT
-next(itertools.islice(_ports, _skipped_ports, _skipped_ports), None)
+
+def _yield_ports() -> abc.Iterator[int]:
+    """Yield ports of blocks that no other test process holds."""
+    held: list[socket.socket] = []
+    ports: list[int] = []
+    for first in range(FIRST_PORT, LAST_PORT, BLOCK_PORTS):
+        guard = socket.socket()
+        try:
+            guard.bind(('127.0.0.1', first))
+        except OSError:
+            guard.close()
+            continue
+        held.append(guard)
+        block = range(first + 1, first + BLOCK_PORTS)
+        ports += block
+        yield from block
+    yield from itertools.cycle(ports)
+
+
+_ports = _yield_ports()
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports of 127.0.0.1 that no process listens on."""
+    """Return ports of 127.0.0.1 that no process listens on.
+
+    No other test process on this machine gets them as long as this one runs.
+    """
     return list(itertools.islice(filter(_is_free, _ports), count))
 
 
