Round fractions of bounds in settings down

Cause: the template of settings appended 000 to seconds, which makes another number of a bound such as 0.5, and whole numbers were demanded elsewhere.

--- a/filbertglade/settings/gateway.py
+++ b/filbertglade/settings/gateway.py
@@ -5,10 +5,12 @@
 """
 
 import dataclasses
+import math
 import pathlib
 import typing
 
 import annotated_types
+import pydantic
 
 from filbertglade import schema
 from filbertglade.settings import files
@@ -21,6 +23,21 @@
 ]
 
 
+def _drop_fraction(value: object) -> object:
+    if isinstance(value, float) and math.isfinite(value):
+        return int(value)
+    return value
+
+
+# Values that deployments may state as fractions, which are rounded down.
+RoundedDuration = typing.Annotated[
+    Duration, pydantic.BeforeValidator(_drop_fraction)
+]
+RoundedCount = typing.Annotated[
+    Count, pydantic.BeforeValidator(_drop_fraction)
+]
+
+
 @dataclasses.dataclass(slots=True)
 class GatewayListenSettings:
     """Addresses that a gateway process listens on, as IP numbers.
@@ -88,9 +105,9 @@
 
     __pydantic_config__ = schema.STRICT
 
-    announce_ms: Duration = 1200
-    stall_ms: Duration = 4000
-    load_window_ms: Duration = 5000
+    announce_ms: RoundedDuration = 1200
+    stall_ms: RoundedDuration = 4000
+    load_window_ms: RoundedDuration = 5000
     load_factor: Ratio = 1.0
 
 
@@ -106,8 +123,8 @@
     __pydantic_config__ = schema.STRICT
 
     ratio: Ratio = 0.1
-    slack: Count = 20
-    window_ms: Duration = 10_000
+    slack: RoundedCount = 20
+    window_ms: RoundedDuration = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -138,7 +155,7 @@
     retries: RetryQuotaSettings = dataclasses.field(
         default_factory=RetryQuotaSettings
     )
-    grace_ms: Duration = 8000
+    grace_ms: RoundedDuration = 8000
     dialect: typing.Literal['own', 'platform'] = 'own'
 
     @property
