Cancel again what goes on after a lost stream

Cause: a stream that is lost at the moment of a cancellation raises its own error in place of it, so the task goes on, and whoever closes its group waits for ever: a host that stopped ran on after its grace period. Change: a closing group cancels every 0.2 s what still runs. Evidence: tests/test_tasks.py, which failed before.

--- a/filbertglade/tasks.py
+++ b/filbertglade/tasks.py
@@ -12,6 +12,9 @@
 
 log = logs.get_log(__name__)
 
+# Interval at which a closing group cancels what still runs, in s.
+CANCEL_INTERVAL_S = 0.2
+
 
 class TaskGroup:
     """Owns background tasks until they end or the owner closes."""
@@ -44,7 +47,10 @@
         """Cancel the running tasks and wait until they end."""
         current = asyncio.current_task()
         tasks = [task for task in self._tasks if task is not current]
-        for task in tasks:
-            task.cancel()
-        if tasks:
-            await asyncio.wait(tasks)
+        while tasks:
+            for task in tasks:
+                task.cancel()
+            # A stream that is lost at this moment raises its own error in
+            # place of the cancellation, so the task may go on.
+            _, running = await asyncio.wait(tasks, timeout=CANCEL_INTERVAL_S)
+            tasks = list(running)
