Build frames once for all watchers that were sent the same

Cause: for each watcher and frame the leader read the whole registry, all replicas and all watchers, so a second cost watchers x (watchers + endpoints + replicas) x frames. Change: keys by the version of their latest change, one publication for all watchers of a kind, one frame for all that were sent the same before, sums of loads kept and not counted anew. What only one watcher is told is added apart. New metrics: busy_us, frames_built, change_sent_ms. tests/fleet/leaders.py has what two test files share; the constants that moved to audience.py keep their values. Evidence: tests/fleet/test_frame_work.py counts entries read and bytes encoded with 10 to 400 watchers and 100 to 1,200 endpoints and failed before; test_told_loads.py, test_pacing.py.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -1,9 +1,6 @@
 """The leader's side of the streams to the nodes that watch it."""
 
 import asyncio
-from collections import abc
-import dataclasses
-import enum
 import random
 
 from grpclib import server
@@ -13,11 +10,15 @@
 from filbertglade.control import replication
 from filbertglade.control import state
 from filbertglade.control import voters as control_voters
+from filbertglade.fleet import audience
+from filbertglade.fleet import connected_watcher
 from filbertglade.fleet import crash_evidence
 from filbertglade.fleet import endpoint_limits
-from filbertglade.fleet import frames
-from filbertglade.fleet import pacing
+from filbertglade.fleet import load_totals
 from filbertglade.fleet import registry
+from filbertglade.fleet import replica_changes
+from filbertglade.fleet import report_reader
+from filbertglade.fleet import shared_frames
 from filbertglade.fleet import struck_requests
 from filbertglade.fleet import trials
 from filbertglade.fleet import turns
@@ -33,14 +34,6 @@
 # Longest interval between two frames, in ms: a watcher considers the leader
 # lost after several such intervals without a frame.
 MAX_FRAME_INTERVAL_MS = 250
-# Shortest interval between two frames, in ms, so that changes made at nearly
-# the same time are sent in one frame.
-BATCH_MS = 25
-# Interval between two frames while only the load changes, in ms: the minimum,
-# and the time per watcher, which limits all watchers together to about 500
-# frames a second.
-MIN_LOAD_INTERVAL_MS = 50
-LOAD_INTERVAL_PER_WATCHER_MS = 2
 # Watchers that are sent the whole view at the same time, and how long each may
 # take while others wait, in ms: after a change of leader all need it at once.
 MAX_WHOLE_VIEWS = 16
@@ -48,106 +41,7 @@
 # Time without a report after which a watcher's stream is ended, in ms.
 WATCHER_TIMEOUT_MS = 3000
 
-
-class LeaveReason(enum.StrEnum):
-    """Why a watcher's stream ended."""
-
-    REPORT_TIMEOUT = 'report time-out'
-    SEND_TIMEOUT = 'send time-out'
-    ENDED_BY_WATCHER = 'stream ended by the watcher'
-    # The watcher gave up, its connection broke, or this process is stopping.
-    RESET = 'stream reset or connection lost'
-    STREAM_ERROR = 'stream error'
-    NO_LONGER_LEADER = 'no longer leader'
-    INTERNAL_ERROR = 'internal error'
-
-
-@dataclasses.dataclass(slots=True)
-class ConnectedWatcher:
-    """A node that watches this host.
-
-    :param report: its latest report.
-    :param attached_ms: local clock at its first report.
-    :param changed_event: set when it must be sent a frame at once.
-    :param frames: number of frames sent.
-    :param sent_bytes: bytes of these frames.
-    :param sending_bytes: bytes of the frame that is being sent; 0 if none is.
-    :param trial_answers: answers to its trial requests that wait to be sent.
-    :param allowances: what it may send to endpoints with limits, and hasn't
-        been told.
-    :param leave_reason: why its stream ended; None while it runs.
-    :param leave_error: type and text of the exception that ended it; empty if
-        there was none.
-    """
-
-    report: fleet_pb2.WatchReport
-    attached_ms: int
-    changed_event: asyncio.Event = dataclasses.field(
-        default_factory=asyncio.Event
-    )
-    frames: int = 0
-    sent_bytes: int = 0
-    sending_bytes: int = 0
-    trial_answers: list[fleet_pb2.TrialAnswer] = dataclasses.field(
-        default_factory=list
-    )
-    allowances: list[fleet_pb2.Allowance] = dataclasses.field(
-        default_factory=list
-    )
-    leave_reason: LeaveReason | None = None
-    leave_error: str = ''
-
-    def note_leaving(
-        self, reason: LeaveReason, error: BaseException | None = None
-    ) -> None:
-        """Note why the stream ends; the first reason counts.
-
-        :param reason: the reason.
-        :param error: the exception that ended it, if any.
-        """
-        if self.leave_reason is None:
-            self.leave_reason = reason
-            # As text: an exception refers to the frame that was being sent.
-            if error is not None:
-                self.leave_error = f'{type(error).__name__}: {error}'
-
-
-@dataclasses.dataclass(slots=True)
-class FrameSize:
-    """The bytes of a frame by kind of content.
-
-    :param view_bytes: endpoints and replicas.
-    :param load_bytes: all else.
-    """
-
-    view_bytes: int
-    load_bytes: int
-
-    @property
-    def total_bytes(self) -> int:
-        """The frame's bytes."""
-        return self.view_bytes + self.load_bytes
-
-    @property
-    def main_content(self) -> str:
-        """The first kind of content that the frame has."""
-        return 'view' if self.view_bytes else 'load'
-
-
-def measure_frame(frame: fleet_pb2.FleetFrame) -> FrameSize:
-    """Return the bytes of a frame by kind of content.
-
-    :param frame: the frame.
-    """
-    view_bytes = sum(item.ByteSize() for item in frame.endpoints)
-    view_bytes += sum(item.ByteSize() for item in frame.replicas)
-    return FrameSize(view_bytes, frame.ByteSize() - view_bytes)
-
-
-@dataclasses.dataclass(slots=True)
-class _VersionedReplica:
-    version: int
-    replica: fleet_pb2.Replica
+LeaveReason = connected_watcher.LeaveReason
 
 
 class Publisher(fleet_grpc.FleetBase):
@@ -182,13 +76,6 @@
         self._replicas = replicas
         self._view = fleet_view
         self._counters = counters
-        self._watchers: dict[int, ConnectedWatcher] = {}
-        self._sender_events: set[asyncio.Event] = set()
-        self._versioned_replicas: dict[str, _VersionedReplica] = {}
-        self._removed_versions: dict[str, int] = {}
-        self._version = 0
-        self._load_version = 0
-        self._is_stale = True
         self._struck = struck_requests.StruckRequests()
         self._arbiter = trials.TrialArbiter(self._struck, counters)
         self._evidence = crash_evidence.CrashEvidence(
@@ -197,6 +84,34 @@
         self._limits = endpoint_limits.EndpointLimits(
             counters, random.Random()
         )
+        self._state = shared_frames.FleetState(
+            endpoint_registry,
+            replica_changes.ReplicaChanges(),
+            load_totals.LoadTotals(),
+            self._struck,
+            self._limits,
+        )
+        self._reports = report_reader.ReportReader(
+            agreed,
+            endpoint_registry,
+            replicas,
+            self._state.loads,
+            self._struck,
+            self._arbiter,
+            self._evidence,
+            self._limits,
+        )
+        self._entry_hosts = audience.Audience(
+            shared_frames.FrameBuilder(self._state, counters),
+            lambda builder: self._publish(builder, takes_callers=True),
+            counters,
+        )
+        self._control_hosts = audience.Audience(
+            shared_frames.FrameBuilder(self._state, counters),
+            lambda builder: self._publish(builder, takes_callers=False),
+            counters,
+        )
+        self._is_stale = True
         self._view_turns = turns.Turns(
             MAX_WHOLE_VIEWS, WHOLE_VIEW_TURN_MS, WHOLE_VIEW_TURN_MS
         )
@@ -213,11 +128,8 @@
     def notify_change(self) -> None:
         """Schedule frames with the latest changes."""
         self._is_stale = True
-        self._wake_senders()
-
-    def _wake_senders(self) -> None:
-        for changed_event in self._sender_events:
-            changed_event.set()
+        self._entry_hosts.notify_change()
+        self._control_hosts.notify_change()
 
     @property
     def has_view(self) -> bool:
@@ -231,9 +143,14 @@
             previous leader had reported.
         """
         self.was_seeded = was_seeded
-        self._versioned_replicas.clear()
-        self._removed_versions.clear()
+        self._state.replicas.clear()
+        self._state.loads.clear()
+        for members in (self._entry_hosts, self._control_hosts):
+            for watcher in members.watchers.values():
+                self._state.loads.replace({}, watcher.report.in_flight)
         self._is_stale = True
+        self._entry_hosts.start_leading()
+        self._control_hosts.start_leading()
         self._struck.replace_with(self._view.struck)
         self._arbiter.start_leading()
         self._evidence.clear()
@@ -280,18 +197,21 @@
         if not self._voters.is_leader:
             await stream.send_message(self._build_redirection())
             return
-        watcher = ConnectedWatcher(first, clock.now_ms())
-        self._watchers[id(watcher)] = watcher
+        watcher = connected_watcher.ConnectedWatcher(
+            fleet_pb2.WatchReport(), clock.now_ms()
+        )
         self._apply_report(watcher, first)
-        report_reader = asyncio.get_running_loop().create_task(
+        members = (
+            self._entry_hosts if watcher.takes_callers else self._control_hosts
+        )
+        members.add(watcher)
+        report_reader_task = asyncio.get_running_loop().create_task(
             self._read_reports(stream, watcher)
         )
-        changed_event = watcher.changed_event
-        self._sender_events.add(changed_event)
         log.change('watcher.attached', watcher=first.node)
         try:
             await self._send_frames(
-                stream, watcher, changed_event, report_reader
+                stream, watcher, members, report_reader_task
             )
         except replication.STREAM_ERRORS as error:
             reason = LeaveReason.STREAM_ERROR
@@ -307,12 +227,13 @@
             raise
         finally:
             self._log_left(watcher)
-            self._sender_events.discard(changed_event)
-            del self._watchers[id(watcher)]
-            report_reader.cancel()
-            await asyncio.wait([report_reader])
+            members.remove(watcher)
+            report_reader_task.cancel()
+            # Before the wait, which a second cancellation may end.
+            self._state.loads.replace(watcher.report.in_flight, {})
+            await asyncio.wait([report_reader_task])
 
-    def _log_left(self, watcher: ConnectedWatcher) -> None:
+    def _log_left(self, watcher: connected_watcher.ConnectedWatcher) -> None:
         reason = watcher.leave_reason or LeaveReason.INTERNAL_ERROR
         self._counters.count('watchers_left', reason=reason)
         log.change(
@@ -332,10 +253,12 @@
             control_hosts=self.list_control_hosts(),
         )
 
+    # Reports
+
     async def _read_reports(
         self,
         stream: 'server.Stream[fleet_pb2.WatchReport, fleet_pb2.FleetFrame]',
-        watcher: ConnectedWatcher,
+        watcher: connected_watcher.ConnectedWatcher,
     ) -> None:
         try:
             while True:
@@ -353,129 +276,85 @@
             watcher.note_leaving(reason, error)
 
     def _apply_report(
-        self, watcher: ConnectedWatcher, report: fleet_pb2.WatchReport
-    ) -> None:
-        if watcher.report.in_flight != report.in_flight:
-            self._load_version += 1
-        watcher.report = report
-        self._apply_crashes(watcher, report)
-        self._apply_limits(report)
-        for endpoint in report.leaving:
-            self._registry.mark_leaving(endpoint, report.node)
-        for suspicion in report.suspicions:
-            self._replicas.handle_suspicion(suspicion, report.node)
-        if report.requests:
-            self._replicas.has_traffic = True
-
-    def _apply_crashes(
-        self, watcher: ConnectedWatcher, report: fleet_pb2.WatchReport
+        self,
+        watcher: connected_watcher.ConnectedWatcher,
+        report: fleet_pb2.WatchReport,
     ) -> None:
-        """Apply what a watcher reports of requests that crash endpoints.
-
-        Strikes come first: they decide about the trials that are asked for.
-        """
-        before = self._struck.trials_version
-        for strike in report.strikes:
-            is_new = self._struck.add_strike(
-                strike.digest,
-                strike.endpoint,
-                strike.age_ms,
-                is_trial=bool(strike.trial),
-            )
-            self._arbiter.record_crash(strike.digest, strike.trial, report.run)
-            log.change(
-                'strike.received',
-                digest=strike.digest.hex(),
-                endpoint=strike.endpoint,
-                watcher=report.node,
-                is_new=is_new,
-            )
-        for broken in report.broken_responses:
-            self._evidence.add(broken, report.run, self._list_members(broken))
-        for digest in report.served:
-            self._arbiter.record_served(digest)
-            self._struck.clear(digest)
-        for end in report.trial_ends:
-            self._arbiter.record_end(end, report.run)
-        for request in report.trial_requests:
-            watcher.trial_answers.append(
-                self._arbiter.decide(request, report.run)
-            )
-        if self._struck.trials_version != before:
-            self._wake_senders()
-        elif watcher.trial_answers:
-            watcher.changed_event.set()
-
-    def _apply_limits(self, report: fleet_pb2.WatchReport) -> None:
-        before = self._limits.version
-        for limit in report.limits:
-            self._limits.record(limit, report.run)
-        self._limits.record_demand(report.limited_demand, report.run)
-        self._limits.record_unused(report.unused_allowances)
-        if self._limits.version != before:
-            self._wake_senders()
-
-    def _divide_limits(self) -> None:
-        """Give watchers requests to endpoints with limits.
-
-        They go with the next regular frames.
-        """
-        self._limits.end_absent(self._registry.entries.__contains__)
-        allowances = self._limits.divide()
-        if not allowances:
-            return
-        for watcher in self._watchers.values():
-            watcher.allowances += allowances.get(watcher.report.run, ())
+        with self._counters.measure_part('reports'):
+            if self._state.loads.replace(
+                watcher.report.in_flight, report.in_flight
+            ):
+                self._entry_hosts.notify_load()
+                self._control_hosts.notify_load()
+            if self._reports.apply(watcher, report):
+                self._notify_audiences()
+
+    def _notify_audiences(self) -> None:
+        self._entry_hosts.notify_change()
+        self._control_hosts.notify_change()
 
-    def _list_members(
-        self, broken: fleet_pb2.BrokenResponse
-    ) -> abc.Iterable[str]:
-        """Return the endpoints whose crash may have broken a response off."""
-        if not broken.group:
-            return (broken.endpoint,)
-        record = self._agreed.replicas.records.get(broken.group)
-        if record is None or record.epoch != broken.epoch:
-            return (broken.endpoint,)
-        return record.endpoints
+    # Frames
 
     async def _send_frames(
         self,
         stream: 'server.Stream[fleet_pb2.WatchReport, fleet_pb2.FleetFrame]',
-        watcher: ConnectedWatcher,
-        changed_event: asyncio.Event,
-        report_reader: 'asyncio.Task[None]',
+        watcher: connected_watcher.ConnectedWatcher,
+        members: audience.Audience,
+        report_reader_task: 'asyncio.Task[None]',
     ) -> None:
-        sent = _SentState()
+        builder = members.builder
         turn = turns.Turn(self._view_turns)
+        is_view_begun = False
         try:
-            while not report_reader.done():
-                if not sent.is_view_begun:
+            while not report_reader_task.done():
+                if not is_view_begun:
                     await turn.take(MAX_FRAME_INTERVAL_MS)
                 if not self._voters.is_leader:
                     watcher.note_leaving(LeaveReason.NO_LONGER_LEADER)
                     await stream.send_message(self._build_redirection())
                     return
-                changed_event.clear()
-                # Without a turn, the watcher gets a frame without a view.
-                has_view = sent.is_view_begun or turn.is_held
-                frame = self._build_frame(watcher, sent, has_view)
-                await self._send_frame(stream, watcher, turn, frame)
-                if not has_view:
+                watcher.changed_event.clear()
+                if not is_view_begun and not turn.is_held:
+                    # Without a turn, the watcher gets a frame without a view.
+                    await self._send_frame(
+                        stream, watcher, turn, builder.get_header()
+                    )
                     continue
+                # A watcher with an older complete view keeps that rather than
+                # get an incomplete one; a watcher without any gets what there
+                # is.
+                is_view_begun |= self.has_view or not watcher.report.has_view
+                published = builder.published
+                shared = builder.get_frame(watcher.sent, is_view_begun)
+                watcher.sent = (
+                    published if is_view_begun else published.without_view()
+                )
+                await self._send_frame(
+                    stream, watcher, turn, watcher.take_personal(shared)
+                )
+                if is_view_begun:
+                    members.note_sent(watcher, published)
                 turn.give_up()
-                await asyncio.sleep(BATCH_MS / 1000)
-                await self._wait_for_change(changed_event)
+                await self._wait_for_change(watcher.changed_event)
         finally:
             turn.give_up()
 
+    async def _wait_for_change(self, changed_event: asyncio.Event) -> None:
+        """Wait for a change, or until the next frame is due."""
+        try:
+            async with asyncio.timeout(MAX_FRAME_INTERVAL_MS / 1000):
+                await changed_event.wait()
+        except TimeoutError:
+            return
+
     async def _send_frame(
         self,
         stream: 'server.Stream[fleet_pb2.WatchReport, fleet_pb2.FleetFrame]',
-        watcher: ConnectedWatcher,
+        watcher: connected_watcher.ConnectedWatcher,
         turn: turns.Turn,
-        frame: fleet_pb2.FleetFrame,
+        shared: shared_frames.SharedFrame,
     ) -> None:
-        size = measure_frame(frame)
+        size = shared.size
         for content, size_bytes in (
             ('view', size.view_bytes),
             ('load', size.load_bytes),
@@ -490,7 +369,7 @@
         started_ms = clock.now_ms()
         try:
             needs_turn = turn.is_held
-            for message in frames.split_frame(frame):
+            for message in shared.messages:
                 while needs_turn and turn.is_over:
                     if not await turn.take(MAX_FRAME_INTERVAL_MS):
                         # Shows between two parts that this host is alive.
@@ -510,66 +389,75 @@
         watcher.sent_bytes += size.total_bytes
         watcher.sending_bytes = 0
 
-    async def _wait_for_change(self, changed_event: asyncio.Event) -> None:
-        """Wait for a change, or until the next frame is due."""
-        sent_version = self._load_version
-        interval_ms = max(
-            MIN_LOAD_INTERVAL_MS,
-            LOAD_INTERVAL_PER_WATCHER_MS * len(self._watchers),
-        )
-        await pacing.wait_for_change(
-            changed_event,
-            lambda: self._load_version != sent_version,
-            interval_ms,
-            MAX_FRAME_INTERVAL_MS,
-        )
-
-    # Frames
-
     def refresh(self) -> None:
-        """Update the replicas and the load, once for all watchers."""
+        """Update the replicas, and what is decided at intervals."""
         if self._evidence.judge():
-            self._wake_senders()
+            self._notify_audiences()
         self._divide_limits()
-        totals: dict[str, int] = {}
-        for watcher in self._watchers.values():
-            for group, count in watcher.report.in_flight.items():
-                totals[group] = totals.get(group, 0) + count
-        self._replicas.observed.in_flight = totals
-        self._is_stale = False
         self._track_distribution()
-        version = self._version + 1
-        changed = False
-        present_groups = set()
-        for replica in self._replicas.observed.list_replicas():
-            present_groups.add(replica.group)
-            versioned = self._versioned_replicas.get(replica.group)
-            if versioned is None or versioned.replica != replica:
-                self._versioned_replicas[replica.group] = _VersionedReplica(
-                    version, replica
-                )
-                self._removed_versions.pop(replica.group, None)
-                changed = True
-        for group in [
-            group
-            for group in self._versioned_replicas
-            if group not in present_groups
-        ]:
-            del self._versioned_replicas[group]
-            self._removed_versions[group] = version
-            changed = True
-        if changed:
-            self._version = version
-            self._wake_senders()
+        before = self._state.replicas.version
+        self._update_replicas()
+        if self._state.replicas.version != before:
+            self._notify_audiences()
+
+    def _update_replicas(self) -> None:
+        self._is_stale = False
+        loads = self._state.loads
+        self._replicas.observed.in_flight = loads.totals
+        with self._counters.measure_part('replicas'):
+            added, removed = self._state.replicas.update(
+                self._replicas.observed.list_replicas()
+            )
+        for group in added:
+            loads.mark_changed(group)
+        for group in removed:
+            loads.forget(group)
+
+    def _publish(
+        self, builder: shared_frames.FrameBuilder, takes_callers: bool
+    ) -> None:
+        """Let an audience be sent the present state from now on.
+
+        :param builder: builds the audience's frames.
+        :param takes_callers: whether it is that of entry hosts, which don't
+            need the endpoints of replicas.
+        """
+        if self._is_stale:
+            self._update_replicas()
+        header = fleet_pb2.FleetFrame(
+            is_leader=True,
+            leader=self._voters.leader,
+            control_hosts=self.list_control_hosts(),
+            entry_nodes=len(self._entry_hosts.watchers),
+            document_version=self._agreed.document.current.version,
+        )
+        index = self._replicas.observed.index
+        unneeded_services: frozenset[str] = frozenset()
+        if takes_callers and index is not None:
+            unneeded_services = frozenset(
+                service.name for service in index.model_services
+            )
+        builder.publish(header, unneeded_services)
+
+    def _divide_limits(self) -> None:
+        """Give watchers requests to endpoints with limits.
+
+        They go with the next regular frames.
+        """
+        self._limits.end_absent(self._registry.entries.__contains__)
+        allowances = self._limits.divide()
+        if not allowances:
+            return
+        for watcher in self._entry_hosts.watchers.values():
+            watcher.allowances += allowances.get(watcher.report.run, ())
 
     def _list_hosts_behind(self) -> list[str]:
         """Return the connected entry hosts without the newest document."""
         version = self._agreed.document.current.version
         return [
-            item.report.node
-            for item in self._watchers.values()
-            if item.report.takes_callers
-            and item.report.document_version < version
+            watcher.report.node
+            for watcher in self._entry_hosts.watchers.values()
+            if watcher.report.document_version < version
         ]
 
     def _track_distribution(self) -> None:
@@ -580,9 +468,7 @@
             self._announced_version = version
             self._announced_ms = now_ms
             self._is_distributed = False
-        hosts = sum(
-            item.report.takes_callers for item in self._watchers.values()
-        )
+        hosts = len(self._entry_hosts.watchers)
         if self._is_distributed or not hosts or self._list_hosts_behind():
             return
         self._is_distributed = True
@@ -594,107 +480,3 @@
             hosts=hosts,
             lasted_ms=lasted_ms,
         )
-
-    def _build_frame(
-        self, watcher: ConnectedWatcher, sent: '_SentState', has_view: bool
-    ) -> fleet_pb2.FleetFrame:
-        if self._is_stale:
-            self.refresh()
-        frame = fleet_pb2.FleetFrame(
-            is_leader=True,
-            leader=self._voters.leader,
-            control_hosts=self.list_control_hosts(),
-            entry_nodes=sum(
-                item.report.takes_callers for item in self._watchers.values()
-            ),
-            document_version=self._agreed.document.current.version,
-        )
-        if not has_view:
-            return frame
-        self._struck.write_changes(frame, sent.struck)
-        sent.struck = self._struck.version
-        frame.trial_answers.extend(watcher.trial_answers)
-        watcher.trial_answers.clear()
-        self._limits.write_changes(frame, sent.limits)
-        sent.limits = self._limits.version
-        frame.allowances.extend(watcher.allowances)
-        watcher.allowances.clear()
-        if self.has_view or sent.is_view_begun or not watcher.report.has_view:
-            # A watcher with an older complete view keeps that rather than
-            # get an incomplete one; a watcher without any gets what there is.
-            sent.is_view_begun = True
-            self._write_view(frame, watcher, sent)
-        return frame
-
-    def _write_view(
-        self,
-        frame: fleet_pb2.FleetFrame,
-        watcher: ConnectedWatcher,
-        sent: '_SentState',
-    ) -> None:
-        frame.is_whole = sent.endpoints < 0
-        if sent.endpoints != self._registry.version:
-            self._write_endpoints(frame, watcher, sent)
-        if sent.replicas != self._version:
-            self._write_replicas(frame, sent)
-        for group in self._versioned_replicas:
-            count = self._replicas.observed.in_flight.get(group, 0)
-            if sent.in_flight.get(group, 0) != count:
-                sent.in_flight[group] = count
-                frame.in_flight[group] = count
-
-    def _write_endpoints(
-        self,
-        frame: fleet_pb2.FleetFrame,
-        watcher: ConnectedWatcher,
-        sent: '_SentState',
-    ) -> None:
-        unneeded = self._find_unneeded_services(watcher)
-        for entry in self._registry.entries.values():
-            is_new = entry.version > sent.endpoints
-            if is_new and entry.endpoint.service not in unneeded:
-                frame.endpoints.append(entry.endpoint)
-        for key, version in self._registry.removed_versions.items():
-            if version > sent.endpoints:
-                frame.gone_endpoints.append(key)
-        sent.endpoints = self._registry.version
-
-    def _write_replicas(
-        self, frame: fleet_pb2.FleetFrame, sent: '_SentState'
-    ) -> None:
-        for versioned in self._versioned_replicas.values():
-            if versioned.version > sent.replicas:
-                frame.replicas.append(versioned.replica)
-        for group, version in self._removed_versions.items():
-            if version > sent.replicas:
-                frame.gone_replicas.append(group)
-        sent.replicas = self._version
-
-    def _find_unneeded_services(
-        self, watcher: ConnectedWatcher
-    ) -> abc.Container[str]:
-        """Return the services whose endpoints a watcher doesn't need."""
-        index = self._replicas.observed.index
-        if not watcher.report.takes_callers or index is None:
-            return ()
-        return {service.name for service in index.model_services}
-
-
-@dataclasses.dataclass(slots=True)
-class _SentState:
-    """What has been sent to a watcher.
-
-    :param is_view_begun: whether any part of the view was sent.
-    :param endpoints: registry version of the latest endpoints; -1 if none.
-    :param replicas: version of the latest replicas; -1 if none.
-    :param struck: version of the latest struck requests; -1 if none.
-    :param limits: version of the latest limits; -1 if none.
-    :param in_flight: requests in flight by group.
-    """
-
-    is_view_begun: bool = False
-    endpoints: int = -1
-    replicas: int = -1
-    struck: int = -1
-    limits: int = -1
-    in_flight: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -5,6 +5,7 @@
 
 from filbertglade import clock
 from filbertglade import failures
+from filbertglade.fleet import change_index
 from filbertglade.fleet import endpoints
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
@@ -53,6 +54,8 @@
 
     :param announce_ms: time between two announcements of an endpoint.
     :ivar entries: the entries by incarnation key.
+    :ivar changed_versions: registry versions of the entries' latest changes,
+        by incarnation key.
     :ivar removed_versions: registry versions at which entries were removed,
         by incarnation key.
     :ivar version: incremented with each change.
@@ -70,7 +73,8 @@
         # Incarnations that are leaving though they haven't announced
         # themselves here yet, by the local clock, the oldest first.
         self._early_leaving_ms: dict[str, int] = {}
-        self.removed_versions: dict[str, int] = {}
+        self.changed_versions = change_index.ChangeIndex()
+        self.removed_versions = change_index.ChangeIndex()
         self.version = 0
         # Local clock when the newest incarnation was added.
         self.last_appearance_ms = 0
@@ -91,6 +95,7 @@
         :param known_endpoints: the endpoints.
         """
         self.entries.clear()
+        self.changed_versions.clear()
         self._key_by_id.clear()
         self._key_by_address.clear()
         for endpoint in known_endpoints:
@@ -152,7 +157,7 @@
                 sequence=endpoint.sequence,
             )
         self._key_by_address[endpoint.address] = key
-        self._mark_changed(entry)
+        self._mark_changed(entry, key)
 
     def _find_rejection(self, endpoint: fleet_pb2.Endpoint, key: str) -> str:
         if key in self._ended_ms:
@@ -216,7 +221,7 @@
             return
         entry.endpoint.leaving = True
         log.change('endpoint.said_leaving', endpoint=key, source=source)
-        self._mark_changed(entry)
+        self._mark_changed(entry, key)
 
     def has_crashed(self, key: str) -> bool:
         """Return whether an incarnation seems to have crashed.
@@ -254,7 +259,7 @@
             age_ms=clock.now_ms() - entry.last_announced_ms,
             sequence=entry.endpoint.sequence,
         )
-        self._mark_changed(entry)
+        self._mark_changed(entry, key)
 
     def sweep(self) -> None:
         """Mark silent endpoints; remove those silent for too long."""
@@ -275,7 +280,7 @@
         ]:
             del self._ended_ms[key]
             self._crashed.discard(key)
-            self.removed_versions.pop(key, None)
+            self.removed_versions.discard(key)
 
     def _add(self, endpoint: fleet_pb2.Endpoint) -> None:
         key = endpoints.get_key(endpoint)
@@ -287,9 +292,9 @@
         self.entries[key] = entry
         self._key_by_id[endpoint.id] = key
         self._key_by_address[endpoint.address] = key
-        self.removed_versions.pop(key, None)
+        self.removed_versions.discard(key)
         self._raise_highest_epoch(entry)
-        entry.version = self.version + 1
+        self._set_version(entry, key)
 
     def _raise_highest_epoch(self, entry: EndpointEntry) -> None:
         entry.highest_epoch = max(
@@ -304,7 +309,8 @@
         if self._key_by_address.get(endpoint.address) == key:
             del self._key_by_address[endpoint.address]
         self._ended_ms[key] = clock.now_ms()
-        self.removed_versions[key] = self.version + 1
+        self.changed_versions.discard(key)
+        self.removed_versions.mark(key, self.version + 1)
         log.change(
             'endpoint.ended',
             endpoint=key,
@@ -312,10 +318,14 @@
             age_ms=clock.now_ms() - entry.last_announced_ms,
         )
 
-    def _mark_changed(self, entry: EndpointEntry) -> None:
-        entry.version = self.version + 1
+    def _mark_changed(self, entry: EndpointEntry, key: str) -> None:
+        self._set_version(entry, key)
         self._publish_change()
 
+    def _set_version(self, entry: EndpointEntry, key: str) -> None:
+        entry.version = self.version + 1
+        self.changed_versions.mark(key, entry.version)
+
     def _publish_change(self) -> None:
         self.version += 1
         for listener in self._listeners:
--- a/filbertglade/observability/metrics.py
+++ b/filbertglade/observability/metrics.py
@@ -5,6 +5,8 @@
 
 import collections
 from collections import abc
+import contextlib
+import time
 
 from hdrh import histogram
 
@@ -93,6 +95,19 @@
         """
         return self._counters.get((name, tuple(sorted(labels.items()))), 0)
 
+    @contextlib.contextmanager
+    def measure_part(self, part: str) -> abc.Iterator[None]:
+        """Count the time that a part of the event loop's work takes, in us.
+
+        :param part: names the work, which must not wait for anything.
+        """
+        started_ns = time.perf_counter_ns()
+        try:
+            yield
+        finally:
+            spent_us = (time.perf_counter_ns() - started_ns) // 1000
+            self.count('busy_us', spent_us, part=part)
+
     def set_gauge(self, name: str, read: abc.Callable[[], float]) -> None:
         """Register a gauge.
 
--- a/filbertglade/replicas/observed_state.py
+++ b/filbertglade/replicas/observed_state.py
@@ -1,6 +1,7 @@
 """State of groups, members and spares, as the leader observes it."""
 
 import collections
+import dataclasses
 
 from filbertglade import clock
 from filbertglade.control import agreement
@@ -32,6 +33,24 @@
 State = endpoints.MemberState
 
 
+@dataclasses.dataclass(slots=True)
+class _BuiltReplicas:
+    """What was made of the groups, and of which state.
+
+    :param index: the document that was in force.
+    :param is_settled: whether absent endpoints counted as lost.
+    :param registry_version: the registry's version.
+    :param replicas: each group's record, and the replica made of it.
+    """
+
+    index: document.RoutingIndex | None = None
+    is_settled: bool = False
+    registry_version: int = -1
+    replicas: dict[
+        str, tuple[commands_pb2.ReplicaRecord, fleet_pb2.Replica]
+    ] = dataclasses.field(default_factory=dict)
+
+
 class ObservedState:
     """Compares the agreed groups with what endpoints have announced.
 
@@ -67,12 +86,14 @@
         self._dispatcher = dispatcher
         self._started_ms = 0
         self._summarized_ms = 0
+        self._replicas = _BuiltReplicas()
         self.index: document.RoutingIndex | None = None
         self.in_flight: dict[str, int] = {}
 
     def start(self) -> None:
         """Start the time in which a new leader settles."""
         self._started_ms = clock.now_ms()
+        self._replicas = _BuiltReplicas()
 
     @property
     def is_settled(self) -> bool:
@@ -117,12 +138,39 @@
         return known.endpoint.membership
 
     def list_replicas(self) -> list[fleet_pb2.Replica]:
-        """Return every group but spare groups, as routing needs it."""
-        return [
-            self._build_replica(record)
-            for record in self._agreed.replicas.records.values()
-            if not record.is_spare
-        ]
+        """Return every group but spare groups, as routing needs it.
+
+        A group of which nothing has changed since the last call is returned
+        as the same object.
+        """
+        built = self._replicas
+        if (built.index, built.is_settled) != (self.index, self.is_settled):
+            built = _BuiltReplicas(self.index, self.is_settled)
+        changed = self._list_changed_groups(built.registry_version)
+        replicas = {}
+        for group, record in self._agreed.replicas.records.items():
+            if record.is_spare:
+                continue
+            known = built.replicas.get(group)
+            if known is None or known[0] is not record or group in changed:
+                known = (record, self._build_replica(record))
+            replicas[group] = known
+        built.registry_version = self._registry.version
+        built.replicas = replicas
+        self._replicas = built
+        return [replica for _, replica in replicas.values()]
+
+    def _list_changed_groups(self, version: int) -> set[str]:
+        """Return the groups of which a member has changed since a version."""
+        table = self._agreed.replicas
+        return {
+            table.group_of_endpoint.get(key, '')
+            for versions in (
+                self._registry.changed_versions,
+                self._registry.removed_versions,
+            )
+            for key in versions.list_since(version)
+        }
 
     def _build_replica(
         self, record: commands_pb2.ReplicaRecord
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -2,148 +2,22 @@
 
 import asyncio
 import itertools
-import types
 
 import pytest
 
-from filbertglade.control import state
 from filbertglade.fleet import frames
 from filbertglade.fleet import publisher
-from filbertglade.fleet import registry
-from filbertglade.fleet import view
 from filbertglade.fleet import watcher
-from filbertglade.inner import commands_pb2
 from filbertglade.inner import fleet_pb2
-from filbertglade.observability import metrics
-from tests.fleet import documents
+from tests.fleet import leaders
 from tests import virtual_time
 
-REPORT_INTERVAL_S = 0.4
-RUN_S = 10
-TEXT = documents.write(documents.build(version=7))
-
-
-class FakeStream:
-    """A watcher's stream that reports, or not, and takes frames, or not.
-
-    :param reports: number of reports before it ends or is silent.
-    :param ends: whether it ends after them.
-    :param takes: number of frames that it takes.
-    :param pause_s: time that it needs to take one.
-    :param strikes: part of each report.
-    :param gets_at: number of the report from which on it has the document.
-    :ivar taken_s: when it took each frame.
-    """
-
-    def __init__(
-        self,
-        reports=1000,
-        ends=False,
-        takes=1000,
-        pause_s=0.0,
-        gets_at=2,
-        strikes=(),
-    ):
-        self.frames = []
-        self.taken_s = []
-        self._pause_s = pause_s
-        self._gets_at = gets_at
-        self._strikes = strikes
-        self._report_count = 0
-        self._reports = reports
-        self._ends = ends
-        self._takes = takes
-
-    async def recv_message(self):
-        if not self._reports:
-            if self._ends:
-                return None
-            await asyncio.Future()
-        self._reports -= 1
-        await asyncio.sleep(REPORT_INTERVAL_S)
-        self._report_count += 1
-        return fleet_pb2.WatchReport(
-            node='n-1',
-            takes_callers=True,
-            strikes=self._strikes,
-            document_version=7 * (self._report_count >= self._gets_at),
-        )
-
-    async def send_message(self, frame):
-        if len(self.frames) == self._takes:
-            await asyncio.Future()
-        await asyncio.sleep(self._pause_s)
-        self.frames.append(frame)
-        self.taken_s.append(asyncio.get_running_loop().time())
-
-
-class Leader:
-    """A publisher without the control of groups."""
-
-    def __init__(self):
-        self.voters = types.SimpleNamespace(is_leader=True, leader='c-1')
-        self.counters = metrics.Metrics()
-        self.agreed = state.AgreedState()
-        self.replicas = []
-        self.add_replicas(1)
-        observed = types.SimpleNamespace(
-            in_flight={},
-            index=None,
-            is_settled=True,
-            list_replicas=lambda: self.replicas,
-        )
-        self.publisher = publisher.Publisher(
-            self.agreed,
-            self.voters,
-            types.SimpleNamespace(seeds=['c-1']),
-            registry.Registry(announce_ms=1200),
-            types.SimpleNamespace(observed=observed),
-            view.FleetView(),
-            self.counters,
-        )
-
-    def add_replicas(self, count):
-        self.replicas += [
-            fleet_pb2.Replica(group=f'g-{number}', address='10.0.0.1:80')
-            for number in range(len(self.replicas), count)
-        ]
-
-    def put_document(self):
-        self.agreed.apply(
-            1,
-            commands_pb2.Command(
-                put_document=commands_pb2.PutDocument(version=7, text=TEXT)
-            ),
-        )
-
-    def read_gauge(self, name):
-        lines = self.counters.render_text().splitlines()
-        (value,) = [
-            line.split()[1]
-            for line in lines
-            if line.split()[0] == f'filbertglade_{name}'
-        ]
-        return int(value)
-
-    def count_bytes(self, content):
-        return self.counters.counter('inner_bytes_sent', content=content)
-
-    async def serve(self, stream):
-        """Serve a watcher; it is cut off after some seconds.
-
-        A lost connection cancels the handler in the same way.
-        """
-        serving = asyncio.create_task(self.publisher.Watch(stream))
-        await asyncio.wait([serving], timeout=RUN_S)
-        serving.cancel()
-        await asyncio.wait([serving])
-
 
 def watch(stream, prepare=lambda leader: None):
     """Serve a watcher; return the leader."""
 
     async def main():
-        leader = Leader()
+        leader = leaders.Leader()
         prepare(leader)
         await leader.serve(stream)
         return leader
@@ -159,7 +33,7 @@
 
 
 def test_bytes_are_counted_by_kind_of_content():
-    stream = FakeStream()
+    stream = leaders.FakeStream()
     leader = watch(stream)
     replica = stream.frames[0].replicas[0]
     assert leader.count_bytes('view') == replica.ByteSize()
@@ -169,15 +43,15 @@
 
 
 def test_a_document_is_announced_and_not_sent_in_frames():
-    stream = FakeStream()
-    leader = watch(stream, Leader.put_document)
+    stream = leaders.FakeStream()
+    leader = watch(stream, leaders.Leader.put_document)
     assert {frame.document_version for frame in stream.frames} == {7}
-    assert max(frame.ByteSize() for frame in stream.frames) < len(TEXT)
+    assert max(frame.ByteSize() for frame in stream.frames) < len(leaders.TEXT)
     assert leader.count_bytes('document') == 0
 
 
 def test_the_view_of_a_large_fleet_is_sent_in_parts():
-    stream = FakeStream()
+    stream = leaders.FakeStream()
     watch(stream, lambda leader: leader.add_replicas(3000))
     assembler = frames.FrameAssembler()
     assembled = [assembler.add(message) for message in stream.frames]
@@ -193,24 +67,24 @@
     """Load: three times as many watchers as views are sent at a time."""
 
     async def main():
-        leader = Leader()
+        leader = leaders.Leader()
         leader.add_replicas(3000)
         streams = [
-            FakeStream(pause_s=0.1)
+            leaders.FakeStream(pause_s=0.1)
             for _ in range(3 * publisher.MAX_WHOLE_VIEWS)
         ]
         serving = [
             asyncio.create_task(leader.publisher.Watch(stream))
             for stream in streams
         ]
-        await asyncio.sleep(RUN_S)
+        await asyncio.sleep(leaders.RUN_S)
         for task in serving:
             task.cancel()
         await asyncio.wait(serving)
         return streams
 
     for stream in virtual_time.run(main()):
-        times_s = [REPORT_INTERVAL_S, *stream.taken_s]
+        times_s = [leaders.REPORT_INTERVAL_S, *stream.taken_s]
         gaps_ms = [
             1000 * (later_s - earlier_s)
             for earlier_s, later_s in itertools.pairwise(times_s)
@@ -227,20 +101,23 @@
     """Load: slow watchers take all turns; then another one attaches."""
 
     async def main():
-        leader = Leader()
+        leader = leaders.Leader()
         leader.add_replicas(8000)
         slow = [
-            FakeStream(pause_s=0.2) for _ in range(publisher.MAX_WHOLE_VIEWS)
+            leaders.FakeStream(pause_s=0.2)
+            for _ in range(publisher.MAX_WHOLE_VIEWS)
         ]
-        late = FakeStream()
+        late = leaders.FakeStream()
         serving = [
             asyncio.create_task(leader.publisher.Watch(stream))
             for stream in slow
         ]
-        await asyncio.sleep(2 * REPORT_INTERVAL_S)
+        await asyncio.sleep(2 * leaders.REPORT_INTERVAL_S)
         serving.append(asyncio.create_task(leader.publisher.Watch(late)))
-        attached_s = asyncio.get_running_loop().time() + REPORT_INTERVAL_S
-        await asyncio.sleep(RUN_S)
+        attached_s = (
+            asyncio.get_running_loop().time() + leaders.REPORT_INTERVAL_S
+        )
+        await asyncio.sleep(leaders.RUN_S)
         for task in serving:
             task.cancel()
         await asyncio.wait(serving)
@@ -257,7 +134,7 @@
 
 
 def test_a_strike_is_sent_once_however_often_it_is_reported():
-    stream = FakeStream(
+    stream = leaders.FakeStream(
         strikes=[fleet_pb2.Strike(digest=b'x', endpoint='i-1')]
     )
     watch(stream)
@@ -267,19 +144,22 @@
 
 def test_a_document_that_all_hosts_have_is_logged(log_lines):
     async def main():
-        leader = Leader()
-        streams = [FakeStream(gets_at=2), FakeStream(gets_at=5)]
+        leader = leaders.Leader()
+        streams = [
+            leaders.FakeStream(gets_at=2),
+            leaders.FakeStream(gets_at=5),
+        ]
         serving = [
             asyncio.create_task(leader.publisher.Watch(stream))
             for stream in streams
         ]
-        await asyncio.sleep(1.5 * REPORT_INTERVAL_S)
+        await asyncio.sleep(1.5 * leaders.REPORT_INTERVAL_S)
         leader.put_document()
         behind = []
         for _ in range(5):
             leader.publisher.refresh()
             behind.append(leader.read_gauge('document_hosts_behind'))
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(leaders.REPORT_INTERVAL_S)
         for task in serving:
             task.cancel()
         await asyncio.wait(serving)
@@ -299,10 +179,18 @@
 @pytest.mark.parametrize(
     'stream, reason, error',
     [
-        (FakeStream(reports=3), 'report time-out', 'TimeoutError: '),
-        (FakeStream(reports=3, ends=True), 'stream ended by the watcher', ''),
-        (FakeStream(takes=0), 'send time-out', 'TimeoutError: '),
-        (FakeStream(), 'stream reset or connection lost', 'CancelledError: '),
+        (leaders.FakeStream(reports=3), 'report time-out', 'TimeoutError: '),
+        (
+            leaders.FakeStream(reports=3, ends=True),
+            'stream ended by the watcher',
+            '',
+        ),
+        (leaders.FakeStream(takes=0), 'send time-out', 'TimeoutError: '),
+        (
+            leaders.FakeStream(),
+            'stream reset or connection lost',
+            'CancelledError: ',
+        ),
     ],
 )
 def test_a_leaving_watcher_is_logged_with_the_reason(
@@ -323,14 +211,14 @@
         loop = asyncio.get_running_loop()
         loop.call_later(2, setattr, leader.voters, 'is_leader', False)
 
-    watch(FakeStream(), prepare)
+    watch(leaders.FakeStream(), prepare)
     line = find_leaving(log_lines)
     assert line['reason'] == 'no longer leader'
     assert 2000 - 400 <= line['lasted_ms'] <= 2000 + 400
 
 
 def test_the_frame_that_a_watcher_left_in_is_measured(log_lines):
-    stream = FakeStream(takes=0)
+    stream = leaders.FakeStream(takes=0)
     leader = watch(stream, lambda leader: leader.add_replicas(30))
     line = find_leaving(log_lines)
     assert line['sent_bytes'] == 0
--- a/tests/replicas/test_observed_state.py
+++ b/tests/replicas/test_observed_state.py
@@ -9,6 +9,7 @@
 from filbertglade.inner import fleet_pb2
 from filbertglade.replicas import observed_state
 from filbertglade.settings import gateway
+from tests.replicas import control_settings
 from tests import virtual_time
 
 SETTLE_S = (
@@ -19,13 +20,7 @@
 
 
 def build_observed_state():
-    settings = gateway.GatewaySettings(
-        'one',
-        'central',
-        'north',
-        gateway.GatewayListenSettings('127.0.0.1:1', '127.0.0.1:2'),
-        gateway.GatewayControlSettings(['127.0.0.1:3']),
-    )
+    settings = control_settings.build_settings()
     agreed = state.AgreedState()
     record = commands_pb2.ReplicaRecord(
         group='g',
