Send orders in turn and commit the changes of groups together

Cause: the first layout of 72 groups sent more than a thousand orders in one turn of the loop, each with its time-out of 500 ms from that moment, and committed one group after another, some 20 a second. Change: 128 orders wait for an answer at a time, and the time-out of the others begins when they are sent; what is no longer wanted then isn't sent. Changes of one pass enter the log together. Passes wait 0.03 ms an endpoint, so that they take a bounded share of the loop.

--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -26,6 +26,11 @@
 # Longest pause between two passes of the control loop, in ms; a change in the
 # registry ends it early.
 MAX_PASS_INTERVAL_MS = 100
+# Pause after such a change, in ms: the minimum, and the time for each
+# endpoint, which bounds the part of the event loop's time that passes take
+# while endpoints change all the time.
+MIN_PASS_INTERVAL_MS = 10
+PASS_INTERVAL_PER_ENDPOINT_MS = 0.03
 COMMIT_TIMEOUT_MS = 1000
 # Least time between two probes of a suspected group, in ms.
 PROBE_INTERVAL_MS = 600
@@ -102,10 +107,14 @@
             try:
                 async with asyncio.timeout(MAX_PASS_INTERVAL_MS / 1000):
                     await self._woken.wait()
-                    # One pass handles announcements that arrive together.
-                    await asyncio.sleep(MAX_PASS_INTERVAL_MS / 10_000)
             except TimeoutError:
                 continue
+            # One pass handles announcements that arrive together.
+            interval_ms = max(
+                MIN_PASS_INTERVAL_MS,
+                PASS_INTERVAL_PER_ENDPOINT_MS * len(self._registry.entries),
+            )
+            await asyncio.sleep(interval_ms / 1000)
 
     async def _run_pass(self) -> None:
         self._registry.sweep()
@@ -120,9 +129,15 @@
         await self._end_rests()
         await self._release_lost_spares()
         for service in index.model_services:
-            for action in self._plan(service):
-                await self._carry_out(service, action)
-            self._send_orders(service)
+            with self._counters.measure_part('planning'):
+                actions = self._plan(service)
+            # Changes of groups enter the log in their order and are synced
+            # together.
+            await asyncio.gather(
+                *(self._carry_out(service, action) for action in actions)
+            )
+            with self._counters.measure_part('orders'):
+                self._send_orders(service)
         self.observed.summarize()
 
     def _plan(self, service: document.Service) -> list[plan_types.Action]:
@@ -247,11 +262,18 @@
 
     async def _release_lost_spares(self) -> None:
         """Release the spare groups of endpoints that are not present."""
-        for record in list(self._agreed.replicas.records.values()):
-            if record.is_spare and not self.observed.is_present(
-                record.endpoints[0]
-            ):
-                await self._submit(commands_pb2.ReplicaChange(release=record))
+        lost = [
+            record
+            for record in self._agreed.replicas.records.values()
+            if record.is_spare
+            and not self.observed.is_present(record.endpoints[0])
+        ]
+        await asyncio.gather(
+            *(
+                self._submit(commands_pb2.ReplicaChange(release=record))
+                for record in lost
+            )
+        )
 
     def _name_group(self) -> str:
         """Return a name that no group has had before."""
@@ -288,6 +310,10 @@
 
     def _order_to_join(self, record: commands_pb2.ReplicaRecord) -> None:
         """Order a group's members to join it, then its head to open it."""
+
+        def is_wanted() -> bool:
+            return self._agreed.replicas.records.get(record.group) is record
+
         ids = tuple(endpoints.get_id(key) for key in record.endpoints)
         is_ready = True
         for key in record.endpoints:
@@ -314,6 +340,7 @@
                     record.model,
                     ids,
                 ),
+                is_wanted,
             )
         if record.is_spare:
             return
@@ -329,6 +356,7 @@
                 orders.Order(
                     orders.OrderAction.OPEN, record.group, record.epoch
                 ),
+                is_wanted,
             )
 
     def _order_to_leave(self, key: str, known: registry.EndpointEntry) -> None:
--- a/filbertglade/replicas/order_dispatch.py
+++ b/filbertglade/replicas/order_dispatch.py
@@ -1,6 +1,8 @@
 """Sends orders to engines and limits the model loads that they start."""
 
+import asyncio
 import collections
+from collections import abc
 import dataclasses
 
 from filbertglade import clock
@@ -19,6 +21,10 @@
 # Least time before the same order is sent to an endpoint again, in ms. An
 # endpoint announces a change at once, so an order without one was lost.
 ORDER_REPEAT_MS = 700
+# Orders that wait for a response at the same time. The others wait until one
+# has its response, which makes their pace that of the engines and of this
+# process.
+MAX_CONCURRENT_ORDERS = 128
 # Longest time from sending an order that got no response to its execution, in
 # ms.
 ORDER_EXPIRY_MS = 13_000
@@ -29,6 +35,10 @@
 LOAD_TIMEOUT_MS = 40_000
 
 
+# The endpoint's incarnation, and the order's action, group and epoch.
+_Identity = tuple[str, str, str, int]
+
+
 @dataclasses.dataclass(slots=True)
 class _Load:
     """A model load that was ordered.
@@ -66,7 +76,10 @@
         self._client = client
         self._counters = counters
         self._tasks = tasks.TaskGroup()
-        self._sent_ms: dict[tuple[str, str, str, int], int] = {}
+        self._slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
+        self._sent_ms: dict[_Identity, int] = {}
+        # Orders that wait to be sent, or for a response.
+        self._pending: set[_Identity] = set()
         self._load_starts_ms: collections.deque[int] = collections.deque()
         self._loads: dict[str, _Load] = {}
         self.fenced: set[tuple[str, int]] = set()
@@ -94,22 +107,33 @@
     async def close(self) -> None:
         """Stop sending orders."""
         await self._tasks.close()
+        self._pending.clear()
 
-    def order(self, key: str, order: orders.Order) -> None:
-        """Send an order unless the same was sent a short time ago.
+    def order(
+        self,
+        key: str,
+        order: orders.Order,
+        is_wanted: abc.Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Send an order unless the same waits or was sent just now.
 
         :param key: the endpoint's incarnation.
         :param order: the order.
+        :param is_wanted: tells, when it is about to be sent, whether it still
+            may be: endpoints rest from the release of their group only for
+            orders that were sent before.
         """
         now_ms = clock.now_ms()
         identity = (key, order.action.value, order.group, order.epoch)
+        if identity in self._pending:
+            return
         sent_ms = self._sent_ms.get(identity)
         if sent_ms is not None and now_ms - sent_ms < ORDER_REPEAT_MS:
             return
-        self._sent_ms[identity] = now_ms
         if len(self._sent_ms) > MAX_REMEMBERED_ORDERS:
             self._remove_old_orders(now_ms)
-        self._tasks.start(self._send(key, order))
+        self._pending.add(identity)
+        self._tasks.start(self._send_in_turn(identity, order, is_wanted))
 
     def _remove_old_orders(self, now_ms: int) -> None:
         self._sent_ms = {
@@ -118,13 +142,34 @@
             if now_ms - sent_ms < ORDER_EXPIRY_MS
         }
 
+    async def _send_in_turn(
+        self,
+        identity: _Identity,
+        order: orders.Order,
+        is_wanted: abc.Callable[[], bool],
+    ) -> None:
+        queued_ms = clock.now_ms()
+        try:
+            async with self._slots:
+                if not is_wanted():
+                    return
+                sent_ms = clock.now_ms()
+                self._counters.record_ms('order_wait', sent_ms - queued_ms)
+                self._sent_ms[identity] = sent_ms
+                await self._send(identity[0], order)
+        finally:
+            self._pending.discard(identity)
+
     async def _send(self, key: str, order: orders.Order) -> None:
         known = self._registry.entries.get(key)
         if known is None or not self._voters.is_leader:
             return
+        sent_ms = clock.now_ms()
         outcome = await self._client.send(
             known.endpoint, order, self._voters.term
         )
+        answer_ms = clock.now_ms() - sent_ms
+        self._counters.record_ms('order_answer', answer_ms)
         self._counters.count(
             'orders', action=order.action.value, outcome=outcome.value
         )
@@ -136,6 +181,7 @@
             epoch=order.epoch,
             model=order.model,
             outcome=outcome.value,
+            answer_ms=answer_ms,
         )
         if (
             outcome is orders.OrderOutcome.FENCED
--- /dev/null
+++ b/tests/replicas/test_first_layout.py
@@ -0,0 +1,75 @@
+"""Load: 1,100 engines appear before the first request and form all groups.
+
+In virtual time, with engines that answer orders and commits that take as long
+as on the users' disks.
+"""
+
+import asyncio
+
+from filbertglade.control import state
+from filbertglade.fleet import registry
+from filbertglade.observability import metrics
+from filbertglade.replicas import controller
+from filbertglade.replicas import order_dispatch
+from tests.replicas import control_settings
+from tests.replicas import virtual_engines
+from tests import virtual_time
+
+DOMAINS = 15
+ENGINES_PER_DOMAIN = 73
+# The users' target: from the beginning of the layout until all groups serve.
+LAYOUT_S = 6.0
+
+
+async def form_groups():
+    """Let the engines appear; return when all groups served, in s.
+
+    :returns: the time from the first group until then, the agreed groups, and
+        the most orders in flight.
+    """
+    settings = control_settings.build_settings()
+    agreed = state.AgreedState()
+    endpoint_registry = registry.Registry(settings.endpoints.announce_ms)
+    engines = virtual_engines.Engines(endpoint_registry, DOMAINS)
+    replicas = controller.ReplicaController(
+        settings,
+        agreed,
+        virtual_engines.Voters(agreed),
+        endpoint_registry,
+        engines,
+        metrics.Metrics(),
+    )
+    replicas.observed.index = virtual_engines.build_index(large=32, small=8)
+    replicas.start()
+    for number in range(DOMAINS * ENGINES_PER_DOMAIN):
+        engines.appear(number)
+        await asyncio.sleep(5.0 / (DOMAINS * ENGINES_PER_DOMAIN))
+    loop = asyncio.get_running_loop()
+    began_s = None
+    async with asyncio.timeout(60):
+        while True:
+            await asyncio.sleep(0.05)
+            groups = [
+                record
+                for record in agreed.replicas.records.values()
+                if not record.is_spare
+            ]
+            if groups and began_s is None:
+                began_s = loop.time()
+            if groups and all(map(replicas.observed.is_serving, groups)):
+                break
+    took_s = loop.time() - began_s
+    await replicas.close()
+    engines.close()
+    return took_s, groups, engines.most_in_flight
+
+
+# Guards against a layout that is not ready when traffic begins: groups that
+# are agreed one after the other, and orders that wait for their time-out.
+def test_all_groups_of_a_large_fleet_serve_soon_after_the_layout_begins():
+    took_s, groups, most_in_flight = virtual_time.run(form_groups())
+    sizes = [len(record.endpoints) for record in groups]
+    assert sizes.count(32) > 10
+    assert sizes.count(8) > 40
+    assert took_s <= LAYOUT_S
+    assert most_in_flight <= order_dispatch.MAX_CONCURRENT_ORDERS
