Find the leader sooner after a loss of power, and hold first callers

Change: connecting is given up after 200 ms, twice as long at each further search. A host in its first 3 s holds requests for its first document, for a second and a quarter of their time at the most, 64 at a time.

--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -23,8 +23,13 @@
 log = logs.get_log(__name__)
 
 # Longest wait for the first frame of a control host, in ms: the host has to
-# accept the connection and check which host leads.
+# check which host leads.
 FIRST_FRAME_TIMEOUT_MS = 800
+# Longest wait for a connection to a control host, in ms, at the first search
+# for the leader. It doubles with each further one, up to the time-out for a
+# frame, for links on which connecting takes longer. A machine without power
+# refuses nothing.
+FIRST_CONNECT_TIMEOUT_MS = 200
 # Time without a frame after which the leader counts as lost, in ms: four of
 # its longest intervals between frames.
 LEADER_TIMEOUT_MS = 1100
@@ -85,6 +90,8 @@
         self._tasks = tasks.TaskGroup()
         self._control_hosts: list[str] = []
         self._leader = ''
+        # Searches for the leader since it was last found.
+        self._vain_searches = 0
         self.watched_host = ''
         self._suspicions: list[fleet_pb2.Suspicion] = []
         # By endpoint, with the local clock at the answer that named it.
@@ -186,6 +193,15 @@
                 await asyncio.sleep(SEARCH_INTERVAL_MS / 1000)
                 if self._leader:
                     break
+            else:
+                self._vain_searches += 1
+
+    @property
+    def _connect_timeout_ms(self) -> int:
+        return min(
+            FIRST_FRAME_TIMEOUT_MS,
+            FIRST_CONNECT_TIMEOUT_MS * 2 ** min(self._vain_searches, 16),
+        )
 
     def _order_control_hosts(self) -> list[str]:
         hosts = self.list_control_hosts()
@@ -211,6 +227,8 @@
                 self._report_known_limits()
                 self._report_known_departures()
                 report = self._build_report()
+                async with asyncio.timeout(self._connect_timeout_ms / 1000):
+                    await stream.send_request()
                 async with asyncio.timeout(FIRST_FRAME_TIMEOUT_MS / 1000):
                     await stream.send_message(report)
                     frame = await stream.recv_message()
@@ -219,13 +237,16 @@
                     return
                 self._forget_reported(report)
                 was_followed = True
+                self._vain_searches = 0
                 self.watched_host = host
                 log.change('leader.watched', leader=host)
                 await self._follow(stream, frame)
         except replication.STREAM_ERRORS as error:
             reason = f'{type(error).__name__}: {error}'
             if not was_followed:
-                self._report_failed_attempt(host, error)
+                self._report_failed_attempt(
+                    host, error, clock.now_ms() - started_ms
+                )
         finally:
             channel.close()
             self.watched_host = ''
@@ -240,18 +261,16 @@
                     received_bytes=self._received_bytes,
                 )
 
-    def _report_failed_attempt(self, host: str, error: Exception) -> None:
+    def _report_failed_attempt(
+        self, host: str, error: Exception, waited_ms: int
+    ) -> None:
         self._counters.count(
             'leader_watch_failures', reason=type(error).__name__
         )
         if isinstance(error, TimeoutError):
             # Only time-outs are logged: they take long enough to bound the
             # number of lines.
-            log.change(
-                'leader.silent',
-                host=host,
-                timeout_ms=FIRST_FRAME_TIMEOUT_MS,
-            )
+            log.change('leader.silent', host=host, waited_ms=waited_ms)
 
     def _apply_redirection(
         self, host: str, frame: fleet_pb2.FleetFrame | None
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -20,6 +20,9 @@
 # Fraction of a route's longest deadline below which a request counts as a
 # caller's retry after a refusal.
 RETRY_DEADLINE_FRACTION = 0.95
+# Time after a process's start in which it may have its first document at any
+# moment, in ms: control hosts that start with it elect a leader meanwhile.
+STARTUP_MS = 3000
 # How long a process accepts requests after its shutdown has begun, in ms. Load
 # balancers stop sending new ones after two health checks, and responses that
 # begin later may not end within the grace period.
@@ -64,6 +67,7 @@
     :ivar certainty: whether the document in force may be out of date.
     :ivar bodies: the response bodies that are kept in memory.
     :ivar deadlines: the longest deadline of each route.
+    :ivar started_ms: local clock when the process began to accept requests.
     :ivar stopping_since_ms: local clock when the shutdown began; None before.
     """
 
@@ -94,6 +98,7 @@
             'held_response_bytes', lambda: self.bodies.held_bytes
         )
         self.deadlines = DeadlineTracker()
+        self.started_ms = clock.now_ms()
         self.stopping_since_ms: int | None = None
 
     @property
@@ -101,6 +106,11 @@
         """Whether the process is shutting down."""
         return self.stopping_since_ms is not None
 
+    @property
+    def is_starting(self) -> bool:
+        """Whether the process has started a short time ago."""
+        return clock.now_ms() - self.started_ms < STARTUP_MS
+
     @property
     def is_refusing_requests(self) -> bool:
         """Whether requests that arrive now are refused."""
--- a/filbertglade/forwarding/lookup.py
+++ b/filbertglade/forwarding/lookup.py
@@ -19,6 +19,8 @@
 # Longest wait for a newer document, in ms: the leader's longest interval
 # between two frames. A refused caller needs the rest of its time elsewhere.
 MAX_DOCUMENT_WAIT_MS = 250
+# The same for the first document of a process that has just started, in ms.
+MAX_FIRST_DOCUMENT_WAIT_MS = 1000
 # The same as a fraction of the time until the deadline: the rest is for the
 # response, or for another node.
 MAX_WAIT_FRACTION = 0.25
@@ -72,6 +74,8 @@
         :returns: the route, or why the request can't be served.
         """
         route = self._look_up()
+        if _lacks_document(route) and self._context.is_starting:
+            route = await self._look_up_in_first(route)
         if _depends_on_document(route):
             route = await self._look_up_in_newer(route)
         return route
@@ -109,7 +113,7 @@
             the newest; or that a newer one hasn't come.
         """
         certainty = self._context.certainty
-        end_ms = clock.now_ms() + self._limit_wait_ms()
+        end_ms = clock.now_ms() + self._limit_wait_ms(MAX_DOCUMENT_WAIT_MS)
         while _depends_on_document(result):
             doubt = certainty.find_doubt()
             if doubt is None:
@@ -118,29 +122,64 @@
             detail = f'{result}; {doubt.value}'
             if not certainty.has_room:
                 detail = f'{detail}; too many requests wait'
-                limit_ms = 0
-            if limit_ms > 0:
-                self._record.count('requests_held')
-                self._record.write(
-                    'request.held',
-                    reason=detail,
-                    limit_ms=limit_ms,
-                    **self._record.describe_document(),
-                )
-            if limit_ms <= 0 or not await certainty.wait_for_change(limit_ms):
+            if not await self._hold(detail, limit_ms):
                 return failures.Failure(LookupReason.NOT_HERE_YET, detail)
             result = self._look_up()
         return result
 
-    def _limit_wait_ms(self) -> int:
-        """Return how long to wait for a document, in ms; 0 for not at all."""
+    async def _look_up_in_first(
+        self, result: document.Route | failures.Failure
+    ) -> document.Route | failures.Failure:
+        """Wait for the first document, and look up the request there.
+
+        Callers that a loss of power sends back to all hosts at once would
+        spend their retries before any host has a document.
+
+        :param result: that there is no document.
+        :returns: the route, or why the request can't be served.
+        """
+        end_ms = clock.now_ms() + self._limit_wait_ms(
+            MAX_FIRST_DOCUMENT_WAIT_MS
+        )
+        while _lacks_document(result):
+            limit_ms = end_ms - clock.now_ms()
+            if not await self._hold(str(result), limit_ms):
+                break
+            result = self._look_up()
+        return result
+
+    async def _hold(self, reason: str, limit_ms: int) -> bool:
+        """Wait until what is known of documents changes.
+
+        :param reason: why the request waits.
+        :param limit_ms: longest wait, in ms; the request isn't held without
+            any, nor while too many others are.
+        :returns: whether there was a change within the limit.
+        """
+        certainty = self._context.certainty
+        if limit_ms <= 0 or not certainty.has_room:
+            return False
+        self._record.count('requests_held')
+        self._record.write(
+            'request.held',
+            reason=reason,
+            limit_ms=limit_ms,
+            **self._record.describe_document(),
+        )
+        return await certainty.wait_for_change(limit_ms)
+
+    def _limit_wait_ms(self, longest_ms: int) -> int:
+        """Return how long to wait for a document, in ms; 0 for not at all.
+
+        :param longest_ms: the longest wait whatever the deadline, in ms.
+        """
         remaining_ms = self._record.deadline_ms - clock.now_ms()
         if (
             self._context.is_stopping
             or remaining_ms < context.MIN_REMAINING_MS
         ):
             return 0
-        return min(MAX_DOCUMENT_WAIT_MS, int(remaining_ms * MAX_WAIT_FRACTION))
+        return min(longest_ms, int(remaining_ms * MAX_WAIT_FRACTION))
 
     def _authenticate(
         self, index: document.RoutingIndex, route: document.Route
@@ -152,6 +191,14 @@
         return customer is not None or not index.needs_keys or route.public
 
 
+def _lacks_document(result: document.Route | failures.Failure) -> bool:
+    """Return whether there is no document to look up a request in."""
+    return (
+        isinstance(result, failures.Failure)
+        and result.reason is LookupReason.NO_DOCUMENT
+    )
+
+
 def _depends_on_document(result: document.Route | failures.Failure) -> bool:
     """Return whether a newer document may allow a request."""
     return isinstance(result, failures.Failure) and result.reason in (
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -4,6 +4,7 @@
 import random
 
 from grpclib import server
+import pytest
 
 from filbertglade.fleet import frames
 from filbertglade.fleet import view
@@ -123,6 +124,71 @@
     assert not select(log_lines, 'leader.unwatched')
 
 
+def find_leader(seed, duration_s, change_links):
+    """Search for a leader among three control hosts.
+
+    :param seed: of the order in which they are tried.
+    :param change_links: called with the links before the search begins.
+    :returns: the time until the leader's first frame in s; None without one.
+    """
+
+    async def main():
+        links = network.Network()
+        links.ports = {'leader': PORT, 'host': 0}
+        change_links(links)
+        addresses = {
+            ADDRESS: 'leader',
+            '127.0.0.2:9000': 'other-1',
+            '127.0.0.3:9000': 'other-2',
+        }
+        fleet_server = server.Server([FakeLeader([FRAME] * 9, 0.3)])
+        await fleet_server.start('127.0.0.1', PORT)
+        fleet_view = view.FleetView()
+        found_s = []
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        fleet_view.add_listener(lambda: found_s.append(loop.time() - start_s))
+        fleet_watcher = watcher.Watcher(
+            'host',
+            'run',
+            list(addresses),
+            True,
+            fleet_view,
+            network.Channels(links, 'host', addresses),
+            metrics.Metrics(),
+            random.Random(seed),
+        )
+        fleet_watcher.start()
+        await asyncio.sleep(duration_s)
+        await fleet_watcher.close()
+        fleet_server.close()
+        await fleet_server.wait_closed()
+        return found_s[0] if found_s else None
+
+    return virtual_time.run(main())
+
+
+# Guards against 0.4 s without service after a loss of power of all machines,
+# for which each host waited for the control host that came back last.
+@pytest.mark.parametrize('seed', range(6))
+def test_control_hosts_without_power_are_passed_over(seed):
+    def take_power(links):
+        links.cut('host', 'other-1')
+        links.cut('host', 'other-2')
+
+    limit_s = watcher.FIRST_FRAME_TIMEOUT_MS / 1000
+    assert find_leader(seed, 3, take_power) < limit_s
+
+
+# Guards against a host that never connects over a slow link.
+@pytest.mark.parametrize('seed', range(6))
+def test_a_leader_to_which_connecting_takes_long_is_found(seed):
+    def slow_down(links):
+        links.link('host', 'leader').delay_s = 0.25
+
+    assert find_leader(seed, 6, slow_down) < 3
+
+
 # Guards against crashes that other hosts never learn of, because the host that
 # saw them reported them to a control host that didn't lead.
 def test_strikes_are_kept_until_a_leader_has_them():
