--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -34,6 +34,10 @@
 COMMIT_TIMEOUT_MS = 1000
 # Least time between two probes of a suspected group, in ms.
 PROBE_INTERVAL_MS = 600
+# Probes of one endpoint, each sent after this pause unless an earlier one was
+# answered: a link that loses packets leaves single ones unanswered.
+PROBES = 3
+PROBE_PAUSE_MS = 50
 
 State = endpoints.MemberState
 
@@ -407,10 +411,33 @@
         known = self._registry.entries.get(key)
         if known is None or known.endpoint.silent:
             return
-        self._counters.count('probes')
         heard_ms = known.last_announced_ms
-        is_alive = await self._client.probe(known.endpoint)
+        is_alive = await self._is_answering(known.endpoint)
         current = self._registry.entries.get(key)
         if is_alive or current is None or current.last_announced_ms > heard_ms:
             return
         self._registry.mark_silent(key, 'no answer to a probe')
+
+    async def _is_answering(self, endpoint: fleet_pb2.Endpoint) -> bool:
+        """Send an endpoint probes until one of them is answered."""
+        probes = [
+            asyncio.create_task(
+                self._probe_after(endpoint, number * PROBE_PAUSE_MS)
+            )
+            for number in range(PROBES)
+        ]
+        try:
+            for answer in asyncio.as_completed(probes):
+                if await answer:
+                    return True
+            return False
+        finally:
+            for probe in probes:
+                probe.cancel()
+
+    async def _probe_after(
+        self, endpoint: fleet_pb2.Endpoint, pause_ms: int
+    ) -> bool:
+        await asyncio.sleep(pause_ms / 1000)
+        self._counters.count('probes')
+        return await self._client.probe(endpoint)
