Leave groups alone whose events reach hosts

Cause: engines that are cut off from the control hosts alone count as lost after two announcements. Change: a head stands still once a member is lost, so an event of a group shows that all members live. Hosts report the groups that they receive events of, with the age of the latest; one of the last 0.7 announcement intervals, or since a probe began, counts like an announcement of each member. Crashes are found as soon as before. New log line endpoint.overdue.

--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -34,12 +34,15 @@
     :param last_announced_ms: local clock at its latest announcement.
     :param highest_epoch: the highest epoch that it has reported.
     :param version: the registry's version at its last change.
+    :param is_overdue: whether announcements are missing although it is known
+        to be alive.
     """
 
     endpoint: fleet_pb2.Endpoint
     last_announced_ms: int
     highest_epoch: int = 0
     version: int = 0
+    is_overdue: bool = False
 
     @property
     def is_usable(self) -> bool:
@@ -144,6 +147,7 @@
         previous = entry.endpoint
         endpoint.leaving = endpoint.leaving or previous.leaving
         entry.last_announced_ms = clock.now_ms()
+        entry.is_overdue = False
         entry.endpoint = endpoint
         self._raise_highest_epoch(entry)
         if _is_equal_except_sequence(previous, endpoint):
@@ -261,8 +265,14 @@
         )
         self._mark_changed(entry, key)
 
-    def sweep(self) -> None:
-        """Mark silent endpoints; remove those silent for too long."""
+    def sweep(
+        self, is_alive: abc.Callable[[str], bool] = lambda key: False
+    ) -> None:
+        """Mark silent endpoints; remove those silent for too long.
+
+        :param is_alive: whether an endpoint, given by its incarnation key, is
+            known to be alive although announcements are missing.
+        """
         now_ms = clock.now_ms()
         for key, entry in list(self.entries.items()):
             age_ms = now_ms - entry.last_announced_ms
@@ -271,8 +281,11 @@
                     self._crashed.add(key)
                 self._remove(key, 'forgotten')
                 self._publish_change()
-            elif age_ms > self._silence_ms:
-                self.mark_silent(key, 'no announcement')
+            elif age_ms > self._silence_ms and not entry.endpoint.silent:
+                if is_alive(key):
+                    self._note_overdue(entry, key, age_ms)
+                else:
+                    self.mark_silent(key, 'no announcement')
         for key in [
             key
             for key, ended_ms in self._ended_ms.items()
@@ -282,6 +295,19 @@
             self._crashed.discard(key)
             self.removed_versions.discard(key)
 
+    def _note_overdue(
+        self, entry: EndpointEntry, key: str, age_ms: int
+    ) -> None:
+        if entry.is_overdue:
+            return
+        entry.is_overdue = True
+        log.change(
+            'endpoint.overdue',
+            endpoint=key,
+            group=entry.endpoint.membership.group,
+            age_ms=age_ms,
+        )
+
     def _add(self, endpoint: fleet_pb2.Endpoint) -> None:
         key = endpoints.get_key(endpoint)
         early_ms = self._early_leaving_ms.pop(key, None)
--- a/filbertglade/fleet/report_reader.py
+++ b/filbertglade/fleet/report_reader.py
@@ -67,6 +67,7 @@
         self._apply_limits(report)
         for endpoint in report.leaving:
             self._registry.mark_leaving(endpoint, report.node)
+        self._replicas.answering.note(report.answering)
         for suspicion in report.suspicions:
             self._replicas.handle_suspicion(suspicion, report.node)
         if report.requests:
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -94,6 +94,9 @@
         self._vain_searches = 0
         self.watched_host = ''
         self._suspicions: list[fleet_pb2.Suspicion] = []
+        # Local clock at the latest event since the last report, by group and
+        # epoch.
+        self._answered_ms: dict[tuple[str, int], int] = {}
         # By endpoint, with the local clock at the answer that named it.
         self._limits: dict[str, tuple[int, fleet_pb2.EndpointLimit]] = {}
         # Endpoints that have said that they leave, by the local clock when
@@ -144,6 +147,14 @@
         )
         self._urgent_change.set()
 
+    def record_answer(self, group: str, epoch: int) -> None:
+        """Let the next report name a group that an event has arrived of.
+
+        :param group: the group's name.
+        :param epoch: the group's epoch.
+        """
+        self._answered_ms[group, epoch] = clock.now_ms()
+
     def report_limit(self, limit: fleet_pb2.EndpointLimit) -> None:
         """Report to the leader that an endpoint named another limit.
 
@@ -368,6 +379,11 @@
         for named_ms, limit in self._limits.values():
             limit.age_ms = now_ms - named_ms
             report.limits.append(limit)
+        for (group, epoch), answered_ms in self._answered_ms.items():
+            report.answering.add(
+                group=group, epoch=epoch, age_ms=now_ms - answered_ms
+            )
+        self._answered_ms.clear()
         self.crashes.write(report)
         return report
 
--- a/filbertglade/forwarding/stall_detection.py
+++ b/filbertglade/forwarding/stall_detection.py
@@ -118,6 +118,7 @@
         progress = self._progress.get((target.group, target.epoch))
         if progress is None:
             return
+        self._leader.record_answer(target.group, target.epoch)
         now_ms = clock.now_ms()
         if progress.started:
             gap_ms = now_ms - progress.last_ms
--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -13,6 +13,7 @@
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
+from filbertglade.replicas import answering_groups
 from filbertglade.replicas import observed_state
 from filbertglade.replicas import order_dispatch
 from filbertglade.replicas import orders
@@ -55,6 +56,7 @@
     :param client: sends orders.
     :param counters: the process's metrics.
     :ivar observed: the state of groups as this leader observes it.
+    :ivar answering: groups whose events reach hosts.
     :ivar has_traffic: whether any request has arrived yet.
     """
 
@@ -82,6 +84,9 @@
         self.observed = observed_state.ObservedState(
             settings, agreed, voters, endpoint_registry, self._dispatcher
         )
+        self.answering = answering_groups.AnsweringGroups(
+            agreed, endpoint_registry, settings.endpoints.announce_ms
+        )
         self.has_traffic = False
         endpoint_registry.add_listener(self.wake)
 
@@ -90,6 +95,7 @@
         self.observed.start()
         self._dispatcher.start(self.observed.index, self.has_traffic)
         self._probed_ms.clear()
+        self.answering.clear()
         self._tasks.start(self._run())
 
     async def close(self) -> None:
@@ -121,7 +127,8 @@
             await asyncio.sleep(interval_ms / 1000)
 
     async def _run_pass(self) -> None:
-        self._registry.sweep()
+        self.answering.forget_released()
+        self._registry.sweep(self.answering.is_taking_part)
         index = self.observed.index
         if index is None or not self._voters.has_required_voters:
             return
@@ -407,15 +414,18 @@
             self._tasks.start(self._probe(key))
 
     async def _probe(self, key: str) -> None:
-        """Mark an endpoint silent unless it responds or announces itself."""
+        """Mark an endpoint silent unless something shows that it is alive."""
         known = self._registry.entries.get(key)
         if known is None or known.endpoint.silent:
             return
         heard_ms = known.last_announced_ms
+        started_ms = clock.now_ms()
         is_alive = await self._is_answering(known.endpoint)
         current = self._registry.entries.get(key)
         if is_alive or current is None or current.last_announced_ms > heard_ms:
             return
+        if self.answering.has_taken_part_since(key, started_ms):
+            return
         self._registry.mark_silent(key, 'no answer to a probe')
 
     async def _is_answering(self, endpoint: fleet_pb2.Endpoint) -> bool:
--- a/tests/fleet/leaders.py
+++ b/tests/fleet/leaders.py
@@ -10,6 +10,7 @@
 from filbertglade.inner import commands_pb2
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import metrics
+from filbertglade.replicas import answering_groups
 from tests.fleet import documents
 
 REPORT_INTERVAL_S = 0.4
@@ -92,7 +93,12 @@
             self.voters,
             types.SimpleNamespace(seeds=['c-1']),
             self.registry,
-            types.SimpleNamespace(observed=observed),
+            types.SimpleNamespace(
+                observed=observed,
+                answering=answering_groups.AnsweringGroups(
+                    self.agreed, self.registry, 1200
+                ),
+            ),
             view.FleetView(),
             self.counters,
         )
--- a/tests/gateway_forwarding/test_load.py
+++ b/tests/gateway_forwarding/test_load.py
@@ -56,7 +56,9 @@
             # No test here has a request under which an endpoint crashed.
             crashes=None,
             report_suspicion=self._report_suspicion,
+            record_answer=self._record_answer,
         )
+        self.answering = set()
         self.suspicions = []
         self.known = evidence.EndpointEvidence(
             dialects.DEFAULT,
@@ -74,6 +76,9 @@
     def _report_suspicion(self, group, epoch, reason):
         self.suspicions.append((group, epoch))
 
+    def _record_answer(self, group, epoch):
+        self.answering.add((group, epoch))
+
     async def record_fault(self, target):
         clearance = evidence.Clearance(
             target, b'', containment.Permission(), False, None
@@ -250,6 +255,7 @@
             detector.record_event(target, stream)
             await asyncio.sleep(0.05)
         assert not node.suspicions
+        assert node.answering == {('a', 1)}
         await asyncio.sleep(0.5)
         assert node.suspicions == [('a', 1)]
         assert stream.failovers == 0
