--- a/tests/platform/soak_deployment.py
+++ b/tests/platform/soak_deployment.py
@@ -545,6 +545,13 @@
             for told in self.told.values()
         )
 
+    def has_told(self, until_s):
+        """Tell whether any host had read by then that this worker leaves."""
+        return any(
+            told.leaving_s is not None and told.leaving_s < until_s
+            for told in self.told.values()
+        )
+
     def _is_read(self, request_id):
         """Tell whether a running request's sender waits for its answer."""
         reader = self._running.get(request_id)
