Answer each request to a control host once, and bound what waits

Cause: found by reading the new HTTP server. A request that offered another protocol (Java's client does so by default) was answered, and then refused with 400 on the same connection; the refusal was taken for the answer to the next request. A response to HEAD had a body, which the sender took for the beginning of the next response. An unreadable request behind others took their answers. Answers that nobody reads were prepared without a bound: one sender of 200 requests for a document of 1 MB filled 200 MB. A sender that wrote a byte now and then kept its connection for ever. Change: offers of other protocols are passed over, by reading the request again without them, as the parser skips its body; HEAD gets no body; requests before an unreadable one are answered. Nothing more is read while requests wait, and none is served while its answers aren't taken. Connections without a whole request for 120 s are closed. Adaptation: the test of many requests behind a slow one counts 64 of them as before, by number now, since MAX_WAITING is gone.

--- a/filbertglade/gateway/http_server.py
+++ b/filbertglade/gateway/http_server.py
@@ -19,11 +19,8 @@
 
 # Longest head of a request, in bytes.
 MAX_HEAD_BYTES = 65_536
-# Requests of one connection that wait while another one is served; their
-# sender is not read from beyond that.
-MAX_WAITING = 16
-# Time without a byte after which a connection is closed, in ms, and the
-# interval between two checks: hosts that lose power close nothing.
+# Time without a whole request after which a connection is closed, in ms, and
+# the interval between two checks: hosts that lose power close nothing.
 IDLE_TIMEOUT_MS = 120_000
 IDLE_CHECK_INTERVAL_MS = 10_000
 # Connections that wait to be accepted: those of all endpoints at a time.
@@ -42,6 +39,8 @@
     503: 'Service Unavailable',
 }
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+# Headers that say how a body is sent.
+FRAMING_HEADERS = (b'content-length', b'expect', b'transfer-encoding')
 
 
 class Request:
@@ -80,9 +79,10 @@
         self.body = body
         self.headers = headers or {}
 
-    def write(self, keeps_connection: bool) -> bytes:
+    def write(self, has_body: bool, keeps_connection: bool) -> bytes:
         """Return the response as it is sent.
 
+        :param has_body: whether the body is sent, not only its length.
         :param keeps_connection: whether another one may follow.
         """
         reason = REASONS.get(self.status, 'Unknown')
@@ -95,7 +95,7 @@
         if not keeps_connection:
             lines.append('Connection: close')
         head = '\r\n'.join([*lines, '', '']).encode('latin-1')
-        return head + self.body
+        return head + self.body if has_body else head
 
 
 # Returns the response at once, or a coroutine that does.
@@ -167,11 +167,16 @@
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._read_ms = clock.now_ms()
+        # Local clock at the latest whole request, or when one was answered.
+        self._used_ms = clock.now_ms()
+        # Nothing is read while any request waits, so at most those that were
+        # read at once do.
         self._waiting: collections.deque[tuple[Request, bool]] = (
             collections.deque()
         )
         self._serving: asyncio.Task[None] | None = None
+        # Whether the other side doesn't take what was sent to it.
+        self._is_blocked = False
         # Whether the next bytes belong to nothing that is still served.
         self._is_closing = False
         self._start_message()
@@ -182,14 +187,15 @@
         self._body_bytes = 0
         self._head_bytes = 0
         self._is_head_complete = False
+        self._framing: list[bytes] = []
         self._expects_continue = False
 
     def is_idle_since(self, limit_ms: int) -> bool:
-        """Return whether nothing was read or is being served since a time.
+        """Return whether no request was read or is being served since a time.
 
         :param limit_ms: local clock.
         """
-        return self._serving is None and self._read_ms < limit_ms
+        return self._serving is None and self._used_ms < limit_ms
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -220,29 +226,61 @@
 
         :param data: the part.
         """
-        self._read_ms = clock.now_ms()
         if self._is_closing:
             return
         if not self._is_head_complete:
             self._head_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             self._refuse(cause.status if isinstance(cause, _Refused) else 400)
             return
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserError:
             self._refuse(400)
             return
         if not self._is_head_complete and self._head_bytes > MAX_HEAD_BYTES:
             self._refuse(431)
 
+    def pause_writing(self) -> None:
+        """Prepare no more responses until the sent ones are taken."""
+        self._is_blocked = True
+
+    def resume_writing(self) -> None:
+        """Serve what has waited meanwhile."""
+        self._is_blocked = False
+        self._used_ms = clock.now_ms()
+        self._go_on()
+
+    def _parse(self, data: bytes) -> None:
+        """Read requests.
+
+        One that offers another protocol, which is never taken, is read again
+        without the offer: the parser skips its body.
+        """
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                method = self._parser.get_method()
+                if method == b'CONNECT':
+                    self._refuse(405)
+                    return
+                head = [method + b' ' + self._target + b' HTTP/1.1']
+                head += [*self._framing, b'', b'']
+                data = b'\r\n'.join(head) + data[offer.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+
     def _refuse(self, status: int) -> None:
-        """Answer a request that can't be read, and close the connection."""
+        """Answer a request that can't be read, and close the connection.
+
+        If others before it are still to be answered, it isn't answered.
+        """
         log.change('request.unreadable', status=status)
         self._is_closing = True
-        if self._serving is None:
-            self._send(Response(status), False)
+        if self._serving is None and not self._waiting:
+            self._send(None, Response(status), False)
 
     # Called by the parser
 
@@ -266,6 +304,8 @@
         :param value: its value.
         """
         lower_name = name.lower()
+        if lower_name in FRAMING_HEADERS:
+            self._framing.append(name + b': ' + value)
         if lower_name == b'expect':
             self._expects_continue = value.lower() == b'100-continue'
         elif lower_name == b'content-length':
@@ -276,6 +316,8 @@
     def on_headers_complete(self) -> None:
         """Let the sender go on with the body if it waits for that."""
         self._is_head_complete = True
+        if self._parser.should_upgrade():
+            return
         if self._expects_continue and self._transport is not None:
             self._transport.write(CONTINUE)
 
@@ -291,6 +333,8 @@
 
     def on_message_complete(self) -> None:
         """Serve the request, after those before it."""
+        if self._parser.should_upgrade():
+            return
         request = Request(
             self._parser.get_method().decode('latin-1'),
             self._target.decode('latin-1'),
@@ -300,17 +344,25 @@
         self._start_message()
         if self._is_closing:
             return
+        self._used_ms = clock.now_ms()
         self._waiting.append((request, keeps_connection))
-        if self._serving is None:
-            self._serve_waiting()
-        elif len(self._waiting) >= MAX_WAITING and self._transport:
-            self._transport.pause_reading()
+        self._go_on()
 
     # Serving
 
+    def _go_on(self) -> None:
+        """Serve what can be served now; read more unless requests wait."""
+        self._serve_waiting()
+        if self._transport is None or self._is_closing:
+            return
+        if self._waiting:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def _serve_waiting(self) -> None:
-        """Serve requests until one of them takes time."""
-        while self._waiting:
+        """Serve requests until one takes time, or its answers aren't taken."""
+        while self._waiting and self._serving is None and not self._is_blocked:
             request, keeps_connection = self._waiting.popleft()
             try:
                 response = self._server.handle(request)
@@ -318,12 +370,11 @@
                 log.error('request.failed', target=request.target, error=error)
                 response = Response(500)
             if isinstance(response, Response):
-                self._send(response, keeps_connection)
+                self._send(request, response, keeps_connection)
                 continue
             self._serving = asyncio.get_running_loop().create_task(
                 self._serve(request, response, keeps_connection)
             )
-            return
 
     async def _serve(
         self,
@@ -337,17 +388,29 @@
             log.error('request.failed', target=request.target, error=error)
             response = Response(500)
         self._serving = None
-        self._read_ms = clock.now_ms()
-        self._send(response, keeps_connection and not self._is_closing)
-        self._serve_waiting()
-        if self._transport is not None and not self._is_closing:
-            self._transport.resume_reading()
+        self._used_ms = clock.now_ms()
+        self._send(request, response, keeps_connection)
+        self._go_on()
+
+    def _send(
+        self,
+        request: Request | None,
+        response: Response,
+        keeps_connection: bool,
+    ) -> None:
+        """Send a response.
 
-    def _send(self, response: Response, keeps_connection: bool) -> None:
+        :param request: what it answers; None if that couldn't be read.
+        :param response: the response.
+        :param keeps_connection: whether the connection stays open.
+        """
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        transport.write(response.write(keeps_connection))
+        if self._is_closing and not self._waiting:
+            keeps_connection = False
+        has_body = request is None or request.method != 'HEAD'
+        transport.write(response.write(has_body, keeps_connection))
         if not keeps_connection:
             self._is_closing = True
             self._waiting.clear()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -9,6 +9,7 @@
 from tests import cluster
 
 MAX_BODY_BYTES = 1000
+LONG_BODY = b'x' * 1_000_000
 WAIT_S = 10
 
 
@@ -25,8 +26,10 @@
 
     def handle(self, request):
         self.targets.append(request.target)
-        if request.target == '/slow':
+        if request.target.startswith('/slow'):
             return self._answer_slowly(request)
+        if request.target == '/long':
+            return http_server.Response(200, LONG_BODY)
         if request.target == '/fail':
             raise MemoryError
         return _answer(request)
@@ -50,12 +53,15 @@
     (port,) = cluster.find_free_ports(1)
     served = Served()
     server = http_server.HttpServer(served.handle, MAX_BODY_BYTES)
+    served.server = server
     await server.listen(f'127.0.0.1:{port}')
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
-    yield served, reader, writer
-    writer.close()
-    server.stop()
-    server.close_all_connections()
+    try:
+        yield served, reader, writer
+    finally:
+        writer.close()
+        server.stop()
+        server.close_all_connections()
 
 
 async def read_response(reader):
@@ -101,7 +107,7 @@
 async def test_many_requests_behind_a_slow_one_are_answered():
     async with connect() as (served, reader, writer):
         writer.write(build_post('/slow', ''))
-        count = 4 * http_server.MAX_WAITING
+        count = 64
         for number in range(count):
             writer.write(build_post(f'/{number}', ''))
             await asyncio.sleep(0)
@@ -204,3 +210,104 @@
         async with asyncio.timeout(WAIT_S):
             with contextlib.suppress(ConnectionResetError):
                 assert await reader.read() == b''
+
+
+# Guards against a body that is taken for the beginning of the next response.
+async def test_a_response_to_head_has_no_body():
+    async with connect() as (_, reader, writer):
+        writer.write(b'HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n')
+        async with asyncio.timeout(WAIT_S):
+            head = await reader.readuntil(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 200 ')
+        writer.write(build_post('/b', ''))
+        assert (await read_response(reader))[2] == 'POST /b '
+
+
+# Guards against two responses to one request, the second of which is taken
+# for that of the next one.
+@pytest.mark.parametrize('target', ['/a', '/slow'])
+async def test_a_request_that_offers_another_protocol_is_answered_once(target):
+    offer = build_post(
+        target,
+        '1',
+        'Connection: Upgrade, HTTP2-Settings',
+        'Upgrade: h2c',
+        'HTTP2-Settings: AAMAAABkAAQAoAAAAAIAAAAA',
+    )
+    async with connect() as (served, reader, writer):
+        served.released.set()
+        writer.write(offer)
+        assert (await read_response(reader))[2] == f'POST {target} 1'
+        writer.write(offer + build_post('/b', '2'))
+        assert (await read_response(reader))[2] == f'POST {target} 1'
+        assert (await read_response(reader))[2] == 'POST /b 2'
+
+
+# Guards against a refusal that is taken for the response to a request before.
+async def test_requests_before_an_unreadable_one_are_answered():
+    async with connect() as (served, reader, writer):
+        writer.write(
+            build_post('/slow', '1') + build_post('/a', '2') + b'nonsense\r\n'
+        )
+        await asyncio.sleep(0.05)
+        served.released.set()
+        assert (await read_response(reader))[2] == 'POST /slow 1'
+        assert (await read_response(reader))[2] == 'POST /a 2'
+        async with asyncio.timeout(WAIT_S):
+            assert await reader.read() == b''
+
+
+# Guards against responses without end in a control host's memory.
+async def test_responses_that_nobody_reads_are_not_prepared():
+    count = 200
+    async with connect() as (served, reader, writer):
+        for _ in range(count):
+            writer.write(build_post('/long', ''))
+        await asyncio.sleep(0.3)
+        # Besides the reader's own buffer, the kernel's take a few.
+        assert len(served.targets) < 20
+        for _ in range(count):
+            assert len((await read_response(reader))[2]) == len(LONG_BODY)
+        assert len(served.targets) == count
+
+
+async def test_requests_are_not_read_while_many_wait():
+    rounds = 20
+    async with connect() as (served, reader, writer):
+        writer.transport.set_write_buffer_limits(0)
+        text = build_post('/slow', 'x' * 900)
+        count = 0
+        # Each answer makes room for one request, not for all that come.
+        for _ in range(rounds):
+            for _ in range(1000):
+                writer.write(text)
+                count += 1
+            served.released.set()
+            await read_response(reader)
+            served.released.clear()
+        await asyncio.sleep(0.3)
+        (connection,) = served.server.connections
+        waiting_bytes = sum(
+            len(request.body) for request, _ in connection._waiting
+        )
+        assert waiting_bytes < 1_000_000
+        served.released.set()
+        for _ in range(count - rounds):
+            await read_response(reader)
+
+
+# Guards against stalled senders that send a byte now and then for ever.
+async def test_a_request_that_never_ends_is_given_up(monkeypatch):
+    monkeypatch.setattr(http_server, 'IDLE_TIMEOUT_MS', 200)
+    monkeypatch.setattr(http_server, 'IDLE_CHECK_INTERVAL_MS', 20)
+    async with connect() as (_, reader, writer):
+        writer.write(build_post('/a', 'x' * 500)[:-500])
+        ended = asyncio.create_task(reader.read())
+        for _ in range(100):
+            writer.write(b'x')
+            await asyncio.sleep(0.02)
+            if ended.done():
+                break
+        assert ended.done()
+        with contextlib.suppress(ConnectionResetError):
+            assert await ended == b''
