Order a model load again that has not begun

Cause: found by reading. A load counts as under way from its order on, for 40 s unless it is announced. An order that got no answer was never repeated, although it may not have arrived. Orders to load different models were not told apart either. Change: only an order that is sent counts; one that began nothing leaves room for another load at once, in the store's limit too; unanswered ones are repeated every 700 ms while the engine announces itself, since an engine that loads the model or holds it begins nothing.

--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -139,6 +139,7 @@
             return
         await self._end_rests()
         await self._release_lost_spares()
+        self._dispatcher.repeat_unanswered_loads()
         for service in index.model_services:
             with self._counters.measure_part('planning'):
                 actions = self._plan(service)
--- a/filbertglade/replicas/order_dispatch.py
+++ b/filbertglade/replicas/order_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections import abc
+import contextlib
 import dataclasses
 
 from filbertglade import clock
@@ -35,8 +36,8 @@
 LOAD_TIMEOUT_MS = 40_000
 
 
-# The endpoint's incarnation, and the order's action, group and epoch.
-_Identity = tuple[str, str, str, int]
+# The endpoint's incarnation, and the order's action, group, epoch and model.
+_Identity = tuple[str, str, str, int, str]
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,10 +46,13 @@
 
     :param model: the model.
     :param ordered_ms: local clock when the load was ordered.
+    :param is_unanswered: whether the latest order got no response, so that
+        the load may not have begun.
     """
 
     model: str
     ordered_ms: int
+    is_unanswered: bool = False
 
 
 class OrderDispatcher:
@@ -114,7 +118,7 @@
         key: str,
         order: orders.Order,
         is_wanted: abc.Callable[[], bool] = lambda: True,
-    ) -> None:
+    ) -> bool:
         """Send an order unless the same waits or was sent just now.
 
         :param key: the endpoint's incarnation.
@@ -122,18 +126,26 @@
         :param is_wanted: tells, when it is about to be sent, whether it still
             may be: endpoints rest from the release of their group only for
             orders that were sent before.
+        :returns: whether it is sent.
         """
         now_ms = clock.now_ms()
-        identity = (key, order.action.value, order.group, order.epoch)
+        identity = (
+            key,
+            order.action.value,
+            order.group,
+            order.epoch,
+            order.model,
+        )
         if identity in self._pending:
-            return
+            return False
         sent_ms = self._sent_ms.get(identity)
         if sent_ms is not None and now_ms - sent_ms < ORDER_REPEAT_MS:
-            return
+            return False
         if len(self._sent_ms) > MAX_REMEMBERED_ORDERS:
             self._remove_old_orders(now_ms)
         self._pending.add(identity)
         self._tasks.start(self._send_in_turn(identity, order, is_wanted))
+        return True
 
     def _remove_old_orders(self, now_ms: int) -> None:
         self._sent_ms = {
@@ -191,13 +203,46 @@
             self.fenced.add((order.group, order.epoch))
         if outcome is orders.OrderOutcome.MISDIRECTED:
             self._registry.mark_silent(key, 'another endpoint has its address')
-        if order.action is orders.OrderAction.STAGE and outcome not in (
+        if order.action is orders.OrderAction.STAGE:
+            self._note_load_answer(key, order.model, outcome)
+
+    # Model loads
+
+    def _note_load_answer(
+        self, key: str, model: str, outcome: orders.OrderOutcome
+    ) -> None:
+        """Note whether a load has begun, or that this isn't known."""
+        load = self._loads.get(key)
+        if load is None or load.model != model:
+            return
+        load.is_unanswered = outcome is orders.OrderOutcome.UNKNOWN
+        if outcome in (
             orders.OrderOutcome.STARTED,
             orders.OrderOutcome.UNKNOWN,
         ):
-            self._loads.pop(key, None)
+            return
+        del self._loads[key]
+        # What began nothing leaves room for another load.
+        with contextlib.suppress(ValueError):
+            self._load_starts_ms.remove(load.ordered_ms)
 
-    # Model loads
+    def repeat_unanswered_loads(self) -> None:
+        """Send the orders again that may not have reached their engines.
+
+        An engine that is loading the model, or holds it, begins nothing.
+        """
+        for key, load in list(self._loads.items()):
+            if not load.is_unanswered or not self.find_loading_model(key):
+                continue
+            if self._registry.entries[key].is_usable:
+                self._order_load(key, load.model)
+
+    def _order_load(self, key: str, model: str) -> bool:
+        return self.order(
+            key,
+            orders.Order(orders.OrderAction.STAGE, model=model),
+            lambda: self.find_loading_model(key) == model,
+        )
 
     def find_loading_model(self, key: str) -> str:
         """Return the model that an endpoint is loading; empty if none.
@@ -254,9 +299,6 @@
                 return
             if len(self._loads) >= service.engine.loads_at_once:
                 return
-        starts.append(now_ms)
-        self._loads[action.key] = _Load(action.model, now_ms)
-        self.order(
-            action.key,
-            orders.Order(orders.OrderAction.STAGE, model=action.model),
-        )
+        if self._order_load(action.key, action.model):
+            starts.append(now_ms)
+            self._loads[action.key] = _Load(action.model, now_ms)
