Send an order only if its host still leads once it is connected

Cause: whether a control host leads was looked up before it connected to an engine, which may take half a second; a host that was frozen then, or handed its leadership over meanwhile, sent the order beside those of the next leader. Engines refuse joins of older epochs, and other orders name the epoch that they apply to, so no rule was seen broken by it. Change: the lease is looked up again when the connection has been made. Evidence: tests/replicas/test_engine_client.py loses leadership while it connects; the order was sent before.

--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -120,7 +120,9 @@
         stated.add_leaving_listener(
             lambda key: self._registry.mark_leaving(key, settings.name)
         )
-        self._client = engine_client.HttpEngineClient(dialect, stated)
+        self._client = engine_client.HttpEngineClient(
+            dialect, stated, lambda: self.voters.is_leader
+        )
         self._replicas = controller.ReplicaController(
             settings,
             self._agreed,
--- a/filbertglade/replicas/engine_call.py
+++ b/filbertglade/replicas/engine_call.py
@@ -29,12 +29,19 @@
     """Sends a request and reads the response, whose body is dropped.
 
     :param request: the request as it is sent.
+    :param may_send: whether it may still be sent, once there is a connection.
     :param max_bytes: longest response.
     :ivar response: is done with the response, or with None if there is none.
     """
 
-    def __init__(self, request: bytes, max_bytes: int) -> None:
+    def __init__(
+        self,
+        request: bytes,
+        may_send: abc.Callable[[], bool],
+        max_bytes: int,
+    ) -> None:
         self._request = request
+        self._may_send = may_send
         self._left_bytes = max_bytes
         self._parser = httptools.HttpResponseParser(self)
         self._headers = httputil.HTTPHeaders()
@@ -62,8 +69,8 @@
         :param transport: the connection.
         """
         self._transport = typing.cast(asyncio.Transport, transport)
-        if self.response.done():
-            self._transport.abort()
+        if self.response.done() or not self._may_send():
+            self.finish()
         else:
             self._transport.write(self._request)
 
--- a/filbertglade/replicas/engine_client.py
+++ b/filbertglade/replicas/engine_client.py
@@ -1,6 +1,7 @@
 """Sends orders and probes to engines over HTTP."""
 
 import asyncio
+from collections import abc
 
 import orjson
 
@@ -27,15 +28,19 @@
 
     :param dialect: names of headers and paths.
     :param stated: what engines state in their answers.
+    :param may_order: whether this host may send orders now: it may lead no
+        longer once a connection has been made.
     """
 
     def __init__(
         self,
         dialect: dialects.Dialect,
         stated: statements.EndpointStatements,
+        may_order: abc.Callable[[], bool],
     ) -> None:
         self._dialect = dialect
         self._stated = stated
+        self._may_order = may_order
         self._calls: set[engine_call.EngineCall] = set()
         self._probe_slots = asyncio.Semaphore(MAX_CONCURRENT_PROBES)
 
@@ -64,6 +69,7 @@
             'POST',
             self._dialect.order_path,
             orjson.dumps(order.build_body(fencing_token)),
+            self._may_order,
             orders.ORDER_TIMEOUT_MS,
         )
         if status is None:
@@ -86,6 +92,7 @@
                 'GET',
                 self._dialect.report_path,
                 b'',
+                lambda: True,
                 PROBE_TIMEOUT_MS,
             )
         return status == 200 or self._stated.find_pause_ms(key) > 0
@@ -96,6 +103,7 @@
         method: str,
         path: str,
         body: bytes,
+        may_send: abc.Callable[[], bool],
         timeout_ms: int,
     ) -> int | None:
         """Return the response's status; None without a response."""
@@ -109,7 +117,8 @@
             },
             body,
         )
-        response = await self._call(endpoint.address, request, timeout_ms)
+        call = engine_call.EngineCall(request, may_send, MAX_RESPONSE_BYTES)
+        response = await self._call(call, endpoint.address, timeout_ms)
         if response is None:
             return None
         self._stated.read(
@@ -118,11 +127,10 @@
         return response.status
 
     async def _call(
-        self, address: str, request: bytes, timeout_ms: int
+        self, call: engine_call.EngineCall, address: str, timeout_ms: int
     ) -> engine_call.EngineResponse | None:
         """Return the response to a request; None without one in time."""
         loop = asyncio.get_running_loop()
-        call = engine_call.EngineCall(request, MAX_RESPONSE_BYTES)
         # A timer, since asyncio.timeout() drops a response that is read in
         # the same turn of the loop in which it runs out.
         timer = loop.call_later(timeout_ms / 1000, call.finish)
--- a/tests/replicas/test_engine_client.py
+++ b/tests/replicas/test_engine_client.py
@@ -60,13 +60,13 @@
     server.close()
 
 
-def _build_client(handle_leaving=None):
+def _build_client(handle_leaving=None, may_order=lambda: True):
     stated = statements.EndpointStatements(
         dialects.DEFAULT.leaving, metrics.Metrics(), random.Random(1)
     )
     if handle_leaving is not None:
         stated.add_leaving_listener(handle_leaving)
-    return engine_client.HttpEngineClient(dialects.DEFAULT, stated)
+    return engine_client.HttpEngineClient(dialects.DEFAULT, stated, may_order)
 
 
 # Guards against an order that counts as begun, or a probe as answered, though
@@ -131,3 +131,35 @@
     assert len(arrivals) == 2
     client.close()
     server.close()
+
+
+# Guards against a former leader's order that goes out beside those of the next
+# one: it led when it began to connect, and no more when it could send.
+@pytest.mark.parametrize('leads', [True, False])
+async def test_an_order_is_sent_only_while_its_host_leads(leads):
+    received = []
+    leading = [True]
+
+    async def serve(reader, writer):
+        received.append(await reader.read(1))
+        writer.write(b'HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n')
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    client = _build_client(may_order=lambda: leading[0])
+    sending = asyncio.create_task(
+        client.send(
+            fleet_pb2.Endpoint(id='i-1', address=f'127.0.0.1:{port}'),
+            orders.Order(orders.OrderAction.OPEN, 'g-1', 1),
+            1,
+        )
+    )
+    await asyncio.sleep(0)
+    leading[0] = leads
+    outcome = await sending
+    await asyncio.sleep(0.05)
+    assert (outcome is orders.OrderOutcome.STARTED) == leads
+    assert [data for data in received if data] == [b'P'] * leads
+    client.close()
+    server.close()
--- a/tests/replicas/test_many_orders.py
+++ b/tests/replicas/test_many_orders.py
@@ -59,7 +59,7 @@
     )
     # The client that control hosts use, wherever it is defined.
     module = getattr(control_role, 'engine_client', None) or orders
-    return module.HttpEngineClient(dialects.DEFAULT, stated)
+    return module.HttpEngineClient(dialects.DEFAULT, stated, lambda: True)
 
 
 def add_engines(address):
