Report from logs how requests ended, second by second, and why

Cause: explain needs a request's id. Nothing told in which seconds, on which routes and for which causes requests were late, refused or cut, or how many groups were usable then. Change: filbertglade report LOG..., as text or JSON, and as a picture with the extra plots (matplotlib). No process that serves runs any of it.

--- a/filbertglade/cli.py
+++ b/filbertglade/cli.py
@@ -240,6 +240,37 @@
     raise typer.Exit(command.explain_request(request, paths))
 
 
+@app.command()
+def report(
+    paths: typing.Annotated[
+        list[pathlib.Path], typer.Argument(help='Log files.')
+    ],
+    objective: typing.Annotated[
+        list[str] | None,
+        typer.Option(
+            help='ROUTE=MS or ROUTE=MS/PAUSE_MS: longest time until the '
+            'first byte of its answers, and longest pause in them.'
+        ),
+    ] = None,
+    interval_s: typing.Annotated[
+        float, typer.Option(min=0.1, help='Length of an interval, in s.')
+    ] = 1.0,
+    as_json: typing.Annotated[
+        bool, typer.Option('--json', help='Print JSON.')
+    ] = False,
+    plot: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help="Draw a picture; needs the extra 'plots'."),
+    ] = None,
+) -> None:
+    """Report from the logs of all processes how requests ended, and why."""
+    from filbertglade.commands import report as command
+
+    raise typer.Exit(
+        command.show_report(paths, objective or [], interval_s, as_json, plot)
+    )
+
+
 @app.command()
 def timeline(
     paths: typing.Annotated[
