Don't take first requests with a shorter deadline for retries

Cause: a deadline under 0.95 of the route's longest one marked a caller's retry, whose answer is late in any case and which is sent to the slowest group with capacity. One caller with a long deadline also made retries of all others, for good. Change: first deadlines are taken to lie as far below the median of the last 101 as the longest of these lies above it; what is shorter is a retry. Found with filbertglade report and request.sent.

--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -8,6 +8,7 @@
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.forwarding import body_budget
+from filbertglade.forwarding import caller_retries
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import evidence
 from filbertglade.forwarding import quota
@@ -17,9 +18,6 @@
 # Minimum remaining time before the deadline for sending a request, in ms: no
 # endpoint responds faster.
 MIN_REMAINING_MS = 30
-# Fraction of a route's longest deadline below which a request counts as a
-# caller's retry after a refusal.
-RETRY_DEADLINE_FRACTION = 0.95
 # Time after a process's start in which it may have its first document at any
 # moment, in ms: control hosts that start with it elect a leader meanwhile.
 STARTUP_MS = 3000
@@ -29,29 +27,6 @@
 SHUTDOWN_ACCEPT_MS = 2600
 
 
-class DeadlineTracker:
-    """Tracks the longest deadline that callers of each route have sent.
-
-    A caller that retries a request has less time left than at first, so a
-    shorter deadline marks a retry.
-    """
-
-    def __init__(self) -> None:
-        self._longest_ms: dict[str, int] = {}
-
-    def is_short(self, route: str, deadline_ms: int) -> bool:
-        """Record a deadline; return whether it is shorter than usual.
-
-        :param route: the route's name.
-        :param deadline_ms: the deadline that the caller sent, in ms from now.
-        :returns: whether it is below :data:`RETRY_DEADLINE_FRACTION` of the
-            longest one.
-        """
-        longest_ms = max(self._longest_ms.get(route, 0), deadline_ms)
-        self._longest_ms[route] = longest_ms
-        return deadline_ms < RETRY_DEADLINE_FRACTION * longest_ms
-
-
 class ForwardingContext:
     """State that all requests of a node share.
 
@@ -66,7 +41,7 @@
     :param rng: the process's random number generator.
     :ivar certainty: whether the document in force may be out of date.
     :ivar bodies: the response bodies that are kept in memory.
-    :ivar deadlines: the longest deadline of each route.
+    :ivar deadlines: the deadlines that callers of each route send.
     :ivar started_ms: local clock when the process began to accept requests.
     :ivar stopping_since_ms: local clock when the shutdown began; None before.
     """
@@ -97,7 +72,7 @@
         counters.set_gauge(
             'held_response_bytes', lambda: self.bodies.held_bytes
         )
-        self.deadlines = DeadlineTracker()
+        self.deadlines = caller_retries.DeadlineTracker()
         self.started_ms = clock.now_ms()
         self.stopping_since_ms: int | None = None
 
--- a/tests/gateway_forwarding/test_load.py
+++ b/tests/gateway_forwarding/test_load.py
@@ -13,9 +13,9 @@
 from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
+from filbertglade.forwarding import caller_retries
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import containment
-from filbertglade.forwarding import context
 from filbertglade.forwarding import events
 from filbertglade.forwarding import evidence
 from filbertglade.forwarding import faults
@@ -284,7 +284,7 @@
 
 
 def test_a_callers_retry_is_recognised_by_its_shorter_deadline():
-    deadlines = context.DeadlineTracker()
+    deadlines = caller_retries.DeadlineTracker()
     assert not deadlines.is_short('tell', 8000)
     assert not deadlines.is_short('tell', 7900)
     assert deadlines.is_short('tell', 6500)
