Send often enough that every worker is used within a second

Its log: 25 requests, each sent to one of four idle workers (load 0, no endpoint.paused, no fault), none to that one. Workers with equal loads are chosen at random: 0.75^25 is 1 in 1,300, and three tests look at some 30 such seconds a run. Change: those tests send twice as often, 50 requests a second to each host, which makes it 1 in 1.8 million; the assertions are as before.

--- a/tests/platform/test_endpoint_pauses.py
+++ b/tests/platform/test_endpoint_pauses.py
@@ -11,6 +11,9 @@
 # with Retry-After on; hosts need no longer than stating.ON_THE_WAY_S.
 GRACE_S = 0.5
 PAUSE_S = 2.5
+# Interval between two requests where each of four workers, of which hosts
+# choose one at random, must get some of each host's in every second.
+FREQUENT_S = 0.01
 SHORT_PAUSE_S = 1.5
 # After the end a host prefers others for at most this part of the pause.
 SPREAD = 0.2
@@ -82,7 +85,7 @@
 async def test_pause_is_kept_by_the_host_that_was_asked(four_stating):
     worker = four_stating.workers[0]
     worker.statement = ask_for(PAUSE_S, entries=(0,))
-    callers = stating.Callers(four_stating)
+    callers = stating.Callers(four_stating, interval_s=FREQUENT_S)
     start_s = time.monotonic()
     await callers.send_for(3 * PAUSE_S)
     seen = describe_within(callers, worker, PAUSE_S)
@@ -424,7 +427,7 @@
     worker.statement = stating.Statement(
         f'{not_run}Retry-After: 60\r\n', status, count=5
     )
-    callers = stating.Callers(four_stating)
+    callers = stating.Callers(four_stating, interval_s=FREQUENT_S)
     start_s = time.monotonic()
     await callers.send_for(3)
     seen = callers.describe(worker)
@@ -453,7 +456,7 @@
 async def test_value_that_is_no_time_causes_no_pause(four_stating, text):
     worker = four_stating.workers[0]
     worker.statement = ask_for(text, count=5)
-    callers = stating.Callers(four_stating)
+    callers = stating.Callers(four_stating, interval_s=FREQUENT_S)
     start_s = time.monotonic()
     await callers.send_for(3)
     seen = callers.describe(worker)
