Start entry hosts without what only control hosts need

Change: the control role is imported by control hosts only; stream errors are named beside the channels; metrics and health checks are served by the small HTTP server that control hosts use; what commands print has a module of its own; modules are loaded with the garbage collector off, and left out of its searches from then on.

--- a/filbertglade/commands/client.py
+++ b/filbertglade/commands/client.py
@@ -6,7 +6,7 @@
 
 from tornado import httpclient
 
-from filbertglade.commands import check
+from filbertglade.commands import messages
 
 EXIT_FAILURE = 1
 REQUEST_TIMEOUT_S = 15
@@ -68,7 +68,7 @@
     """
     if response.code == NO_RESPONSE:
         message = f'no response: {response.reason}'
-        return check.print_failure(message, EXIT_FAILURE)
+        return messages.print_failure(message, EXIT_FAILURE)
     text = response.body.decode(errors='replace')
     try:
         error = json.loads(text)['error']
@@ -76,9 +76,9 @@
         text = f'{error["type"]}: {error["message"]}'
     except (ValueError, KeyError, TypeError, AttributeError):
         problems = []
-    check.print_failure(f'{response.code} {text}'.strip(), EXIT_FAILURE)
+    messages.print_failure(f'{response.code} {text}'.strip(), EXIT_FAILURE)
     for problem in problems:
-        check.print_failure(
-            f'{problem["key"]}: {problem["message"]}', check.EXIT_INVALID
+        messages.print_failure(
+            f'{problem["key"]}: {problem["message"]}', messages.EXIT_INVALID
         )
-    return check.EXIT_INVALID if problems else EXIT_FAILURE
+    return messages.EXIT_INVALID if problems else EXIT_FAILURE
--- a/filbertglade/commands/config.py
+++ b/filbertglade/commands/config.py
@@ -9,6 +9,7 @@
 
 from filbertglade.commands import check
 from filbertglade.commands import client
+from filbertglade.commands import messages
 from filbertglade.configuration import model
 
 MAX_ATTEMPTS = 5
@@ -43,7 +44,7 @@
     """
     found = check.read_document(path)
     if found is None:
-        return check.EXIT_INVALID
+        return messages.EXIT_INVALID
     document, text = found
     response = _put(f'{url}/v1/config', text)
     if response.code == 409:
@@ -75,7 +76,7 @@
         f'number {document.number}, {document.change_id}; '
         f'existing: number {conflict["number"]}, {conflict["change_id"]}'
     )
-    return check.print_failure(message, client.EXIT_FAILURE)
+    return messages.print_failure(message, client.EXIT_FAILURE)
 
 
 def _wait_in_force(url: str, number: int) -> int:
@@ -91,7 +92,7 @@
                 return 0
             behind = ', '.join(status['behind'])
         time.sleep(POLL_INTERVAL_S)
-    return check.print_failure(
+    return messages.print_failure(
         f'not in force everywhere after {WAIT_TIMEOUT_S} s; behind: {behind}',
         client.EXIT_FAILURE,
     )
--- a/filbertglade/commands/explain.py
+++ b/filbertglade/commands/explain.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from filbertglade.commands import check
+from filbertglade.commands import messages
 from filbertglade.observability import explain
 from filbertglade.observability import timeline
 from filbertglade.observability import timeline_pages
@@ -24,10 +24,10 @@
         events = timeline.read_events(paths)
     except OSError as error:
         message = f'{error.filename}: {error.strerror}'
-        return check.print_failure(message, check.EXIT_INVALID)
+        return messages.print_failure(message, messages.EXIT_INVALID)
     explanation = explain.explain_request(request, events)
     if explanation is None:
-        return check.print_failure(
+        return messages.print_failure(
             f'no log names request {request!r}', EXIT_UNKNOWN
         )
     typer.echo(timeline_pages.render_text(explanation.merge()), nl=False)
--- a/filbertglade/commands/gateway.py
+++ b/filbertglade/commands/gateway.py
@@ -3,7 +3,7 @@
 import asyncio
 import pathlib
 
-from filbertglade.commands import check
+from filbertglade.commands import messages
 from filbertglade.fleet import dialects
 from filbertglade.gateway import process
 from filbertglade.inner import channels
@@ -32,7 +32,7 @@
     """
     settings, problems = gateway.load_gateway_settings(path)
     if settings is None:
-        return check.print_problems(problems)
+        return messages.print_problems(problems)
     writer = line_writer.LineWriter()
     logs.open_bounded_log(settings.name, settings.data_centre, writer.write)
     counters = metrics.Metrics()
@@ -40,7 +40,7 @@
     try:
         return asyncio.run(_run(path, settings, counters))
     except OSError as error:
-        return check.print_failure(str(error), EXIT_FAILURE)
+        return messages.print_failure(str(error), EXIT_FAILURE)
     finally:
         writer.close(LOG_CLOSE_S)
 
@@ -60,7 +60,7 @@
     try:
         failure = await running.start()
         if failure is not None:
-            return check.print_failure(str(failure), EXIT_FAILURE)
+            return messages.print_failure(str(failure), EXIT_FAILURE)
         await running.run_until_stopped()
     finally:
         await running.close()
--- a/filbertglade/commands/init_control.py
+++ b/filbertglade/commands/init_control.py
@@ -3,6 +3,7 @@
 import pathlib
 
 from filbertglade.commands import check
+from filbertglade.commands import messages
 from filbertglade.control import identity
 
 
@@ -14,13 +15,13 @@
     """
     settings = check.read_settings(path)
     if settings is None:
-        return check.EXIT_INVALID
+        return messages.EXIT_INVALID
     if not settings.is_control_host:
-        return check.print_failure(
+        return messages.print_failure(
             f'control.data_folder: {settings.name!r} is not a control host',
-            check.EXIT_INVALID,
+            messages.EXIT_INVALID,
         )
     failure = identity.init_control(settings)
     if failure is not None:
-        return check.print_failure(str(failure), check.EXIT_INVALID)
+        return messages.print_failure(str(failure), messages.EXIT_INVALID)
     return 0
--- a/filbertglade/commands/node.py
+++ b/filbertglade/commands/node.py
@@ -4,6 +4,7 @@
 import pathlib
 
 from filbertglade.commands import check
+from filbertglade.commands import messages
 from filbertglade.inner import channels
 from filbertglade.node import node
 from filbertglade.observability import logs
@@ -21,13 +22,13 @@
     """
     settings = check.read_settings(path)
     if settings is None:
-        return check.EXIT_INVALID
+        return messages.EXIT_INVALID
     log_file = pathlib.Path(settings.log_file) if settings.log_file else None
     try:
         logs.open_log(settings.name, settings.data_centre, log_file)
         return asyncio.run(_run(settings))
     except OSError as error:
-        return check.print_failure(str(error), EXIT_FAILURE)
+        return messages.print_failure(str(error), EXIT_FAILURE)
 
 
 async def _run(settings: model.NodeSettings) -> int:
@@ -35,7 +36,7 @@
     try:
         failure = await process.start()
         if failure is not None:
-            return check.print_failure(str(failure), EXIT_FAILURE)
+            return messages.print_failure(str(failure), EXIT_FAILURE)
         await process.run_until_stopped()
     finally:
         await process.close()
--- a/filbertglade/commands/report.py
+++ b/filbertglade/commands/report.py
@@ -5,7 +5,7 @@
 
 import typer
 
-from filbertglade.commands import check
+from filbertglade.commands import messages
 from filbertglade.observability import report
 from filbertglade.observability import report_pages
 from filbertglade.observability import timeline
@@ -54,7 +54,7 @@
             message = (
                 f'--objective: {text!r} is not ROUTE=MS or ROUTE=MS/PAUSE_MS'
             )
-            return check.print_failure(message, check.EXIT_INVALID)
+            return messages.print_failure(message, messages.EXIT_INVALID)
         objectives[objective[0]] = objective[1]
     try:
         events = timeline.read_events(paths)
@@ -63,9 +63,11 @@
             report_pages.write_plot(summed_up, plot)
     except OSError as error:
         message = f'{error.filename}: {error.strerror}'
-        return check.print_failure(message, check.EXIT_INVALID)
+        return messages.print_failure(message, messages.EXIT_INVALID)
     except (report_pages.MissingLibraryError, ValueError) as error:
-        return check.print_failure(f'--plot: {error}', check.EXIT_INVALID)
+        return messages.print_failure(
+            f'--plot: {error}', messages.EXIT_INVALID
+        )
     if as_json:
         typer.echo(report_pages.render_json(summed_up))
     else:
--- a/filbertglade/commands/timeline.py
+++ b/filbertglade/commands/timeline.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from filbertglade.commands import check
+from filbertglade.commands import messages
 from filbertglade.observability import timeline
 from filbertglade.observability import timeline_pages
 
@@ -27,7 +27,7 @@
             html.write_text(page, encoding='utf-8')
     except OSError as error:
         message = f'{error.filename}: {error.strerror}'
-        return check.print_failure(message, check.EXIT_INVALID)
+        return messages.print_failure(message, messages.EXIT_INVALID)
     if html is None:
         typer.echo(timeline_pages.render_text(events), nl=False)
     return 0
--- a/filbertglade/control/election.py
+++ b/filbertglade/control/election.py
@@ -5,11 +5,11 @@
 
 from filbertglade.control import leadership
 from filbertglade.control import quorum
-from filbertglade.control import replication
 from filbertglade.control import store
 from filbertglade.control import voter_state
 from filbertglade.inner import agreement_grpc
 from filbertglade.inner import agreement_pb2
+from filbertglade.inner import channels
 from filbertglade.observability import logs
 from filbertglade.settings import model
 
@@ -229,7 +229,7 @@
                 voter.settings.control.election_ms / 1000
             ):
                 reply = await stub.Vote(request)
-        except replication.STREAM_ERRORS as error:
+        except channels.STREAM_ERRORS as error:
             replies[host.name] = f'{type(error).__name__}: {error}'
             return
         finally:
--- a/filbertglade/control/leadership_transfer.py
+++ b/filbertglade/control/leadership_transfer.py
@@ -8,6 +8,7 @@
 from filbertglade.control import voter_state
 from filbertglade.inner import agreement_grpc
 from filbertglade.inner import agreement_pb2
+from filbertglade.inner import channels
 from filbertglade.observability import logs
 
 CHECK_INTERVAL_MS = 5
@@ -64,7 +65,7 @@
         async with asyncio.timeout(voter.settings.control.election_ms / 1000):
             stub = agreement_grpc.AgreementStub(channel)
             reply = await stub.HandOver(request)
-    except replication.STREAM_ERRORS:
+    except channels.STREAM_ERRORS:
         return False
     finally:
         channel.close()
--- a/filbertglade/control/replication.py
+++ b/filbertglade/control/replication.py
@@ -4,8 +4,6 @@
 import typing
 
 from grpclib import client
-from grpclib import exceptions
-from h2 import exceptions as h2_exceptions
 
 from filbertglade import clock
 from filbertglade.control import entry_parts
@@ -14,6 +12,7 @@
 from filbertglade.control import send_window
 from filbertglade.inner import agreement_grpc
 from filbertglade.inner import agreement_pb2
+from filbertglade.inner import channels
 from filbertglade.observability import logs
 from filbertglade.settings import model
 
@@ -27,15 +26,6 @@
 BATCH_ENTRIES = 1024
 SNAPSHOT_REPLY_MS = 60_000
 
-STREAM_ERRORS = (
-    exceptions.GRPCError,
-    exceptions.ProtocolError,
-    exceptions.StreamTerminatedError,
-    OSError,
-    TimeoutError,
-    h2_exceptions.ProtocolError,
-)
-
 Stream = client.Stream[agreement_pb2.AppendRequest, agreement_pb2.AppendReply]
 SnapshotStream = client.Stream[
     agreement_pb2.SnapshotChunk, agreement_pb2.SnapshotReply
@@ -154,7 +144,7 @@
             )
             try:
                 await self._run_stream(channel)
-            except STREAM_ERRORS as error:
+            except channels.STREAM_ERRORS as error:
                 self._voter.counters.count(
                     'agreement_stream_breaks', peer=self.name
                 )
@@ -343,7 +333,7 @@
                 if reply is None:
                     return
                 self._handle_reply(reply)
-        except STREAM_ERRORS:
+        except channels.STREAM_ERRORS:
             # The sender notices the end of this task and raises.
             return
         finally:
@@ -420,7 +410,7 @@
         try:
             async with stub.InstallSnapshot.open() as stream:
                 await self._send_chunks(stream, reader)
-        except STREAM_ERRORS:
+        except channels.STREAM_ERRORS:
             self._voter.counters.count('agreement_snapshot_breaks')
         finally:
             reader.close()
--- a/filbertglade/control/submission.py
+++ b/filbertglade/control/submission.py
@@ -11,7 +11,6 @@
 from filbertglade.control import agreement
 from filbertglade.control import claim_batching
 from filbertglade.control import failures
-from filbertglade.control import replication
 from filbertglade.control import submit_stream
 from filbertglade.control import submitter
 from filbertglade.inner import channels
@@ -309,7 +308,7 @@
         try:
             result = await submit(request.command, request.timeout_ms)
             await stream.send_message(_make_reply(request, result))
-        except replication.STREAM_ERRORS:
+        except channels.STREAM_ERRORS:
             # The sender is gone and counts the command as possibly applied.
             return
         finally:
--- a/filbertglade/control/submit_stream.py
+++ b/filbertglade/control/submit_stream.py
@@ -7,7 +7,6 @@
 from grpclib import client
 
 from filbertglade.control import failures
-from filbertglade.control import replication
 from filbertglade.control import submitter
 from filbertglade.inner import channels
 from filbertglade.inner import commands_grpc
@@ -170,7 +169,7 @@
         detail = f'{self._address} ended the stream'
         try:
             await self._run_stream(channel)
-        except replication.STREAM_ERRORS as error:
+        except channels.STREAM_ERRORS as error:
             kind = type(error).__name__
             detail = f'{self._address} is unreachable: {kind}'
         finally:
@@ -214,7 +213,7 @@
                 outstanding = self._outstanding.get(reply.sequence)
                 if outstanding is not None and not outstanding.future.done():
                     outstanding.future.set_result(_read_reply(reply))
-        except replication.STREAM_ERRORS:
+        except channels.STREAM_ERRORS:
             # The sender notices the end of this task and raises.
             return
         finally:
--- a/filbertglade/fleet/document_fetcher.py
+++ b/filbertglade/fleet/document_fetcher.py
@@ -8,7 +8,6 @@
 from grpclib import client
 
 from filbertglade import clock
-from filbertglade.control import replication
 from filbertglade.fleet import document
 from filbertglade.fleet import view
 from filbertglade.inner import channels
@@ -208,7 +207,7 @@
                     part = await stream.recv_message()
                 self._silent_hosts.discard(host)
                 reason = await self._receive(stream, part)
-        except replication.STREAM_ERRORS as error:
+        except channels.STREAM_ERRORS as error:
             reason = f'{type(error).__name__}: {error}'
         finally:
             channel.close()
--- a/filbertglade/fleet/document_server.py
+++ b/filbertglade/fleet/document_server.py
@@ -6,9 +6,9 @@
 from grpclib import server
 
 from filbertglade import clock
-from filbertglade.control import replication
 from filbertglade.control import state
 from filbertglade.fleet import turns
+from filbertglade.inner import channels
 from filbertglade.inner import fleet_grpc
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
@@ -94,7 +94,7 @@
             await transfer.send(
                 current.version, digest, current.packed_text, offset
             )
-        except replication.STREAM_ERRORS as error:
+        except channels.STREAM_ERRORS as error:
             reason = f'{type(error).__name__}: {error}'
         finally:
             turn.give_up()
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -7,7 +7,6 @@
 
 from filbertglade import clock
 from filbertglade.control import agreement
-from filbertglade.control import replication
 from filbertglade.control import state
 from filbertglade.control import voters as control_voters
 from filbertglade.fleet import audience
@@ -23,6 +22,7 @@
 from filbertglade.fleet import trials
 from filbertglade.fleet import turns
 from filbertglade.fleet import view
+from filbertglade.inner import channels
 from filbertglade.inner import fleet_grpc
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
@@ -213,7 +213,7 @@
             await self._send_frames(
                 stream, watcher, members, report_reader_task
             )
-        except replication.STREAM_ERRORS as error:
+        except channels.STREAM_ERRORS as error:
             reason = LeaveReason.STREAM_ERROR
             if isinstance(error, TimeoutError):
                 reason = LeaveReason.SEND_TIMEOUT
@@ -268,7 +268,7 @@
                     watcher.note_leaving(LeaveReason.ENDED_BY_WATCHER)
                     return
                 self._apply_report(watcher, report)
-        except replication.STREAM_ERRORS as error:
+        except channels.STREAM_ERRORS as error:
             # The sending side notices that this task has ended.
             reason = LeaveReason.STREAM_ERROR
             if isinstance(error, TimeoutError):
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -7,7 +7,6 @@
 from grpclib import client
 
 from filbertglade import clock
-from filbertglade.control import replication
 from filbertglade.fleet import crash_reports
 from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
@@ -252,7 +251,7 @@
                 self.watched_host = host
                 log.change('leader.watched', leader=host)
                 await self._follow(stream, frame)
-        except replication.STREAM_ERRORS as error:
+        except channels.STREAM_ERRORS as error:
             reason = f'{type(error).__name__}: {error}'
             if not was_followed:
                 self._report_failed_attempt(
@@ -325,7 +324,7 @@
                 async with asyncio.timeout(LEADER_TIMEOUT_MS / 1000):
                     await stream.send_message(report)
                 self._forget_reported(report)
-        except replication.STREAM_ERRORS:
+        except channels.STREAM_ERRORS:
             # The receiving side detects the loss by its time-out.
             return
 
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -6,7 +6,6 @@
 
 from filbertglade.control import agreement
 from filbertglade.control import file_storage
-from filbertglade.control import replication
 from filbertglade.control import state
 from filbertglade.control import voters
 from filbertglade import failures
@@ -268,7 +267,7 @@
                 await fleet_grpc.FleetStub(channel).Enlist(
                     fleet_pb2.EnlistRequest(name=self._settings.listen.inner)
                 )
-        except replication.STREAM_ERRORS:
+        except channels.STREAM_ERRORS:
             # The host is down or not yet started; the next enlistment retries.
             return
         finally:
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -3,9 +3,6 @@
 import asyncio
 import random
 
-from tornado import httpserver
-from tornado import web
-
 from filbertglade import clock
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
@@ -19,7 +16,7 @@
 from filbertglade.forwarding import quota
 from filbertglade.forwarding import server
 from filbertglade.forwarding import upstream
-from filbertglade.inner import channels
+from filbertglade.gateway import http_server
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
 from filbertglade.settings import gateway
@@ -30,23 +27,8 @@
 # Part of the grace period kept for the shutdown after draining, in ms.
 SHUTDOWN_MARGIN_MS = 500
 DRAIN_POLL_INTERVAL_MS = 50
-
-
-class ReadyHandler(web.RequestHandler):
-    """Reports to the load balancer whether this host accepts callers."""
-
-    def initialize(self, role: 'EntryRole') -> None:
-        """Set the role.
-
-        :param role: the role whose readiness is reported.
-        """
-        self._role = role
-
-    def get(self) -> None:
-        """Respond with 200, or with 503 and the reason."""
-        obstacle = self._role.find_obstacle()
-        self.set_status(503 if obstacle else 200)
-        self.finish(obstacle or 'ready')
+# Longest body of a health check, which has none, in bytes.
+MAX_HEALTH_BODY_BYTES = 0
 
 
 class EntryRole:
@@ -98,7 +80,9 @@
             rng,
         )
         self._server = server.CallerServer(self._serve, self._get_limits)
-        self._health_server: httpserver.HTTPServer | None = None
+        self._health_server = http_server.HttpServer(
+            self._serve_health, MAX_HEALTH_BODY_BYTES
+        )
 
     def find_obstacle(self) -> str:
         """Return why this host accepts no callers; empty if it does."""
@@ -115,7 +99,22 @@
     async def _serve(self, request: server.CallerRequest) -> None:
         await exchange.Exchange(self._context, request).run()
 
-    def start(self) -> None:
+    def _serve_health(
+        self, request: http_server.Request
+    ) -> http_server.Response:
+        """Respond with 200, or with 503 and why callers aren't accepted."""
+        if request.path != '/readyz':
+            return http_server.Response(404)
+        if request.method not in ('GET', 'HEAD'):
+            return http_server.Response(405)
+        obstacle = self.find_obstacle()
+        return http_server.Response(
+            503 if obstacle else 200,
+            (obstacle or 'ready').encode(),
+            content_type='text/plain',
+        )
+
+    async def start(self) -> None:
         """Start accepting callers.
 
         :raises OSError: the server can't listen on an address.
@@ -124,13 +123,7 @@
         assert listen.callers is not None
         self._server.listen(listen.callers)
         if listen.health is not None:
-            application = web.Application(
-                [(r'/readyz', ReadyHandler, {'role': self})],
-                log_function=lambda handler: None,
-            )
-            self._health_server = httpserver.HTTPServer(application)
-            host, port = channels.split_address(listen.health)
-            self._health_server.listen(port, host)
+            await self._health_server.listen(listen.health)
         self._tasks.start(self._evidence.stall_detector.run())
 
     async def drain(self) -> None:
@@ -156,8 +149,7 @@
     async def close(self) -> None:
         """Stop without waiting for requests in flight."""
         self._server.stop()
-        if self._health_server is not None:
-            self._health_server.stop()
+        self._health_server.stop()
         await self._tasks.close()
         await self._evidence.close()
         self._pool.close()
--- a/filbertglade/gateway/http_server.py
+++ b/filbertglade/gateway/http_server.py
@@ -58,6 +58,11 @@
         self.target = target
         self.body = body
 
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition('?')[0]
+
 
 class Response:
     """A response.
@@ -65,18 +70,21 @@
     :param status: the status.
     :param body: the body.
     :param headers: headers beside the body's length and type.
+    :param content_type: the body's type.
     """
 
-    __slots__ = ('status', 'body', 'headers')
+    __slots__ = ('status', 'body', 'headers', 'content_type')
 
     def __init__(
         self,
         status: int,
         body: bytes = b'',
         headers: abc.Mapping[str, str] | None = None,
+        content_type: str = 'application/json',
     ) -> None:
         self.status = status
         self.body = body
+        self.content_type = content_type
         self.headers = headers or {}
 
     def write(self, has_body: bool, keeps_connection: bool) -> bytes:
@@ -89,7 +97,7 @@
         lines = [
             f'HTTP/1.1 {self.status} {reason}',
             f'Content-Length: {len(self.body)}',
-            'Content-Type: application/json',
+            f'Content-Type: {self.content_type}',
         ]
         lines += [f'{name}: {value}' for name, value in self.headers.items()]
         if not keeps_connection:
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -4,20 +4,18 @@
 import pathlib
 import random
 import signal
+import types
+import typing
 import uuid
 
-from grpclib import server as grpc_server
-from tornado import httpserver
-from tornado import web
-
 from filbertglade import failures
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document_fetcher
 from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
-from filbertglade.gateway import control_role
 from filbertglade.gateway import entry_role
+from filbertglade.gateway import http_server
 from filbertglade.inner import channels
 from filbertglade.observability import logs
 from filbertglade.observability import loop_delay
@@ -27,27 +25,27 @@
 from filbertglade import signals
 from filbertglade import tasks
 
+if typing.TYPE_CHECKING:
+    from grpclib import server as grpc_server
+
+    from filbertglade.gateway import control_role
+
 log = logs.get_log(__name__)
 
 # Interval between two checks of the settings file, in ms: it may change
 # without a signal.
 SETTINGS_POLL_INTERVAL_MS = 1000
+# Longest body of a request for metrics, which has none, in bytes.
+MAX_METRICS_BODY_BYTES = 0
 
+Response = http_server.Response
 
-class MetricsHandler(web.RequestHandler):
-    """Serves the process's metrics."""
 
-    def initialize(self, counters: metrics.Metrics) -> None:
-        """Set the metrics to serve.
+def _load_control_role() -> types.ModuleType:
+    """Import what only control hosts need: entry hosts start without it."""
+    from filbertglade.gateway import control_role
 
-        :param counters: the process's metrics.
-        """
-        self._counters = counters
-
-    def get(self) -> None:
-        """Respond with the metrics in the Prometheus text format."""
-        self.set_header('Content-Type', 'text/plain; version=0.0.4')
-        self.finish(self._counters.render_text())
+    return control_role
 
 
 class GatewayProcess:
@@ -98,7 +96,7 @@
         stated = statements.EndpointStatements(dialect.leaving, counters, rng)
         self._control_role: control_role.ControlRole | None = None
         if settings.is_control_host:
-            self._control_role = control_role.ControlRole(
+            self._control_role = _load_control_role().ControlRole(
                 settings,
                 dialect,
                 self._view,
@@ -130,7 +128,9 @@
                 rng,
             )
         self._inner_server: grpc_server.Server | None = None
-        self._metrics_server: httpserver.HTTPServer | None = None
+        self._metrics_server = http_server.HttpServer(
+            self._serve_metrics, MAX_METRICS_BODY_BYTES
+        )
         self._stopping = asyncio.Event()
         self._reload_requested = asyncio.Event()
         self._signals = signals.SignalHandlers(
@@ -158,6 +158,8 @@
         self._settings_text = self._path.read_bytes()
         self._signals.install()
         if self._control_role is not None:
+            from grpclib import server as grpc_server
+
             self._inner_server = grpc_server.Server(
                 [
                     self._control_role.voters.servicer,
@@ -174,23 +176,24 @@
         if self._fetcher is not None:
             self._fetcher.start()
         if self._entry_role is not None:
-            self._entry_role.start()
-        self._listen_metrics()
+            await self._entry_role.start()
+        if self._settings.listen.metrics is not None:
+            await self._metrics_server.listen(self._settings.listen.metrics)
         self._tasks.start(self._watch_settings())
         log.change('process.started', run=self._run_name)
         return None
 
-    def _listen_metrics(self) -> None:
-        address = self._settings.listen.metrics
-        if address is None:
-            return
-        application = web.Application(
-            [(r'/metrics', MetricsHandler, {'counters': self._counters})],
-            log_function=lambda handler: None,
+    def _serve_metrics(self, request: http_server.Request) -> Response:
+        """Respond with the metrics in the Prometheus text format."""
+        if request.path != '/metrics':
+            return Response(404)
+        if request.method not in ('GET', 'HEAD'):
+            return Response(405)
+        return Response(
+            200,
+            self._counters.render_text().encode(),
+            content_type='text/plain; version=0.0.4',
         )
-        self._metrics_server = httpserver.HTTPServer(application)
-        host, port = channels.split_address(address)
-        self._metrics_server.listen(port, host)
 
     async def _watch_settings(self) -> None:
         while True:
@@ -242,7 +245,6 @@
         await self._watcher.close()
         if self._inner_server is not None:
             self._inner_server.close()
-        if self._metrics_server is not None:
-            self._metrics_server.stop()
+        self._metrics_server.stop()
         self._signals.ignore()
         log.change('process.stopped', run=self._run_name)
--- a/filbertglade/inner/channels.py
+++ b/filbertglade/inner/channels.py
@@ -8,6 +8,8 @@
 
 from grpclib import client
 from grpclib import config
+from grpclib import exceptions
+from h2 import exceptions as h2_exceptions
 
 # Bytes that a peer may send before this process has read them, the smallest
 # window of HTTP/2. With a larger one, whole documents would queue on a link in
@@ -17,6 +19,15 @@
     http2_connection_window_size=WINDOW_BYTES,
     http2_stream_window_size=WINDOW_BYTES,
 )
+# What a call raises if its connection or its peer fails.
+STREAM_ERRORS = (
+    exceptions.GRPCError,
+    exceptions.ProtocolError,
+    exceptions.StreamTerminatedError,
+    OSError,
+    TimeoutError,
+    h2_exceptions.ProtocolError,
+)
 
 
 class ChannelFactory(abc.ABC):
--- a/tests/commands/test_gateway.py
+++ b/tests/commands/test_gateway.py
@@ -1,5 +1,6 @@
 """Signals to a gateway process while it starts and ends."""
 
+import gc
 import multiprocessing
 import os
 import signal
@@ -42,17 +43,18 @@
 
 
 @pytest.fixture
-def restored_hangup():
-    """Keep the test's own handling of SIGHUP."""
+def restored_process():
+    """Keep the test's own handling of SIGHUP and of garbage."""
     handler = signal.getsignal(signal.SIGHUP)
     yield
     signal.signal(signal.SIGHUP, handler)
+    gc.unfreeze()
 
 
 # Guards against hosts that ended with -1 when their settings changed while
 # they started.
 def test_hangup_is_ignored_until_the_process_handles_it(
-    restored_hangup, monkeypatch, settings_path
+    restored_process, monkeypatch, settings_path
 ):
     handlers = []
 
@@ -66,6 +68,23 @@
     assert handlers == [signal.SIG_IGN]
 
 
+def test_loaded_modules_are_not_searched_for_garbage(
+    restored_process, monkeypatch, settings_path
+):
+    searched = []
+
+    def run_gateway(path):
+        searched.append((gc.isenabled(), len(gc.get_objects())))
+        return 0
+
+    monkeypatch.setattr(gateway, 'run_gateway', run_gateway)
+    arguments = ['gateway', '--settings', str(settings_path)]
+    typer.testing.CliRunner().invoke(cli.app, arguments)
+    [(is_enabled, objects)] = searched
+    assert is_enabled
+    assert objects < gc.get_freeze_count()
+
+
 # Guards against hosts that ended with -1 or -15 instead of 0, and lost their
 # last log lines, when a signal came in the last moments of their stop.
 @pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
