Lay out the first groups without blocking the leader's event loop

The first leader's event loop was late by 536 ms at -9.7 s, the next one's by 486 ms at -6.5 s and the third's by 442 ms at -3.4 s, each in the pass that lays out the first groups; the first two lost their lease over it, and so 7 s of the 10 s before traffic. layout.pack_groups takes 0.585 s of processor time for 15 domains of 73 with models of 32 and 8 (least of one run; a control host has 0.645 of a core), and the time grows with the product of the groups of all models: a third model would make it minutes, after which no leader would ever keep its lease.

--- a/filbertglade/replicas/layout.py
+++ b/filbertglade/replicas/layout.py
@@ -3,51 +3,145 @@
 from collections import abc
 import itertools
 import math
+import operator
 
 Counts = tuple[int, ...]
 
+# Most combinations that are tried for one layout. They take about 0.1 s of
+# processor time, a part of the time that a leader may be silent for.
+MAX_STEPS = 300_000
 
-def pack_groups(
+
+def fit_groups(
     endpoints: abc.Mapping[str, int],
     sizes: abc.Sequence[int],
     wanted: abc.Sequence[int],
-) -> dict[str, Counts] | None:
+) -> dict[str, Counts]:
     """Choose how many groups of each kind go into each fabric domain.
 
-    A kind is an index into the sizes: the groups of one model.
+    A kind is an index into the sizes: the groups of one model. While the
+    wanted groups don't fit, the most frequent kind gets one group less.
 
     :param endpoints: number of endpoints in each domain.
     :param sizes: endpoints in a group of each kind.
     :param wanted: groups of each kind over all domains.
-    :returns: groups of each kind by domain, with the endpoints that no group
-        takes spread as evenly as possible; None if the groups don't fit.
+    :returns: groups of each kind by domain.
     """
-    # The best score of the domains so far, and their groups, by the number of
-    # groups of each kind that they hold together.
-    best: dict[Counts, tuple[float, dict[str, Counts]]] = {
-        tuple(0 for _ in sizes): (0.0, {})
+    remaining = list(wanted)
+    steps_left = MAX_STEPS
+    while any(remaining):
+        steps = _count_steps(endpoints, sizes, remaining)
+        if steps <= steps_left:
+            steps_left -= steps
+            packed = pack_groups(endpoints, sizes, remaining)
+        else:
+            packed = spread_groups(endpoints, sizes, remaining)
+        if packed is not None:
+            return packed
+        remaining[max(range(len(sizes)), key=remaining.__getitem__)] -= 1
+    return {}
+
+
+def _count_steps(
+    endpoints: abc.Mapping[str, int],
+    sizes: abc.Sequence[int],
+    wanted: abc.Sequence[int],
+) -> int:
+    """Return how many combinations :func:`pack_groups` tries at most."""
+    fits = {
+        count: sum(1 for _ in _list_fits(count, sizes))
+        for count in set(endpoints.values())
     }
+    return sum(fits[count] for count in endpoints.values()) * math.prod(
+        count + 1 for count in wanted
+    )
+
+
+def spread_groups(
+    endpoints: abc.Mapping[str, int],
+    sizes: abc.Sequence[int],
+    wanted: abc.Sequence[int],
+) -> dict[str, Counts] | None:
+    """Place one group after the other, the largest first.
+
+    Each goes where most endpoints are left. This takes no longer with more
+    kinds, but doesn't find every layout that is possible.
+
+    :param endpoints: number of endpoints in each domain.
+    :param sizes: endpoints in a group of each kind.
+    :param wanted: groups of each kind over all domains.
+    :returns: groups of each kind by domain; None if a group found no place.
+    """
+    remaining = dict(endpoints)
+    placed = {domain: [0 for _ in sizes] for domain in endpoints}
+    for kind in sorted(range(len(sizes)), key=lambda kind: -sizes[kind]):
+        for _ in range(wanted[kind]):
+            domain = max(
+                remaining, key=lambda name: remaining[name], default=None
+            )
+            if domain is None or remaining[domain] < sizes[kind]:
+                return None
+            remaining[domain] -= sizes[kind]
+            placed[domain][kind] += 1
+    return {domain: tuple(counts) for domain, counts in placed.items()}
+
+
+def pack_groups(
+    endpoints: abc.Mapping[str, int],
+    sizes: abc.Sequence[int],
+    wanted: abc.Sequence[int],
+) -> dict[str, Counts] | None:
+    """Find the layout that spreads the remaining endpoints most evenly.
+
+    :param endpoints: number of endpoints in each domain.
+    :param sizes: endpoints in a group of each kind.
+    :param wanted: groups of each kind over all domains.
+    :returns: groups of each kind by domain; None if the groups don't fit.
+    """
+    # The groups placed so far are one number, in which each kind has a digit
+    # of its own: that makes a step several times faster than with tuples.
+    strides = [
+        math.prod(count + 1 for count in wanted[:kind])
+        for kind in range(len(sizes))
+    ]
+    # The best score of the domains so far, by the groups placed in them.
+    best = {0: 0.0}
+    choices: list[tuple[str, dict[int, Counts]]] = []
     for domain, count in endpoints.items():
-        fits = list(_list_fits(count, sizes))
-        following: dict[Counts, tuple[float, dict[str, Counts]]] = {}
-        for placed, (score, chosen) in best.items():
-            for fit in fits:
-                total = tuple(map(sum, zip(placed, fit, strict=True)))
-                if any(
-                    have > want
-                    for have, want in zip(total, wanted, strict=True)
-                ):
-                    continue
-                spares = count - _count_endpoints(fit, sizes)
-                # The logarithm makes the first spares of a domain worth the
-                # most.
-                new_score = score + math.log1p(spares)
-                previous = following.get(total)
-                if previous is None or previous[0] < new_score:
-                    following[total] = (new_score, {**chosen, domain: fit})
+        following: dict[int, float] = {}
+        chosen: dict[int, Counts] = {}
+        for fit in _list_fits(count, sizes):
+            if any(map(operator.gt, fit, wanted)):
+                continue
+            added = sum(map(operator.mul, fit, strides))
+            # The logarithm makes the first spares of a domain worth the most.
+            gain = math.log1p(count - _count_endpoints(fit, sizes))
+            limits = [
+                (stride, want + 1, want - have)
+                for stride, want, have in zip(
+                    strides, wanted, fit, strict=True
+                )
+            ]
+            for placed, score in best.items():
+                for stride, base, most in limits:
+                    if placed // stride % base > most:
+                        break
+                else:
+                    total = placed + added
+                    previous = following.get(total)
+                    if previous is None or previous < score + gain:
+                        following[total] = score + gain
+                        chosen[total] = fit
         best = following
-    found = best.get(tuple(wanted))
-    return found[1] if found is not None else None
+        choices.append((domain, chosen))
+    placed = sum(map(operator.mul, wanted, strides))
+    if placed not in best:
+        return None
+    packed = {}
+    for domain, chosen in reversed(choices):
+        packed[domain] = chosen[placed]
+        placed -= sum(map(operator.mul, packed[domain], strides))
+    return packed
 
 
 def _list_fits(
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -427,12 +427,8 @@
                 for shape in models
             ],
         )
-        packed = layout.pack_groups(endpoints, sizes, wanted)
-        while packed is None and any(wanted):
-            most = max(range(len(wanted)), key=wanted.__getitem__)
-            wanted[most] -= 1
-            packed = layout.pack_groups(endpoints, sizes, wanted)
-        for domain, counts in (packed or {}).items():
+        packed = layout.fit_groups(endpoints, sizes, wanted)
+        for domain, counts in packed.items():
             for shape, count in zip(models, counts, strict=True):
                 for _ in range(count):
                     self._form_first_group(shape, domain)
