--- a/tests/replicas/test_first_layout.py
+++ b/tests/replicas/test_first_layout.py
@@ -5,9 +5,13 @@
 """
 
 import asyncio
+import time
+
+import pytest
 
 from filbertglade.control import state
 from filbertglade.fleet import registry
+from filbertglade.observability import loop_delay
 from filbertglade.observability import metrics
 from filbertglade.replicas import controller
 from filbertglade.replicas import order_dispatch
@@ -21,6 +25,21 @@
 LAYOUT_S = 6.0
 
 
+@pytest.fixture
+def steps_ms(monkeypatch):
+    """Return the processor times of the event loop's steps, in ms."""
+    steps_ms = []
+    run = asyncio.Handle._run
+
+    def run_measured(handle):
+        began_s = time.thread_time()
+        run(handle)
+        steps_ms.append(1000 * (time.thread_time() - began_s))
+
+    monkeypatch.setattr(asyncio.Handle, '_run', run_measured)
+    return steps_ms
+
+
 async def form_groups():
     """Let the engines appear; return when all groups served, in s.
 
@@ -66,10 +85,13 @@
 
 # Guards against a layout that is not ready when traffic begins: groups that
 # are agreed one after the other, and orders that wait for their time-out.
-def test_all_groups_of_a_large_fleet_serve_soon_after_the_layout_begins():
+def test_all_groups_of_a_large_fleet_serve_soon_after_the_layout_begins(
+    steps_ms,
+):
     took_s, groups, most_in_flight = virtual_time.run(form_groups())
     sizes = [len(record.endpoints) for record in groups]
     assert sizes.count(32) > 10
     assert sizes.count(8) > 40
     assert took_s <= LAYOUT_S
     assert most_in_flight <= order_dispatch.MAX_CONCURRENT_ORDERS
+    assert max(steps_ms) < loop_delay.LOGGED_DELAY_MS
