--- a/tests/replicas/test_cut_off_members.py
+++ b/tests/replicas/test_cut_off_members.py
@@ -9,12 +9,7 @@
 
 import pytest
 
-from filbertglade.control import state
-from filbertglade.fleet import registry
 from filbertglade.inner import fleet_pb2
-from filbertglade.observability import metrics
-from filbertglade.replicas import controller
-from tests.replicas import control_settings
 from tests.replicas import virtual_engines
 from tests import virtual_time
 
@@ -39,7 +34,7 @@
             await asyncio.sleep(0.001)
 
 
-class Fleet:
+class Fleet(virtual_engines.Leader):
     """A leader's groups, their engines, and hosts that send requests.
 
     :ivar engines: the engines.
@@ -48,21 +43,7 @@
     """
 
     def __init__(self):
-        settings = control_settings.build_settings()
-        self.agreed = state.AgreedState()
-        self.registry = registry.Registry(settings.endpoints.announce_ms)
-        self.engines = virtual_engines.Engines(self.registry, DOMAINS)
-        self.replicas = controller.ReplicaController(
-            settings,
-            self.agreed,
-            virtual_engines.Voters(self.agreed),
-            self.registry,
-            self.engines,
-            metrics.Metrics(),
-        )
-        self.replicas.observed.index = virtual_engines.build_index(
-            large=8, small=4
-        )
+        super().__init__(DOMAINS, large=8, small=4)
         self.replicas.has_traffic = True
         self.crashed = set()
 
@@ -117,10 +98,6 @@
     def is_silent(self, key):
         return self.registry.entries[key].endpoint.silent
 
-    async def close(self):
-        await self.replicas.close()
-        self.engines.close()
-
 
 def run(check):
     async def main():
--- a/tests/replicas/test_first_layout.py
+++ b/tests/replicas/test_first_layout.py
@@ -9,13 +9,8 @@
 
 import pytest
 
-from filbertglade.control import state
-from filbertglade.fleet import registry
 from filbertglade.observability import loop_delay
-from filbertglade.observability import metrics
-from filbertglade.replicas import controller
 from filbertglade.replicas import order_dispatch
-from tests.replicas import control_settings
 from tests.replicas import virtual_engines
 from tests import virtual_time
 
@@ -46,22 +41,10 @@
     :returns: the time from the first group until then, the agreed groups, and
         the most orders in flight.
     """
-    settings = control_settings.build_settings()
-    agreed = state.AgreedState()
-    endpoint_registry = registry.Registry(settings.endpoints.announce_ms)
-    engines = virtual_engines.Engines(endpoint_registry, DOMAINS)
-    replicas = controller.ReplicaController(
-        settings,
-        agreed,
-        virtual_engines.Voters(agreed),
-        endpoint_registry,
-        engines,
-        metrics.Metrics(),
-    )
-    replicas.observed.index = virtual_engines.build_index(large=32, small=8)
-    replicas.start()
+    leader = virtual_engines.Leader(DOMAINS, large=32, small=8)
+    leader.replicas.start()
     for number in range(DOMAINS * ENGINES_PER_DOMAIN):
-        engines.appear(number)
+        leader.engines.appear(number)
         await asyncio.sleep(5.0 / (DOMAINS * ENGINES_PER_DOMAIN))
     loop = asyncio.get_running_loop()
     began_s = None
@@ -70,17 +53,17 @@
             await asyncio.sleep(0.05)
             groups = [
                 record
-                for record in agreed.replicas.records.values()
+                for record in leader.agreed.replicas.records.values()
                 if not record.is_spare
             ]
             if groups and began_s is None:
                 began_s = loop.time()
-            if groups and all(map(replicas.observed.is_serving, groups)):
+            observed = leader.replicas.observed
+            if groups and all(map(observed.is_serving, groups)):
                 break
     took_s = loop.time() - began_s
-    await replicas.close()
-    engines.close()
-    return took_s, groups, engines.most_in_flight
+    await leader.close()
+    return took_s, groups, leader.engines.most_in_flight
 
 
 # Guards against a layout that is not ready when traffic begins: groups that
--- a/tests/replicas/test_pass_work.py
+++ b/tests/replicas/test_pass_work.py
@@ -12,7 +12,6 @@
 from filbertglade.inner import commands_pb2
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import metrics
-from filbertglade.replicas import controller
 from filbertglade.replicas import group_orders
 from filbertglade.replicas import observed_state
 from filbertglade.replicas import order_dispatch
@@ -30,22 +29,10 @@
 
 async def count_looks(monkeypatch):
     """Return the looks at endpoints in a pass, and the number of spares."""
-    settings = control_settings.build_settings()
-    agreed = state.AgreedState()
-    endpoint_registry = registry.Registry(settings.endpoints.announce_ms)
-    engines = virtual_engines.Engines(endpoint_registry, DOMAINS)
-    replicas = controller.ReplicaController(
-        settings,
-        agreed,
-        virtual_engines.Voters(agreed),
-        endpoint_registry,
-        engines,
-        metrics.Metrics(),
-    )
-    replicas.observed.index = virtual_engines.build_index(large=32, small=8)
-    replicas.start()
+    leader = virtual_engines.Leader(DOMAINS, large=32, small=8)
+    leader.replicas.start()
     for number in range(ENGINES):
-        engines.appear(number)
+        leader.engines.appear(number)
     await asyncio.sleep(LAYOUT_S)
     looks = 0
     passes = 0
@@ -69,9 +56,8 @@
         order_dispatch.OrderDispatcher, 'repeat_unanswered_loads', count_pass
     )
     await asyncio.sleep(5)
-    await replicas.close()
-    engines.close()
-    records = agreed.replicas.records.values()
+    await leader.close()
+    records = leader.agreed.replicas.records.values()
     return looks / passes, sum(record.is_spare for record in records)
 
 
--- a/tests/replicas/virtual_engines.py
+++ b/tests/replicas/virtual_engines.py
@@ -2,10 +2,15 @@
 
 import asyncio
 
+from filbertglade.control import state
 from filbertglade.fleet import document
+from filbertglade.fleet import registry
 from filbertglade.inner import fleet_pb2
+from filbertglade.observability import metrics
+from filbertglade.replicas import controller
 from filbertglade.replicas import orders
 from tests.fleet import documents
+from tests.replicas import control_settings
 
 # A synced write on the leader and on a majority of the others.
 COMMIT_S = 0.03
@@ -129,3 +134,31 @@
         {'name': 'small', 'size': small, 'share': 0.5, 'load_s': 12.0},
     ]
     return document.read_index(7, documents.write(data))
+
+
+class Leader:
+    """A leader of a fleet with two models.
+
+    :param domains: fabric domains that the engines stand in.
+    :param large: members of a group of the one model.
+    :param small: the same of the other.
+    """
+
+    def __init__(self, domains, large, small):
+        settings = control_settings.build_settings()
+        self.agreed = state.AgreedState()
+        self.registry = registry.Registry(settings.endpoints.announce_ms)
+        self.engines = Engines(self.registry, domains)
+        self.replicas = controller.ReplicaController(
+            settings,
+            self.agreed,
+            Voters(self.agreed),
+            self.registry,
+            self.engines,
+            metrics.Metrics(),
+        )
+        self.replicas.observed.index = build_index(large, small)
+
+    async def close(self):
+        await self.replicas.close()
+        self.engines.close()
