--- a/tests/replicas/test_first_layout.py
+++ b/tests/replicas/test_first_layout.py
@@ -21,7 +21,7 @@
 
 
 @pytest.fixture
-def steps_ms(monkeypatch):
+def steps_ms(monkeypatch, own_garbage):
     """Return the processor times of the event loop's steps, in ms."""
     steps_ms = []
     run = asyncio.Handle._run
--- a/tests/replicas/test_layout.py
+++ b/tests/replicas/test_layout.py
@@ -21,7 +21,9 @@
 @pytest.mark.parametrize(
     'sizes', [[32, 8], [32, 8, 4], [32, 16, 8, 4], [4, 3], [8], [64, 40]]
 )
-def test_layout_of_a_large_fleet_does_not_block_the_event_loop(sizes):
+def test_layout_of_a_large_fleet_does_not_block_the_event_loop(
+    own_garbage, sizes
+):
     wanted = count_wanted(sizes)
     began_s = time.thread_time()
     packed = layout.fit_groups(LARGE_FLEET, sizes, wanted)
