Name cached values and failed searches by usual terms

Cause: read as a newcomer, group_cache spoke of what is made and kept, the watcher of vain searches, and two comments told how a value or a form came about.

--- a/filbertglade/fleet/audience.py
+++ b/filbertglade/fleet/audience.py
@@ -16,7 +16,7 @@
 CHANGE_INTERVAL_PER_WATCHER_MS = 1.0
 # Publications that may follow each other without that interval, so that a
 # change after a quiet time is sent at once.
-BURST = 2
+BURST_PUBLICATIONS = 2
 # Interval between two publications while only the load changes, in ms: the
 # minimum, and the time per watcher, which limits all watchers together to
 # about 500 frames a second.
@@ -100,7 +100,7 @@
         if not self._has_change:
             self._has_change = True
             self._changed_ms = clock.now_ms()
-        burst_ms = (BURST - 1) * self._change_interval_ms
+        burst_ms = (BURST_PUBLICATIONS - 1) * self._change_interval_ms
         self._schedule(
             max(clock.now_ms() + BATCH_MS, int(self._allowed_ms - burst_ms))
         )
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -89,8 +89,8 @@
         self._tasks = tasks.TaskGroup()
         self._control_hosts: list[str] = []
         self._leader = ''
-        # Searches for the leader since it was last found.
-        self._vain_searches = 0
+        # Failed searches for the leader since it was last found.
+        self._failed_searches = 0
         self.watched_host = ''
         self._suspicions: list[fleet_pb2.Suspicion] = []
         # Local clock at the latest event since the last report, by group and
@@ -204,13 +204,13 @@
                 if self._leader:
                     break
             else:
-                self._vain_searches += 1
+                self._failed_searches += 1
 
     @property
     def _connect_timeout_ms(self) -> int:
         return min(
             FIRST_FRAME_TIMEOUT_MS,
-            FIRST_CONNECT_TIMEOUT_MS * 2 ** min(self._vain_searches, 16),
+            FIRST_CONNECT_TIMEOUT_MS * 2 ** min(self._failed_searches, 16),
         )
 
     def _order_control_hosts(self) -> list[str]:
@@ -247,7 +247,7 @@
                     return
                 self._forget_reported(report)
                 was_followed = True
-                self._vain_searches = 0
+                self._failed_searches = 0
                 self.watched_host = host
                 log.change('leader.watched', leader=host)
                 await self._follow(stream, frame)
--- a/filbertglade/replicas/group_cache.py
+++ b/filbertglade/replicas/group_cache.py
@@ -1,4 +1,4 @@
-"""What is made of each group, kept as long as nothing of it changes."""
+"""Values derived from groups, cached until a group changes."""
 
 from collections import abc
 import dataclasses
@@ -12,71 +12,71 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Kept(typing.Generic[T]):
-    """What was made of a group.
+class _Entry(typing.Generic[T]):
+    """The cached value of a group.
 
     :param record: the group's record.
-    :param made: what was made of it.
+    :param value: the value derived from it.
     """
 
     record: commands_pb2.ReplicaRecord
-    made: T
+    value: T
 
 
 class GroupCache(typing.Generic[T]):
-    """Makes something of each group, again only where something has changed.
+    """Derives a value from each group, again only where it has changed.
 
     With hundreds of endpoints, looking at all members of all groups many
     times a second takes a large part of a leader's time.
 
     :param agreed: the agreed state.
     :param endpoint_registry: the endpoints.
-    :param make: makes it of a group's record.
-    :param with_spare_groups: whether it is made of spare groups too.
+    :param derive: derives the value from a group's record.
+    :param with_spare_groups: whether spare groups have a value too.
     """
 
     def __init__(
         self,
         agreed: state.AgreedState,
         endpoint_registry: registry.Registry,
-        make: abc.Callable[[commands_pb2.ReplicaRecord], T],
+        derive: abc.Callable[[commands_pb2.ReplicaRecord], T],
         with_spare_groups: bool = False,
     ) -> None:
         self._agreed = agreed
         self._registry = endpoint_registry
-        self._make = make
+        self._derive = derive
         self._with_spare_groups = with_spare_groups
         self._conditions: object = None
         self._registry_version = -1
-        self._kept: dict[str, _Kept[T]] = {}
+        self._entries: dict[str, _Entry[T]] = {}
 
     def clear(self) -> None:
-        """Make everything again at the next use."""
-        self._kept.clear()
+        """Derive all values again at the next refresh."""
+        self._entries.clear()
 
     def refresh(self, conditions: object = None) -> abc.Iterable[T]:
-        """Return what is made of each group.
+        """Return the value of each group.
 
-        What nothing has changed of since the last call is the same object.
+        The value of a group that has not changed is the same object as before.
 
-        :param conditions: all that it also depends on, beside the group's
-            record and its members' entries in the registry.
+        :param conditions: what values depend on beside the group's record
+            and its members' entries in the registry.
         """
         if conditions != self._conditions:
             self._conditions = conditions
-            self._kept.clear()
+            self._entries.clear()
         changed = self._list_changed_groups()
-        current: dict[str, _Kept[T]] = {}
+        current: dict[str, _Entry[T]] = {}
         for group, record in self._agreed.replicas.records.items():
             if record.is_spare and not self._with_spare_groups:
                 continue
-            kept = self._kept.get(group)
-            if kept is None or kept.record is not record or group in changed:
-                kept = _Kept(record, self._make(record))
-            current[group] = kept
-        self._kept = current
+            entry = self._entries.get(group)
+            if entry is None or entry.record is not record or group in changed:
+                entry = _Entry(record, self._derive(record))
+            current[group] = entry
+        self._entries = current
         self._registry_version = self._registry.version
-        return [kept.made for kept in current.values()]
+        return [entry.value for entry in current.values()]
 
     def _list_changed_groups(self) -> set[str]:
         """Return the groups of which a member has changed."""
--- a/filbertglade/replicas/layout.py
+++ b/filbertglade/replicas/layout.py
@@ -7,8 +7,8 @@
 
 Counts = tuple[int, ...]
 
-# Most combinations that are tried for one layout. They take about 0.1 s of
-# processor time, a part of the time that a leader may be silent for.
+# Maximum number of combinations tried for one layout. The search blocks the
+# event loop, and with it the heartbeats of a leader.
 MAX_STEPS = 300_000
 
 
@@ -98,8 +98,8 @@
     :param wanted: groups of each kind over all domains.
     :returns: groups of each kind by domain; None if the groups don't fit.
     """
-    # The groups placed so far are one number, in which each kind has a digit
-    # of its own: that makes a step several times faster than with tuples.
+    # The groups placed so far are encoded as one number, with a digit for each
+    # kind, which is faster to add and to look up than a tuple.
     strides = [
         math.prod(count + 1 for count in wanted[:kind])
         for kind in range(len(sizes))
--- a/filbertglade/start.py
+++ b/filbertglade/start.py
@@ -1,4 +1,4 @@
-"""Starts a process that serves, with as little as it needs."""
+"""Starts a gateway process with as few imports as possible."""
 
 import gc
 import pathlib
--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -8,11 +8,11 @@
 # Entry hosts are by far the most processes. After a loss of power all of them
 # start at the same time, on a part of a core each.
 START = """
+import runpy
 import sys
-from filbertglade import __main__
 sys.argv[1:] = ['gateway', '--settings', 'missing.toml']
 try:
-    __main__.main()
+    runpy.run_module('filbertglade', run_name='__main__')
 except SystemExit as end:
     assert end.code == 2
 print('\\n'.join(sys.modules))
