Send until the head has been reached after its statement was set

Its logs: entry host 0 sent all of its last 14 requests to the other group, and no request was paused; then nothing was sent any more. send_until_used counted arrivals from before the statement was set, so it returned at once, and the wait for the statement had no bound. Change: only arrivals after that moment count, so that pairs are sent until one reaches the head, and the wait is bounded by the length of the pause. The assertions are as before. Waits for has_told without a bound also stand in other tests of endpoint pauses and of leaving endpoints, unchanged.

--- a/tests/platform/test_endpoint_pauses.py
+++ b/tests/platform/test_endpoint_pauses.py
@@ -351,9 +351,11 @@
     callers = await stating.start_groups(four_stating, 4)
     first, second = stating.list_heads(four_stating)
     first.statement = ask_for(PAUSE_S, entries=(0,), count=1)
+    set_s = time.monotonic()
     sending = asyncio.create_task(callers.send_for(PAUSE_S))
-    assert await callers.send_until_used(first, 0)
-    await first.has_told.wait()
+    assert await callers.send_until_used(first, set_s)
+    async with asyncio.timeout(PAUSE_S):
+        await first.has_told.wait()
     await sending
     seen = describe_within(callers, first, PAUSE_S)
     assert not list_within(first, 0, PAUSE_S), seen
