--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -431,3 +431,33 @@
             await group.stop()
 
     cluster.run(work())
+
+
+# Guards against survivors that don't know that an exchange before a loss of
+# power was committed, and wait for a majority of the voters before it.
+@pytest.mark.parametrize('seed', range(4))
+def test_power_loss_in_a_quiet_time_after_an_exchange_does_not_end_agreement(
+    seed,
+):
+    async def work():
+        group = SeededGroup(seed)
+        scenario = Scenario(group, seed)
+        await group.start()
+        try:
+            assert await scenario._wait(scenario._all_are_voters, 60)
+            leader = scenario.leader
+            assert await scenario.changes.send(leader)
+            followers = [host for host in group.hosts if host is not leader]
+            await group.replace(followers[0])
+            assert await scenario._wait(scenario._all_are_voters, RECOVERY_S)
+            await asyncio.sleep(CATCH_UP_S)
+            assert scenario.leader is leader
+            await scenario._stop_and_start(
+                group.hosts, [leader, followers[1]]
+            )
+            assert await scenario._wait(lambda: scenario.leader, RECOVERY_S)
+            assert await scenario._wait(scenario._all_are_voters, RECOVERY_S)
+        finally:
+            await group.stop()
+
+    cluster.run(work())
