Store with a follower's entries that the ones before are committed

Cause: the entry after an exchange of voters is there to make it durable on every voter that the exchange is committed. It comes to followers with the committed index that says so, but they stored it with the index that they had known before, which was lower by one. Only the leader stored the right one. After the loss of two disks, the leader's among them, and of power at all hosts, each survivor waited for a majority of the voters before the exchange too, two of which were gone (the survivors' folders in the trial: 65 entries, committed index 63, exchange 64).

Now the entries are stored with the committed index of their request.

--- a/filbertglade/control/follower.py
+++ b/filbertglade/control/follower.py
@@ -98,11 +98,12 @@
         if request.completes_batch:
             entries = self._assembler.take()
         last_index = request.previous_index + len(entries)
-        failure = await self._store_entries(entries)
+        committed_index = min(request.committed_index, last_index)
+        failure = await self._store_entries(entries, committed_index)
         if failure is not None:
             voter.halt(failure)
             return
-        voter.commit(min(request.committed_index, last_index))
+        voter.commit(committed_index)
         reply.accepted = True
         reply.match_index = last_index
 
@@ -131,9 +132,16 @@
         return index
 
     async def _store_entries(
-        self, entries: abc.Sequence[agreement_pb2.LogEntry]
+        self,
+        entries: abc.Sequence[agreement_pb2.LogEntry],
+        committed_index: int,
     ) -> failures.StorageFailure | None:
-        """Append new entries; entries that conflict are truncated."""
+        """Append new entries; entries that conflict are truncated.
+
+        The committed index that comes with them is stored with them: a voter
+        that restarts must know of a committed exchange, and the entry after
+        it is the first that carries it.
+        """
         voter = self._voter
         journal = voter.journal
         new_entries = [
@@ -151,7 +159,7 @@
                 if failure is not None:
                     return failure
             journal.append(new_entries)
-        return await journal.flush(voter.committed_index)
+        return await journal.flush(max(voter.committed_index, committed_index))
 
     # Snapshots
 
--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -452,9 +452,7 @@
             assert await scenario._wait(scenario._all_are_voters, RECOVERY_S)
             await asyncio.sleep(CATCH_UP_S)
             assert scenario.leader is leader
-            await scenario._stop_and_start(
-                group.hosts, [leader, followers[1]]
-            )
+            await scenario._stop_and_start(group.hosts, [leader, followers[1]])
             assert await scenario._wait(lambda: scenario.leader, RECOVERY_S)
             assert await scenario._wait(scenario._all_are_voters, RECOVERY_S)
         finally:
