Write the entries after a voter change apart from it

A voter that gets a committed exchange and the entries after it in one batch stored none that says that the exchange is committed: what a record states is bounded by the start of its batch. After a loss of power it would need a majority of the voters before the exchange, as in the commit before. Such a batch is written in two parts now.

Evidence: test_entries_after_a_committed_voter_change_state_it, red on the code before (committed index 0), green now.

--- a/filbertglade/control/journal.py
+++ b/filbertglade/control/journal.py
@@ -142,12 +142,35 @@
             batch = self._entries[self.synced_index - self.base_point.index :]
             if not batch:
                 return None
-            failure = await self._storage.append(batch, committed_index)
-            if failure is not None:
-                return failure
-            self.synced_index = batch[-1].index
+            for part in self._split(batch, committed_index):
+                failure = await self._storage.append(part, committed_index)
+                if failure is not None:
+                    return failure
+                self.synced_index = part[-1].index
             return None
 
+    def _split(
+        self, batch: list[LogEntry], committed_index: int
+    ) -> list[list[LogEntry]]:
+        """Split records that are to be written after a voter change.
+
+        A batch states only that records before it are committed. Those after
+        a committed change of the voters have to state that it is.
+        """
+        first = batch[0].index
+        change = max(
+            (
+                index
+                for index in self.voter_changes
+                if first <= index <= min(committed_index, batch[-1].index - 1)
+            ),
+            default=None,
+        )
+        if change is None:
+            return [batch]
+        count = change + 1 - first
+        return [batch[:count], batch[count:]]
+
     async def truncate(self, first: int) -> StorageFailure | None:
         """Remove the end of the log.
 
