Acknowledge nothing until an exchange is stated as committed

A change that was committed together with an exchange of voters was acknowledged at once. The entry that tells voters that the exchange is committed came after it, and was on the leader alone. If two disks were lost then, the survivors needed a majority of the voters before the exchange as well, and elected nobody: what had been acknowledged couldn't be read any more.

Results wait for that entry now, a few ms, and resends of a held document are refused with 503 as long. Once an entry after the exchange is on a majority, each voter whose log is complete enough to be elected knows that the exchange is committed.

--- a/filbertglade/control/agreement.py
+++ b/filbertglade/control/agreement.py
@@ -234,6 +234,18 @@
             return False
         return voter.leadership.is_acting
 
+    @property
+    def may_acknowledge(self) -> bool:
+        """Whether this voter leads, and may acknowledge what it has applied.
+
+        Right after a change of the voters it waits for the entry that states
+        that the change is committed.
+        """
+        voter = self._voter
+        if voter is None or voter.leadership is None or not self.is_leader:
+            return False
+        return voter.leadership.may_acknowledge
+
     def lease_remaining_ms(self) -> int:
         """Return the time left of this voter's leader lease.
 
--- a/filbertglade/control/leadership.py
+++ b/filbertglade/control/leadership.py
@@ -59,6 +59,10 @@
         self._is_transferring = False
         self._first_index = 0
         self._pending: dict[int, Pending] = {}
+        # Index of the entry that states that the latest voter change is
+        # committed, and the commands completed before it is committed itself.
+        self._statement_index = 0
+        self._held: list[tuple[Pending, commands_pb2.CommandResult]] = []
         self._appended = asyncio.Event()
         self.commands = entry_parts.CommandCache()
         self.replicators: list[replication.Replicator] = []
@@ -120,8 +124,11 @@
     def _fail_pending(
         self, reason: failures.SubmitReason, detail: str
     ) -> None:
-        pending, self._pending = self._pending, {}
-        for future in pending.values():
+        futures = [*self._pending.values()]
+        futures += [future for future, _ in self._held]
+        self._pending.clear()
+        self._held.clear()
+        for future in futures:
             if not future.done():
                 future.set_result(
                     failures.SubmitFailure(
@@ -202,7 +209,7 @@
             change isn't applied.
         """
         voter = self._voter
-        if self._pending or voter.has_unapplied_voter_change():
+        if self._pending or self._held or voter.has_unapplied_voter_change():
             return []
         current_quorum = voter.quorum()
         return [
@@ -248,15 +255,29 @@
         :param result: the command's result.
         """
         future = self._pending.pop(entry.index, None)
-        if future is not None and not future.done():
-            future.set_result(result)
+        if future is not None:
+            self._held.append((future, result))
         if entry.changes_voters and not self._stopped:
             # A later entry makes it durable on every voter that the change is
             # committed. After a restart they then need no majority of the
-            # voter table before the change.
-            self._append_no_operation()
+            # voter table before the change. Until a majority holds that
+            # entry, lost disks could leave no voter that knows.
+            self._statement_index = self._append_no_operation()
+        if entry.index >= self._statement_index:
+            self._release_results()
         self._begin_acting_if_ready()
 
+    @property
+    def may_acknowledge(self) -> bool:
+        """Whether what is applied survives the losses that are tolerated."""
+        return self._voter.state.applied_index >= self._statement_index
+
+    def _release_results(self) -> None:
+        held, self._held = self._held, []
+        for future, result in held:
+            if not future.done():
+                future.set_result(result)
+
     def _begin_acting_if_ready(self) -> None:
         """Start to act once the conditions named at the class are met."""
         voter = self._voter
--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -379,10 +379,10 @@
         differs = put.version == held.version and not await asyncio.to_thread(
             document_table.has_same_text, put, held
         )
-        if not context.voters.is_leader:
+        if not context.voters.may_acknowledge:
             return control_failures.SubmitFailure(
                 control_failures.SubmitReason.NO_LEADER,
-                'this host no longer leads',
+                'this host no longer leads, or voters are being exchanged',
             )
         return commands_pb2.DocumentResult(
             version=held.version, differs=differs
--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -459,3 +459,45 @@
             await group.stop()
 
     cluster.run(work())
+
+
+async def wait_for_exchange(leader):
+    """Wait until the leader has appended an exchange of voters."""
+    leading = leader.agreement._voter.leadership
+    append = leading._append_exchange
+    appended = asyncio.Event()
+
+    def append_and_note(*change):
+        append(*change)
+        appended.set()
+
+    leading._append_exchange = append_and_note
+    await appended.wait()
+
+
+# Guards against an acknowledgement of a change that was committed together
+# with an exchange of voters: without an entry that states that the exchange is
+# committed, the survivors of two lost disks elect nobody.
+@pytest.mark.parametrize('wait_s', [0, 0.001, 0.002, 0.003])
+def test_change_acknowledged_during_an_exchange_survives_two_lost_disks(
+    wait_s,
+):
+    async def work():
+        group = SeededGroup(seed=1)
+        scenario = Scenario(group, seed=1)
+        await group.start()
+        try:
+            assert await scenario._wait(scenario._all_are_voters, 60)
+            leader = scenario.leader
+            followers = [host for host in group.hosts if host is not leader]
+            await group.replace(followers[0])
+            await wait_for_exchange(leader)
+            await asyncio.sleep(wait_s)
+            assert await scenario.changes.send(leader)
+            await scenario._stop_and_start(group.hosts, [leader, followers[1]])
+            assert await scenario._wait(lambda: scenario.leader, RECOVERY_S)
+            assert await scenario._wait(scenario._all_are_voters, RECOVERY_S)
+        finally:
+            await group.stop()
+
+    cluster.run(work())
--- a/tests/gateway/test_control_api.py
+++ b/tests/gateway/test_control_api.py
@@ -43,6 +43,10 @@
         self.questions -= 1
         return self.questions >= 0
 
+    @property
+    def may_acknowledge(self):
+        return self.is_leader
+
     async def submit(self, command, timeout_ms):
         self.submitted.append(command.put_document)
         await self.committing.wait()
