Let leases end while a machine is suspended

An operator's read, sent long after a newer document was acknowledged, returned the older one.

Cause: all timers ran on the monotonic clock, which stands still while Linux has suspended the machine. A leader that was resumed still had the rest of its lease, some 500 ms, in which it answered reads from its memory and gave orders, although another leader had been elected meanwhile.

Processes now run on an event loop whose time is that since boot. A suspension is then what a stopped process is: its leases, deadlines and timers are over at once when it goes on.

The users' record of this symptom has no logs: that it has this cause is suspected. Other clocks were looked for: times of the document reader and of the command that waits for a document are durations only.

--- a/filbertglade/commands/gateway.py
+++ b/filbertglade/commands/gateway.py
@@ -1,8 +1,8 @@
 """The command that runs a gateway process."""
 
-import asyncio
 import pathlib
 
+from filbertglade import clock
 from filbertglade.commands import messages
 from filbertglade.fleet import dialects
 from filbertglade.gateway import process
@@ -38,7 +38,7 @@
     counters = metrics.Metrics()
     counters.set_gauge('log_lines_dropped', lambda: writer.dropped)
     try:
-        return asyncio.run(_run(path, settings, counters))
+        return clock.run(_run(path, settings, counters))
     except OSError as error:
         return messages.print_failure(str(error), EXIT_FAILURE)
     finally:
--- a/filbertglade/commands/node.py
+++ b/filbertglade/commands/node.py
@@ -1,8 +1,8 @@
 """The command that runs a node."""
 
-import asyncio
 import pathlib
 
+from filbertglade import clock
 from filbertglade.commands import check
 from filbertglade.commands import messages
 from filbertglade.inner import channels
@@ -26,7 +26,7 @@
     log_file = pathlib.Path(settings.log_file) if settings.log_file else None
     try:
         logs.open_log(settings.name, settings.data_centre, log_file)
-        return asyncio.run(_run(settings))
+        return clock.run(_run(settings))
     except OSError as error:
         return messages.print_failure(str(error), EXIT_FAILURE)
 
