--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -27,6 +27,10 @@
 CONTROL = {'snapshot_entries': 8, 'heartbeat_ms': 100}
 WRITES = ('save_vote', 'append', 'truncate', 'compact', 'snapshot')
 SEEDS = range(12)
+# Pauses between two changes, in s. In a quiet time nothing is appended for
+# longer than it takes a lost host to count again.
+BUSY_PAUSES_S = (0.005, 0.1, 0.4)
+QUIET_PAUSES_S = (0.1, 2, 7)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -106,12 +110,16 @@
     :param seed: seed of the faults.
     :param restarts_halted: whether a process whose voter halted is restarted
         once its disk takes writes again.
+    :param pauses_s: pauses between two changes.
     """
 
-    def __init__(self, group, seed, restarts_halted=False):
+    def __init__(
+        self, group, seed, restarts_halted=False, pauses_s=BUSY_PAUSES_S
+    ):
         self.group = group
         self.rng = random.Random(seed)
         self.restarts_halted = restarts_halted
+        self.pauses_s = pauses_s
         self.story = []
         self.failures = []
         self.changes = test_refused_writes.Changes(group)
@@ -159,6 +167,9 @@
             )
             await action()
         await self._settle()
+        if not self.failures:
+            await self._lose_tolerated_disks()
+            await self._settle()
 
     def _start(self, work):
         task = asyncio.get_running_loop().create_task(work)
@@ -201,7 +212,7 @@
             leader = self.leader
             if leader is not None:
                 await self.changes.send(leader, timeout_ms=1000)
-            await asyncio.sleep(self.rng.choice((0.005, 0.1, 0.4)))
+            await asyncio.sleep(self.rng.choice(self.pauses_s))
 
     async def _watch(self):
         """Check leaders all the time, and count down lost disks."""
@@ -340,6 +351,14 @@
 
     # The end
 
+    async def _lose_tolerated_disks(self):
+        """Lose two disks, and power at all or some of the other hosts."""
+        await asyncio.sleep(CATCH_UP_S)
+        lost = self.rng.sample(self.group.hosts, TOLERATED_LOSSES)
+        stopped = self.rng.choice((lost, self.group.hosts))
+        self._note('at the end lose disks', [host.name for host in lost])
+        await self._stop_and_start(stopped, lost)
+
     async def _settle(self):
         for host in self.group.hosts:
             host.disk.refused = frozenset()
@@ -369,17 +388,17 @@
         )
 
 
-def play(group_type, seed, restarts_halted):
-    scenario = Scenario(group_type(seed), seed, restarts_halted)
+def play(group_type, seed, restarts_halted, pauses_s=BUSY_PAUSES_S):
+    scenario = Scenario(group_type(seed), seed, restarts_halted, pauses_s)
     cluster.run(scenario.run())
     return scenario
 
 
-def check_all(group_type, restarts_halted):
+def check_all(group_type, restarts_halted, pauses_s=BUSY_PAUSES_S):
     """Play all seeds; fail with what each one broke."""
     broken = {}
     for seed in SEEDS:
-        scenario = play(group_type, seed, restarts_halted)
+        scenario = play(group_type, seed, restarts_halted, pauses_s)
         if scenario.failures:
             broken[seed] = scenario
     assert not broken, '\n'.join(
@@ -405,6 +424,13 @@
     check_all(group_type, restarts_halted=True)
 
 
+# Guards against faults that only show where nothing is appended after them:
+# what follows a fault would tell voters what they have missed.
+@pytest.mark.parametrize('group_type', [FixedGroup, SeededGroup])
+def test_tolerated_losses_in_quiet_times_are_survived(group_type):
+    check_all(group_type, restarts_halted=False, pauses_s=QUIET_PAUSES_S)
+
+
 # Guards against a replaced host that still counts in the voter table when its
 # successor has had the time to catch up, so that two lost disks are one too
 # many.
