--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -12,9 +12,7 @@
 
 import pytest
 
-from tests.control import cluster
-from tests.control import test_refused_writes
-from tests.control import test_seeded_voters
+from tests.control import cluster, test_refused_writes, test_seeded_voters
 
 HOST_COUNT = 5
 TOLERATED_LOSSES = 2
@@ -120,6 +118,7 @@
         self.rng = random.Random(seed)
         self.restarts_halted = restarts_halted
         self.pauses_s = pauses_s
+        self.is_quiet = False
         self.story = []
         self.failures = []
         self.changes = test_refused_writes.Changes(group)
@@ -210,7 +209,7 @@
     async def _send_changes(self):
         while True:
             leader = self.leader
-            if leader is not None:
+            if leader is not None and not self.is_quiet:
                 await self.changes.send(leader, timeout_ms=1000)
             await asyncio.sleep(self.rng.choice(self.pauses_s))
 
@@ -352,12 +351,23 @@
     # The end
 
     async def _lose_tolerated_disks(self):
-        """Lose two disks, and power at all or some of the other hosts."""
+        """Exchange a voter, and lose as many disks as are tolerated.
+
+        Nothing is appended in between; all or some hosts lose power at last.
+        """
+        await asyncio.sleep(CATCH_UP_S)
+        self.is_quiet = True
+        host = self.rng.choice(self.group.hosts)
+        self._note('at the end loses a disk', host.name)
+        await self._stop_and_start([host], [host])
+        if not await self._wait(self._all_are_voters, RECOVERY_S):
+            self._fail('not all hosts are voters')
         await asyncio.sleep(CATCH_UP_S)
         lost = self.rng.sample(self.group.hosts, TOLERATED_LOSSES)
         stopped = self.rng.choice((lost, self.group.hosts))
-        self._note('at the end lose disks', [host.name for host in lost])
+        self._note('then lose disks', [host.name for host in lost])
         await self._stop_and_start(stopped, lost)
+        self.is_quiet = False
 
     async def _settle(self):
         for host in self.group.hosts:
