--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -12,7 +12,9 @@
 
 import pytest
 
-from tests.control import cluster, test_refused_writes, test_seeded_voters
+from tests.control import cluster
+from tests.control import test_refused_writes
+from tests.control import test_seeded_voters
 
 HOST_COUNT = 5
 TOLERATED_LOSSES = 2
