Contain parts of prompts that crash endpoints

A crash now strikes the request and the parts of its prompt but the last, each under a key of its own; reports, trials and frames are the same for both. From three crashes on requests with the part are sent in trials, one at a time over all hosts, and after five crashes three more times at most; trials that show nothing count too. A successful answer clears all parts of its request. A host accuses no part that it saw answered within 2 s, so parts that all requests share are never struck where they are in use, and hosts that see them answered clear them for the others.

Messages and memory are per crash, and a bounded table of answered parts a host.

--- a/filbertglade/fleet/dialects.py
+++ b/filbertglade/fleet/dialects.py
@@ -20,6 +20,8 @@
     :param faulty_endpoint: in a response: the endpoint at fault.
     :param model: the model that a request is for.
     :param token_counts: prompt tokens and maximum output tokens.
+    :param prompt_parts: ids of the prompt's parts in order, each with its
+        tokens, as in ``id:tokens,id:tokens``. Requests share all but the last.
     :param answer_hint: caller's estimate of the output tokens.
     :param resume_after: id of the last event received from a stream.
     :param order_path: path at which engines accept orders.
@@ -38,6 +40,7 @@
     faulty_endpoint: str = 'Filbertglade-Faulty-Endpoint'
     model: str = 'Filbertglade-Model'
     token_counts: str = 'Filbertglade-Token-Counts'
+    prompt_parts: str = 'Filbertglade-Prompt-Parts'
     answer_hint: str = 'Filbertglade-Answer-Hint'
     resume_after: str = 'Last-Event-Id'
     order_path: str = '/order'
--- a/filbertglade/fleet/struck_requests.py
+++ b/filbertglade/fleet/struck_requests.py
@@ -1,10 +1,11 @@
-"""Requests under which endpoints crashed, as a host knows them."""
+"""Requests and parts under which endpoints crashed, as a host knows them."""
 
 import collections
 from collections import abc
 import dataclasses
 
 from filbertglade import clock
+from filbertglade.fleet import suspects
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
 
@@ -12,6 +13,9 @@
 
 # Crashed endpoints from which on a request is only sent in trials.
 STRIKE_LIMIT = 2
+# The same for requests with a part: endpoints that crash for another reason
+# strike the parts of all requests that run on them.
+PART_STRIKE_LIMIT = 3
 # How long a request with fewer strikes is remembered after the latest, in ms.
 SUSPECT_LIFETIME_MS = 300_000
 # The same for requests that are only sent in trials, in ms: each endpoint that
@@ -25,14 +29,16 @@
 
 @dataclasses.dataclass(slots=True)
 class StruckRequest:
-    """A request under which endpoints crashed.
+    """A request, or a part of prompts, under which endpoints crashed.
 
+    :param is_part: whether it is a part.
     :param endpoints: incarnation keys of these endpoints.
     :param failed_trials: trials in which an endpoint crashed.
     :param struck_ms: local clock at the latest strike.
     :param version: the table's version at the latest change.
     """
 
+    is_part: bool
     endpoints: set[str] = dataclasses.field(default_factory=set)
     failed_trials: int = 0
     struck_ms: int = 0
@@ -41,7 +47,8 @@
     @property
     def needs_trial(self) -> bool:
         """Whether it may only be sent in a trial."""
-        return len(self.endpoints) >= STRIKE_LIMIT
+        limit = PART_STRIKE_LIMIT if self.is_part else STRIKE_LIMIT
+        return len(self.endpoints) >= limit
 
     @property
     def lifetime_ms(self) -> int:
@@ -123,7 +130,7 @@
         cleared_ms, _ = self._cleared.get(digest, (None, 0))
         if cleared_ms is not None and noted_ms <= cleared_ms:
             return False
-        record = self.find(digest) or StruckRequest()
+        record = self.find(digest) or _make_record(digest)
         if endpoint in record.endpoints:
             return False
         if len(record.endpoints) < MAX_ENDPOINTS:
@@ -134,6 +141,7 @@
         log.change(
             'strike.noted',
             digest=digest.hex(),
+            is_part=record.is_part,
             endpoint=endpoint,
             strikes=len(record.endpoints),
             failed_trials=record.failed_trials,
@@ -232,7 +240,7 @@
         for digest in cleared:
             self.clear(digest)
         for item in struck:
-            record = self.find(item.digest) or StruckRequest()
+            record = self.find(item.digest) or _make_record(item.digest)
             if (
                 record.endpoints.issuperset(item.endpoints)
                 and record.failed_trials >= item.failed_trials
@@ -246,6 +254,10 @@
             self._store(item.digest, record)
 
 
+def _make_record(digest: bytes) -> StruckRequest:
+    return StruckRequest(suspects.is_part(digest))
+
+
 def _write(digest: bytes, record: StruckRequest) -> fleet_pb2.StruckRequest:
     return fleet_pb2.StruckRequest(
         digest=digest,
--- a/filbertglade/fleet/trials.py
+++ b/filbertglade/fleet/trials.py
@@ -20,8 +20,10 @@
 # Pause before a trial, in ms, by the number of failed ones. A request that did
 # nothing wrong passes the first, which doesn't wait.
 PAUSES_MS = (0, 2000, 8000, 32_000)
-# Crashed endpoints after which only MAX_LATE_TRIALS more trials are made.
+# Crashed endpoints after which only MAX_LATE_TRIALS more trials are made, of a
+# request and of requests with a part.
 FREE_CRASHES = 3
+PART_FREE_CRASHES = 5
 MAX_LATE_TRIALS = 3
 # Least pause after a trial that neither succeeded nor crashed an endpoint, in
 # ms; it doubles with each one, up to the longest of PAUSES_MS.
@@ -127,12 +129,13 @@
     ) -> int:
         """Return the time until a trial may begin, in ms; 0 if it may now."""
         now_ms = clock.now_ms()
-        allowed_ms = record.struck_ms + _find_pause_ms(record)
+        allowed_ms = 0
         if self._led_since_ms is not None:
             allowed_ms = max(
                 allowed_ms, self._led_since_ms + NEW_LEADER_PAUSE_MS
             )
         trials = self._trials.get(digest)
+        inconclusive = 0
         if trials is not None:
             if trials.holder is not None and now_ms < trials.until_ms:
                 allowed_ms = max(allowed_ms, now_ms + RUNNING_RETRY_MS)
@@ -145,7 +148,11 @@
                     PAUSES_MS[-1],
                 )
                 allowed_ms = max(allowed_ms, trials.inconclusive_ms + pause_ms)
-        return max(0, allowed_ms - now_ms)
+            inconclusive = trials.inconclusive
+        pause_ms = _find_pause_ms(record, inconclusive)
+        return max(
+            0, allowed_ms - now_ms, record.struck_ms + pause_ms - now_ms
+        )
 
     def _end_inconclusive(self, trials: _Trials) -> None:
         trials.holder = None
@@ -199,10 +206,20 @@
                 del self._trials[digest]
 
 
-def _find_pause_ms(record: struck_requests.StruckRequest) -> int:
-    """Return the pause after a request's latest strike, in ms."""
+def _find_pause_ms(
+    record: struck_requests.StruckRequest, inconclusive: int
+) -> int:
+    """Return the pause after the latest strike, in ms.
+
+    :param record: the strikes.
+    :param inconclusive: trials in a row that showed nothing. Those of a part
+        count as failed: no two of its requests are the same, so each one that
+        is sent is a risk of its own.
+    """
+    free_crashes = PART_FREE_CRASHES if record.is_part else FREE_CRASHES
     before_trials = len(record.endpoints) - record.failed_trials
-    most_failed = MAX_LATE_TRIALS + max(0, FREE_CRASHES - before_trials)
-    if record.failed_trials >= most_failed:
+    most_failed = MAX_LATE_TRIALS + max(0, free_crashes - before_trials)
+    failed = record.failed_trials + (inconclusive if record.is_part else 0)
+    if failed >= most_failed:
         return struck_requests.STRUCK_LIFETIME_MS
-    return PAUSES_MS[min(record.failed_trials, len(PAUSES_MS) - 1)]
+    return PAUSES_MS[min(failed, len(PAUSES_MS) - 1)]
--- a/filbertglade/forwarding/attempt.py
+++ b/filbertglade/forwarding/attempt.py
@@ -156,7 +156,8 @@
         demand: admission.Demand,
     ) -> None:
         shared, target = self._context, self._target
-        digest = self.clearance.digest
+        suspects = self.clearance.suspects
+        struck = shared.view.struck
         load = shared.evidence.loads.count_in_flight(target) - 1
         self._record.write(
             'request.sent',
@@ -164,9 +165,14 @@
             group=target.group,
             epoch=target.epoch,
             send=self._record.send_count,
-            digest=digest.hex(),
-            strikes=shared.view.struck.count_strikes(digest),
-            trial=self.clearance.permission.trial,
+            digest=suspects.request.hex(),
+            strikes=struck.count_strikes(suspects.request),
+            struck_parts={
+                part.hex(): struck.count_strikes(part)
+                for part in suspects.parts
+                if struck.find(part) is not None
+            },
+            trials=self.clearance.permissions.trials,
             last_resort=self.clearance.is_last_resort,
             load=load,
             slowness=target.slowness,
@@ -268,6 +274,8 @@
             self._sign = evidence.Sign.BROKEN_FAILURE
         elif self._delivery.is_survival_known:
             self._sign = evidence.Sign.SURVIVED
+            if head.is_success:
+                self._sign = evidence.Sign.SERVED
         self._log_response(connection, head)
         return AttemptOutcome.ANSWERED, connection.is_reusable(head)
 
--- a/filbertglade/forwarding/evidence.py
+++ b/filbertglade/forwarding/evidence.py
@@ -20,6 +20,7 @@
 from filbertglade.forwarding import faults
 from filbertglade.forwarding import loads
 from filbertglade.forwarding import stall_detection
+from filbertglade.forwarding import suspicion
 from filbertglade.forwarding import targets
 from filbertglade.forwarding import upstream
 from filbertglade.observability import metrics
@@ -85,14 +86,16 @@
     SILENT = enum.auto()
     # A complete response, after which the endpoint is known to run.
     SURVIVED = enum.auto()
+    # The same, and the response reports success.
+    SERVED = enum.auto()
 
 
 class Clearance:
     """One request that may be sent to one endpoint, and what it was given.
 
     :param target: the endpoint, or the head of the replica.
-    :param digest: digest of the request.
-    :param permission: says whether the request is sent in a trial.
+    :param suspects: what may be to blame if the endpoint crashes.
+    :param permissions: say whether the request is sent in a trial.
     :param is_last_resort: whether the endpoint leaves, and no other can be
         sent the request.
     :param allowance_ms: local clock at which the request that was taken of
@@ -103,25 +106,25 @@
 
     __slots__ = (
         'allowance_ms',
-        'digest',
         'has_begun',
         'is_last_resort',
-        'permission',
+        'permissions',
         'stream',
+        'suspects',
         'target',
     )
 
     def __init__(
         self,
         target: targets.Target,
-        digest: bytes,
-        permission: containment.Permission,
+        suspects: suspicion.Suspects,
+        permissions: suspicion.Permissions,
         is_last_resort: bool,
         allowance_ms: int | None,
     ) -> None:
         self.target = target
-        self.digest = digest
-        self.permission = permission
+        self.suspects = suspects
+        self.permissions = permissions
         self.is_last_resort = is_last_resort
         self.allowance_ms = allowance_ms
         self.has_begun = False
@@ -140,7 +143,7 @@
     :param rng: the process's random number generator.
     :ivar loads: counts of the requests in flight.
     :ivar stall_detector: detects replicas that stall.
-    :ivar containment: contains requests that crash endpoints.
+    :ivar suspicion: contains what crashes endpoints.
     :ivar crash_check: looks at the addresses of endpoints.
     """
 
@@ -169,7 +172,7 @@
             self._faults, leader, fleet_view
         )
         self.crash_check = crash_check.CrashCheck(pool)
-        self.containment = containment.Containment(
+        self._containment = containment.Containment(
             fleet_view,
             leader.crashes,
             self.crash_check,
@@ -177,10 +180,13 @@
             self.is_leaving,
             counters,
         )
+        self.suspicion = suspicion.Suspicion(
+            self._containment, fleet_view.struck, leader.crashes
+        )
 
     async def close(self) -> None:
         """Stop looking at endpoints."""
-        await self.containment.close()
+        await self._containment.close()
 
     # Before a request is sent
 
@@ -265,34 +271,37 @@
         return self._statements.is_returning(target.key)
 
     async def ask(
-        self, target: targets.Target, digest: bytes, remaining_ms: int
+        self,
+        target: targets.Target,
+        suspects: suspicion.Suspects,
+        remaining_ms: int,
     ) -> Clearance | failures.Failure:
         """Ask whether a request may be sent to a target.
 
         It may wait for a trial of a request that crashes endpoints.
 
         :param target: the target, from :meth:`select`.
-        :param digest: the request's digest.
+        :param suspects: the request's suspects.
         :param remaining_ms: time until its deadline.
         :returns: the clearance, which :meth:`end` takes back;
             :class:`WithdrawnReason` if another target has to be chosen, or
             why the request may not be sent at all.
         """
         says_leaving = self._says_leaving(target)
-        permission = await self.containment.admit(digest, remaining_ms)
-        if isinstance(permission, failures.Failure):
-            return permission
+        permissions = await self.suspicion.admit(suspects, remaining_ms)
+        if isinstance(permissions, failures.Failure):
+            return permissions
         # The wait may have changed what the endpoint takes.
         if not (
             self._may_begin(target, says_leaving)
             and self._allowed.may_send(target.key)
         ):
-            self.containment.end(digest, permission, False)
+            self.suspicion.end(permissions, False)
             return failures.Failure(WithdrawnReason.CHANGED, target.key)
         return Clearance(
             target,
-            digest,
-            permission,
+            suspects,
+            permissions,
             says_leaving,
             self._allowed.take(target.key),
         )
@@ -374,19 +383,21 @@
         :param sign: what it has shown.
         :param detail: what was observed, for the log and the leader.
         """
-        target, digest = clearance.target, clearance.digest
-        permission = clearance.permission
+        target, suspects = clearance.target, clearance.suspects
+        permissions = clearance.permissions
         if sign in (Sign.BROKEN, Sign.BROKEN_KEPT):
             self._pool.drop(target.key)
         if sign is Sign.UNREACHABLE or (sign is Sign.BROKEN and target.group):
             self._faults.record(target, detail)
             self._report_suspicion(target, detail)
         if sign in (Sign.BROKEN, Sign.BROKEN_KEPT, Sign.BROKEN_FAILURE):
-            await self.containment.record_broken(digest, target, permission)
+            await self.suspicion.record_broken(suspects, target, permissions)
         elif sign is Sign.SILENT:
-            self.containment.record_silence(digest, target, permission)
+            self.suspicion.record_silence(suspects, target, permissions)
         elif sign is Sign.SURVIVED:
-            self.containment.record_served(digest, permission)
+            self.suspicion.record_survived(suspects, permissions)
+        elif sign is Sign.SERVED:
+            self.suspicion.record_served(suspects, permissions)
 
     def end(self, clearance: Clearance) -> None:
         """Take a clearance back, whatever became of the request.
@@ -400,9 +411,7 @@
                 self.stall_detector.remove_stream(target, clearance.stream)
         else:
             self._allowed.give_back(target.key, clearance.allowance_ms)
-        self.containment.end(
-            clearance.digest, clearance.permission, clearance.has_begun
-        )
+        self.suspicion.end(clearance.permissions, clearance.has_begun)
 
     def is_leaving(self, target: targets.Target) -> bool:
         """Return whether an endpoint is leaving, or has left.
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -1,11 +1,11 @@
 """Handles one request: routing, attempts, retries, resumption, response."""
 
 import asyncio
-import hashlib
 
 from filbertglade import clock
 from filbertglade import failures
 from filbertglade.fleet import document
+from filbertglade.fleet import suspects
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import attempt
 from filbertglade.forwarding import context
@@ -16,6 +16,7 @@
 from filbertglade.forwarding import request_record
 from filbertglade.forwarding import server
 from filbertglade.forwarding import stall_detection
+from filbertglade.forwarding import suspicion
 from filbertglade.forwarding import targets
 
 # Attempts beyond the route's limit, which only counts those that may have run
@@ -31,6 +32,8 @@
 # Digits of the longest number that is read from a header: every time and count
 # is shorter, and Python converts no number of more than 4300 digits.
 MAX_NUMBER_DIGITS = 15
+# Most parts of a prompt that are looked at.
+MAX_PARTS = 16
 # Deadline until the route of a request is known, in ms.
 DEFAULT_DEADLINE_MS = 60_000
 
@@ -70,7 +73,7 @@
         # Whether the retry after a failover has been taken from the quota.
         self._is_retry_taken = False
         self.suspect_limit_ms = float(stall_detection.DEFAULT_SUSPECT_MS)
-        self._digest = b''
+        self._suspects = suspicion.Suspects(b'')
         self._is_caller_retry = False
 
     async def run(self) -> None:
@@ -118,7 +121,7 @@
                 evidence.REPAIR_RETRY_AFTER_S,
             )
             return
-        self._digest = self._digest_request()
+        self._suspects = self._find_suspects()
         shared.retries.record_request(self._record.service)
         await self._run_attempts(route)
 
@@ -169,16 +172,29 @@
             )
         return model in names
 
-    def _digest_request(self) -> bytes:
-        """Return a digest that is equal for retries of the same request."""
+    def _find_suspects(self) -> suspicion.Suspects:
+        """Return what may be to blame if an endpoint crashes.
+
+        The request's key is equal for all its retries. The last part of a
+        prompt belongs to the request alone.
+        """
         request = self._request
         customer = self._record.customer_name
-        digest = hashlib.sha256(
-            f'{request.method} {request.hostname} {request.target} '
-            f'{customer} '.encode()
+        text = request.headers.get(self._context.dialect.prompt_parts, '')
+        parts = [part.partition(':')[0].strip() for part in text.split(',')]
+        shared_parts = dict.fromkeys(parts[:-1][:MAX_PARTS])
+        return suspicion.Suspects(
+            suspects.make_request_key(
+                f'{request.method} {request.hostname} {request.target} '
+                f'{customer} ',
+                request.body,
+            ),
+            tuple(
+                suspects.make_part_key(self._record.service, part)
+                for part in shared_parts
+                if part
+            ),
         )
-        digest.update(request.body)
-        return digest.digest()[:16]
 
     # Attempts
 
@@ -205,7 +221,7 @@
                 return
             self._is_retry_taken = False
             clearance = await self._context.evidence.ask(
-                target, self._digest, self._remaining_ms()
+                target, self._suspects, self._remaining_ms()
             )
             if isinstance(clearance, failures.Failure):
                 if clearance.reason is not evidence.WithdrawnReason.CHANGED:
@@ -297,8 +313,9 @@
         if self._record.send_count:
             self._give_up(outcome, detail)
             return
-        containment = self._context.evidence.containment
-        retry_ms = containment.find_retry_ms(self._digest)
+        retry_ms = self._context.evidence.suspicion.find_retry_ms(
+            self._suspects
+        )
         self._refuse(503, detail, retry_ms / 1000)
 
     def _remaining_ms(self) -> int:
--- a/filbertglade/platform/dialect.py
+++ b/filbertglade/platform/dialect.py
@@ -21,6 +21,7 @@
     faulty_endpoint='At-Server',
     model='X-Model',
     token_counts='X-Token-Counts',
+    prompt_parts='X-Prompt-Prefix',
     answer_hint='X-Length-Hint',
     resume_after='Last-Event-Id',
     order_path='/order',
--- a/tests/gateway_forwarding/test_stated_departures.py
+++ b/tests/gateway_forwarding/test_stated_departures.py
@@ -15,13 +15,14 @@
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import evidence
+from filbertglade.forwarding import suspicion
 from filbertglade.forwarding import upstream
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import metrics
 from tests import virtual_time
 
 DIALECT = dialects.DEFAULT
-DIGEST = b'digest'
+SUSPECTS = suspicion.Suspects(b'request')
 KEY = 'i-1@1000'
 
 
@@ -96,7 +97,7 @@
 
     async def begin(self):
         """Send a request."""
-        self.clearance = await self.known.ask(self.choose(), DIGEST, 30_000)
+        self.clearance = await self.known.ask(self.choose(), SUSPECTS, 30_000)
         assert self.known.begin(self.clearance, Stream())
 
     def answer(self, **headers):
@@ -112,7 +113,7 @@
         await self.known.close()
 
     def count_strikes(self):
-        return self.view.struck.count_strikes(DIGEST)
+        return self.view.struck.count_strikes(SUSPECTS.request)
 
 
 # Guards against requests to an endpoint that announced its departure long
