Tell a new leader what a host knows of what it wants to try

After a loss of power of all control hosts, a new leader knows only the strikes that hosts report again, each those that it noted itself.

A host now sends its record with the question, and the leader takes it over unless it has cleared it itself.

Evidence: test_new_leader_learns_of_a_part_from_the_host_that_asks, red before (cleared), green now.

--- a/filbertglade/fleet/crash_reports.py
+++ b/filbertglade/fleet/crash_reports.py
@@ -106,7 +106,10 @@
         """
         trial = next(self._trial_numbers)
         request = fleet_pb2.TrialRequest(
-            trial=trial, digest=digest, lasts_ms=lasts_ms
+            trial=trial,
+            digest=digest,
+            lasts_ms=lasts_ms,
+            known=self._struck.find_known(digest),
         )
         self._asked[trial] = request
         answer = asyncio.get_running_loop().create_future()
--- a/filbertglade/fleet/struck_requests.py
+++ b/filbertglade/fleet/struck_requests.py
@@ -240,18 +240,36 @@
         for digest in cleared:
             self.clear(digest)
         for item in struck:
-            record = self.find(item.digest) or _make_record(item.digest)
-            if (
-                record.endpoints.issuperset(item.endpoints)
-                and record.failed_trials >= item.failed_trials
-            ):
-                continue
-            record.endpoints.update(item.endpoints)
-            record.failed_trials = max(
-                record.failed_trials, item.failed_trials
-            )
-            record.struck_ms = clock.now_ms()
-            self._store(item.digest, record)
+            self._merge(item)
+
+    def learn(self, known: fleet_pb2.StruckRequest) -> None:
+        """Learn what a host knows, unless this table has been cleared of it.
+
+        :param known: the host's record.
+        """
+        if known.endpoints and known.digest not in self._cleared:
+            self._merge(known)
+
+    def find_known(self, digest: bytes) -> fleet_pb2.StruckRequest | None:
+        """Return the record of a request or part, to be sent.
+
+        :param digest: its digest.
+        :returns: the record; None if there is none.
+        """
+        record = self.find(digest)
+        return None if record is None else _write(digest, record)
+
+    def _merge(self, item: fleet_pb2.StruckRequest) -> None:
+        record = self.find(item.digest) or _make_record(item.digest)
+        if (
+            record.endpoints.issuperset(item.endpoints)
+            and record.failed_trials >= item.failed_trials
+        ):
+            return
+        record.endpoints.update(item.endpoints)
+        record.failed_trials = max(record.failed_trials, item.failed_trials)
+        record.struck_ms = clock.now_ms()
+        self._store(item.digest, record)
 
 
 def _make_record(digest: bytes) -> StruckRequest:
--- a/filbertglade/fleet/trials.py
+++ b/filbertglade/fleet/trials.py
@@ -89,6 +89,7 @@
         answer = fleet_pb2.TrialAnswer(
             trial=request.trial, digest=request.digest
         )
+        self._struck.learn(request.known)
         record = self._struck.find(request.digest)
         if request.is_running:
             self._adopt(request, host)
--- a/tests/fleet/test_struck_parts.py
+++ b/tests/fleet/test_struck_parts.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from filbertglade.fleet import crash_reports
 from filbertglade.fleet import struck_requests
 from filbertglade.fleet import suspects
 from filbertglade.fleet import trials
@@ -181,3 +182,33 @@
         assert fleet.struck.needs_trial(PART)
 
     run(check)
+
+
+# Guards against a leader that has just been elected after a loss of power of
+# all control hosts, and takes what only entry hosts know for cleared.
+def test_new_leader_learns_of_a_part_from_the_host_that_asks():
+    async def check(fleet):
+        for _ in range(FREE_CRASHES):
+            fleet.crash(trial=1)
+        frame = fleet_pb2.FleetFrame()
+        fleet.struck.write_changes(frame, -1)
+        known = struck_requests.StruckRequests()
+        known.apply_changes(frame.cleared, frame.struck)
+        reports = crash_reports.CrashReports(known, lambda: None)
+        asking = asyncio.create_task(reports.ask_for_trial(PART, 1000, 300))
+        await asyncio.sleep(0)
+        report = fleet_pb2.WatchReport()
+        reports.write(report)
+        new_leader = Fleet()
+        new_leader.arbiter.start_leading()
+        answer = new_leader.arbiter.decide(report.trial_requests[0], 'one')
+        assert not answer.is_cleared
+        assert not answer.is_granted
+        assert new_leader.struck.needs_trial(PART)
+        # What the leader itself has cleared stays cleared.
+        new_leader.struck.clear(PART)
+        answer = new_leader.arbiter.decide(report.trial_requests[0], 'one')
+        assert answer.is_cleared
+        await asking
+
+    run(check)
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import signal
 import time
 
 import pytest
@@ -97,22 +98,14 @@
     return running
 
 
-# Guards against worker after worker that crashes under requests that are all
-# different but for one part of their prompts, and against the refusal of
-# requests that share their other parts.
-@pytest.mark.parametrize('place', PARTS)
-async def test_part_that_crashes_workers_is_contained(crashing, place):
-    callers = Callers(crashing, PARTS[place])
-    await asyncio.gather(
-        callers.send_all(True, KILLING_INTERVAL_S),
-        callers.send_all(False, SOUND_INTERVAL_S),
-    )
-    crashes_s = test_crashing_requests._list_crashes(crashing)
+def check_contained(running, callers):
+    """Check how many requests reached workers, and who was served."""
+    crashes_s = test_crashing_requests._list_crashes(running)
     assert len(crashes_s) >= 2
     fifth_s = crashes_s[:FREE_CRASHES][-1]
     late = [
         at_s
-        for worker in crashing.workers
+        for worker in running.workers
         for at_s in worker.reached_s
         if at_s > fifth_s + CONTACT_S
     ]
@@ -124,3 +117,36 @@
     ]
     assert len(served) >= 20
     assert sum(served) >= LEAST_SERVED_SHARE * len(served)
+
+
+# Guards against worker after worker that crashes under requests that are all
+# different but for one part of their prompts, and against the refusal of
+# requests that share their other parts.
+@pytest.mark.parametrize('place', PARTS)
+async def test_part_that_crashes_workers_is_contained(crashing, place):
+    callers = Callers(crashing, PARTS[place])
+    await asyncio.gather(
+        callers.send_all(True, KILLING_INTERVAL_S),
+        callers.send_all(False, SOUND_INTERVAL_S),
+    )
+    check_contained(crashing, callers)
+
+
+# Guards against hosts that forget what crashes workers when the control hosts
+# lose power, or when they start again themselves.
+async def test_contained_part_stays_contained_through_restarts(crashing):
+    callers = Callers(crashing, PARTS['middle'])
+
+    async def restart():
+        await asyncio.sleep(RUN_S / 2)
+        await crashing.control.stop(signal.SIGKILL)
+        await crashing.control.start()
+        await asyncio.sleep(RUN_S / 8)
+        await crashing.entries[0].restart()
+
+    await asyncio.gather(
+        callers.send_all(True, KILLING_INTERVAL_S),
+        callers.send_all(False, SOUND_INTERVAL_S),
+        restart(),
+    )
+    check_contained(crashing, callers)
