Skip answers that name no request where the endpoint names them

Callers were told 503, not run, for requests that a worker was running: a faulty worker had written an earlier refusal once more on a kept connection, without an id. A late copy of a success without an id was passed on as the next caller's answer.

Cause: an answer without the request's id counted as that to the request in flight. An endpoint that has named a request on a connection names all of them there; an answer without an id is skipped then, as one that names another request is. On a connection that has named none nothing changes, so endpoints that never name requests are served as before.

Four stand-ins of tests refused or redirected without the id, which the users' page on the protocol asks of every response. They name it now; what the tests check is unchanged.

--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -144,6 +144,8 @@
         self._written: asyncio.Future[None] | None = None
         self._reads = 0
         self._head: ResponseHead | None = None
+        # Whether a response on it has named its request.
+        self._names_requests = False
         self._is_closed_here = False
 
     def watch(self) -> None:
@@ -203,7 +205,7 @@
             if isinstance(head, failures.Failure):
                 return head
             named = head.headers.get(request_id_header)
-            if named is None or named == request_id:
+            if self._is_answer_to(request_id, named):
                 self._head = head
                 return head
             log.change('answer.stray', endpoint=self.key, named=named)
@@ -216,6 +218,22 @@
             UpstreamReason.MALFORMED, 'too many responses to other requests'
         )
 
+    def _is_answer_to(self, request_id: str, named: str | None) -> bool:
+        """Return whether a response is that to the request in flight.
+
+        An endpoint that names requests does so in every response. One that
+        names none is left of an earlier request then, or belongs to none.
+
+        :param request_id: the request's id; empty if the caller sent none.
+        :param named: the id in the response; None if there is none.
+        """
+        if named is None:
+            return not (request_id and self._names_requests)
+        if named != request_id:
+            return False
+        self._names_requests = True
+        return True
+
     def describe_end(self) -> dict[str, str]:
         """Return the log fields that show how a response ended."""
         ending = 'closed' if self.stream.closed() else 'open'
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -330,7 +330,9 @@
             self.endpoint_id
         ):
             writer.write(
-                b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n'
+                'HTTP/1.1 421 Misdirected\r\n'
+                f'X-Request-Id: {headers["X-Request-Id"]}\r\n'
+                'Content-Length: 0\r\n\r\n'.encode()
             )
             return
         self.requests.append((line, headers, body))
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -196,8 +196,9 @@
 
     async def refuse(writer, headers):
         writer.write(
-            b'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n'
-            b'Content-Length: 0\r\n\r\n'
+            'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n'
+            f'X-Request-Id: {headers["X-Request-Id"]}\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
         )
 
     worker.respond = refuse
--- a/tests/platform/test_calm_day.py
+++ b/tests/platform/test_calm_day.py
@@ -303,8 +303,9 @@
 
     async def refuse(writer, headers):
         writer.write(
-            b'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n'
-            b'Content-Length: 0\r\n\r\n'
+            'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n'
+            f'X-Request-Id: {headers["X-Request-Id"]}\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
         )
 
     async def have_all_run_one():
--- a/tests/platform/test_explaining.py
+++ b/tests/platform/test_explaining.py
@@ -85,8 +85,9 @@
 async def test_full_worker_is_named(running):
     async def refuse(writer, headers):
         writer.write(
-            b'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n'
-            b'X-Instance-Load: 4,9,4\r\nContent-Length: 0\r\n\r\n'
+            'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n'
+            f'X-Request-Id: {headers["X-Request-Id"]}\r\n'
+            'X-Instance-Load: 4,9,4\r\nContent-Length: 0\r\n\r\n'.encode()
         )
 
     find_worker(running, 'i-api').respond = refuse
