Go on with a stream only by a response of the same kind

A stream broke off, and the endpoint that was to go on with it answered 200 with something else. Callers found that body, an error page for instance, in the middle of their stream, which then ended as complete.

Cause: of a response to an attempt to resume a stream only the status was checked. It now has to have the media type of the response that was begun, and to be signed if that was. Otherwise the stream is resumed elsewhere, or broken off so that nobody takes it for complete.

--- a/filbertglade/fleet/dialects.py
+++ b/filbertglade/fleet/dialects.py
@@ -13,6 +13,7 @@
     :param customer: name of the key's customer, sent to endpoints.
     :param target: id of the only endpoint that may run the request.
     :param not_run: in a response: the request was not run.
+    :param signature: in a response: shows that an endpoint made it.
     :param load: in a response: running and waiting requests, and slots.
     :param limit: in a response: requests a second that the endpoint takes from
         all nodes together.
@@ -34,6 +35,7 @@
     customer: str = 'Filbertglade-Customer'
     target: str = 'Filbertglade-Endpoint'
     not_run: str = 'Filbertglade-Not-Run'
+    signature: str = 'Filbertglade-Signature'
     load: str = 'Filbertglade-Load'
     limit: str = 'Filbertglade-Limit'
     leaving: str = 'Filbertglade-Leaving'
--- a/filbertglade/forwarding/attempt.py
+++ b/filbertglade/forwarding/attempt.py
@@ -257,9 +257,13 @@
             if is_complete:
                 self._sign = evidence.Sign.SURVIVED
             return AttemptOutcome.FAILED, connection.is_reusable(head)
-        if self._request.is_response_started and not head.is_success:
+        if (
+            self._request.is_response_started
+            and not self._delivery.is_continuation(head)
+        ):
             # The head has been forwarded already, so a resumed stream can't
             # end with an error response.
+            self._log_broken(connection, 'another kind of response')
             return AttemptOutcome.CUT, False
         try:
             await self._delivery.forward(self._target, connection, head)
--- a/filbertglade/forwarding/delivery.py
+++ b/filbertglade/forwarding/delivery.py
@@ -66,6 +66,8 @@
         self.is_passing_body = False
         self.is_survival_known = False
         self._last_byte_ms = 0
+        # Kind of the response that has been begun.
+        self._kind = ('', False)
 
     async def forward(
         self,
@@ -168,6 +170,21 @@
             await self._write(rest)
         self._request.finish()
 
+    def is_continuation(self, head: upstream.ResponseHead) -> bool:
+        """Return whether a response can go on with the one that has begun.
+
+        An endpoint may answer the attempt to resume a stream with something
+        else, an error page for instance.
+
+        :param head: its head.
+        """
+        return head.is_success and self._find_kind(head) == self._kind
+
+    def _find_kind(self, head: upstream.ResponseHead) -> tuple[str, bool]:
+        """Return a response's media type, and whether it is signed."""
+        signature = self._context.dialect.signature
+        return _find_media_type(head), signature in head.headers
+
     async def _check_end(
         self, target: targets.Target, head: upstream.ResponseHead
     ) -> None:
@@ -217,6 +234,7 @@
     async def _begin_response(
         self, head: upstream.ResponseHead, headers: httputil.HTTPHeaders
     ) -> None:
+        self._kind = self._find_kind(head)
         try:
             await self._request.begin_response(
                 head.status, head.reason, headers, head.has_stated_end
@@ -231,7 +249,12 @@
             raise asyncio.CancelledError from error
 
 
+def _find_media_type(head: upstream.ResponseHead) -> str:
+    """Return a response's media type; that of events if it has none."""
+    media_type = head.headers.get('Content-Type', EVENT_STREAM_TYPE)
+    return str(media_type).partition(';')[0].strip().lower()
+
+
 def _is_event_stream(head: upstream.ResponseHead) -> bool:
     """Return whether a body consists of events; a streaming route's does."""
-    media_type = head.headers.get('Content-Type', EVENT_STREAM_TYPE)
-    return media_type.partition(';')[0].strip().lower() == EVENT_STREAM_TYPE
+    return _find_media_type(head) == EVENT_STREAM_TYPE
--- a/filbertglade/platform/dialect.py
+++ b/filbertglade/platform/dialect.py
@@ -15,6 +15,7 @@
     customer='X-Tenant',
     target='X-Target-Instance',
     not_run='X-Not-Executed',
+    signature='X-Server-Signature',
     load='X-Instance-Load',
     limit='Server-Limit',
     leaving='Server-Leaving',
--- a/tests/platform/test_answers_without_length.py
+++ b/tests/platform/test_answers_without_length.py
@@ -68,6 +68,8 @@
     :ivar framing: what frames it: connection, chunks or length.
     :ivar end: how its connection ends, unless it is framed and whole.
     :ivar has_last_chunk: whether chunks that stop end with the last chunk.
+    :ivar content_type: its type; empty for none.
+    :ivar is_signed: whether it bears the worker's signature.
     """
 
     body: bytes | None = None
@@ -78,6 +80,8 @@
     has_last_chunk: bool = False
     status: str = '200 OK'
     pause_s: float = 0.02
+    content_type: str = ''
+    is_signed: bool = True
 
     def list_pieces(self, last_id):
         if self.body is not None:
@@ -141,12 +145,15 @@
             'chunks': 'Transfer-Encoding: chunked\r\n',
             'length': f'Content-Length: {sum(map(len, pieces))}\r\n',
         }[answer.framing]
+        if answer.content_type:
+            more += f'Content-Type: {answer.content_type}\r\n'
+        if answer.is_signed:
+            more += f'X-Server-Signature: {self.endpoint_id}.sig\r\n'
         # Let drain wait until nothing is left that an end would discard.
         writer.transport.set_write_buffer_limits(0)
         writer.write(
             f'HTTP/1.1 {answer.status}\r\n{more}'
-            f'X-Request-Id: {headers["X-Request-Id"]}\r\n'
-            f'X-Server-Signature: {self.endpoint_id}.sig\r\n\r\n'.encode()
+            f'X-Request-Id: {headers["X-Request-Id"]}\r\n\r\n'.encode()
         )
         for piece in [] if is_head else pieces:
             self.sent_s.append(time.monotonic())
@@ -641,6 +648,42 @@
     check_whole_stream(received)
 
 
+# Guards against the body of another answer in the middle of a stream, which
+# then ends as if it were complete.
+@pytest.mark.parametrize('first_type', ['', 'text/event-stream'])
+@pytest.mark.parametrize(
+    'answer',
+    [
+        Answer(BODY, framing='length', content_type='application/json'),
+        Answer(BODY, framing='length', is_signed=False),
+        Answer(framing='chunks', is_signed=False),
+        Answer(
+            BODY,
+            framing='length',
+            content_type='text/html',
+            is_signed=False,
+        ),
+    ],
+    ids=['json', 'unsigned', 'unsigned-events', 'unsigned-html'],
+)
+async def test_answer_of_another_kind_resumes_no_stream(
+    case, answer, first_type
+):
+    received = await case.ask(
+        '/stream/',
+        Answer(
+            None,
+            STOPS_AT,
+            framing='chunks',
+            end='reset',
+            content_type=first_type,
+        ),
+        answer,
+    )
+    check_cut_stream(received)
+    assert len(case.list_requests()) == 2
+
+
 # Guards against a resumed stream that breaks off as well and looks complete.
 @pytest.mark.parametrize(
     'framings', [('chunks', 'connection'), ('connection', 'chunks')]
