Count endpoints that crash again under the same name

Where endpoints come back under the names that they had, their next crash counted as known already: a trial that failed lengthened no pause, so the next one followed at once, and a part that crashed one or two endpoints in turn was never suspected. The same held for single requests.

An endpoint's strike counts again if it is noted 2.5 s or more after the latest report, or 0.5 s in a trial. Responses that one crash leaves unfinished end one after the other and count once.

--- a/filbertglade/fleet/struck_requests.py
+++ b/filbertglade/fleet/struck_requests.py
@@ -21,6 +21,12 @@
 # The same for requests that are only sent in trials, in ms: each endpoint that
 # such a request crashes is one more, so it is forgotten late.
 STRUCK_LIFETIME_MS = 3_600_000
+# Time after the latest strike in which another one of the same endpoint is
+# about the same crash, in ms: an endpoint that crashed is back after about as
+# long, and responses that it leaves unfinished end one after the other, by
+# their deadlines. Only one request runs in a trial.
+SAME_CRASH_MS = 2500
+SAME_TRIAL_MS = 500
 # Most requests that are remembered.
 MAX_REQUESTS = 10_000
 # Most endpoints that are remembered for a request: more change no decision.
@@ -132,7 +138,13 @@
             return False
         record = self.find(digest) or _make_record(digest)
         if endpoint in record.endpoints:
-            return False
+            same_crash_ms = SAME_TRIAL_MS if is_trial else SAME_CRASH_MS
+            if noted_ms <= record.struck_ms + same_crash_ms:
+                record.struck_ms = max(record.struck_ms, noted_ms)
+                return False
+            # It came back under the same name, and has crashed again.
+            count = sum(name.startswith(endpoint) for name in record.endpoints)
+            endpoint = f'{endpoint} again {count}'
         if len(record.endpoints) < MAX_ENDPOINTS:
             record.endpoints.add(endpoint)
         record.failed_trials += is_trial
--- a/tests/fleet/test_struck_parts.py
+++ b/tests/fleet/test_struck_parts.py
@@ -212,3 +212,74 @@
         await asking
 
     run(check)
+
+
+# Guards against trials without end where the endpoints that crash come back
+# under the names that they had.
+@pytest.mark.parametrize('names', [1, 3, 5])
+def test_part_that_crashes_the_same_endpoints_again_is_contained(names):
+    """Load: 380 hosts, and endpoints without an incarnation of their own."""
+
+    async def check(fleet):
+        def crash(trial=0, host=''):
+            fleet.crashes_s.append(fleet.now_s())
+            name = f'i-{len(fleet.crashes_s) % names}'
+            fleet.struck.add_strike(PART, name, is_trial=bool(trial))
+            fleet.arbiter.record_crash(PART, trial, host)
+
+        for number in range(struck_requests.PART_STRIKE_LIMIT):
+            fleet.crashes_s.append(fleet.now_s())
+            fleet.struck.add_strike(PART, f'j-{number}')
+        await fleet.ask_until(DAY_S, crash)
+        assert len(fleet.crashes_s) > FREE_CRASHES
+        fleet.check_contained()
+
+    run(check)
+
+
+# Guards against a part that is never suspected, as there are few endpoints,
+# which come back under the names that they had.
+@pytest.mark.parametrize('names', [1, 2])
+def test_part_that_crashes_few_endpoints_needs_a_trial(names):
+    """Load: each endpoint is back 3 s after its crash and crashes again."""
+
+    async def check(fleet):
+        crashes = 0
+        while not fleet.struck.needs_trial(PART):
+            for number in range(names):
+                fleet.struck.add_strike(PART, f'i-{number}')
+                crashes += 1
+            await asyncio.sleep(3)
+            assert crashes <= FREE_CRASHES + names - 1
+
+    run(check)
+
+
+# Guards against a common part that needs a trial after a single crash, as the
+# requests that ran on the endpoint end by their deadlines.
+def test_crash_that_is_reported_by_many_requests_counts_once():
+    """Load: 13 requests that end within 5 s after a crash."""
+
+    async def check(fleet):
+        for _ in range(13):
+            fleet.struck.add_strike(PART, 'i-1')
+            await asyncio.sleep(5 / 13)
+        assert fleet.struck.count_strikes(PART) == 1
+
+    run(check)
+
+
+# Guards against a trial that is counted as failed again with each report of
+# the same crash.
+def test_trial_counts_once_however_often_its_crash_is_reported():
+    async def check(fleet):
+        for number in range(struck_requests.PART_STRIKE_LIMIT):
+            fleet.struck.add_strike(PART, f'i-{number}')
+        await asyncio.sleep(1)
+        fleet.struck.add_strike(PART, 'i-9', is_trial=True)
+        await asyncio.sleep(2)
+        fleet.struck.add_strike(PART, 'i-9', age_ms=2000, is_trial=True)
+        fleet.struck.add_strike(PART, 'i-9', age_ms=1800, is_trial=True)
+        assert fleet.struck.find(PART).failed_trials == 1
+
+    run(check)
