Name further crashes of an endpoint alike on all hosts

Two hosts that counted another endpoint with a similar name numbered its crashes differently, so that one counted twice after a merge. A request whose trial was no longer needed logged a trial 0.

Found by reading; no test failed. tests/fleet/test_struck_parts.py, test_trials.py, gateway_forwarding and test_crashing_parts.py pass.

--- a/filbertglade/fleet/struck_requests.py
+++ b/filbertglade/fleet/struck_requests.py
@@ -3,6 +3,7 @@
 import collections
 from collections import abc
 import dataclasses
+import itertools
 
 from filbertglade import clock
 from filbertglade.fleet import suspects
@@ -143,8 +144,7 @@
                 record.struck_ms = max(record.struck_ms, noted_ms)
                 return False
             # It came back under the same name, and has crashed again.
-            count = sum(name.startswith(endpoint) for name in record.endpoints)
-            endpoint = f'{endpoint} again {count}'
+            endpoint = _name_again(endpoint, record.endpoints)
         if len(record.endpoints) < MAX_ENDPOINTS:
             record.endpoints.add(endpoint)
         record.failed_trials += is_trial
@@ -284,6 +284,12 @@
         self._store(item.digest, record)
 
 
+def _name_again(endpoint: str, known: set[str]) -> str:
+    """Return the first name for a further crash that isn't known yet."""
+    names = (f'{endpoint} again {number}' for number in itertools.count(1))
+    return next(name for name in names if name not in known)
+
+
 def _make_record(digest: bytes) -> StruckRequest:
     return StruckRequest(suspects.is_part(digest))
 
--- a/filbertglade/forwarding/suspicion.py
+++ b/filbertglade/forwarding/suspicion.py
@@ -101,7 +101,8 @@
             if isinstance(admitted, failures.Failure):
                 self.end(permissions, False)
                 return admitted
-            permissions.by_key[key] = admitted
+            if admitted.trial:
+                permissions.by_key[key] = admitted
         return permissions
 
     def find_retry_ms(self, suspects: Suspects) -> int:
