--- a/filbertglade/fleet/struck_requests.py
+++ b/filbertglade/fleet/struck_requests.py
@@ -6,7 +6,7 @@
 import itertools
 
 from filbertglade import clock
-from filbertglade.fleet import suspects
+from filbertglade.fleet import suspect_keys
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
 
@@ -291,7 +291,7 @@
 
 
 def _make_record(digest: bytes) -> StruckRequest:
-    return StruckRequest(suspects.is_part(digest))
+    return StruckRequest(suspect_keys.is_part(digest))
 
 
 def _write(digest: bytes, record: StruckRequest) -> fleet_pb2.StruckRequest:
--- a/filbertglade/fleet/suspects.py
+++ b/filbertglade/fleet/suspect_keys.py
@@ -1,7 +1,7 @@
-"""What may be to blame for crashes of endpoints: requests, parts of prompts.
+"""Keys of what may be to blame for crashes: requests, parts of prompts.
 
-Both are known by a key. Strikes, trials and their reports are the same for
-both, but for how many crashes it takes.
+Strikes, trials and their reports are the same for both, but for how many
+crashes it takes.
 """
 
 import hashlib
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -5,7 +5,6 @@
 from filbertglade import clock
 from filbertglade import failures
 from filbertglade.fleet import document
-from filbertglade.fleet import suspects
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import attempt
 from filbertglade.forwarding import context
@@ -32,8 +31,6 @@
 # Digits of the longest number that is read from a header: every time and count
 # is shorter, and Python converts no number of more than 4300 digits.
 MAX_NUMBER_DIGITS = 15
-# Most parts of a prompt that are looked at.
-MAX_PARTS = 16
 # Deadline until the route of a request is known, in ms.
 DEFAULT_DEADLINE_MS = 60_000
 
@@ -121,7 +118,12 @@
                 evidence.REPAIR_RETRY_AFTER_S,
             )
             return
-        self._suspects = self._find_suspects()
+        self._suspects = suspicion.find_suspects(
+            self._request,
+            shared.dialect,
+            self._record.customer_name,
+            self._record.service,
+        )
         shared.retries.record_request(self._record.service)
         await self._run_attempts(route)
 
@@ -172,30 +174,6 @@
             )
         return model in names
 
-    def _find_suspects(self) -> suspicion.Suspects:
-        """Return what may be to blame if an endpoint crashes.
-
-        The request's key is equal for all its retries. The last part of a
-        prompt belongs to the request alone.
-        """
-        request = self._request
-        customer = self._record.customer_name
-        text = request.headers.get(self._context.dialect.prompt_parts, '')
-        parts = [part.partition(':')[0].strip() for part in text.split(',')]
-        shared_parts = dict.fromkeys(parts[:-1][:MAX_PARTS])
-        return suspicion.Suspects(
-            suspects.make_request_key(
-                f'{request.method} {request.hostname} {request.target} '
-                f'{customer} ',
-                request.body,
-            ),
-            tuple(
-                suspects.make_part_key(self._record.service, part)
-                for part in shared_parts
-                if part
-            ),
-        )
-
     # Attempts
 
     async def _run_attempts(self, route: document.Route) -> None:
--- a/filbertglade/forwarding/suspicion.py
+++ b/filbertglade/forwarding/suspicion.py
@@ -4,11 +4,17 @@
 
 from filbertglade import failures
 from filbertglade.fleet import crash_reports
+from filbertglade.fleet import dialects
 from filbertglade.fleet import struck_requests
+from filbertglade.fleet import suspect_keys
 from filbertglade.forwarding import answered_parts
 from filbertglade.forwarding import containment
+from filbertglade.forwarding import server
 from filbertglade.forwarding import targets
 
+# Most parts of a prompt that are looked at.
+MAX_PARTS = 16
+
 
 class Suspects:
     """What may be to blame if an endpoint crashes under a request.
@@ -29,6 +35,39 @@
         return (self.request, *self.parts)
 
 
+def find_suspects(
+    request: server.CallerRequest,
+    dialect: dialects.Dialect,
+    customer: str,
+    service: str,
+) -> Suspects:
+    """Return what may be to blame if an endpoint crashes under a request.
+
+    The request's key is equal for all its retries. The last part of a prompt
+    belongs to the request alone.
+
+    :param request: the request.
+    :param dialect: the header names in use.
+    :param customer: name of the request's customer.
+    :param service: the service that runs it.
+    """
+    text = request.headers.get(dialect.prompt_parts, '')
+    parts = [part.partition(':')[0].strip() for part in text.split(',')]
+    shared_parts = dict.fromkeys(parts[:-1][:MAX_PARTS])
+    return Suspects(
+        suspect_keys.make_request_key(
+            f'{request.method} {request.hostname} {request.target} '
+            f'{customer} ',
+            request.body,
+        ),
+        tuple(
+            suspect_keys.make_part_key(service, part)
+            for part in shared_parts
+            if part
+        ),
+    )
+
+
 class Permissions:
     """Permission to send a request to one endpoint.
 
--- a/tests/fleet/test_struck_parts.py
+++ b/tests/fleet/test_struck_parts.py
@@ -8,7 +8,7 @@
 
 from filbertglade.fleet import crash_reports
 from filbertglade.fleet import struck_requests
-from filbertglade.fleet import suspects
+from filbertglade.fleet import suspect_keys
 from filbertglade.fleet import trials
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import metrics
@@ -25,7 +25,7 @@
 DAY_S = 200.0
 ASK_INTERVAL_S = 0.7
 RUN_S = 0.1
-PART = suspects.make_part_key('models', 'dead')
+PART = suspect_keys.make_part_key('models', 'dead')
 
 
 class Fleet:
@@ -163,7 +163,7 @@
     async def check(fleet):
         rng = random.Random(7)
         others = [
-            suspects.make_part_key('models', str(number))
+            suspect_keys.make_part_key('models', str(number))
             for number in range(50)
         ]
         for crash in range(10):
--- a/tests/gateway_forwarding/test_suspicion.py
+++ b/tests/gateway_forwarding/test_suspicion.py
@@ -4,15 +4,15 @@
 
 from filbertglade.fleet import crash_reports
 from filbertglade.fleet import struck_requests
-from filbertglade.fleet import suspects
+from filbertglade.fleet import suspect_keys
 from filbertglade.forwarding import answered_parts
 from filbertglade.forwarding import containment
 from filbertglade.forwarding import suspicion
 from filbertglade.inner import fleet_pb2
 from tests import virtual_time
 
-SHARED = suspects.make_part_key('models', 'system')
-KILLING = suspects.make_part_key('models', 'dead')
+SHARED = suspect_keys.make_part_key('models', 'system')
+KILLING = suspect_keys.make_part_key('models', 'dead')
 DEADLINE_MS = 5000
 # Endpoints of a domain that crash at once, and requests that run on each.
 CRASHES = 9
@@ -158,11 +158,11 @@
 def test_parts_of_two_services_and_requests_have_keys_of_their_own():
     keys = [
         KILLING,
-        suspects.make_part_key('others', 'dead'),
-        suspects.make_request_key('models dead', b''),
+        suspect_keys.make_part_key('others', 'dead'),
+        suspect_keys.make_request_key('models dead', b''),
     ]
     assert len(set(keys)) == len(keys)
-    assert [suspects.is_part(key) for key in keys] == [True, True, False]
+    assert [suspect_keys.is_part(key) for key in keys] == [True, True, False]
 
 
 # Guards against a table that grows with every part that is ever answered on.
