Bound the leaving of calls to other processes

Cause: at the end of its block a call of grpclib waits for the trailers of its peer without a time-out. The fetch of a document had time-outs around its other waits only, so a connection that goes silent between the last part and the trailers ended all fetching, and kept the document that had arrived from being put in force.

Change: the channels of inner/channels.py make calls that are left within 250 ms, so no caller can forget it. The factories of tests use them too.

Why it works: what is needed has been received when a call is left, so the bound loses nothing; the error that it raises is among those that callers handle.

Related paths: calls with streams in both directions are left without an end of their own, for which grpclib raises at once; unary calls stand in time-outs of their callers.

--- a/filbertglade/inner/channels.py
+++ b/filbertglade/inner/channels.py
@@ -1,10 +1,14 @@
 """Opens gRPC channels to the system's other processes.
 
 Every inner connection is opened by a :class:`ChannelFactory`, so that tests
-can cut, delay or drop traffic there.
+can cut, delay or drop traffic there. Its calls are bounded where they are
+left; their callers bound the waits within.
 """
 
 import abc
+import asyncio
+import types
+import typing
 
 from grpclib import client
 from grpclib import config
@@ -19,6 +23,9 @@
     http2_connection_window_size=WINDOW_BYTES,
     http2_stream_window_size=WINDOW_BYTES,
 )
+# Longest wait for the end of a call whose caller has what it needs, in ms: the
+# peer sends it right after its last message.
+LEAVE_TIMEOUT_MS = 250
 # What a call raises if its connection or its peer fails.
 STREAM_ERRORS = (
     exceptions.GRPCError,
@@ -30,6 +37,51 @@
 )
 
 
+SendType = typing.TypeVar('SendType')
+ReceiveType = typing.TypeVar('ReceiveType')
+
+
+class BoundedStream(client.Stream[SendType, ReceiveType]):
+    """A call that can be left within a bounded time.
+
+    At the end of its block, a call of the library waits for the trailers of
+    its peer. On a connection that went silent they never come.
+    """
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_val: BaseException | None,
+        exc_tb: types.TracebackType | None,
+    ) -> None:
+        """Leave the call.
+
+        :param exc_type: type of the error that ends its block; None without.
+        :param exc_val: the error.
+        :param exc_tb: its traceback.
+        :raises TimeoutError: the peer didn't end the call in time. All that
+            was received before is complete.
+        """
+        async with asyncio.timeout(LEAVE_TIMEOUT_MS / 1000):
+            await super().__aexit__(exc_type, exc_val, exc_tb)
+
+
+class BoundedChannel(client.Channel):
+    """A channel whose calls can be left within a bounded time."""
+
+    def request(self, *args: typing.Any, **kwargs: typing.Any) -> typing.Any:
+        """Prepare a call.
+
+        :param args: what the library's channel takes.
+        :param kwargs: likewise.
+        :returns: the call.
+        """
+        call = super().request(*args, **kwargs)
+        # The library's channel has no setting for the class of its calls.
+        call.__class__ = BoundedStream
+        return call
+
+
 class ChannelFactory(abc.ABC):
     """Opens channels to the inner listeners of other processes."""
 
@@ -38,7 +90,7 @@
         """Open a channel, which connects at its first call.
 
         :param address: ``host:port`` of the peer's inner listener.
-        :returns: the channel; the caller closes it.
+        :returns: a :class:`BoundedChannel`; the caller closes it.
         """
 
 
@@ -52,7 +104,7 @@
         :returns: the channel; the caller closes it.
         """
         host, port = split_address(address)
-        return client.Channel(host, port, config=CHANNEL_CONFIGURATION)
+        return BoundedChannel(host, port, config=CHANNEL_CONFIGURATION)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/tests/bounded_links.py
+++ b/tests/bounded_links.py
@@ -22,8 +22,6 @@
 import sys
 import time
 
-from grpclib import client
-
 from filbertglade.inner import channels
 
 # Part of a connection's data that occupies a link at a time, in bytes:
@@ -319,13 +317,13 @@
     def open_channel(self, address):
         host, port = channels.split_address(address)
         if host == self._host:
-            return client.Channel(
+            return channels.BoundedChannel(
                 host, port, config=channels.CHANNEL_CONFIGURATION
             )
         return _RelayedChannel(self._links_address, self._host, address)
 
 
-class _RelayedChannel(client.Channel):
+class _RelayedChannel(channels.BoundedChannel):
     def __init__(self, links_address, source, address):
         super().__init__(
             *channels.split_address(links_address),
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -49,6 +49,11 @@
         self.link(source, target).cut()
         self.link(target, source).cut()
 
+    def mend(self, source, target):
+        """Let new connections through; those that lost bytes stay silent."""
+        self._links.pop((source, target), None)
+        self._links.pop((target, source), None)
+
     def isolate(self, name, names):
         for other in names:
             if other != name:
@@ -104,7 +109,7 @@
         return channel
 
 
-class _Channel(client.Channel):
+class _Channel(channels.BoundedChannel):
     def __init__(self, network, source, target):
         super().__init__('127.0.0.1', 1, config=channels.CHANNEL_CONFIGURATION)
         self.source = source
--- a/tests/control/test_snapshots.py
+++ b/tests/control/test_snapshots.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from filbertglade.control import service
 from filbertglade.control import snapshots
 from filbertglade.control import state
 from filbertglade.inner import commands_pb2
@@ -120,6 +121,60 @@
     cluster.run(scenario())
 
 
+# Guards against followers that get no further entries: the leader waits for
+# good for the end of a snapshot's transfer.
+@pytest.mark.parametrize(
+    'has_installed, is_cut', [(True, False), (True, True), (False, True)]
+)
+def test_silent_snapshot_transfer_ends(monkeypatch, has_installed, is_cut):
+    """The first transfer goes silent.
+
+    :param has_installed: whether all chunks are answered before.
+    :param is_cut: whether its whole connection goes silent. A call that goes
+        silent alone has its chunks answered: the time-out of an answer allows
+        for the slowest disk.
+    """
+    install = service.AgreementServicer.InstallSnapshot
+    has_gone_silent = asyncio.Event()
+
+    async def scenario():
+        async with cluster.Cluster(3, snapshot_entries=40) as group:
+            leader = await group.leader()
+            absent = (await group.followers())[0]
+
+            async def install_until_silent(servicer, stream):
+                is_first = not has_gone_silent.is_set()
+                has_gone_silent.set()
+                if has_installed or not is_first:
+                    await install(servicer, stream)
+                if is_first and is_cut:
+                    group.network.cut(leader.name, absent.name)
+                if is_first:
+                    await asyncio.Event().wait()
+
+            monkeypatch.setattr(
+                service.AgreementServicer,
+                'InstallSnapshot',
+                install_until_silent,
+            )
+            await absent.stop()
+            for number in range(1, 200):
+                await cluster.submit(leader, cluster.put(number))
+            assert await absent.start() is None
+            await has_gone_silent.wait()
+            await cluster.submit(leader, cluster.put(200))
+            if is_cut:
+                # The channel that lost bytes stays silent.
+                await group.pass_time(1)
+                group.network.mend(leader.name, absent.name)
+            await group.wait_until(
+                lambda: absent.state.configuration.current.number == 200,
+                limit_s=8,
+            )
+
+    cluster.run(scenario())
+
+
 def test_large_records_make_a_snapshot_due(monkeypatch):
     monkeypatch.setattr(snapshots, 'LOG_LIMIT_BYTES', 1_000_000)
 
--- a/tests/fleet/test_document_transfer.py
+++ b/tests/fleet/test_document_transfer.py
@@ -301,6 +301,55 @@
     run(check)
 
 
+# Guards against hosts that keep an old document for good: a fetch that never
+# ends because its connection went silent, after the last part for example.
+@pytest.mark.parametrize('step', range(5))
+def test_fetch_on_a_silent_connection_ends(monkeypatch, step):
+    """The first connection on which a step is reached goes silent there.
+
+    Steps: before the head, after the sign of life, between two parts, after
+    the last part, and after the last part on two connections in turn.
+    """
+    silent_calls = 2 if step == 4 else 1
+    send_part = document_server._Transfer._send_part
+    fetch = document_server.DocumentServer.Fetch
+
+    async def fall_silent():
+        nonlocal silent_calls
+        if silent_calls:
+            silent_calls -= 1
+            await asyncio.Event().wait()
+
+    async def send_until_silent(transfer, part):
+        if step == 1 or (step == 2 and part.offset):
+            await fall_silent()
+        await send_part(transfer, part)
+
+    async def fetch_until_silent(host, stream):
+        if step == 0:
+            await fall_silent()
+        await fetch(host, stream)
+        if step >= 3:
+            await fall_silent()
+
+    monkeypatch.setattr(
+        document_server._Transfer, '_send_part', send_until_silent
+    )
+    monkeypatch.setattr(
+        document_server.DocumentServer, 'Fetch', fetch_until_silent
+    )
+
+    async def check(fleet):
+        for version in (3, 4, 5):
+            fleet.accept(version, build_large(version))
+            fleet.announce(version)
+            # The shortest time in which a document has to be in force.
+            await fleet.wait_for(version, 2)
+        assert not silent_calls
+
+    run(check)
+
+
 # Guards against documents that queue in the buffers of connections, where no
 # bound on the number of transfers applies.
 async def test_a_receiver_that_reads_nothing_is_sent_little():
