Let every leader know which endpoints have left

Cause: who drains or has departed stood in the memory of the leader that was told. The next leader starts from a view that names present endpoints only, so it takes a departed one for a new one. The same after a restart of all, and for an endpoint that the leader doesn't know as it deregisters.

Registries ask them before they take an endpoint in, and new leaders before they presume a member present. A leader that can't send its view yet tells the departures with its first frame, so that older views don't keep them.

Why it works: the table is the same at every leader, however it came to lead, and is asked wherever an unknown endpoint would be taken in. A worker that starts again has a new start time, so it comes in at once.

--- a/filbertglade/control/state.py
+++ b/filbertglade/control/state.py
@@ -6,6 +6,7 @@
 from filbertglade.control.tables import base
 from filbertglade.control.tables import claims
 from filbertglade.control.tables import configuration
+from filbertglade.control.tables import departures
 from filbertglade.control.tables import document
 from filbertglade.control.tables import groups
 from filbertglade.control.tables import replicas
@@ -35,6 +36,7 @@
         self.voters = voters.VoterTable()
         self.document = document.DocumentTable()
         self.replicas = replicas.ReplicaTable()
+        self.departures = departures.DepartureTable()
         self._listeners: list[Listener] = []
 
     def add_listener(self, listener: Listener) -> None:
@@ -82,6 +84,8 @@
                 command.replica_change, index, self.log_clock_ms
             )
             result.replica.CopyFrom(replica_result)
+        elif kind == 'departures':
+            self.departures.apply(command.departures, self.log_clock_ms)
         self._notify(command)
         return result
 
@@ -128,6 +132,7 @@
             self.voters,
             self.document,
             self.replicas,
+            self.departures,
         )
 
     def _notify(self, command: commands_pb2.Command) -> None:
--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -6,6 +6,7 @@
 from filbertglade import clock
 from filbertglade import failures
 from filbertglade.fleet import change_index
+from filbertglade.fleet import departures
 from filbertglade.fleet import endpoints
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
@@ -53,9 +54,13 @@
 class Registry:
     """The known endpoints.
 
-    An older announcement never replaces a newer one.
+    An older announcement never replaces a newer one, and none takes back a
+    departure, whichever leader was told of it.
 
     :param announce_ms: time between two announcements of an endpoint.
+    :param recorded: the departures that the control hosts have agreed on;
+        None if there are none.
+    :ivar recorded: the departures that the control hosts have agreed on.
     :ivar entries: the entries by incarnation key.
     :ivar changed_versions: registry versions of the entries' latest changes,
         by incarnation key.
@@ -64,8 +69,13 @@
     :ivar version: incremented with each change.
     """
 
-    def __init__(self, announce_ms: int) -> None:
+    def __init__(
+        self,
+        announce_ms: int,
+        recorded: departures.DepartureReader | None = None,
+    ) -> None:
         self._announce_ms = announce_ms
+        self.recorded = recorded or departures.NoDepartures()
         self._silence_ms = announce_ms * SILENCE_INTERVALS
         self.entries: dict[str, EndpointEntry] = {}
         self._key_by_id: dict[str, str] = {}
@@ -94,6 +104,8 @@
         """Replace all entries by endpoints that another leader reported.
 
         Each counts as announced now, so that it has time to announce itself.
+        Those that have departed are left out: the other leader may not have
+        reported that yet.
 
         :param known_endpoints: the endpoints.
         """
@@ -102,6 +114,8 @@
         self._key_by_id.clear()
         self._key_by_address.clear()
         for endpoint in known_endpoints:
+            if self.recorded.has_gone(endpoints.get_key(endpoint)):
+                continue
             copy = fleet_pb2.Endpoint()
             copy.CopyFrom(endpoint)
             self._add(copy)
@@ -166,6 +180,8 @@
     def _find_rejection(self, endpoint: fleet_pb2.Endpoint, key: str) -> str:
         if key in self._ended_ms:
             return 'this incarnation has ended'
+        if self.recorded.has_gone(key):
+            return 'this incarnation has departed'
         for other in (
             self._key_by_id.get(endpoint.id),
             self._key_by_address.get(endpoint.address),
@@ -189,20 +205,22 @@
                     self._crashed.add(other)
                 self._remove(other, f'replaced by {key}')
 
-    def deregister(self, endpoint_id: str, born_ms: int) -> None:
+    def deregister(self, endpoint_id: str, born_ms: int) -> str:
         """Remove an endpoint that has announced its departure.
 
         :param endpoint_id: its id.
         :param born_ms: start time of the departing incarnation, Unix time in
             ms; 0 if not given.
+        :returns: the key of the incarnation that departs, known or not.
         """
         key = self._key_by_id.get(endpoint_id)
-        if key is None:
-            return
-        if born_ms and born_ms != self.entries[key].endpoint.born_ms:
-            return
+        if key is None or (
+            born_ms and born_ms != self.entries[key].endpoint.born_ms
+        ):
+            return endpoints.make_key(endpoint_id, born_ms)
         self._remove(key, 'departed')
         self._publish_change()
+        return key
 
     def mark_leaving(self, key: str, source: str) -> None:
         """Mark an endpoint leaving until its incarnation ends.
@@ -314,6 +332,7 @@
         if early_ms is not None:
             age_ms = clock.now_ms() - early_ms
             endpoint.leaving |= age_ms < ENDED_RETENTION_MS
+        endpoint.leaving |= self.recorded.is_leaving(key)
         entry = EndpointEntry(endpoint, clock.now_ms())
         self.entries[key] = entry
         self._key_by_id[endpoint.id] = key
--- a/filbertglade/fleet/shared_frames.py
+++ b/filbertglade/fleet/shared_frames.py
@@ -53,6 +53,7 @@
     :param loads: version of the requests in flight.
     :param struck: version of the struck requests.
     :param limits: version of the endpoints' limits.
+    :param departures: version of the departures that are recorded.
     """
 
     endpoints: int = -1
@@ -60,6 +61,7 @@
     loads: int = -1
     struck: int = -1
     limits: int = -1
+    departures: int = -1
 
     @property
     def has_view(self) -> bool:
@@ -77,11 +79,16 @@
             and self.loads >= other.loads
             and self.struck >= other.struck
             and self.limits >= other.limits
+            and self.departures >= other.departures
         )
 
     def without_view(self) -> 'Versions':
         """Return the versions of a watcher that wasn't sent the view."""
-        return Versions(struck=self.struck, limits=self.limits)
+        return Versions(
+            struck=self.struck,
+            limits=self.limits,
+            departures=self.departures,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,6 +148,7 @@
             self.loads.version,
             self.struck.version,
             self.limits.version,
+            self.endpoints.recorded.version,
         )
 
 
@@ -214,6 +222,13 @@
             for group, count in self._state.loads.list_since(sent.loads):
                 if group in self._state.replicas.replicas:
                     frame.in_flight[group] = count
+        elif sent.departures < self.published.departures:
+            recorded = self._state.endpoints.recorded
+            for key, has_gone in recorded.list_departures():
+                if has_gone:
+                    frame.gone_endpoints.append(key)
+                else:
+                    frame.leaving_endpoints.append(key)
         return prepare_frame(frame, frame.ByteSize() > header_bytes)
 
     def _write_endpoints(
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -112,6 +112,10 @@
             self.endpoints.clear()
             self.replicas.clear()
             self.in_flight.clear()
+        self._end_replicas_of(frame.gone_endpoints)
+        self._end_replicas_of(frame.leaving_endpoints)
+        for key in frame.leaving_endpoints:
+            self._mark_leaving(key)
         for endpoint in frame.endpoints:
             self.endpoints[endpoints.get_key(endpoint)] = endpoint
         for key in frame.gone_endpoints:
@@ -126,6 +130,7 @@
             frame.is_whole
             or frame.endpoints
             or frame.gone_endpoints
+            or frame.leaving_endpoints
             or frame.replicas
             or frame.gone_replicas
         )
@@ -159,6 +164,29 @@
         taken, self._allowances = self._allowances, {}
         return taken
 
+    def _mark_leaving(self, key: str) -> None:
+        if key in self.endpoints:
+            leaving = fleet_pb2.Endpoint()
+            leaving.CopyFrom(self.endpoints[key])
+            leaving.leaving = True
+            self.endpoints[key] = leaving
+
+    def _end_replicas_of(self, keys: abc.Collection[str]) -> None:
+        """Use no group any more whose head leaves.
+
+        :param keys: the heads' incarnation keys.
+        """
+        if not keys:
+            return
+        ending = set(keys)
+        for replica in list(self.replicas.values()):
+            head = endpoints.make_key(replica.head_id, replica.head_born_ms)
+            if replica.usable and head in ending:
+                ended = fleet_pb2.Replica()
+                ended.CopyFrom(replica)
+                ended.usable = False
+                self._apply_replica(ended)
+
     def _apply_replica(self, replica: fleet_pb2.Replica) -> None:
         previous = self.replicas.get(replica.group)
         if previous is None or (previous.epoch, previous.usable) != (
--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -14,6 +14,7 @@
 from filbertglade.control import state
 from filbertglade.control.tables import document as document_table
 from filbertglade import failures
+from filbertglade.fleet import departure_log
 from filbertglade.fleet import document
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import registry
@@ -43,6 +44,11 @@
 _ENDPOINT_PATH = re.compile(
     r'/v1/endpoints/(?P<id>[^/]+)/(?P<what>announcement|departure)'
 )
+# A response, or a coroutine that returns it.
+Answer = (
+    http_server.Response
+    | abc.Coroutine[typing.Any, typing.Any, http_server.Response]
+)
 # Requests are redirected to the leader only if this host has received a
 # message from it within this time, in ms.
 MAX_LEADER_AGE_MS = 1000
@@ -71,6 +77,7 @@
     :param agreed: the agreed state.
     :param voters: this host's part in agreement.
     :param endpoint_registry: the endpoints.
+    :param recorder: records which endpoints leave.
     :param counters: the process's metrics.
     :param observed: the leader's view of the replicas, which holds the
         document in force.
@@ -84,6 +91,7 @@
         agreed: state.AgreedState,
         voters: agreement.Agreement,
         endpoint_registry: registry.Registry,
+        recorder: departure_log.DepartureLog,
         counters: metrics.Metrics,
         observed: observed_state.ObservedState,
     ) -> None:
@@ -91,6 +99,7 @@
         self.agreed = agreed
         self.voters = voters
         self.registry = endpoint_registry
+        self.departures = recorder
         self.counters = counters
         self.observed = observed
         self.documents = pending_documents.PendingDocuments[Outcome]()
@@ -150,12 +159,7 @@
         self._context = context
         self._documents = DocumentApi(context)
 
-    def handle(
-        self, request: http_server.Request
-    ) -> (
-        http_server.Response
-        | abc.Coroutine[typing.Any, typing.Any, http_server.Response]
-    ):
+    def handle(self, request: http_server.Request) -> Answer:
         """Serve a request.
 
         :param request: the request.
@@ -192,9 +196,7 @@
             307, headers={'Location': f'http://{leader}{target}'}
         )
 
-    def _handle_announcement(
-        self, endpoint_id: str, body: bytes
-    ) -> http_server.Response:
+    def _handle_announcement(self, endpoint_id: str, body: bytes) -> Answer:
         """Apply an announcement.
 
         :param endpoint_id: id of its sender.
@@ -226,7 +228,11 @@
                 reason=str(rejection),
             )
         context.counters.count('announcements')
-        return _respond(200, {'announce_to': context.address})
+        response = _respond(200, {'announce_to': context.address})
+        if announced.leaving:
+            key = endpoints.get_key(announced)
+            return self._acknowledge_departure(key, False, response)
+        return response
 
     def _refuse(
         self, endpoint_id: str, failure: failures.Failure
@@ -237,16 +243,36 @@
         )
         return _respond(400, {'error': str(failure)})
 
-    def _handle_departure(
-        self, endpoint_id: str, body: bytes
-    ) -> http_server.Response:
+    def _handle_departure(self, endpoint_id: str, body: bytes) -> Answer:
         """Remove an endpoint that departs.
 
         :param endpoint_id: its id.
         :param body: JSON text that may tell its incarnation.
         """
-        self._context.registry.deregister(endpoint_id, _read_born_ms(body))
-        return _respond(200, {})
+        key = self._context.registry.deregister(
+            endpoint_id, _read_born_ms(body)
+        )
+        return self._acknowledge_departure(key, True, _respond(200, {}))
+
+    def _acknowledge_departure(
+        self, key: str, has_gone: bool, response: http_server.Response
+    ) -> Answer:
+        """Respond once every later leader knows that an endpoint leaves.
+
+        :param key: its incarnation key.
+        :param has_gone: whether it has deregistered; otherwise it drains.
+        :param response: the response then.
+        """
+        if self._context.departures.is_recorded(key, has_gone):
+            return response
+        return self._record_departure(key, has_gone, response)
+
+    async def _record_departure(
+        self, key: str, has_gone: bool, response: http_server.Response
+    ) -> http_server.Response:
+        if await self._context.departures.record(key, has_gone):
+            return response
+        return _respond(503, {'error': 'the departure is not recorded yet'})
 
 
 def _respond(
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -9,6 +9,7 @@
 from filbertglade.control import state
 from filbertglade.control import voters
 from filbertglade import failures
+from filbertglade.fleet import departure_log
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
 from filbertglade.fleet import document_server
@@ -115,7 +116,12 @@
             rng,
             self.membership,
         )
-        self._registry = registry.Registry(settings.endpoints.announce_ms)
+        self._departures = departure_log.DepartureLog(
+            self._agreed, self.voters, counters
+        )
+        self._registry = registry.Registry(
+            settings.endpoints.announce_ms, self._departures
+        )
         stated.add_leaving_listener(
             lambda key: self._registry.mark_leaving(key, settings.name)
         )
@@ -146,6 +152,7 @@
             self._agreed,
             self.voters,
             self._registry,
+            self._departures,
             counters,
             self._replicas.observed,
         )
@@ -177,6 +184,7 @@
         await self.voters.transfer_leadership()
         await self._replicas.close()
         await self._tasks.close()
+        await self._departures.close()
         await self.voters.close()
         await self._context.documents.close()
         self._client.close()
--- a/filbertglade/replicas/observed_state.py
+++ b/filbertglade/replicas/observed_state.py
@@ -38,7 +38,8 @@
 
     An endpoint is present if its announcements arrive and it is not leaving.
     A new leader takes endpoints that it hasn't seen yet to be present until
-    it is settled.
+    it is settled, but for those that have told an earlier leader that they
+    leave.
 
     A resting endpoint has left a group. It may not join another one yet: an
     old order may still reach it, or the head of the group that it left may
@@ -111,7 +112,9 @@
         """
         known = self._registry.entries.get(key)
         if known is None:
-            return not self.is_settled
+            return not (
+                self.is_settled or self._registry.recorded.is_leaving(key)
+            )
         return known.is_usable
 
     def find_membership(self, key: str) -> fleet_pb2.Membership | None:
@@ -131,7 +134,12 @@
         A group of which nothing has changed since the last call is returned
         as the same object.
         """
-        return list(self._replicas.refresh((self.index, self.is_settled)))
+        conditions = (
+            self.index,
+            self.is_settled,
+            self._registry.recorded.version,
+        )
+        return list(self._replicas.refresh(conditions))
 
     def _build_replica(
         self, record: commands_pb2.ReplicaRecord
@@ -248,7 +256,11 @@
 
         :param service: the service's name.
         """
-        conditions = (self.is_settled, len(self._dispatcher.fenced))
+        conditions = (
+            self.is_settled,
+            len(self._dispatcher.fenced),
+            self._registry.recorded.version,
+        )
         groups = []
         for described_service, group in self._groups.refresh(conditions):
             if described_service == service:
--- a/tests/gateway/test_control_api.py
+++ b/tests/gateway/test_control_api.py
@@ -67,6 +67,7 @@
             self.agreed,
             self.voters,
             None,
+            None,
             metrics.Metrics(),
             None,
         )
--- a/tests/replicas/test_observed_state.py
+++ b/tests/replicas/test_observed_state.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from filbertglade.control import state
+from filbertglade.fleet import departures
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import registry
 from filbertglade.inner import commands_pb2
@@ -19,7 +20,22 @@
 )
 
 
-def build_observed_state():
+class Recorded(departures.NoDepartures):
+    """Departures that an earlier leader acknowledged."""
+
+    def __init__(self):
+        self.version = 0
+        self.keys = set()
+
+    def add(self, key):
+        self.version += 1
+        self.keys.add(key)
+
+    def is_leaving(self, key):
+        return key in self.keys
+
+
+def build_observed_state(recorded=None):
     settings = control_settings.build_settings()
     agreed = state.AgreedState()
     record = commands_pb2.ReplicaRecord(
@@ -33,7 +49,9 @@
         slots=13,
     )
     agreed.replicas.apply(commands_pb2.ReplicaChange(form=record), 7, 0)
-    endpoint_registry = registry.Registry(settings.endpoints.announce_ms)
+    endpoint_registry = registry.Registry(
+        settings.endpoints.announce_ms, recorded
+    )
     observed = observed_state.ObservedState(
         settings, agreed, None, endpoint_registry, None
     )
@@ -72,6 +90,19 @@
     virtual_time.run(check())
 
 
+# Guards against a new leader that takes members for present which have told an
+# earlier one that they leave.
+def test_group_of_a_departed_member_is_not_presumed_complete():
+    async def check():
+        recorded = Recorded()
+        observed, _ = build_observed_state(recorded)
+        assert observed.list_replicas()[0].usable
+        recorded.add('i-head@5')
+        assert not observed.list_replicas()[0].usable
+
+    virtual_time.run(check())
+
+
 def test_a_member_that_reports_no_group_makes_its_group_unusable():
     async def check():
         observed, endpoint_registry = build_observed_state()
