Answer requests that outlast the grace time

What callers saw, in a report of other operators: in a planned stop, in calm, requests were taken, passed on, and cut with no answer at the end of the grace time.

Cause: an exchange ended with its response or its deadline. The end of the process is a third end, and nothing told exchanges of it; close() took their connections away.

Change: after draining, each exchange that is left is ended and sends its final response: 504 if the request may have run, 503 with Retry-After if not. What has begun to be sent is reset, as before.

Evidence: test_request_that_outlasts_the_grace_time_gets_an_answer ("Server disconnected without sending a response" before, on real processes).

Why it works: the limit is around the whole exchange, so it ends any wait in it, for an endpoint, a trial, a place or a document.

Not tried: two hosts at once; streams, retries and resumptions that begin late.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -72,11 +72,24 @@
         self.suspect_limit_ms = float(stall_detection.DEFAULT_SUSPECT_MS)
         self._suspects = suspicion.Suspects(b'')
         self._is_caller_retry = False
+        # Ends the exchange at the end of the process.
+        self._limit = asyncio.timeout(None)
 
     async def run(self) -> None:
         """Handle the request; stop when the caller disconnects."""
         try:
-            await self._handle()
+            async with self._limit:
+                await self._handle()
+        except TimeoutError:
+            if not self._limit.expired():
+                raise
+            self._give_up(
+                attempt.AttemptOutcome.TIMED_OUT
+                if self._record.run_count
+                else None,
+                'this host ends',
+                lookup.SHUTDOWN_RETRY_AFTER_S,
+            )
         except asyncio.CancelledError:
             self._record.count('callers_left')
             self._record.write(
@@ -87,6 +100,10 @@
             )
             raise
 
+    def end(self) -> None:
+        """Give the request its final response now: the process ends."""
+        self._limit.reschedule(asyncio.get_running_loop().time())
+
     # Routing
 
     async def _handle(self) -> None:
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -26,6 +26,8 @@
 
 # Part of the grace period kept for the shutdown after draining, in ms.
 SHUTDOWN_MARGIN_MS = 500
+# Time of it in which the last responses are sent, in ms.
+FINAL_RESPONSES_MS = 100
 DRAIN_POLL_INTERVAL_MS = 50
 # Longest body of a health check, which has none, in bytes.
 MAX_HEALTH_BODY_BYTES = 0
@@ -79,6 +81,7 @@
             counters,
             rng,
         )
+        self._exchanges: set[exchange.Exchange] = set()
         self._server = server.CallerServer(self._serve, self._get_limits)
         self._health_server = http_server.HttpServer(
             self._serve_health, MAX_HEALTH_BODY_BYTES
@@ -97,7 +100,12 @@
         return index.document.limits if index is not None else None
 
     async def _serve(self, request: server.CallerRequest) -> None:
-        await exchange.Exchange(self._context, request).run()
+        served = exchange.Exchange(self._context, request)
+        self._exchanges.add(served)
+        try:
+            await served.run()
+        finally:
+            self._exchanges.discard(served)
 
     def _serve_health(
         self, request: http_server.Request
@@ -127,7 +135,10 @@
         self._tasks.start(self._evidence.stall_detector.run())
 
     async def drain(self) -> None:
-        """Finish the requests in flight, within the grace period."""
+        """Finish the requests in flight, within the grace period.
+
+        Those that remain at its end get a response that says so.
+        """
         started_ms = clock.now_ms()
         end_ms = started_ms + self._settings.grace_ms - SHUTDOWN_MARGIN_MS
         self._context.stopping_since_ms = started_ms
@@ -145,6 +156,10 @@
             in_flight=len(self._server.in_flight),
             waited_ms=clock.now_ms() - started_ms,
         )
+        if self._exchanges:
+            for served in self._exchanges:
+                served.end()
+            await asyncio.sleep(FINAL_RESPONSES_MS / 1000)
 
     async def close(self) -> None:
         """Stop without waiting for requests in flight."""
--- a/tests/platform/test_calm_day.py
+++ b/tests/platform/test_calm_day.py
@@ -323,6 +323,30 @@
         assert response.status_code == 200
 
 
+# Guards against requests that a stopping host took and cut without an answer
+# at the end of its grace time.
+async def test_request_that_outlasts_the_grace_time_gets_an_answer(running):
+    entry = running.entries[0]
+    data = documents.build(version=documents.PLAIN['version'] + 1)
+    for route in data['routes']:
+        route['timeout_ms'] = 20_000
+    await running.put_until_accepted(data)
+    await asyncio.sleep(1)
+    for worker in running.workers:
+        worker.pause_s = 6
+    entry.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(1)
+    sent = [
+        running.send_request(path, method=method, X_Time_Budget_Ms='9000')
+        for path, method in (('/read/x', 'GET'), ('/write/x', 'POST'))
+    ]
+    for response in await asyncio.gather(*sent):
+        # It may have run, so its caller isn't told that it hasn't.
+        assert response.status_code == 504
+        assert response.headers['Connection'] == 'close'
+    await asyncio.wait_for(entry.process.wait(), 1)
+
+
 async def test_stopping_node_refuses_requests_that_it_may_have_to_cut(
     running,
 ):
