Limit the bodies of endpoints' calls to 64 KiB

What operators would see: a control host that ends for lack of memory, as many endpoints send bytes without end in announcements at the same time.

Cause: one limit for all calls, twice that of the largest routing document (32 MiB). Ten senders can make a control host hold more than its memory.

Change: only the path of routing documents has long bodies.

Evidence: test_long_body_of_an_endpoint_is_refused, with a length and with chunks: both read 1 MB before, and are refused with 413 now. The memory of a control host under such load was not measured.

--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -38,7 +38,7 @@
 # Longest wait until this host has read a document that it has committed, in
 # ms: then the document is acknowledged all the same.
 READ_TIMEOUT_MS = 500
-# Longest body of a request, in bytes.
+# Longest body of a request with a routing document, in bytes.
 MAX_BODY_BYTES = 2 * document.MAX_DOCUMENT_BYTES
 ROUTING_PATH = '/v1/routing'
 _ENDPOINT_PATH = re.compile(
@@ -433,6 +433,8 @@
     :returns: the server; the caller stops it.
     :raises OSError: the server can't listen on the address.
     """
-    server = http_server.HttpServer(ControlApi(context).handle, MAX_BODY_BYTES)
+    server = http_server.HttpServer(
+        ControlApi(context).handle, MAX_BODY_BYTES, ROUTING_PATH
+    )
     await server.listen(context.address)
     return server
--- a/filbertglade/gateway/http_server.py
+++ b/filbertglade/gateway/http_server.py
@@ -19,6 +19,9 @@
 
 # Longest head of a request, in bytes.
 MAX_HEAD_BYTES = 65_536
+# Longest body of requests that aren't known to have long ones, in bytes: they
+# come from many senders, which may all send at the same time.
+SHORT_BODY_BYTES = 65_536
 # Time without a whole request after which a connection is closed, in ms, and
 # the interval between two checks: hosts that lose power close nothing.
 IDLE_TIMEOUT_MS = 120_000
@@ -118,11 +121,16 @@
 
     :param handle: serves a request.
     :param max_body_bytes: longest body of a request.
+    :param long_body_path: the only path with bodies of that length, if there
+        is one; others have :data:`SHORT_BODY_BYTES`.
     """
 
-    def __init__(self, handle: Handler, max_body_bytes: int) -> None:
+    def __init__(
+        self, handle: Handler, max_body_bytes: int, long_body_path: str = ''
+    ) -> None:
         self.handle = handle
-        self.max_body_bytes = max_body_bytes
+        self._max_body_bytes = max_body_bytes
+        self._long_body_path = long_body_path.encode()
         self.connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -139,6 +147,16 @@
         )
         self._schedule_idle_check()
 
+    def find_body_limit(self, target: bytes) -> int:
+        """Return the longest body of requests for a target, in bytes.
+
+        :param target: path and query.
+        """
+        path = target.partition(b'?')[0]
+        if self._long_body_path and path != self._long_body_path:
+            return min(SHORT_BODY_BYTES, self._max_body_bytes)
+        return self._max_body_bytes
+
     def stop(self) -> None:
         """Accept no more connections; those that are open are served."""
         if self._server is not None:
@@ -318,7 +336,7 @@
             self._expects_continue = value.lower() == b'100-continue'
         elif lower_name == b'content-length':
             # The parser refuses what is no number.
-            if int(value) > self._server.max_body_bytes:
+            if int(value) > self._server.find_body_limit(self._target):
                 raise _Refused(413)
 
     def on_headers_complete(self) -> None:
@@ -335,7 +353,7 @@
         :param data: the part.
         """
         self._body_bytes += len(data)
-        if self._body_bytes > self._server.max_body_bytes:
+        if self._body_bytes > self._server.find_body_limit(self._target):
             raise _Refused(413)
         self._body.append(data)
 
--- a/tests/gateway/test_control_api.py
+++ b/tests/gateway/test_control_api.py
@@ -201,3 +201,29 @@
         host.hold(7, TEXT)
         assert (await host.send(TEXT[:-20]))[0] == 400
         assert host.voters.submitted == []
+
+
+# Guards against a control host that ends for lack of memory: endpoints that
+# send without end, all at the same time, in calls that have short bodies.
+@pytest.mark.parametrize('is_chunked', (False, True))
+async def test_long_body_of_an_endpoint_is_refused(is_chunked):
+    part = b'x' * 16_384
+    sent_bytes = 0
+
+    async def send_long_body():
+        nonlocal sent_bytes
+        for _ in range(64):
+            sent_bytes += len(part)
+            yield part
+            await asyncio.sleep(0.001)
+
+    async with run_host() as host:
+        url = host.url.replace('/v1/routing', '/v1/endpoints/i-1/announcement')
+        content = send_long_body() if is_chunked else 64 * part
+        with contextlib.suppress(httpx.TransportError):
+            response = await host.client.post(url, content=content)
+            assert response.status_code == 413
+        assert sent_bytes < 64 * len(part)
+        # A document may still be as long.
+        host.voters.committing.set()
+        assert await host.send(TEXT) == (200, {'version': 7})
