Heed departures that are committed as a leader starts

A departure is told to a leader that has just been elected and hasn't started from its view yet. The view still has the endpoint as ready, so it is added again while its departure is committed, and acknowledged.

Cause: registries asked the agreed departures as an endpoint was added, but didn't hear of those that came later.

Change: registries heed departures as they are applied.

Evidence: test_departure_holds_if_the_leader_starts_during_its_commit, for draining and departing: 2 of 2 failed before. Found by reading.

--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -8,6 +8,7 @@
 from filbertglade.fleet import change_index
 from filbertglade.fleet import departures
 from filbertglade.fleet import endpoints
+from filbertglade.inner import commands_pb2
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
 
@@ -222,6 +223,22 @@
         self._publish_change()
         return key
 
+    def heed_departures(self, command: commands_pb2.Command) -> None:
+        """Heed departures that the control hosts have agreed on.
+
+        An endpoint may have been added while its departure was committed.
+
+        :param command: a command that was applied.
+        """
+        for departure in command.departures.departures:
+            if departure.endpoint not in self.entries:
+                continue
+            if departure.gone:
+                self._remove(departure.endpoint, 'departed')
+                self._publish_change()
+            else:
+                self.mark_leaving(departure.endpoint, 'the log')
+
     def mark_leaving(self, key: str, source: str) -> None:
         """Mark an endpoint leaving until its incarnation ends.
 
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -122,6 +122,7 @@
         self._registry = registry.Registry(
             settings.endpoints.announce_ms, self._departures
         )
+        self._agreed.add_listener(self._registry.heed_departures)
         stated.add_leaving_listener(
             lambda key: self._registry.mark_leaving(key, settings.name)
         )
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -85,6 +85,7 @@
             _Observed(),
         )
         self.api = control_api.ControlApi(context)
+        node.state.add_listener(self.registry.heed_departures)
         node.agreement.add_leadership_listener(
             lambda is_acting: is_acting and self.registry.seed(seen.values())
         )
@@ -347,6 +348,27 @@
     cluster.run(scenario())
 
 
+# Guards against a departure that is told to a leader before it has started
+# from its view, which still has the endpoint.
+@pytest.mark.parametrize('leave', (Fleet.drain, Fleet.depart))
+def test_departure_holds_if_the_leader_starts_during_its_commit(leave):
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            fleet = Fleet(group, random.Random(1), 1000)
+            endpoint = fleet.endpoints['i-1']
+            await fleet.ping(endpoint)
+            host = fleet.hosts[leader.name]
+            leaving = asyncio.create_task(leave(fleet, endpoint))
+            await asyncio.sleep(0)
+            host.registry.seed(fleet.seen.values())
+            await leaving
+            assert endpoint.is_leaving
+            await fleet.check()
+
+    cluster.run(scenario())
+
+
 # Load: a third of the largest fleet's endpoints depart within 0.3 s. An entry
 # takes as long as the disks of a majority.
 def test_departures_at_the_same_time_share_entries():
