Send endless heads, and many endless responses at once

Reported by other operators: bytes that were no answer, without end, kept by the machine that had called until it ran out of memory. Not tried so far: heads, lines and garbage without end, and many such responses at once.

--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -48,7 +48,12 @@
     'interim': ('102 Processing', '', b'HTTP/1.1 102 P\r\n\r\n' * 4000),
     'rejection': ('503 Busy', 'X-Not-Executed: 1\r\n' + CHUNKED, CHUNK),
     'failure': ('500 Error', CHUNKED, CHUNK),
+    'head': ('200 OK', 'X-First: 1', b'X-More: 1\r\n' * 6000),
+    'line': ('200 OK', 'X-Long: ', BLOCK),
+    'garbage': ('', '', BLOCK),
 }
+# Requests that get bytes without end from all workers at the same time.
+MANY_REQUESTS = 64
 
 
 class EndlessWorker(deployment.Worker):
@@ -66,10 +71,12 @@
             await super().handle_request(writer, line, headers, body)
             return
         status, more, block = ENDLESS[self.kind]
-        writer.write(
-            f'HTTP/1.1 {status}\r\nX-Request-Id: {headers["X-Request-Id"]}'
-            f'\r\n{more}\r\n'.encode()
-        )
+        if status:
+            writer.write(
+                f'HTTP/1.1 {status}\r\n'
+                f'X-Request-Id: {headers["X-Request-Id"]}\r\n'
+                f'{more}\r\n'.encode()
+            )
         while True:
             writer.write(block)
             await writer.drain()
@@ -196,6 +203,34 @@
     assert statuses == [200] * REQUESTS
 
 
+# Guards against a host that keeps a head without end.
+@pytest.mark.parametrize('kind', ['head', 'line', 'garbage'])
+async def test_head_without_end_is_given_up(endless, kind):
+    statuses = await _play(endless, kind)
+    assert set(statuses) <= {200, 502}
+
+
+# Guards against a host that ends for lack of memory, with the requests of all
+# its callers, as many endpoints send without end at the same time.
+@pytest.mark.parametrize('kind', ENDLESS)
+async def test_many_responses_without_end_take_bounded_memory(endless, kind):
+    running = endless
+    running.workers[0].kind = kind
+    running.workers[1].__class__ = EndlessWorker
+    running.workers[1].kind = kind
+    path = '/stream/endless' if kind == 'event' else '/read/endless'
+    peaks = []
+    watching = asyncio.create_task(_watch_memory(running.entries[0], peaks))
+    await asyncio.gather(
+        *(_send_endless(running, path) for _ in range(MANY_REQUESTS))
+    )
+    await asyncio.sleep(0.2)
+    watching.cancel()
+    assert running.workers[0].sent_bytes and running.workers[1].sent_bytes
+    assert max(peaks) <= MEMORY_BYTES
+    assert running.entries[0].process.returncode is None
+
+
 # Guards against bounds that cut off long responses that are right.
 @pytest.mark.parametrize('has_length', [True, False])
 async def test_long_response_is_served(endless, has_length):
