Let an endpoint return that a late announcement ended

What callers would see: less capacity. A sound worker without a start time gets no request for 120 s.

Cause: that an older incarnation at an address has ended stands in one leader's memory. At the next leader its late announcement ends the newer one, whose announcements are refused as late ones from then on.

Change: a replaced incarnation returns once it announces itself with a higher sequence number while its replacement has been silent for two announcements. Those that have departed never return.

Evidence: test_endpoint_that_a_late_announcement_ended_returns failed before and passes now; further late announcements change nothing while the sound one announces itself.

Why it works: of two incarnations at one address only the living one goes on announcing itself.

--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -82,6 +82,9 @@
         self._key_by_id: dict[str, str] = {}
         self._key_by_address: dict[str, str] = {}
         self._ended_ms: dict[str, int] = {}
+        # Latest sequence numbers of ended incarnations that another one
+        # replaced, by their keys.
+        self._replaced_sequences: dict[str, int] = {}
         # Ended incarnations that had not announced that they leave.
         self._crashed: set[str] = set()
         # Incarnations that are leaving though they haven't announced
@@ -179,7 +182,7 @@
         self._mark_changed(entry, key)
 
     def _find_rejection(self, endpoint: fleet_pb2.Endpoint, key: str) -> str:
-        if key in self._ended_ms:
+        if key in self._ended_ms and not self._may_return(endpoint, key):
             return 'this incarnation has ended'
         if self.recorded.has_gone(key):
             return 'this incarnation has departed'
@@ -194,17 +197,44 @@
                 return f'{other} started later'
         return ''
 
+    def _may_return(self, endpoint: fleet_pb2.Endpoint, key: str) -> bool:
+        """Return whether an incarnation was taken for ended by mistake.
+
+        An announcement of an earlier one that arrives late at a new leader
+        replaces the present one: the leader knows of neither which began
+        first. Only the present one goes on announcing itself.
+
+        :param endpoint: what the ended incarnation announces.
+        :param key: its key.
+        """
+        sequence = self._replaced_sequences.get(key)
+        if sequence is None or endpoint.sequence <= sequence:
+            return False
+        now_ms = clock.now_ms()
+        return all(
+            now_ms - self.entries[other].last_announced_ms > self._silence_ms
+            for other in self._list_holders(endpoint)
+        )
+
+    def _list_holders(self, endpoint: fleet_pb2.Endpoint) -> list[str]:
+        """Return the keys of those that have an endpoint's id or address."""
+        holders = (
+            self._key_by_id.get(endpoint.id),
+            self._key_by_address.get(endpoint.address),
+        )
+        return [key for key in holders if key in self.entries]
+
     def _remove_predecessors(
         self, endpoint: fleet_pb2.Endpoint, key: str
     ) -> None:
-        for other in (
-            self._key_by_id.get(endpoint.id),
-            self._key_by_address.get(endpoint.address),
-        ):
-            if other is not None and other != key and other in self.entries:
-                if not self.entries[other].endpoint.leaving:
+        for other in self._list_holders(endpoint):
+            # It may have both.
+            if other in self.entries:
+                replaced = self.entries[other].endpoint
+                if not replaced.leaving:
                     self._crashed.add(other)
                 self._remove(other, f'replaced by {key}')
+                self._replaced_sequences[other] = replaced.sequence
 
     def deregister(self, endpoint_id: str, born_ms: int) -> str:
         """Remove an endpoint that has announced its departure.
@@ -327,6 +357,7 @@
             if now_ms - ended_ms > ENDED_RETENTION_MS
         ]:
             del self._ended_ms[key]
+            self._replaced_sequences.pop(key, None)
             self._crashed.discard(key)
             self.removed_versions.discard(key)
 
@@ -355,6 +386,9 @@
         self._key_by_id[endpoint.id] = key
         self._key_by_address[endpoint.address] = key
         self.removed_versions.discard(key)
+        if self._ended_ms.pop(key, None) is not None:
+            self._replaced_sequences.pop(key, None)
+            self._crashed.discard(key)
         self._raise_highest_epoch(entry)
         self._set_version(entry, key)
 
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -118,6 +118,37 @@
     run_check(check)
 
 
+# Guards against a sound endpoint that gets nothing for two minutes: an
+# announcement of an earlier one at its address arrives late at a new leader.
+def test_endpoint_that_a_late_announcement_ended_returns():
+    async def main():
+        endpoint_registry = registry.Registry(announce_ms=1200)
+        sound = {'endpoint_id': 'i-new', 'born_ms': 0}
+        endpoint_registry.seed([build_endpoint(sequence=7, **sound)])
+        late = build_endpoint('i-old', 90, born_ms=0)
+        assert endpoint_registry.apply(late) is None
+        sequence = 7
+        for _ in range(3):
+            await asyncio.sleep(1.2)
+            sequence += 1
+            endpoint_registry.apply(build_endpoint(sequence=sequence, **sound))
+            endpoint_registry.sweep()
+        assert list(endpoint_registry.entries) == ['i-new@0']
+        assert endpoint_registry.entries['i-new@0'].is_usable
+        assert not endpoint_registry.has_crashed('i-new@0')
+        # Further ones change nothing, whatever their number.
+        for late_sequence in (91, 92, 93):
+            await asyncio.sleep(1.2)
+            sequence += 1
+            endpoint_registry.apply(build_endpoint(sequence=sequence, **sound))
+            await asyncio.sleep(0.1)
+            late = build_endpoint('i-old', late_sequence, born_ms=0)
+            assert endpoint_registry.apply(late) is not None
+        assert list(endpoint_registry.entries) == ['i-new@0']
+
+    virtual_time.run(main())
+
+
 def test_a_delayed_announcement_of_an_earlier_address_holder_is_rejected():
     def check(endpoint_registry):
         endpoint_registry.apply(build_endpoint('i-2', born_ms=3000))
