Look at all groups again only while a leader is unsettled

What operators would see: a leader of a large fleet that spends a quarter of a core during a scale-in.

Cause: what is kept of groups was made anew with each version of the departures. A departure that an observer doesn't otherwise see matters only while unseen endpoints count as present.

Change: their version is a condition only until the leader is settled.

--- a/filbertglade/replicas/observed_state.py
+++ b/filbertglade/replicas/observed_state.py
@@ -91,6 +91,14 @@
         settle_ms = self._settings.endpoints.announce_ms * SETTLE_INTERVALS
         return waited_ms > settle_ms
 
+    def _find_presumption(self) -> int | None:
+        """Return what decides which unseen endpoints count as present.
+
+        :returns: the version of the departures; None once settled, when no
+            unseen endpoint does.
+        """
+        return None if self.is_settled else self._registry.recorded.version
+
     def has_seen_all(self) -> bool:
         """Return whether the first layout need not wait for endpoints.
 
@@ -134,11 +142,7 @@
         A group of which nothing has changed since the last call is returned
         as the same object.
         """
-        conditions = (
-            self.index,
-            self.is_settled,
-            self._registry.recorded.version,
-        )
+        conditions = (self.index, self._find_presumption())
         return list(self._replicas.refresh(conditions))
 
     def _build_replica(
@@ -257,9 +261,8 @@
         :param service: the service's name.
         """
         conditions = (
-            self.is_settled,
+            self._find_presumption(),
             len(self._dispatcher.fenced),
-            self._registry.recorded.version,
         )
         groups = []
         for described_service, group in self._groups.refresh(conditions):
--- a/tests/replicas/test_pass_work.py
+++ b/tests/replicas/test_pass_work.py
@@ -7,6 +7,7 @@
 import random
 
 from filbertglade.control import state
+from filbertglade.fleet import departures
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import registry
 from filbertglade.inner import commands_pb2
@@ -25,10 +26,26 @@
 # Looks at one spare in a pass: whether it is free, what it is, and whether it
 # is still present.
 LOOKS_PER_SPARE = 3
+DEPARTURE_INTERVAL_S = 0.05
 
 
-async def count_looks(monkeypatch):
-    """Return the looks at endpoints in a pass, and the number of spares."""
+class Departures(departures.NoDepartures):
+    """Departures of endpoints that aren't part of the fleet any more."""
+
+    def __init__(self):
+        self.version = 0
+
+    async def go_on(self):
+        while True:
+            await asyncio.sleep(DEPARTURE_INTERVAL_S)
+            self.version += 1
+
+
+async def count_looks(monkeypatch, recorded=None):
+    """Return the looks at endpoints in a pass, and the number of spares.
+
+    :param recorded: departures that go on meanwhile; None without.
+    """
     leader = virtual_engines.Leader(DOMAINS, large=32, small=8)
     leader.replicas.start()
     for number in range(ENGINES):
@@ -55,7 +72,13 @@
     monkeypatch.setattr(
         order_dispatch.OrderDispatcher, 'repeat_unanswered_loads', count_pass
     )
+    departing = None
+    if recorded is not None:
+        leader.registry.recorded = recorded
+        departing = asyncio.create_task(recorded.go_on())
     await asyncio.sleep(5)
+    if departing is not None:
+        departing.cancel()
     await leader.close()
     records = leader.agreed.replicas.records.values()
     return looks / passes, sum(record.is_spare for record in records)
@@ -69,6 +92,12 @@
     assert looks <= LOOKS_PER_SPARE * spares
 
 
+# Guards against a leader that looks at all groups again with each departure.
+def test_departures_make_a_settled_leader_look_at_nothing_else(monkeypatch):
+    looks, spares = virtual_time.run(count_looks(monkeypatch, Departures()))
+    assert looks <= LOOKS_PER_SPARE * spares
+
+
 class Fleet:
     """Endpoints and groups that change at random."""
 
