Name what decides which unseen endpoints count as present

A newcomer has to read _find_presumption twice. Only the name and its docstring change; tests of observed groups, passes and departures pass.

--- a/filbertglade/replicas/observed_state.py
+++ b/filbertglade/replicas/observed_state.py
@@ -91,8 +91,8 @@
         settle_ms = self._settings.endpoints.announce_ms * SETTLE_INTERVALS
         return waited_ms > settle_ms
 
-    def _find_presumption(self) -> int | None:
-        """Return what decides which unseen endpoints count as present.
+    def _find_unseen_version(self) -> int | None:
+        """Return the version of what tells which unseen endpoints are present.
 
         :returns: the version of the departures; None once settled, when no
             unseen endpoint does.
@@ -142,7 +142,7 @@
         A group of which nothing has changed since the last call is returned
         as the same object.
         """
-        conditions = (self.index, self._find_presumption())
+        conditions = (self.index, self._find_unseen_version())
         return list(self._replicas.refresh(conditions))
 
     def _build_replica(
@@ -261,7 +261,7 @@
         :param service: the service's name.
         """
         conditions = (
-            self._find_presumption(),
+            self._find_unseen_version(),
             len(self._dispatcher.fenced),
         )
         groups = []
