--- a/filbertglade/fleet/dialects.py
+++ b/filbertglade/fleet/dialects.py
@@ -24,6 +24,9 @@
     :param prompt_parts: ids of the prompt's parts in order, each with its
         tokens, as in ``id:tokens,id:tokens``. Requests share all but the last.
     :param answer_hint: caller's estimate of the output tokens.
+    :param cold: in a response: how much longer the endpoint is cold, in ms.
+    :param engine_priority: urgency of a request to an engine, 0 to 9; 0 is
+        the most urgent.
     :param resume_after: id of the last event received from a stream.
     :param order_path: path at which engines accept orders.
     :param report_path: path at which engines report their state.
@@ -44,6 +47,8 @@
     token_counts: str = 'Filbertglade-Token-Counts'
     prompt_parts: str = 'Filbertglade-Prompt-Parts'
     answer_hint: str = 'Filbertglade-Answer-Hint'
+    cold: str = 'Filbertglade-Cold-Ms'
+    engine_priority: str = 'Filbertglade-Priority'
     resume_after: str = 'Last-Event-Id'
     order_path: str = '/order'
     report_path: str = '/report'
--- a/filbertglade/fleet/document.py
+++ b/filbertglade/fleet/document.py
@@ -85,6 +85,8 @@
     :param max_attempts: most endpoints that a request may be sent to.
     :param public: whether requests need no key.
     :param resumable: whether another endpoint may resume a stream.
+    :param allowed_regions: regions in which its requests may run; empty for
+        all.
     """
 
     __pydantic_config__ = LENIENT
@@ -104,6 +106,7 @@
     max_attempts: PositiveInt = 1
     public: bool = False
     resumable: bool = False
+    allowed_regions: list[NonEmptyText] | None = None
 
     @property
     def is_idempotent(self) -> bool:
@@ -184,6 +187,9 @@
     :param max_connections: connections that an endpoint accepts in total.
     :param engine: capacity and timing of its engines; None for a service
         without models.
+    :param cold_start_s: time that an endpoint is cold after its start.
+    :param cold_per_s: requests a second that a cold endpoint takes; 0 if its
+        endpoints are never cold.
     """
 
     __pydantic_config__ = LENIENT
@@ -191,6 +197,8 @@
     name: NonEmptyText
     max_connections: PositiveInt = 64
     engine: Engine | None = None
+    cold_start_s: NonNegativeFloat = 0.0
+    cold_per_s: NonNegativeFloat = 0.0
 
     @property
     def models(self) -> list[ModelShape]:
@@ -224,6 +232,8 @@
     :param keys: the keys that its callers send.
     :param priority: priority that overrides the route's; None to use the
         route's.
+    :param allowed_regions: regions in which its requests may run; empty for
+        all.
     """
 
     __pydantic_config__ = LENIENT
@@ -231,6 +241,7 @@
     name: NonEmptyText
     keys: list[NonEmptyText] = dataclasses.field(default_factory=list)
     priority: NonNegativeInt | None = None
+    allowed_regions: list[NonEmptyText] | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/filbertglade/settings/gateway.py
+++ b/filbertglade/settings/gateway.py
@@ -36,6 +36,12 @@
 RoundedCount = typing.Annotated[
     Count, pydantic.BeforeValidator(_drop_fraction)
 ]
+RoundedAmount = typing.Annotated[
+    int,
+    annotated_types.Ge(0),
+    annotated_types.Le(values.COUNT_LIMIT),
+    pydantic.BeforeValidator(_drop_fraction),
+]
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,6 +77,8 @@
         the data folder is not empty.
     :param tolerated_losses: number of control hosts that may be lost at the
         same time, with their disks.
+    :param tolerated_data_centres: number of data centres that may be lost at
+        the same time; 0 places groups without regard to data centres.
     :param election_ms: minimum time without a leader before an election.
     :param heartbeat_ms: interval between a leader's heartbeats.
     :param lease_ms: duration of the leader's lease, which the replies of a
@@ -86,6 +94,9 @@
     tolerated_losses: typing.Annotated[
         int, annotated_types.Ge(0), annotated_types.Le(3)
     ] = 1
+    tolerated_data_centres: typing.Annotated[
+        int, annotated_types.Ge(0), annotated_types.Le(3)
+    ] = 0
     election_ms: Duration = 700
     heartbeat_ms: Duration = 120
     lease_ms: Duration = 600
@@ -94,13 +105,18 @@
 
 @dataclasses.dataclass(slots=True)
 class EndpointSettings:
-    """Intervals of endpoints, and the rate at which they load models.
+    """Intervals of endpoints, and the rates at which they are used.
 
     :param announce_ms: interval between an endpoint's announcements.
     :param stall_ms: how long a group stalls after the loss of a member.
     :param load_window_ms: sliding window in which model loads are counted.
     :param load_factor: model loads allowed per window, as a multiple of what
         the store's rate allows in it.
+    :param cold_overage: requests that cold endpoints may get in a second, as
+        a multiple of the rate that their service states.
+    :param cold_slack: additional requests that they may get in a second.
+    :param evacuation_ms: time after the acknowledgement of an evacuation from
+        which on no request reaches the data centre.
     """
 
     __pydantic_config__ = schema.STRICT
@@ -109,6 +125,9 @@
     stall_ms: RoundedDuration = 4000
     load_window_ms: RoundedDuration = 5000
     load_factor: Ratio = 1.0
+    cold_overage: Ratio = 1.0
+    cold_slack: RoundedAmount = 0
+    evacuation_ms: RoundedDuration = 5000
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,6 +146,37 @@
     window_ms: RoundedDuration = 10_000
 
 
+@dataclasses.dataclass(slots=True)
+class SchedulingSettings:
+    """Policies that choose endpoints and admit requests.
+
+    :param selection: ``load`` chooses by requests in flight, ``cost`` by the
+        estimated work that endpoints have left.
+    :param admission: ``slots`` admits while a replica has free slots,
+        ``urgency`` also by priority, objective and expected room.
+    """
+
+    __pydantic_config__ = schema.STRICT
+
+    selection: typing.Literal['load', 'cost'] = 'load'
+    admission: typing.Literal['slots', 'urgency'] = 'slots'
+
+
+@dataclasses.dataclass(slots=True)
+class LimitSettings:
+    """Limits of the machine for this process.
+
+    :param memory_mb: memory; 0 if the process may use any amount.
+    :param max_descriptors: open descriptors; 0 for the limit that the system
+        states.
+    """
+
+    __pydantic_config__ = schema.STRICT
+
+    memory_mb: RoundedAmount = 0
+    max_descriptors: RoundedAmount = 0
+
+
 @dataclasses.dataclass(slots=True)
 class GatewaySettings:
     """All settings of a gateway process.
@@ -138,6 +188,10 @@
     :param control: the control hosts.
     :param endpoints: intervals and load rate of endpoints.
     :param retries: the quota of retries.
+    :param scheduling: which policies choose endpoints and admit requests.
+    :param limits: limits of the machine for this process.
+    :param data_centres: the region of each data centre; only needed where
+        routes or customers name allowed regions.
     :param grace_ms: time between SIGTERM and the end of the process.
     :param dialect: which header names callers and endpoints use.
     """
@@ -155,6 +209,11 @@
     retries: RetryQuotaSettings = dataclasses.field(
         default_factory=RetryQuotaSettings
     )
+    scheduling: SchedulingSettings = dataclasses.field(
+        default_factory=SchedulingSettings
+    )
+    limits: LimitSettings = dataclasses.field(default_factory=LimitSettings)
+    data_centres: dict[str, str] = dataclasses.field(default_factory=dict)
     grace_ms: RoundedDuration = 8000
     dialect: typing.Literal['own', 'platform'] = 'own'
 
