Keep voters from skipping commands of a newer release

Change: voters report the newest log format that they can apply. A leader appends a new kind of command only once all voters have reached its format, which a no-operation entry then states for later leaders. A voter that meets what it doesn't know halts with the reason unknown-format.

--- a/filbertglade/control/failures.py
+++ b/filbertglade/control/failures.py
@@ -16,6 +16,8 @@
     TIMED_OUT = 'timed-out'
     # Too many commands are pending.
     OVERLOADED = 'overloaded'
+    # Not all voters are able to apply the command.
+    UNSUPPORTED = 'unsupported'
     # The process is shutting down.
     CLOSING = 'closing'
 
@@ -46,6 +48,8 @@
 
     # Applying a committed command raised an error.
     COMMAND_FAILED = 'command-failed'
+    # An entry or a snapshot is of a newer release.
+    UNKNOWN_FORMAT = 'unknown-format'
 
 
 class StorageReason(enum.Enum):
@@ -61,6 +65,8 @@
     BROKEN = 'broken'
     # A read failed.
     READ_FAILED = 'read-failed'
+    # It was written by a newer release.
+    UNKNOWN_FORMAT = 'unknown-format'
     # A write or sync failed.
     WRITE_FAILED = 'write-failed'
 
--- a/filbertglade/control/follower.py
+++ b/filbertglade/control/follower.py
@@ -6,9 +6,11 @@
 
 from filbertglade.control import entry_parts
 from filbertglade.control import failures
+from filbertglade.control import log_formats
 from filbertglade.control import state
 from filbertglade.control import store
 from filbertglade.control import voter_state
+from filbertglade import failures as base_failures
 from filbertglade.inner import agreement_pb2
 from filbertglade.observability import logs
 
@@ -53,6 +55,7 @@
             sequence=request.sequence,
             incarnation=voter.identity.incarnation,
             founding=voter.identity.founding,
+            log_format=log_formats.NEWEST_FORMAT,
         )
         async with voter.mutex:
             if await self._enter_term(request.term, request.leader):
@@ -225,7 +228,15 @@
                 failure = await writer.write(data)
                 if failure is not None:
                     return _refuse(failure)
-                loaded.load_chunk(data)
+                try:
+                    loaded.load_chunk(data)
+                except log_formats.UnknownFormatError as error:
+                    self._voter.halt(
+                        base_failures.Failure(
+                            failures.VoterReason.UNKNOWN_FORMAT, str(error)
+                        )
+                    )
+                    return False
             if last is None or writer is None:
                 return False
             finishing = self._voter.tasks.start(
--- a/filbertglade/control/leadership.py
+++ b/filbertglade/control/leadership.py
@@ -6,6 +6,7 @@
 from filbertglade import clock
 from filbertglade.control import entry_parts
 from filbertglade.control import failures
+from filbertglade.control import format_gate
 from filbertglade.control import quorum
 from filbertglade.control import replication
 from filbertglade.control import voters
@@ -65,6 +66,7 @@
         self._held: list[tuple[Pending, commands_pb2.CommandResult]] = []
         self._appended = asyncio.Event()
         self.commands = entry_parts.CommandCache()
+        self._formats = format_gate.FormatGate(voter, self)
         self.replicators: list[replication.Replicator] = []
         self._replication_tasks: dict[str, asyncio.Task[typing.Any]] = {}
         self._tasks: list[asyncio.Task[typing.Any]] = []
@@ -175,6 +177,13 @@
                 failures.SubmitReason.NO_LEADER,
                 'the leader is transferring its leadership',
             )
+        if not self._formats.may_append(command):
+            return failures.SubmitFailure(
+                failures.SubmitReason.UNSUPPORTED,
+                'a voter has an earlier release, or has not reported its own',
+            )
+        if self._formats.must_state(command):
+            self._append_no_operation()
         started_ms = clock.now_ms()
         index = self._append(command)
         future: Pending = asyncio.get_running_loop().create_future()
@@ -241,8 +250,10 @@
         return index
 
     def _append_no_operation(self) -> int:
-        command = commands_pb2.Command(no_operation=commands_pb2.NoOperation())
-        return self._append(command)
+        stated = commands_pb2.NoOperation(
+            log_format=self._formats.find_format()
+        )
+        return self._append(commands_pb2.Command(no_operation=stated))
 
     def complete_entry(
         self,
@@ -506,6 +517,7 @@
         missing = voter.journal.last_index - replicator.match_index
         return (
             replicator.replied_recently
+            and replicator.log_format >= voter.state.log_format
             and replicator.incarnation != listed
             and missing <= CAUGHT_UP_LAG_ENTRIES
         )
--- a/filbertglade/control/replication.py
+++ b/filbertglade/control/replication.py
@@ -62,6 +62,7 @@
         self.acknowledged_sent_ms = quorum.NO_VALUE
         self.incarnation = ''
         self.founding = False
+        self.log_format = 0
         self.sending_snapshot_index: int | None = None
         self._next_index = voter.journal.last_index + 1
         self._sequence = 0
@@ -353,6 +354,7 @@
             self.acknowledged_sent_ms = quorum.NO_VALUE
         self.incarnation = reply.incarnation
         self.founding = reply.founding
+        self.log_format = reply.log_format
         self._is_break_logged = False
         self.acknowledged_sent_ms = max(self.acknowledged_sent_ms, sent_ms)
         if reply.accepted:
--- a/filbertglade/control/snapshots.py
+++ b/filbertglade/control/snapshots.py
@@ -5,6 +5,7 @@
 
 from filbertglade import clock
 from filbertglade.control import failures
+from filbertglade.control import log_formats
 from filbertglade.control import state
 from filbertglade.control import store
 from filbertglade.control import voter_state
@@ -148,6 +149,10 @@
             if not chunk:
                 break
             loaded.load_chunk(chunk)
+    except log_formats.UnknownFormatError as error:
+        return failures.StorageFailure(
+            failures.StorageReason.UNKNOWN_FORMAT, str(error)
+        )
     finally:
         reader.close()
     agreed.adopt(loaded)
--- a/filbertglade/control/state.py
+++ b/filbertglade/control/state.py
@@ -3,6 +3,7 @@
 from collections import abc
 import struct
 
+from filbertglade.control import log_formats
 from filbertglade.control.tables import base
 from filbertglade.control.tables import claims
 from filbertglade.control.tables import configuration
@@ -14,6 +15,9 @@
 from filbertglade.inner import commands_pb2
 
 _HEADER = struct.Struct('>QQ')
+# Follows the header once the log format isn't the first one. Earlier releases
+# ignore it.
+_FORMAT = struct.Struct('>I')
 # First byte of the header chunk; other chunks begin with a table's position.
 _HEADER_TABLE = 255
 
@@ -25,11 +29,13 @@
 
     :ivar applied_index: index of the last log record applied.
     :ivar log_clock_ms: log clock of the last command applied, in ms.
+    :ivar log_format: the log format that all voters have reached.
     """
 
     def __init__(self) -> None:
         self.applied_index = 0
         self.log_clock_ms = 0
+        self.log_format = 0
         self.configuration = configuration.ConfigurationTable()
         self.groups = groups.GroupTable()
         self.claims = claims.ClaimTable()
@@ -55,12 +61,19 @@
         :param index: index of its log record.
         :param command: the command.
         :returns: the result of the command.
+        :raises log_formats.UnknownFormatError: the command is of a newer
+            release; nothing was changed.
         """
+        log_formats.check_known(command)
         self.applied_index = index
         self.log_clock_ms = max(self.log_clock_ms, command.stamped_ms)
         result = commands_pb2.CommandResult(index=index)
         kind = command.WhichOneof('kind')
-        if kind == 'put_configuration':
+        if kind == 'no_operation':
+            self.log_format = max(
+                self.log_format, command.no_operation.log_format
+            )
+        elif kind == 'put_configuration':
             configuration_result = self.configuration.apply(
                 command.put_configuration
             )
@@ -95,22 +108,31 @@
         The chunks hold the state at the time of the call.
         """
         dumps = [table.dump() for table in self._tables()]
-        return _join_dumps(
-            _HEADER.pack(self.applied_index, self.log_clock_ms), dumps
-        )
+        header = _HEADER.pack(self.applied_index, self.log_clock_ms)
+        if self.log_format:
+            header += _FORMAT.pack(self.log_format)
+        return _join_dumps(header, dumps)
 
     def load_chunk(self, chunk: bytes) -> None:
         """Load one chunk of a snapshot into an empty state.
 
         :param chunk: a chunk returned by :meth:`dump`; all must be loaded,
             in order.
+        :raises log_formats.UnknownFormatError: it is of a newer release.
         """
         table = chunk[0]
         if table == _HEADER_TABLE:
             header = _HEADER.unpack_from(chunk, 1)
             self.applied_index, self.log_clock_ms = header
+            if len(chunk) > 1 + _HEADER.size:
+                (self.log_format,) = _FORMAT.unpack_from(
+                    chunk, 1 + _HEADER.size
+                )
             return
-        self._tables()[table].load_chunk(chunk[1:])
+        tables = self._tables()
+        if table >= len(tables):
+            raise log_formats.UnknownFormatError(f'table {table}')
+        tables[table].load_chunk(chunk[1:])
 
     def adopt(self, other: 'AgreedState') -> None:
         """Replace the content by that of a loaded state.
@@ -119,6 +141,7 @@
         """
         self.applied_index = other.applied_index
         self.log_clock_ms = other.log_clock_ms
+        self.log_format = other.log_format
         for table, loaded in zip(self._tables(), other._tables(), strict=True):
             table.adopt(loaded)
         self._notify(commands_pb2.Command())
--- a/filbertglade/control/voter_state.py
+++ b/filbertglade/control/voter_state.py
@@ -9,6 +9,7 @@
 from filbertglade import clock
 from filbertglade.control import failures
 from filbertglade.control import journal
+from filbertglade.control import log_formats
 from filbertglade.control import quorum
 from filbertglade.control import state
 from filbertglade.control import store
@@ -367,6 +368,13 @@
         """Apply a batch of entries; halt if a command fails."""
         try:
             return self._apply_batch()
+        except log_formats.UnknownFormatError as error:
+            self.halt(
+                base_failures.Failure(
+                    failures.VoterReason.UNKNOWN_FORMAT, str(error)
+                )
+            )
+            return False
         except Exception as error:
             detail = f'{type(error).__name__}: {error}'
             self.halt(
