Keep the evacuations of data centres in the agreed state

An operator's order has to survive the loss of leaders and disks. The new table holds the evacuations in force and the index of the record that last changed them.

--- a/filbertglade/control/state.py
+++ b/filbertglade/control/state.py
@@ -8,6 +8,7 @@
 from filbertglade.control.tables import configuration
 from filbertglade.control.tables import departures
 from filbertglade.control.tables import document
+from filbertglade.control.tables import evacuations
 from filbertglade.control.tables import groups
 from filbertglade.control.tables import replicas
 from filbertglade.control.tables import voters
@@ -37,6 +38,7 @@
         self.document = document.DocumentTable()
         self.replicas = replicas.ReplicaTable()
         self.departures = departures.DepartureTable()
+        self.evacuations = evacuations.EvacuationTable()
         self._listeners: list[Listener] = []
 
     def add_listener(self, listener: Listener) -> None:
@@ -86,6 +88,11 @@
             result.replica.CopyFrom(replica_result)
         elif kind == 'departures':
             self.departures.apply(command.departures, self.log_clock_ms)
+        elif kind == 'evacuation_change':
+            evacuation_result = self.evacuations.apply(
+                command.evacuation_change, index, self.log_clock_ms
+            )
+            result.evacuation.CopyFrom(evacuation_result)
         self._notify(command)
         return result
 
@@ -133,6 +140,7 @@
             self.document,
             self.replicas,
             self.departures,
+            self.evacuations,
         )
 
     def _notify(self, command: commands_pb2.Command) -> None:
