Let operators start and end evacuations at control hosts

POST /v1/evacuations/NAME/start and /end commit an entry and are acknowledged only then; GET /v1/evacuations lists those in force. Other hosts redirect to the leader.

--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -17,7 +17,9 @@
 from filbertglade.fleet import departure_log
 from filbertglade.fleet import document
 from filbertglade.fleet import endpoints
+from filbertglade.fleet import evacuation_log
 from filbertglade.fleet import registry
+from filbertglade.gateway import evacuation_api
 from filbertglade.gateway import http_server
 from filbertglade.gateway import pending_documents
 from filbertglade.inner import commands_pb2
@@ -81,6 +83,7 @@
     :param counters: the process's metrics.
     :param observed: the leader's view of the replicas, which holds the
         document in force.
+    :ivar evacuations: commits operators' evacuations.
     :ivar documents: the documents that are being accepted.
     :ivar read_version: version of the newest document that was read.
     """
@@ -102,6 +105,9 @@
         self.departures = recorder
         self.counters = counters
         self.observed = observed
+        self.evacuations = evacuation_log.EvacuationLog(
+            agreed, voters, counters
+        )
         self.documents = pending_documents.PendingDocuments[Outcome]()
         self.read_version = 0
         self._read_changed = asyncio.Event()
@@ -158,6 +164,9 @@
     def __init__(self, context: ControlContext) -> None:
         self._context = context
         self._documents = DocumentApi(context)
+        self._evacuations = evacuation_api.EvacuationApi(
+            context.evacuations, context.voters
+        )
 
     def handle(self, request: http_server.Request) -> Answer:
         """Serve a request.
@@ -167,10 +176,13 @@
         """
         path = request.target.partition('?')[0]
         match = _ENDPOINT_PATH.fullmatch(path)
-        if match is None and path != ROUTING_PATH:
+        is_evacuation = evacuation_api.is_evacuation_path(path)
+        if match is None and path != ROUTING_PATH and not is_evacuation:
             return _respond(404, {'error': 'no such path'})
         if not self._context.voters.is_leader:
             return self._redirect(request.target)
+        if is_evacuation:
+            return self._evacuations.handle(request)
         if match is not None:
             if request.method != 'POST':
                 return _respond(405, {'error': 'only POST is possible'})
