Tell hosts the evacuated data centres in every frame of a leader

A host that starts, changes leaders or waits for the view learns them with its first frame; the first part of a large frame carries them too. A host ignores a lower index, so a late frame of an earlier leader changes nothing.

--- a/filbertglade/fleet/frames.py
+++ b/filbertglade/fleet/frames.py
@@ -27,12 +27,16 @@
     if frame.ByteSize() <= PART_BYTES:
         yield frame
         return
+    evacuated = frame.evacuated_data_centres
     data = memoryview(frame.SerializeToString())
     for start in range(0, len(data), PART_BYTES):
         yield fleet_pb2.FleetFrame(
             is_leader=frame.is_leader,
             part=bytes(data[start : start + PART_BYTES]),
             is_last_part=start + PART_BYTES >= len(data),
+            # Known at once, however long the other parts take.
+            evacuated_data_centres=() if start else evacuated,
+            evacuations_index=0 if start else frame.evacuations_index,
         )
 
 
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -247,6 +247,14 @@
             sending_bytes=watcher.sending_bytes,
         )
 
+    def _build_sign_of_life(self) -> fleet_pb2.FleetFrame:
+        evacuations = self._agreed.evacuations
+        return fleet_pb2.FleetFrame(
+            is_leader=True,
+            evacuated_data_centres=evacuations.names,
+            evacuations_index=evacuations.changed_index,
+        )
+
     def _build_redirection(self) -> fleet_pb2.FleetFrame:
         return fleet_pb2.FleetFrame(
             leader=self._voters.leader,
@@ -373,9 +381,7 @@
                 while needs_turn and turn.is_over:
                     if not await turn.take(MAX_FRAME_INTERVAL_MS):
                         # Shows between two parts that this host is alive.
-                        await stream.send_message(
-                            fleet_pb2.FleetFrame(is_leader=True)
-                        )
+                        await stream.send_message(self._build_sign_of_life())
                 await turn.run(
                     stream.send_message(message), WATCHER_TIMEOUT_MS
                 )
@@ -430,6 +436,8 @@
             control_hosts=self.list_control_hosts(),
             entry_nodes=len(self._entry_hosts.watchers),
             document_version=self._agreed.document.current.version,
+            evacuated_data_centres=self._agreed.evacuations.names,
+            evacuations_index=self._agreed.evacuations.changed_index,
         )
         index = self._replicas.observed.index
         unneeded_services: frozenset[str] = frozenset()
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -5,6 +5,7 @@
 from filbertglade import clock
 from filbertglade.fleet import document
 from filbertglade.fleet import endpoints
+from filbertglade.fleet import evacuated
 from filbertglade.fleet import struck_requests
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
@@ -30,6 +31,7 @@
     :ivar limits: requests a second that endpoints in need take from all hosts
         together, by incarnation key, each with the local clock when this host
         learned of it.
+    :ivar evacuated: the evacuated data centres.
     :ivar last_frame_ms: local clock at the leader's latest frame; None if none
         was received.
     """
@@ -43,6 +45,7 @@
         self.entry_nodes = 1
         self.last_frame_ms: int | None = None
         self.limits: dict[str, tuple[int, float]] = {}
+        self.evacuated = evacuated.EvacuatedDataCentres()
         self._allowances: dict[str, int] = {}
         self.struck = struck_requests.StruckRequests()
         self._by_service: dict[str, list[fleet_pb2.Endpoint]] = {}
@@ -100,6 +103,7 @@
         self.announced_version = max(
             self.announced_version, frame.document_version
         )
+        self.evacuated.apply(frame)
         if frame.entry_nodes:
             self.entry_nodes = frame.entry_nodes
         self.struck.apply_changes(frame.cleared, frame.struck)
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -299,6 +299,7 @@
         try:
             while frame is not None and frame.is_leader:
                 self._received_bytes += frame.ByteSize()
+                self._view.evacuated.apply(frame)
                 self._apply(assembler.add(frame))
                 async with asyncio.timeout(LEADER_TIMEOUT_MS / 1000):
                     frame = await stream.recv_message()
