Send no request to targets in evacuated data centres

A condition forbids targets whose head, or any member of whose group, is in an evacuated data centre. It is asked when targets are chosen and again right before sending, so first sends, retries, resumptions and trials are covered. If it rules out all targets, the refusal says 'data centre evacuated'. Conditions get the request's demand, so that others can depend on its route.

Tests of evidence pass the demand that ask and Clearance now take.

--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -220,7 +220,7 @@
 
         :param service: the service's name.
         :returns: those that aren't leaving; silent ones only if there are no
-            others.
+            others outside evacuated data centres.
         """
         remaining = [
             endpoint
@@ -230,7 +230,10 @@
         responsive = [
             endpoint for endpoint in remaining if not endpoint.silent
         ]
-        return responsive or remaining
+        evacuated = self.evacuated.names
+        if all(item.data_centre in evacuated for item in responsive):
+            return remaining
+        return responsive
 
     def list_leaving(self, service: str) -> list[fleet_pb2.Endpoint]:
         """Return the endpoints of a service that are leaving.
--- a/filbertglade/forwarding/choice.py
+++ b/filbertglade/forwarding/choice.py
@@ -66,7 +66,7 @@
         :returns: the target, or why there is none.
         """
         listed = self.list_targets(demand.service, demand.model)
-        candidates = self._evidence.select(listed, tried)
+        candidates = self._evidence.select(demand, listed, tried)
         if isinstance(candidates, failures.Failure):
             return candidates
         preferred = [
--- a/filbertglade/forwarding/evidence.py
+++ b/filbertglade/forwarding/evidence.py
@@ -14,11 +14,13 @@
 from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
+from filbertglade.forwarding import admission
 from filbertglade.forwarding import allowances
 from filbertglade.forwarding import containment
 from filbertglade.forwarding import crash_check
 from filbertglade.forwarding import faults
 from filbertglade.forwarding import loads
+from filbertglade.forwarding import send_conditions
 from filbertglade.forwarding import stall_detection
 from filbertglade.forwarding import suspicion
 from filbertglade.forwarding import targets
@@ -56,7 +58,7 @@
 
     def __init__(
         self,
-        reason: NoTargetReason,
+        reason: NoTargetReason | send_conditions.ForbiddenReason,
         retry_s: float = REPAIR_RETRY_AFTER_S,
         detail: str = '',
     ) -> None:
@@ -93,6 +95,7 @@
 class Clearance:
     """One request that may be sent to one endpoint, and what it was given.
 
+    :param demand: what the request demands.
     :param target: the endpoint, or the head of the replica.
     :param suspects: what may be to blame if the endpoint crashes.
     :param permissions: say whether the request is sent in a trial.
@@ -106,6 +109,7 @@
 
     __slots__ = (
         'allowance_ms',
+        'demand',
         'has_begun',
         'is_last_resort',
         'permissions',
@@ -116,12 +120,14 @@
 
     def __init__(
         self,
+        demand: admission.Demand,
         target: targets.Target,
         suspects: suspicion.Suspects,
         permissions: suspicion.Permissions,
         is_last_resort: bool,
         allowance_ms: int | None,
     ) -> None:
+        self.demand = demand
         self.target = target
         self.suspects = suspects
         self.permissions = permissions
@@ -164,6 +170,9 @@
         self._statements = stated
         stated.add_leaving_listener(self._handle_leaving)
         self._faults = faults.FaultTracker()
+        self._conditions = send_conditions.SendConditions(
+            [send_conditions.NotEvacuated(fleet_view)]
+        )
         self._allowed = allowances.Allowances(
             fleet_view, leader, counters, rng
         )
@@ -191,14 +200,26 @@
     # Before a request is sent
 
     def select(
-        self, candidates: list[targets.Target], tried: abc.Container[str]
+        self,
+        demand: admission.Demand,
+        candidates: list[targets.Target],
+        tried: abc.Container[str],
     ) -> list[targets.Target] | NoTarget:
         """Select the targets that may be sent a request now.
 
+        :param demand: what the request demands.
         :param candidates: targets that could run it.
         :param tried: load keys of those that were tried already.
         :returns: the targets, or why there is none.
         """
+        forbidding = self._conditions.find_forbidding(demand, candidates)
+        if forbidding is not None:
+            return NoTarget(forbidding.reason, forbidding.retry_s)
+        candidates = [
+            target
+            for target in candidates
+            if self._conditions.may_send(demand, target)
+        ]
         staying = [
             target for target in candidates if not self._says_leaving(target)
         ]
@@ -272,6 +293,7 @@
 
     async def ask(
         self,
+        demand: admission.Demand,
         target: targets.Target,
         suspects: suspicion.Suspects,
         remaining_ms: int,
@@ -280,6 +302,7 @@
 
         It may wait for a trial of a request that crashes endpoints.
 
+        :param demand: what the request demands.
         :param target: the target, from :meth:`select`.
         :param suspects: the request's suspects.
         :param remaining_ms: time until its deadline.
@@ -293,12 +316,13 @@
             return permissions
         # The wait may have changed what the endpoint takes.
         if not (
-            self._may_begin(target, says_leaving)
+            self._may_begin(demand, target, says_leaving)
             and self._allowed.may_send(target.key)
         ):
             self.suspicion.end(permissions, False)
             return failures.Failure(WithdrawnReason.CHANGED, target.key)
         return Clearance(
+            demand,
             target,
             suspects,
             permissions,
@@ -306,7 +330,14 @@
             self._allowed.take(target.key),
         )
 
-    def _may_begin(self, target: targets.Target, is_last_resort: bool) -> bool:
+    def _may_begin(
+        self,
+        demand: admission.Demand,
+        target: targets.Target,
+        is_last_resort: bool,
+    ) -> bool:
+        if not self._conditions.may_send(demand, target):
+            return False
         if self._statements.find_pause_ms(target.key):
             return False
         if not self._says_leaving(target):
@@ -323,7 +354,9 @@
         :returns: whether it may be sent.
         """
         target = clearance.target
-        if not self._may_begin(target, clearance.is_last_resort):
+        if not self._may_begin(
+            clearance.demand, target, clearance.is_last_resort
+        ):
             return False
         clearance.has_begun = True
         self.loads.record_start(target)
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -216,7 +216,7 @@
                 return
             self._is_retry_taken = False
             clearance = await self._context.evidence.ask(
-                target, self._suspects, self._remaining_ms()
+                demand, target, self._suspects, self._remaining_ms()
             )
             if isinstance(clearance, failures.Failure):
                 if clearance.reason is not evidence.WithdrawnReason.CHANGED:
--- a/tests/gateway_forwarding/test_evidence.py
+++ b/tests/gateway_forwarding/test_evidence.py
@@ -20,6 +20,7 @@
 
 DIALECT = dialects.DEFAULT
 DEADLINE_MS = 5000
+DEMAND = admission.Demand('api')
 SUSPECTS = suspicion.Suspects(b'request')
 FIRST, SECOND = 'i-1@1000', 'i-2@1000'
 
@@ -107,7 +108,7 @@
 
     async def send(self, target, status=200, **headers):
         """Send a request and read the head of its answer."""
-        clearance = await self.known.ask(target, SUSPECTS, DEADLINE_MS)
+        clearance = await self.known.ask(DEMAND, target, SUSPECTS, DEADLINE_MS)
         assert clearance
         assert self.known.begin(clearance, Stream())
         fields = httputil.HTTPHeaders(
@@ -255,14 +256,20 @@
             target.key: target
             for target in host.chooser.list_targets('api', '')
         }
-        leaving = await host.known.ask(targets[FIRST], SUSPECTS, DEADLINE_MS)
-        paused = await host.known.ask(targets[SECOND], SUSPECTS, DEADLINE_MS)
+        leaving = await host.known.ask(
+            DEMAND, targets[FIRST], SUSPECTS, DEADLINE_MS
+        )
+        paused = await host.known.ask(
+            DEMAND, targets[SECOND], SUSPECTS, DEADLINE_MS
+        )
         await host.learn_leaving(FIRST)
         await host.learn_pause(SECOND, 1)
         for clearance in (leaving, paused):
             assert not host.known.begin(clearance, Stream())
             host.known.end(clearance)
-        refusal = await host.known.ask(targets[SECOND], SUSPECTS, DEADLINE_MS)
+        refusal = await host.known.ask(
+            DEMAND, targets[SECOND], SUSPECTS, DEADLINE_MS
+        )
         assert refusal.reason is evidence.WithdrawnReason.CHANGED
         target = targets[FIRST]
         assert host.known.loads.count_in_flight(target) == 0
--- a/tests/gateway_forwarding/test_load.py
+++ b/tests/gateway_forwarding/test_load.py
@@ -81,7 +81,12 @@
 
     async def record_fault(self, target):
         clearance = evidence.Clearance(
-            target, b'', containment.Permission(), False, None
+            admission.Demand('models', 'big'),
+            target,
+            b'',
+            containment.Permission(),
+            False,
+            None,
         )
         await self.known.record(
             clearance, evidence.Sign.UNREACHABLE, 'refused'
--- a/tests/gateway_forwarding/test_stated_departures.py
+++ b/tests/gateway_forwarding/test_stated_departures.py
@@ -22,6 +22,7 @@
 from tests import virtual_time
 
 DIALECT = dialects.DEFAULT
+DEMAND = admission.Demand('api')
 SUSPECTS = suspicion.Suspects(b'request')
 KEY = 'i-1@1000'
 
@@ -93,11 +94,13 @@
         )
 
     def choose(self):
-        return self.chooser.choose(admission.Demand('api', ''), ())
+        return self.chooser.choose(DEMAND, ())
 
     async def begin(self):
         """Send a request."""
-        self.clearance = await self.known.ask(self.choose(), SUSPECTS, 30_000)
+        self.clearance = await self.known.ask(
+            DEMAND, self.choose(), SUSPECTS, 30_000
+        )
         assert self.known.begin(self.clearance, Stream())
 
     def answer(self, **headers):
