Plan without evacuated groups and spares

The leader marks groups with a member in an evacuated data centre. They stay formed and keep their models, but count as no capacity; spares there are used only to repair groups of their own fabric domain that need no load, and nothing is loaded there. Their requests in flight count as demand for the groups elsewhere. The end of an evacuation makes the groups usable at once.

A new leader that hasn't seen all members of a group takes it for evacuated while any evacuation is in force: the others may be in another data centre.

A log line and a gauge name the models that have no group left. The virtual engines of the tests can stand in several data centres.

--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -13,12 +13,13 @@
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
 from filbertglade.replicas import answering_groups
+from filbertglade.replicas import evacuated_groups
 from filbertglade.replicas import group_orders
 from filbertglade.replicas import observed_state
 from filbertglade.replicas import order_dispatch
 from filbertglade.replicas import orders
 from filbertglade.replicas import plan_types
-from filbertglade.replicas import planning
+from filbertglade.replicas import unserved_models
 from filbertglade.settings import gateway
 from filbertglade import tasks
 
@@ -88,6 +89,7 @@
         self.answering = answering_groups.AnsweringGroups(
             agreed, endpoint_registry, settings.endpoints.announce_ms
         )
+        self._unserved = unserved_models.UnservedModels(counters)
         self.has_traffic = False
         endpoint_registry.add_listener(self.wake)
 
@@ -104,6 +106,7 @@
         """Stop the control loop and pending orders."""
         await self._tasks.close()
         await self._dispatcher.close()
+        self._unserved.update((), ())
 
     def wake(self) -> None:
         """Start the next pass of the control loop soon."""
@@ -141,7 +144,9 @@
             return
         await self._end_rests()
         await self._release_lost_spares()
-        self._dispatcher.repeat_unanswered_loads()
+        self._dispatcher.repeat_unanswered_loads(
+            self._agreed.evacuations.names
+        )
         for service in index.model_services:
             with self._counters.measure_part('planning'):
                 actions = self._plan(service)
@@ -153,6 +158,12 @@
             with self._counters.measure_part('orders'):
                 self._orders.send(service.name)
         self.observed.summarize()
+        self._find_unserved_models()
+
+    def _find_unserved_models(self) -> None:
+        evacuated = self._agreed.evacuations.names
+        if evacuated or self._unserved.names:
+            self._unserved.update(self.observed.list_replicas(), evacuated)
 
     def _plan(self, service: document.Service) -> list[plan_types.Action]:
         assert service.engine is not None
@@ -165,7 +176,7 @@
         ]
         if not free and not groups:
             return []
-        return planning.Planner(
+        return evacuated_groups.plan(
             plan_types.PlannerInput(
                 service.models,
                 service.engine.slots,
@@ -174,7 +185,7 @@
                 self.has_traffic,
                 service.engine.far_x,
             )
-        ).plan()
+        )
 
     async def _end_rests(self) -> None:
         """End the rest of endpoints that may join another group."""
--- a/filbertglade/replicas/observed_state.py
+++ b/filbertglade/replicas/observed_state.py
@@ -11,6 +11,7 @@
 from filbertglade.inner import commands_pb2
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
+from filbertglade.replicas import evacuated_members
 from filbertglade.replicas import group_cache
 from filbertglade.replicas import order_dispatch
 from filbertglade.replicas import plan_types
@@ -67,6 +68,9 @@
         self._voters = voters
         self._registry = endpoint_registry
         self._dispatcher = dispatcher
+        self._evacuations = evacuated_members.EvacuatedMembers(
+            agreed, endpoint_registry
+        )
         self._started_ms = 0
         self._summarized_ms = 0
         self._replicas = group_cache.GroupCache(
@@ -142,7 +146,11 @@
         A group of which nothing has changed since the last call is returned
         as the same object.
         """
-        conditions = (self.index, self._find_unseen_version())
+        conditions = (
+            self.index,
+            self._find_unseen_version(),
+            self._agreed.evacuations.changed_index,
+        )
         return list(self._replicas.refresh(conditions))
 
     def _build_replica(
@@ -163,6 +171,7 @@
             replica.data_centre = head.data_centre
             replica.slots = head.slots
             replica.usable = self.is_serving(record)
+            replica.evacuated = self._evacuations.may_affect(record)
         return replica
 
     def _find_head(
@@ -253,6 +262,7 @@
             and (membership.group, membership.epoch)
             == (record.group, record.epoch)
             and membership.state == State.READY,
+            known.endpoint.data_centre in self._agreed.evacuations.names,
         )
 
     def list_groups(self, service: str) -> list[plan_types.Group]:
@@ -263,6 +273,7 @@
         conditions = (
             self._find_unseen_version(),
             len(self._dispatcher.fenced),
+            self._agreed.evacuations.changed_index,
         )
         groups = []
         for described_service, group in self._groups.refresh(conditions):
@@ -305,6 +316,7 @@
             cross_domain_members=frozenset(cross_domain),
             other_domains=tuple(cross_domain.values()),
             serves=self.is_serving(record),
+            is_evacuated=self._evacuations.affects(record, present),
         )
 
     def _find_domain(self, key: str) -> str:
--- a/filbertglade/replicas/order_dispatch.py
+++ b/filbertglade/replicas/order_dispatch.py
@@ -230,15 +230,22 @@
         with contextlib.suppress(ValueError):
             self._load_starts_ms.remove(load.ordered_ms)
 
-    def repeat_unanswered_loads(self) -> None:
+    def repeat_unanswered_loads(
+        self, evacuated: abc.Container[str] = ()
+    ) -> None:
         """Send the orders again that may not have reached their engines.
 
         An engine that is loading the model, or holds it, begins nothing.
+
+        :param evacuated: data centres in which nothing is loaded.
         """
         for key, load in list(self._loads.items()):
             if not load.is_unanswered or not self.find_loading_model(key):
                 continue
-            if self._registry.entries[key].is_usable:
+            known = self._registry.entries[key]
+            if known.endpoint.data_centre in evacuated:
+                continue
+            if known.is_usable:
                 self._order_load(key, load.model)
 
     def _order_load(self, key: str, model: str) -> bool:
--- a/filbertglade/replicas/plan_types.py
+++ b/filbertglade/replicas/plan_types.py
@@ -1,5 +1,6 @@
 """Input of the planner and the actions that it returns."""
 
+from collections import abc
 import dataclasses
 
 from filbertglade.fleet import document
@@ -22,6 +23,7 @@
     :param spare_model: the model of its spare group; empty if it is in
         none.
     :param is_warm: whether the endpoint has joined its spare group.
+    :param is_evacuated: whether it is in an evacuated data centre.
     """
 
     key: str
@@ -30,6 +32,7 @@
     staging_model: str = ''
     spare_model: str = ''
     is_warm: bool = False
+    is_evacuated: bool = False
 
     def join_rank(self, model: str) -> int:
         """Return the endpoint's rank for joining a group of a model.
@@ -64,6 +67,8 @@
     :param other_domains: fabric domain of each cross-domain member, with
         repeats.
     :param serves: whether it is open to requests and complete.
+    :param is_evacuated: whether a present member is in an evacuated data
+        centre; without present members, whether the head was.
     """
 
     name: str
@@ -77,6 +82,7 @@
     cross_domain_members: frozenset[str] = frozenset()
     other_domains: tuple[str, ...] = ()
     serves: bool = True
+    is_evacuated: bool = False
 
     @property
     def has_head(self) -> bool:
@@ -169,6 +175,8 @@
         model loads are not limited.
     :param cross_domain_slowdown: factor by which a group is slower if its
         members are in several fabric domains.
+    :param displaced: by model, requests in flight on groups that are not
+        part of the input, as they are evacuated.
     """
 
     models: list[document.ModelShape]
@@ -177,3 +185,4 @@
     free: list[FreeEndpoint]
     has_traffic: bool
     cross_domain_slowdown: float = 1.0
+    displaced: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -536,7 +536,7 @@
             group.in_flight
             for group in self._input.groups
             if group.model == shape.name
-        )
+        ) + self._input.displaced.get(shape.name, 0)
         slowdown = self._input.cross_domain_slowdown
         capacity = sum(
             1 / slowdown if group.cross_domain_members else 1.0
--- a/tests/replicas/virtual_engines.py
+++ b/tests/replicas/virtual_engines.py
@@ -26,12 +26,14 @@
 
     :param endpoint_registry: the leader's registry.
     :param domains: number of fabric domains that they stand in.
+    :param data_centres: where the domains are, one after the other.
     :ivar cut_off: ids of engines that the leader cannot reach, nor they it.
     """
 
-    def __init__(self, endpoint_registry, domains):
+    def __init__(self, endpoint_registry, domains, data_centres):
         self._registry = endpoint_registry
         self._domains = domains
+        self._data_centres = data_centres
         self._endpoints = {}
         self._announcing = []
         self.cut_off = set()
@@ -39,13 +41,15 @@
         self.most_in_flight = 0
 
     def appear(self, number):
+        domain = number % self._domains
+        places = self._data_centres
         endpoint = fleet_pb2.Endpoint(
             id=f'i-{number}',
             born_ms=5,
             service='models',
             address=f'10.0.{number // 200}.{number % 200}:80',
-            data_centre='north',
-            fabric_domain=f'd-{number % self._domains}',
+            data_centre=places[domain % len(places)],
+            fabric_domain=f'd-{domain}',
             slots=11,
             staged=['large' if number % 2 else 'small'],
         )
@@ -142,13 +146,14 @@
     :param domains: fabric domains that the engines stand in.
     :param large: members of a group of the one model.
     :param small: the same of the other.
+    :param data_centres: where the domains are, one after the other.
     """
 
-    def __init__(self, domains, large, small):
+    def __init__(self, domains, large, small, data_centres=('north',)):
         settings = control_settings.build_settings()
         self.agreed = state.AgreedState()
         self.registry = registry.Registry(settings.endpoints.announce_ms)
-        self.engines = Engines(self.registry, domains)
+        self.engines = Engines(self.registry, domains, data_centres)
         self.replicas = controller.ReplicaController(
             settings,
             self.agreed,
