Order evacuations from the command line and the nodes' API

filbertglade evacuate start|end NAME and evacuate list work against a node's administration API and against a gateway's control host, which have the same calls. Orders are sent again until they are acknowledged. status lists the evacuations. Names are checked, and evacuations described, in one place.

--- a/filbertglade/administration/application.py
+++ b/filbertglade/administration/application.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import hmac
+import json
 import typing
 
 from tornado import web
@@ -13,6 +14,7 @@
 from filbertglade.configuration import validation
 from filbertglade.control import failures
 from filbertglade.control import submitter
+from filbertglade.fleet import evacuation_log
 from filbertglade.inner import administration_pb2
 from filbertglade.inner import channels
 from filbertglade.inner import commands_pb2
@@ -103,6 +105,17 @@
 
         :param subject: which report.
         """
+        text = await self.read_report(subject)
+        if text:
+            self.set_header('Content-Type', 'application/json')
+            self.finish(text)
+
+    async def read_report(self, subject: administration_pb2.Subject) -> bytes:
+        """Return a report by the leader, or respond that there is none.
+
+        :param subject: which report.
+        :returns: its JSON text; empty if the response was sent.
+        """
         for host in self._settings.control.hosts:
             reply = await control_client.read_subject(
                 self._channels,
@@ -111,13 +124,12 @@
                 self._settings.timings.connect_timeout_ms,
             )
             if reply.text:
-                self.set_header('Content-Type', 'application/json')
-                self.finish(reply.text)
-                return
+                return reply.text
         self.set_header('Retry-After', RETRY_AFTER_S)
         self.send_error_body(
             503, 'no-leader', 'no control host knows a leader'
         )
+        return b''
 
 
 class UnknownHandler(OperatorHandler):
@@ -128,7 +140,53 @@
         self.send_error_body(404, 'no-such-path', 'the API has no such path')
 
 
-class ConfigurationHandler(OperatorHandler):
+class CommandHandler(OperatorHandler):
+    """Base class of handlers that change the agreed state."""
+
+    async def commit(
+        self, command: commands_pb2.Command
+    ) -> commands_pb2.CommandResult | failures.SubmitFailure:
+        """Commit a command; retry failed attempts until the time limit.
+
+        Retries are safe: a document is applied once per ``change_id``, and an
+        evacuation that is in force is not started again.
+
+        :param command: the command.
+        """
+        deadline_ms = clock.now_ms() + COMMIT_LIMIT_MS
+        may_have_applied = False
+        while True:
+            left_ms = deadline_ms - clock.now_ms()
+            result = await self._commands.submit(
+                command, max(1, min(left_ms, COMMIT_ATTEMPT_MS))
+            )
+            if not isinstance(result, failures.SubmitFailure):
+                return result
+            may_have_applied |= result.may_have_applied
+            if deadline_ms - clock.now_ms() <= RETRY_PAUSE_MS:
+                break
+            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+        reason = failures.SubmitReason(result.reason.value)
+        return failures.SubmitFailure(reason, result.detail, may_have_applied)
+
+    def send_failure(self, failure: failures.SubmitFailure) -> None:
+        """Respond that a command has no result.
+
+        :param failure: why.
+        """
+        self.set_header('Retry-After', RETRY_AFTER_S)
+        if failure.may_have_applied:
+            self.send_error_body(
+                504,
+                'outcome-unknown',
+                'the change may have been accepted; send the same again',
+            )
+        else:
+            kind = str(failure.reason.value)
+            self.send_error_body(503, kind, failure.detail or kind)
+
+
+class ConfigurationHandler(CommandHandler):
     """Handles the configuration document."""
 
     async def get(self) -> None:
@@ -155,9 +213,12 @@
         if document is None:
             self._send_problems(problems)
             return
-        result = await self._commit(_build_change(document, body))
+        command = commands_pb2.Command(
+            put_configuration=_build_change(document, body)
+        )
+        result = await self.commit(command)
         if isinstance(result, failures.SubmitFailure):
-            self._send_failure(result)
+            self.send_failure(result)
             return
         self._send_verdict(result.configuration)
 
@@ -176,43 +237,6 @@
             }
         )
 
-    async def _commit(
-        self, change: commands_pb2.PutConfiguration
-    ) -> commands_pb2.CommandResult | failures.SubmitFailure:
-        """Commit a change; retry failed attempts until the time limit.
-
-        Retries are safe: a change is applied once per ``change_id``.
-        """
-        command = commands_pb2.Command(put_configuration=change)
-        deadline_ms = clock.now_ms() + COMMIT_LIMIT_MS
-        may_have_applied = False
-        while True:
-            left_ms = deadline_ms - clock.now_ms()
-            result = await self._commands.submit(
-                command, max(1, min(left_ms, COMMIT_ATTEMPT_MS))
-            )
-            if not isinstance(result, failures.SubmitFailure):
-                return result
-            may_have_applied |= result.may_have_applied
-            if deadline_ms - clock.now_ms() <= RETRY_PAUSE_MS:
-                break
-            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
-        reason = failures.SubmitReason(result.reason.value)
-        return failures.SubmitFailure(reason, result.detail, may_have_applied)
-
-    def _send_failure(self, failure: failures.SubmitFailure) -> None:
-        self.set_header('Retry-After', RETRY_AFTER_S)
-        if failure.may_have_applied:
-            self.send_error_body(
-                504,
-                'outcome-unknown',
-                'the change may have been accepted; send it again with the '
-                'same change_id',
-            )
-        else:
-            kind = str(failure.reason.value)
-            self.send_error_body(503, kind, failure.detail or kind)
-
     def _send_verdict(self, result: commands_pb2.ConfigurationResult) -> None:
         name = Verdict.Verdict.Name(result.verdict).lower().replace('_', '-')
         body: dict[str, object] = {
@@ -262,6 +286,44 @@
         await self.send_report(administration_pb2.CONFIGURATION_HISTORY)
 
 
+class EvacuationListHandler(OperatorHandler):
+    """Lists the evacuations in force."""
+
+    async def get(self) -> None:
+        """Respond with the evacuations in force."""
+        text = await self.read_report(administration_pb2.CLUSTER)
+        if text:
+            evacuations = json.loads(text)['evacuations']
+            self.finish({'evacuations': evacuations})
+
+
+class EvacuationHandler(CommandHandler):
+    """Starts and ends evacuations."""
+
+    async def post(self, name: str, order: str) -> None:
+        """Submit an order; respond once it is committed.
+
+        :param name: name of the data centre.
+        :param order: whether its evacuation starts or ends.
+        """
+        if not evacuation_log.is_valid_name(name):
+            self.send_error_body(400, 'bad-name', evacuation_log.NAME_RULE)
+            return
+        command = commands_pb2.Command()
+        command.evacuation_change.data_centre = name
+        command.evacuation_change.active = order == 'start'
+        result = await self.commit(command)
+        if isinstance(result, failures.SubmitFailure):
+            self.send_failure(result)
+            return
+        if not result.evacuation.done:
+            self.set_header('Retry-After', RETRY_AFTER_S)
+            self.send_error_body(503, 'too-many', result.evacuation.detail)
+            return
+        log.change('evacuation.recorded', data_centre=name, order=order)
+        self.finish({'data_centre': name, 'evacuated': order == 'start'})
+
+
 class ClusterHandler(OperatorHandler):
     """Reports on nodes, groups, hosts and customers."""
 
@@ -296,6 +358,12 @@
             (r'/v1/config/status', ConfigurationStatusHandler, arguments),
             (r'/v1/config/history', ConfigurationHistoryHandler, arguments),
             (r'/v1/status', ClusterHandler, arguments),
+            (r'/v1/evacuations', EvacuationListHandler, arguments),
+            (
+                r'/v1/evacuations/([^/]*)/(start|end)',
+                EvacuationHandler,
+                arguments,
+            ),
         ],
         default_handler_class=UnknownHandler,
         default_handler_args=arguments,
--- a/filbertglade/administration/rendering.py
+++ b/filbertglade/administration/rendering.py
@@ -5,6 +5,7 @@
 from filbertglade import clock
 from filbertglade.control import agreement
 from filbertglade.control import state
+from filbertglade.fleet import evacuation_log
 from filbertglade.inner import administration_pb2
 from filbertglade.inner import commands_pb2
 from filbertglade.membership import presence
@@ -107,6 +108,10 @@
             'configuration': _render_change(
                 self._agreed.configuration.current
             ),
+            'evacuations': evacuation_log.describe(
+                self._agreed.evacuations.list_evacuations(),
+                self._voters.log_clock_ms(),
+            ),
             'voters': [
                 {
                     'name': voter.name,
--- a/filbertglade/cli.py
+++ b/filbertglade/cli.py
@@ -19,6 +19,9 @@
 )
 app.add_typer(config_app, name='config')
 
+evacuate_app = typer.Typer(no_args_is_help=True, help='Evacuate data centres.')
+app.add_typer(evacuate_app, name='evacuate')
+
 SettingsPath = typing.Annotated[
     pathlib.Path, typer.Option('--settings', help='The TOML settings file.')
 ]
@@ -114,6 +117,30 @@
     raise typer.Exit(command.apply(url, path, wait))
 
 
+@evacuate_app.command('start')
+def start_evacuation(name: str, url: AdministrationUrl = DEFAULT_URL) -> None:
+    """Send no more requests to a data centre."""
+    from filbertglade.commands import evacuate as command
+
+    raise typer.Exit(command.send_order(url, name, 'start'))
+
+
+@evacuate_app.command('end')
+def end_evacuation(name: str, url: AdministrationUrl = DEFAULT_URL) -> None:
+    """Send requests to a data centre again."""
+    from filbertglade.commands import evacuate as command
+
+    raise typer.Exit(command.send_order(url, name, 'end'))
+
+
+@evacuate_app.command('list')
+def list_evacuations(url: AdministrationUrl = DEFAULT_URL) -> None:
+    """Print the evacuations in force."""
+    from filbertglade.commands import evacuate as command
+
+    raise typer.Exit(command.list_evacuations(url))
+
+
 @app.command()
 def status(
     url: AdministrationUrl = DEFAULT_URL,
--- a/filbertglade/commands/status.py
+++ b/filbertglade/commands/status.py
@@ -8,6 +8,7 @@
 from filbertglade.commands import config
 
 TABLES = {
+    'evacuations': ('data_centre', 'since_index', 'lasted_ms'),
     'voters': ('name', 'incarnation', 'match_index', 'counts', 'reply_age_ms'),
     'nodes': (
         'name',
--- a/filbertglade/fleet/evacuation_log.py
+++ b/filbertglade/fleet/evacuation_log.py
@@ -1,5 +1,7 @@
 """Commits operators' evacuations of data centres to the agreed state."""
 
+from collections import abc
+
 from filbertglade import clock
 from filbertglade.control import agreement
 from filbertglade.control import failures
@@ -13,6 +15,37 @@
 # Longest wait for the commit of an order, in ms: an operator that isn't
 # answered within 1 s goes on to another control host.
 COMMIT_TIMEOUT_MS = 800
+# Longest name of a data centre, in bytes: each frame carries the names.
+MAX_NAME_BYTES = 200
+NAME_RULE = (
+    f'the name of a data centre is UTF-8 of 1 to {MAX_NAME_BYTES} bytes'
+)
+
+
+def is_valid_name(name: str) -> bool:
+    """Return whether a data centre of this name can be evacuated.
+
+    :param name: the name.
+    """
+    return 0 < len(name.encode()) <= MAX_NAME_BYTES
+
+
+def describe(
+    evacuations: abc.Iterable[commands_pb2.Evacuation], log_clock_ms: int
+) -> list[dict[str, object]]:
+    """Return evacuations as operators are shown them.
+
+    :param evacuations: the evacuations.
+    :param log_clock_ms: the log clock now.
+    """
+    return [
+        {
+            'data_centre': item.data_centre,
+            'since_index': item.since_index,
+            'lasted_ms': max(0, log_clock_ms - item.since_ms),
+        }
+        for item in evacuations
+    ]
 
 
 class EvacuationLog:
--- a/filbertglade/gateway/evacuation_api.py
+++ b/filbertglade/gateway/evacuation_api.py
@@ -11,8 +11,6 @@
 from filbertglade.fleet import evacuation_log
 from filbertglade.gateway import http_server
 
-# Longest name of a data centre, in bytes: each frame carries the names.
-MAX_NAME_BYTES = 200
 LIST_PATH = '/v1/evacuations'
 _ORDER_PATH = re.compile(
     r'/v1/evacuations/(?P<name>[^/]*)/(?P<order>start|end)'
@@ -62,28 +60,15 @@
             return _respond(405, {'error': 'only POST is possible'})
         name = _read_name(match['name'])
         if not name:
-            return _respond(
-                400,
-                {
-                    'error': 'the name of a data centre is UTF-8 of 1 to '
-                    f'{MAX_NAME_BYTES} bytes'
-                },
-            )
+            return _respond(400, {'error': evacuation_log.NAME_RULE})
         return self._order(name, match['order'] == 'start')
 
     def _list(self) -> http_server.Response:
         if not self._voters.is_leader:
             return _respond(503, {'error': 'this host no longer leads'})
-        evacuations = [
-            {
-                'data_centre': item.data_centre,
-                'since_index': item.since_index,
-                'lasted_ms': max(
-                    0, self._voters.log_clock_ms() - item.since_ms
-                ),
-            }
-            for item in self._recorder.list_evacuations()
-        ]
+        evacuations = evacuation_log.describe(
+            self._recorder.list_evacuations(), self._voters.log_clock_ms()
+        )
         return _respond(200, {'evacuations': evacuations})
 
     async def _order(self, name: str, is_active: bool) -> http_server.Response:
@@ -95,13 +80,11 @@
 
 def _read_name(quoted: str) -> str:
     """Return the name in a path; empty if it is not a valid one."""
-    octets = parse.unquote_to_bytes(quoted)
-    if len(octets) > MAX_NAME_BYTES:
-        return ''
     try:
-        return octets.decode()
+        name = parse.unquote(quoted, errors='strict')
     except UnicodeDecodeError:
         return ''
+    return name if evacuation_log.is_valid_name(name) else ''
 
 
 def _respond(
