Heed evacuations on the product's own nodes

Control hosts tell nodes that groups in evacuated data centres are incomplete and workers leaving, so nodes send them nothing. The group controller counts such groups as none, keeps them formed, takes no spares there for others and repairs them only from free hosts that hold the model.

--- a/filbertglade/groups/controller.py
+++ b/filbertglade/groups/controller.py
@@ -130,6 +130,7 @@
         for record, reason in self._rollout.list_drains(document):
             await self._writer.set_phase(record, commands_pb2.DRAINING, reason)
         await self._repairer.repair(document)
+        await self._repairer.repair_evacuated(document)
         await self._form_missing(document)
         self._reconciler.reconcile(document)
         self._warmer.preload_spares(document)
--- a/filbertglade/groups/hosts.py
+++ b/filbertglade/groups/hosts.py
@@ -231,6 +231,16 @@
         """
         return [host for host in record.hosts if self.is_lost(host)]
 
+    def is_evacuated(self, host: str) -> bool:
+        """Tell whether a host is in an evacuated data centre.
+
+        :param host: its name.
+        :returns: whether it is; False for a host that is not known.
+        """
+        seen = self._presence.hosts.get(host)
+        evacuated = self._agreed.evacuations.names
+        return seen is not None and seen.announcement.data_centre in evacuated
+
     def _list_unassigned(self, domain: str) -> list[str]:
         """Return a domain's hosts that are neither in a group nor leaving."""
         return [
--- a/filbertglade/groups/placement.py
+++ b/filbertglade/groups/placement.py
@@ -32,8 +32,33 @@
     def list_records(self, deployment: str) -> list[commands_pb2.GroupRecord]:
         """Return a deployment's groups that are not draining.
 
+        Evacuated groups are left out: they stay formed, but count as no
+        capacity.
+
+        :param deployment: the deployment's name.
+        """
+        return [
+            record
+            for record in self._list_all_records(deployment)
+            if not self._is_evacuated(record)
+        ]
+
+    def list_evacuated(
+        self, deployment: str
+    ) -> list[commands_pb2.GroupRecord]:
+        """Return a deployment's groups in evacuated data centres.
+
         :param deployment: the deployment's name.
         """
+        return [
+            record
+            for record in self._list_all_records(deployment)
+            if self._is_evacuated(record)
+        ]
+
+    def _list_all_records(
+        self, deployment: str
+    ) -> list[commands_pb2.GroupRecord]:
         return [
             record
             for record in self._agreed.groups.groups.values()
@@ -41,6 +66,9 @@
             and record.phase != commands_pb2.DRAINING
         ]
 
+    def _is_evacuated(self, record: commands_pb2.GroupRecord) -> bool:
+        return any(map(self._monitor.is_evacuated, record.hosts))
+
     def list_available(
         self,
         deployment: configuration_model.Deployment,
@@ -56,7 +84,11 @@
             spares reserved for deployments of higher priority.
         """
         weights = orders.name_weights(deployment)
-        free = self._monitor.list_free(domain)
+        free = [
+            host
+            for host in self._monitor.list_free(domain)
+            if not self._monitor.is_evacuated(host)
+        ]
         free.sort(key=lambda host: not self._monitor.holds(host, weights))
         reserved = sum(
             POLICIES[other.objective].count_spares(other)
--- a/filbertglade/groups/repair.py
+++ b/filbertglade/groups/repair.py
@@ -53,6 +53,36 @@
             if any(item.record is group.record for item in broken):
                 await self._repair(group, broken, document)
 
+    async def repair_evacuated(
+        self, document: configuration_model.Document
+    ) -> None:
+        """Repair evacuated groups from free hosts that need no load.
+
+        :param document: the document in force.
+        """
+        for deployment in document.deployments:
+            weights = orders.name_weights(deployment)
+            for record in self._placer.list_evacuated(deployment.name):
+                lost = self._monitor.list_lost(record)
+                if not lost or changes.is_outdated(record, deployment):
+                    continue
+                fitting = [
+                    host
+                    for host in self._monitor.list_free(record.fabric_domain)
+                    if self._monitor.is_evacuated(host)
+                    and self._monitor.holds(host, weights)
+                ]
+                if len(fitting) >= len(lost):
+                    replacements = dict(zip(lost, fitting, strict=False))
+                    await self._writer.replace_hosts(
+                        deployment,
+                        record,
+                        [
+                            replacements.get(host, host)
+                            for host in record.hosts
+                        ],
+                    )
+
     def _list_broken(
         self, document: configuration_model.Document
     ) -> list[policies.BrokenGroup]:
--- a/filbertglade/membership/routing_lines.py
+++ b/filbertglade/membership/routing_lines.py
@@ -6,6 +6,7 @@
 changed. An unchanged line is covered by the age that a frame's lines share.
 """
 
+from collections import abc
 import dataclasses
 
 from filbertglade import clock
@@ -45,12 +46,15 @@
 
 
 def build_group_line(
-    record: commands_pb2.GroupRecord, seen: presence.PresenceTable
+    record: commands_pb2.GroupRecord,
+    seen: presence.PresenceTable,
+    evacuated: abc.Container[str] = (),
 ) -> BuiltLine:
     """Summarise a group's hosts in one line.
 
     :param record: the group.
     :param seen: the newest announcements of hosts.
+    :param evacuated: data centres whose groups take no requests.
     """
     line = membership_pb2.GroupLine(
         group=record.group,
@@ -68,6 +72,7 @@
             host is None
             or host.is_lost
             or not host.serves(record.group, record.epoch)
+            or host.announcement.data_centre in evacuated
         ):
             line.complete = False
             continue
@@ -82,10 +87,13 @@
     return BuiltLine(f'group/{record.group}', line, load, proven_ms)
 
 
-def build_worker_line(host: presence.SeenHost) -> BuiltLine:
+def build_worker_line(
+    host: presence.SeenHost, evacuated: abc.Container[str] = ()
+) -> BuiltLine:
     """Return the line of a plain service's worker.
 
     :param host: the worker's host.
+    :param evacuated: data centres whose workers take no requests.
     """
     announcement = host.announcement
     line = membership_pb2.WorkerLine(
@@ -95,7 +103,7 @@
         region=announcement.region,
         data_centre=announcement.data_centre,
         address=announcement.address,
-        leaving=announcement.leaving,
+        leaving=announcement.leaving or announcement.data_centre in evacuated,
     )
     return BuiltLine(
         f'worker/{announcement.host}', line, announcement.load, host.proven_ms
@@ -274,8 +282,9 @@
             for record in self._agreed.groups.groups.values()
             if record.phase == commands_pb2.SERVING
         ]
+        evacuated = self._agreed.evacuations.names
         workers = [
-            build_worker_line(seen)
+            build_worker_line(seen, evacuated)
             for seen in self._seen.hosts.values()
             if seen.announcement.service and seen.is_proven(self._limit_ms)
         ]
@@ -284,7 +293,9 @@
         )
 
     def _build_group(self, record: commands_pb2.GroupRecord) -> BuiltLine:
-        built = build_group_line(record, self._seen)
+        built = build_group_line(
+            record, self._seen, self._agreed.evacuations.names
+        )
         is_absent = clock.now_ms() - built.proven_ms > self._limit_ms
         if is_absent and isinstance(built.line, membership_pb2.GroupLine):
             built.line.complete = False
--- a/tests/groups/fakes.py
+++ b/tests/groups/fakes.py
@@ -199,6 +199,7 @@
                     host=self.name,
                     run=f'run-{self.incarnation}',
                     sequence=self.sequence,
+                    data_centre=f'centre-of-{self.domain}',
                     fabric_domain=self.domain,
                     address=self.name,
                     order_address=self.name,
