Keep requests in the regions that route and customer allow

Cause: allowed_regions of routes and customers were read and not heeded.

Change: a condition of sending compares the region of a target's data centre, from the settings, with the intersection of both lists; it is checked in the choice and again before sending. Without an endpoint there the request is refused at once with a reason of its own. Documents whose regions leave no endpoint are accepted.

No run with two regions of real processes was made.

--- a/filbertglade/forwarding/admission.py
+++ b/filbertglade/forwarding/admission.py
@@ -71,6 +71,7 @@
         0 if unknown.
     :param engine: performance figures of the service's engines; None if
         unknown.
+    :param allowed_regions: regions in which it may run; None for all.
     """
 
     service: str
@@ -81,6 +82,7 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     engine: document.Engine | None = None
+    allowed_regions: frozenset[str] | None = None
 
     def has_capacity(self, load: int, slots: int, slowness: float) -> bool:
         """Return whether a replica may take one more request of this class.
--- a/filbertglade/forwarding/evidence.py
+++ b/filbertglade/forwarding/evidence.py
@@ -16,6 +16,7 @@
 from filbertglade.fleet import watcher
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import allowances
+from filbertglade.forwarding import allowed_regions
 from filbertglade.forwarding import containment
 from filbertglade.forwarding import crash_check
 from filbertglade.forwarding import faults
@@ -147,6 +148,7 @@
     :param stated: what endpoints state in their answers.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
+    :param regions: the region of each data centre.
     :ivar loads: counts of the requests in flight.
     :ivar stall_detector: detects replicas that stall.
     :ivar suspicion: contains what crashes endpoints.
@@ -162,6 +164,7 @@
         stated: statements.EndpointStatements,
         counters: metrics.Metrics,
         rng: random.Random,
+        regions: abc.Mapping[str, str] | None = None,
     ) -> None:
         self._dialect = dialect
         self._view = fleet_view
@@ -171,7 +174,10 @@
         stated.add_leaving_listener(self._handle_leaving)
         self._faults = faults.FaultTracker()
         self._conditions = send_conditions.SendConditions(
-            [send_conditions.NotEvacuated(fleet_view)]
+            [
+                allowed_regions.InAllowedRegion(regions or {}),
+                send_conditions.NotEvacuated(fleet_view),
+            ]
         )
         self._allowed = allowances.Allowances(
             fleet_view, leader, counters, rng
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -6,6 +6,7 @@
 from filbertglade import failures
 from filbertglade.fleet import document
 from filbertglade.forwarding import admission
+from filbertglade.forwarding import allowed_regions
 from filbertglade.forwarding import attempt
 from filbertglade.forwarding import context
 from filbertglade.forwarding import delivery
@@ -335,6 +336,7 @@
             self._prompt_tokens,
             self._answer_tokens,
             service.engine if service is not None else None,
+            allowed_regions.find_allowed(route, self._record.customer),
         )
 
     def _take_retry(self) -> bool:
--- a/filbertglade/forwarding/send_conditions.py
+++ b/filbertglade/forwarding/send_conditions.py
@@ -18,6 +18,7 @@
     """Why requests may not be sent to a target; callers are told."""
 
     EVACUATED = 'data centre evacuated'
+    REGION = 'no endpoint in an allowed region'
 
 
 class SendCondition(abc.ABC):
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -67,6 +67,7 @@
             stated,
             counters,
             rng,
+            {settings.data_centre: settings.region, **settings.data_centres},
         )
         self._context = context.ForwardingContext(
             dialect,
