--- a/filbertglade/observability/explain.py
+++ b/filbertglade/observability/explain.py
@@ -197,6 +197,8 @@
             return f'full queue: {reason} on the least loaded target'
         if 'no document' in reason:
             return 'leader lost: this process has had no document yet'
+        if 'data centre evacuated' in reason and not self._list_outcomes():
+            return 'evacuation: all endpoints are in evacuated data centres'
         if 'no endpoint' in reason and not self._list_outcomes():
             return self._explain_missing_endpoint()
         if 'timed-out' in reason or 'timed-out' in self._list_outcomes():
--- a/filbertglade/observability/report.py
+++ b/filbertglade/observability/report.py
@@ -24,6 +24,7 @@
     ('deadline', 'deadline'),
     ('want no requests', 'endpoints want no requests'),
     ('no endpoint', 'no endpoint'),
+    ('data centre evacuated', 'data centre evacuated'),
 )
 # Causes of refusals whose reason says nothing of the fleet, by their status.
 STATUS_CAUSES = {401: 'unknown key', 404: 'unknown route', 408: 'sent slowly'}
--- a/tests/gateway_forwarding/test_evacuated_targets.py
+++ b/tests/gateway_forwarding/test_evacuated_targets.py
@@ -13,6 +13,8 @@
 
 PLAIN = admission.Demand('api')
 MODEL = admission.Demand('models', 'big')
+# Of a response that is resumed at another group.
+RESUMED = admission.Demand('models', 'big', admission.AdmissionClass.STARTED)
 DATA_CENTRES = ('north', 'south', 'west')
 
 
@@ -71,7 +73,7 @@
         return {target.data_centre for target in selected or ()}
 
 
-@pytest.mark.parametrize('demand', (PLAIN, MODEL))
+@pytest.mark.parametrize('demand', (PLAIN, MODEL, RESUMED))
 def test_no_target_in_an_evacuated_data_centre_is_chosen(demand):
     async def check():
         host = Host()
@@ -100,7 +102,7 @@
     virtual_time.run(check())
 
 
-@pytest.mark.parametrize('demand', (PLAIN, MODEL))
+@pytest.mark.parametrize('demand', (PLAIN, MODEL, RESUMED))
 def test_refusal_names_the_evacuation(demand):
     async def check():
         host = Host()
@@ -126,7 +128,7 @@
 
 # Guards against a request that was chosen a target before the frame and is
 # sent after it: as it waits for a connection, or for a trial.
-@pytest.mark.parametrize('demand', (PLAIN, MODEL))
+@pytest.mark.parametrize('demand', (PLAIN, MODEL, RESUMED))
 def test_chosen_target_is_not_sent_after_the_frame(demand):
     async def check():
         host = Host()
