Show operators which models an evacuation leaves without a group

GET /v1/evacuations of a gateway names the models of which no usable group is outside evacuated data centres; status of the nodes names such deployments.

--- a/filbertglade/administration/rendering.py
+++ b/filbertglade/administration/rendering.py
@@ -112,6 +112,7 @@
                 self._agreed.evacuations.list_evacuations(),
                 self._voters.log_clock_ms(),
             ),
+            'deployments_without_group': self._list_unserved(),
             'voters': [
                 {
                     'name': voter.name,
@@ -129,6 +130,25 @@
             'customers': self._render_customers(),
         }
 
+    def _list_unserved(self) -> list[str]:
+        """Return the deployments whose serving groups are all evacuated."""
+        evacuated = self._agreed.evacuations.names
+        if not evacuated:
+            return []
+        affected: set[str] = set()
+        served: set[str] = set()
+        for record in self._agreed.groups.groups.values():
+            if record.phase != commands_pb2.SERVING:
+                continue
+            places = {
+                seen.announcement.data_centre
+                for host in record.hosts
+                if (seen := self._presence.hosts.get(host)) is not None
+            }
+            is_evacuated = bool(places & evacuated)
+            (affected if is_evacuated else served).add(record.deployment)
+        return sorted(affected - served)
+
     def _render_groups(self) -> list[dict[str, object]]:
         return [
             {
--- a/filbertglade/commands/status.py
+++ b/filbertglade/commands/status.py
@@ -52,6 +52,9 @@
     typer.echo(f'losses left: {status["losses_left"]}')
     if status['silent_nodes']:
         typer.echo(f'silent nodes: {_render(status["silent_nodes"])}')
+    if status['deployments_without_group']:
+        unserved = _render(status['deployments_without_group'])
+        typer.echo(f'evacuated, without another group: {unserved}')
     for title, columns in TABLES.items():
         typer.echo('')
         _print_table(title, columns, status[title])
--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -165,7 +165,7 @@
         self._context = context
         self._documents = DocumentApi(context)
         self._evacuations = evacuation_api.EvacuationApi(
-            context.evacuations, context.voters
+            context.evacuations, context.voters, context.observed
         )
 
     def handle(self, request: http_server.Request) -> Answer:
--- a/filbertglade/gateway/evacuation_api.py
+++ b/filbertglade/gateway/evacuation_api.py
@@ -10,6 +10,8 @@
 from filbertglade.control import agreement
 from filbertglade.fleet import evacuation_log
 from filbertglade.gateway import http_server
+from filbertglade.replicas import observed_state
+from filbertglade.replicas import unserved_models
 
 LIST_PATH = '/v1/evacuations'
 _ORDER_PATH = re.compile(
@@ -30,15 +32,18 @@
 
     :param recorder: commits the orders.
     :param voters: this host's part in agreement.
+    :param observed: the leader's view of the replicas.
     """
 
     def __init__(
         self,
         recorder: evacuation_log.EvacuationLog,
         voters: agreement.Agreement,
+        observed: observed_state.ObservedState,
     ) -> None:
         self._recorder = recorder
         self._voters = voters
+        self._observed = observed
 
     def handle(
         self, request: http_server.Request
@@ -69,7 +74,16 @@
         evacuations = evacuation_log.describe(
             self._recorder.list_evacuations(), self._voters.log_clock_ms()
         )
-        return _respond(200, {'evacuations': evacuations})
+        unserved = unserved_models.find_unserved(
+            self._observed.list_replicas()
+        )
+        return _respond(
+            200,
+            {
+                'evacuations': evacuations,
+                'models_without_group': sorted(unserved),
+            },
+        )
 
     async def _order(self, name: str, is_active: bool) -> http_server.Response:
         reason = await self._recorder.record(name, is_active)
--- a/filbertglade/replicas/unserved_models.py
+++ b/filbertglade/replicas/unserved_models.py
@@ -32,17 +32,7 @@
         :param replicas: all groups.
         :param evacuated: the evacuated data centres.
         """
-        names: frozenset[str] = frozenset()
-        if evacuated:
-            affected = {
-                _name(replica) for replica in replicas if replica.evacuated
-            }
-            served = {
-                _name(replica)
-                for replica in replicas
-                if replica.usable and not replica.evacuated
-            }
-            names = frozenset(affected - served)
+        names = find_unserved(replicas)
         if names == self.names:
             return
         log.change(
@@ -54,5 +44,22 @@
         self.names = names
 
 
+def find_unserved(
+    replicas: abc.Collection[fleet_pb2.Replica],
+) -> frozenset[str]:
+    """Return the models that have evacuated groups, and no usable others.
+
+    :param replicas: all groups.
+    :returns: these models, each as ``service/model``.
+    """
+    affected = {_name(replica) for replica in replicas if replica.evacuated}
+    served = {
+        _name(replica)
+        for replica in replicas
+        if replica.usable and not replica.evacuated
+    }
+    return frozenset(affected - served)
+
+
 def _name(replica: fleet_pb2.Replica) -> str:
     return f'{replica.service}/{replica.model}'
--- a/tests/administration/test_evacuations.py
+++ b/tests/administration/test_evacuations.py
@@ -1,15 +1,22 @@
 """Evacuations by the administration API of the product's own nodes."""
 
 import json
+import types
 
 import pytest
 
 from filbertglade.administration import control_client
+from filbertglade.administration import rendering
 from filbertglade.commands import client as commands_client
 from filbertglade.commands import evacuate
+from filbertglade.commands import status as status_command
 from filbertglade.control import failures
 from filbertglade.control import state
 from filbertglade.inner import administration_pb2
+from filbertglade.inner import commands_pb2
+from filbertglade.inner import membership_pb2
+from filbertglade.membership import presence
+from tests import virtual_time
 
 
 @pytest.fixture
@@ -78,3 +85,54 @@
     expected = ('POST', 'http://x/v1/evacuations/s%C3%BCd%2Fb/start')
     assert sent == [expected] * 3
     assert 'acknowledged' in capsys.readouterr().out
+
+
+# Guards against operators who don't notice what an evacuation takes away.
+def test_status_shows_evacuations(settings, monkeypatch, capsys):
+    agreed = state.AgreedState()
+    hosts = presence.PresenceTable()
+
+    async def render():
+        for number, place in enumerate(('north', 'south', 'north'), 1):
+            hosts.note_host(
+                membership_pb2.Announcement(
+                    host=f'h-{number}', data_centre=place, sequence=1
+                ),
+                0,
+            )
+            form = commands_pb2.GroupRecord(
+                group=f'g-{number}',
+                deployment='lost' if number == 3 else 'kept',
+                hosts=[f'h-{number}'],
+            )
+            change = commands_pb2.GroupChange(form=form)
+            agreed.groups.apply(change, number, 0)
+        for record in agreed.groups.groups.values():
+            record.phase = commands_pb2.SERVING
+        change = commands_pb2.EvacuationChange(
+            data_centre='north', active=True
+        )
+        agreed.apply(9, commands_pb2.Command(evacuation_change=change))
+        voters = types.SimpleNamespace(
+            log_clock_ms=lambda: 7,
+            status=lambda: types.SimpleNamespace(
+                leader='one',
+                term=1,
+                committed_index=9,
+                losses_left=0,
+                voters=[],
+            ),
+        )
+        renderer = rendering.Renderer(settings, agreed, voters, hosts)
+        return json.loads(renderer.render(administration_pb2.CLUSTER))
+
+    rendered = virtual_time.run(render())
+    assert rendered['evacuations'] == [
+        {'data_centre': 'north', 'since_index': 9, 'lasted_ms': 7}
+    ]
+    assert rendered['deployments_without_group'] == ['lost']
+    monkeypatch.setattr(commands_client, 'fetch_json', lambda url: rendered)
+    assert status_command.show_status('http://x', False) == 0
+    shown = capsys.readouterr().out
+    assert 'evacuations (1)' in shown
+    assert 'evacuated, without another group: lost' in shown
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -11,6 +11,7 @@
 from filbertglade.gateway import control_api
 from filbertglade.gateway import http_server
 from filbertglade.inner import commands_pb2
+from filbertglade.inner import fleet_pb2
 from filbertglade.observability import metrics
 from tests.control import cluster
 
@@ -22,6 +23,11 @@
 class _Observed:
     index = None
 
+    def list_replicas(self):
+        return [
+            fleet_pb2.Replica(service='models', model='big', evacuated=True)
+        ]
+
 
 def open_api(node):
     counters = metrics.Metrics()
@@ -56,8 +62,9 @@
     leader = await group.leader()
     answer = await call(leader, 'GET', '/v1/evacuations')
     assert answer.status == 200
-    listed = orjson.loads(answer.body)['evacuations']
-    return [item['data_centre'] for item in listed]
+    listed = orjson.loads(answer.body)
+    assert listed['models_without_group'] == ['models/big']
+    return [item['data_centre'] for item in listed['evacuations']]
 
 
 async def fill_log(leader):
@@ -184,3 +191,16 @@
                 assert not node.state.evacuations.names
 
     cluster.run(scenario())
+
+
+# Guards against an order that isn't answered in time to go on to another host.
+def test_order_whose_commit_takes_too_long_gets_503():
+    async def scenario():
+        async with cluster.Cluster(3) as group:
+            leader = await group.leader()
+            for node in group.up:
+                node.disk.write_s = 1.5
+            assert await order(leader) == 503
+            assert not leader.state.evacuations.names
+
+    cluster.run(scenario())
