--- a/filbertglade/fleet/endpoint_limits.py
+++ b/filbertglade/fleet/endpoint_limits.py
@@ -5,13 +5,12 @@
 so hosts that hear nothing send less and not more.
 """
 
-import collections
 from collections import abc
 import dataclasses
-import math
 import random
 
 from filbertglade import clock
+from filbertglade.fleet import host_demand
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
@@ -38,10 +37,6 @@
 END_DELAY_MS = 100
 # How long the end of an ended endpoint's limit is told to new watchers, in ms.
 ENDED_RETENTION_MS = 60_000
-# Time in which a host's demand falls to a third, in ms.
-DEMAND_DECAY_MS = 1000
-# Demand below which a host gets nothing, in requests.
-MIN_DEMAND = 0.05
 
 
 def find_lifetime_ms(requests_per_s: float) -> int:
@@ -62,7 +57,7 @@
     :param version: version of the latest change.
     :param left: requests that may be given now.
     :param divided_ms: local clock at the latest division.
-    :param demand: recent requests by host, which decay with each division.
+    :param demand: recent requests of hosts, which decay with each division.
     """
 
     requests_per_s: float
@@ -70,7 +65,9 @@
     version: int
     left: float = 0.0
     divided_ms: int = 0
-    demand: dict[str, float] = dataclasses.field(default_factory=dict)
+    demand: host_demand.HostDemand = dataclasses.field(
+        default_factory=host_demand.HostDemand
+    )
 
 
 class EndpointLimits:
@@ -138,7 +135,7 @@
     ) -> None:
         self.version += 1
         known = self._limited.get(endpoint)
-        demand = known.demand if known is not None else {}
+        demand = known.demand if known else host_demand.HostDemand()
         left = known.left if known is not None else 0.0
         self._limited[endpoint] = _Limited(
             requests_per_s,
@@ -159,7 +156,7 @@
         for endpoint, count in demand.items():
             limited = self._limited.get(endpoint)
             if limited is not None:
-                limited.demand[host] = limited.demand.get(host, 0.0) + count
+                limited.demand.record(host, count)
 
     def record_unused(self, unused: abc.Mapping[str, int]) -> None:
         """Record requests that hosts didn't send in time, to give them again.
@@ -210,28 +207,19 @@
                 self._counters.count('limited_requests_allowed', count)
         return allowances
 
-    def _divide(
-        self, limited: _Limited, now_ms: int
-    ) -> collections.Counter[str]:
+    def _divide(self, limited: _Limited, now_ms: int) -> abc.Mapping[str, int]:
         """Return how many requests each host gets of an endpoint now."""
         passed_ms = min(MAX_DIVISION_INTERVAL_MS, now_ms - limited.divided_ms)
         limited.divided_ms = now_ms
         new = limited.requests_per_s * passed_ms / 1000
         kept = max(1.0, limited.requests_per_s * MAX_KEPT_MS / 1000)
         limited.left = min(limited.left, kept) + new
-        decay = math.exp(-passed_ms / DEMAND_DECAY_MS)
-        limited.demand = {
-            host: demand * decay
-            for host, demand in limited.demand.items()
-            if demand * decay >= MIN_DEMAND
-        }
+        limited.demand.decay(passed_ms)
         count = int(limited.left)
         if not count or not limited.demand:
-            return collections.Counter()
+            return {}
         limited.left -= count
-        hosts = list(limited.demand)
-        weights = list(limited.demand.values())
-        return collections.Counter(self._rng.choices(hosts, weights, k=count))
+        return limited.demand.draw(count, self._rng)
 
     def write_changes(
         self, frame: fleet_pb2.FleetFrame, since_version: int
