Send to cold endpoints with permits of the leader only

A cold endpoint crashes well above the rate that its service states (cold_per_s), and hosts that know nothing of each other exceed it together.

The leader learns which endpoints are cold from announcements, from hosts' reports of answers, or from the start time, and tells it in the frame that tells the endpoint. It gives permits for single requests by demand: at most cold_per_s x cold_overage + cold_slack in the time within which permits are given that can be used in one second. A new leader gives none until those of earlier leaders have expired. Hosts prefer warm targets that have room.

Without cold_per_s in the document nothing is cold.

--- a/filbertglade/fleet/connected_watcher.py
+++ b/filbertglade/fleet/connected_watcher.py
@@ -4,6 +4,8 @@
 import dataclasses
 import enum
 
+from filbertglade import clock
+from filbertglade.fleet import cold_bound
 from filbertglade.fleet import shared_frames
 from filbertglade.inner import fleet_pb2
 
@@ -35,6 +37,8 @@
     :param trial_answers: answers to its trial requests that wait to be sent.
     :param allowances: what it may send to endpoints with limits, and hasn't
         been told.
+    :param permits: its permits for cold endpoints that wait to be sent, with
+        the local clock when they were given.
     :param leave_reason: why its stream ended; None while it runs.
     :param leave_error: type and text of the exception that ended it; empty if
         there was none.
@@ -55,6 +59,9 @@
     allowances: list[fleet_pb2.Allowance] = dataclasses.field(
         default_factory=list
     )
+    permits: list[tuple[int, fleet_pb2.Allowance]] = dataclasses.field(
+        default_factory=list
+    )
     leave_reason: LeaveReason | None = None
     leave_error: str = ''
 
@@ -85,7 +92,8 @@
         :param shared: the frame for several watchers.
         :returns: the frame itself if there is nothing to add.
         """
-        if not self.trial_answers and not self.allowances:
+        permits = self._take_permits(shared)
+        if not self.trial_answers and not self.allowances and not permits:
             return shared
         frame = fleet_pb2.FleetFrame()
         frame.CopyFrom(shared.frame)
@@ -93,4 +101,23 @@
         self.trial_answers.clear()
         frame.allowances.extend(self.allowances)
         self.allowances.clear()
+        frame.allowances.extend(permits)
         return shared_frames.prepare_frame(frame)
+
+    def _take_permits(
+        self, shared: shared_frames.SharedFrame
+    ) -> list[fleet_pb2.Allowance]:
+        """Take the permits that can be sent in time.
+
+        Those that waited, or would be sent with a large frame, may arrive too
+        late; nobody gets them.
+        """
+        now_ms = clock.now_ms()
+        taken, self.permits = self.permits, []
+        if len(shared.messages) > 1:
+            return []
+        return [
+            permit
+            for given_ms, permit in taken
+            if now_ms - given_ms <= cold_bound.MAX_HELD_MS
+        ]
--- a/filbertglade/fleet/endpoints.py
+++ b/filbertglade/fleet/endpoints.py
@@ -14,6 +14,9 @@
 NonEmptyText = document.NonEmptyText
 NonNegativeInt = document.NonNegativeInt
 
+# Longest time that fits in the messages, in ms.
+MAX_TIME_MS = 2**32 - 1
+
 
 class AnnouncementReason(enum.Enum):
     """Why an announcement is rejected."""
@@ -74,6 +77,7 @@
     :param staged: models staged on its host.
     :param group: the group that it is a member of.
     :param busy: whether it is carrying out an order.
+    :param cold_remaining_ms: how much longer it is cold.
     """
 
     __pydantic_config__ = document.LENIENT
@@ -90,6 +94,7 @@
     staged: list[str] | None = None
     group: AnnouncedMembership | None = None
     busy: bool | None = None
+    cold_remaining_ms: NonNegativeInt | None = None
 
 
 def make_key(endpoint_id: str, born_ms: int) -> str:
@@ -156,6 +161,7 @@
         sequence=announced.sequence,
         staged=announced.staged or [],
         busy=bool(announced.busy),
+        cold_remaining_ms=min(announced.cold_remaining_ms or 0, MAX_TIME_MS),
     )
     if announced.group is not None:
         endpoint.membership.group = announced.group.name
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -10,6 +10,9 @@
 from filbertglade.control import state
 from filbertglade.control import voters as control_voters
 from filbertglade.fleet import audience
+from filbertglade.fleet import cold_bound
+from filbertglade.fleet import cold_endpoints
+from filbertglade.fleet import cold_permits
 from filbertglade.fleet import connected_watcher
 from filbertglade.fleet import crash_evidence
 from filbertglade.fleet import endpoint_limits
@@ -55,6 +58,7 @@
     :param fleet_view: this host's own view, with the strikes that an earlier
         leader knew.
     :param counters: the process's metrics.
+    :param bound: how many requests cold endpoints may get.
     :ivar was_seeded: whether the registry started with endpoints that a
         previous leader had reported.
     """
@@ -68,6 +72,7 @@
         replicas: controller.ReplicaController,
         fleet_view: view.FleetView,
         counters: metrics.Metrics,
+        bound: cold_bound.ColdBound = cold_bound.DEFAULT_BOUND,
     ) -> None:
         self._agreed = agreed
         self._voters = voters
@@ -84,12 +89,20 @@
         self._limits = endpoint_limits.EndpointLimits(
             counters, random.Random()
         )
+        self._cold = cold_endpoints.ColdEndpoints(
+            counters, lambda: replicas.observed.index
+        )
+        self._permits = cold_permits.ColdPermits(
+            self._cold, bound, counters, random.Random()
+        )
+        endpoint_registry.read_cold = self._read_cold
         self._state = shared_frames.FleetState(
             endpoint_registry,
             replica_changes.ReplicaChanges(),
             load_totals.LoadTotals(),
             self._struck,
             self._limits,
+            self._cold,
         )
         self._reports = report_reader.ReportReader(
             agreed,
@@ -100,6 +113,8 @@
             self._arbiter,
             self._evidence,
             self._limits,
+            self._cold,
+            self._permits,
         )
         self._entry_hosts = audience.Audience(
             shared_frames.FrameBuilder(self._state, counters),
@@ -155,6 +170,8 @@
         self._arbiter.start_leading()
         self._evidence.clear()
         self._limits.start_leading(self._view.limits)
+        self._cold.start_leading(self._view.cold.cold)
+        self._permits.start_leading()
 
     # Serving
 
@@ -394,6 +411,7 @@
         if self._evidence.judge():
             self._notify_audiences()
         self._divide_limits()
+        self._divide_permits()
         self._track_distribution()
         before = self._state.replicas.version
         self._update_replicas()
@@ -402,6 +420,7 @@
 
     def _update_replicas(self) -> None:
         self._is_stale = False
+        self._cold.update(self._agreed.replicas.records)
         loads = self._state.loads
         self._replicas.observed.in_flight = loads.totals
         with self._counters.measure_part('replicas'):
@@ -451,6 +470,24 @@
         for watcher in self._entry_hosts.watchers.values():
             watcher.allowances += allowances.get(watcher.report.run, ())
 
+    def _read_cold(self, endpoint: fleet_pb2.Endpoint) -> None:
+        version = self._cold.version
+        self._cold.read_announcement(endpoint)
+        if self._cold.version != version:
+            self.notify_change()
+
+    def _divide_permits(self) -> None:
+        """Give watchers permits for cold endpoints, which expire soon."""
+        permits = self._permits.divide()
+        if not permits:
+            return
+        now_ms = clock.now_ms()
+        for watcher in self._entry_hosts.watchers.values():
+            given = permits.get(watcher.report.run)
+            if given:
+                watcher.permits += [(now_ms, permit) for permit in given]
+                watcher.changed_event.set()
+
     def _list_hosts_behind(self) -> list[str]:
         """Return the connected entry hosts without the newest document."""
         version = self._agreed.document.current.version
--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -68,6 +68,8 @@
     :ivar removed_versions: registry versions at which entries were removed,
         by incarnation key.
     :ivar version: incremented with each change.
+    :ivar read_cold: takes from an announcement how much longer its endpoint
+        is cold; None if nothing needs it.
     """
 
     def __init__(
@@ -96,6 +98,8 @@
         # Local clock when the newest incarnation was added.
         self.last_appearance_ms = 0
         self._listeners: list[abc.Callable[[], None]] = []
+        # Reads each announcement before it is compared and kept.
+        self.read_cold: abc.Callable[[fleet_pb2.Endpoint], None] | None = None
 
     def add_listener(self, listener: abc.Callable[[], None]) -> None:
         """Call a function after each change.
@@ -163,6 +167,8 @@
         self, entry: EndpointEntry, endpoint: fleet_pb2.Endpoint, key: str
     ) -> None:
         previous = entry.endpoint
+        if self.read_cold is not None:
+            self.read_cold(endpoint)
         endpoint.leaving = endpoint.leaving or previous.leaving
         entry.last_announced_ms = clock.now_ms()
         entry.is_overdue = False
@@ -375,6 +381,8 @@
         )
 
     def _add(self, endpoint: fleet_pb2.Endpoint) -> None:
+        if self.read_cold is not None:
+            self.read_cold(endpoint)
         key = endpoints.get_key(endpoint)
         early_ms = self._early_leaving_ms.pop(key, None)
         if early_ms is not None:
--- a/filbertglade/fleet/report_reader.py
+++ b/filbertglade/fleet/report_reader.py
@@ -3,6 +3,8 @@
 from collections import abc
 
 from filbertglade.control import state
+from filbertglade.fleet import cold_endpoints
+from filbertglade.fleet import cold_permits
 from filbertglade.fleet import connected_watcher
 from filbertglade.fleet import crash_evidence
 from filbertglade.fleet import endpoint_limits
@@ -28,6 +30,8 @@
     :param arbiter: decides about trials.
     :param evidence: responses that broke off.
     :param limits: limits that endpoints name.
+    :param cold: the cold endpoints.
+    :param permits: gives permits for these.
     """
 
     def __init__(
@@ -40,6 +44,8 @@
         arbiter: trials.TrialArbiter,
         evidence: crash_evidence.CrashEvidence,
         limits: endpoint_limits.EndpointLimits,
+        cold: cold_endpoints.ColdEndpoints,
+        permits: cold_permits.ColdPermits,
     ) -> None:
         self._agreed = agreed
         self._registry = endpoint_registry
@@ -49,6 +55,8 @@
         self._arbiter = arbiter
         self._evidence = evidence
         self._limits = limits
+        self._cold = cold
+        self._permits = permits
 
     def apply(
         self,
@@ -62,9 +70,10 @@
         :returns: whether all watchers must be told of a change soon.
         """
         watcher.report = report
-        before = (self._struck.trials_version, self._limits.version)
+        before = self._read_versions()
         self._apply_crashes(watcher, report)
         self._apply_limits(report)
+        self._apply_cold(report)
         for endpoint in report.leaving:
             self._registry.mark_leaving(endpoint, report.node)
         self._replicas.answering.note(report.answering)
@@ -74,7 +83,15 @@
             self._replicas.has_traffic = True
         if watcher.trial_answers:
             watcher.changed_event.set()
-        return before != (self._struck.trials_version, self._limits.version)
+        return before != self._read_versions()
+
+    def _read_versions(self) -> tuple[int, int, int]:
+        """Return the versions of what watchers are told of soon."""
+        return (
+            self._struck.trials_version,
+            self._limits.version,
+            self._cold.version,
+        )
 
     def _apply_crashes(
         self,
@@ -118,6 +135,13 @@
         self._limits.record_demand(report.limited_demand, report.run)
         self._limits.record_unused(report.unused_allowances)
 
+    def _apply_cold(self, report: fleet_pb2.WatchReport) -> None:
+        for cold in report.cold_endpoints:
+            entry = self._registry.entries.get(cold.endpoint)
+            service = entry.endpoint.service if entry is not None else ''
+            self._cold.read_report(cold, service, report.node)
+        self._permits.record_demand(report.limited_demand, report.run)
+
     def _list_members(
         self, broken: fleet_pb2.BrokenResponse
     ) -> abc.Iterable[str]:
--- a/filbertglade/fleet/shared_frames.py
+++ b/filbertglade/fleet/shared_frames.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from filbertglade.fleet import cold_endpoints
 from filbertglade.fleet import endpoint_limits
 from filbertglade.fleet import frames
 from filbertglade.fleet import load_totals
@@ -54,6 +55,7 @@
     :param struck: version of the struck requests.
     :param limits: version of the endpoints' limits.
     :param departures: version of the departures that are recorded.
+    :param cold: version of the cold endpoints.
     """
 
     endpoints: int = -1
@@ -62,6 +64,7 @@
     struck: int = -1
     limits: int = -1
     departures: int = -1
+    cold: int = -1
 
     @property
     def has_view(self) -> bool:
@@ -80,6 +83,7 @@
             and self.struck >= other.struck
             and self.limits >= other.limits
             and self.departures >= other.departures
+            and self.cold >= other.cold
         )
 
     def without_view(self) -> 'Versions':
@@ -88,6 +92,7 @@
             struck=self.struck,
             limits=self.limits,
             departures=self.departures,
+            cold=self.cold,
         )
 
 
@@ -132,6 +137,7 @@
     :param loads: requests in flight of all nodes.
     :param struck: requests under which endpoints crashed.
     :param limits: limits that endpoints name.
+    :param cold: the cold endpoints.
     """
 
     endpoints: registry.Registry
@@ -139,6 +145,7 @@
     loads: load_totals.LoadTotals
     struck: struck_requests.StruckRequests
     limits: endpoint_limits.EndpointLimits
+    cold: cold_endpoints.ColdEndpoints
 
     def read_versions(self) -> Versions:
         """Return the present versions."""
@@ -149,6 +156,7 @@
             self.struck.version,
             self.limits.version,
             self.endpoints.recorded.version,
+            self.cold.version,
         )
 
 
@@ -215,6 +223,7 @@
         header_bytes = frame.ByteSize()
         self._state.struck.write_changes(frame, sent.struck)
         self._state.limits.write_changes(frame, sent.limits)
+        self._state.cold.write_changes(frame, sent.cold)
         if has_view:
             frame.is_whole = not sent.has_view
             self._write_endpoints(frame, sent)
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from filbertglade import clock
+from filbertglade.fleet import cold_view
 from filbertglade.fleet import document
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import struck_requests
@@ -30,6 +31,7 @@
     :ivar limits: requests a second that endpoints in need take from all hosts
         together, by incarnation key, each with the local clock when this host
         learned of it.
+    :ivar cold: the endpoints that are cold.
     :ivar last_frame_ms: local clock at the leader's latest frame; None if none
         was received.
     """
@@ -43,6 +45,7 @@
         self.entry_nodes = 1
         self.last_frame_ms: int | None = None
         self.limits: dict[str, tuple[int, float]] = {}
+        self.cold = cold_view.ColdView()
         self._allowances: dict[str, int] = {}
         self.struck = struck_requests.StruckRequests()
         self._by_service: dict[str, list[fleet_pb2.Endpoint]] = {}
@@ -103,6 +106,7 @@
         if frame.entry_nodes:
             self.entry_nodes = frame.entry_nodes
         self.struck.apply_changes(frame.cleared, frame.struck)
+        self.cold.apply_frame(frame)
         for limit in frame.limits:
             self.set_limit(limit.endpoint, limit.requests_per_s)
         for allowance in frame.allowances:
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -98,6 +98,8 @@
         self._answered_ms: dict[tuple[str, int], int] = {}
         # By endpoint, with the local clock at the answer that named it.
         self._limits: dict[str, tuple[int, fleet_pb2.EndpointLimit]] = {}
+        # Cold endpoints of which the watched leader hasn't been told.
+        self._cold: dict[str, fleet_pb2.ColdEndpoint] = {}
         # Endpoints that have said that they leave, by the local clock when
         # they did, and those of which the watched leader hasn't been told.
         self._leaving_ms: dict[str, int] = {}
@@ -162,6 +164,14 @@
         self._limits[limit.endpoint] = (clock.now_ms(), limit)
         self._urgent_change.set()
 
+    def report_cold(self, cold: fleet_pb2.ColdEndpoint) -> None:
+        """Report to the leader that an endpoint's answer says it is cold.
+
+        :param cold: the endpoint.
+        """
+        self._cold[cold.endpoint] = cold
+        self._urgent_change.set()
+
     def report_leaving(self, endpoint: str) -> None:
         """Report to the leader that an endpoint says that it leaves.
 
@@ -195,6 +205,15 @@
                 )
                 self._limits[endpoint] = (named_ms, limit)
 
+    def _report_known_cold(self) -> None:
+        """Let the next report name all cold endpoints for a new leader."""
+        for name, (_, per_s) in self._view.cold.cold.items():
+            # Groups are the leader's own conclusion.
+            if name not in self._view.replicas:
+                self._cold[name] = fleet_pb2.ColdEndpoint(
+                    endpoint=name, requests_per_s=per_s
+                )
+
     async def _run(self) -> None:
         while True:
             for host in self._order_control_hosts():
@@ -235,6 +254,7 @@
             async with stub.Watch.open() as stream:
                 self.crashes.start_stream()
                 self._report_known_limits()
+                self._report_known_cold()
                 self._report_known_departures()
                 report = self._build_report()
                 async with asyncio.timeout(self._connect_timeout_ms / 1000):
@@ -338,6 +358,8 @@
             if current.requests_per_s == limit.requests_per_s:
                 del self._limits[limit.endpoint]
         self._unreported_leaving.difference_update(report.leaving)
+        for cold in report.cold_endpoints:
+            self._cold.pop(cold.endpoint, None)
         _subtract(self.limited_demand, report.limited_demand)
         _subtract(self.unused_allowances, report.unused_allowances)
 
@@ -378,6 +400,11 @@
         for named_ms, limit in self._limits.values():
             limit.age_ms = now_ms - named_ms
             report.limits.append(limit)
+        for cold in self._cold.values():
+            cold.remaining_ms = self._view.cold.find_remaining_ms(
+                cold.endpoint
+            )
+            report.cold_endpoints.append(cold)
         for (group, epoch), answered_ms in self._answered_ms.items():
             report.answering.add(
                 group=group, epoch=epoch, age_ms=now_ms - answered_ms
--- a/filbertglade/forwarding/choice.py
+++ b/filbertglade/forwarding/choice.py
@@ -6,6 +6,7 @@
 from filbertglade import failures
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
+from filbertglade.forwarding import cold_preference
 from filbertglade.forwarding import evidence
 from filbertglade.forwarding import targets
 
@@ -69,6 +70,16 @@
         candidates = self._evidence.select(listed, tried)
         if isinstance(candidates, failures.Failure):
             return candidates
+        return cold_preference.choose_warm_first(
+            candidates,
+            self._evidence,
+            demand,
+            lambda options: self._choose_returning_last(options, demand),
+        )
+
+    def _choose_returning_last(
+        self, candidates: list[targets.Target], demand: admission.Demand
+    ) -> targets.Target | evidence.NoTarget:
         preferred = [
             target
             for target in candidates
--- a/filbertglade/forwarding/evidence.py
+++ b/filbertglade/forwarding/evidence.py
@@ -19,6 +19,7 @@
 from filbertglade.forwarding import crash_check
 from filbertglade.forwarding import faults
 from filbertglade.forwarding import loads
+from filbertglade.forwarding import permits
 from filbertglade.forwarding import stall_detection
 from filbertglade.forwarding import suspicion
 from filbertglade.forwarding import targets
@@ -43,6 +44,8 @@
     LIMITED = 'limits used up'
     # All endpoints have said that they want no requests for some time.
     PAUSED = 'endpoints want no requests now'
+    # All endpoints are cold, and this host has no permit.
+    COLD = 'endpoints are cold'
 
 
 class NoTarget(failures.Failure):
@@ -100,6 +103,8 @@
         sent the request.
     :param allowance_ms: local clock at which the request that was taken of
         the endpoint's limit expires; None without a limit.
+    :param permit_ms: local clock at which the permit expires that a cold
+        endpoint needs; None for a warm one.
     :ivar has_begun: whether anything may have been sent.
     :ivar stream: told if the replica stalls; None without a replica.
     """
@@ -109,6 +114,7 @@
         'has_begun',
         'is_last_resort',
         'permissions',
+        'permit_ms',
         'stream',
         'suspects',
         'target',
@@ -121,12 +127,14 @@
         permissions: suspicion.Permissions,
         is_last_resort: bool,
         allowance_ms: int | None,
+        permit_ms: int | None = None,
     ) -> None:
         self.target = target
         self.suspects = suspects
         self.permissions = permissions
         self.is_last_resort = is_last_resort
         self.allowance_ms = allowance_ms
+        self.permit_ms = permit_ms
         self.has_begun = False
         self.stream: stall_detection.Stream | None = None
 
@@ -167,6 +175,7 @@
         self._allowed = allowances.Allowances(
             fleet_view, leader, counters, rng
         )
+        self._permits = permits.Permits(fleet_view, leader, counters)
         self.loads = loads.LoadTracker(fleet_view, leader.in_flight)
         self.stall_detector = stall_detection.StallDetector(
             self._faults, leader, fleet_view
@@ -224,8 +233,16 @@
             return self._explain_none(candidates)
         for target in open_now:
             self._allowed.record_demand(target.key)
+            self._permits.record_demand(target.key)
+        permitted = [
+            target for target in open_now if self._permits.may_send(target.key)
+        ]
+        if not permitted:
+            return NoTarget(NoTargetReason.COLD, OVERLOAD_RETRY_AFTER_S)
         allowed = [
-            target for target in open_now if self._allowed.may_send(target.key)
+            target
+            for target in permitted
+            if self._allowed.may_send(target.key)
         ]
         return allowed or self._explain_limited(candidates)
 
@@ -270,6 +287,17 @@
         """
         return self._statements.is_returning(target.key)
 
+    def is_cold(self, target: targets.Target) -> bool:
+        """Return whether warm targets go before a target.
+
+        A group is as cold as its coldest member.
+
+        :param target: the target.
+        """
+        return self._permits.is_cold(target.key) or (
+            bool(target.group) and self._permits.is_cold(target.group)
+        )
+
     async def ask(
         self,
         target: targets.Target,
@@ -295,6 +323,7 @@
         if not (
             self._may_begin(target, says_leaving)
             and self._allowed.may_send(target.key)
+            and self._permits.may_send(target.key)
         ):
             self.suspicion.end(permissions, False)
             return failures.Failure(WithdrawnReason.CHANGED, target.key)
@@ -304,6 +333,7 @@
             permissions,
             says_leaving,
             self._allowed.take(target.key),
+            self._permits.take(target.key),
         )
 
     def _may_begin(self, target: targets.Target, is_last_resort: bool) -> bool:
@@ -325,6 +355,8 @@
         target = clearance.target
         if not self._may_begin(target, clearance.is_last_resort):
             return False
+        if not self._permits.may_begin(target.key, clearance.permit_ms):
+            return False
         clearance.has_begun = True
         self.loads.record_start(target)
         if target.group:
@@ -363,6 +395,11 @@
             self._allowed.record_answer(
                 target.key, head.headers.get(self._dialect.limit)
             )
+            self._permits.record_answer(
+                target.key,
+                target.group,
+                head.headers.get(self._dialect.cold),
+            )
         if not self.is_not_run(head):
             self._faults.clear(target)
             return
@@ -411,6 +448,7 @@
                 self.stall_detector.remove_stream(target, clearance.stream)
         else:
             self._allowed.give_back(target.key, clearance.allowance_ms)
+            self._permits.give_back(target.key, clearance.permit_ms)
         self.suspicion.end(clearance.permissions, clearance.has_begun)
 
     def is_leaving(self, target: targets.Target) -> bool:
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -9,6 +9,7 @@
 from filbertglade.control import state
 from filbertglade.control import voters
 from filbertglade import failures
+from filbertglade.fleet import cold_bound
 from filbertglade.fleet import departure_log
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
@@ -145,6 +146,9 @@
             self._replicas,
             fleet_view,
             counters,
+            cold_bound.ColdBound(
+                settings.endpoints.cold_overage, settings.endpoints.cold_slack
+            ),
         )
         self.documents = document_server.DocumentServer(self._agreed, counters)
         assert settings.listen.control is not None
