Prefer warm endpoints as heads, and keep what start times show

Only a group's head receives its requests, so a cold head limits the group. The planner puts warm members first; plans are unchanged where nothing is cold. A new leader reads the start times of endpoints before it begins to lead, and keeps what they show.

--- a/filbertglade/fleet/cold_endpoints.py
+++ b/filbertglade/fleet/cold_endpoints.py
@@ -87,12 +87,13 @@
     def start_leading(
         self, known: abc.Mapping[str, tuple[int, float]]
     ) -> None:
-        """Start from what an earlier leader told its watchers.
+        """Add what an earlier leader told its watchers.
+
+        What the endpoints known so far showed by their start times stays.
 
         :param known: by endpoint, the local clock when it is no longer cold,
             and the requests a second that it takes.
         """
-        self.states.clear()
         for name, (end_ms, per_s) in known.items():
             self._extend(name, end_ms, per_s, '')
 
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -96,6 +96,7 @@
             self._cold, bound, counters, random.Random()
         )
         endpoint_registry.read_cold = self._read_cold
+        endpoint_registry.is_cold = lambda key: bool(self._cold.find(key))
         self._state = shared_frames.FleetState(
             endpoint_registry,
             replica_changes.ReplicaChanges(),
--- a/filbertglade/fleet/registry.py
+++ b/filbertglade/fleet/registry.py
@@ -70,6 +70,7 @@
     :ivar version: incremented with each change.
     :ivar read_cold: takes from an announcement how much longer its endpoint
         is cold; None if nothing needs it.
+    :ivar is_cold: tells whether an endpoint is cold, by incarnation key.
     """
 
     def __init__(
@@ -100,6 +101,7 @@
         self._listeners: list[abc.Callable[[], None]] = []
         # Reads each announcement before it is compared and kept.
         self.read_cold: abc.Callable[[fleet_pb2.Endpoint], None] | None = None
+        self.is_cold: abc.Callable[[str], bool] = lambda key: False
 
     def add_listener(self, listener: abc.Callable[[], None]) -> None:
         """Call a function after each change.
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -359,7 +359,9 @@
                 del self._limits[limit.endpoint]
         self._unreported_leaving.difference_update(report.leaving)
         for cold in report.cold_endpoints:
-            self._cold.pop(cold.endpoint, None)
+            # It may have been found cold for longer meanwhile.
+            if self._cold[cold.endpoint] == cold:
+                del self._cold[cold.endpoint]
         _subtract(self.limited_demand, report.limited_demand)
         _subtract(self.unused_allowances, report.unused_allowances)
 
--- a/filbertglade/replicas/observed_state.py
+++ b/filbertglade/replicas/observed_state.py
@@ -253,6 +253,7 @@
             and (membership.group, membership.epoch)
             == (record.group, record.epoch)
             and membership.state == State.READY,
+            self._registry.is_cold(key),
         )
 
     def list_groups(self, service: str) -> list[plan_types.Group]:
--- a/filbertglade/replicas/plan_types.py
+++ b/filbertglade/replicas/plan_types.py
@@ -22,6 +22,7 @@
     :param spare_model: the model of its spare group; empty if it is in
         none.
     :param is_warm: whether the endpoint has joined its spare group.
+    :param is_cold: whether the endpoint takes few requests after its start.
     """
 
     key: str
@@ -30,6 +31,7 @@
     staging_model: str = ''
     spare_model: str = ''
     is_warm: bool = False
+    is_cold: bool = False
 
     def join_rank(self, model: str) -> int:
         """Return the endpoint's rank for joining a group of a model.
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -244,7 +244,8 @@
         if len(fitting) < count:
             return None
         fitting.sort(key=lambda endpoint: endpoint.join_rank(model))
-        taken = fitting[:count]
+        # The first becomes the head, which receives the group's requests.
+        taken = sorted(fitting[:count], key=lambda endpoint: endpoint.is_cold)
         for endpoint in taken:
             self._free[domain].remove(endpoint)
         return [endpoint.key for endpoint in taken]
@@ -438,7 +439,9 @@
     ) -> None:
         endpoints = self._free[domain]
         endpoints.sort(key=lambda endpoint: shape.name not in endpoint.staged)
-        members = tuple(endpoint.key for endpoint in endpoints[: shape.size])
+        taken = endpoints[: shape.size]
+        taken.sort(key=lambda endpoint: endpoint.is_cold)
+        members = tuple(endpoint.key for endpoint in taken)
         del endpoints[: shape.size]
         self._actions.append(
             plan_types.FormGroup(
--- a/tests/replicas/test_planning.py
+++ b/tests/replicas/test_planning.py
@@ -329,3 +329,20 @@
     assert [action.group for action in released] == ['g']
     idle = [group('k', 'abcd', model='big', in_flight=1)]
     assert not pick(plan(idle, with_spares), plan_types.ReleaseGroup)
+
+
+# Guards against a head that may take few requests while a member could take
+# all of the group's.
+def test_a_cold_endpoint_heads_no_new_group_if_a_warm_one_is_at_hand():
+    def cold(key, **fields):
+        endpoint = spare(key, **fields)
+        endpoint.is_cold = True
+        return endpoint
+
+    first = plan(free=[cold('a'), cold('b'), spare('c'), spare('d')])
+    assert pick(first, plan_types.FormGroup)[0].members[0] in 'cd'
+    lost = group('g', 'abc', lost='ab')
+    again = plan([lost], [cold('x'), spare('y')])
+    assert pick(again, plan_types.FormGroup)[0].members == ('c', 'y', 'x')
+    all_cold = plan(free=[cold(key) for key in 'abcd'])
+    assert pick(all_cold, plan_types.FormGroup)
