--- a/filbertglade/fleet/cold_endpoints.py
+++ b/filbertglade/fleet/cold_endpoints.py
@@ -28,6 +28,24 @@
 END_MARGIN_MS = 300
 # How long the end of a cold state that a document has ended is told, in ms.
 ENDED_RETENTION_MS = 60_000
+# Longest text of a time.
+MAX_TEXT_LENGTH = 16
+
+
+def parse_remaining_ms(text: str | None) -> int:
+    """Return how much longer an endpoint is cold.
+
+    :param text: the header's value, in ms; None without the header.
+    :returns: the time; 0 if the text is no whole number.
+    """
+    if text is None:
+        return 0
+    text = text.strip()
+    if len(text) > MAX_TEXT_LENGTH or not (
+        text.isascii() and text.isdecimal()
+    ):
+        return 0
+    return min(int(text), MAX_COLD_MS)
 
 
 def compute_remaining_ms(born_ms: int, cold_start_s: float) -> int:
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -16,6 +16,7 @@
 from filbertglade.fleet import connected_watcher
 from filbertglade.fleet import crash_evidence
 from filbertglade.fleet import endpoint_limits
+from filbertglade.fleet import endpoints
 from filbertglade.fleet import load_totals
 from filbertglade.fleet import registry
 from filbertglade.fleet import replica_changes
@@ -471,6 +472,21 @@
         for watcher in self._entry_hosts.watchers.values():
             watcher.allowances += allowances.get(watcher.report.run, ())
 
+    def read_cold(self, endpoint: fleet_pb2.Endpoint, text: str) -> None:
+        """Read what an endpoint's health response says of its cold state.
+
+        :param endpoint: the endpoint.
+        :param text: how much longer it is cold, in ms.
+        """
+        version = self._cold.version
+        cold = fleet_pb2.ColdEndpoint(
+            endpoint=endpoints.get_key(endpoint),
+            remaining_ms=cold_endpoints.parse_remaining_ms(text),
+        )
+        self._cold.read_report(cold, endpoint.service, 'health response')
+        if self._cold.version != version:
+            self.notify_change()
+
     def _read_cold(self, endpoint: fleet_pb2.Endpoint) -> None:
         version = self._cold.version
         self._cold.read_announcement(endpoint)
--- a/filbertglade/forwarding/permits.py
+++ b/filbertglade/forwarding/permits.py
@@ -18,25 +18,6 @@
 
 log = logs.get_log(__name__)
 
-# Longest text of a time.
-MAX_TEXT_LENGTH = 16
-
-
-def parse_remaining_ms(text: str | None) -> int:
-    """Return how much longer an endpoint is cold.
-
-    :param text: the header's value, in ms; None without the header.
-    :returns: the time; 0 if the text is no whole number.
-    """
-    if text is None:
-        return 0
-    text = text.strip()
-    if len(text) > MAX_TEXT_LENGTH or not (
-        text.isascii() and text.isdecimal()
-    ):
-        return 0
-    return min(int(text), cold_endpoints.MAX_COLD_MS)
-
 
 class Permits:
     """Cold endpoints, and what this host may send to them.
@@ -151,7 +132,7 @@
         :param group: the group that it leads; empty if none.
         :param text: the header's value; None without the header.
         """
-        remaining_ms = parse_remaining_ms(text)
+        remaining_ms = cold_endpoints.parse_remaining_ms(text)
         per_s = self._find_per_s(endpoint, group) if remaining_ms else 0.0
         if not per_s:
             return
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -128,7 +128,10 @@
             lambda key: self._registry.mark_leaving(key, settings.name)
         )
         self._client = engine_client.HttpEngineClient(
-            dialect, stated, lambda: self.voters.is_leader
+            dialect,
+            stated,
+            lambda: self.voters.is_leader,
+            lambda endpoint, text: self.publisher.read_cold(endpoint, text),
         )
         self._replicas = controller.ReplicaController(
             settings,
--- a/filbertglade/replicas/engine_client.py
+++ b/filbertglade/replicas/engine_client.py
@@ -30,6 +30,8 @@
     :param stated: what engines state in their answers.
     :param may_order: whether this host may send orders now: it may lead no
         longer once a connection has been made.
+    :param read_cold: given each engine and what its answer says of how much
+        longer it is cold.
     """
 
     def __init__(
@@ -37,10 +39,14 @@
         dialect: dialects.Dialect,
         stated: statements.EndpointStatements,
         may_order: abc.Callable[[], bool],
+        read_cold: abc.Callable[
+            [fleet_pb2.Endpoint, str], None
+        ] = lambda endpoint, text: None,
     ) -> None:
         self._dialect = dialect
         self._stated = stated
         self._may_order = may_order
+        self._read_cold = read_cold
         self._calls: set[engine_call.EngineCall] = set()
         self._probe_slots = asyncio.Semaphore(MAX_CONCURRENT_PROBES)
 
@@ -124,6 +130,9 @@
         self._stated.read(
             endpoints.get_key(endpoint), response.status, response.headers
         )
+        cold = response.headers.get(self._dialect.cold)
+        if cold and response.status != statements.MISDIRECTED_STATUS:
+            self._read_cold(endpoint, cold)
         return response.status
 
     async def _call(
--- a/tests/fleet/test_told_cold.py
+++ b/tests/fleet/test_told_cold.py
@@ -135,3 +135,20 @@
             assert cold.remaining_ms >= 5000
 
     virtual_time.run(check())
+
+
+# Guards against a cold state that only a health response tells.
+def test_health_response_tells_the_cold_state():
+    async def check():
+        leader = build_leader(26.0)
+        announce(leader)
+        endpoint = leader.registry.entries['i-1@1000'].endpoint
+        for text in ('', '0', '-5', 'soon', '1' * 40):
+            leader.publisher.read_cold(endpoint, text)
+        assert not leader.publisher._state.cold.states
+        leader.publisher.read_cold(endpoint, '5000')
+        for frame in build_frames(leader):
+            [cold] = frame.cold_endpoints
+            assert cold.remaining_ms >= 5000
+
+    virtual_time.run(check())
--- a/tests/replicas/test_engine_client.py
+++ b/tests/replicas/test_engine_client.py
@@ -163,3 +163,33 @@
     assert [data for data in received if data] == [b'P'] * leads
     client.close()
     server.close()
+
+
+# Guards against a cold engine that is taken for warm though its health
+# responses say otherwise.
+async def test_health_response_that_says_cold_is_passed_on():
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nFilbertglade-Cold-Ms: 4500\r\n'
+            b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+        )
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    endpoint = fleet_pb2.Endpoint(id='i-1', address=f'127.0.0.1:{port}')
+    said = []
+    client = engine_client.HttpEngineClient(
+        dialects.DEFAULT,
+        statements.EndpointStatements(
+            dialects.DEFAULT.leaving, metrics.Metrics(), random.Random(1)
+        ),
+        lambda: True,
+        lambda endpoint, text: said.append((endpoint.id, text)),
+    )
+    assert await client.probe(endpoint)
+    assert said == [('i-1', '4500')]
+    client.close()
+    server.close()
