Let announcements of the cold state outlast its end

An endpoint that announces a shorter cold state than cold_start_s was taken for cold again by its start time once the announced one had ended. Hosts also drop ended cold states when they are told of others.

--- a/filbertglade/fleet/cold_endpoints.py
+++ b/filbertglade/fleet/cold_endpoints.py
@@ -28,6 +28,9 @@
 END_MARGIN_MS = 300
 # How long the end of a cold state that a document has ended is told, in ms.
 ENDED_RETENTION_MS = 60_000
+# Most endpoints of which it is remembered that they announce their cold state:
+# several times those of the largest fleet.
+MAX_ANNOUNCING = 4096
 # Longest text of a time.
 MAX_TEXT_LENGTH = 16
 
@@ -98,7 +101,7 @@
         self.states: dict[str, ColdState] = {}
         # Endpoints that have announced that they are cold: what they announce
         # holds, and not the time since their start.
-        self._announcing: set[str] = set()
+        self._announcing: dict[str, None] = {}
         self.version = 0
         counters.set_gauge('cold_endpoints', lambda: len(self.states))
 
@@ -141,7 +144,9 @@
             return
         key = endpoints.get_key(endpoint)
         if remaining_ms:
-            self._announcing.add(key)
+            self._announcing[key] = None
+            if len(self._announcing) > MAX_ANNOUNCING:
+                del self._announcing[next(iter(self._announcing))]
         elif key not in self._announcing:
             remaining_ms = compute_remaining_ms(
                 endpoint.born_ms, service.cold_start_s
@@ -218,7 +223,7 @@
 
         :param groups: the groups by name; the head is the first member.
         """
-        if not self.states and not self._announcing:
+        if not self.states:
             return
         now_ms = clock.now_ms()
         for name, state in list(self.states.items()):
@@ -233,7 +238,6 @@
                 )
             elif state.end_ms <= now_ms:
                 del self.states[name]
-                self._announcing.discard(name)
                 if state.per_s and name not in groups:
                     log.change('endpoint.warm', endpoint=name)
         for group, record in groups.items():
--- a/filbertglade/fleet/cold_view.py
+++ b/filbertglade/fleet/cold_view.py
@@ -37,6 +37,12 @@
         last_ms, self._last_frame_ms = self._last_frame_ms, now_ms
         if last_ms is not None and now_ms - last_ms > MAX_GAP_MS:
             self._ignores_until_ms = now_ms + IGNORED_MS
+        if frame.cold_endpoints:
+            self.cold = {
+                name: known
+                for name, known in self.cold.items()
+                if known[0] > now_ms
+            }
         for cold in frame.cold_endpoints:
             if cold.requests_per_s:
                 self.extend(
--- a/tests/fleet/test_cold_permits.py
+++ b/tests/fleet/test_cold_permits.py
@@ -449,6 +449,24 @@
     assert compute(0, 10.0) == 0
 
 
+# Guards against an endpoint that has announced the end of its cold state, and
+# is cold again by its start time.
+def test_what_an_endpoint_announces_goes_before_its_start_time():
+    """Load: an endpoint that is cold for 2 s, of 60 s after a start."""
+
+    async def main():
+        now_ms = int(cold_endpoints.time.time() * 1000)
+        leader = Leader(make_index(cold_start_s=60.0))
+        announce(leader.cold, f'e-1@{now_ms}', remaining_ms=2000)
+        announce(leader.cold, f'e-2@{now_ms}', remaining_ms=0)
+        await asyncio.sleep(2.5)
+        leader.cold.update({})
+        announce(leader.cold, f'e-1@{now_ms}', remaining_ms=0)
+        assert list(leader.cold.states) == [f'e-2@{now_ms}']
+
+    virtual_time.run(main())
+
+
 # Guards against cold members that make a group take no requests, and groups
 # that are taken for warm.
 def test_only_a_cold_head_needs_permits():
