--- a/tests/fleet/test_told_cold.py
+++ b/tests/fleet/test_told_cold.py
@@ -1,10 +1,14 @@
 """Whether hosts are told in time which endpoints are cold."""
 
+import asyncio
+import dataclasses
 import json
 import types
 
 import pytest
 
+from filbertglade.fleet import cold_bound
+from filbertglade.fleet import connected_watcher
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import shared_frames
 from filbertglade.fleet import view
@@ -152,3 +156,43 @@
             assert cold.remaining_ms >= 5000
 
     virtual_time.run(check())
+
+
+# Guards against permits that are given and not sent, or that wait for a
+# regular frame until they are of no use, or that are sent with a large one.
+@pytest.mark.parametrize('messages', [1, 2])
+def test_permits_are_sent_at_once(messages):
+    async def check():
+        leader = build_leader(26.0)
+        announce(leader, cold_remaining_ms=60_000)
+        served = leader.publisher
+        served.start_leading(was_seeded=True)
+        report = fleet_pb2.WatchReport(
+            node='n-1',
+            run='run-1',
+            takes_callers=True,
+            limited_demand={'i-1@1000': 5},
+        )
+        watcher = connected_watcher.ConnectedWatcher(report, 0)
+        served._entry_hosts.add(watcher)
+        await asyncio.sleep(cold_bound.QUIET_MS / 1000 + 0.1)
+        for _ in range(10):
+            served._reports.apply(watcher, report)
+            watcher.changed_event.clear()
+            await asyncio.sleep(0.1)
+            served.refresh()
+            if watcher.permits:
+                break
+        assert watcher.changed_event.is_set()
+        shared = shared_frames.prepare_frame(fleet_pb2.FleetFrame())
+        shared = dataclasses.replace(
+            shared, messages=shared.messages * messages
+        )
+        host = view.FleetView()
+        host.apply_frame(watcher.take_personal(shared).frame)
+        sent = host.cold.take_permits()
+        assert sent == ({'i-1@1000': 1} if messages == 1 else {})
+        assert not watcher.permits
+        assert leader.counters.counter('cold_permits_given') == 1
+
+    virtual_time.run(check())
