--- a/filbertglade/fleet/cold_endpoints.py
+++ b/filbertglade/fleet/cold_endpoints.py
@@ -102,6 +102,9 @@
         # Endpoints that have announced that they are cold: what they announce
         # holds, and not the time since their start.
         self._announcing: dict[str, None] = {}
+        # Announcements that came before the first document, by endpoint, with
+        # the local clock.
+        self._early: dict[str, tuple[int, fleet_pb2.Endpoint]] = {}
         self.version = 0
         counters.set_gauge('cold_endpoints', lambda: len(self.states))
 
@@ -139,6 +142,9 @@
         """
         remaining_ms = endpoint.cold_remaining_ms
         endpoint.ClearField('cold_remaining_ms')
+        if self._get_index() is None:
+            self._keep_early(endpoint, remaining_ms)
+            return
         service = self._find_service(endpoint.service)
         if service is None or not service.cold_per_s:
             return
@@ -159,6 +165,30 @@
             'announced',
         )
 
+    def _keep_early(
+        self, endpoint: fleet_pb2.Endpoint, remaining_ms: int
+    ) -> None:
+        early = fleet_pb2.Endpoint(
+            id=endpoint.id,
+            born_ms=endpoint.born_ms,
+            service=endpoint.service,
+            cold_remaining_ms=remaining_ms,
+        )
+        self._early[endpoints.get_key(endpoint)] = (clock.now_ms(), early)
+        if len(self._early) > MAX_ANNOUNCING:
+            del self._early[next(iter(self._early))]
+
+    def _read_early(self) -> None:
+        """Read the announcements that came before the first document."""
+        early, self._early = self._early, {}
+        now_ms = clock.now_ms()
+        for announced_ms, endpoint in early.values():
+            age_ms = now_ms - announced_ms
+            endpoint.cold_remaining_ms = max(
+                0, endpoint.cold_remaining_ms - age_ms
+            )
+            self.read_announcement(endpoint)
+
     def read_report(
         self,
         cold: fleet_pb2.ColdEndpoint,
@@ -223,6 +253,8 @@
 
         :param groups: the groups by name; the head is the first member.
         """
+        if self._early and self._get_index() is not None:
+            self._read_early()
         if not self.states:
             return
         now_ms = clock.now_ms()
--- a/tests/fleet/test_cold_permits.py
+++ b/tests/fleet/test_cold_permits.py
@@ -449,6 +449,28 @@
     assert compute(0, 10.0) == 0
 
 
+# Guards against endpoints that announce themselves to a leader which hasn't
+# read the document yet, and are taken for warm.
+def test_announcements_before_the_document_count():
+    """Load: a cold endpoint, then the document 1 s later."""
+
+    async def main():
+        found = [None]
+        cold = cold_endpoints.ColdEndpoints(
+            metrics.Metrics(), lambda: found[0]
+        )
+        announce(cold, remaining_ms=5000)
+        announce(cold, 'e-2@1000', remaining_ms=0)
+        cold.update({})
+        await asyncio.sleep(1)
+        found[0] = make_index()
+        cold.update({})
+        assert list(cold.states) == [KEY]
+        assert 5000 <= cold.find(KEY).end_ms <= 5500
+
+    virtual_time.run(main())
+
+
 # Guards against an endpoint that has announced the end of its cold state, and
 # is cold again by its start time.
 def test_what_an_endpoint_announces_goes_before_its_start_time():
