--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from filbertglade import clock
+from filbertglade.fleet import cold_view
 from filbertglade.fleet import document
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import evacuated
@@ -32,6 +33,7 @@
         together, by incarnation key, each with the local clock when this host
         learned of it.
     :ivar evacuated: the evacuated data centres.
+    :ivar cold: the endpoints that are cold.
     :ivar last_frame_ms: local clock at the leader's latest frame; None if none
         was received.
     """
@@ -46,6 +48,7 @@
         self.last_frame_ms: int | None = None
         self.limits: dict[str, tuple[int, float]] = {}
         self.evacuated = evacuated.EvacuatedDataCentres()
+        self.cold = cold_view.ColdView()
         self._allowances: dict[str, int] = {}
         self.struck = struck_requests.StruckRequests()
         self._by_service: dict[str, list[fleet_pb2.Endpoint]] = {}
@@ -107,6 +110,7 @@
         if frame.entry_nodes:
             self.entry_nodes = frame.entry_nodes
         self.struck.apply_changes(frame.cleared, frame.struck)
+        self.cold.apply_frame(frame)
         for limit in frame.limits:
             self.set_limit(limit.endpoint, limit.requests_per_s)
         for allowance in frame.allowances:
--- a/filbertglade/replicas/observed_state.py
+++ b/filbertglade/replicas/observed_state.py
@@ -263,6 +263,7 @@
             == (record.group, record.epoch)
             and membership.state == State.READY,
             known.endpoint.data_centre in self._agreed.evacuations.names,
+            self._registry.is_cold(key),
         )
 
     def list_groups(self, service: str) -> list[plan_types.Group]:
--- a/filbertglade/replicas/plan_types.py
+++ b/filbertglade/replicas/plan_types.py
@@ -24,6 +24,7 @@
         none.
     :param is_warm: whether the endpoint has joined its spare group.
     :param is_evacuated: whether it is in an evacuated data centre.
+    :param is_cold: whether the endpoint takes few requests after its start.
     """
 
     key: str
@@ -33,6 +34,7 @@
     spare_model: str = ''
     is_warm: bool = False
     is_evacuated: bool = False
+    is_cold: bool = False
 
     def join_rank(self, model: str) -> int:
         """Return the endpoint's rank for joining a group of a model.
