--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -11,12 +11,10 @@
 from filbertglade.control import voters as control_voters
 from filbertglade.fleet import audience
 from filbertglade.fleet import cold_bound
-from filbertglade.fleet import cold_endpoints
-from filbertglade.fleet import cold_permits
+from filbertglade.fleet import cold_leading
 from filbertglade.fleet import connected_watcher
 from filbertglade.fleet import crash_evidence
 from filbertglade.fleet import endpoint_limits
-from filbertglade.fleet import endpoints
 from filbertglade.fleet import load_totals
 from filbertglade.fleet import registry
 from filbertglade.fleet import replica_changes
@@ -62,6 +60,7 @@
     :param bound: how many requests cold endpoints may get.
     :ivar was_seeded: whether the registry started with endpoints that a
         previous leader had reported.
+    :ivar cold: learns which endpoints are cold.
     """
 
     def __init__(
@@ -90,21 +89,20 @@
         self._limits = endpoint_limits.EndpointLimits(
             counters, random.Random()
         )
-        self._cold = cold_endpoints.ColdEndpoints(
-            counters, lambda: replicas.observed.index
-        )
-        self._permits = cold_permits.ColdPermits(
-            self._cold, bound, counters, random.Random()
+        self.cold = cold_leading.ColdLeading(
+            endpoint_registry,
+            lambda: replicas.observed.index,
+            bound,
+            counters,
+            self.notify_change,
         )
-        endpoint_registry.read_cold = self._read_cold
-        endpoint_registry.is_cold = lambda key: bool(self._cold.find(key))
         self._state = shared_frames.FleetState(
             endpoint_registry,
             replica_changes.ReplicaChanges(),
             load_totals.LoadTotals(),
             self._struck,
             self._limits,
-            self._cold,
+            self.cold.states,
         )
         self._reports = report_reader.ReportReader(
             agreed,
@@ -115,8 +113,7 @@
             self._arbiter,
             self._evidence,
             self._limits,
-            self._cold,
-            self._permits,
+            self.cold,
         )
         self._entry_hosts = audience.Audience(
             shared_frames.FrameBuilder(self._state, counters),
@@ -172,8 +169,7 @@
         self._arbiter.start_leading()
         self._evidence.clear()
         self._limits.start_leading(self._view.limits)
-        self._cold.start_leading(self._view.cold.cold)
-        self._permits.start_leading()
+        self.cold.start_leading(self._view.cold.cold)
 
     # Serving
 
@@ -413,7 +409,7 @@
         if self._evidence.judge():
             self._notify_audiences()
         self._divide_limits()
-        self._divide_permits()
+        self.cold.give_permits(self._entry_hosts.watchers.values())
         self._track_distribution()
         before = self._state.replicas.version
         self._update_replicas()
@@ -422,7 +418,7 @@
 
     def _update_replicas(self) -> None:
         self._is_stale = False
-        self._cold.update(self._agreed.replicas.records)
+        self.cold.states.update(self._agreed.replicas.records)
         loads = self._state.loads
         self._replicas.observed.in_flight = loads.totals
         with self._counters.measure_part('replicas'):
@@ -472,39 +468,6 @@
         for watcher in self._entry_hosts.watchers.values():
             watcher.allowances += allowances.get(watcher.report.run, ())
 
-    def read_cold(self, endpoint: fleet_pb2.Endpoint, text: str) -> None:
-        """Read what an endpoint's health response says of its cold state.
-
-        :param endpoint: the endpoint.
-        :param text: how much longer it is cold, in ms.
-        """
-        version = self._cold.version
-        cold = fleet_pb2.ColdEndpoint(
-            endpoint=endpoints.get_key(endpoint),
-            remaining_ms=cold_endpoints.parse_remaining_ms(text),
-        )
-        self._cold.read_report(cold, endpoint.service, 'health response')
-        if self._cold.version != version:
-            self.notify_change()
-
-    def _read_cold(self, endpoint: fleet_pb2.Endpoint) -> None:
-        version = self._cold.version
-        self._cold.read_announcement(endpoint)
-        if self._cold.version != version:
-            self.notify_change()
-
-    def _divide_permits(self) -> None:
-        """Give watchers permits for cold endpoints, which expire soon."""
-        permits = self._permits.divide()
-        if not permits:
-            return
-        now_ms = clock.now_ms()
-        for watcher in self._entry_hosts.watchers.values():
-            given = permits.get(watcher.report.run)
-            if given:
-                watcher.permits += [(now_ms, permit) for permit in given]
-                watcher.changed_event.set()
-
     def _list_hosts_behind(self) -> list[str]:
         """Return the connected entry hosts without the newest document."""
         version = self._agreed.document.current.version
--- a/filbertglade/fleet/report_reader.py
+++ b/filbertglade/fleet/report_reader.py
@@ -3,8 +3,7 @@
 from collections import abc
 
 from filbertglade.control import state
-from filbertglade.fleet import cold_endpoints
-from filbertglade.fleet import cold_permits
+from filbertglade.fleet import cold_leading
 from filbertglade.fleet import connected_watcher
 from filbertglade.fleet import crash_evidence
 from filbertglade.fleet import endpoint_limits
@@ -30,8 +29,7 @@
     :param arbiter: decides about trials.
     :param evidence: responses that broke off.
     :param limits: limits that endpoints name.
-    :param cold: the cold endpoints.
-    :param permits: gives permits for these.
+    :param cold: learns which endpoints are cold.
     """
 
     def __init__(
@@ -44,8 +42,7 @@
         arbiter: trials.TrialArbiter,
         evidence: crash_evidence.CrashEvidence,
         limits: endpoint_limits.EndpointLimits,
-        cold: cold_endpoints.ColdEndpoints,
-        permits: cold_permits.ColdPermits,
+        cold: cold_leading.ColdLeading,
     ) -> None:
         self._agreed = agreed
         self._registry = endpoint_registry
@@ -56,7 +53,6 @@
         self._evidence = evidence
         self._limits = limits
         self._cold = cold
-        self._permits = permits
 
     def apply(
         self,
@@ -73,7 +69,7 @@
         before = self._read_versions()
         self._apply_crashes(watcher, report)
         self._apply_limits(report)
-        self._apply_cold(report)
+        self._cold.read_report(report)
         for endpoint in report.leaving:
             self._registry.mark_leaving(endpoint, report.node)
         self._replicas.answering.note(report.answering)
@@ -90,7 +86,7 @@
         return (
             self._struck.trials_version,
             self._limits.version,
-            self._cold.version,
+            self._cold.states.version,
         )
 
     def _apply_crashes(
@@ -135,13 +131,6 @@
         self._limits.record_demand(report.limited_demand, report.run)
         self._limits.record_unused(report.unused_allowances)
 
-    def _apply_cold(self, report: fleet_pb2.WatchReport) -> None:
-        for cold in report.cold_endpoints:
-            entry = self._registry.entries.get(cold.endpoint)
-            service = entry.endpoint.service if entry is not None else ''
-            self._cold.read_report(cold, service, report.node)
-        self._permits.record_demand(report.limited_demand, report.run)
-
     def _list_members(
         self, broken: fleet_pb2.BrokenResponse
     ) -> abc.Iterable[str]:
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -7,6 +7,7 @@
 from grpclib import client
 
 from filbertglade import clock
+from filbertglade.fleet import cold_reports
 from filbertglade.fleet import crash_reports
 from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
@@ -59,6 +60,7 @@
     :param rng: the process's random number generator.
     :ivar watched_host: the leader that is being watched; empty without one.
     :ivar crashes: what is reported of requests that crash endpoints.
+    :ivar cold: what is reported of cold endpoints.
     :ivar in_flight: requests in flight here, by group.
     :ivar requests: requests received since the start.
     :ivar limited_demand: requests since the last report that endpoints with
@@ -98,8 +100,6 @@
         self._answered_ms: dict[tuple[str, int], int] = {}
         # By endpoint, with the local clock at the answer that named it.
         self._limits: dict[str, tuple[int, fleet_pb2.EndpointLimit]] = {}
-        # Cold endpoints of which the watched leader hasn't been told.
-        self._cold: dict[str, fleet_pb2.ColdEndpoint] = {}
         # Endpoints that have said that they leave, by the local clock when
         # they did, and those of which the watched leader hasn't been told.
         self._leaving_ms: dict[str, int] = {}
@@ -108,6 +108,9 @@
         self.crashes = crash_reports.CrashReports(
             fleet_view.struck, self._urgent_change.set
         )
+        self.cold = cold_reports.ColdReports(
+            fleet_view, self._urgent_change.set
+        )
         self._reported_in_flight: dict[str, int] = {}
         # Of the current stream.
         self._received_frames = 0
@@ -164,14 +167,6 @@
         self._limits[limit.endpoint] = (clock.now_ms(), limit)
         self._urgent_change.set()
 
-    def report_cold(self, cold: fleet_pb2.ColdEndpoint) -> None:
-        """Report to the leader that an endpoint's answer says it is cold.
-
-        :param cold: the endpoint.
-        """
-        self._cold[cold.endpoint] = cold
-        self._urgent_change.set()
-
     def report_leaving(self, endpoint: str) -> None:
         """Report to the leader that an endpoint says that it leaves.
 
@@ -205,15 +200,6 @@
                 )
                 self._limits[endpoint] = (named_ms, limit)
 
-    def _report_known_cold(self) -> None:
-        """Let the next report name all cold endpoints for a new leader."""
-        for name, (_, per_s) in self._view.cold.cold.items():
-            # Groups are the leader's own conclusion.
-            if name not in self._view.replicas:
-                self._cold[name] = fleet_pb2.ColdEndpoint(
-                    endpoint=name, requests_per_s=per_s
-                )
-
     async def _run(self) -> None:
         while True:
             for host in self._order_control_hosts():
@@ -254,7 +240,7 @@
             async with stub.Watch.open() as stream:
                 self.crashes.start_stream()
                 self._report_known_limits()
-                self._report_known_cold()
+                self.cold.start_stream()
                 self._report_known_departures()
                 report = self._build_report()
                 async with asyncio.timeout(self._connect_timeout_ms / 1000):
@@ -358,10 +344,7 @@
             if current.requests_per_s == limit.requests_per_s:
                 del self._limits[limit.endpoint]
         self._unreported_leaving.difference_update(report.leaving)
-        for cold in report.cold_endpoints:
-            # It may have been found cold for longer meanwhile.
-            if self._cold[cold.endpoint] == cold:
-                del self._cold[cold.endpoint]
+        self.cold.forget_sent(report)
         _subtract(self.limited_demand, report.limited_demand)
         _subtract(self.unused_allowances, report.unused_allowances)
 
@@ -402,11 +385,7 @@
         for named_ms, limit in self._limits.values():
             limit.age_ms = now_ms - named_ms
             report.limits.append(limit)
-        for cold in self._cold.values():
-            cold.remaining_ms = self._view.cold.find_remaining_ms(
-                cold.endpoint
-            )
-            report.cold_endpoints.append(cold)
+        self.cold.write(report)
         for (group, epoch), answered_ms in self._answered_ms.items():
             report.answering.add(
                 group=group, epoch=epoch, age_ms=now_ms - answered_ms
--- a/filbertglade/forwarding/permits.py
+++ b/filbertglade/forwarding/permits.py
@@ -149,7 +149,7 @@
                 source='answer',
             )
         self._view.cold.extend(endpoint, remaining_ms, per_s)
-        self._leader.report_cold(
+        self._leader.cold.add(
             fleet_pb2.ColdEndpoint(
                 endpoint=endpoint,
                 requests_per_s=per_s,
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -131,7 +131,9 @@
             dialect,
             stated,
             lambda: self.voters.is_leader,
-            lambda endpoint, text: self.publisher.read_cold(endpoint, text),
+            lambda endpoint, text: self.publisher.cold.read_health(
+                endpoint, text
+            ),
         )
         self._replicas = controller.ReplicaController(
             settings,
--- a/tests/fleet/test_cold_permits.py
+++ b/tests/fleet/test_cold_permits.py
@@ -94,9 +94,7 @@
         self.name = name
         self.leader = leader
         self.view = view.FleetView()
-        self.stream = types.SimpleNamespace(
-            limited_demand={}, report_cold=lambda cold: None
-        )
+        self.stream = types.SimpleNamespace(limited_demand={})
         self.permits = permits.Permits(
             self.view, self.stream, metrics.Metrics()
         )
--- a/tests/fleet/test_told_cold.py
+++ b/tests/fleet/test_told_cold.py
@@ -148,9 +148,9 @@
         announce(leader)
         endpoint = leader.registry.entries['i-1@1000'].endpoint
         for text in ('', '0', '-5', 'soon', '1' * 40):
-            leader.publisher.read_cold(endpoint, text)
+            leader.publisher.cold.read_health(endpoint, text)
         assert not leader.publisher._state.cold.states
-        leader.publisher.read_cold(endpoint, '5000')
+        leader.publisher.cold.read_health(endpoint, '5000')
         for frame in build_frames(leader):
             [cold] = frame.cold_endpoints
             assert cold.remaining_ms >= 5000
--- a/tests/gateway_forwarding/test_cold_targets.py
+++ b/tests/gateway_forwarding/test_cold_targets.py
@@ -71,7 +71,7 @@
     def __init__(self, replicas, cold=()):
         super().__init__()
         self.cold = []
-        self.leader.report_cold = self.cold.append
+        self.leader.cold = types.SimpleNamespace(add=self.cold.append)
         self.view.index = types.SimpleNamespace(
             services={'models': types.SimpleNamespace(cold_per_s=PER_S)}
         )
