--- a/tests/fleet/test_told_cold.py
+++ b/tests/fleet/test_told_cold.py
@@ -8,6 +8,7 @@
 import pytest
 
 from filbertglade.fleet import cold_bound
+from filbertglade.fleet import cold_reports
 from filbertglade.fleet import connected_watcher
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import shared_frames
@@ -196,3 +197,42 @@
         assert leader.counters.counter('cold_permits_given') == 1
 
     virtual_time.run(check())
+
+
+# Guards against a new leader that isn't told what only hosts know, and against
+# a report that is repeated, or lost as it changes while it is sent.
+def test_hosts_report_cold_endpoints_to_each_new_leader():
+    async def check():
+        host = view.FleetView()
+        reports = cold_reports.ColdReports(host, lambda: None)
+        cold = fleet_pb2.ColdEndpoint(
+            endpoint='i-1@1000', requests_per_s=26.0, remaining_ms=5000
+        )
+        host.cold.extend('i-1@1000', 5000, 26.0)
+        reports.add(cold)
+        first, second, third, fourth = (
+            fleet_pb2.WatchReport() for _ in range(4)
+        )
+        reports.write(first)
+        host.cold.extend('i-1@1000', 9000, 26.0)
+        reports.add(
+            fleet_pb2.ColdEndpoint(
+                endpoint='i-1@1000', requests_per_s=26.0, remaining_ms=9000
+            )
+        )
+        reports.forget_sent(first)
+        reports.write(second)
+        assert second.cold_endpoints[0].remaining_ms == 9000
+        reports.forget_sent(second)
+        reports.write(third)
+        assert not third.cold_endpoints
+        reports.start_stream()
+        reports.write(fourth)
+        assert fourth.cold_endpoints == second.cold_endpoints
+        leader = build_leader(26.0)
+        announce(leader)
+        watcher = connected_watcher.ConnectedWatcher(fourth, 0)
+        assert leader.publisher._reports.apply(watcher, fourth)
+        assert leader.registry.is_cold('i-1@1000')
+
+    virtual_time.run(check())
