Estimate costs of requests, and select by remaining work

Cause: requests that look alike cost very different amounts of work, and the number of requests in flight does not show it.

Change: filbertglade/costs/ with estimator, backlog and policies; the present choice is the policy LoadPolicy. With scheduling.selection = 'cost', nodes report the work that their requests have left (changed values, rounded to 10 ms), and the leader's frames tell the sums that changed.

--- a/filbertglade/fleet/connected_watcher.py
+++ b/filbertglade/fleet/connected_watcher.py
@@ -35,6 +35,7 @@
     :param trial_answers: answers to its trial requests that wait to be sent.
     :param allowances: what it may send to endpoints with limits, and hasn't
         been told.
+    :param remaining_work: work that its requests have left, in ms by load key.
     :param leave_reason: why its stream ended; None while it runs.
     :param leave_error: type and text of the exception that ended it; empty if
         there was none.
@@ -55,6 +56,7 @@
     allowances: list[fleet_pb2.Allowance] = dataclasses.field(
         default_factory=list
     )
+    remaining_work: dict[str, int] = dataclasses.field(default_factory=dict)
     leave_reason: LeaveReason | None = None
     leave_error: str = ''
 
--- a/filbertglade/fleet/document.py
+++ b/filbertglade/fleet/document.py
@@ -162,6 +162,12 @@
     :param form_ms: time that a head needs to open its group.
     :param far_x: factor on the processing times of a cross-domain group.
     :param usual: mean token counts of prompts and outputs.
+    :param context_per_k: time that each running request adds to a step for
+        every 1,000 tokens of its context, in ms.
+    :param pairs_per_m: time to read a million pairs of a token and an earlier
+        one, in ms.
+    :param chunk: prompt tokens read in a step; 0 for any number.
+    :param kv_capacity_tokens: token memory of a group; 0 if unknown.
     """
 
     __pydantic_config__ = LENIENT
@@ -177,6 +183,10 @@
     form_ms: NonNegativeFloat = 0.0
     far_x: PositiveFloat = 1.0
     usual: dict[str, float] = dataclasses.field(default_factory=dict)
+    context_per_k: NonNegativeFloat = 0.0
+    pairs_per_m: NonNegativeFloat = 0.0
+    chunk: NonNegativeFloat = 0.0
+    kv_capacity_tokens: NonNegativeFloat = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -100,6 +100,7 @@
             self._arbiter,
             self._evidence,
             self._limits,
+            self._state.work,
         )
         self._entry_hosts = audience.Audience(
             shared_frames.FrameBuilder(self._state, counters),
@@ -145,9 +146,11 @@
         self.was_seeded = was_seeded
         self._state.replicas.clear()
         self._state.loads.clear()
+        self._state.work.clear()
         for members in (self._entry_hosts, self._control_hosts):
             for watcher in members.watchers.values():
                 self._state.loads.replace({}, watcher.report.in_flight)
+                self._state.work.replace({}, watcher.remaining_work)
         self._is_stale = True
         self._entry_hosts.start_leading()
         self._control_hosts.start_leading()
@@ -231,6 +234,7 @@
             report_reader_task.cancel()
             # Before the wait, which a second cancellation may end.
             self._state.loads.replace(watcher.report.in_flight, {})
+            self._state.work.replace(watcher.remaining_work, {})
             await asyncio.wait([report_reader_task])
 
     def _log_left(self, watcher: connected_watcher.ConnectedWatcher) -> None:
@@ -410,8 +414,11 @@
             )
         for group in added:
             loads.mark_changed(group)
+            if group in self._state.work.totals:
+                self._state.work.mark_changed(group)
         for group in removed:
             loads.forget(group)
+            self._state.work.forget(group)
 
     def _publish(
         self, builder: shared_frames.FrameBuilder, takes_callers: bool
--- a/filbertglade/fleet/report_reader.py
+++ b/filbertglade/fleet/report_reader.py
@@ -10,6 +10,7 @@
 from filbertglade.fleet import registry
 from filbertglade.fleet import struck_requests
 from filbertglade.fleet import trials
+from filbertglade.fleet import work_reports
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
 from filbertglade.replicas import controller
@@ -28,6 +29,7 @@
     :param arbiter: decides about trials.
     :param evidence: responses that broke off.
     :param limits: limits that endpoints name.
+    :param work: work that the requests in flight of all nodes have left.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         arbiter: trials.TrialArbiter,
         evidence: crash_evidence.CrashEvidence,
         limits: endpoint_limits.EndpointLimits,
+        work: load_totals.LoadTotals,
     ) -> None:
         self._agreed = agreed
         self._registry = endpoint_registry
@@ -49,6 +52,7 @@
         self._arbiter = arbiter
         self._evidence = evidence
         self._limits = limits
+        self._work = work
 
     def apply(
         self,
@@ -65,6 +69,10 @@
         before = (self._struck.trials_version, self._limits.version)
         self._apply_crashes(watcher, report)
         self._apply_limits(report)
+        if report.remaining_work_ms:
+            work_reports.apply_changes(
+                self._work, watcher.remaining_work, report.remaining_work_ms
+            )
         for endpoint in report.leaving:
             self._registry.mark_leaving(endpoint, report.node)
         self._replicas.answering.note(report.answering)
--- a/filbertglade/fleet/shared_frames.py
+++ b/filbertglade/fleet/shared_frames.py
@@ -54,6 +54,7 @@
     :param struck: version of the struck requests.
     :param limits: version of the endpoints' limits.
     :param departures: version of the departures that are recorded.
+    :param work: version of the work that requests in flight have left.
     """
 
     endpoints: int = -1
@@ -62,6 +63,7 @@
     struck: int = -1
     limits: int = -1
     departures: int = -1
+    work: int = -1
 
     @property
     def has_view(self) -> bool:
@@ -80,6 +82,7 @@
             and self.struck >= other.struck
             and self.limits >= other.limits
             and self.departures >= other.departures
+            and self.work >= other.work
         )
 
     def without_view(self) -> 'Versions':
@@ -132,6 +135,8 @@
     :param loads: requests in flight of all nodes.
     :param struck: requests under which endpoints crashed.
     :param limits: limits that endpoints name.
+    :param work: work that the requests in flight of all nodes have left, in
+        ms by load key.
     """
 
     endpoints: registry.Registry
@@ -139,6 +144,9 @@
     loads: load_totals.LoadTotals
     struck: struck_requests.StruckRequests
     limits: endpoint_limits.EndpointLimits
+    work: load_totals.LoadTotals = dataclasses.field(
+        default_factory=load_totals.LoadTotals
+    )
 
     def read_versions(self) -> Versions:
         """Return the present versions."""
@@ -149,6 +157,7 @@
             self.struck.version,
             self.limits.version,
             self.endpoints.recorded.version,
+            self.work.version,
         )
 
 
@@ -222,6 +231,12 @@
             for group, count in self._state.loads.list_since(sent.loads):
                 if group in self._state.replicas.replicas:
                     frame.in_flight[group] = count
+            for key, amount_ms in self._state.work.list_since(sent.work):
+                if (
+                    key in self._state.replicas.replicas
+                    or key in self._state.endpoints.entries
+                ):
+                    frame.remaining_work_ms[key] = amount_ms
         elif sent.departures < self.published.departures:
             recorded = self._state.endpoints.recorded
             for key, has_gone in recorded.list_departures():
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -25,6 +25,8 @@
     :ivar endpoints: endpoints by incarnation key.
     :ivar replicas: replicas by group.
     :ivar in_flight: requests in flight from all nodes, by group.
+    :ivar remaining_work_ms: estimated work that is left of the requests of all
+        nodes, by group or incarnation key; empty if nodes don't report it.
     :ivar entry_nodes: number of nodes that accept callers.
     :ivar struck: requests under which endpoints crashed.
     :ivar limits: requests a second that endpoints in need take from all hosts
@@ -40,6 +42,7 @@
         self.endpoints: dict[str, fleet_pb2.Endpoint] = {}
         self.replicas: dict[str, fleet_pb2.Replica] = {}
         self.in_flight: dict[str, int] = {}
+        self.remaining_work_ms: dict[str, float] = {}
         self.entry_nodes = 1
         self.last_frame_ms: int | None = None
         self.limits: dict[str, tuple[int, float]] = {}
@@ -112,6 +115,7 @@
             self.endpoints.clear()
             self.replicas.clear()
             self.in_flight.clear()
+            self.remaining_work_ms.clear()
         self._end_replicas_of(frame.gone_endpoints)
         self._end_replicas_of(frame.leaving_endpoints)
         for key in frame.leaving_endpoints:
@@ -120,12 +124,19 @@
             self.endpoints[endpoints.get_key(endpoint)] = endpoint
         for key in frame.gone_endpoints:
             self.endpoints.pop(key, None)
+            self.remaining_work_ms.pop(key, None)
         for replica in frame.replicas:
             self._apply_replica(replica)
         for group in frame.gone_replicas:
             self.replicas.pop(group, None)
             self.in_flight.pop(group, None)
+            self.remaining_work_ms.pop(group, None)
         self.in_flight.update(frame.in_flight)
+        for key, amount_ms in frame.remaining_work_ms.items():
+            if amount_ms:
+                self.remaining_work_ms[key] = amount_ms
+            else:
+                self.remaining_work_ms.pop(key, None)
         changed = (
             frame.is_whole
             or frame.endpoints
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -12,6 +12,7 @@
 from filbertglade.fleet import pacing
 from filbertglade.fleet import statements
 from filbertglade.fleet import view
+from filbertglade.fleet import work_reports
 from filbertglade.inner import channels
 from filbertglade.inner import fleet_grpc
 from filbertglade.inner import fleet_pb2
@@ -65,6 +66,8 @@
         limits could have taken, by incarnation key.
     :ivar unused_allowances: requests that this host was allowed to send to
         them since the last report and didn't send in time.
+    :ivar read_work: returns the work that this host's requests have left, in
+        ms by load key; None if requests aren't selected by cost.
     """
 
     def __init__(
@@ -114,6 +117,8 @@
         self.requests = 0
         self.limited_demand: dict[str, int] = {}
         self.unused_allowances: dict[str, int] = {}
+        self.read_work: abc.Callable[[], dict[str, int]] | None = None
+        self._reported_work = work_reports.ReportedWork()
 
     def start(self) -> None:
         """Start watching."""
@@ -234,6 +239,7 @@
             stub = fleet_grpc.FleetStub(channel)
             async with stub.Watch.open() as stream:
                 self.crashes.start_stream()
+                self._reported_work.start_stream()
                 self._report_known_limits()
                 self._report_known_departures()
                 report = self._build_report()
@@ -383,6 +389,9 @@
                 group=group, epoch=epoch, age_ms=now_ms - answered_ms
             )
         self._answered_ms.clear()
+        if self.read_work is not None:
+            changes = self._reported_work.take_changes(self.read_work())
+            report.remaining_work_ms.update(changes)
         self.crashes.write(report)
         return report
 
--- a/filbertglade/forwarding/admission.py
+++ b/filbertglade/forwarding/admission.py
@@ -4,6 +4,7 @@
 import enum
 import math
 
+from filbertglade.costs import work
 from filbertglade.fleet import document
 
 # Fraction of the objective that the estimated time to the first token may
@@ -71,6 +72,9 @@
         0 if unknown.
     :param engine: performance figures of the service's engines; None if
         unknown.
+    :param features: what is known of its cost; None if requests are selected
+        by load.
+    :param cost: its estimated cost; None likewise.
     """
 
     service: str
@@ -81,6 +85,8 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     engine: document.Engine | None = None
+    features: work.Features | None = None
+    cost: work.Cost | None = None
 
     def has_capacity(self, load: int, slots: int, slowness: float) -> bool:
         """Return whether a replica may take one more request of this class.
--- a/filbertglade/forwarding/attempt.py
+++ b/filbertglade/forwarding/attempt.py
@@ -5,6 +5,7 @@
 import enum
 
 from filbertglade import clock
+from filbertglade.costs import tracking
 from filbertglade import failures
 from filbertglade.fleet import document
 from filbertglade.fleet import statements
@@ -82,6 +83,7 @@
         self._connection: upstream.Connection | None = None
         self._sign = evidence.Sign.NOTHING
         self._detail = ''
+        self._is_success = False
         self.clearance = clearance
         self.is_stalled = False
 
@@ -122,7 +124,15 @@
         self._record.run_count += 1
         self._delivery.splitter.discard_partial()
         self._log_sent(connection, demand)
-        outcome = await self._exchange(connection, may_retry_failure)
+        tracked = self._track(demand)
+        outcome = AttemptOutcome.BROKEN
+        try:
+            outcome = await self._exchange(connection, may_retry_failure)
+        finally:
+            if tracked is not None:
+                tracked.end(
+                    outcome is AttemptOutcome.ANSWERED and self._is_success
+                )
         await self._context.evidence.record(
             self.clearance, self._sign, self._detail
         )
@@ -130,6 +140,19 @@
             self._log_failed(outcome)
         return outcome
 
+    def _track(
+        self, demand: admission.Demand
+    ) -> tracking.TrackedRequest | None:
+        """Track the request's cost; None if it isn't known."""
+        shared = self._context
+        if shared.costs is None:
+            return None
+        load = shared.evidence.loads.count_in_flight(self._target) - 1
+        splitter = self._delivery.splitter
+        return shared.costs.start(
+            self._target, demand, load, lambda: splitter.count
+        )
+
     async def _connect(self) -> upstream.Connection | failures.Failure:
         pool, target = self._context.pool, self._target
         max_idle_ms = (
@@ -180,6 +203,7 @@
             expected_ms=round(
                 demand.estimate_first_token_ms(load, target.slowness)
             ),
+            **tracking.describe(shared.costs, target, demand),
             view_age_ms=shared.view.age_ms(),
             document=shared.view.version,
             reused=connection.is_reused,
@@ -273,6 +297,7 @@
         except (events.EventTooLong, upstream.UnstatedEnd) as error:
             self._log_broken(connection, str(error))
             return AttemptOutcome.CUT, False
+        self._is_success = head.is_success
         if head.status >= 500 and not head.has_stated_end:
             # It may have crashed while it wrote this, or be about to.
             self._sign = evidence.Sign.BROKEN_FAILURE
--- a/filbertglade/forwarding/choice.py
+++ b/filbertglade/forwarding/choice.py
@@ -3,15 +3,13 @@
 from collections import abc
 import random
 
+from filbertglade.costs import policy
 from filbertglade import failures
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import evidence
 from filbertglade.forwarding import targets
 
-# Cost of a target in another data centre, in requests in flight.
-CROSS_DATA_CENTRE_REQUESTS = 1.5
-
 
 class Chooser:
     """Chooses the targets of requests.
@@ -20,6 +18,8 @@
     :param fleet_view: the node's view.
     :param endpoint_evidence: what endpoints have said and shown.
     :param rng: the process's random number generator.
+    :param selection_policy: selects among the targets that may be sent a
+        request; None to select by the requests in flight.
     """
 
     def __init__(
@@ -28,11 +28,13 @@
         fleet_view: view.FleetView,
         endpoint_evidence: evidence.EndpointEvidence,
         rng: random.Random,
+        selection_policy: policy.SelectionPolicy | None = None,
     ) -> None:
-        self._data_centre = data_centre
         self._view = fleet_view
         self._evidence = endpoint_evidence
-        self._rng = rng
+        self._policy = selection_policy or policy.LoadPolicy(
+            data_centre, endpoint_evidence.loads, rng
+        )
 
     def list_targets(self, service: str, model: str) -> list[targets.Target]:
         """Return the targets that may take a request.
@@ -81,20 +83,17 @@
         self, candidates: list[targets.Target], demand: admission.Demand
     ) -> targets.Target | evidence.NoTarget:
         if not demand.model:
-            return self._choose_by_expected_load(candidates)
-        loads = {
-            target: self._evidence.loads.count_in_flight(target)
-            for target in candidates
-        }
+            return self._policy.select(candidates, demand)
         available = [
             target
             for target in candidates
-            if demand.has_capacity(
-                loads[target], target.slots, target.slowness
-            )
+            if self._policy.has_capacity(target, demand)
         ]
         if not available:
-            least = min(loads.values())
+            least = min(
+                self._evidence.loads.count_in_flight(target)
+                for target in candidates
+            )
             return evidence.NoTarget(
                 evidence.NoTargetReason.FULL,
                 evidence.OVERLOAD_RETRY_AFTER_S,
@@ -103,49 +102,11 @@
         in_time = [
             target
             for target in available
-            if demand.meets_objective(
-                loads[target], target.slots, target.slowness
-            )
+            if self._policy.meets_objective(target, demand)
         ]
         if not in_time:
             slowest = max(target.slowness for target in available)
             in_time = [
                 target for target in available if target.slowness == slowest
             ]
-        return self._choose_by_expected_load(in_time)
-
-    def _choose_by_expected_load(
-        self, options: list[targets.Target]
-    ) -> targets.Target:
-        """Choose at random, weighted by the gap to a common load level.
-
-        If every node chose the least loaded target, all requests would go to
-        it until the next frame reports its new load. Instead, the estimated
-        unreported requests are distributed over the targets by water-filling:
-        they raise the least loaded targets to a common level. Each target is
-        chosen with a probability proportional to what it receives.
-        """
-        costs = sorted(
-            ((self._compute_cost(target), target) for target in options),
-            key=lambda item: item[0],
-        )
-        unreported = self._evidence.loads.estimate_unreported(options[0].model)
-        level, placed = costs[0][0], 0.0
-        for filled_count, (cost, _) in enumerate(costs[1:], start=1):
-            if placed + filled_count * (cost - level) >= unreported:
-                break
-            placed += filled_count * (cost - level)
-            level = cost
-        else:
-            filled_count = len(costs)
-        level += (unreported - placed) / filled_count
-        weights = [max(0.0, level - cost) for cost, _ in costs]
-        chosen = self._rng.choices(costs, weights)[0]
-        return chosen[1]
-
-    def _compute_cost(self, target: targets.Target) -> float:
-        load = (
-            self._evidence.loads.count_in_flight(target) + 1
-        ) * target.slowness
-        is_remote = target.data_centre != self._data_centre
-        return load + is_remote * CROSS_DATA_CENTRE_REQUESTS
+        return self._policy.select(in_time, demand)
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -3,6 +3,7 @@
 import random
 
 from filbertglade import clock
+from filbertglade.costs import tracking
 from filbertglade.fleet import certainty
 from filbertglade.fleet import dialects
 from filbertglade.fleet import view
@@ -39,6 +40,7 @@
     :param retries: the node's part of the retry quota.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
+    :param costs: costs of requests; None if they are selected by load.
     :ivar certainty: whether the document in force may be out of date.
     :ivar bodies: the response bodies that are kept in memory.
     :ivar deadlines: the deadlines that callers of each route send.
@@ -57,6 +59,7 @@
         retries: quota.RetryQuota,
         counters: metrics.Metrics,
         rng: random.Random,
+        costs: tracking.RequestCosts | None = None,
     ) -> None:
         self.dialect = dialect
         self.view = fleet_view
@@ -67,6 +70,7 @@
         self.retries = retries
         self.counters = counters
         self.rng = rng
+        self.costs = costs
         self.certainty = certainty.DocumentCertainty(fleet_view)
         self.bodies = body_budget.BodyBudget()
         counters.set_gauge(
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from filbertglade import clock
+from filbertglade.costs import tracking
 from filbertglade import failures
 from filbertglade.fleet import document
 from filbertglade.forwarding import admission
@@ -326,7 +327,7 @@
             admission_class = admission.AdmissionClass.STARTED
         index = self._context.view.index
         service = index.services.get(self._record.service) if index else None
-        return admission.Demand(
+        demand = admission.Demand(
             self._record.service,
             self._record.model,
             admission_class,
@@ -336,6 +337,15 @@
             self._answer_tokens,
             service.engine if service is not None else None,
         )
+        if self._context.costs is None:
+            return demand
+        return tracking.add_cost(
+            demand,
+            self._context.costs,
+            self._context.dialect,
+            self._request,
+            self._record,
+        )
 
     def _take_retry(self) -> bool:
         shared = self._context
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -4,6 +4,9 @@
 import random
 
 from filbertglade import clock
+from filbertglade.costs import backlog
+from filbertglade.costs import policy
+from filbertglade.costs import tracking
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
 from filbertglade.fleet import statements
@@ -68,18 +71,25 @@
             counters,
             rng,
         )
+        self._costs: tracking.RequestCosts | None = None
+        selection_policy = self._build_policy(fleet_watcher, counters, rng)
         self._context = context.ForwardingContext(
             dialect,
             fleet_view,
             fleet_watcher,
             choice.Chooser(
-                settings.data_centre, fleet_view, self._evidence, rng
+                settings.data_centre,
+                fleet_view,
+                self._evidence,
+                rng,
+                selection_policy,
             ),
             self._evidence,
             self._pool,
             quota.RetryQuota(settings.retries),
             counters,
             rng,
+            self._costs,
         )
         self._exchanges: set[exchange.Exchange] = set()
         self._server = server.CallerServer(self._serve, self._get_limits)
@@ -87,6 +97,31 @@
             self._serve_health, MAX_HEALTH_BODY_BYTES
         )
 
+    def _build_policy(
+        self,
+        fleet_watcher: watcher.Watcher,
+        counters: metrics.Metrics,
+        rng: random.Random,
+    ) -> policy.SelectionPolicy | None:
+        """Return the policy by cost; None to select by load."""
+        if self._settings.scheduling.selection != 'cost':
+            return None
+        reported = backlog.ReportedBacklog(self._view)
+        self._costs = costs = tracking.RequestCosts(reported, counters)
+        fleet_watcher.read_work = reported.take_report
+        counters.set_gauge('backlog_own_ms', lambda: reported.total_own_ms)
+        counters.set_gauge(
+            'backlog_all_ms',
+            lambda: sum(self._view.remaining_work_ms.values()),
+        )
+        return policy.CostPolicy(
+            self._settings.data_centre,
+            self._evidence.loads,
+            reported,
+            costs.speeds,
+            rng,
+        )
+
     def find_obstacle(self) -> str:
         """Return why this host accepts no callers; empty if it does."""
         if self._context.is_stopping:
