--- a/filbertglade/fleet/connected_watcher.py
+++ b/filbertglade/fleet/connected_watcher.py
@@ -39,6 +39,7 @@
         been told.
     :param permits: its permits for cold endpoints that wait to be sent, with
         the local clock when they were given.
+    :param remaining_work: work that its requests have left, in ms by load key.
     :param leave_reason: why its stream ended; None while it runs.
     :param leave_error: type and text of the exception that ended it; empty if
         there was none.
@@ -62,6 +63,7 @@
     permits: list[tuple[int, fleet_pb2.Allowance]] = dataclasses.field(
         default_factory=list
     )
+    remaining_work: dict[str, int] = dataclasses.field(default_factory=dict)
     leave_reason: LeaveReason | None = None
     leave_error: str = ''
 
--- a/filbertglade/fleet/report_reader.py
+++ b/filbertglade/fleet/report_reader.py
@@ -11,6 +11,7 @@
 from filbertglade.fleet import registry
 from filbertglade.fleet import struck_requests
 from filbertglade.fleet import trials
+from filbertglade.fleet import work_reports
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
 from filbertglade.replicas import controller
@@ -30,6 +31,7 @@
     :param evidence: responses that broke off.
     :param limits: limits that endpoints name.
     :param cold: learns which endpoints are cold.
+    :param work: work that the requests in flight of all nodes have left.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         evidence: crash_evidence.CrashEvidence,
         limits: endpoint_limits.EndpointLimits,
         cold: cold_leading.ColdLeading,
+        work: load_totals.LoadTotals,
     ) -> None:
         self._agreed = agreed
         self._registry = endpoint_registry
@@ -53,6 +56,7 @@
         self._evidence = evidence
         self._limits = limits
         self._cold = cold
+        self._work = work
 
     def apply(
         self,
@@ -70,6 +74,10 @@
         self._apply_crashes(watcher, report)
         self._apply_limits(report)
         self._cold.read_report(report)
+        if report.remaining_work_ms:
+            work_reports.apply_changes(
+                self._work, watcher.remaining_work, report.remaining_work_ms
+            )
         for endpoint in report.leaving:
             self._registry.mark_leaving(endpoint, report.node)
         self._replicas.answering.note(report.answering)
--- a/filbertglade/fleet/shared_frames.py
+++ b/filbertglade/fleet/shared_frames.py
@@ -56,6 +56,7 @@
     :param limits: version of the endpoints' limits.
     :param departures: version of the departures that are recorded.
     :param cold: version of the cold endpoints.
+    :param work: version of the work that requests in flight have left.
     """
 
     endpoints: int = -1
@@ -65,6 +66,7 @@
     limits: int = -1
     departures: int = -1
     cold: int = -1
+    work: int = -1
 
     @property
     def has_view(self) -> bool:
@@ -84,6 +86,7 @@
             and self.limits >= other.limits
             and self.departures >= other.departures
             and self.cold >= other.cold
+            and self.work >= other.work
         )
 
     def without_view(self) -> 'Versions':
@@ -138,6 +141,8 @@
     :param struck: requests under which endpoints crashed.
     :param limits: limits that endpoints name.
     :param cold: the cold endpoints.
+    :param work: work that the requests in flight of all nodes have left, in
+        ms by load key.
     """
 
     endpoints: registry.Registry
@@ -146,6 +151,9 @@
     struck: struck_requests.StruckRequests
     limits: endpoint_limits.EndpointLimits
     cold: cold_endpoints.ColdEndpoints
+    work: load_totals.LoadTotals = dataclasses.field(
+        default_factory=load_totals.LoadTotals
+    )
 
     def read_versions(self) -> Versions:
         """Return the present versions."""
@@ -157,6 +165,7 @@
             self.limits.version,
             self.endpoints.recorded.version,
             self.cold.version,
+            self.work.version,
         )
 
 
@@ -231,6 +240,12 @@
             for group, count in self._state.loads.list_since(sent.loads):
                 if group in self._state.replicas.replicas:
                     frame.in_flight[group] = count
+            for key, amount_ms in self._state.work.list_since(sent.work):
+                if (
+                    key in self._state.replicas.replicas
+                    or key in self._state.endpoints.entries
+                ):
+                    frame.remaining_work_ms[key] = amount_ms
         elif sent.departures < self.published.departures:
             recorded = self._state.endpoints.recorded
             for key, has_gone in recorded.list_departures():
--- a/filbertglade/forwarding/admission.py
+++ b/filbertglade/forwarding/admission.py
@@ -4,6 +4,7 @@
 import enum
 import math
 
+from filbertglade.costs import work
 from filbertglade.fleet import document
 
 # Fraction of the objective that the estimated time to the first token may
@@ -72,6 +73,9 @@
     :param engine: performance figures of the service's engines; None if
         unknown.
     :param allowed_regions: regions in which it may run; None for all.
+    :param features: what is known of its cost; None if requests are selected
+        by load.
+    :param cost: its estimated cost; None likewise.
     """
 
     service: str
@@ -83,6 +87,8 @@
     answer_tokens: int = 0
     engine: document.Engine | None = None
     allowed_regions: frozenset[str] | None = None
+    features: work.Features | None = None
+    cost: work.Cost | None = None
 
     def has_capacity(self, load: int, slots: int, slowness: float) -> bool:
         """Return whether a replica may take one more request of this class.
