Make the admission of requests to replicas a policy

Another way to admit needs other bounds, priorities sent to engines and times to retry. The present rules become SlotAdmission, one implementation of the abstract AdmissionPolicy; the chooser asks the policy in one place.

--- a/filbertglade/forwarding/admission.py
+++ b/filbertglade/forwarding/admission.py
@@ -1,4 +1,4 @@
-"""Estimates whether a replica can serve a request in time."""
+"""What a request demands of a replica, and how long it will take there."""
 
 import dataclasses
 import enum
@@ -37,25 +37,6 @@
     STARTED = 'begun'
 
 
-# Limit on the requests in flight for each class, as a fraction of a replica's
-# slots. With all slots in use, seven in ten responses of the model with long
-# prompts were late; with nine tenths in use, a third were. Late requests may
-# use all slots, since a request that is refused twice is lost.
-SLOT_FRACTIONS = {
-    AdmissionClass.FRESH: 0.9,
-    AdmissionClass.LATE: 1.0,
-    AdmissionClass.STARTED: 2.0,
-}
-# The same limits for slow replicas, which are late with most responses anyway.
-# They take the requests that the others can't, as long as these need not wait
-# for another request to end.
-SLOW_SLOT_FRACTIONS = {
-    AdmissionClass.FRESH: 1.0,
-    AdmissionClass.LATE: 1.15,
-    AdmissionClass.STARTED: 2.0,
-}
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
     """What a request demands of a replica.
@@ -71,6 +52,12 @@
         0 if unknown.
     :param engine: performance figures of the service's engines; None if
         unknown.
+    :param priority: its priority; 0 is the most urgent.
+    :param route: the route's name.
+    :param customer: the customer's name; empty if there is none.
+    :param lot: number from 0 to 1, drawn once for the request. Policies that
+        admit a fraction of the requests decide by it, so that all decisions
+        about one request agree.
     """
 
     service: str
@@ -81,40 +68,18 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     engine: document.Engine | None = None
+    priority: int = 0
+    route: str = ''
+    customer: str = ''
+    lot: float = 0.0
 
-    def has_capacity(self, load: int, slots: int, slowness: float) -> bool:
-        """Return whether a replica may take one more request of this class.
+    def is_in_time(self, first_token_ms: float) -> bool:
+        """Return whether an estimated time to the first token is in time.
 
-        :param load: requests in flight on it.
-        :param slots: requests that it runs concurrently.
-        :param slowness: factor by which its times exceed normal ones.
-        """
-        fractions = SLOW_SLOT_FRACTIONS if slowness > 1.0 else SLOT_FRACTIONS
-        if load >= slots * fractions[self.admission_class]:
-            return False
-        if self.admission_class is AdmissionClass.STARTED or slowness <= 1.0:
-            # Estimated response lengths are often far too long, and no other
-            # replica would be faster.
-            return True
-        expected_ms = self.estimate_completion_ms(load, slowness)
-        return expected_ms <= self.remaining_ms * DEADLINE_FRACTION
-
-    def meets_objective(self, load: int, slots: int, slowness: float) -> bool:
-        """Return whether a replica is expected to meet the objective.
-
-        :param load: requests in flight on it.
-        :param slots: requests that it runs concurrently.
-        :param slowness: factor by which its times exceed normal ones.
+        :param first_token_ms: the estimate, in ms.
         """
-        if self.admission_class is not AdmissionClass.FRESH:
-            # Late requests can't meet it. Started ones go to the replica with
-            # the lowest expected load.
-            return self.admission_class is AdmissionClass.STARTED
-        if load >= slots * SLOT_FRACTIONS[self.admission_class]:
-            return False
-        expected_ms = self.estimate_first_token_ms(load, slowness)
         limit_ms = self.objective_ms * OBJECTIVE_FRACTION
-        return not self.objective_ms or expected_ms <= limit_ms
+        return not self.objective_ms or first_token_ms <= limit_ms
 
     def estimate_first_token_ms(self, load: int, slowness: float) -> float:
         """Estimate the time until the first token, in ms.
--- a/filbertglade/forwarding/choice.py
+++ b/filbertglade/forwarding/choice.py
@@ -6,7 +6,9 @@
 from filbertglade import failures
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
+from filbertglade.forwarding import admission_policy
 from filbertglade.forwarding import evidence
+from filbertglade.forwarding import slot_admission
 from filbertglade.forwarding import targets
 
 # Cost of a target in another data centre, in requests in flight.
@@ -20,6 +22,8 @@
     :param fleet_view: the node's view.
     :param endpoint_evidence: what endpoints have said and shown.
     :param rng: the process's random number generator.
+    :param policy: decides which replicas may take a request; by free slots
+        if None.
     """
 
     def __init__(
@@ -28,11 +32,13 @@
         fleet_view: view.FleetView,
         endpoint_evidence: evidence.EndpointEvidence,
         rng: random.Random,
+        policy: admission_policy.AdmissionPolicy | None = None,
     ) -> None:
         self._data_centre = data_centre
         self._view = fleet_view
         self._evidence = endpoint_evidence
         self._rng = rng
+        self._admission = policy or slot_admission.SlotAdmission()
 
     def list_targets(self, service: str, model: str) -> list[targets.Target]:
         """Return the targets that may take a request.
@@ -57,9 +63,8 @@
     ) -> targets.Target | evidence.NoTarget:
         """Return the best target for a request.
 
-        Prefers lightly loaded replicas among those that are expected to meet
-        the objective. If there are none, chooses among the slowest replicas
-        with capacity, so that the others continue to meet it.
+        Prefers lightly loaded replicas among those that the admission policy
+        allows.
 
         :param demand: what the request demands.
         :param tried: load keys of targets that were tried already.
@@ -86,33 +91,14 @@
             target: self._evidence.loads.count_in_flight(target)
             for target in candidates
         }
-        available = [
-            target
-            for target in candidates
-            if demand.has_capacity(
-                loads[target], target.slots, target.slowness
-            )
-        ]
-        if not available:
-            least = min(loads.values())
+        room = self._admission.find_room(demand, loads)
+        if not room.replicas:
             return evidence.NoTarget(
                 evidence.NoTargetReason.FULL,
                 evidence.OVERLOAD_RETRY_AFTER_S,
-                f'{least} in flight',
+                room.detail,
             )
-        in_time = [
-            target
-            for target in available
-            if demand.meets_objective(
-                loads[target], target.slots, target.slowness
-            )
-        ]
-        if not in_time:
-            slowest = max(target.slowness for target in available)
-            in_time = [
-                target for target in available if target.slowness == slowest
-            ]
-        return self._choose_by_expected_load(in_time)
+        return self._choose_by_expected_load(room.replicas)
 
     def _choose_by_expected_load(
         self, options: list[targets.Target]
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -7,11 +7,13 @@
 from filbertglade.fleet import dialects
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
+from filbertglade.forwarding import admission_policy
 from filbertglade.forwarding import body_budget
 from filbertglade.forwarding import caller_retries
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import evidence
 from filbertglade.forwarding import quota
+from filbertglade.forwarding import slot_admission
 from filbertglade.forwarding import upstream
 from filbertglade.observability import metrics
 
@@ -39,6 +41,7 @@
     :param retries: the node's part of the retry quota.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
+    :param policy: the chooser's admission policy; by free slots if None.
     :ivar certainty: whether the document in force may be out of date.
     :ivar bodies: the response bodies that are kept in memory.
     :ivar deadlines: the deadlines that callers of each route send.
@@ -57,6 +60,7 @@
         retries: quota.RetryQuota,
         counters: metrics.Metrics,
         rng: random.Random,
+        policy: admission_policy.AdmissionPolicy | None = None,
     ) -> None:
         self.dialect = dialect
         self.view = fleet_view
@@ -67,6 +71,7 @@
         self.retries = retries
         self.counters = counters
         self.rng = rng
+        self.admission = policy or slot_admission.SlotAdmission()
         self.certainty = certainty.DocumentCertainty(fleet_view)
         self.bodies = body_budget.BodyBudget()
         counters.set_gauge(
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -12,6 +12,8 @@
 from filbertglade.forwarding import evidence
 from filbertglade.forwarding import faults
 from filbertglade.forwarding import lookup
+from filbertglade.forwarding import refusals
+from filbertglade.forwarding import request_demand
 from filbertglade.forwarding import request_record
 from filbertglade.forwarding import server
 from filbertglade.forwarding import stall_detection
@@ -26,13 +28,6 @@
 # for one.
 MAX_TARGET_WAIT_MS = faults.FAULT_EXCLUSION_MS
 TARGET_POLL_MS = 100
-# Largest part by which the Retry-After of a refusal is changed at random.
-RETRY_SPREAD = 0.25
-# Digits of the longest number that is read from a header: every time and count
-# is shorter, and Python converts no number of more than 4300 digits.
-MAX_NUMBER_DIGITS = 15
-# Deadline until the route of a request is known, in ms.
-DEFAULT_DEADLINE_MS = 60_000
 
 
 RETRYABLE = (
@@ -62,16 +57,18 @@
             shared.counters,
         )
         self._delivery = delivery.Delivery(shared, request, self._record, self)
-        self._record.deadline_ms = request.received_ms + DEFAULT_DEADLINE_MS
-        self._prompt_tokens = 0
-        self._answer_tokens = 0
+        self._demand = request_demand.RequestDemand(
+            shared, request, self._record
+        )
         self._tried: list[str] = []
+        self._refusals = refusals.Refusals(
+            shared, request, self._record, self._demand, self._tried
+        )
         self._attempt: attempt.Attempt | None = None
         # Whether the retry after a failover has been taken from the quota.
         self._is_retry_taken = False
         self.suspect_limit_ms = float(stall_detection.DEFAULT_SUSPECT_MS)
         self._suspects = suspicion.Suspects(b'')
-        self._is_caller_retry = False
         # Ends the exchange at the end of the process.
         self._limit = asyncio.timeout(None)
 
@@ -109,27 +106,23 @@
     async def _handle(self) -> None:
         shared = self._context
         shared.leader.requests += 1
-        caller_ms = self._read_caller_deadline()
-        if caller_ms is not None:
-            self._record.deadline_ms = self._request.received_ms + min(
-                DEFAULT_DEADLINE_MS, caller_ms
-            )
+        self._demand.limit_deadline()
         route = await lookup.RouteLookup(
             shared, self._request, self._record
         ).find()
         if isinstance(route, failures.Failure):
             status, retry_s = lookup.LOOKUP_REFUSALS[route.reason]
-            self._refuse(status, str(route), retry_s)
+            self._refusals.refuse(status, str(route), retry_s)
             return
         if route.gap_objective_ms:
             self.suspect_limit_ms = (
                 route.gap_objective_ms * stall_detection.SUSPECT_GAP_FACTOR
             )
-        self._read_deadline(route)
+        self._demand.read_deadline(route)
         index = shared.view.index
         assert index is not None
         if not self._choose_service(index, route):
-            self._refuse(
+            self._refusals.refuse(
                 503,
                 'no such service or model',
                 evidence.REPAIR_RETRY_AFTER_S,
@@ -144,23 +137,6 @@
         shared.retries.record_request(self._record.service)
         await self._run_attempts(route)
 
-    def _read_deadline(self, route: document.Route) -> None:
-        remaining_ms = route.timeout_ms
-        caller_ms = self._read_caller_deadline()
-        if caller_ms is not None:
-            remaining_ms = min(remaining_ms, caller_ms)
-            self._is_caller_retry = self._context.deadlines.is_short(
-                route.name, caller_ms
-            )
-        self._record.deadline_ms = self._request.received_ms + int(
-            remaining_ms
-        )
-
-    def _read_caller_deadline(self) -> int | None:
-        """Return the deadline that the caller sent, in ms; None without."""
-        text = self._request.headers.get(self._context.dialect.deadline, '')
-        return _parse_number(text)
-
     def _choose_service(
         self, index: document.RoutingIndex, route: document.Route
     ) -> bool:
@@ -177,18 +153,7 @@
         if not model and len(names) == 1:
             model = names[0]
         self._record.model = model
-        dialect = self._context.dialect
-        headers = self._request.headers
-        counts = headers.get(dialect.token_counts, '')
-        prompt, _, max_tokens = counts.partition(',')
-        self._prompt_tokens = _parse_count(prompt)
-        self._answer_tokens = _parse_count(
-            headers.get(dialect.answer_hint, '')
-        )
-        if self._answer_tokens and _parse_count(max_tokens):
-            self._answer_tokens = min(
-                self._answer_tokens, _parse_count(max_tokens)
-            )
+        self._demand.read_token_counts()
         return model in names
 
     # Attempts
@@ -196,10 +161,10 @@
     async def _run_attempts(self, route: document.Route) -> None:
         outcome: attempt.AttemptOutcome | None = None
         for _ in range(EXTRA_ATTEMPTS + route.max_attempts):
-            if self._remaining_ms() < context.MIN_REMAINING_MS:
+            if self._demand.remaining_ms < context.MIN_REMAINING_MS:
                 outcome = outcome or attempt.AttemptOutcome.TIMED_OUT
                 break
-            demand = self._build_demand(route)
+            demand = self._demand.build(route)
             target = self._context.chooser.choose(demand, self._tried)
             if (
                 isinstance(target, evidence.NoTarget)
@@ -216,7 +181,7 @@
                 return
             self._is_retry_taken = False
             clearance = await self._context.evidence.ask(
-                target, self._suspects, self._remaining_ms()
+                target, self._suspects, self._demand.remaining_ms
             )
             if isinstance(clearance, failures.Failure):
                 if clearance.reason is not evidence.WithdrawnReason.CHANGED:
@@ -252,20 +217,20 @@
         target: targets.Target | evidence.NoTarget = failure
         while isinstance(target, evidence.NoTarget):
             left_ms = min(
-                self._remaining_ms() - context.MIN_REMAINING_MS,
+                self._demand.remaining_ms - context.MIN_REMAINING_MS,
                 start_ms + MAX_TARGET_WAIT_MS - clock.now_ms(),
             )
             if left_ms <= 0:
                 break
             await asyncio.sleep(min(TARGET_POLL_MS, left_ms) / 1000)
             target = self._context.chooser.choose(
-                self._build_demand(route), ()
+                self._demand.build(route), ()
             )
         self._record.write(
             'request.waited',
             reason=str(failure),
             waited_ms=clock.now_ms() - start_ms,
-            left_ms=self._remaining_ms(),
+            left_ms=self._demand.remaining_ms,
         )
         return target
 
@@ -311,31 +276,7 @@
         retry_ms = self._context.evidence.suspicion.find_retry_ms(
             self._suspects
         )
-        self._refuse(503, detail, retry_ms / 1000)
-
-    def _remaining_ms(self) -> int:
-        return self._record.deadline_ms - clock.now_ms()
-
-    def _build_demand(self, route: document.Route) -> admission.Demand:
-        """Return what the request demands of a replica now."""
-        admission_class = admission.AdmissionClass.FRESH
-        waited_ms = clock.now_ms() - self._request.received_ms
-        if self._is_caller_retry or waited_ms > route.objective_ms / 2 > 0:
-            admission_class = admission.AdmissionClass.LATE
-        if self._request.is_response_started:
-            admission_class = admission.AdmissionClass.STARTED
-        index = self._context.view.index
-        service = index.services.get(self._record.service) if index else None
-        return admission.Demand(
-            self._record.service,
-            self._record.model,
-            admission_class,
-            route.objective_ms,
-            self._remaining_ms(),
-            self._prompt_tokens,
-            self._answer_tokens,
-            service.engine if service is not None else None,
-        )
+        self._refusals.refuse(503, detail, retry_ms / 1000)
 
     def _take_retry(self) -> bool:
         shared = self._context
@@ -348,7 +289,7 @@
                 self._record.service, nodes
             ),
             entry_nodes=nodes,
-            left_ms=self._remaining_ms(),
+            left_ms=self._demand.remaining_ms,
         )
         return allowed
 
@@ -387,7 +328,7 @@
         ):
             if outcome is attempt.AttemptOutcome.NOT_RUN and not is_earliest:
                 retry_s = evidence.OVERLOAD_RETRY_AFTER_S
-            self._refuse(503, detail, retry_s, is_earliest)
+            self._refusals.refuse(503, detail, retry_s, is_earliest)
             return
         # From here on an endpoint may have run the request, so no status may
         # say that it has not.
@@ -396,7 +337,7 @@
         if has_timed_out and not self._record.send_count:
             status = 503
         reason = outcome.value if outcome is not None else 'not sent again'
-        self._refuse(status, f'{reason}: {detail}')
+        self._refusals.refuse(status, f'{reason}: {detail}')
 
     def fail_over(self) -> None:
         """Leave a stalled replica if the request can be sent to another."""
@@ -418,7 +359,7 @@
         """Return whether a retry would be sent now."""
         shared = self._context
         tried = [*self._tried, current.clearance.target.load_key]
-        target = shared.chooser.choose(self._build_demand(route), tried)
+        target = shared.chooser.choose(self._demand.build(route), tried)
         if isinstance(target, failures.Failure):
             return False
         nodes = shared.view.entry_nodes
@@ -434,51 +375,3 @@
                 self._record.service, shared.view.entry_nodes
             )
         )
-
-    def _refuse(
-        self,
-        status: int,
-        detail: str,
-        retry_s: float | None = None,
-        is_earliest: bool = False,
-    ) -> None:
-        """Refuse the request.
-
-        :param status: the status of the response.
-        :param detail: why, for the caller and the log.
-        :param retry_s: when to come back, in s; None to name no time.
-        :param is_earliest: whether coming back sooner is of no use.
-        """
-        headers = {}
-        if retry_s is not None:
-            # Callers that are refused together come back one by one.
-            least = 0.0 if is_earliest else -RETRY_SPREAD
-            retry_s *= 1 + self._context.rng.uniform(least, RETRY_SPREAD)
-            headers['Retry-After'] = f'{retry_s:.2f}'
-        self._record.count('refusals', outcome=str(status))
-        self._record.write(
-            'request.refused',
-            status=status,
-            reason=detail,
-            retry_after=headers.get('Retry-After'),
-            held_ms=clock.now_ms() - self._request.received_ms,
-            left_ms=self._remaining_ms(),
-            prompt_tokens=self._prompt_tokens,
-            answer_tokens=self._answer_tokens,
-            sends=self._record.send_count,
-            tried=self._tried,
-            **self._record.describe_document(),
-        )
-        self._request.respond(status, detail.encode() + b'\n', headers)
-
-
-def _parse_count(text: str) -> int:
-    """Return a token count from a header; 0 if it holds none."""
-    return _parse_number(text.strip()) or 0
-
-
-def _parse_number(text: str) -> int | None:
-    """Return a number from a header; None if it is none or absurdly long."""
-    if len(text) > MAX_NUMBER_DIGITS:
-        return None
-    return int(text) if text.isascii() and text.isdecimal() else None
