Add admission by urgency, with priorities for engines

With scheduling.admission = 'urgency', requests are admitted beyond the slots of a replica: engines start waiting requests by the priority that they are sent. 'slots' stays the default and sends no header of its own.

--- a/filbertglade/forwarding/admission.py
+++ b/filbertglade/forwarding/admission.py
@@ -114,6 +114,24 @@
             slowness * tokens * self._estimate_step_ms(engine, load)
         )
 
+    def estimate_typical_ms(self, load: int, slowness: float) -> float:
+        """Estimate the time of a response of at most twice the usual length.
+
+        Callers' estimates of long responses are often far too long; by them,
+        no replica would take a long request when capacity is short.
+
+        :param load: requests in flight on the replica.
+        :param slowness: factor by which its times exceed normal ones.
+        """
+        engine = self.engine
+        if engine is None:
+            return 0.0
+        usual = engine.usual.get('answer', 0.0)
+        tokens = min(self.answer_tokens or usual, 2 * usual)
+        return self.estimate_first_token_ms(load, slowness) + (
+            slowness * tokens * self._estimate_step_ms(engine, load)
+        )
+
     def _estimate_step_ms(self, engine: document.Engine, load: int) -> float:
         """Return the time of a token step in a same-domain group."""
         step_ms = engine.step_ms + engine.per_seq_ms * load
--- a/filbertglade/forwarding/admission_policy.py
+++ b/filbertglade/forwarding/admission_policy.py
@@ -4,6 +4,7 @@
 from collections import abc as collections_abc
 import dataclasses
 import random
+import typing
 
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import targets
@@ -52,6 +53,18 @@
         """
         return None
 
+    def describe(
+        self, demand: admission.Demand, load: int, slots: int, slowness: float
+    ) -> dict[str, typing.Any]:
+        """Return the log fields of a request that is sent.
+
+        :param demand: what the request demands.
+        :param load: requests in flight on the replica.
+        :param slots: requests that it runs concurrently.
+        :param slowness: factor by which its times exceed normal ones.
+        """
+        return {}
+
     def draw_lot(self, rng: random.Random) -> float:
         """Return the lot of a new request; see the demand.
 
@@ -66,11 +79,15 @@
         """
 
     def record_first_byte(
-        self, demand: admission.Demand, taken_ms: float
+        self,
+        demand: admission.Demand,
+        engine_priority: int | None,
+        taken_ms: float,
     ) -> None:
         """Record the time to the first byte of a response.
 
         :param demand: what the request demanded when it was sent.
+        :param engine_priority: the priority that the engine was sent.
         :param taken_ms: the time since the request arrived.
         """
 
--- a/filbertglade/forwarding/attempt.py
+++ b/filbertglade/forwarding/attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import enum
+import functools
 
 from filbertglade import clock
 from filbertglade import failures
@@ -80,6 +81,7 @@
         self._stream = stream
         self._target = clearance.target
         self._connection: upstream.Connection | None = None
+        self._engine_priority: int | None = None
         self._sign = evidence.Sign.NOTHING
         self._detail = ''
         self.clearance = clearance
@@ -121,7 +123,17 @@
         self._record.send_count += 1
         self._record.run_count += 1
         self._delivery.splitter.discard_partial()
-        self._log_sent(connection, demand)
+        load = self._context.evidence.loads.count_in_flight(self._target) - 1
+        if self._target.group:
+            self._engine_priority = (
+                self._context.admission.find_engine_priority(
+                    demand, load, self._target.slots, self._target.slowness
+                )
+            )
+            self._delivery.first_byte_listener = functools.partial(
+                self._record_first_byte, demand
+            )
+        self._log_sent(connection, demand, load)
         outcome = await self._exchange(connection, may_retry_failure)
         await self._context.evidence.record(
             self.clearance, self._sign, self._detail
@@ -130,6 +142,13 @@
             self._log_failed(outcome)
         return outcome
 
+    def _record_first_byte(
+        self, demand: admission.Demand, now_ms: int
+    ) -> None:
+        self._context.admission.record_first_byte(
+            demand, self._engine_priority, now_ms - self._request.received_ms
+        )
+
     async def _connect(self) -> upstream.Connection | failures.Failure:
         pool, target = self._context.pool, self._target
         max_idle_ms = (
@@ -154,11 +173,16 @@
         self,
         connection: upstream.Connection,
         demand: admission.Demand,
+        load: int,
     ) -> None:
         shared, target = self._context, self._target
+        admitted = shared.admission.describe(
+            demand, load, target.slots, target.slowness
+        )
+        if target.group and 'late_reason' in admitted:
+            self._record.count('requests_admitted_late')
         suspects = self.clearance.suspects
         struck = shared.view.struck
-        load = shared.evidence.loads.count_in_flight(target) - 1
         self._record.write(
             'request.sent',
             endpoint=target.key,
@@ -185,6 +209,7 @@
             reused=connection.is_reused,
             left_ms=self._remaining_ms(),
             resume_after=self._delivery.splitter.last_id,
+            **(admitted if target.group else {}),
         )
 
     async def _exchange(
@@ -226,6 +251,7 @@
             self._target.endpoint_id,
             max(1, self._remaining_ms()),
             self._delivery.splitter.last_id,
+            self._engine_priority,
         )
 
     async def _forward_response(
--- a/filbertglade/forwarding/delivery.py
+++ b/filbertglade/forwarding/delivery.py
@@ -1,6 +1,7 @@
 """Passes the response of an endpoint on to the caller."""
 
 import asyncio
+from collections import abc
 
 from tornado import httputil
 from tornado import iostream
@@ -40,6 +41,8 @@
     :param record: logs the decisions.
     :param stream: the stream whose events the stall detector gets.
     :ivar splitter: the events of the response so far.
+    :ivar first_byte_listener: called with the local clock at the first part
+        of a stream; None without one.
     :ivar first_byte_ms: local clock at the first part of the response; None
         before.
     :ivar longest_pause_ms: longest pause between parts of a stream.
@@ -62,6 +65,7 @@
         self._stream = stream
         self.splitter = events.EventSplitter()
         self.first_byte_ms: int | None = None
+        self.first_byte_listener: abc.Callable[[int], None] | None = None
         self.longest_pause_ms = 0
         self.is_passing_body = False
         self.is_survival_known = False
@@ -226,6 +230,8 @@
         now_ms = clock.now_ms()
         if self.first_byte_ms is None:
             self.first_byte_ms = now_ms
+            if self.first_byte_listener is not None:
+                self.first_byte_listener(now_ms)
         else:
             pause_ms = now_ms - self._last_byte_ms
             self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -135,6 +135,8 @@
             self._record.service,
         )
         shared.retries.record_request(self._record.service)
+        if self._record.model:
+            shared.admission.record_arrival(self._demand.build(route))
         await self._run_attempts(route)
 
     def _choose_service(
@@ -172,7 +174,7 @@
             ):
                 target = await self._wait_for_target(route, target)
             if isinstance(target, evidence.NoTarget):
-                self._give_up_without_target(outcome, target)
+                self._give_up_without_target(outcome, target, demand)
                 return
             if self._record.send_count and not (
                 self._is_retry_taken or self._take_retry()
@@ -261,10 +263,18 @@
         self,
         outcome: attempt.AttemptOutcome | None,
         failure: evidence.NoTarget,
+        demand: admission.Demand,
     ) -> None:
         """End a request for which there is no target now."""
         is_paused = failure.reason is evidence.NoTargetReason.PAUSED
-        self._give_up(outcome, str(failure), failure.retry_s, is_paused)
+        is_full = failure.reason is evidence.NoTargetReason.FULL
+        self._give_up(
+            outcome,
+            str(failure),
+            failure.retry_s,
+            is_paused,
+            demand if is_full else None,
+        )
 
     def _give_up_struck(
         self, outcome: attempt.AttemptOutcome | None, detail: str
@@ -314,6 +324,7 @@
         detail: str,
         retry_s: float = evidence.REPAIR_RETRY_AFTER_S,
         is_earliest: bool = False,
+        lacking_room: admission.Demand | None = None,
     ) -> None:
         """End a request that no endpoint has completed."""
         if self._request.is_response_started:
@@ -328,7 +339,9 @@
         ):
             if outcome is attempt.AttemptOutcome.NOT_RUN and not is_earliest:
                 retry_s = evidence.OVERLOAD_RETRY_AFTER_S
-            self._refusals.refuse(503, detail, retry_s, is_earliest)
+            self._refusals.refuse(
+                503, detail, retry_s, is_earliest, lacking_room
+            )
             return
         # From here on an endpoint may have run the request, so no status may
         # say that it has not.
--- a/filbertglade/forwarding/heads.py
+++ b/filbertglade/forwarding/heads.py
@@ -17,6 +17,7 @@
     endpoint_id: str,
     remaining_ms: int,
     last_event_id: str,
+    engine_priority: int | None = None,
 ) -> bytes:
     """Return the head of a request as sent to an endpoint.
 
@@ -27,6 +28,8 @@
     :param remaining_ms: time until its deadline.
     :param last_event_id: id of the event after which a stream is resumed;
         empty if it isn't resumed.
+    :param engine_priority: urgency for the engine; None to send none of this
+        host's own.
     """
     own = {
         dialect.key.lower(),
@@ -38,6 +41,8 @@
     }
     if last_event_id:
         own.add(dialect.resume_after.lower())
+    if engine_priority is not None:
+        own.add(dialect.engine_priority.lower())
     own |= _list_named(request.headers)
     lines = [f'{request.method} {request.target} HTTP/1.1']
     lines += [
@@ -52,6 +57,8 @@
         lines.append(f'{dialect.customer}: {customer}')
     if last_event_id:
         lines.append(f'{dialect.resume_after}: {last_event_id}')
+    if engine_priority is not None:
+        lines.append(f'{dialect.engine_priority}: {engine_priority}')
     if request.body or request.method not in BODYLESS_METHODS:
         lines.append(f'Content-Length: {len(request.body)}')
     return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -1,6 +1,7 @@
 """The parts of a gateway process that runs as an entry host."""
 
 import asyncio
+from collections import abc
 import random
 
 from filbertglade import clock
@@ -9,13 +10,16 @@
 from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
+from filbertglade.forwarding import admission_policy
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import context
 from filbertglade.forwarding import evidence
 from filbertglade.forwarding import exchange
 from filbertglade.forwarding import quota
 from filbertglade.forwarding import server
+from filbertglade.forwarding import slot_admission
 from filbertglade.forwarding import upstream
+from filbertglade.forwarding import urgency_admission
 from filbertglade.gateway import http_server
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
@@ -32,6 +36,13 @@
 # Longest body of a health check, which has none, in bytes.
 MAX_HEALTH_BODY_BYTES = 0
 
+_ADMISSION_POLICIES: dict[
+    str, abc.Callable[[], admission_policy.AdmissionPolicy]
+] = {
+    'slots': slot_admission.SlotAdmission,
+    'urgency': urgency_admission.UrgencyAdmission,
+}
+
 
 class EntryRole:
     """Accepts callers' requests and forwards them.
@@ -68,18 +79,20 @@
             counters,
             rng,
         )
+        policy = _ADMISSION_POLICIES[settings.scheduling.admission]()
         self._context = context.ForwardingContext(
             dialect,
             fleet_view,
             fleet_watcher,
             choice.Chooser(
-                settings.data_centre, fleet_view, self._evidence, rng
+                settings.data_centre, fleet_view, self._evidence, rng, policy
             ),
             self._evidence,
             self._pool,
             quota.RetryQuota(settings.retries),
             counters,
             rng,
+            policy,
         )
         self._exchanges: set[exchange.Exchange] = set()
         self._server = server.CallerServer(self._serve, self._get_limits)
