--- a/filbertglade/forwarding/admission.py
+++ b/filbertglade/forwarding/admission.py
@@ -114,6 +114,19 @@
             slowness * tokens * self._estimate_step_ms(engine, load)
         )
 
+    def estimate_usual_ms(self, load: int, slowness: float) -> float:
+        """Estimate the time of a response of the usual length, in ms.
+
+        :param load: requests in flight on the replica.
+        :param slowness: factor by which its times exceed normal ones.
+        """
+        if self.engine is None:
+            return 0.0
+        tokens = self.engine.usual.get('answer', 0.0)
+        return self.estimate_first_token_ms(load, slowness) + (
+            slowness * tokens * self._estimate_step_ms(self.engine, load)
+        )
+
     def estimate_typical_ms(self, load: int, slowness: float) -> float:
         """Estimate the time of a response of at most twice the usual length.
 
--- a/filbertglade/forwarding/admission_policy.py
+++ b/filbertglade/forwarding/admission_policy.py
@@ -25,6 +25,21 @@
     detail: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """How a request is admitted that is sent now.
+
+    :param engine_priority: the priority that the engine is sent; None to send
+        none.
+    :param is_fresh: whether it is expected to be in time.
+    :param fields: fields of the log line.
+    """
+
+    engine_priority: int | None = None
+    is_fresh: bool = True
+    fields: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+
+
 class AdmissionPolicy(abc.ABC):
     """Decides which replicas may take a request, and how urgent it is."""
 
@@ -41,29 +56,16 @@
             least one replica.
         """
 
-    def find_engine_priority(
-        self, demand: admission.Demand, load: int, slots: int, slowness: float
-    ) -> int | None:
-        """Return the priority that an engine is sent; None to send none.
-
-        :param demand: what the request demands.
-        :param load: requests in flight on the engine's replica.
-        :param slots: requests that it runs concurrently.
-        :param slowness: factor by which its times exceed normal ones.
-        """
-        return None
-
-    def describe(
-        self, demand: admission.Demand, load: int, slots: int, slowness: float
-    ) -> dict[str, typing.Any]:
-        """Return the log fields of a request that is sent.
+    def admit(
+        self, demand: admission.Demand, target: targets.Target, load: int
+    ) -> Admitted:
+        """Admit a request that is sent now.
 
         :param demand: what the request demands.
-        :param load: requests in flight on the replica.
-        :param slots: requests that it runs concurrently.
-        :param slowness: factor by which its times exceed normal ones.
+        :param target: the replica that it is sent to.
+        :param load: requests in flight there, without it.
         """
-        return {}
+        return Admitted()
 
     def draw_lot(self, rng: random.Random) -> float:
         """Return the lot of a new request; see the demand.
@@ -79,18 +81,22 @@
         """
 
     def record_first_byte(
-        self,
-        demand: admission.Demand,
-        engine_priority: int | None,
-        taken_ms: float,
+        self, demand: admission.Demand, admitted: Admitted, taken_ms: float
     ) -> None:
         """Record the time to the first byte of a response.
 
         :param demand: what the request demanded when it was sent.
-        :param engine_priority: the priority that the engine was sent.
+        :param admitted: how it was admitted.
         :param taken_ms: the time since the request arrived.
         """
 
+    def record_end(self, demand: admission.Demand, running_ms: float) -> None:
+        """Record the end of a complete response.
+
+        :param demand: what the request demanded when it was sent.
+        :param running_ms: the time since its first byte.
+        """
+
     def record_refusal(self, demand: admission.Demand) -> None:
         """Record a request that was refused for lack of room.
 
--- a/filbertglade/forwarding/attempt.py
+++ b/filbertglade/forwarding/attempt.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections import abc
 import enum
-import functools
 
 from filbertglade import clock
 from filbertglade import failures
 from filbertglade.fleet import document
 from filbertglade.fleet import statements
 from filbertglade.forwarding import admission
+from filbertglade.forwarding import admission_policy
 from filbertglade.forwarding import context
 from filbertglade.forwarding import delivery
 from filbertglade.forwarding import events
@@ -81,7 +81,8 @@
         self._stream = stream
         self._target = clearance.target
         self._connection: upstream.Connection | None = None
-        self._engine_priority: int | None = None
+        self._demand: admission.Demand | None = None
+        self._admitted = admission_policy.Admitted()
         self._sign = evidence.Sign.NOTHING
         self._detail = ''
         self.clearance = clearance
@@ -125,14 +126,11 @@
         self._delivery.splitter.discard_partial()
         load = self._context.evidence.loads.count_in_flight(self._target) - 1
         if self._target.group:
-            self._engine_priority = (
-                self._context.admission.find_engine_priority(
-                    demand, load, self._target.slots, self._target.slowness
-                )
-            )
-            self._delivery.first_byte_listener = functools.partial(
-                self._record_first_byte, demand
+            self._demand = demand
+            self._admitted = self._context.admission.admit(
+                demand, self._target, load
             )
+            self._delivery.first_byte_listener = self._record_first_byte
         self._log_sent(connection, demand, load)
         outcome = await self._exchange(connection, may_retry_failure)
         await self._context.evidence.record(
@@ -142,12 +140,13 @@
             self._log_failed(outcome)
         return outcome
 
-    def _record_first_byte(
-        self, demand: admission.Demand, now_ms: int
-    ) -> None:
-        self._context.admission.record_first_byte(
-            demand, self._engine_priority, now_ms - self._request.received_ms
-        )
+    def _record_first_byte(self, now_ms: int) -> None:
+        if self._demand is not None:
+            self._context.admission.record_first_byte(
+                self._demand,
+                self._admitted,
+                now_ms - self._request.received_ms,
+            )
 
     async def _connect(self) -> upstream.Connection | failures.Failure:
         pool, target = self._context.pool, self._target
@@ -176,10 +175,7 @@
         load: int,
     ) -> None:
         shared, target = self._context, self._target
-        admitted = shared.admission.describe(
-            demand, load, target.slots, target.slowness
-        )
-        if target.group and 'late_reason' in admitted:
+        if 'late_reason' in self._admitted.fields:
             self._record.count('requests_admitted_late')
         suspects = self.clearance.suspects
         struck = shared.view.struck
@@ -209,7 +205,7 @@
             reused=connection.is_reused,
             left_ms=self._remaining_ms(),
             resume_after=self._delivery.splitter.last_id,
-            **(admitted if target.group else {}),
+            **self._admitted.fields,
         )
 
     async def _exchange(
@@ -251,7 +247,7 @@
             self._target.endpoint_id,
             max(1, self._remaining_ms()),
             self._delivery.splitter.last_id,
-            self._engine_priority,
+            self._admitted.engine_priority,
         )
 
     async def _forward_response(
@@ -361,6 +357,10 @@
         first_ms = (
             self._delivery.first_byte_ms or now_ms
         ) - self._request.received_ms
+        if self._demand is not None and head.is_success:
+            shared.admission.record_end(
+                self._demand, now_ms - self._request.received_ms - first_ms
+            )
         self._record.count('requests', outcome=str(head.status))
         route = self._record.route_name
         shared.counters.record_ms('first_byte', first_ms, route=route)
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -1,7 +1,6 @@
 """The parts of a gateway process that runs as an entry host."""
 
 import asyncio
-from collections import abc
 import random
 
 from filbertglade import clock
@@ -36,13 +35,6 @@
 # Longest body of a health check, which has none, in bytes.
 MAX_HEALTH_BODY_BYTES = 0
 
-_ADMISSION_POLICIES: dict[
-    str, abc.Callable[[], admission_policy.AdmissionPolicy]
-] = {
-    'slots': slot_admission.SlotAdmission,
-    'urgency': urgency_admission.UrgencyAdmission,
-}
-
 
 class EntryRole:
     """Accepts callers' requests and forwards them.
@@ -79,7 +71,11 @@
             counters,
             rng,
         )
-        policy = _ADMISSION_POLICIES[settings.scheduling.admission]()
+        policy: admission_policy.AdmissionPolicy
+        if settings.scheduling.admission == 'urgency':
+            policy = urgency_admission.UrgencyAdmission(fleet_view)
+        else:
+            policy = slot_admission.SlotAdmission()
         self._context = context.ForwardingContext(
             dialect,
             fleet_view,
