Report demand that can't be served, and leave its callers room

Each host's reports carry the requests a second that it refused or left to be late, by priority and model; frames carry the sums. Under 'urgency' a refused caller returns later the more of the room to come the others need that are as urgent or more.

--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -21,6 +21,7 @@
 from filbertglade.fleet import struck_requests
 from filbertglade.fleet import trials
 from filbertglade.fleet import turns
+from filbertglade.fleet import unserved
 from filbertglade.fleet import view
 from filbertglade.inner import channels
 from filbertglade.inner import fleet_grpc
@@ -429,6 +430,10 @@
             leader=self._voters.leader,
             control_hosts=self.list_control_hosts(),
             entry_nodes=len(self._entry_hosts.watchers),
+            unserved_per_s=unserved.add_up(
+                watcher.report
+                for watcher in self._entry_hosts.watchers.values()
+            ),
             document_version=self._agreed.document.current.version,
         )
         index = self._replicas.observed.index
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -26,6 +26,8 @@
     :ivar replicas: replicas by group.
     :ivar in_flight: requests in flight from all nodes, by group.
     :ivar entry_nodes: number of nodes that accept callers.
+    :ivar unserved_per_s: requests a second that all hosts could not serve in
+        time, by priority and model.
     :ivar struck: requests under which endpoints crashed.
     :ivar limits: requests a second that endpoints in need take from all hosts
         together, by incarnation key, each with the local clock when this host
@@ -41,6 +43,7 @@
         self.replicas: dict[str, fleet_pb2.Replica] = {}
         self.in_flight: dict[str, int] = {}
         self.entry_nodes = 1
+        self.unserved_per_s: dict[str, float] = {}
         self.last_frame_ms: int | None = None
         self.limits: dict[str, tuple[int, float]] = {}
         self._allowances: dict[str, int] = {}
@@ -102,6 +105,7 @@
         )
         if frame.entry_nodes:
             self.entry_nodes = frame.entry_nodes
+        self.unserved_per_s = dict(frame.unserved_per_s)
         self.struck.apply_changes(frame.cleared, frame.struck)
         for limit in frame.limits:
             self.set_limit(limit.endpoint, limit.requests_per_s)
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -11,6 +11,7 @@
 from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
 from filbertglade.fleet import statements
+from filbertglade.fleet import unserved
 from filbertglade.fleet import view
 from filbertglade.inner import channels
 from filbertglade.inner import fleet_grpc
@@ -65,6 +66,7 @@
         limits could have taken, by incarnation key.
     :ivar unused_allowances: requests that this host was allowed to send to
         them since the last report and didn't send in time.
+    :ivar unserved: what this host could not serve in time.
     """
 
     def __init__(
@@ -114,6 +116,7 @@
         self.requests = 0
         self.limited_demand: dict[str, int] = {}
         self.unused_allowances: dict[str, int] = {}
+        self.unserved = unserved.UnservedDemand()
 
     def start(self) -> None:
         """Start watching."""
@@ -373,6 +376,7 @@
             requests=self.requests,
             has_view=bool(self._view.endpoints or self._view.replicas),
             leaving=self._unreported_leaving,
+            unserved_per_s=self.unserved.read(),
         )
         now_ms = clock.now_ms()
         for named_ms, limit in self._limits.values():
--- a/filbertglade/forwarding/urgency_admission.py
+++ b/filbertglade/forwarding/urgency_admission.py
@@ -12,6 +12,7 @@
 import random
 import typing
 
+from filbertglade.fleet import unserved
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import admission_policy
@@ -62,16 +63,26 @@
 # within which it returns: the rest is for its response.
 MIN_RETRY_S = 0.5
 RETRY_FRACTION = 1 / 3
+# Most of that time that is left to other requests that wait or were refused.
+MAX_TAKEN_FRACTION = 0.5
 
 
 class UrgencyAdmission(admission_policy.AdmissionPolicy):
     """Admits by urgency, and by whether the objective can still be met.
 
     :param fleet_view: the node's view.
+    :param own_unserved: what this host reports that it could not serve.
     """
 
-    def __init__(self, fleet_view: view.FleetView) -> None:
+    def __init__(
+        self,
+        fleet_view: view.FleetView,
+        own_unserved: unserved.UnservedDemand,
+    ) -> None:
         self._view = fleet_view
+        self._unserved = own_unserved
+        # Capacity in requests a second, by model.
+        self._capacities: dict[str, float] = {}
         # By service and model.
         self._budgets: dict[tuple[str, str], fresh_budget.FreshBudget] = {}
         self._forecast = room_forecast.RoomForecast()
@@ -133,6 +144,9 @@
         budget = self._get_budget(demand)
         budget.fill(demand, len(loads), slots, self._view.entry_nodes)
         budget.is_pressed = sum(loads.values()) >= slots * FREE_TOTAL_FRACTION
+        usual_ms = demand.estimate_usual_ms(slots // len(loads), 1.0)
+        if usual_ms:
+            self._capacities[demand.model] = slots / usual_ms * 1000
         used_fraction = sum(loads.values()) / max(1, slots)
         admission_class = demand.admission_class
         if admission_class is admission.AdmissionClass.FRESH:
@@ -256,6 +270,7 @@
         budget = self._get_budget(demand)
         is_free = load < target.slots * FREE_FRACTION and not budget.is_pressed
         if not budget.take(demand, is_free):
+            self._unserved.record(demand.priority, demand.model)
             return 'no slot in time'
         return ''
 
@@ -271,6 +286,13 @@
         )
         return demand.remaining_ms < needed_ms * AGED_TIMES
 
+    def record_refusal(self, demand: admission.Demand) -> None:
+        """Record a request that was refused for lack of room.
+
+        :param demand: what it demands.
+        """
+        self._unserved.record(demand.priority, demand.model)
+
     def choose_retry_s(
         self,
         demand: admission.Demand | None,
@@ -290,9 +312,25 @@
             return super().choose_retry_s(demand, retry_s, is_earliest, rng)
         left_s = max(0.0, demand.remaining_ms) / 1000
         most_s = left_s * RETRY_FRACTION
-        return self._forecast.choose_delay_s(
-            min(MIN_RETRY_S, most_s), most_s, rng
+        least_s = min(MIN_RETRY_S, most_s)
+        least_s += (most_s - least_s) * self._find_taken_fraction(demand)
+        return self._forecast.choose_delay_s(least_s, most_s, rng)
+
+    def _find_taken_fraction(self, demand: admission.Demand) -> float:
+        """Return how much of the time to come others' requests will need.
+
+        Callers that were refused before, and more urgent ones, return first.
+        """
+        capacity_per_s = self._capacities.get(demand.model, 0.0)
+        if not capacity_per_s:
+            return 0.0
+        waiting_per_s = sum(
+            self._view.unserved_per_s.get(
+                unserved.make_key(priority, demand.model), 0.0
+            )
+            for priority in range(demand.priority + 1)
         )
+        return min(MAX_TAKEN_FRACTION, waiting_per_s / capacity_per_s)
 
     def _get_budget(
         self, demand: admission.Demand
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -73,7 +73,9 @@
         )
         policy: admission_policy.AdmissionPolicy
         if settings.scheduling.admission == 'urgency':
-            policy = urgency_admission.UrgencyAdmission(fleet_view)
+            policy = urgency_admission.UrgencyAdmission(
+                fleet_view, fleet_watcher.unserved
+            )
         else:
             policy = slot_admission.SlotAdmission()
         self._context = context.ForwardingContext(
--- a/tests/gateway_forwarding/short_capacity.py
+++ b/tests/gateway_forwarding/short_capacity.py
@@ -15,6 +15,7 @@
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
 from filbertglade.fleet import statements
+from filbertglade.fleet import unserved
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import choice
@@ -157,9 +158,10 @@
 
     def __init__(self, make_policy, seed):
         self.view = view.FleetView()
+        self.unserved = unserved.UnservedDemand()
         self.rng = random.Random(seed)
         self.in_flight = {}
-        self.policy = make_policy(self.view)
+        self.policy = make_policy(self.view, self.unserved)
         leader = types.SimpleNamespace(
             in_flight=self.in_flight,
             limited_demand={},
@@ -259,7 +261,16 @@
             asyncio.get_running_loop().call_later(
                 delay_s,
                 host.view.apply_frame,
-                fleet_pb2.FleetFrame(is_leader=True, in_flight=totals),
+                fleet_pb2.FleetFrame(
+                    is_leader=True,
+                    in_flight=totals,
+                    unserved_per_s=unserved.add_up(
+                        fleet_pb2.WatchReport(
+                            unserved_per_s=other.unserved.read()
+                        )
+                        for other in self._hosts
+                    ),
+                ),
             )
             await asyncio.sleep(FRAME_S)
 
--- a/tests/gateway_forwarding/test_urgency_admission.py
+++ b/tests/gateway_forwarding/test_urgency_admission.py
@@ -9,6 +9,7 @@
 from tornado import httputil
 
 from filbertglade.fleet import dialects
+from filbertglade.fleet import unserved
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import fair_shares
@@ -17,6 +18,7 @@
 from filbertglade.forwarding import slot_admission
 from filbertglade.forwarding import targets
 from filbertglade.forwarding import urgency_admission
+from filbertglade.inner import fleet_pb2
 from tests.gateway_forwarding import short_capacity
 from tests import virtual_time
 
@@ -51,6 +53,12 @@
     )
 
 
+def build_policy(fleet_view=None):
+    return urgency_admission.UrgencyAdmission(
+        fleet_view or view.FleetView(), unserved.UnservedDemand()
+    )
+
+
 def build_targets(count=2):
     return [
         targets.Target(f'i-{n}', f'i-{n}', '', 'north', SLOTS, f'g-{n}')
@@ -92,7 +100,7 @@
 
 def test_started_streams_precede_fresh_requests_and_these_late_ones():
     def check():
-        policy = urgency_admission.UrgencyAdmission(view.FleetView())
+        policy = build_policy()
         target = build_targets()[0]
         found = [
             policy.admit(
@@ -116,7 +124,7 @@
     def check():
         taken = []
         for priority in (0, 1, 2):
-            policy = urgency_admission.UrgencyAdmission(view.FleetView())
+            policy = build_policy()
             loads = 0
             while policy.find_room(
                 build_demand(kind, priority),
@@ -132,7 +140,7 @@
 
 def test_request_that_cannot_end_in_time_is_refused_at_once():
     def check():
-        policy = urgency_admission.UrgencyAdmission(view.FleetView())
+        policy = build_policy()
         demand = build_demand(CLASSES.LATE)
         loads = dict.fromkeys(build_targets(), SLOTS)
         assert policy.find_room(demand, loads).replicas
@@ -183,7 +191,7 @@
 
 def test_refused_callers_return_within_a_third_of_their_time():
     def check():
-        policy = urgency_admission.UrgencyAdmission(view.FleetView())
+        policy = build_policy()
         rng = random.Random(1)
         delays = [
             policy.choose_retry_s(build_demand(), 1.0, False, rng)
@@ -197,15 +205,46 @@
     run(check)
 
 
+def test_unserved_demand_of_all_hosts_delays_returns():
+    """Guards against all refused callers returning into the same room."""
+
+    def check():
+        own = unserved.UnservedDemand()
+        for _ in range(20):
+            own.record(1, 'big')
+        reports = [
+            fleet_pb2.WatchReport(unserved_per_s=own.read()) for _ in range(9)
+        ]
+        fleet_view = view.FleetView()
+        policy = build_policy(fleet_view)
+        loads = dict.fromkeys(build_targets(), SLOTS)
+        policy.find_room(build_demand(), loads)
+        frame = fleet_pb2.FleetFrame(unserved_per_s=unserved.add_up(reports))
+        fleet_view.apply_frame(frame)
+        rng = random.Random(1)
+
+        def choose_earliest(priority):
+            demand = build_demand(priority=priority)
+            return min(
+                policy.choose_retry_s(demand, 1.0, False, rng)
+                for _ in range(200)
+            )
+
+        assert choose_earliest(1) > 1.2
+        assert choose_earliest(0) < 0.6
+
+    run(check)
+
+
 # With 58 hosts whose beliefs are 0.1 to 0.8 s old
 
 
 def play(routes, is_urgent, customers=(1,) * 24, **load):
     """Return the requests of the wave's second crest."""
 
-    def make_policy(fleet_view):
+    def make_policy(fleet_view, own_unserved):
         if is_urgent:
-            return urgency_admission.UrgencyAdmission(fleet_view)
+            return urgency_admission.UrgencyAdmission(fleet_view, own_unserved)
         return slot_admission.SlotAdmission()
 
     model = short_capacity.Model(
