Treat engines whose queues are full as a lack of room

A request that engines refuse to run after its last try named the usual time to return, and was not reported as unserved. It now goes the way of one for which no replica had room.

--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -201,7 +201,13 @@
             self._tried.append(target.load_key)
             if not self._may_try_another(outcome, route):
                 break
-        self._give_up(outcome, 'tries used up')
+        # Engines whose queues are full run nothing.
+        is_full = outcome is attempt.AttemptOutcome.NOT_RUN
+        self._give_up(
+            outcome,
+            'tries used up',
+            lacking_room=self._demand.build(route) if is_full else None,
+        )
 
     async def _wait_for_target(
         self, route: document.Route, failure: evidence.NoTarget
