--- a/filbertglade/costs/policy.py
+++ b/filbertglade/costs/policy.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections import abc as collections_abc
+import dataclasses
 import random
 
 from filbertglade.costs import backlog
@@ -24,25 +25,12 @@
 class SelectionPolicy(abc.ABC):
     """Selects targets by their load."""
 
-    @abc.abstractmethod
-    def has_capacity(
-        self, target: targets.Target, demand: admission.Demand
-    ) -> bool:
-        """Return whether a target may take a request.
+    def rate_speed(self, target: targets.Target) -> targets.Target:
+        """Return a target with its slowness as this host sees it.
 
         :param target: the target, which serves a model.
-        :param demand: what the request demands.
-        """
-
-    @abc.abstractmethod
-    def meets_objective(
-        self, target: targets.Target, demand: admission.Demand
-    ) -> bool:
-        """Return whether a target is expected to meet the objective.
-
-        :param target: the target, which serves a model.
-        :param demand: what the request demands.
         """
+        return target
 
     @abc.abstractmethod
     def select(
@@ -73,28 +61,6 @@
         self._loads = load_tracker
         self._rng = rng
 
-    def has_capacity(
-        self, target: targets.Target, demand: admission.Demand
-    ) -> bool:
-        """Return whether a target may take a request.
-
-        :param target: the target, which serves a model.
-        :param demand: what the request demands.
-        """
-        load = self._loads.count_in_flight(target)
-        return demand.has_capacity(load, target.slots, target.slowness)
-
-    def meets_objective(
-        self, target: targets.Target, demand: admission.Demand
-    ) -> bool:
-        """Return whether a target is expected to meet the objective.
-
-        :param target: the target, which serves a model.
-        :param demand: what the request demands.
-        """
-        load = self._loads.count_in_flight(target)
-        return demand.meets_objective(load, target.slots, target.slowness)
-
     def select(
         self, options: list[targets.Target], demand: admission.Demand
     ) -> targets.Target:
@@ -137,28 +103,13 @@
         self._speeds = target_speeds
         self._rng = rng
 
-    def has_capacity(
-        self, target: targets.Target, demand: admission.Demand
-    ) -> bool:
-        """Return whether a target may take a request.
+    def rate_speed(self, target: targets.Target) -> targets.Target:
+        """Return a target with its slowness as this host sees it.
 
         :param target: the target, which serves a model.
-        :param demand: what the request demands.
         """
-        load = self._loads.count_in_flight(target)
-        return demand.has_capacity(load, target.slots, target.slowness)
-
-    def meets_objective(
-        self, target: targets.Target, demand: admission.Demand
-    ) -> bool:
-        """Return whether a target is expected to meet the objective.
-
-        :param target: the target, which serves a model.
-        :param demand: what the request demands.
-        """
-        load = self._loads.count_in_flight(target)
-        return demand.meets_objective(
-            load, target.slots, self._find_slowness(target)
+        return dataclasses.replace(
+            target, slowness=self._find_slowness(target)
         )
 
     def select(
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -30,6 +30,8 @@
     :ivar remaining_work_ms: estimated work that is left of the requests of all
         nodes, by group or incarnation key; empty if nodes don't report it.
     :ivar entry_nodes: number of nodes that accept callers.
+    :ivar unserved_per_s: requests a second that all hosts could not serve in
+        time, by priority and model.
     :ivar struck: requests under which endpoints crashed.
     :ivar limits: requests a second that endpoints in need take from all hosts
         together, by incarnation key, each with the local clock when this host
@@ -48,6 +50,7 @@
         self.in_flight: dict[str, int] = {}
         self.remaining_work_ms: dict[str, float] = {}
         self.entry_nodes = 1
+        self.unserved_per_s: dict[str, float] = {}
         self.last_frame_ms: int | None = None
         self.limits: dict[str, tuple[int, float]] = {}
         self.evacuated = evacuated.EvacuatedDataCentres()
@@ -112,6 +115,7 @@
         self.evacuated.apply(frame)
         if frame.entry_nodes:
             self.entry_nodes = frame.entry_nodes
+        self.unserved_per_s = dict(frame.unserved_per_s)
         self.struck.apply_changes(frame.cleared, frame.struck)
         self.cold.apply_frame(frame)
         for limit in frame.limits:
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -12,6 +12,7 @@
 from filbertglade.fleet import frames
 from filbertglade.fleet import pacing
 from filbertglade.fleet import statements
+from filbertglade.fleet import unserved
 from filbertglade.fleet import view
 from filbertglade.fleet import work_reports
 from filbertglade.inner import channels
@@ -70,6 +71,7 @@
         them since the last report and didn't send in time.
     :ivar read_work: returns the work that this host's requests have left, in
         ms by load key; None if requests aren't selected by cost.
+    :ivar unserved: what this host could not serve in time.
     """
 
     def __init__(
@@ -124,6 +126,7 @@
         self.unused_allowances: dict[str, int] = {}
         self.read_work: abc.Callable[[], dict[str, int]] | None = None
         self._reported_work = work_reports.ReportedWork()
+        self.unserved = unserved.UnservedDemand()
 
     def start(self) -> None:
         """Start watching."""
@@ -387,6 +390,7 @@
             requests=self.requests,
             has_view=bool(self._view.endpoints or self._view.replicas),
             leaving=self._unreported_leaving,
+            unserved_per_s=self.unserved.read(),
         )
         now_ms = clock.now_ms()
         for named_ms, limit in self._limits.values():
--- a/filbertglade/forwarding/attempt.py
+++ b/filbertglade/forwarding/attempt.py
@@ -10,6 +10,7 @@
 from filbertglade.fleet import document
 from filbertglade.fleet import statements
 from filbertglade.forwarding import admission
+from filbertglade.forwarding import admission_policy
 from filbertglade.forwarding import context
 from filbertglade.forwarding import delivery
 from filbertglade.forwarding import events
@@ -81,6 +82,8 @@
         self._stream = stream
         self._target = clearance.target
         self._connection: upstream.Connection | None = None
+        self._demand: admission.Demand | None = None
+        self._admitted = admission_policy.Admitted()
         self._sign = evidence.Sign.NOTHING
         self._detail = ''
         self._is_success = False
@@ -123,7 +126,14 @@
         self._record.send_count += 1
         self._record.run_count += 1
         self._delivery.splitter.discard_partial()
-        self._log_sent(connection, demand)
+        load = self._context.evidence.loads.count_in_flight(self._target) - 1
+        if self._target.group:
+            self._demand = demand
+            self._admitted = self._context.admission.admit(
+                demand, self._target, load
+            )
+            self._delivery.first_byte_listener = self._record_first_byte
+        self._log_sent(connection, demand, load)
         tracked = self._track(demand)
         outcome = AttemptOutcome.BROKEN
         try:
@@ -153,6 +163,14 @@
             self._target, demand, load, lambda: splitter.count
         )
 
+    def _record_first_byte(self, now_ms: int) -> None:
+        if self._demand is not None:
+            self._context.admission.record_first_byte(
+                self._demand,
+                self._admitted,
+                now_ms - self._request.received_ms,
+            )
+
     async def _connect(self) -> upstream.Connection | failures.Failure:
         pool, target = self._context.pool, self._target
         max_idle_ms = (
@@ -177,11 +195,13 @@
         self,
         connection: upstream.Connection,
         demand: admission.Demand,
+        load: int,
     ) -> None:
         shared, target = self._context, self._target
+        if 'late_reason' in self._admitted.fields:
+            self._record.count('requests_admitted_late')
         suspects = self.clearance.suspects
         struck = shared.view.struck
-        load = shared.evidence.loads.count_in_flight(target) - 1
         self._record.write(
             'request.sent',
             endpoint=target.key,
@@ -209,6 +229,7 @@
             reused=connection.is_reused,
             left_ms=self._remaining_ms(),
             resume_after=self._delivery.splitter.last_id,
+            **self._admitted.fields,
         )
 
     async def _exchange(
@@ -250,6 +271,7 @@
             self._target.endpoint_id,
             max(1, self._remaining_ms()),
             self._delivery.splitter.last_id,
+            self._admitted.engine_priority,
         )
 
     async def _forward_response(
@@ -360,6 +382,10 @@
         first_ms = (
             self._delivery.first_byte_ms or now_ms
         ) - self._request.received_ms
+        if self._demand is not None and head.is_success:
+            shared.admission.record_end(
+                self._demand, now_ms - self._request.received_ms - first_ms
+            )
         self._record.count('requests', outcome=str(head.status))
         route = self._record.route_name
         shared.counters.record_ms('first_byte', first_ms, route=route)
--- a/filbertglade/forwarding/choice.py
+++ b/filbertglade/forwarding/choice.py
@@ -7,8 +7,10 @@
 from filbertglade import failures
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
+from filbertglade.forwarding import admission_policy
 from filbertglade.forwarding import cold_preference
 from filbertglade.forwarding import evidence
+from filbertglade.forwarding import slot_admission
 from filbertglade.forwarding import targets
 
 
@@ -21,6 +23,8 @@
     :param rng: the process's random number generator.
     :param selection_policy: selects among the targets that may be sent a
         request; None to select by the requests in flight.
+    :param admission_rules: decides which replicas may take a request; by free
+        slots if None.
     """
 
     def __init__(
@@ -30,12 +34,14 @@
         endpoint_evidence: evidence.EndpointEvidence,
         rng: random.Random,
         selection_policy: policy.SelectionPolicy | None = None,
+        admission_rules: admission_policy.AdmissionPolicy | None = None,
     ) -> None:
         self._view = fleet_view
         self._evidence = endpoint_evidence
         self._policy = selection_policy or policy.LoadPolicy(
             data_centre, endpoint_evidence.loads, rng
         )
+        self._admission = admission_rules or slot_admission.SlotAdmission()
 
     def list_targets(self, service: str, model: str) -> list[targets.Target]:
         """Return the targets that may take a request.
@@ -60,9 +66,8 @@
     ) -> targets.Target | evidence.NoTarget:
         """Return the best target for a request.
 
-        Prefers lightly loaded replicas among those that are expected to meet
-        the objective. If there are none, chooses among the slowest replicas
-        with capacity, so that the others continue to meet it.
+        Prefers lightly loaded replicas among those that the admission policy
+        allows.
 
         :param demand: what the request demands.
         :param tried: load keys of targets that were tried already.
@@ -95,29 +100,20 @@
     ) -> targets.Target | evidence.NoTarget:
         if not demand.model:
             return self._policy.select(candidates, demand)
-        available = [
-            target
-            for target in candidates
-            if self._policy.has_capacity(target, demand)
-        ]
-        if not available:
-            least = min(
-                self._evidence.loads.count_in_flight(target)
-                for target in candidates
-            )
+        # The policy may know a target's speed better than the leader does.
+        rated = {
+            self._policy.rate_speed(target): target for target in candidates
+        }
+        loads = {
+            seen: self._evidence.loads.count_in_flight(target)
+            for seen, target in rated.items()
+        }
+        room = self._admission.find_room(demand, loads)
+        if not room.replicas:
             return evidence.NoTarget(
                 evidence.NoTargetReason.FULL,
                 evidence.OVERLOAD_RETRY_AFTER_S,
-                f'{least} in flight',
+                room.detail,
             )
-        in_time = [
-            target
-            for target in available
-            if self._policy.meets_objective(target, demand)
-        ]
-        if not in_time:
-            slowest = max(target.slowness for target in available)
-            in_time = [
-                target for target in available if target.slowness == slowest
-            ]
-        return self._policy.select(in_time, demand)
+        options = [rated[seen] for seen in room.replicas]
+        return self._policy.select(options, demand)
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -8,11 +8,13 @@
 from filbertglade.fleet import dialects
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
+from filbertglade.forwarding import admission_policy
 from filbertglade.forwarding import body_budget
 from filbertglade.forwarding import caller_retries
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import evidence
 from filbertglade.forwarding import quota
+from filbertglade.forwarding import slot_admission
 from filbertglade.forwarding import upstream
 from filbertglade.observability import metrics
 
@@ -41,6 +43,7 @@
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
     :param costs: costs of requests; None if they are selected by load.
+    :param policy: the chooser's admission policy; by free slots if None.
     :ivar certainty: whether the document in force may be out of date.
     :ivar bodies: the response bodies that are kept in memory.
     :ivar deadlines: the deadlines that callers of each route send.
@@ -60,6 +63,7 @@
         counters: metrics.Metrics,
         rng: random.Random,
         costs: tracking.RequestCosts | None = None,
+        policy: admission_policy.AdmissionPolicy | None = None,
     ) -> None:
         self.dialect = dialect
         self.view = fleet_view
@@ -71,6 +75,7 @@
         self.counters = counters
         self.rng = rng
         self.costs = costs
+        self.admission = policy or slot_admission.SlotAdmission()
         self.certainty = certainty.DocumentCertainty(fleet_view)
         self.bodies = body_budget.BodyBudget()
         counters.set_gauge(
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -12,13 +12,16 @@
 from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
+from filbertglade.forwarding import admission_policy
 from filbertglade.forwarding import choice
 from filbertglade.forwarding import context
 from filbertglade.forwarding import evidence
 from filbertglade.forwarding import exchange
 from filbertglade.forwarding import quota
 from filbertglade.forwarding import server
+from filbertglade.forwarding import slot_admission
 from filbertglade.forwarding import upstream
+from filbertglade.forwarding import urgency_admission
 from filbertglade.gateway import http_server
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
@@ -74,6 +77,13 @@
         )
         self._costs: tracking.RequestCosts | None = None
         selection_policy = self._build_policy(fleet_watcher, counters, rng)
+        policy: admission_policy.AdmissionPolicy
+        if settings.scheduling.admission == 'urgency':
+            policy = urgency_admission.UrgencyAdmission(
+                fleet_view, fleet_watcher.unserved
+            )
+        else:
+            policy = slot_admission.SlotAdmission()
         self._context = context.ForwardingContext(
             dialect,
             fleet_view,
@@ -84,6 +94,7 @@
                 self._evidence,
                 rng,
                 selection_policy,
+                policy,
             ),
             self._evidence,
             self._pool,
@@ -91,6 +102,7 @@
             counters,
             rng,
             self._costs,
+            policy,
         )
         self._exchanges: set[exchange.Exchange] = set()
         self._server = server.CallerServer(self._serve, self._get_limits)
--- a/tests/gateway_forwarding/test_cold_targets.py
+++ b/tests/gateway_forwarding/test_cold_targets.py
@@ -9,6 +9,7 @@
 from filbertglade.fleet import cold_bound
 from filbertglade.fleet import cold_permits
 from filbertglade.fleet import dialects
+from filbertglade.forwarding import admission
 from filbertglade.forwarding import containment
 from filbertglade.forwarding import evidence
 from filbertglade.forwarding import suspicion
@@ -20,6 +21,7 @@
 PER_S = 26.0
 REQUEST_S = 1.0
 SLOTS = 24
+DEMAND = admission.Demand('models', 'big')
 SUSPECTS = suspicion.Suspects(b'', ())
 
 
@@ -80,6 +82,7 @@
     def begin(self, target):
         """Send a request to a target; return its clearance."""
         clearance = evidence.Clearance(
+            DEMAND,
             target,
             SUSPECTS,
             containment.Permission(),
@@ -135,7 +138,12 @@
         node = Node([replica])
         clearance = node.begin(node.choose_target())
         chosen = evidence.Clearance(
-            clearance.target, SUSPECTS, containment.Permission(), False, None
+            DEMAND,
+            clearance.target,
+            SUSPECTS,
+            containment.Permission(),
+            False,
+            None,
         )
         fields = httputil.HTTPHeaders({dialects.DEFAULT.cold: '5000'})
         head = upstream.ResponseHead(200, '', fields, 0, False)
