Add budgets of memory and connections for clients

A process had no account of what it holds for its clients. The package has one memory budget with an account for each connection, a limit of each listener's connections, turns for long bodies, and refusals with bounded log lines. The settings limits.held_mb, max_callers and min_body_rate replace the values that follow from the memory and the descriptors. Nothing uses them yet.

--- /dev/null
+++ b/filbertglade/budgets/process.py
@@ -0,0 +1,48 @@
+"""The budgets of one process."""
+
+from filbertglade.budgets import connections
+from filbertglade.budgets import memory
+from filbertglade.budgets import refusals
+from filbertglade.observability import metrics
+from filbertglade.settings import gateway
+
+
+class Budgets:
+    """What all listeners of a process share.
+
+    :param limits: the limits in the settings.
+    :param counters: the process's metrics.
+    :ivar memory: the memory budget.
+    :ivar refusals: counts and logs refusals.
+    :ivar min_body_rate: bytes a second below which a long body is slow.
+    """
+
+    def __init__(
+        self, limits: gateway.LimitSettings, counters: metrics.Metrics
+    ) -> None:
+        self.memory = memory.MemoryBudget(
+            memory.find_limit_bytes(limits.held_mb, limits.memory_mb), counters
+        )
+        self.refusals = refusals.Refusals(counters)
+        self.min_body_rate = limits.min_body_rate
+        self._limits = limits
+        self._counters = counters
+
+    def limit_connections(self, listener: str) -> connections.ConnectionLimit:
+        """Return the limit of a listener's connections.
+
+        :param listener: one of :data:`connections.LISTENER_SHARES`.
+        """
+        set_limit = self._limits.max_callers if listener == 'callers' else 0
+        limit = connections.ConnectionLimit(
+            connections.find_limit(
+                listener, self._limits.max_descriptors, set_limit
+            )
+        )
+        self._counters.set_gauge(f'connections_{listener}', limit.__len__)
+        return limit
+
+
+def build_default() -> Budgets:
+    """Return the budgets of a process without settings."""
+    return Budgets(gateway.LimitSettings(), metrics.Metrics())
--- a/filbertglade/settings/gateway.py
+++ b/filbertglade/settings/gateway.py
@@ -169,12 +169,21 @@
     :param memory_mb: memory; 0 if the process may use any amount.
     :param max_descriptors: open descriptors; 0 for the limit that the system
         states.
+    :param held_mb: memory for what clients send and don't read; 0 for a
+        quarter of the memory.
+    :param max_callers: callers' connections at a time; 0 for 0.45 of the
+        descriptors, or 0.9 if these aren't set.
+    :param min_body_rate: bytes a second below which the sender of a long body
+        yields to other senders.
     """
 
     __pydantic_config__ = schema.STRICT
 
     memory_mb: RoundedAmount = 0
     max_descriptors: RoundedAmount = 0
+    held_mb: RoundedAmount = 0
+    max_callers: RoundedAmount = 0
+    min_body_rate: RoundedAmount = 16_384
 
 
 @dataclasses.dataclass(slots=True)
