Bound what an entry host holds for its callers

Heads of up to 1 MB, bodies of all callers together, read-ahead of pipelined requests and answers that callers don't read were bounded by nothing. Callers' streams are charged to the memory budget; long bodies wait while it is low, and the slowest of those over their share get 503.

--- a/filbertglade/forwarding/body_budget.py
+++ b/filbertglade/forwarding/body_budget.py
@@ -1,5 +1,7 @@
 """Bounds the response bodies that a host keeps in memory."""
 
+from filbertglade.budgets import memory
+
 # Most bytes of one response that are kept until it is complete. A longer one
 # is forwarded as it arrives, and can't be sent again by another endpoint.
 MAX_RESPONSE_BYTES = 1_048_576
@@ -15,6 +17,24 @@
 
     def __init__(self) -> None:
         self.held_bytes = 0
+        self._account: memory.Account | None = None
+
+    def set_account(self, account: memory.Account) -> None:
+        """Charge the bodies to the process's memory budget too.
+
+        :param account: their account.
+        """
+        self._account = account
+
+    def add(self, size_bytes: int) -> bool:
+        """Count further bytes, or fewer.
+
+        :param size_bytes: the difference.
+        :returns: whether all bytes are within the bounds.
+        """
+        self.held_bytes += size_bytes
+        fits = self._account is None or self._account.resize(self.held_bytes)
+        return fits and self.held_bytes <= MAX_HELD_BYTES
 
     def begin(self) -> 'HeldBody':
         """Return a new response's body."""
@@ -41,11 +61,8 @@
         """
         self._chunks.append(chunk)
         self._bytes += len(chunk)
-        self._budget.held_bytes += len(chunk)
-        return (
-            self._bytes <= MAX_RESPONSE_BYTES
-            and self._budget.held_bytes <= MAX_HELD_BYTES
-        )
+        fits = self._budget.add(len(chunk))
+        return fits and self._bytes <= MAX_RESPONSE_BYTES
 
     def set_size(self, size_bytes: int) -> bool:
         """Count bytes that are kept elsewhere.
@@ -53,9 +70,9 @@
         :param size_bytes: their number now.
         :returns: whether all kept bytes are within the bounds.
         """
-        self._budget.held_bytes += size_bytes - self._bytes
+        fits = self._budget.add(size_bytes - self._bytes)
         self._bytes = size_bytes
-        return not size_bytes or self._budget.held_bytes <= MAX_HELD_BYTES
+        return not size_bytes or fits
 
     def take(self) -> bytes:
         """Return what was kept, and keep it no longer."""
@@ -65,6 +82,6 @@
 
     def discard(self) -> None:
         """Keep nothing."""
-        self._budget.held_bytes -= self._bytes
+        self._budget.add(-self._bytes)
         self._bytes = 0
         self._chunks = []
--- a/filbertglade/forwarding/delivery.py
+++ b/filbertglade/forwarding/delivery.py
@@ -112,8 +112,9 @@
                 headers = heads.strip_headers(head.headers)
                 if head.has_stated_end and self._request.method != 'HEAD':
                     headers['Content-Length'] = str(len(body))
-                await self._begin_response(head, headers)
-                await self._write(body)
+                parts = [body]
+                del body
+                await self._begin_with(head, headers, parts)
         finally:
             held.discard()
         self._request.finish()
@@ -128,8 +129,7 @@
         headers = heads.strip_headers(head.headers)
         if head.length is None:
             headers.pop('Content-Length', None)
-        await self._begin_response(head, headers)
-        await self._write(held.take())
+        await self._begin_with(head, headers, [held.take()])
 
     async def _forward_stream(
         self,
@@ -242,9 +242,30 @@
         except iostream.StreamClosedError as error:
             raise asyncio.CancelledError from error
 
+    async def _begin_with(
+        self,
+        head: upstream.ResponseHead,
+        headers: httputil.HTTPHeaders,
+        parts: list[bytes],
+    ) -> None:
+        """Begin the response with a part of its body.
+
+        :param parts: the part alone; empty afterwards, since the traceback of
+            an error would keep it otherwise.
+        """
+        try:
+            with self._request.hold(len(parts[0])):
+                await self._begin_response(head, headers)
+                await self._write(parts.pop())
+        finally:
+            parts.clear()
+
     async def _write(self, chunk: bytes) -> None:
+        writing = self._request.write(chunk)
+        # The traceback of an error would keep it.
+        del chunk
         try:
-            await self._request.write(chunk)
+            await writing
         except iostream.StreamClosedError as error:
             raise asyncio.CancelledError from error
 
--- a/filbertglade/forwarding/server.py
+++ b/filbertglade/forwarding/server.py
@@ -2,221 +2,34 @@
 
 import asyncio
 from collections import abc
-import re
-import socket
-import struct
 import sys
 import typing
 import weakref
 
-from tornado import httpserver
 from tornado import httputil
-from tornado import iostream
 
+from filbertglade.budgets import process
 from filbertglade import clock
 from filbertglade.fleet import document
+from filbertglade.forwarding import caller_requests
+from filbertglade.forwarding import caller_streams
 from filbertglade.inner import channels
 from filbertglade.observability import logs
 
 log = logs.get_log(__name__)
 
-# How much of an oversized body is read and discarded, so that its sender reads
-# the refusal instead of a connection reset.
-MAX_DISCARDED_BYTES = 16_777_216
-# Time for a caller to read a response before its connection is closed.
-CLOSE_DELAY_S = 0.5
+CLOSE_DELAY_S = caller_streams.CLOSE_DELAY_S
 # Upper limit on the size of headers; the document may set a lower one.
 MAX_HEADER_BYTES = 1_048_576
+# Why a request is refused before it is read, by the status.
+UNREAD_REASONS = {
+    408: 'body too slow',
+    413: 'body too long',
+    431: 'headers too long',
+}
 # Limits in force until a document sets others.
 DEFAULT_LIMITS = document.Limits()
-# Values of SO_LINGER: a closed connection is reset, or ends in order once all
-# was sent.
-LINGER_RESET = struct.pack('ii', 1, 0)
-LINGER_OFF = struct.pack('ii', 0, 0)
-
-_LINE_BREAK = re.compile(r'[\r\n]')
-
-
-class CallerRequest:
-    """A request, and the connection for its response.
-
-    :param connection: the caller's connection.
-    :param start_line: its start line.
-    :param headers: its headers.
-    :param received_ms: local clock when its head had been read.
-    :ivar body: its body; empty until all of it has been read.
-    :ivar is_response_started: whether the head of a response was sent.
-    :ivar closes_connection: whether the connection is closed after the
-        response.
-    :ivar is_aborted: whether the connection was closed without the end of a
-        response.
-    """
-
-    def __init__(
-        self,
-        connection: httputil.HTTPConnection,
-        start_line: httputil.RequestStartLine,
-        headers: httputil.HTTPHeaders,
-        received_ms: int,
-    ) -> None:
-        self._connection = connection
-        self.method = start_line.method
-        self.target = start_line.path
-        self.headers = headers
-        self.received_ms = received_ms
-        self.body = b''
-        self.is_response_started = False
-        self.closes_connection = False
-        self.is_aborted = False
-        self._takes_chunks = start_line.version != 'HTTP/1.0'
-        # Whether only the end of the connection ends the response.
-        self._ends_with_connection = False
-
-    @property
-    def is_last(self) -> bool:
-        """Whether its connection carries no further response."""
-        return self.closes_connection or self.is_aborted
-
-    @property
-    def path(self) -> str:
-        """The path without the query."""
-        return self.target.partition('?')[0]
-
-    @property
-    def hostname(self) -> str:
-        """The host name that the caller addressed, without a port."""
-        host = self.headers.get('Host', '')
-        return host.rpartition(':')[0] if ':' in host else host
-
-    @property
-    def states_end(self) -> bool:
-        """Whether the response that was begun has a length or chunks."""
-        return not self._ends_with_connection
-
-    async def begin_response(
-        self,
-        status: int,
-        reason: str,
-        headers: httputil.HTTPHeaders,
-        states_end: bool = True,
-    ) -> None:
-        """Send the head of the response.
-
-        :param status: the status.
-        :param reason: the reason phrase.
-        :param headers: the headers; without a length the body is sent with
-            chunked transfer coding if the caller knows it.
-        :param states_end: False to let the body end with the connection.
-        :raises StreamClosedError: the caller has disconnected.
-        """
-        self.is_response_started = True
-        if self.method != 'HEAD' and not (
-            states_end and (self._takes_chunks or 'Content-Length' in headers)
-        ):
-            self._ends_with_connection = self.closes_connection = True
-        if self.closes_connection:
-            headers['Connection'] = 'close'
-        if self._ends_with_connection:
-            # Only finish() lets the connection end in order, so that it is
-            # also reset when this process ends.
-            self._set_linger(LINGER_RESET)
-            # The connection would add chunks to a body without a length.
-            await self._connection.write(_build_head(status, reason, headers))
-            return
-        line = httputil.ResponseStartLine('HTTP/1.1', status, reason)
-        await self._connection.write_headers(line, headers)
-
-    async def write(self, chunk: bytes) -> None:
-        """Send a part of the body.
-
-        :param chunk: the part.
-        :raises StreamClosedError: the caller has disconnected.
-        """
-        await self._connection.write(chunk)
-
-    def finish(self) -> None:
-        """End the response, all of which has been written."""
-        try:
-            if self._ends_with_connection:
-                self._set_linger(LINGER_OFF)
-            self._connection.finish()
-            if self._ends_with_connection:
-                self._end_writing()
-        except (OSError, httputil.HTTPOutputError) as error:
-            log.change('answer.unfinished', error=error)
-            self.abort()
-            return
-        if self.closes_connection:
-            loop = asyncio.get_running_loop()
-            loop.call_later(CLOSE_DELAY_S, self.abort)
-
-    def _end_writing(self) -> None:
-        """End the connection for the caller, which has yet to read it."""
-        stream = getattr(self._connection, 'stream', None)
-        if stream is not None and not stream.closed():
-            stream.socket.shutdown(socket.SHUT_WR)
-
-    def abort(self) -> None:
-        """Close the connection, so that a cut response can't look complete."""
-        self.is_aborted = True
-        stream = getattr(self._connection, 'stream', None)
-        if stream is not None:
-            stream.close()
-
-    def _set_linger(self, value: bytes) -> None:
-        stream = getattr(self._connection, 'stream', None)
-        if stream is not None and not stream.closed():
-            stream.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, value
-            )
-
-    def respond(
-        self,
-        status: int,
-        body: bytes = b'',
-        headers: abc.Mapping[str, str] | None = None,
-    ) -> None:
-        """Send a complete short response.
-
-        :param status: the status.
-        :param body: the body.
-        :param headers: further headers.
-        """
-        all_headers = httputil.HTTPHeaders(
-            {'Content-Length': str(len(body)), **(headers or {})}
-        )
-        if self.closes_connection:
-            all_headers['Connection'] = 'close'
-        self.is_response_started = True
-        reason = httputil.responses.get(status, 'Unknown')
-        line = httputil.ResponseStartLine('HTTP/1.1', status, reason)
-        try:
-            written = self._connection.write_headers(line, all_headers, body)
-        except iostream.StreamClosedError:
-            return
-        asyncio.ensure_future(written).add_done_callback(_retrieve_exception)
-        self.finish()
-
-
-def _build_head(
-    status: int, reason: str, headers: httputil.HTTPHeaders
-) -> bytes:
-    """Return the head of a response.
-
-    :raises ValueError: a header contains a line break.
-    """
-    lines = [f'HTTP/1.1 {status} {reason}']
-    lines += [f'{name}: {value}' for name, value in headers.get_all()]
-    if any(_LINE_BREAK.search(line) for line in lines):
-        raise ValueError('a header of a response contains a line break')
-    return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
-
-
-def _retrieve_exception(future: 'asyncio.Future[typing.Any]') -> None:
-    if not future.cancelled():
-        future.exception()
-
-
+CallerRequest = caller_requests.CallerRequest
 RequestHandler = abc.Callable[
     [CallerRequest], abc.Coroutine[typing.Any, typing.Any, None]
 ]
@@ -228,6 +41,8 @@
     :param serve: handles a request and sends its response.
     :param get_limits: returns the limits in force; None before a document
         arrives.
+    :param budgets: what the process may hold; None for the defaults.
+    :param find_customer: returns the customer that a request's headers name.
     :ivar in_flight: requests that are being read or handled.
     """
 
@@ -235,14 +50,20 @@
         self,
         serve: RequestHandler,
         get_limits: abc.Callable[[], document.Limits | None],
+        budgets: process.Budgets | None = None,
+        find_customer: abc.Callable[
+            [httputil.HTTPHeaders], str
+        ] = lambda headers: '',
     ) -> None:
         self.serve = serve
         self._get_limits = get_limits
+        self.budgets = budgets or process.build_default()
+        self.find_customer = find_customer
         self.in_flight: set[_RequestReader] = set()
         self._last_requests: weakref.WeakKeyDictionary[
             object, CallerRequest
         ] = weakref.WeakKeyDictionary()
-        self._server: httpserver.HTTPServer | None = None
+        self._server: caller_streams.LimitedServer | None = None
 
     def listen(self, address: str) -> None:
         """Listen for connections.
@@ -251,13 +72,15 @@
         :raises OSError: the address can't be listened on.
         """
         limits = self.limits
-        self._server = httpserver.HTTPServer(
+        self._server = caller_streams.LimitedServer(
             self,  # type: ignore[arg-type]
+            chunk_size=caller_streams.CHUNK_BYTES,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=sys.maxsize,
             idle_connection_timeout=limits.idle_timeout_ms / 1000 + 1,
         )
         host, port = channels.split_address(address)
+        self._server.set_budgets(self.budgets)
         self._server.listen(port, host, backlog=1024)
 
     def stop(self) -> None:
@@ -284,6 +107,9 @@
         :param request_conn: the connection's interface for this request.
         :returns: the delegate.
         """
+        stream = getattr(request_conn, 'stream', None)
+        if isinstance(stream, caller_streams.CallerStream):
+            stream.begin_head(self.limits.max_header_bytes)
         return _RequestReader(self, server_conn, request_conn)
 
     def accept_request(
@@ -325,6 +151,10 @@
         self._is_refused = False
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._stream: caller_streams.CallerStream | None = None
+        stream = getattr(connection, 'stream', None)
+        if isinstance(stream, caller_streams.CallerStream):
+            self._stream = stream
 
     def headers_received(
         self,
@@ -347,12 +177,18 @@
             # It was sent before its caller read that the connection ends.
             log.change('request.ignored')
             self._is_refused = True
+            if self._stream is not None:
+                self._stream.discard_rest()
             return
         self._request = request
         self._server.in_flight.add(self)
         size = sum(
             len(name) + len(value) + 4 for name, value in headers.get_all()
         )
+        if self._stream is not None:
+            self._stream.end_head(size + len(request.target))
+            request.account = self._stream.account
+            request.account.begin(self._evict)
         if size + len(request.target) > limits.max_header_bytes:
             self._refuse(431)
             return
@@ -368,23 +204,29 @@
             limits.header_timeout_ms / 1000, self._refuse, 408
         )
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes) -> abc.Awaitable[None] | None:
         """Buffer a part of the body.
 
         :param chunk: the part.
+        :returns: what the next part waits for; None to read it at once.
         """
-        self._body_bytes += len(chunk)
         if self._is_refused:
-            if (
-                self._body_bytes > MAX_DISCARDED_BYTES
-                and self._request is not None
-            ):
-                self._request.abort()
-            return
+            return None
+        self._body_bytes += len(chunk)
         if self._body_bytes > self._server.limits.max_body_bytes:
             self._refuse(413)
-            return
+            return None
         self._chunks.append(chunk)
+        if self._stream is None:
+            return None
+        account = self._stream.account
+        account.received_bytes += len(chunk)
+        if not account.add(len(chunk)) and not self._is_refused:
+            self._evict()
+        budget = self._server.budgets.memory
+        if not self._is_refused and budget.should_pause(account):
+            return budget.wait_for_room()
+        return None
 
     def finish(self) -> None:
         """Start the task for a request that has arrived completely."""
@@ -392,6 +234,9 @@
         if self._is_refused or self._request is None:
             self._server.in_flight.discard(self)
             return
+        if self._stream is not None:
+            # A request that runs is not refused any more.
+            self._stream.account.evict = None
         self._request.body = b''.join(self._chunks)
         self._chunks = []
         # Tornado reports the end of the connection only to this callback once
@@ -405,6 +250,8 @@
 
     def _on_task_done(self, task: 'asyncio.Task[None]') -> None:
         self._server.in_flight.discard(self)
+        # The task's error keeps its frames, and they the response's body.
+        self._task = None
         if task.cancelled():
             return
         error = task.exception()
@@ -420,15 +267,31 @@
         if self._task is not None:
             self._task.cancel()
 
-    def _refuse(self, status: int) -> None:
+    def _evict(self) -> None:
+        """Refuse a request for lack of memory; it hasn't run."""
+        self._refuse(503, 'memory')
+
+    def _refuse(self, status: int, reason: str = '') -> None:
         self._stop_timer()
         self._is_refused = True
-        assert self._request is not None
-        log.change(
-            'request.refused_unread', status=status, bytes=self._body_bytes
+        self._chunks = []
+        request = self._request
+        assert request is not None
+        account = request.account
+        self._server.budgets.refusals.record(
+            'callers',
+            reason or UNREAD_REASONS.get(status, 'unreadable'),
+            account.peer if account is not None else '',
+            self._server.find_customer(request.headers),
+            status,
+            account.held_bytes if account is not None else 0,
         )
-        self._request.closes_connection = True
-        self._request.respond(status)
+        if account is not None:
+            account.evict = None
+        headers = {}
+        if status == 503:
+            headers['Retry-After'] = caller_streams.RETRY_AFTER_S
+        request.refuse_unread(status, headers)
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
