Bound what control, health, metrics and inner ports hold

Bodies of 32 MB from any number of senders, kept chunk by chunk, frames of the inner protocol of any announced length and connections without end filled a control host. All these listeners charge the process's memory budget.

--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from filbertglade.budgets import process
 from filbertglade import clock
 from filbertglade.control import agreement
 from filbertglade.control import failures as control_failures
@@ -426,15 +427,18 @@
     )
 
 
-async def listen(context: ControlContext) -> http_server.HttpServer:
+async def listen(
+    context: ControlContext, budgets: process.Budgets | None = None
+) -> http_server.HttpServer:
     """Serve endpoints and operators.
 
     :param context: what the parts of this host share.
+    :param budgets: what the process may hold; None for the defaults.
     :returns: the server; the caller stops it.
     :raises OSError: the server can't listen on the address.
     """
     server = http_server.HttpServer(
-        ControlApi(context).handle, MAX_BODY_BYTES, ROUTING_PATH
+        ControlApi(context).handle, MAX_BODY_BYTES, ROUTING_PATH, budgets
     )
     await server.listen(context.address)
     return server
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 
+from filbertglade.budgets import process
 from filbertglade.control import agreement
 from filbertglade.control import file_storage
 from filbertglade.control import state
@@ -78,6 +79,7 @@
     :param stated: what endpoints state in their answers to this process.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
+    :param budgets: what the process may hold for its clients.
     """
 
     def __init__(
@@ -90,8 +92,10 @@
         stated: statements.EndpointStatements,
         counters: metrics.Metrics,
         rng: random.Random,
+        budgets: process.Budgets | None = None,
     ) -> None:
         self._settings = settings
+        self._budgets = budgets
         self._voter_settings = VoterSettings(settings)
         self._view = fleet_view
         self._watcher = fleet_watcher
@@ -174,7 +178,7 @@
             return failure
         await self._read_document()
         self._tasks.start(self._read_documents())
-        self._server = await control_api.listen(self._context)
+        self._server = await control_api.listen(self._context, self._budgets)
         self._tasks.start(self._enlist_repeatedly())
         return None
 
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -3,6 +3,9 @@
 import asyncio
 import random
 
+from tornado import httputil
+
+from filbertglade.budgets import process
 from filbertglade import clock
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
@@ -43,6 +46,7 @@
     :param stated: what endpoints state in their answers to this process.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
+    :param budgets: what the process may hold for its clients.
     """
 
     def __init__(
@@ -54,6 +58,7 @@
         stated: statements.EndpointStatements,
         counters: metrics.Metrics,
         rng: random.Random,
+        budgets: process.Budgets,
     ) -> None:
         self._settings = settings
         self._view = fleet_view
@@ -82,9 +87,16 @@
             rng,
         )
         self._exchanges: set[exchange.Exchange] = set()
-        self._server = server.CallerServer(self._serve, self._get_limits)
+        self._context.bodies.set_account(budgets.memory.open_account(''))
+        self._dialect = dialect
+        self._server = server.CallerServer(
+            self._serve, self._get_limits, budgets, self._find_customer
+        )
         self._health_server = http_server.HttpServer(
-            self._serve_health, MAX_HEALTH_BODY_BYTES
+            self._serve_health,
+            MAX_HEALTH_BODY_BYTES,
+            budgets=budgets,
+            listener='health',
         )
 
     def find_obstacle(self) -> str:
@@ -99,6 +111,15 @@
         index = self._view.index
         return index.document.limits if index is not None else None
 
+    def _find_customer(self, headers: httputil.HTTPHeaders) -> str:
+        """Return the name of a refused caller's customer, if known."""
+        index = self._view.index
+        key = headers.get(self._dialect.key, '')
+        if index is None or not key:
+            return ''
+        customer = index.find_customer(key)
+        return customer.name if customer is not None else ''
+
     async def _serve(self, request: server.CallerRequest) -> None:
         served = exchange.Exchange(self._context, request)
         self._exchanges.add(served)
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -8,6 +8,7 @@
 import typing
 import uuid
 
+from filbertglade.budgets import process as process_budgets
 from filbertglade import failures
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document_fetcher
@@ -26,9 +27,8 @@
 from filbertglade import tasks
 
 if typing.TYPE_CHECKING:
-    from grpclib import server as grpc_server
-
     from filbertglade.gateway import control_role
+    from filbertglade.gateway import inner_server
 
 log = logs.get_log(__name__)
 
@@ -74,6 +74,7 @@
         rng = random.Random()
         self._counters = counters
         memory.set_gauges(counters)
+        self._budgets = process_budgets.Budgets(settings.limits, counters)
         self._loop_delay = loop_delay.LoopDelayMonitor(counters)
         self._view = view.FleetView()
         counters.set_gauge('document_version', lambda: self._view.version)
@@ -105,6 +106,7 @@
                 stated,
                 self._counters,
                 rng,
+                self._budgets,
             )
         self._entry_role: entry_role.EntryRole | None = None
         self._fetcher: document_fetcher.DocumentFetcher | None = None
@@ -126,10 +128,14 @@
                 stated,
                 self._counters,
                 rng,
+                self._budgets,
             )
-        self._inner_server: grpc_server.Server | None = None
+        self._inner_server: inner_server.LimitedServer | None = None
         self._metrics_server = http_server.HttpServer(
-            self._serve_metrics, MAX_METRICS_BODY_BYTES
+            self._serve_metrics,
+            MAX_METRICS_BODY_BYTES,
+            budgets=self._budgets,
+            listener='metrics',
         )
         self._stopping = asyncio.Event()
         self._reload_requested = asyncio.Event()
@@ -158,17 +164,17 @@
         self._settings_text = self._path.read_bytes()
         self._signals.install()
         if self._control_role is not None:
-            from grpclib import server as grpc_server
+            from filbertglade.gateway import inner_server
 
-            self._inner_server = grpc_server.Server(
+            self._inner_server = inner_server.LimitedServer(
                 [
                     self._control_role.voters.servicer,
                     self._control_role.publisher,
                     self._control_role.documents,
-                ]
+                ],
+                self._budgets,
             )
-            host, port = channels.split_address(self._settings.listen.inner)
-            await self._inner_server.start(host, port)
+            await self._inner_server.listen(self._settings.listen.inner)
             failure = await self._control_role.start()
             if failure is not None:
                 return failure
