Split the connection of the small HTTP server

What a connection may hold is in http_bounds now, its parser and its answers stay in http_connection. No change of behaviour; tests/gateway/test_http_server.py, test_health.py and test_control_api.py pass.

--- a/filbertglade/gateway/http_server.py
+++ b/filbertglade/gateway/http_server.py
@@ -10,6 +10,7 @@
 from filbertglade.budgets import process
 from filbertglade.budgets import turns
 from filbertglade import clock
+from filbertglade.gateway import http_bounds
 from filbertglade.gateway import http_connection
 from filbertglade.gateway import http_messages
 from filbertglade.inner import channels
@@ -30,14 +31,14 @@
 Handler = http_messages.Handler
 
 
-class HttpServer(http_connection.ConnectionServer):
+class HttpServer(http_bounds.ConnectionServer):
     """Serves one address.
 
     :param handle: serves a request.
     :param max_body_bytes: longest body of a request.
     :param long_body_path: the only path whose POST requests have bodies of
         that length, if there is one; others have
-        :data:`http_connection.SHORT_BODY_BYTES`.
+        :data:`http_bounds.SHORT_BODY_BYTES`.
     :param budgets: what the process may hold; None for the defaults.
     :param listener: the server's name among the process's listeners.
     """
@@ -53,12 +54,12 @@
         self.handle = handle
         self._max_body_bytes = max_body_bytes
         self._long_body_path = long_body_path.encode()
-        self.connections: set[http_connection.Connection] = set()
+        self.connections: set[http_bounds.BoundedConnection] = set()
         self.budgets = budgets or process.build_default()
         self.listener = listener
         self.limit = self.budgets.limit_connections(listener)
         self.turns = turns.Turns(self.budgets.min_body_rate)
-        self.buffer = bytearray(http_connection.CHUNK_BYTES)
+        self.buffer = bytearray(http_bounds.CHUNK_BYTES)
         self._server: asyncio.Server | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
 
@@ -88,7 +89,7 @@
         if self._long_body_path and (
             path != self._long_body_path or method != b'POST'
         ):
-            return min(http_connection.SHORT_BODY_BYTES, self._max_body_bytes)
+            return min(http_bounds.SHORT_BODY_BYTES, self._max_body_bytes)
         return self._max_body_bytes
 
     def stop(self) -> None:
