Spread the first groups of each model over data centres

Cause: the first layout packed the groups of one model into neighbouring fabric domains: of 162 engines in six domains and three data centres, 5 groups of 12 lay 3 and 2 in two data centres, none in the third. A lost or evacuated data centre then took three fifths of a model.

Change: with control.tolerated_data_centres above 0 each model's groups are divided evenly among the data centres before they are packed into domains. Without it the layout is as before.

--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -74,6 +74,7 @@
         self._client = client
         self._counters = counters
         self._tasks = tasks.TaskGroup()
+        self._spreads_groups = settings.control.tolerated_data_centres > 0
         self._woken = asyncio.Event()
         self._probed_ms: dict[str, int] = {}
         self._group_number = 0
@@ -184,6 +185,7 @@
                 free,
                 self.has_traffic,
                 service.engine.far_x,
+                spreads_groups=self._spreads_groups,
             )
         )
 
--- a/filbertglade/replicas/observed_state.py
+++ b/filbertglade/replicas/observed_state.py
@@ -264,6 +264,7 @@
             and membership.state == State.READY,
             known.endpoint.data_centre in self._agreed.evacuations.names,
             self._registry.is_cold(key),
+            known.endpoint.data_centre,
         )
 
     def list_groups(self, service: str) -> list[plan_types.Group]:
--- a/filbertglade/replicas/plan_types.py
+++ b/filbertglade/replicas/plan_types.py
@@ -25,6 +25,7 @@
     :param is_warm: whether the endpoint has joined its spare group.
     :param is_evacuated: whether it is in an evacuated data centre.
     :param is_cold: whether the endpoint takes few requests after its start.
+    :param data_centre: its data centre.
     """
 
     key: str
@@ -35,6 +36,7 @@
     is_warm: bool = False
     is_evacuated: bool = False
     is_cold: bool = False
+    data_centre: str = ''
 
     def join_rank(self, model: str) -> int:
         """Return the endpoint's rank for joining a group of a model.
@@ -179,6 +181,8 @@
         members are in several fabric domains.
     :param displaced: by model, requests in flight on groups that are not
         part of the input, as they are evacuated.
+    :param spreads_groups: whether the first layout spreads the groups of each
+        model over data centres.
     """
 
     models: list[document.ModelShape]
@@ -188,3 +192,4 @@
     has_traffic: bool
     cross_domain_slowdown: float = 1.0
     displaced: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
+    spreads_groups: bool = False
--- a/filbertglade/replicas/planning.py
+++ b/filbertglade/replicas/planning.py
@@ -17,6 +17,7 @@
 from filbertglade.replicas import layout
 from filbertglade.replicas import plan_types
 from filbertglade.replicas import spares
+from filbertglade.replicas import spread_layout
 
 # Fraction of the endpoints that the first layout leaves as spares for lost
 # members. Between a sixth and a quarter, benchmarks/mending.py gives the same
@@ -428,7 +429,14 @@
                 for shape in models
             ],
         )
-        packed = layout.fit_groups(endpoints, sizes, wanted)
+        if self._input.spreads_groups:
+            places = {
+                domain: free[0].data_centre if free else ''
+                for domain, free in self._free.items()
+            }
+            packed = spread_layout.fit_groups(endpoints, places, sizes, wanted)
+        else:
+            packed = layout.fit_groups(endpoints, sizes, wanted)
         for domain, counts in packed.items():
             for shape, count in zip(models, counts, strict=True):
                 for _ in range(count):
