Send names outside Latin-1, and refuse names that break a header

Cause: a customer's name outside Latin-1 ended each of its requests with a closed connection and no answer. A line break in a customer's name or in an endpoint's id would have added headers to requests.

Change: names that Latin-1 lacks are sent as UTF-8. A document with a control character in a customer's name, or spaces at its ends, is refused with 400, as is the announcement of an endpoint with such an id.

--- a/filbertglade/fleet/document.py
+++ b/filbertglade/fleet/document.py
@@ -17,6 +17,7 @@
 import orjson
 import pydantic
 
+from filbertglade.fleet import header_text
 from filbertglade.observability import logs
 from filbertglade import schema
 
@@ -402,6 +403,13 @@
     problems = []
     owners: dict[str, str] = {}
     for position, customer in enumerate(customers):
+        if not header_text.is_sendable(customer.name):
+            problems.append(
+                schema.Problem(
+                    f'customers[{position}].name',
+                    'has a control character, or spaces at its ends',
+                )
+            )
         for key in customer.keys:
             owner = owners.setdefault(key, customer.name)
             if owner != customer.name:
--- a/filbertglade/fleet/endpoints.py
+++ b/filbertglade/fleet/endpoints.py
@@ -7,6 +7,7 @@
 
 from filbertglade import failures
 from filbertglade.fleet import document
+from filbertglade.fleet import header_text
 from filbertglade.inner import fleet_pb2
 from filbertglade import schema
 from filbertglade.settings import values
@@ -140,6 +141,11 @@
     :param text: its JSON text.
     :returns: the endpoint, or what is wrong with the announcement.
     """
+    if not header_text.is_sendable(endpoint_id):
+        # Hosts name it in the requests that they send to the endpoint.
+        return _reject(
+            [schema.Problem('id', 'has a control character, or outer spaces')]
+        )
     try:
         # Also refuses numbers that don't fit in the fields below.
         orjson.loads(text)
--- a/filbertglade/forwarding/heads.py
+++ b/filbertglade/forwarding/heads.py
@@ -3,6 +3,7 @@
 from tornado import httputil
 
 from filbertglade.fleet import dialects
+from filbertglade.fleet import header_text
 from filbertglade.forwarding import server
 from filbertglade.forwarding import upstream
 
@@ -52,9 +53,9 @@
         and name.lower() not in upstream.CONNECTION_HEADERS
     ]
     lines.append(f'{dialect.deadline}: {remaining_ms}')
-    lines.append(f'{dialect.target}: {endpoint_id}')
+    lines.append(f'{dialect.target}: {header_text.encode(endpoint_id)}')
     if customer:
-        lines.append(f'{dialect.customer}: {customer}')
+        lines.append(f'{dialect.customer}: {header_text.encode(customer)}')
     if last_event_id:
         lines.append(f'{dialect.resume_after}: {last_event_id}')
     if engine_priority is not None:
