--- a/tests/costs/test_tracking.py
+++ b/tests/costs/test_tracking.py
@@ -4,6 +4,7 @@
 import random
 import types
 
+from filbertglade.budgets import process
 from filbertglade.costs import backlog
 from filbertglade.costs import policy
 from filbertglade.costs import tracking
@@ -92,6 +93,7 @@
                 statements.EndpointStatements('Leaving', counters, rng),
                 counters,
                 rng,
+                process.build_default(),
             )
             costs = role._context.costs
             has_costs = selection == 'cost'
