Give stand-in endpoints of tests ports below the ephemeral range

A soak failed with EADDRINUSE as a stand-in came back at its earlier port: the system had assigned the port, and an outgoing connection took it in the meantime.

Stand-ins take their port from the block that the test process holds, below the ephemeral range.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -263,14 +263,15 @@
         self.orders = []
         self.respond = None
         self.pause_s = 0.0
-        self._port = 0
+        # Below the ephemeral port range: no outgoing connection takes the port
+        # while the worker is stopped.
+        (self._port,) = cluster.find_free_ports(1)
 
     async def start(self):
         """Start, at the same address as before if there was one."""
         self.server = await asyncio.start_server(
             self.handle_connection, '127.0.0.1', self._port, limit=1 << 20
         )
-        self._port = self.server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{self._port}'
         self.announcing = asyncio.create_task(self.announce_periodically())
 
