Start long-running tasks again after an exception

A loop that raised an exception ended for good: the exception was logged, but nothing started the loop again, so a process could go on without reading frames, documents or settings.

TaskGroup.keep_running starts such a task again after 0.1 s, doubling up to 10 s, and counts the failure in tasks_failed. A leader whose flushes or checks raise steps down: it must not lead without them. An election that raised is given up before the next one.

--- a/filbertglade/admission/admission.py
+++ b/filbertglade/admission/admission.py
@@ -53,7 +53,9 @@
 
     async def start(self) -> None:
         """Start the periodic check of the waiting requests."""
-        self._tasks.start(self._sweep_periodically())
+        self._tasks.keep_running(
+            'admission.sweep', self._sweep_periodically, self._counters
+        )
 
     async def close(self) -> None:
         """Stop, and refuse the requests that still wait."""
--- a/filbertglade/control/agreement.py
+++ b/filbertglade/control/agreement.py
@@ -120,9 +120,13 @@
         self._start_failure = None
         elector = election.Elector(voter, self._notify)
         snapshotter = snapshots.Snapshotter(voter)
-        voter.tasks.start(elector.run())
+        voter.tasks.keep_running(
+            'agreement.elect', elector.run, self._counters
+        )
         voter.tasks.start(voter.run_apply(snapshotter.schedule_if_due))
-        voter.tasks.start(snapshotter.run())
+        voter.tasks.keep_running(
+            'agreement.take_snapshots', snapshotter.run, self._counters
+        )
         self._servicer.open(voter, elector)
         log.change(
             'voter.started',
--- a/filbertglade/control/election.py
+++ b/filbertglade/control/election.py
@@ -46,6 +46,9 @@
     async def run(self) -> typing.NoReturn:
         """Start an election whenever the election timer runs out."""
         voter = self._voter
+        if voter.role is voter_state.Role.CANDIDATE:
+            # An exception ended the last election; its vote stays recorded.
+            voter.set_candidate(False)
         while True:
             wait_ms = voter.election_wait_ms()
             if wait_ms > 0:
--- a/filbertglade/control/leadership.py
+++ b/filbertglade/control/leadership.py
@@ -106,8 +106,17 @@
             voter.advance_log_clock(last.stamped_ms)
         self._first_index = self._append_no_operation()
         self._refresh_replicators()
-        self._tasks.append(voter.tasks.start(self._run_flush()))
-        self._tasks.append(voter.tasks.start(self._run_checks()))
+        for name, work in (
+            ('agreement.flush', self._run_flush()),
+            ('agreement.check', self._run_checks()),
+        ):
+            task = voter.tasks.start_required(
+                name,
+                work,
+                voter.counters,
+                lambda: voter.step_down('a task failed'),
+            )
+            self._tasks.append(task)
         self.renew_lease()
 
     def stop(self, reason: str) -> None:
--- a/filbertglade/fleet/document_fetcher.py
+++ b/filbertglade/fleet/document_fetcher.py
@@ -131,7 +131,9 @@
 
     def start(self) -> None:
         """Start to fetch documents as they are announced."""
-        self._tasks.start(self._run())
+        self._tasks.keep_running(
+            'fleet.fetch_documents', self._run, self._counters
+        )
 
     async def close(self) -> None:
         """Stop fetching."""
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -130,7 +130,7 @@
 
     def start(self) -> None:
         """Start watching."""
-        self._tasks.start(self._run())
+        self._tasks.keep_running('fleet.watch', self._run, self._counters)
 
     async def close(self) -> None:
         """Stop watching."""
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -97,6 +97,7 @@
     ) -> None:
         self._settings = settings
         self._budgets = budgets
+        self._counters = counters
         self._voter_settings = VoterSettings(settings)
         self._view = fleet_view
         self._watcher = fleet_watcher
@@ -186,9 +187,13 @@
         if failure is not None:
             return failure
         await self._read_document()
-        self._tasks.start(self._read_documents())
+        self._tasks.keep_running(
+            'control.read_documents', self._read_documents, self._counters
+        )
         self._server = await control_api.listen(self._context, self._budgets)
-        self._tasks.start(self._enlist_repeatedly())
+        self._tasks.keep_running(
+            'control.enlist', self._enlist_repeatedly, self._counters
+        )
         return None
 
     async def close(self) -> None:
@@ -230,7 +235,11 @@
         self._replicas.has_traffic |= bool(self._view.in_flight)
         self.publisher.start_leading(bool(self._view.endpoints))
         self._replicas.start()
-        self._refresh_task = self._tasks.start(self._refresh_repeatedly())
+        self._refresh_task = self._tasks.keep_running(
+            'control.refresh_replicas',
+            self._refresh_repeatedly,
+            self._counters,
+        )
 
     async def _refresh_repeatedly(self) -> None:
         while True:
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -68,6 +68,7 @@
     ) -> None:
         self._settings = settings
         self._view = fleet_view
+        self._counters = counters
         self._tasks = tasks.TaskGroup()
         self._pool = upstream.UpstreamPool(counters)
         self._evidence = evidence.EndpointEvidence(
@@ -201,7 +202,11 @@
         self._server.listen(listen.callers)
         if listen.health is not None:
             await self._health_server.listen(listen.health)
-        self._tasks.start(self._evidence.stall_detector.run())
+        self._tasks.keep_running(
+            'entry.detect_stalls',
+            self._evidence.stall_detector.run,
+            self._counters,
+        )
 
     async def drain(self) -> None:
         """Finish the requests in flight, within the grace period.
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -160,7 +160,9 @@
             seeds=self._settings.list_seeds(),
             found_cluster=self._settings.control.found_cluster,
         )
-        self._tasks.start(self._loop_delay.run())
+        self._tasks.keep_running(
+            'process.measure_loop_delay', self._loop_delay.run, self._counters
+        )
         self._settings_text = self._path.read_bytes()
         self._signals.install()
         if self._control_role is not None:
@@ -185,7 +187,9 @@
             await self._entry_role.start()
         if self._settings.listen.metrics is not None:
             await self._metrics_server.listen(self._settings.listen.metrics)
-        self._tasks.start(self._watch_settings())
+        self._tasks.keep_running(
+            'process.watch_settings', self._watch_settings, self._counters
+        )
         log.change('process.started', run=self._run_name)
         return None
 
--- a/filbertglade/groups/controller.py
+++ b/filbertglade/groups/controller.py
@@ -19,6 +19,7 @@
 from filbertglade.inner import commands_pb2
 from filbertglade.membership import presence
 from filbertglade.observability import logs
+from filbertglade.observability import metrics
 from filbertglade.settings import model
 from filbertglade import tasks
 
@@ -36,6 +37,7 @@
     :param agreed: the state applied from the replicated log.
     :param voters: this host's part in the replicated log.
     :param presence_table: the latest announcement of each host.
+    :param counters: the process's metrics.
     :param client: sends orders; an HTTP client by default.
     """
 
@@ -45,10 +47,12 @@
         agreed: state.AgreedState,
         voters: agreement.Agreement,
         presence_table: presence.PresenceTable,
+        counters: metrics.Metrics,
         client: orders.OrderClient | None = None,
     ) -> None:
         self._agreed = agreed
         self._voters = voters
+        self._counters = counters
         self._tasks = tasks.TaskGroup()
         self._document: configuration_model.Document | None = None
         timeout_ms = settings.timings.order_timeout_ms
@@ -93,7 +97,7 @@
 
     async def start(self) -> None:
         """Start the loop, which acts only while this host leads."""
-        self._tasks.start(self._run())
+        self._tasks.keep_running('groups.control', self._run, self._counters)
 
     async def close(self) -> None:
         """Stop the loop."""
--- a/filbertglade/membership/attachment.py
+++ b/filbertglade/membership/attachment.py
@@ -74,9 +74,15 @@
     async def start(self) -> None:
         """Start the attachment."""
         self._started_ms = clock.now_ms()
-        self._tasks.start(self._inbox.pauses.run())
-        self._tasks.start(self._forget_old())
-        self._tasks.start(self._keep_attached())
+        self._tasks.keep_running(
+            'membership.detect_pauses', self._inbox.pauses.run, self._counters
+        )
+        self._tasks.keep_running(
+            'membership.forget_at_node', self._forget_old, self._counters
+        )
+        self._tasks.keep_running(
+            'membership.attach', self._keep_attached, self._counters
+        )
 
     async def close(self) -> None:
         """End the attachment."""
--- a/filbertglade/membership/membership_server.py
+++ b/filbertglade/membership/membership_server.py
@@ -65,10 +65,20 @@
         """Start to relay to the other control hosts."""
         for host in self._settings.control.hosts:
             if host.name != self._settings.name:
-                self._tasks.start(self._build_sender(host).run())
-        self._tasks.start(self._refresh())
-        self._tasks.start(self._forget_old())
-        self._tasks.start(self._log_presence())
+                self._tasks.keep_running(
+                    'membership.relay',
+                    self._build_sender(host).run,
+                    self._counters,
+                )
+        self._tasks.keep_running(
+            'membership.refresh', self._refresh, self._counters
+        )
+        self._tasks.keep_running(
+            'membership.forget_old', self._forget_old, self._counters
+        )
+        self._tasks.keep_running(
+            'membership.log_presence', self._log_presence, self._counters
+        )
 
     def _build_sender(
         self, host: model.ControlHostSettings
--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -101,7 +101,7 @@
         self._orders.start()
         self._probed_ms.clear()
         self.answering.clear()
-        self._tasks.start(self._run())
+        self._tasks.keep_running('replicas.control', self._run, self._counters)
 
     async def close(self) -> None:
         """Stop the control loop and pending orders."""
--- a/tests/groups/fakes.py
+++ b/tests/groups/fakes.py
@@ -20,6 +20,7 @@
 from filbertglade.inner import membership_pb2
 from filbertglade.membership import presence
 from filbertglade.membership import routing_lines
+from filbertglade.observability import metrics
 from filbertglade.settings import model
 
 LEADERS = ('one', 'two')
@@ -352,6 +353,7 @@
             self.states[name],
             self.voters[name],
             self.presence_tables[name],
+            metrics.Metrics(),
             client,
         )
         await self.controllers[name].start()
