Count connections when they are accepted

Cause: the event loop's server accepted 16 connections at a time, and each had a descriptor for three rounds of the loop before its protocol counted or refused it, as had each idle connection that was closed for a new one. On a fast machine, the two listeners of a control host held 2 * 48 above their parts: 115 + 64 + 96 + 13 = 288 of 256. A process with both roles also gave its listeners 1.23 of its descriptors.

Change: an acceptor counts each connection before it accepts the next, closes refused ones at once, and accepts none while an idle one is being closed for another. The parts of a process's listeners sum to at most 0.9, and max_callers can't exceed its part if max_descriptors is set.

--- a/filbertglade/budgets/connections.py
+++ b/filbertglade/budgets/connections.py
@@ -1,13 +1,13 @@
 """Bounds the connections of each listener, and so a process's descriptors."""
 
+import asyncio
 from collections import abc
 import resource
 
 from filbertglade import clock
 
 # Parts of a process's descriptors that the connections of each listener may
-# take. A caller's request needs a connection to an endpoint as well. What is
-# left is for connections to control hosts, and files.
+# take. What is left is for connections to control hosts, and files.
 LISTENER_SHARES = {
     'callers': 0.45,
     'control': 0.45,
@@ -15,6 +15,9 @@
     'health': 0.05,
     'metrics': 0.03,
 }
+# Part that all listeners of a process may take together. Those of a process
+# that is a control host and an entry host would take more.
+MAX_SHARE = 0.9
 # The same for each listener if the settings state no limit.
 UNSET_SHARE = 0.9
 # Descriptors counted if the system states no limit.
@@ -51,16 +54,25 @@
 class ConnectionLimit:
     """The connections of one listener.
 
-    :param limit: the most connections at a time.
+    :param limit: the most connections at a time. While an idle one is being
+        closed for a new one, there is one more.
+    :ivar on_closed: called when an idle one has been closed for a new one.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
+        self.on_closed: abc.Callable[[], None] | None = None
         self._open: dict[Connection, None] = {}
+        self._closing: set[Connection] = set()
 
     def __len__(self) -> int:
         return len(self._open)
 
+    @property
+    def is_closing_idle(self) -> bool:
+        """Whether a connection that was closed for another is still open."""
+        return bool(self._closing)
+
     def admit(
         self, peer: str, close: abc.Callable[[], None]
     ) -> Connection | None:
@@ -77,7 +89,8 @@
             idle = self._find_idle(peer)
             if idle is None:
                 return None
-            self.remove(idle)
+            del self._open[idle]
+            self._closing.add(idle)
             idle.close()
         connection = Connection(peer, close)
         self._open[connection] = None
@@ -89,6 +102,10 @@
         :param connection: the connection.
         """
         self._open.pop(connection, None)
+        if connection in self._closing:
+            self._closing.discard(connection)
+            if self.on_closed is not None:
+                asyncio.get_running_loop().call_soon(self.on_closed)
 
     def _find_idle(self, peer: str) -> Connection | None:
         by_peer: dict[str, int] = {peer: 1}
@@ -111,15 +128,26 @@
     return min(max_descriptors, soft) if max_descriptors else soft
 
 
-def find_limit(listener: str, max_descriptors: int, set_limit: int = 0) -> int:
+def find_limit(
+    listener: str,
+    max_descriptors: int,
+    set_limit: int = 0,
+    listeners: abc.Collection[str] = (),
+) -> int:
     """Return the most connections of a listener.
 
     :param listener: its name.
     :param max_descriptors: the descriptors of the process as set; 0 for the
         limit that the system states.
-    :param set_limit: the limit as set; 0 if it follows from them.
+    :param set_limit: the limit as set; 0 if it follows from them. It can't
+        exceed the listener's part of the descriptors as set.
+    :param listeners: the names of all listeners of the process.
     """
-    if set_limit:
+    if set_limit and not max_descriptors:
         return set_limit
-    share = LISTENER_SHARES[listener] if max_descriptors else UNSET_SHARE
-    return max(4, int(find_descriptors(max_descriptors) * share))
+    share = UNSET_SHARE
+    if max_descriptors:
+        total = sum(LISTENER_SHARES[each] for each in listeners)
+        share = LISTENER_SHARES[listener] * min(1.0, MAX_SHARE / (total or 1))
+    limit = max(4, int(find_descriptors(max_descriptors) * share))
+    return min(limit, set_limit) if set_limit else limit
--- a/filbertglade/budgets/process.py
+++ b/filbertglade/budgets/process.py
@@ -1,5 +1,7 @@
 """The budgets of one process."""
 
+from collections import abc
+
 from filbertglade.budgets import connections
 from filbertglade.budgets import memory
 from filbertglade.budgets import refusals
@@ -12,13 +14,17 @@
 
     :param limits: the limits in the settings.
     :param counters: the process's metrics.
+    :param listeners: the names of the process's listeners.
     :ivar memory: the memory budget.
     :ivar refusals: counts and logs refusals.
     :ivar min_body_rate: bytes a second below which a long body is slow.
     """
 
     def __init__(
-        self, limits: gateway.LimitSettings, counters: metrics.Metrics
+        self,
+        limits: gateway.LimitSettings,
+        counters: metrics.Metrics,
+        listeners: abc.Collection[str] = (),
     ) -> None:
         self.memory = memory.MemoryBudget(
             memory.find_limit_bytes(limits.held_mb, limits.memory_mb), counters
@@ -27,6 +33,7 @@
         self.min_body_rate = limits.min_body_rate
         self._limits = limits
         self._counters = counters
+        self._listeners = listeners
 
     def limit_connections(self, listener: str) -> connections.ConnectionLimit:
         """Return the limit of a listener's connections.
@@ -36,7 +43,10 @@
         set_limit = self._limits.max_callers if listener == 'callers' else 0
         limit = connections.ConnectionLimit(
             connections.find_limit(
-                listener, self._limits.max_descriptors, set_limit
+                listener,
+                self._limits.max_descriptors,
+                set_limit,
+                self._listeners,
             )
         )
         self._counters.set_gauge(f'connections_{listener}', limit.__len__)
--- a/filbertglade/gateway/http_bounds.py
+++ b/filbertglade/gateway/http_bounds.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from filbertglade.budgets import acceptor
 from filbertglade.budgets import connections
 from filbertglade.budgets import memory
 from filbertglade.budgets import process
@@ -71,7 +72,9 @@
         """
 
 
-class BoundedConnection(asyncio.BufferedProtocol, turns.Reader):
+class BoundedConnection(
+    asyncio.BufferedProtocol, acceptor.AdmittedProtocol, turns.Reader
+):
     """One connection, and what is held for it.
 
     :param server: the server.
@@ -121,6 +124,13 @@
         """
         return self._serving is None and self._used_ms < limit_ms
 
+    def set_place(self, place: connections.Connection) -> None:
+        """Set the connection's place, before the connection is made.
+
+        :param place: its place.
+        """
+        self._place = place
+
     def abort(self) -> None:
         """Close the connection at once."""
         if self._transport is not None:
@@ -129,7 +139,7 @@
     # Called by the transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the connection, or refuse it.
+        """Take the connection.
 
         :param transport: the connection.
         """
@@ -137,13 +147,8 @@
         server = self._server
         peername = transport.get_extra_info('peername') or ('',)
         self._peer = str(peername[0])
-        self._place = server.limit.admit(self._peer, self.abort)
-        if self._place is None:
-            self._record('connections', 503)
-            self._is_closing = True
-            self._transport.write(_build_refusal(503))
-            self._transport.close()
-            return
+        if self._place is not None:
+            self._place.end()
         self._account = server.budgets.memory.open_account(self._peer)
         self._account.begin(self._evict)
         self._account.resize(CONNECTION_BYTES)
@@ -291,7 +296,7 @@
         if transport is None or transport.is_closing():
             return
         if self._serving is None and not self._waiting:
-            transport.write(_build_refusal(status))
+            transport.write(build_refusal(status))
             if transport.can_write_eof():
                 transport.write_eof()
             asyncio.get_running_loop().call_later(
@@ -306,7 +311,7 @@
             self._transport.write(CONTINUE)
 
 
-def _build_refusal(status: int) -> bytes:
+def build_refusal(status: int) -> bytes:
     """Return a response that refuses a request and ends its connection."""
     response = http_messages.Response(status)
     if status == 503:
--- a/filbertglade/gateway/http_server.py
+++ b/filbertglade/gateway/http_server.py
@@ -6,14 +6,13 @@
 
 import asyncio
 
-from filbertglade.budgets import descriptors
+from filbertglade.budgets import acceptor
 from filbertglade.budgets import process
 from filbertglade.budgets import turns
 from filbertglade import clock
 from filbertglade.gateway import http_bounds
 from filbertglade.gateway import http_connection
 from filbertglade.gateway import http_messages
-from filbertglade.inner import channels
 
 # Time without a whole request after which a connection is closed, in ms, and
 # the interval between two checks: hosts that lose power close nothing.
@@ -21,9 +20,6 @@
 IDLE_CHECK_INTERVAL_MS = 10_000
 # Connections that wait to be accepted: those of all endpoints at a time.
 BACKLOG = 2048
-# Connections accepted before any of them is admitted or refused: each has a
-# descriptor meanwhile.
-ACCEPT_BATCH = 16
 MAX_HEAD_BYTES = http_connection.MAX_HEAD_BYTES
 
 Request = http_messages.Request
@@ -31,7 +27,7 @@
 Handler = http_messages.Handler
 
 
-class HttpServer(http_bounds.ConnectionServer):
+class HttpServer(http_bounds.ConnectionServer, acceptor.Listener):
     """Serves one address.
 
     :param handle: serves a request.
@@ -60,7 +56,7 @@
         self.limit = self.budgets.limit_connections(listener)
         self.turns = turns.Turns(self.budgets.min_body_rate)
         self.buffer = bytearray(http_bounds.CHUNK_BYTES)
-        self._server: asyncio.Server | None = None
+        self._acceptor = acceptor.Acceptor(self, self.limit)
         self._idle_timer: asyncio.TimerHandle | None = None
 
     async def listen(self, address: str) -> None:
@@ -69,16 +65,23 @@
         :param address: ``host:port``.
         :raises OSError: the server can't listen on the address.
         """
-        host, port = channels.split_address(address)
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: http_connection.Connection(self),
-            host,
-            port,
-            backlog=ACCEPT_BATCH,
-        )
-        descriptors.set_backlog(self._server, BACKLOG)
+        self._acceptor.listen(address, BACKLOG)
         self._schedule_idle_check()
 
+    def build_protocol(self) -> http_connection.Connection:
+        """Return the protocol of a connection that was admitted."""
+        return http_connection.Connection(self)
+
+    def refuse(self, peer: str) -> bytes:
+        """Return the refusal of a connection over the limit.
+
+        :param peer: the client's address, without its port.
+        """
+        self.budgets.refusals.record(
+            self.listener, 'connections', peer, status=503
+        )
+        return http_bounds.build_refusal(503)
+
     def find_body_limit(self, method: bytes, target: bytes) -> int:
         """Return the longest body of a kind of request, in bytes.
 
@@ -94,8 +97,7 @@
 
     def stop(self) -> None:
         """Accept no more connections; those that are open are served."""
-        if self._server is not None:
-            self._server.close()
+        self._acceptor.close()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
 
--- a/filbertglade/gateway/inner_server.py
+++ b/filbertglade/gateway/inner_server.py
@@ -9,15 +9,14 @@
 from grpclib import protocol
 from grpclib import server
 
+from filbertglade.budgets import acceptor
 from filbertglade.budgets import connections
-from filbertglade.budgets import descriptors
 from filbertglade.budgets import memory
 from filbertglade.budgets import process
 from filbertglade.inner import channels
 
-# Connections that wait to be accepted, and those accepted at a time.
+# Connections that wait to be accepted.
 BACKLOG = 512
-ACCEPT_BATCH = 16
 # Longest frame that the protocol's settings permit; the library buffers one
 # of any announced length.
 MAX_FRAME_BYTES = 16_384
@@ -30,7 +29,7 @@
 CALL_BYTES = 8192
 
 
-class LimitedServer(server.Server):
+class LimitedServer(server.Server, acceptor.Listener):
     """Serves the inner protocol.
 
     :param handlers: the services.
@@ -50,21 +49,31 @@
         :param address: ``host:port``.
         :raises OSError: the server can't listen on the address.
         """
-        host, port = channels.split_address(address)
-        await self.start(host, port, backlog=ACCEPT_BATCH)
-        assert isinstance(self._server, asyncio.Server)
-        descriptors.set_backlog(self._server, BACKLOG)
-
-    def _protocol_factory(self) -> protocol.H2Protocol:
+        accepting = acceptor.Acceptor(self, self.limit)
+        accepting.listen(address, BACKLOG)
+        # In place of the library's start(), which uses the loop's own server.
+        self._server = accepting
+        self._server_closed_fut = asyncio.get_running_loop().create_future()
+
+    def build_protocol(self) -> acceptor.AdmittedProtocol:
+        """Return the protocol of a connection that was admitted."""
         # The library has no setting for the class of its connections.
-        made = super()._protocol_factory()
+        made = self._protocol_factory()
         made.__class__ = _LimitedProtocol
         limited = typing.cast(_LimitedProtocol, made)
         limited.set_server(self)
         return limited
 
+    def refuse(self, peer: str) -> bytes:
+        """Return nothing: a connection over the limit is closed.
+
+        :param peer: the client's address, without its port.
+        """
+        self.budgets.refusals.record('inner', 'connections', peer)
+        return b''
+
 
-class _LimitedProtocol(protocol.H2Protocol):
+class _LimitedProtocol(protocol.H2Protocol, acceptor.AdmittedProtocol):
     """One connection."""
 
     _server: LimitedServer
@@ -85,22 +94,29 @@
         self._server = limited
         self.handler = _LimitedHandler(self.handler, self)
 
+    def set_place(self, place: connections.Connection) -> None:
+        """Set the connection's place, before the connection is made.
+
+        :param place: its place.
+        """
+        self._place = place
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the connection, or close it.
+        """Take the connection.
 
         :param transport: the connection.
         """
         self._transport = typing.cast(asyncio.Transport, transport)
         peername = transport.get_extra_info('peername') or ('',)
         self._peer = str(peername[0])
-        self._place = self._server.limit.admit(
-            self._peer, self._transport.abort
-        )
         super().connection_made(transport)
-        if self._place is None:
-            self._record('connections')
-            self._transport.abort()
-            return
+        if self._place is not None:
+            self._place.end()
         self._account = self._server.budgets.memory.open_account(self._peer)
         self._account.begin(self._evict)
         self._account.resize(CONNECTION_BYTES)
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -74,7 +74,9 @@
         rng = random.Random()
         self._counters = counters
         memory.set_gauges(counters)
-        self._budgets = process_budgets.Budgets(settings.limits, counters)
+        self._budgets = process_budgets.Budgets(
+            settings.limits, counters, settings.list_listeners()
+        )
         self._loop_delay = loop_delay.LoopDelayMonitor(counters)
         self._view = view.FleetView()
         counters.set_gauge('document_version', lambda: self._view.version)
--- a/filbertglade/settings/gateway.py
+++ b/filbertglade/settings/gateway.py
@@ -236,6 +236,13 @@
         """The port of the inner listener, the same on all hosts."""
         return self.listen.inner.rpartition(':')[2]
 
+    def list_listeners(self) -> list[str]:
+        """Return the names of the listeners that clients connect to."""
+        names = ['control', 'inner'] if self.is_control_host else []
+        if self.listen.callers is not None:
+            names += ['callers', 'health']
+        return [*names, 'metrics']
+
     def list_seeds(self) -> list[str]:
         """Return the seeds' inner addresses."""
         return [
