Tell removed voters of their removal

Cause: with seeds, the leader replaces the voter that has been silent longest by a host that asks to join. A voter that was only cut off then gets the log no more, and its own old table goes on to list it, so that it never asked to join. It and the lost host that it was removed in place of left three voters of five, and two lost disks lost a document.

Change: replies to votes and pre-votes, frames, redirections and replies to join requests say which voters the sender's table lists and up to which index it is applied. A host that a newer table than its own doesn't list asks to join every 0.4 s. The leader exchanges it in for a voter that is silent, as for any host. Its votes and its log don't change by what it is told. Join requests move from the control role to control/, so that tests in virtual time use them over the simulated links.

Operators see voter.removal_learned, agreement_removed and agreement_removals_learned.

--- a/filbertglade/control/agreement.py
+++ b/filbertglade/control/agreement.py
@@ -175,6 +175,7 @@
     def _set_gauges(self) -> None:
         gauges: dict[str, abc.Callable[[], float]] = {
             'agreement_halted_ms': lambda: self.status().halted_ms or 0,
+            'agreement_removed': lambda: int(self.status().is_removed),
             'agreement_voters': lambda: len(self._state.voters.incarnations),
             'agreement_voters_replying': (
                 lambda: self.status().replying_count or 0
@@ -300,6 +301,36 @@
             voter_state.Role.HALTED,
         )
 
+    @property
+    def must_join(self) -> bool:
+        """Whether this control host has to ask to become a voter.
+
+        It also has to if it doesn't know a leader, which would tell it what
+        has happened to it, or if another host has applied its removal.
+        """
+        voter = self._voter
+        return (
+            voter is None
+            or not self.is_voter
+            or not voter.leader
+            or voter.is_removed
+        )
+
+    def note_voters(
+        self, voters_index: int, names: abc.Collection[str], source: str
+    ) -> None:
+        """Note the voter table that another control host has sent.
+
+        :param voters_index: index up to which the other host has applied the
+            log; 0 if it named no voters.
+        :param names: the voters in its table.
+        :param source: the other host, or the kind of contact.
+        """
+        if self._voter is not None:
+            self._voter.note_voters(
+                voters_index, self._settings.name in names, source
+            )
+
     @property
     def failure(self) -> base_failures.Failure | None:
         """Why this voter halted; None if it didn't."""
--- a/filbertglade/control/election.py
+++ b/filbertglade/control/election.py
@@ -235,6 +235,9 @@
         finally:
             channel.close()
         replies[host.name] = reply.reason or 'granted'
+        voter.note_voters(
+            reply.voters_index, reply.lists_candidate, f'vote of {host.name}'
+        )
         if reply.unled:
             without_leader.add(host.name)
         if reply.granted:
@@ -266,6 +269,11 @@
             founding=voter.identity.founding,
             reason=refusal,
             unled=voter.has_seen_no_leader,
+            voters_index=voter.state.voters_index,
+            lists_candidate=voter.quorum().counts_in_any_table(
+                request.candidate,
+                quorum.VoterReply(request.incarnation, False, GRANTED),
+            ),
         )
 
     def _find_refusal(self, request: agreement_pb2.VoteRequest) -> str:
--- a/filbertglade/control/state.py
+++ b/filbertglade/control/state.py
@@ -153,6 +153,11 @@
             table.adopt(loaded)
         self._notify(commands_pb2.Command())
 
+    @property
+    def voters_index(self) -> int:
+        """Index up to which the voter table is known; 0 if it is empty."""
+        return self.applied_index if self.voters.incarnations else 0
+
     def _tables(self) -> tuple[base.Table, ...]:
         # The order is part of the snapshot format.
         return (
--- a/filbertglade/control/voter_state.py
+++ b/filbertglade/control/voter_state.py
@@ -11,6 +11,7 @@
 from filbertglade.control import journal
 from filbertglade.control import log_formats
 from filbertglade.control import quorum
+from filbertglade.control import removal
 from filbertglade.control import state
 from filbertglade.control import store
 from filbertglade.control.tables import voters as voter_table
@@ -58,6 +59,7 @@
     :param rng: the process's random numbers.
     :ivar mutex: held during changes of term, vote or log that await.
     :ivar leader: the leader of this term; empty if unknown.
+    :ivar removal: what other hosts say of this voter's removal.
     :ivar halted: set once this voter has halted.
     :ivar halted_since_ms: time at which this voter halted; None if it didn't.
     :ivar leader_contact_ms: time of the last contact with a leader, or, while
@@ -101,6 +103,7 @@
         self.halted_since_ms: int | None = None
         self.halted = asyncio.Event()
         self.applied = asyncio.Event()
+        self.removal = removal.LearnedRemoval()
         self._candidate = False
         self._commit_advanced = asyncio.Event()
         self._commit_advanced.set()
@@ -180,6 +183,38 @@
         changes = self.journal.voter_changes
         return bool(changes) and changes[-1] > self.state.applied_index
 
+    @property
+    def is_removed(self) -> bool:
+        """Whether another host has applied this voter's removal.
+
+        It is decided by the log once this voter has applied as much of it. A
+        learner isn't removed: it knows that it doesn't count.
+        """
+        return self.removal.is_removed(
+            self.state.applied_index
+        ) and self.quorum().counts_in_any_table(self.name, self.build_reply(0))
+
+    def note_voters(
+        self, voters_index: int, is_listed: bool, source: str
+    ) -> None:
+        """Note whether another host's voter table lists this voter.
+
+        :param voters_index: index up to which the other host has applied the
+            log; 0 if its table is empty.
+        :param is_listed: whether its table lists this voter.
+        :param source: the other host, or the kind of contact.
+        """
+        was_removed = self.is_removed
+        self.removal.note(voters_index, is_listed)
+        if self.is_removed and not was_removed:
+            self.counters.count('agreement_removals_learned')
+            log.change(
+                'voter.removal_learned',
+                source=source,
+                voters_index=voters_index,
+                applied_index=self.state.applied_index,
+            )
+
     # Time
 
     def reset_election_timer(self) -> None:
--- a/filbertglade/control/voter_status.py
+++ b/filbertglade/control/voter_status.py
@@ -53,6 +53,8 @@
         election time-out, the leader included; None unless it leads.
     :param losses_left: how many of these may be lost before nothing is agreed
         any more; None unless it leads.
+    :param is_removed: whether another host has told it of its removal, and
+        it hasn't applied as much of the log yet.
     """
 
     name: str
@@ -70,6 +72,7 @@
     halted_ms: int | None = None
     replying_count: int | None = None
     losses_left: int | None = None
+    is_removed: bool = False
 
 
 def build_halted_status(
@@ -113,6 +116,7 @@
         halted_ms=halted_ms,
         replying_count=None if leading is None else leading.replying_count(),
         losses_left=None if leading is None else leading.losses_left(),
+        is_removed=voter.is_removed,
     )
 
 
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -7,6 +7,7 @@
 
 from filbertglade import clock
 from filbertglade.control import agreement
+from filbertglade.control import joining
 from filbertglade.control import state
 from filbertglade.control import voters as control_voters
 from filbertglade.fleet import audience
@@ -189,18 +190,15 @@
         request = await stream.recv_message()
         if request is None:
             return
-        self._membership.record_join_request(request.name)
         await stream.send_message(
-            fleet_pb2.EnlistReply(
-                leader=self._voters.leader,
-                control_hosts=self.list_control_hosts(),
+            joining.answer(
+                request, self._voters, self._membership, self._agreed
             )
         )
 
     def list_control_hosts(self) -> list[str]:
         """Return the voters' inner addresses, or the seeds if none."""
-        table = self._agreed.voters.incarnations
-        return list(table) or self._membership.seeds
+        return joining.list_control_hosts(self._agreed, self._membership)
 
     async def Watch(  # noqa: N802
         self,
@@ -279,6 +277,7 @@
         return fleet_pb2.FleetFrame(
             leader=self._voters.leader,
             control_hosts=self.list_control_hosts(),
+            voters_index=self._agreed.voters_index,
         )
 
     # Reports
@@ -459,6 +458,7 @@
             is_leader=True,
             leader=self._voters.leader,
             control_hosts=self.list_control_hosts(),
+            voters_index=self._agreed.voters_index,
             entry_nodes=len(self._entry_hosts.watchers),
             unserved_per_s=unserved.add_up(
                 watcher.report
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -72,6 +72,8 @@
     :ivar read_work: returns the work that this host's requests have left, in
         ms by load key; None if requests aren't selected by cost.
     :ivar unserved: what this host could not serve in time.
+    :ivar note_voters: called with the voters' index, the control hosts and
+        the sender of each frame or redirection; None if nobody needs them.
     """
 
     def __init__(
@@ -127,6 +129,9 @@
         self.read_work: abc.Callable[[], dict[str, int]] | None = None
         self._reported_work = work_reports.ReportedWork()
         self.unserved = unserved.UnservedDemand()
+        self.note_voters: (
+            abc.Callable[[int, abc.Collection[str], str], None] | None
+        ) = None
 
     def start(self) -> None:
         """Start watching."""
@@ -302,7 +307,7 @@
     ) -> None:
         if frame is None:
             return
-        self._control_hosts = list(frame.control_hosts) or self._control_hosts
+        self._note_control_hosts(frame, f'redirection by {host}')
         if frame.leader != host:
             self._leader = frame.leader
 
@@ -326,12 +331,19 @@
     def _apply(self, frame: fleet_pb2.FleetFrame | None) -> None:
         if frame is None:
             return
-        self._control_hosts = list(frame.control_hosts) or self._control_hosts
+        self._note_control_hosts(frame, f'frame of {frame.leader}')
         self._received_frames += 1
         self._view.apply_frame(frame)
         self.crashes.apply(frame)
         self._counters.count('fleet_frames')
 
+    def _note_control_hosts(
+        self, frame: fleet_pb2.FleetFrame, source: str
+    ) -> None:
+        self._control_hosts = list(frame.control_hosts) or self._control_hosts
+        if self.note_voters is not None:
+            self.note_voters(frame.voters_index, frame.control_hosts, source)
+
     async def _send_reports(self, stream: Stream) -> None:
         try:
             while True:
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -7,6 +7,7 @@
 from filbertglade.budgets import process
 from filbertglade.control import agreement
 from filbertglade.control import file_storage
+from filbertglade.control import joining
 from filbertglade.control import state
 from filbertglade.control import voters
 from filbertglade import failures
@@ -23,8 +24,6 @@
 from filbertglade.gateway import control_api
 from filbertglade.gateway import http_server
 from filbertglade.inner import channels
-from filbertglade.inner import fleet_grpc
-from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
 from filbertglade.replicas import controller
@@ -35,12 +34,6 @@
 
 log = logs.get_log(__name__)
 
-# Interval between two checks whether to enlist, in ms, while this host isn't a
-# voter with a leader, and while it is: the latter only matters if its voter
-# table is out of date.
-ENLIST_INTERVAL_MS = 400
-VOTER_ENLIST_INTERVAL_MS = 2000
-ENLIST_TIMEOUT_MS = 500
 # Interval between two updates of the replicas sent to watchers, in ms.
 REFRESH_INTERVAL_MS = 50
 # Pause before a document is read again after an unexpected error, in ms: an
@@ -121,6 +114,13 @@
             rng,
             self.membership,
         )
+        fleet_watcher.note_voters = self.voters.note_voters
+        self._joiner = joining.Joiner(
+            settings.listen.inner,
+            self.voters,
+            fleet_watcher.list_control_hosts,
+            channel_factory,
+        )
         self._departures = departure_log.DepartureLog(
             self._agreed, self.voters, counters
         )
@@ -188,7 +188,7 @@
         await self._read_document()
         self._tasks.start(self._read_documents())
         self._server = await control_api.listen(self._context, self._budgets)
-        self._tasks.start(self._enlist_repeatedly())
+        self._tasks.start(self._joiner.run())
         return None
 
     async def close(self) -> None:
@@ -264,33 +264,3 @@
             self._replicas.observed.index = index
             self._view.put_in_force(index)
         self._context.set_read_version(version)
-
-    # Enlisting as a voter
-
-    async def _enlist_repeatedly(self) -> None:
-        """Enlist with the other hosts unless this host is a voter."""
-        while True:
-            is_settled = self.voters.is_voter and bool(self.voters.leader)
-            interval_ms = (
-                VOTER_ENLIST_INTERVAL_MS if is_settled else ENLIST_INTERVAL_MS
-            )
-            await asyncio.sleep(interval_ms / 1000)
-            if self.voters.is_leader or is_settled:
-                continue
-            own = self._settings.listen.inner
-            for host in self._watcher.list_control_hosts():
-                if host != own:
-                    self._tasks.start(self._enlist(host))
-
-    async def _enlist(self, host: str) -> None:
-        channel = self._channels.open_channel(host)
-        try:
-            async with asyncio.timeout(ENLIST_TIMEOUT_MS / 1000):
-                await fleet_grpc.FleetStub(channel).Enlist(
-                    fleet_pb2.EnlistRequest(name=self._settings.listen.inner)
-                )
-        except channels.STREAM_ERRORS:
-            # The host is down or not yet started; the next enlistment retries.
-            return
-        finally:
-            channel.close()
--- a/tests/control/test_seeded_voters.py
+++ b/tests/control/test_seeded_voters.py
@@ -8,10 +8,12 @@
 
 from filbertglade.control import agreement
 from filbertglade.control import failures
+from filbertglade.control import joining
 from filbertglade.control import state
 from filbertglade.control import store
 from filbertglade.control import voters
 from filbertglade.inner import commands_pb2
+from filbertglade.inner import fleet_grpc
 from filbertglade.observability import metrics
 from filbertglade.settings import model
 from tests.control import cluster as fixed_cluster
@@ -21,6 +23,27 @@
 ADDRESSES = tuple(f'10.0.0.{number}:7000' for number in range(1, 8))
 
 
+class JoinServicer(fleet_grpc.FleetBase):
+    """Records the join requests that a control host gets."""
+
+    def __init__(self, host):
+        self._host = host
+
+    async def Enlist(self, stream):
+        request = await stream.recv_message()
+        if request is not None and self._host.agreement is not None:
+            reply = joining.answer(
+                request,
+                self._host.agreement,
+                self._host.membership,
+                self._host.state,
+            )
+            await stream.send_message(reply)
+
+    async def Watch(self, stream):
+        raise NotImplementedError
+
+
 class Host:
     """A control host; non-voters send join requests to all others."""
 
@@ -46,35 +69,31 @@
         self.membership = voters.SeededMembership(
             list(fleet.seeds), tolerated_losses=2
         )
+        links = network.Channels(
+            fleet.network, self.name, {name: name for name in ADDRESSES}
+        )
         self.agreement = agreement.Agreement(
             settings,
             self.state,
             self.storage,
-            network.Channels(
-                fleet.network, self.name, {name: name for name in ADDRESSES}
-            ),
+            links,
             metrics.Metrics(),
             fleet.rng,
             self.membership,
         )
         assert await self.agreement.start() is None
-        self.server = server.Server([self.agreement.servicer])
+        self.server = server.Server(
+            [self.agreement.servicer, JoinServicer(self)]
+        )
         fleet.port += 1
         await self.server.start('127.0.0.1', fleet.port)
         fleet.network.ports[self.name] = fleet.port
         self.join_requests_task = asyncio.get_running_loop().create_task(
-            self.send_join_requests()
+            joining.Joiner(
+                self.name, self.agreement, lambda: fleet.hosts, links
+            ).run()
         )
 
-    async def send_join_requests(self):
-        while True:
-            await asyncio.sleep(0.4)
-            if self.agreement.is_voter and self.agreement.leader:
-                continue
-            for host in self.fleet.hosts.values():
-                if host is not self and host.agreement is not None:
-                    host.membership.record_join_request(self.name)
-
     async def stop(self):
         if self.agreement is None:
             return
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -8,6 +8,7 @@
 from filbertglade.fleet import frames
 from filbertglade.fleet import publisher
 from filbertglade.fleet import watcher
+from filbertglade.inner import commands_pb2
 from filbertglade.inner import fleet_pb2
 from tests.fleet import leaders
 from tests import virtual_time
@@ -227,3 +228,30 @@
     assert leader.count_bytes('view') == replicas_bytes
     took_ms = leader.counters.percentile_ms('frame_send', 100, content='view')
     assert took_ms >= publisher.WATCHER_TIMEOUT_MS * 0.98
+
+
+# Guards against a removed control host that can't tell whether the voters that
+# it is named are newer than its own.
+@pytest.mark.parametrize('is_leader', [False, True])
+def test_frames_and_redirections_date_the_voters(is_leader):
+    stream = leaders.FakeStream()
+
+    def found(leader):
+        leader.voters.is_leader = is_leader
+        founding = commands_pb2.VoterFounding(
+            voters=[
+                commands_pb2.VoterIncarnation(voter='c-2', incarnation='i')
+            ]
+        )
+        leader.agreed.apply(5, commands_pb2.Command(voter_founding=founding))
+
+    watch(stream, found)
+    (frame, *_) = stream.frames
+    assert (list(frame.control_hosts), frame.voters_index) == (['c-2'], 5)
+
+
+def test_seeds_are_not_dated_as_voters():
+    stream = leaders.FakeStream()
+    watch(stream)
+    (frame, *_) = stream.frames
+    assert (list(frame.control_hosts), frame.voters_index) == (['c-1'], 0)
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -47,10 +47,11 @@
         raise NotImplementedError
 
 
-def watch(sent_frames, duration_s, pause_s=0.0):
+def watch(sent_frames, duration_s, pause_s=0.0, note_voters=None):
     """Watch a leader that sends some frames; return the watcher's metrics.
 
     :param pause_s: the leader's pause after each frame.
+    :param note_voters: called with the voters that it names.
     """
     counters = metrics.Metrics()
 
@@ -69,6 +70,7 @@
             counters,
             random.Random(1),
         )
+        fleet_watcher.note_voters = note_voters
         fleet_watcher.start()
         await asyncio.sleep(duration_s)
         await fleet_watcher.close()
@@ -285,3 +287,21 @@
         }
     (strike,) = leaders['second'].reports[0].strikes
     assert strike.age_ms >= 500
+
+
+# Guards against a removed control host that isn't told of its removal by the
+# hosts that it attaches to.
+@pytest.mark.parametrize('is_leader', [False, True])
+def test_voters_are_passed_on_from_frames_and_redirections(is_leader):
+    noted = []
+    frame = fleet_pb2.FleetFrame(
+        is_leader=is_leader,
+        leader=ADDRESS,
+        control_hosts=['a', 'b'],
+        voters_index=7,
+    )
+    watch([frame], 0.5, note_voters=lambda *voters: noted.append(voters))
+    assert noted
+    assert {(index, tuple(names)) for index, names, _ in noted} == {
+        (7, ('a', 'b'))
+    }
--- a/tests/gateway/test_control_role.py
+++ b/tests/gateway/test_control_role.py
@@ -29,9 +29,10 @@
 
 
 @contextlib.asynccontextmanager
-async def run_control_host(folder):
+async def run_control_host(folder, fleet_watcher=None):
     """Run the only control host of a cluster until it leads.
 
+    :param fleet_watcher: its stream to the leader.
     :returns: the URL of its routing document, and its view.
     """
     inner, control = (
@@ -54,7 +55,7 @@
         ),
         dialects.DEFAULT,
         fleet_view,
-        NoWatcher(),
+        fleet_watcher or NoWatcher(),
         channels.SocketChannels(),
         statements.EndpointStatements(dialects.DEFAULT.leaving, counters, rng),
         counters,
@@ -125,3 +126,19 @@
                 await asyncio.sleep(POLL_S)
     assert len(most) > 3
     assert max(most) == 1
+
+
+# Guards against a control host to which its stream to the leader doesn't tell
+# that it was removed.
+async def test_voters_named_to_the_watcher_reach_agreement(
+    tmp_path, log_lines
+):
+    fleet_watcher = NoWatcher()
+    async with run_control_host(tmp_path, fleet_watcher):
+        fleet_watcher.note_voters(1000, ['other'], 'frame of other')
+    (line,) = [
+        line
+        for line in log_lines
+        if line['message_type'] == 'voter.removal_learned'
+    ]
+    assert line['source'] == 'frame of other'
