Check for evacuations right before sending on the product's own nodes

Nodes learned of an evacuation only as a group that became incomplete or a worker that left. An endpoint chosen before was still sent the request, the refusal said "no-endpoint", and callers could wait in the queue first.

Control frames now carry the evacuated data centres with the index of their last change, and group lines the places of all hosts. What decides is EvacuatedDataCentres.affects, which the gateway's NotEvacuated calls too. Nodes ask it when they list endpoints and again right before the first byte, for first sends, retries, resumptions and repetitions after a crash.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -79,6 +79,14 @@
         """
         return list(self.groups.values())
 
+    def find_evacuation(self, target: str, is_service: bool) -> list[str]:
+        """Return the evacuations that leave no endpoint: none.
+
+        :param target: ignored.
+        :param is_service: ignored.
+        """
+        return []
+
 
 class Node:
     """Admission and selection of one node."""
--- a/filbertglade/admission/admission.py
+++ b/filbertglade/admission/admission.py
@@ -12,6 +12,7 @@
 from filbertglade.admission import scheduling
 from filbertglade.admission import target as targets
 from filbertglade import clock
+from filbertglade.fleet import evacuated
 from filbertglade.membership import view
 from filbertglade.observability import metrics
 from filbertglade.requests import outcomes
@@ -37,6 +38,7 @@
         rng: random.Random,
     ) -> None:
         self._limits = settings.limits
+        self._fleet = fleet
         self._counters = counters
         self._rng = rng
         self._tasks = tasks.TaskGroup()
@@ -94,6 +96,11 @@
         target.note_arrival(request)
         if self._is_closed:
             return self._refuse(Reason.SHUTTING_DOWN, 0)
+        evacuation = self._fleet.find_evacuation(
+            request.target, request.is_service
+        )
+        if evacuation:
+            return self._refuse_evacuated(evacuation)
         wait_ms = self._customers.try_acquire(customer)
         if wait_ms:
             return self._refuse(Reason.LIMIT_REACHED, wait_ms)
@@ -231,19 +238,41 @@
         waiter: fairness.Waiter,
         reason: outcomes.RefusalReason,
         retry_ms: float,
+    ) -> None:
+        self._end_wait(target, waiter, self._refuse(reason, retry_ms))
+
+    def _end_wait(
+        self,
+        target: targets.Target,
+        waiter: fairness.Waiter,
+        refusal: outcomes.Refusal,
     ) -> None:
         self._schedule.remove(target, waiter)
         self._customers.release(waiter.request.customer.name)
-        waiter.decision.set_result(self._refuse(reason, retry_ms))
+        waiter.decision.set_result(refusal)
+
+    def _refuse_evacuated(
+        self, data_centres: abc.Iterable[str]
+    ) -> outcomes.Refusal:
+        return self._refuse(
+            Reason.EVACUATED,
+            evacuated.RETRY_AFTER_MS,
+            evacuated.describe(data_centres),
+        )
 
     def _refuse(
-        self, reason: outcomes.RefusalReason, retry_ms: float
+        self,
+        reason: outcomes.RefusalReason,
+        retry_ms: float,
+        detail: str = '',
     ) -> outcomes.Refusal:
         self._counters.count('requests_refused', reason=reason.value)
         jitter = 1 + RETRY_JITTER_FRACTION * self._rng.random()
         retry_after_ms = math.ceil(max(MIN_RETRY_AFTER_MS, retry_ms) * jitter)
         return outcomes.Refusal(
-            reason, REFUSAL_DETAILS[reason], retry_after_ms=retry_after_ms
+            reason,
+            detail or REFUSAL_DETAILS[reason],
+            retry_after_ms=retry_after_ms,
         )
 
     async def _sweep_periodically(self) -> None:
@@ -266,9 +295,21 @@
     def _sweep(self, target: targets.Target) -> None:
         """Refuse the waiting requests that can't start in time."""
         target.capacity.adjust(len(target.queue) > 0, target.hold_ms)
-        for flow in target.queue.list_backlogged_flows():
+        flows = target.queue.list_backlogged_flows()
+        if not flows:
+            return
+        # All of them are for the same deployment or service.
+        request = flows[0].waiters[0].request
+        evacuation = self._fleet.find_evacuation(
+            request.target, request.is_service
+        )
+        for flow in flows:
             for own_ahead, waiter in enumerate(list(flow.waiters)):
-                self._recheck(target, waiter, own_ahead)
+                if evacuation:
+                    refusal = self._refuse_evacuated(evacuation)
+                    self._end_wait(target, waiter, refusal)
+                else:
+                    self._recheck(target, waiter, own_ahead)
 
     def _recheck(
         self, target: targets.Target, waiter: fairness.Waiter, own_ahead: int
--- a/filbertglade/forwarding/send_conditions.py
+++ b/filbertglade/forwarding/send_conditions.py
@@ -4,20 +4,20 @@
 from collections import abc as collections_abc
 import enum
 
+from filbertglade.fleet import evacuated
 from filbertglade.fleet import view
 from filbertglade.forwarding import admission
 from filbertglade.forwarding import targets
 
 # Retry-After of requests of which all targets are in evacuated data centres,
-# in s: an evacuation lasts for minutes, but groups that are formed elsewhere
-# may serve after as many seconds as a load takes.
-EVACUATED_RETRY_AFTER_S = 2.0
+# in s.
+EVACUATED_RETRY_AFTER_S = evacuated.RETRY_AFTER_MS / 1000
 
 
 class ForbiddenReason(enum.Enum):
     """Why requests may not be sent to a target; callers are told."""
 
-    EVACUATED = 'data centre evacuated'
+    EVACUATED = evacuated.REASON
     REGION = 'no endpoint in an allowed region'
 
 
@@ -64,13 +64,11 @@
         :param demand: what the request demands.
         :param target: the target.
         """
-        if target.data_centre in self._view.evacuated.names:
-            return False
-        if not target.group:
-            return True
         # The view may be newer than the target.
         replica = self._view.replicas.get(target.group)
-        return replica is None or not replica.evacuated
+        return not self._view.evacuated.affects(
+            (target.data_centre,), replica is not None and replica.evacuated
+        )
 
 
 class SendConditions:
--- a/filbertglade/membership/attachment.py
+++ b/filbertglade/membership/attachment.py
@@ -308,6 +308,7 @@
     ) -> None:
         age_ms = age_bound.observe(frame.clock)
         self._handle_configuration(frame, age_ms)
+        self._fleet.evacuated.apply(frame)
         if age_ms is None:
             return
         reader.read(frame, age_ms)
--- a/filbertglade/membership/node_link.py
+++ b/filbertglade/membership/node_link.py
@@ -138,6 +138,9 @@
     ) -> membership_pb2.ControlFrame:
         frame = membership_pb2.ControlFrame(clock=self._age_bound.stamp())
         self._write_configuration(frame)
+        evacuations = self._source.agreed.evacuations
+        frame.evacuated_data_centres.extend(evacuations.names)
+        frame.evacuations_index = evacuations.changed_index
         region_table.write(frame, self._version)
         self._version = region_table.version
         writer.write(frame)
--- a/filbertglade/membership/routing_lines.py
+++ b/filbertglade/membership/routing_lines.py
@@ -62,8 +62,15 @@
         deployment=record.deployment,
         fabric_domain=record.fabric_domain,
         hosts=record.hosts,
-        complete=True,
     )
+    places = {
+        host.announcement.data_centre
+        for name in record.hosts
+        if (host := seen.hosts.get(name)) is not None
+    }
+    line.data_centres.extend(sorted(places))
+    # Nodes of earlier releases don't compare the data centres themselves.
+    line.complete = not any(place in evacuated for place in places)
     load = membership_pb2.Load()
     proven_ms = clock.now_ms()
     for position, name in enumerate(record.hosts):
@@ -72,7 +79,6 @@
             host is None
             or host.is_lost
             or not host.serves(record.group, record.epoch)
-            or host.announcement.data_centre in evacuated
         ):
             line.complete = False
             continue
--- a/filbertglade/membership/view.py
+++ b/filbertglade/membership/view.py
@@ -7,6 +7,7 @@
 from filbertglade import clock
 from filbertglade.configuration import model
 from filbertglade.configuration import validation
+from filbertglade.fleet import evacuated
 from filbertglade.inner import membership_pb2
 from filbertglade.membership import strikes
 from filbertglade.observability import logs
@@ -54,6 +55,7 @@
     :ivar shares: by customer, the fraction of its limits that this node may
         use; a customer without demand has no entry.
     :ivar strikes: the newest strikes of all nodes.
+    :ivar evacuated: the evacuated data centres.
     """
 
     def __init__(self, settings: settings_model.NodeSettings) -> None:
@@ -65,6 +67,7 @@
         self._cache_listeners: list[CacheListener] = []
         self.shares: dict[str, float] = {}
         self.strikes = strikes.StrikeTable()
+        self.evacuated = evacuated.EvacuatedDataCentres()
         self.document: model.Document | None = None
         self.document_text = b''
         # True once a control host has proven that the document in force is
@@ -250,6 +253,7 @@
             for seen in self._groups.values()
             if seen.line.deployment == deployment
             and seen.line.complete
+            and not self.evacuated.affects(seen.line.data_centres)
             and seen.proven_ms >= oldest_ms
             and self._is_proven_since_loss(seen)
         ]
@@ -270,10 +274,49 @@
             for seen in self._workers.values()
             if seen.line.service == service
             and not seen.line.leaving
+            and not self.evacuated.affects((seen.line.data_centre,))
             and seen.proven_ms >= oldest_ms
             and self._is_worker_proven_since_loss(seen)
         ]
 
+    def find_places(self, name: str, is_service: bool) -> abc.Sequence[str]:
+        """Return the data centres of an endpoint, as the newest line says.
+
+        :param name: the group, or the worker's host.
+        :param is_service: whether it is a worker.
+        :returns: the data centres; empty if there is no line.
+        """
+        if is_service:
+            worker = self._workers.get(name)
+            return () if worker is None else (worker.line.data_centre,)
+        group = self._groups.get(name)
+        return () if group is None else group.line.data_centres
+
+    def find_evacuation(self, target: str, is_service: bool) -> list[str]:
+        """Return the evacuations that leave a target without an endpoint.
+
+        :param target: the deployment or service.
+        :param is_service: whether it is a service.
+        :returns: the evacuated data centres of its endpoints; empty if one
+            may take requests, or if none is in an evacuated data centre.
+        """
+        if not self.evacuated.names:
+            return []
+        places: set[str] = set()
+        if is_service:
+            if self.list_workers(target):
+                return []
+            for worker in self._workers.values():
+                if worker.line.service == target:
+                    places.add(worker.line.data_centre)
+        else:
+            if self.list_groups(target):
+                return []
+            for group in self._groups.values():
+                if group.line.deployment == target:
+                    places.update(group.line.data_centres)
+        return sorted(places & self.evacuated.names)
+
     def _is_worker_proven_since_loss(self, seen: SeenWorker) -> bool:
         lost_ms = self._lost_workers.get((seen.line.host, seen.line.run))
         return lost_ms is None or seen.proven_ms > lost_ms
--- a/filbertglade/requests/dispatch.py
+++ b/filbertglade/requests/dispatch.py
@@ -4,6 +4,7 @@
 
 from filbertglade import clock
 from filbertglade import failures
+from filbertglade.fleet import evacuated
 from filbertglade.requests import attempt_failure
 from filbertglade.requests import caller_request
 from filbertglade.requests import crash_reporter
@@ -101,9 +102,19 @@
             response.reason
             is endpoint_response.EndpointFailureReason.WITHDRAWN
         ):
+            reason = Reason.NO_ENDPOINT
+            detail = 'the request was not sent in time'
+            if self._choice.is_evacuated(candidate):
+                detail = f'{candidate.name}: {evacuated.REASON}'
+                # An earlier attempt may have run it.
+                reason = (
+                    Reason.ENDPOINT_FAILED
+                    if self.may_have_run
+                    else Reason.EVACUATED
+                )
             return attempt_failure.AttemptFailure(
-                Reason.NO_ENDPOINT,
-                'the request was not sent in time',
+                reason,
+                detail,
                 is_final=is_permitted and not is_stale,
                 is_unsent=not is_permitted,
                 retry_after_ms=self._choice.retry_after_ms,
--- a/filbertglade/requests/endpoint_choice.py
+++ b/filbertglade/requests/endpoint_choice.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from filbertglade import clock
+from filbertglade.fleet import evacuated
 from filbertglade.requests import attempt_failure
 from filbertglade.requests import caller_request
 from filbertglade.requests import execution_context
@@ -61,6 +62,16 @@
             self._list_eligible(), self._features
         )
         if candidate is None:
+            evacuation = self._context.fleet.find_evacuation(
+                self._request.target, self._request.is_service
+            )
+            if evacuation:
+                return attempt_failure.AttemptFailure(
+                    outcomes.RefusalReason.EVACUATED,
+                    evacuated.describe(evacuation),
+                    is_final=True,
+                    retry_after_ms=evacuated.RETRY_AFTER_MS,
+                )
             return attempt_failure.AttemptFailure(
                 outcomes.RefusalReason.NO_ENDPOINT,
                 f'no endpoint serves {self._request.target!r} now',
@@ -106,7 +117,7 @@
         :param is_resumption: whether the request resumes a run on it.
         """
         permitted = self._context.permitted
-        if permitted.is_paused(candidate):
+        if permitted.is_paused(candidate) or self.is_evacuated(candidate):
             return False
         if is_resumption or not permitted.is_leaving(candidate):
             return True
@@ -115,6 +126,16 @@
             for item in self._list_eligible()
         )
 
+    def is_evacuated(self, candidate: selection.Candidate) -> bool:
+        """Return whether a host of an endpoint is in an evacuated data centre.
+
+        :param candidate: the endpoint.
+        """
+        fleet = self._context.fleet
+        # The view may be newer than the candidate.
+        places = fleet.find_places(candidate.name, self._request.is_service)
+        return fleet.evacuated.affects((*candidate.data_centres, *places))
+
     def _list_candidates(self) -> list[selection.Candidate]:
         request = self._request
         fleet = self._context.fleet
--- a/filbertglade/requests/outcomes.py
+++ b/filbertglade/requests/outcomes.py
@@ -4,6 +4,7 @@
 import enum
 
 from filbertglade import failures
+from filbertglade.fleet import evacuated
 
 OUTCOME_HEADER = 'X-Outcome'
 RETRY_AFTER_MS = 1000
@@ -33,6 +34,8 @@
     OVERLOADED = 'overloaded'
     DEADLINE = 'deadline'
     NO_ENDPOINT = 'no-endpoint'
+    # All endpoints are in data centres that the operator has evacuated.
+    EVACUATED = evacuated.REASON
     NOT_CONFIGURED = 'not-configured'
     NO_QUORUM = 'no-quorum'
     SHUTTING_DOWN = 'shutting-down'
@@ -53,6 +56,7 @@
     RefusalReason.OVERLOADED: 503,
     RefusalReason.DEADLINE: 503,
     RefusalReason.NO_ENDPOINT: 503,
+    RefusalReason.EVACUATED: 503,
     RefusalReason.NOT_CONFIGURED: 503,
     RefusalReason.NO_QUORUM: 503,
     RefusalReason.SHUTTING_DOWN: 503,
--- a/filbertglade/routing/candidates.py
+++ b/filbertglade/routing/candidates.py
@@ -24,6 +24,7 @@
             data_centre=seen.line.data_centre,
             load=seen.line.load,
             load_age_ms=now_ms - seen.load_ms,
+            data_centres=tuple(seen.line.data_centres),
         )
         for seen in fleet.list_groups(deployment)
     ]
@@ -48,6 +49,7 @@
             data_centre=seen.line.data_centre,
             load=seen.line.load,
             load_age_ms=now_ms - seen.proven_ms,
+            data_centres=(seen.line.data_centre,),
         )
         for seen in fleet.list_workers(service)
     ]
--- a/filbertglade/routing/selection.py
+++ b/filbertglade/routing/selection.py
@@ -30,6 +30,7 @@
     :param data_centre: its data centre.
     :param load: the load that it last reported.
     :param load_age_ms: age of that report.
+    :param data_centres: the known data centres of all its hosts.
     """
 
     name: str
@@ -40,6 +41,7 @@
     data_centre: str
     load: membership_pb2.Load
     load_age_ms: int
+    data_centres: tuple[str, ...] = ()
 
     @property
     def key(self) -> EndpointKey:
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -354,3 +354,32 @@
         assert len(again) == len(held)
 
     virtual_time.run(scenario())
+
+
+# Guards against requests that wait, or use up limits, although nothing can
+# serve them until the operator ends an evacuation.
+def test_requests_to_evacuated_endpoints_are_refused_at_once():
+    async def scenario():
+        fleet = fakes.FakeFleet(writer=2)
+        controller = build_admission(fleet)
+        await controller.start()
+        request = build_request()
+        held = await fill(controller, request)
+        waiting = asyncio.ensure_future(controller.admit(request))
+        await asyncio.sleep(0.01)
+        fleet.evacuations = ['north']
+        start_ms = clock.now_ms()
+        for decision in (await controller.admit(request), await waiting):
+            assert decision.reason is Reason.EVACUATED
+            assert decision.reason.value == 'data centre evacuated'
+            assert '(north)' in decision.detail
+            assert 'until the operator ends it' in decision.detail
+            assert decision.outcome is outcomes.Outcome.NOT_RUN
+            assert decision.retry_after_ms >= 2000
+        assert clock.now_ms() - start_ms <= admission.SWEEP_INTERVAL_MS
+        fleet.evacuations = []
+        held.pop().release()
+        assert isinstance(await controller.admit(request), permits.Permit)
+        await controller.close()
+
+    virtual_time.run(scenario())
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -21,12 +21,14 @@
     """A fleet view in which each deployment has one present group.
 
     :param slots: by deployment, the slots of its group.
+    :ivar evacuations: those that leave no deployment an endpoint.
     """
 
     def __init__(self, **slots: int) -> None:
         self.document: configuration_model.Document | None = None
         self.cache_listeners: list[view.CacheListener] = []
         self.shares: dict[str, float] = {}
+        self.evacuations: list[str] = []
         self.loads = {
             name: membership_pb2.Load(slots=count)
             for name, count in slots.items()
@@ -44,6 +46,9 @@
     def list_workers(self, service: str) -> list[FakeEndpoint]:
         return self.list_groups(service)
 
+    def find_evacuation(self, target: str, is_service: bool) -> list[str]:
+        return self.evacuations
+
 
 def build_settings(**limits: int) -> model.NodeSettings:
     """Return a node's settings with the given limits."""
--- a/tests/membership/test_routing_lines.py
+++ b/tests/membership/test_routing_lines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from filbertglade.inner import commands_pb2
 from filbertglade.inner import membership_pb2
 from filbertglade.membership import presence
 from tests.membership import fakes
@@ -161,3 +162,28 @@
         assert table.note_host(make_announcement(1, run='run-2'), 0)
 
     fakes.run(main())
+
+
+# Guards against nodes that can't tell an evacuated group from a broken one, or
+# that a member other than the head is evacuated.
+def test_nodes_learn_of_evacuations_and_of_members_places():
+    async def test(cluster):
+        names = cluster.add_group(NODES)
+        cluster.hosts[names[2]].announced['data_centre'] = 'annex'
+        await asyncio.sleep(3)
+        fleet = cluster.nodes['node-1'].fleet
+        assert list(fleet.find_places('writer-1', False)) == ['annex', 'north']
+        assert len(fleet.list_groups('writer')) == 1
+        change = commands_pb2.EvacuationChange(
+            data_centre='annex', active=True
+        )
+        cluster.apply(commands_pb2.Command(evacuation_change=change))
+        await fakes.wait_until(lambda: not fleet.list_groups('writer'), 1)
+        assert fleet.find_evacuation('writer', False) == ['annex']
+        assert not fleet.find_evacuation('other', False)
+        change.active = False
+        cluster.apply(commands_pb2.Command(evacuation_change=change))
+        await fakes.wait_until(lambda: fleet.list_groups('writer'), 1)
+        assert not fleet.find_evacuation('writer', False)
+
+    _run(test)
--- a/tests/requests/listed_choice.py
+++ b/tests/requests/listed_choice.py
@@ -6,6 +6,7 @@
 from filbertglade import clock
 from filbertglade.fleet import dialects
 from filbertglade.fleet import statements
+from filbertglade.membership import view
 from filbertglade.observability import metrics
 from filbertglade.requests import endpoint_choice
 from filbertglade.requests import endpoint_wait
@@ -35,6 +36,7 @@
                 fakes.build_settings()
             ),
             permitted=self.permitted,
+            fleet=view.FleetView(fakes.build_settings()),
             selector=types.SimpleNamespace(
                 choose=lambda found, work: found[0] if found else None,
                 note_started=lambda *_: None,
@@ -46,6 +48,7 @@
             call=types.SimpleNamespace(body=b''),
             prefix_hashes=(),
             target=TARGET,
+            is_service=False,
             deadline_ms=clock.now_ms() + deadline_ms,
         )
         super().__init__(parts, request)
