Name the evacuations behind a refusal in explain

"explain" said that all endpoints were in evacuated data centres, but not in which, since when, or what ends an evacuation. It now reads the changes that the refusing process logged: test_evacuations_in_force_are_named fails if those of other processes, or ended ones, are taken in.

--- a/filbertglade/observability/explain.py
+++ b/filbertglade/observability/explain.py
@@ -11,6 +11,7 @@
 import re
 import typing
 
+from filbertglade.observability import evacuation_cause
 from filbertglade.observability import timeline
 
 # How far before the request's first event to search for changes of state, in
@@ -38,6 +39,7 @@
     'leader.watched',
     'leader.unwatched',
     'leader.acting',
+    evacuation_cause.EVENT,
 )
 
 
@@ -99,7 +101,7 @@
         if event.name not in STATE_EVENTS:
             continue
         is_local = event.node in nodes and event.name.startswith(
-            ('document.', 'leader.')
+            ('document.', 'leader.', 'evacuations.')
         )
         names_target = names & _list_names([event])
         is_model = (
@@ -198,7 +200,7 @@
         if 'no document' in reason:
             return 'leader lost: this process has had no document yet'
         if 'data centre evacuated' in reason and not self._list_outcomes():
-            return 'evacuation: all endpoints are in evacuated data centres'
+            return evacuation_cause.explain(self._last, self._events)
         if 'no endpoint' in reason and not self._list_outcomes():
             return self._explain_missing_endpoint()
         if 'timed-out' in reason or 'timed-out' in self._list_outcomes():
--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -116,3 +116,35 @@
 
 def test_unknown_request_has_no_explanation():
     assert explain.explain_request('r9', []) is None
+
+
+# Guards against operators who are told of an evacuation that has ended, that
+# another process knew of, or of none.
+def test_evacuations_in_force_are_named(tmp_path):
+    def changed(at_s, node='entry-1', started=(), ended=()):
+        return log_line(
+            at_s,
+            'evacuations.changed',
+            node,
+            started=list(started),
+            ended=list(ended),
+        )
+
+    path = tmp_path / 'all.log'
+    lines = [
+        changed(-90, started=['north', 'west']),
+        changed(-60, 'entry-2', started=['east']),
+        changed(1, started=['south'], ended=['west']),
+        refused(503, 'data centre evacuated'),
+        changed(3, ended=['north', 'south']),
+    ]
+    path.write_text('\n'.join(lines) + '\n')
+    events = timeline.read_events([path])
+    explanation = explain.explain_request('r1', events)
+    assert explanation.cause == (
+        'evacuation: all endpoints are in evacuated data centres: north '
+        '(evacuated 92.0 s before), south (evacuated 1.0 s before); an '
+        'evacuation lasts until the operator ends it'
+    )
+    names = [event.name for event in explanation.state_changes]
+    assert names == ['evacuations.changed']
