Tell operators which deployments an evacuation leaves without a group

Only "status" of the nodes showed them, by its own copy of the gateway's rule, and counted a deployment as served while its evacuated group was formed anew. The rule is now one (find_unserved in replicas/unserved_models.py) for models of a gateway and deployments of nodes. The nodes' leader logs evacuations.deployments_without_group and has a gauge for each deployment. "status" names the data centres, and that the operator ends an evacuation.

test_deployments_without_group_are_told fails without the controller's update, test_status_shows_evacuations without the fields.

--- a/filbertglade/administration/rendering.py
+++ b/filbertglade/administration/rendering.py
@@ -6,6 +6,7 @@
 from filbertglade.control import agreement
 from filbertglade.control import state
 from filbertglade.fleet import evacuation_log
+from filbertglade.groups import unserved
 from filbertglade.inner import administration_pb2
 from filbertglade.inner import commands_pb2
 from filbertglade.membership import presence
@@ -100,6 +101,7 @@
 
     def _render_cluster(self) -> dict[str, object]:
         status = self._voters.status()
+        unserved_places = unserved.find_unserved(self._agreed, self._presence)
         return {
             'leader': status.leader,
             'term': status.term,
@@ -112,7 +114,15 @@
                 self._agreed.evacuations.list_evacuations(),
                 self._voters.log_clock_ms(),
             ),
-            'deployments_without_group': self._list_unserved(),
+            'deployments_without_group': list(unserved_places),
+            'unserved': [
+                {
+                    'deployment': name,
+                    'evacuated': places,
+                    'until': evacuation_log.END_RULE,
+                }
+                for name, places in unserved_places.items()
+            ],
             'voters': [
                 {
                     'name': voter.name,
@@ -130,25 +140,6 @@
             'customers': self._render_customers(),
         }
 
-    def _list_unserved(self) -> list[str]:
-        """Return the deployments whose serving groups are all evacuated."""
-        evacuated = self._agreed.evacuations.names
-        if not evacuated:
-            return []
-        affected: set[str] = set()
-        served: set[str] = set()
-        for record in self._agreed.groups.groups.values():
-            if record.phase != commands_pb2.SERVING:
-                continue
-            places = {
-                seen.announcement.data_centre
-                for host in record.hosts
-                if (seen := self._presence.hosts.get(host)) is not None
-            }
-            is_evacuated = bool(places & evacuated)
-            (affected if is_evacuated else served).add(record.deployment)
-        return sorted(affected - served)
-
     def _render_groups(self) -> list[dict[str, object]]:
         return [
             {
--- a/filbertglade/commands/status.py
+++ b/filbertglade/commands/status.py
@@ -8,7 +8,8 @@
 from filbertglade.commands import config
 
 TABLES = {
-    'evacuations': ('data_centre', 'since_index', 'lasted_ms'),
+    'evacuations': ('data_centre', 'since_index', 'lasted_ms', 'until'),
+    'unserved': ('deployment', 'evacuated', 'until'),
     'voters': ('name', 'incarnation', 'match_index', 'counts', 'reply_age_ms'),
     'nodes': (
         'name',
@@ -57,7 +58,8 @@
         typer.echo(f'evacuated, without another group: {unserved}')
     for title, columns in TABLES.items():
         typer.echo('')
-        _print_table(title, columns, status[title])
+        # Leaders of earlier releases don't render all tables.
+        _print_table(title, columns, status.get(title, []))
     return 0
 
 
--- a/filbertglade/fleet/evacuation_log.py
+++ b/filbertglade/fleet/evacuation_log.py
@@ -20,6 +20,8 @@
 NAME_RULE = (
     f'the name of a data centre is UTF-8 of 1 to {MAX_NAME_BYTES} bytes'
 )
+# Until when evacuations last, as operators are told.
+END_RULE = 'the operator ends the evacuation'
 
 
 def is_valid_name(name: str) -> bool:
@@ -43,6 +45,7 @@
             'data_centre': item.data_centre,
             'since_index': item.since_index,
             'lasted_ms': max(0, log_clock_ms - item.since_ms),
+            'until': END_RULE,
         }
         for item in evacuations
     ]
--- a/filbertglade/gateway/evacuation_api.py
+++ b/filbertglade/gateway/evacuation_api.py
@@ -75,7 +75,7 @@
             self._recorder.list_evacuations(), self._voters.log_clock_ms()
         )
         unserved = unserved_models.find_unserved(
-            self._observed.list_replicas()
+            unserved_models.list_states(self._observed.list_replicas())
         )
         return _respond(
             200,
--- a/filbertglade/groups/controller.py
+++ b/filbertglade/groups/controller.py
@@ -15,10 +15,13 @@
 from filbertglade.groups import reconciliation
 from filbertglade.groups import repair
 from filbertglade.groups import rollout
+from filbertglade.groups import unserved
 from filbertglade.groups import warming
 from filbertglade.inner import commands_pb2
 from filbertglade.membership import presence
 from filbertglade.observability import logs
+from filbertglade.observability import metrics
+from filbertglade.replicas import unserved_models
 from filbertglade.settings import model
 from filbertglade import tasks
 
@@ -36,6 +39,7 @@
     :param agreed: the state applied from the replicated log.
     :param voters: this host's part in the replicated log.
     :param presence_table: the latest announcement of each host.
+    :param counters: the process's metrics.
     :param client: sends orders; an HTTP client by default.
     """
 
@@ -45,10 +49,13 @@
         agreed: state.AgreedState,
         voters: agreement.Agreement,
         presence_table: presence.PresenceTable,
+        counters: metrics.Metrics,
         client: orders.OrderClient | None = None,
     ) -> None:
         self._agreed = agreed
         self._voters = voters
+        self._presence = presence_table
+        self._unserved = unserved_models.UnservedNames(counters, 'deployments')
         self._tasks = tasks.TaskGroup()
         self._document: configuration_model.Document | None = None
         timeout_ms = settings.timings.order_timeout_ms
@@ -106,6 +113,8 @@
             document = self._read_document()
             if self._voters.is_leader and document is not None:
                 await self._run_pass(document)
+            else:
+                self._unserved.clear()
             await asyncio.sleep(PASS_INTERVAL_MS / 1000)
 
     def _read_document(self) -> configuration_model.Document | None:
@@ -135,6 +144,13 @@
         self._reconciler.reconcile(document)
         self._warmer.preload_spares(document)
         self._rollout.forget()
+        self._find_unserved()
+
+    def _find_unserved(self) -> None:
+        evacuated = self._agreed.evacuations.names
+        if evacuated or self._unserved.names:
+            states = unserved.list_states(self._agreed, self._presence)
+            self._unserved.update(states, evacuated)
 
     def _list_records(
         self, phase: commands_pb2.GroupPhase
--- a/filbertglade/node/node.py
+++ b/filbertglade/node/node.py
@@ -56,7 +56,11 @@
             settings, agreed, self.voters, channel_factory, counters
         )
         self.groups = controller.GroupController(
-            settings, agreed, self.voters, self.membership_server.presence
+            settings,
+            agreed,
+            self.voters,
+            self.membership_server.presence,
+            counters,
         )
         self.commands = submission.CommandsServicer(
             settings, self.voters, channel_factory, counters
--- a/filbertglade/observability/metrics.py
+++ b/filbertglade/observability/metrics.py
@@ -23,6 +23,7 @@
 OTHER = 'other'
 
 Labels = tuple[tuple[str, str], ...]
+SeriesReader = abc.Callable[[], abc.Mapping[str, float]]
 
 
 class _Durations:
@@ -57,6 +58,7 @@
     def __init__(self) -> None:
         self._counters: dict[tuple[str, Labels], int] = {}
         self._gauges: dict[str, abc.Callable[[], float]] = {}
+        self._gauge_series: dict[str, tuple[str, SeriesReader]] = {}
         self._histograms: dict[tuple[str, Labels], _Durations] = {}
         self._series: collections.Counter[str] = collections.Counter()
 
@@ -116,6 +118,18 @@
         """
         self._gauges[name] = read
 
+    def set_gauge_series(
+        self, name: str, label: str, read: SeriesReader
+    ) -> None:
+        """Register a gauge with one series for each value of a label.
+
+        :param name: the gauge's name.
+        :param label: the label.
+        :param read: returns the values by the label's values; called whenever
+            metrics are read.
+        """
+        self._gauge_series[name] = (label, read)
+
     def record_ms(self, name: str, value_ms: float, **labels: str) -> None:
         """Record a duration.
 
@@ -157,6 +171,11 @@
         ]
         for name, read in sorted(self._gauges.items()):
             lines.append(f'filbertglade_{name} {read():g}')
+        for name, (label_name, read_all) in sorted(self._gauge_series.items()):
+            found = sorted(read_all().items())[:COUNTER_SERIES]
+            for label_value, value in found:
+                label = _render_labels(((label_name, label_value),))
+                lines.append(f'filbertglade_{name}{label} {value:g}')
         for (name, labels), durations in sorted(
             self._histograms.items(), key=lambda item: item[0]
         ):
--- a/filbertglade/replicas/controller.py
+++ b/filbertglade/replicas/controller.py
@@ -90,7 +90,7 @@
         self.answering = answering_groups.AnsweringGroups(
             agreed, endpoint_registry, settings.endpoints.announce_ms
         )
-        self._unserved = unserved_models.UnservedModels(counters)
+        self._unserved = unserved_models.UnservedNames(counters, 'models')
         self.has_traffic = False
         endpoint_registry.add_listener(self.wake)
 
@@ -164,7 +164,8 @@
     def _find_unserved_models(self) -> None:
         evacuated = self._agreed.evacuations.names
         if evacuated or self._unserved.names:
-            self._unserved.update(self.observed.list_replicas(), evacuated)
+            states = unserved_models.list_states(self.observed.list_replicas())
+            self._unserved.update(states, evacuated)
 
     def _plan(self, service: document.Service) -> list[plan_types.Action]:
         assert service.engine is not None
--- a/tests/administration/test_evacuations.py
+++ b/tests/administration/test_evacuations.py
@@ -12,6 +12,7 @@
 from filbertglade.commands import status as status_command
 from filbertglade.control import failures
 from filbertglade.control import state
+from filbertglade.fleet import evacuation_log
 from filbertglade.inner import administration_pb2
 from filbertglade.inner import commands_pb2
 from filbertglade.inner import membership_pb2
@@ -128,11 +129,23 @@
 
     rendered = virtual_time.run(render())
     assert rendered['evacuations'] == [
-        {'data_centre': 'north', 'since_index': 9, 'lasted_ms': 7}
+        {
+            'data_centre': 'north',
+            'since_index': 9,
+            'lasted_ms': 7,
+            'until': evacuation_log.END_RULE,
+        }
     ]
     assert rendered['deployments_without_group'] == ['lost']
+    (unserved,) = rendered['unserved']
+    assert unserved['deployment'] == 'lost'
+    assert unserved['evacuated'] == ['north']
     monkeypatch.setattr(commands_client, 'fetch_json', lambda url: rendered)
     assert status_command.show_status('http://x', False) == 0
     shown = capsys.readouterr().out
     assert 'evacuations (1)' in shown
     assert 'evacuated, without another group: lost' in shown
+    # An operator may wait for the product to end it.
+    assert shown.count(evacuation_log.END_RULE) == 2
+    del rendered['unserved']
+    assert status_command.show_status('http://x', False) == 0
--- a/tests/groups/fakes.py
+++ b/tests/groups/fakes.py
@@ -20,6 +20,7 @@
 from filbertglade.inner import membership_pb2
 from filbertglade.membership import presence
 from filbertglade.membership import routing_lines
+from filbertglade.observability import metrics
 from filbertglade.settings import model
 
 LEADERS = ('one', 'two')
@@ -293,6 +294,7 @@
             name: presence.PresenceTable() for name in LEADERS
         }
         self.node_view = presence.PresenceTable()
+        self.counters = {name: metrics.Metrics() for name in LEADERS}
         self.has_router = has_router
         self.voters = {name: FakeVoters(self, name) for name in LEADERS}
         self.leader = ''
@@ -352,6 +354,7 @@
             self.states[name],
             self.voters[name],
             self.presence_tables[name],
+            self.counters[name],
             client,
         )
         await self.controllers[name].start()
--- a/tests/groups/test_evacuations.py
+++ b/tests/groups/test_evacuations.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+from filbertglade.groups import unserved
 from filbertglade.inner import commands_pb2
 from filbertglade.membership import routing_lines
+from filbertglade.replicas import unserved_models
 from tests.groups import fakes
 from tests.membership import fakes as membership_fakes
 
@@ -119,3 +121,39 @@
             assert worker.line.leaving is not expected
 
     run(test, hosts=5)
+
+
+# Guards against operators who aren't told that an evacuation has left a
+# deployment without a group, or that it is served again.
+def test_deployments_without_group_are_told(monkeypatch):
+    told = []
+
+    def record(event, **fields):
+        if event == 'evacuations.deployments_without_group':
+            told.append((fields['deployments'], fields['served_again']))
+
+    monkeypatch.setattr(unserved_models.log, 'change', record)
+
+    async def test(cluster):
+        cluster.put({**DEPLOYMENT, 'replicas': 1})
+        await wait_until(lambda: len(cluster.list_complete()) == 1, 60)
+        (record,) = cluster.list_complete()
+        place = f'centre-of-{record.fabric_domain}'
+        counters = cluster.counters[cluster.leader]
+        series = 'filbertglade_evacuated_deployments_unserved'
+        assert series not in counters.render_text()
+        # The other domain can't form the group either.
+        for domain in DOMAINS:
+            evacuate(cluster, domain)
+        await wait_until(lambda: series in counters.render_text(), 1)
+        assert f'{series}{{deployment="writer"}} 1\n' in counters.render_text()
+        agreed = cluster.states[cluster.leader]
+        hosts = cluster.presence_tables[cluster.leader]
+        assert unserved.find_unserved(agreed, hosts) == {'writer': [place]}
+        for domain in DOMAINS:
+            evacuate(cluster, domain, active=False)
+        await wait_until(lambda: series not in counters.render_text(), 1)
+        assert not unserved.find_unserved(agreed, hosts)
+        assert told == [(['writer'], []), ([], ['writer'])]
+
+    run(test, hosts=5)
