Order no loads for groups that form in an evacuated data centre

The reconciler went on to order loads for a group that was committed before the evacuation, also those that had not begun. They take minutes, use up loads_at_once, and the group gets no requests. Hosts that hold the model still join, so the repair of formed groups goes on as before.

test_groups_that_form_while_evacuated_are_ordered_no_further_loads finds orders in both domains without the change, and that the groups form after the end with it.

--- a/filbertglade/groups/hosts.py
+++ b/filbertglade/groups/hosts.py
@@ -241,6 +241,13 @@
         evacuated = self._agreed.evacuations.names
         return seen is not None and seen.announcement.data_centre in evacuated
 
+    def has_evacuated(self, record: commands_pb2.GroupRecord) -> bool:
+        """Tell whether a host of a group is in an evacuated data centre.
+
+        :param record: the group.
+        """
+        return any(map(self.is_evacuated, record.hosts))
+
     def _list_unassigned(self, domain: str) -> list[str]:
         """Return a domain's hosts that are neither in a group nor leaving."""
         return [
--- a/filbertglade/groups/placement.py
+++ b/filbertglade/groups/placement.py
@@ -40,7 +40,7 @@
         return [
             record
             for record in self._list_all_records(deployment)
-            if not self._is_evacuated(record)
+            if not self._monitor.has_evacuated(record)
         ]
 
     def list_evacuated(
@@ -53,7 +53,7 @@
         return [
             record
             for record in self._list_all_records(deployment)
-            if self._is_evacuated(record)
+            if self._monitor.has_evacuated(record)
         ]
 
     def _list_all_records(
@@ -66,9 +66,6 @@
             and record.phase != commands_pb2.DRAINING
         ]
 
-    def _is_evacuated(self, record: commands_pb2.GroupRecord) -> bool:
-        return any(map(self._monitor.is_evacuated, record.hosts))
-
     def list_available(
         self,
         deployment: configuration_model.Deployment,
--- a/filbertglade/groups/reconciliation.py
+++ b/filbertglade/groups/reconciliation.py
@@ -164,7 +164,16 @@
     ) -> None:
         if announcement.leaving:
             return
-        if self._send(host, announcement, orders.build_load(record)):
+        order = orders.build_load(record)
+        if (
+            record.phase == commands_pb2.FORMING
+            and self._monitor.has_evacuated(record)
+            and not self._monitor.holds(host, order.weights)
+        ):
+            # It would take minutes for a group that gets no requests. A host
+            # that holds the model may join at once.
+            return
+        if self._send(host, announcement, order):
             self._load_tracker.note_loading(host, record.epoch)
 
     def _reconcile_unassigned(self, host: str) -> None:
--- a/tests/groups/test_evacuations.py
+++ b/tests/groups/test_evacuations.py
@@ -157,3 +157,30 @@
         assert told == [(['writer'], []), ([], ['writer'])]
 
     run(test, hosts=5)
+
+
+# Guards against loads, which take minutes, for groups that get no requests;
+# and against groups that stay without their model after the end.
+def test_groups_that_form_while_evacuated_are_ordered_no_further_loads():
+    async def test(cluster):
+        # One load at a time: most hosts have no order yet.
+        cluster.put({**DEPLOYMENT, 'spare_hosts': 0}, loads_at_once=1)
+        await wait_until(cluster.count_loading, 30)
+        assert len(cluster.groups) == 2
+        for domain in DOMAINS:
+            evacuate(cluster, domain)
+        # Until the order that is on its way has arrived.
+        await asyncio.sleep(1)
+        since = {
+            host.name: len(host.taken_orders)
+            for host in cluster.hosts.values()
+        }
+        await asyncio.sleep(60)
+        for domain in DOMAINS:
+            assert not list_new_loads(cluster, domain, since)
+        assert len(cluster.groups) == 2
+        for domain in DOMAINS:
+            evacuate(cluster, domain, active=False)
+        await wait_until(lambda: len(cluster.list_complete()) == 2, 200)
+
+    run(test, hosts=4)
