Show cold endpoints in the status of a gateway

Operators couldn't see which endpoints are cold: "status" worked with the product's own nodes only. A gateway's leader now serves GET /v1/status, other control hosts redirect to it. The command prints what a leader renders.

test_status_shows_cold_endpoints_and_evacuations fails (404) without the call, without the count of permits, and if groups are listed. The product's own nodes have no cold endpoints to show.

--- a/filbertglade/commands/status.py
+++ b/filbertglade/commands/status.py
@@ -30,13 +30,21 @@
         'present',
     ),
     'customers': ('name', 'requests_per_s'),
+    'cold_endpoints': ('id', 'remaining_ms', 'permits_per_s'),
+}
+
+LISTS = {
+    'silent_nodes': 'silent nodes',
+    'deployments_without_group': 'evacuated, without another group',
+    'models_without_group': 'evacuated, without another group',
 }
 
 
 def show_status(url: str, as_json: bool) -> int:
     """Print the cluster's state.
 
-    :param url: base URL of a node's administration API.
+    :param url: base URL of a node's administration API, or of a gateway's
+        control host.
     :param as_json: print JSON in place of tables.
     :returns: exit code: 1 if the state could not be fetched, else 0.
     """
@@ -45,24 +53,29 @@
     status = client.fetch_json(f'{url}/v1/status')
     if status is None:
         return client.EXIT_FAILURE
-    current = status['configuration']
     typer.echo(
         f'leader {status["leader"]}  term {status["term"]}  '
-        f'configuration {current["number"]} {current["change_id"]}'.rstrip()
+        f'{_describe_configuration(status)}'.rstrip()
     )
     typer.echo(f'losses left: {status["losses_left"]}')
-    if status['silent_nodes']:
-        typer.echo(f'silent nodes: {_render(status["silent_nodes"])}')
-    if status['deployments_without_group']:
-        unserved = _render(status['deployments_without_group'])
-        typer.echo(f'evacuated, without another group: {unserved}')
+    for field, text in LISTS.items():
+        if status.get(field):
+            typer.echo(f'{text}: {_render(status[field])}')
+    # Gateways and leaders of earlier releases don't render all tables.
     for title, columns in TABLES.items():
-        typer.echo('')
-        # Leaders of earlier releases don't render all tables.
-        _print_table(title, columns, status.get(title, []))
+        if title in status:
+            typer.echo('')
+            _print_table(title, columns, status[title])
     return 0
 
 
+def _describe_configuration(status: dict[str, typing.Any]) -> str:
+    if 'document_version' in status:
+        return f'document {status["document_version"]}'
+    current = status['configuration']
+    return f'configuration {current["number"]} {current["change_id"]}'
+
+
 def _print_table(
     title: str, columns: tuple[str, ...], rows: list[dict[str, typing.Any]]
 ) -> None:
--- a/filbertglade/fleet/cold_leading.py
+++ b/filbertglade/fleet/cold_leading.py
@@ -86,6 +86,25 @@
             self.states.read_report(cold, service, report.node)
         self._permits.record_demand(report.limited_demand, report.run)
 
+    def describe(
+        self, groups: abc.Container[str]
+    ) -> list[dict[str, str | int | float]]:
+        """Return the cold endpoints as operators are shown them.
+
+        :param groups: names of groups, which need no permits.
+        """
+        now_ms = clock.now_ms()
+        return [
+            {
+                'id': name,
+                'remaining_ms': state.end_ms - now_ms,
+                'permits_per_s': round(self._permits.count_per_s(name), 1),
+            }
+            for name in sorted(self.states.states)
+            if name not in groups
+            and (state := self.states.find(name)) is not None
+        ]
+
     def give_permits(
         self, watchers: abc.Iterable[connected_watcher.ConnectedWatcher]
     ) -> None:
--- a/filbertglade/fleet/cold_permits.py
+++ b/filbertglade/fleet/cold_permits.py
@@ -88,6 +88,19 @@
                 given = self._given[endpoint] = _Given(clock.now_ms())
             given.demand.record(host, count)
 
+    def count_per_s(self, endpoint: str) -> float:
+        """Return how many permits an endpoint's hosts were given a second.
+
+        :param endpoint: its incarnation key.
+        :returns: the mean over :data:`cold_bound.WINDOW_MS`.
+        """
+        given = self._given.get(endpoint)
+        if given is None:
+            return 0.0
+        _forget_old(given, clock.now_ms())
+        count = sum(count for _, count in given.recent)
+        return count * 1000 / cold_bound.WINDOW_MS
+
     def divide(self) -> dict[str, list[fleet_pb2.Allowance]]:
         """Give the permits that are due.
 
--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -15,6 +15,7 @@
 from filbertglade.control import state
 from filbertglade.control.tables import document as document_table
 from filbertglade import failures
+from filbertglade.fleet import cold_leading
 from filbertglade.fleet import departure_log
 from filbertglade.fleet import document
 from filbertglade.fleet import endpoints
@@ -23,6 +24,7 @@
 from filbertglade.gateway import evacuation_api
 from filbertglade.gateway import http_server
 from filbertglade.gateway import pending_documents
+from filbertglade.gateway import status_api
 from filbertglade.inner import commands_pb2
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
@@ -84,6 +86,7 @@
     :param counters: the process's metrics.
     :param observed: the leader's view of the replicas, which holds the
         document in force.
+    :param cold: the leader's part in cold endpoints; None if it has none.
     :ivar evacuations: commits operators' evacuations.
     :ivar documents: the documents that are being accepted.
     :ivar read_version: version of the newest document that was read.
@@ -98,6 +101,7 @@
         recorder: departure_log.DepartureLog,
         counters: metrics.Metrics,
         observed: observed_state.ObservedState,
+        cold: cold_leading.ColdLeading | None = None,
     ) -> None:
         self.address = address
         self.agreed = agreed
@@ -106,6 +110,7 @@
         self.departures = recorder
         self.counters = counters
         self.observed = observed
+        self.cold = cold
         self.evacuations = evacuation_log.EvacuationLog(
             agreed, voters, counters
         )
@@ -168,6 +173,9 @@
         self._evacuations = evacuation_api.EvacuationApi(
             context.evacuations, context.voters, context.observed
         )
+        self._status = status_api.StatusApi(
+            context.agreed, context.voters, context.observed, context.cold
+        )
 
     def handle(self, request: http_server.Request) -> Answer:
         """Serve a request.
@@ -178,12 +186,15 @@
         path = request.target.partition('?')[0]
         match = _ENDPOINT_PATH.fullmatch(path)
         is_evacuation = evacuation_api.is_evacuation_path(path)
-        if match is None and path != ROUTING_PATH and not is_evacuation:
+        is_known = is_evacuation or path in (ROUTING_PATH, status_api.PATH)
+        if match is None and not is_known:
             return _respond(404, {'error': 'no such path'})
         if not self._context.voters.is_leader:
             return self._redirect(request.target)
         if is_evacuation:
             return self._evacuations.handle(request)
+        if path == status_api.PATH:
+            return self._status.handle(request)
         if match is not None:
             if request.method != 'POST':
                 return _respond(405, {'error': 'only POST is possible'})
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -169,6 +169,7 @@
             self._departures,
             counters,
             self._replicas.observed,
+            self.publisher.cold,
         )
         self._server: http_server.HttpServer | None = None
         self._leadership_lock = asyncio.Lock()
