--- a/tests/groups/fakes.py
+++ b/tests/groups/fakes.py
@@ -294,6 +294,7 @@
             name: presence.PresenceTable() for name in LEADERS
         }
         self.node_view = presence.PresenceTable()
+        self.counters = {name: metrics.Metrics() for name in LEADERS}
         self.has_router = has_router
         self.voters = {name: FakeVoters(self, name) for name in LEADERS}
         self.leader = ''
@@ -353,7 +354,7 @@
             self.states[name],
             self.voters[name],
             self.presence_tables[name],
-            metrics.Metrics(),
+            self.counters[name],
             client,
         )
         await self.controllers[name].start()
--- a/tests/groups/test_evacuations.py
+++ b/tests/groups/test_evacuations.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+from filbertglade.groups import unserved
 from filbertglade.inner import commands_pb2
 from filbertglade.membership import routing_lines
+from filbertglade.replicas import unserved_models
 from tests.groups import fakes
 from tests.membership import fakes as membership_fakes
 
@@ -119,3 +121,66 @@
             assert worker.line.leaving is not expected
 
     run(test, hosts=5)
+
+
+# Guards against operators who aren't told that an evacuation has left a
+# deployment without a group, or that it is served again.
+def test_deployments_without_group_are_told(monkeypatch):
+    told = []
+
+    def record(event, **fields):
+        if event == 'evacuations.deployments_without_group':
+            told.append((fields['deployments'], fields['served_again']))
+
+    monkeypatch.setattr(unserved_models.log, 'change', record)
+
+    async def test(cluster):
+        cluster.put({**DEPLOYMENT, 'replicas': 1})
+        await wait_until(lambda: len(cluster.list_complete()) == 1, 60)
+        (record,) = cluster.list_complete()
+        place = f'centre-of-{record.fabric_domain}'
+        counters = cluster.counters[cluster.leader]
+        series = 'filbertglade_evacuated_deployments_unserved'
+        assert series not in counters.render_text()
+        # The other domain can't form the group either.
+        for domain in DOMAINS:
+            evacuate(cluster, domain)
+        await wait_until(lambda: series in counters.render_text(), 1)
+        assert f'{series}{{deployment="writer"}} 1\n' in counters.render_text()
+        agreed = cluster.states[cluster.leader]
+        hosts = cluster.presence_tables[cluster.leader]
+        assert unserved.find_unserved(agreed, hosts) == {'writer': [place]}
+        for domain in DOMAINS:
+            evacuate(cluster, domain, active=False)
+        await wait_until(lambda: series not in counters.render_text(), 1)
+        assert not unserved.find_unserved(agreed, hosts)
+        assert told == [(['writer'], []), ([], ['writer'])]
+
+    run(test, hosts=5)
+
+
+# Guards against loads, which take minutes, for groups that get no requests;
+# and against groups that stay without their model after the end.
+def test_groups_that_form_while_evacuated_are_ordered_no_further_loads():
+    async def test(cluster):
+        # One load at a time: most hosts have no order yet.
+        cluster.put({**DEPLOYMENT, 'spare_hosts': 0}, loads_at_once=1)
+        await wait_until(cluster.count_loading, 30)
+        assert len(cluster.groups) == 2
+        for domain in DOMAINS:
+            evacuate(cluster, domain)
+        # Until the order that is on its way has arrived.
+        await asyncio.sleep(1)
+        since = {
+            host.name: len(host.taken_orders)
+            for host in cluster.hosts.values()
+        }
+        await asyncio.sleep(60)
+        for domain in DOMAINS:
+            assert not list_new_loads(cluster, domain, since)
+        assert len(cluster.groups) == 2
+        for domain in DOMAINS:
+            evacuate(cluster, domain, active=False)
+        await wait_until(lambda: len(cluster.list_complete()) == 2, 200)
+
+    run(test, hosts=4)
