Relay frames and reports over one hop between cut data centres

Cause: a host that could not reach the leader got no frames and reported to nobody, also where a control host in a third data centre reached both. The search for a leader asked one host after the other, for up to 0.8 s each.

Change, with control.tolerated_data_centres above 0 only: hosts probe all control hosts at once, prefer the leader, and otherwise attach to a control host that follows it. That host passes messages on as they are. The age of a message counts from the report that the leader echoes in it, so that no hop makes it look fresher; permits and allowances that may be older than 1 s are dropped. Hosts leave the hop once the leader answers them. A hop ends its streams when its voter knows another leader, or its own stream ends.

--- a/filbertglade/fleet/cold_view.py
+++ b/filbertglade/fleet/cold_view.py
@@ -28,10 +28,14 @@
         self._last_frame_ms: int | None = None
         self._ignores_until_ms = 0
 
-    def apply_frame(self, frame: fleet_pb2.FleetFrame) -> None:
+    def apply_frame(
+        self, frame: fleet_pb2.FleetFrame, age_ms: int = 0
+    ) -> None:
         """Apply a frame from the leader.
 
         :param frame: the frame.
+        :param age_ms: longest time since the leader sent it; 0 if it came
+            without a hop.
         """
         now_ms = clock.now_ms()
         last_ms, self._last_frame_ms = self._last_frame_ms, now_ms
@@ -50,7 +54,7 @@
                 )
             else:
                 self.cold.pop(cold.endpoint, None)
-        if now_ms < self._ignores_until_ms:
+        if now_ms < self._ignores_until_ms or age_ms > MAX_GAP_MS:
             return
         for allowance in frame.allowances:
             name = allowance.endpoint
--- a/filbertglade/fleet/connected_watcher.py
+++ b/filbertglade/fleet/connected_watcher.py
@@ -86,6 +86,19 @@
             if error is not None:
                 self.leave_error = f'{type(error).__name__}: {error}'
 
+    def stamp(self, message: fleet_pb2.FleetFrame) -> fleet_pb2.FleetFrame:
+        """Add what tells a watcher over a hop how old a message is at most.
+
+        :param message: the message, directly before it is sent.
+        :returns: the message itself for other watchers.
+        """
+        if not self.report.HasField('sent_ms'):
+            return message
+        stamped = fleet_pb2.FleetFrame()
+        stamped.CopyFrom(message)
+        stamped.report_sent_ms = self.report.sent_ms
+        return stamped
+
     def take_personal(
         self, shared: shared_frames.SharedFrame
     ) -> shared_frames.SharedFrame:
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -401,9 +401,12 @@
                 while needs_turn and turn.is_over:
                     if not await turn.take(MAX_FRAME_INTERVAL_MS):
                         # Shows between two parts that this host is alive.
-                        await stream.send_message(self._build_sign_of_life())
+                        await stream.send_message(
+                            watcher.stamp(self._build_sign_of_life())
+                        )
                 await turn.run(
-                    stream.send_message(message), WATCHER_TIMEOUT_MS
+                    stream.send_message(watcher.stamp(message)),
+                    WATCHER_TIMEOUT_MS,
                 )
         finally:
             self._counters.record_ms(
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from filbertglade import clock
+from filbertglade.fleet import cold_bound
 from filbertglade.fleet import cold_view
 from filbertglade.fleet import document
 from filbertglade.fleet import endpoints
@@ -38,8 +39,9 @@
         learned of it.
     :ivar evacuated: the evacuated data centres.
     :ivar cold: the endpoints that are cold.
-    :ivar last_frame_ms: local clock at the leader's latest frame; None if none
-        was received.
+    :ivar last_frame_ms: local clock at the leader's latest frame, or when it
+        was sent at the earliest if it came over a hop; None if none was
+        received.
     """
 
     def __init__(self) -> None:
@@ -103,12 +105,18 @@
         for listener in self._document_listeners:
             listener()
 
-    def apply_frame(self, frame: fleet_pb2.FleetFrame) -> None:
+    def apply_frame(
+        self, frame: fleet_pb2.FleetFrame, age_ms: int = 0
+    ) -> None:
         """Apply a frame from the leader.
 
         :param frame: the frame.
+        :param age_ms: longest time since the leader sent it; 0 if it came
+            without a hop, when it counts from its arrival.
         """
-        self.last_frame_ms = clock.now_ms()
+        sent_ms = clock.now_ms() - age_ms
+        if self.last_frame_ms is None or sent_ms > self.last_frame_ms:
+            self.last_frame_ms = sent_ms
         self.announced_version = max(
             self.announced_version, frame.document_version
         )
@@ -117,10 +125,12 @@
             self.entry_nodes = frame.entry_nodes
         self.unserved_per_s = dict(frame.unserved_per_s)
         self.struck.apply_changes(frame.cleared, frame.struck)
-        self.cold.apply_frame(frame)
+        self.cold.apply_frame(frame, age_ms)
         for limit in frame.limits:
             self.set_limit(limit.endpoint, limit.requests_per_s)
-        for allowance in frame.allowances:
+        # Old ones may have been given to others since.
+        is_late = age_ms > cold_bound.MAX_DELAY_MS
+        for allowance in () if is_late else frame.allowances:
             allowed = self._allowances.get(allowance.endpoint, 0)
             self._allowances[allowance.endpoint] = allowed + allowance.requests
         if frame.is_whole:
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -10,6 +10,7 @@
 from filbertglade.fleet import cold_reports
 from filbertglade.fleet import crash_reports
 from filbertglade.fleet import frames
+from filbertglade.fleet import leader_search
 from filbertglade.fleet import pacing
 from filbertglade.fleet import statements
 from filbertglade.fleet import unserved
@@ -32,6 +33,15 @@
 # frame, for links on which connecting takes longer. A machine without power
 # refuses nothing.
 FIRST_CONNECT_TIMEOUT_MS = 200
+# The same for a control host that has just answered a probe, in ms: it needs
+# a way or two to the leader, and others may be tried within 1 s.
+PROBED_FRAME_TIMEOUT_MS = 400
+# Oldest frame with which this host relays to others, in ms: more than twice
+# the leader's longest interval.
+MAX_HOP_AGE_MS = 600
+# Time without a message over a hop that is surely younger than the time-out
+# for the leader after which another one is searched for, in ms.
+MAX_STALE_MS = 3000
 # Time without a frame after which the leader counts as lost, in ms: four of
 # its longest intervals between frames.
 LEADER_TIMEOUT_MS = 1100
@@ -60,7 +70,11 @@
     :param channel_factory: opens channels to control hosts.
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
-    :ivar watched_host: the leader that is being watched; empty without one.
+    :param search: finds the leader or a hop; None to ask one control host
+        after the other, without hops.
+    :ivar watched_host: the control host that is being watched, the leader or
+        a hop; empty without one.
+    :ivar uses_hop: whether it is a hop.
     :ivar crashes: what is reported of requests that crash endpoints.
     :ivar cold: what is reported of cold endpoints.
     :ivar in_flight: requests in flight here, by group.
@@ -84,7 +98,9 @@
         channel_factory: channels.ChannelFactory,
         counters: metrics.Metrics,
         rng: random.Random,
+        search: leader_search.LeaderSearch | None = None,
     ) -> None:
+        self._search = search
         self._node = node
         self._run_name = run
         self._seeds = list(seeds)
@@ -99,6 +115,11 @@
         # Failed searches for the leader since it was last found.
         self._failed_searches = 0
         self.watched_host = ''
+        self.uses_hop = False
+        if search is not None:
+            counters.set_gauge('uses_hop', lambda: int(self.uses_hop))
+        # Local clock at the latest message over a hop that was surely young.
+        self._fresh_ms = 0
         self._suspicions: list[fleet_pb2.Suspicion] = []
         # Local clock at the latest event since the last report, by group and
         # epoch.
@@ -118,6 +139,7 @@
         )
         self._reported_in_flight: dict[str, int] = {}
         # Of the current stream.
+        self._followed_leader = ''
         self._received_frames = 0
         self._received_bytes = 0
         self.in_flight: dict[str, int] = {}
@@ -208,7 +230,20 @@
                 )
                 self._limits[endpoint] = (named_ms, limit)
 
+    @property
+    def watched_leader(self) -> str:
+        """The leader that is watched without a hop; empty without one."""
+        return '' if self.uses_hop else self.watched_host
+
+    @property
+    def has_recent_frame(self) -> bool:
+        """Whether the latest frame is young enough to relay to others."""
+        age_ms = self._view.age_ms()
+        return age_ms is not None and age_ms <= MAX_HOP_AGE_MS
+
     async def _run(self) -> None:
+        if self._search is not None:
+            await self._run_search(self._search)
         while True:
             for host in self._order_control_hosts():
                 self._leader = ''
@@ -219,6 +254,23 @@
             else:
                 self._failed_searches += 1
 
+    async def _run_search(self, search: leader_search.LeaderSearch) -> None:
+        while True:
+            route = await search.find(self.list_control_hosts())
+            self._control_hosts = search.control_hosts or self._control_hosts
+            if route is None:
+                self._failed_searches += 1
+                await search.pause()
+                continue
+            await self._watch(route.host, route.is_hop)
+            await asyncio.sleep(SEARCH_INTERVAL_MS / 1000)
+
+    @property
+    def _first_frame_timeout_ms(self) -> int:
+        if self._search is not None and not self._failed_searches:
+            return PROBED_FRAME_TIMEOUT_MS
+        return FIRST_FRAME_TIMEOUT_MS
+
     @property
     def _connect_timeout_ms(self) -> int:
         return min(
@@ -236,15 +288,20 @@
             ]
         return hosts
 
-    async def _watch(self, host: str) -> None:
+    async def _watch(self, host: str, is_hop: bool = False) -> None:
         channel = self._channels.open_channel(host)
         started_ms = clock.now_ms()
         self._received_frames = 0
         self._received_bytes = 0
+        self._followed_leader = ''
         was_followed = False
         reason = 'ended'
+        self.uses_hop = is_hop
+        stub: fleet_grpc.FleetStub | fleet_grpc.RelaysStub
+        stub = fleet_grpc.FleetStub(channel)
+        if is_hop:
+            stub = fleet_grpc.RelaysStub(channel)
         try:
-            stub = fleet_grpc.FleetStub(channel)
             async with stub.Watch.open() as stream:
                 self.crashes.start_stream()
                 self._reported_work.start_stream()
@@ -254,7 +311,9 @@
                 report = self._build_report()
                 async with asyncio.timeout(self._connect_timeout_ms / 1000):
                     await stream.send_request()
-                async with asyncio.timeout(FIRST_FRAME_TIMEOUT_MS / 1000):
+                async with asyncio.timeout(
+                    self._first_frame_timeout_ms / 1000
+                ):
                     await stream.send_message(report)
                     frame = await stream.recv_message()
                 if frame is None or not frame.is_leader:
@@ -264,7 +323,10 @@
                 was_followed = True
                 self._failed_searches = 0
                 self.watched_host = host
-                log.change('leader.watched', leader=host)
+                self._fresh_ms = clock.now_ms()
+                if self._search is not None:
+                    self._search.note_followed()
+                log.change('leader.watched', leader=host, **_name_hop(is_hop))
                 await self._follow(stream, frame)
         except channels.STREAM_ERRORS as error:
             reason = f'{type(error).__name__}: {error}'
@@ -275,6 +337,9 @@
         finally:
             channel.close()
             self.watched_host = ''
+            self.uses_hop = False
+            if self._search is not None and not was_followed:
+                self._search.note_failed(leader_search.Route(host, is_hop))
             if was_followed:
                 log.change(
                     'leader.unwatched',
@@ -284,6 +349,7 @@
                     age_ms=self._view.age_ms(),
                     frames=self._received_frames,
                     received_bytes=self._received_bytes,
+                    **_name_hop(is_hop),
                 )
 
     def _report_failed_attempt(
@@ -311,24 +377,61 @@
     ) -> None:
         sender = self._tasks.start(self._send_reports(stream))
         assembler = frames.FrameAssembler()
+        if self._search is not None and self.uses_hop:
+            helpers = [sender, self._tasks.start(self._leave_hop(stream))]
+        else:
+            helpers = [sender]
         try:
             while frame is not None and frame.is_leader:
                 self._received_bytes += frame.ByteSize()
                 self._view.evacuated.apply(frame)
-                self._apply(assembler.add(frame))
+                age_ms = self._find_message_age_ms(frame)
+                self._apply(assembler.add(frame), age_ms)
+                if clock.now_ms() - self._fresh_ms > MAX_STALE_MS:
+                    raise ConnectionError('the hop sends only old frames')
                 async with asyncio.timeout(LEADER_TIMEOUT_MS / 1000):
                     frame = await stream.recv_message()
             self._apply_redirection('', frame)
         finally:
-            sender.cancel()
-            await asyncio.wait([sender])
+            for helper in helpers:
+                helper.cancel()
+            await asyncio.wait(helpers)
 
-    def _apply(self, frame: fleet_pb2.FleetFrame | None) -> None:
+    def _find_message_age_ms(self, message: fleet_pb2.FleetFrame) -> int:
+        """Return the longest time since the leader sent a message.
+
+        What the leader sends itself counts from its arrival. Over a hop it
+        counts from the report that the leader had read before.
+        """
+        now_ms = clock.now_ms()
+        age_ms = 0
+        if self.uses_hop:
+            age_ms = MAX_STALE_MS
+            if message.HasField('report_sent_ms'):
+                age_ms = max(0, now_ms - message.report_sent_ms)
+            self._counters.record_ms('hop_frame_age', age_ms)
+        if age_ms <= LEADER_TIMEOUT_MS:
+            self._fresh_ms = now_ms
+        return age_ms
+
+    async def _leave_hop(self, stream: Stream) -> None:
+        """End the stream over a hop once the leader itself is reached."""
+        assert self._search is not None
+        await self._search.wait_for_direct(lambda: self._followed_leader)
+        self._counters.count('hops_left')
+        try:
+            await stream.cancel()
+        except channels.STREAM_ERRORS:
+            # It has ended by itself.
+            return
+
+    def _apply(self, frame: fleet_pb2.FleetFrame | None, age_ms: int) -> None:
         if frame is None:
             return
         self._control_hosts = list(frame.control_hosts) or self._control_hosts
         self._received_frames += 1
-        self._view.apply_frame(frame)
+        self._followed_leader = frame.leader
+        self._view.apply_frame(frame, age_ms)
         self.crashes.apply(frame)
         self._counters.count('fleet_frames')
 
@@ -406,9 +509,16 @@
             changes = self._reported_work.take_changes(self.read_work())
             report.remaining_work_ms.update(changes)
         self.crashes.write(report)
+        if self.uses_hop:
+            report.sent_ms = now_ms
         return report
 
 
+def _name_hop(is_hop: bool) -> dict[str, bool]:
+    """Return the field of a log line that says that a hop is used."""
+    return {'is_hop': True} if is_hop else {}
+
+
 def _subtract(counts: dict[str, int], sent: abc.Mapping[str, int]) -> None:
     for key, count in sent.items():
         counts[key] -= count
--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -1,5 +1,6 @@
 """The HTTP API of control hosts for endpoints and operators."""
 
+import abc as base_classes
 import asyncio
 from collections import abc
 import re
@@ -73,6 +74,20 @@
         self.body = body
 
 
+class LeaderCaller(base_classes.ABC):
+    """Sends what endpoints send to this host on to the leader."""
+
+    @base_classes.abstractmethod
+    async def call(
+        self, leader: str, request: http_server.Request
+    ) -> http_server.Response:
+        """Send an endpoint's request to the leader; return its answer.
+
+        :param leader: the leader's inner address.
+        :param request: the request.
+        """
+
+
 class ControlContext:
     """What the parts of a control host's API share.
 
@@ -87,6 +102,8 @@
     :ivar evacuations: commits operators' evacuations.
     :ivar documents: the documents that are being accepted.
     :ivar read_version: version of the newest document that was read.
+    :ivar leader_caller: sends announcements and departures to the leader;
+        None to redirect endpoints there.
     """
 
     def __init__(
@@ -111,6 +128,7 @@
         )
         self.documents = pending_documents.PendingDocuments[Outcome]()
         self.read_version = 0
+        self.leader_caller: LeaderCaller | None = None
         self._read_changed = asyncio.Event()
 
     def set_read_version(self, version: int) -> None:
@@ -181,23 +199,64 @@
         if match is None and path != ROUTING_PATH and not is_evacuation:
             return _respond(404, {'error': 'no such path'})
         if not self._context.voters.is_leader:
-            return self._redirect(request.target)
+            return self._pass_on(request, is_endpoint=match is not None)
         if is_evacuation:
             return self._evacuations.handle(request)
         if match is not None:
             if request.method != 'POST':
                 return _respond(405, {'error': 'only POST is possible'})
-            with self._context.counters.measure_part('announcements'):
-                endpoint_id = parse.unquote(match['id'])
-                if match['what'] == 'departure':
-                    return self._handle_departure(endpoint_id, request.body)
-                return self._handle_announcement(endpoint_id, request.body)
+            return self._handle_endpoint(match, request.body)
         if request.method == 'GET':
             return self._documents.read()
         if request.method == 'POST':
             return self._documents.put(request.body)
         return _respond(405, {'error': 'only GET and POST are possible'})
 
+    def handle_relayed(self, request: http_server.Request) -> Answer:
+        """Serve what an endpoint has sent to another control host.
+
+        :param request: the request; it isn't passed on once more.
+        :returns: the response, or a coroutine that returns it.
+        """
+        match = _ENDPOINT_PATH.fullmatch(request.path)
+        if match is None or not self._context.voters.is_leader:
+            return _respond(503, {'error': 'this host does not lead'})
+        return self._handle_endpoint(match, request.body)
+
+    def _handle_endpoint(self, match: re.Match[str], body: bytes) -> Answer:
+        """Apply an announcement or a departure.
+
+        :param match: the parts of its path.
+        :param body: its JSON text.
+        """
+        with self._context.counters.measure_part('announcements'):
+            endpoint_id = parse.unquote(match['id'])
+            if match['what'] == 'departure':
+                return self._handle_departure(endpoint_id, body)
+            return self._handle_announcement(endpoint_id, body)
+
+    def _pass_on(
+        self, request: http_server.Request, is_endpoint: bool
+    ) -> Answer:
+        """Let the leader answer a request.
+
+        Only what endpoints send is relayed: an operator's order that was
+        relayed could be carried out after its sender has given it up.
+
+        :param request: the request.
+        :param is_endpoint: whether an endpoint has sent it.
+        """
+        context = self._context
+        caller = context.leader_caller
+        if (
+            caller is None
+            or not is_endpoint
+            or request.method != 'POST'
+            or not context.find_leader_address()
+        ):
+            return self._redirect(request.target)
+        return caller.call(context.voters.leader, request)
+
     def _redirect(self, target: str) -> http_server.Response:
         """Send a request to the leader, or respond with 503."""
         context = self._context
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -17,11 +17,13 @@
 from filbertglade.fleet import document_server
 from filbertglade.fleet import publisher
 from filbertglade.fleet import registry
+from filbertglade.fleet import relay_server
 from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.gateway import control_api
 from filbertglade.gateway import http_server
+from filbertglade.gateway import relay_role
 from filbertglade.inner import channels
 from filbertglade.inner import fleet_grpc
 from filbertglade.inner import fleet_pb2
@@ -170,6 +172,20 @@
             counters,
             self._replicas.observed,
         )
+        self.relays: relay_server.RelayServer | None = None
+        if settings.control.tolerated_data_centres > 0:
+            role = relay_role.RelayRole(
+                settings.listen.inner,
+                self._context,
+                self.voters,
+                fleet_watcher,
+                self.publisher,
+                channel_factory,
+                counters,
+            )
+            self.relays = relay_server.RelayServer(
+                role, channel_factory, counters
+            )
         self._server: http_server.HttpServer | None = None
         self._leadership_lock = asyncio.Lock()
         self._refresh_task: asyncio.Task[None] | None = None
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -12,6 +12,7 @@
 from filbertglade import failures
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document_fetcher
+from filbertglade.fleet import leader_search
 from filbertglade.fleet import statements
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
@@ -93,6 +94,7 @@
             channel_factory,
             self._counters,
             rng,
+            self._build_search(channel_factory, rng),
         )
         stated = statements.EndpointStatements(dialect.leaving, counters, rng)
         self._control_role: control_role.ControlRole | None = None
@@ -147,6 +149,14 @@
             }
         )
 
+    def _build_search(
+        self, channel_factory: channels.ChannelFactory, rng: random.Random
+    ) -> leader_search.LeaderSearch | None:
+        """Return the search that uses hops; None if they aren't enabled."""
+        if not self._settings.control.tolerated_data_centres:
+            return None
+        return leader_search.LeaderSearch(channel_factory, self._counters, rng)
+
     async def start(self) -> failures.Failure | None:
         """Start all parts.
 
@@ -166,13 +176,15 @@
         if self._control_role is not None:
             from filbertglade.gateway import inner_server
 
+            services: list[typing.Any] = [
+                self._control_role.voters.servicer,
+                self._control_role.publisher,
+                self._control_role.documents,
+            ]
+            if self._control_role.relays is not None:
+                services.append(self._control_role.relays)
             self._inner_server = inner_server.LimitedServer(
-                [
-                    self._control_role.voters.servicer,
-                    self._control_role.publisher,
-                    self._control_role.documents,
-                ],
-                self._budgets,
+                services, self._budgets
             )
             await self._inner_server.listen(self._settings.listen.inner)
             failure = await self._control_role.start()
--- a/filbertglade/inner/fleet_grpc.py
+++ b/filbertglade/inner/fleet_grpc.py
@@ -82,3 +82,63 @@
             filbertglade.inner.fleet_pb2.EnlistRequest,
             filbertglade.inner.fleet_pb2.EnlistReply,
         )
+
+
+class RelaysBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Probe(self, stream: 'grpclib.server.Stream[filbertglade.inner.fleet_pb2.ProbeRequest, filbertglade.inner.fleet_pb2.ProbeReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Watch(self, stream: 'grpclib.server.Stream[filbertglade.inner.fleet_pb2.WatchReport, filbertglade.inner.fleet_pb2.FleetFrame]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Announce(self, stream: 'grpclib.server.Stream[filbertglade.inner.fleet_pb2.EndpointMessage, filbertglade.inner.fleet_pb2.EndpointAnswer]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/filbertglade.inner.fleet.Relays/Probe': grpclib.const.Handler(
+                self.Probe,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                filbertglade.inner.fleet_pb2.ProbeRequest,
+                filbertglade.inner.fleet_pb2.ProbeReply,
+            ),
+            '/filbertglade.inner.fleet.Relays/Watch': grpclib.const.Handler(
+                self.Watch,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                filbertglade.inner.fleet_pb2.WatchReport,
+                filbertglade.inner.fleet_pb2.FleetFrame,
+            ),
+            '/filbertglade.inner.fleet.Relays/Announce': grpclib.const.Handler(
+                self.Announce,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                filbertglade.inner.fleet_pb2.EndpointMessage,
+                filbertglade.inner.fleet_pb2.EndpointAnswer,
+            ),
+        }
+
+
+class RelaysStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Probe = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/filbertglade.inner.fleet.Relays/Probe',
+            filbertglade.inner.fleet_pb2.ProbeRequest,
+            filbertglade.inner.fleet_pb2.ProbeReply,
+        )
+        self.Watch = grpclib.client.StreamStreamMethod(
+            channel,
+            '/filbertglade.inner.fleet.Relays/Watch',
+            filbertglade.inner.fleet_pb2.WatchReport,
+            filbertglade.inner.fleet_pb2.FleetFrame,
+        )
+        self.Announce = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/filbertglade.inner.fleet.Relays/Announce',
+            filbertglade.inner.fleet_pb2.EndpointMessage,
+            filbertglade.inner.fleet_pb2.EndpointAnswer,
+        )
