Send announcements and departures on to the leader

Cause: a control host redirected endpoints to the leader (307) although they may be unable to reach it, so they counted as silent.

Change, with control.tolerated_data_centres above 0 only: a control host that knows the leader sends announcements and departures there and returns its answer. The leader never passes them on again. Operators' orders are answered with 307 or 503 as before.

--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -183,6 +183,7 @@
                 channel_factory,
                 counters,
             )
+            self._context.leader_caller = role
             self.relays = relay_server.RelayServer(
                 role, channel_factory, counters
             )
