--- a/tests/bounded_links.py
+++ b/tests/bounded_links.py
@@ -3,7 +3,9 @@
 Each host has one link, which all of its connections share in both directions.
 A connection goes through the relay: its opener names itself and its target in
 a first line, and the relay answers with one byte once the target has accepted.
-Buffers are small, so a peer that doesn't read blocks the writer.
+Buffers are small, so a peer that doesn't read blocks the writer. Between two
+hosts that are cut off from each other nothing is carried, and nothing is
+refused; what waits is carried once the cut is mended.
 
 A relay that gets no core for a moment makes up for it: as long as a connection
 has data, its next chunk counts from the time at which the previous one was due
@@ -41,6 +43,9 @@
 CONNECT_S = 10.0
 # Asks for the counters instead of a connection.
 COUNT_LINE = b'count\n'
+# Starts a line that cuts two hosts off from each other, or mends that.
+CUT_WORD = 'cut'
+MEND_WORD = 'mend'
 
 
 class LinkDirection:
@@ -91,6 +96,15 @@
     def __init__(self, rates):
         self._links = {host: HostLink(rate) for host, rate in rates.items()}
         self._tasks = set()
+        # By pair of hosts, set while they reach each other.
+        self._gates = {}
+
+    def _find_gate(self, one, other):
+        gate = self._gates.get(frozenset((one, other)))
+        if gate is None:
+            gate = self._gates[frozenset((one, other))] = asyncio.Event()
+            gate.set()
+        return gate
 
     async def run(self, listener):
         """Accept connections until cancelled.
@@ -119,14 +133,22 @@
         if line == COUNT_LINE:
             await loop.sock_sendall(accepted, self._write_counters())
             return
-        source, address = line.decode().split()
+        word, *rest = line.decode().split()
+        if word in (CUT_WORD, MEND_WORD):
+            gate = self._find_gate(*rest)
+            gate.set() if word == MEND_WORD else gate.clear()
+            await loop.sock_sendall(accepted, b'+')
+            return
+        source, (address,) = word, rest
         host, port = channels.split_address(address)
+        gate = self._find_gate(source, host)
+        await gate.wait()
         with _make_socket() as target:
             async with asyncio.timeout(CONNECT_S):
                 await loop.sock_connect(target, (host, port))
             await loop.sock_sendall(accepted, b'+')
             await self._forward_both(
-                accepted, target, self._links[source], self._links[host]
+                accepted, target, self._links[source], self._links[host], gate
             )
 
     def _write_counters(self):
@@ -136,7 +158,9 @@
         }
         return json.dumps(counters).encode()
 
-    async def _forward_both(self, accepted, target, source_link, target_link):
+    async def _forward_both(
+        self, accepted, target, source_link, target_link, gate
+    ):
         async with asyncio.TaskGroup() as group:
             for reader, writer, sender, receiver in (
                 (accepted, target, source_link, target_link),
@@ -144,7 +168,9 @@
             ):
                 passage = _Passage()
                 group.create_task(passage.read(reader, sender.outgoing))
-                group.create_task(passage.write(writer, receiver.incoming))
+                group.create_task(
+                    passage.write(writer, receiver.incoming, gate)
+                )
 
 
 async def _receive_line(sock):
@@ -188,16 +214,18 @@
                 due_s = max(due_s, self._left_s)
         await self._queue.put((0.0, b''))
 
-    async def write(self, sock, direction):
+    async def write(self, sock, direction, gate):
         """Write what was read.
 
         :param sock: where to write.
         :param direction: the receiving host's link.
+        :param gate: set while the two hosts reach each other.
         """
         due_s = time.monotonic()
         while True:
             arrived_s, data = await self._queue.get()
             self._left_s = due_s
+            await gate.wait()
             if not data:
                 sock.shutdown(socket.SHUT_WR)
                 return
@@ -285,20 +313,41 @@
         """
         self._process.send_signal(number)
 
+    async def cut(self, one, other):
+        """Cut two hosts off from each other.
+
+        :param one: a host's IP number.
+        :param other: the other one's.
+        """
+        await self._ask(f'{CUT_WORD} {one} {other}\n'.encode())
+
+    async def mend(self, one, other):
+        """Let two hosts reach each other again.
+
+        :param one: a host's IP number.
+        :param other: the other one's.
+        """
+        await self._ask(f'{MEND_WORD} {one} {other}\n'.encode())
+
     async def read_counters(self):
         """Return the bytes that each link has carried.
 
         :returns: for each host's IP number, the bytes that it sent and those
             that it received.
         """
+        text = await self._ask(COUNT_LINE)
+        return {
+            host: Carried(*counts) for host, counts in json.loads(text).items()
+        }
+
+    async def _ask(self, line):
+        """Send the relay process a line; return its answer."""
         host, port = channels.split_address(self.address)
         reader, writer = await asyncio.open_connection(host, port)
-        writer.write(COUNT_LINE)
+        writer.write(line)
         text = await reader.read()
         writer.close()
-        return {
-            host: Carried(*counts) for host, counts in json.loads(text).items()
-        }
+        return text
 
 
 class BoundedChannels(channels.ChannelFactory):
--- a/tests/fleet/fleet_hosts.py
+++ b/tests/fleet/fleet_hosts.py
@@ -203,6 +203,7 @@
     :param watcher_bytes_per_s: rate of each watching host's link.
     :param control_hosts: number of control hosts.
     :param slow_rates: rates of the links of some watching hosts, by index.
+    :param tolerated_data_centres: the setting; above 0 hosts use hops.
     """
 
     def __init__(
@@ -213,6 +214,7 @@
         watcher_bytes_per_s,
         control_hosts=1,
         slow_rates=None,
+        tolerated_data_centres=0,
     ):
         inner, control, callers, health = cluster.find_free_ports(4)
         hosts = [f'127.0.1.{index + 1}' for index in range(control_hosts)]
@@ -220,7 +222,8 @@
         seeds = ', '.join(f'"{host}:{control}"' for host in hosts)
         common = (
             f'seeds = [{seeds}]\nfound_cluster = true\n'
-            f'tolerated_losses = {(control_hosts - 1) // 2}'
+            f'tolerated_losses = {(control_hosts - 1) // 2}\n'
+            f'tolerated_data_centres = {tolerated_data_centres}'
         )
         self.control_urls = [f'http://{host}:{control}' for host in hosts]
         self.controls = [
