Refuse a route that names an unknown service beside its weights

A route with weighted services and a service that the document doesn't have was accepted, since the service isn't used then.

check_document reports it under the key service. The new case of test_document failed before.

--- a/filbertglade/fleet/document.py
+++ b/filbertglade/fleet/document.py
@@ -383,6 +383,15 @@
                     f'{item.service!r} is no service of the document',
                 )
             )
+    # The name isn't used beside weights, but an operator who left it there may
+    # expect that it is.
+    if route.weighted_services and route.service not in {None, *services}:
+        problems.append(
+            schema.Problem(
+                f'{path}.service',
+                f'{route.service!r} is no service of the document',
+            )
+        )
     if sum(item.weight for item in route.weights) <= 0:
         problems.append(
             schema.Problem(
--- a/tests/fleet/test_document.py
+++ b/tests/fleet/test_document.py
@@ -36,6 +36,11 @@
             'routes[0].weighted_services',
             'no service',
         ),
+        (
+            lambda data: data['routes'][2].update(service='nobody'),
+            'routes[2].service',
+            'no service',
+        ),
         (
             lambda data: change_route(data, path_prefix='/write/'),
             'routes[1].path_prefix',
