Don't wait longer for silent hosts while others answer probes

Cause: each search without a result doubled the time for which the leader is waited for, up to 800 ms, also if other hosts had answered at once that they know no leader. One of them that was elected meanwhile was asked again only after that. asyncio.wait with the rest of the time also turned without end on the virtual clock, whose resolution is coarser.

Change: the time doubles only after searches that no host has answered.

--- a/filbertglade/fleet/leader_search.py
+++ b/filbertglade/fleet/leader_search.py
@@ -18,7 +18,8 @@
 log = logs.get_log(__name__)
 
 # Time for which the leader itself is waited for before a hop is used, in ms.
-# It doubles with each search that finds nothing, for slow links.
+# It doubles with each search that no host answers, for slow links. Not where
+# others answer: one of them may be elected while silent ones are waited for.
 DIRECT_WAIT_MS = 250
 MAX_DIRECT_WAIT_MS = 800
 # Time for a single probe of the leader while a hop is in use, in ms.
@@ -53,12 +54,14 @@
     :param leader: the control host that leads; empty if none has said so.
     :param hops: those that follow a leader.
     :param unable: those without this service.
+    :param count: number of hosts that have answered.
     :param control_hosts: the control hosts that an answer named last.
     """
 
     leader: str = ''
     hops: list[str] = dataclasses.field(default_factory=list)
     unable: list[str] = dataclasses.field(default_factory=list)
+    count: int = 0
     control_hosts: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -69,6 +72,7 @@
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
     :ivar control_hosts: the control hosts that an answer named last.
+    :ivar unanswered: number of searches in a row that no host answered.
     """
 
     def __init__(
@@ -81,7 +85,7 @@
         self._counters = counters
         self._rng = rng
         self.control_hosts: list[str] = []
-        self._failed_searches = 0
+        self.unanswered = 0
         # Hops that failed since a leader was last found.
         self._failed_hops: set[str] = set()
 
@@ -111,6 +115,7 @@
         self._counters.count('leader_searches')
         answers = await self._probe_all(hosts)
         self.control_hosts = answers.control_hosts or self.control_hosts
+        route: Route | None
         if answers.leader:
             route = Route(answers.leader)
         elif answers.hops:
@@ -118,9 +123,8 @@
         elif answers.unable:
             route = Route(self._rng.choice(answers.unable))
         else:
-            self._failed_searches += 1
-            return None
-        self._failed_searches = 0
+            route = None
+        self.unanswered = 0 if answers.count else self.unanswered + 1
         return route
 
     def _choose_hop(self, hops: list[str]) -> str:
@@ -133,20 +137,21 @@
         answers = _Answers()
         wait_ms = min(
             MAX_DIRECT_WAIT_MS,
-            DIRECT_WAIT_MS * 2 ** min(self._failed_searches, 16),
+            DIRECT_WAIT_MS * 2 ** min(self.unanswered, 16),
         )
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + wait_ms / 1000
         running = {
             loop.create_task(self._probe(host, answers)) for host in hosts
         }
         try:
-            while running and not answers.leader and loop.time() < end_s:
-                _, running = await asyncio.wait(
-                    running,
-                    timeout=end_s - loop.time(),
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
+            async with asyncio.timeout(wait_ms / 1000):
+                while running and not answers.leader:
+                    _, running = await asyncio.wait(
+                        running, return_when=asyncio.FIRST_COMPLETED
+                    )
+        except TimeoutError:
+            # The answers so far count.
+            return answers
         finally:
             for task in running:
                 task.cancel()
@@ -160,11 +165,13 @@
             reply = await _ask(channel)
         except exceptions.GRPCError as error:
             if error.status is const.Status.UNIMPLEMENTED:
+                answers.count += 1
                 answers.unable.append(host)
         except channels.STREAM_ERRORS:
             # The others' answers count.
             return
         else:
+            answers.count += 1
             answers.control_hosts = list(reply.control_hosts)
             if reply.is_leader:
                 answers.leader = host
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -258,8 +258,10 @@
         while True:
             route = await search.find(self.list_control_hosts())
             self._control_hosts = search.control_hosts or self._control_hosts
-            if route is None:
+            # Longer waits help on slow links, but not without a leader.
+            if search.unanswered:
                 self._failed_searches += 1
+            if route is None:
                 await search.pause()
                 continue
             await self._watch(route.host, route.is_hop)
@@ -340,6 +342,7 @@
             self.uses_hop = False
             if self._search is not None and not was_followed:
                 self._search.note_failed(leader_search.Route(host, is_hop))
+                self._failed_searches += 1
             if was_followed:
                 log.change(
                     'leader.unwatched',
--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -201,6 +201,39 @@
     play(scene, seed, silent=('c4', 'c5'))
 
 
+# Guards against rounds of probes that wait longer and longer for hosts that
+# never answer: the leader had answered before it was elected.
+@pytest.mark.parametrize('seed', [0, 7, 30, 37])
+def test_leader_that_is_elected_late_is_found_soon(seed):
+    async def scene(deployment):
+        entry = deployment.entry
+        await deployment.wait_for_hop()
+        deployment.links.isolate('c1', deployment.hosts)
+        deployment.hosts['c1'].voters.is_leader = False
+        await asyncio.sleep(8 + 0.05 * seed)
+        assert not entry.watcher.watched_host
+        deployment.lead('c3', known_to=('c2', 'c3'))
+        await deployment.wait_until(
+            lambda: entry.watcher.watched_leader, limit_s=1
+        )
+
+    play(scene, seed, silent=('c4', 'c5'))
+
+
+# Guards against a host that never finds a leader over a slow link.
+@pytest.mark.parametrize('seed', range(4))
+def test_leader_on_slow_links_is_found(seed):
+    async def scene(deployment):
+        deployment.links.heal()
+        for name in deployment.hosts:
+            deployment.links.link(partitioned.ENTRY, name).delay_s = 0.2
+        await deployment.wait_until(
+            lambda: deployment.entry.watcher.watched_leader, 5
+        )
+
+    play(scene, seed)
+
+
 def test_messages_to_others_are_not_stamped():
     direct = connected_watcher.ConnectedWatcher(fleet_pb2.WatchReport(), 0)
     frame = fleet_pb2.FleetFrame(is_leader=True)
