Keep a control host's memory bounded by documents of 16.5 MB

Cause: while a document was committed, its text and all that was read of it were still held, its command was copied once more, and the C library kept the memory of freed blocks of this size. Announcements got 503 "no leader is known" while the leader's lease had ended, because the event loop had too much work to renew it in time.

Change: the text is released after the check, resends are recognised by its digest, large blocks are mapped one by one, and the text that a host reads is unpacked off the event loop. A request waits for at most 500 ms while this leader's lease is being renewed.

--- a/filbertglade/control/tables/document.py
+++ b/filbertglade/control/tables/document.py
@@ -19,7 +19,7 @@
 
     def read_text(self) -> bytes:
         """Return the document's JSON text; empty if there is none."""
-        return _read_text(self.current)
+        return unpack_text(self.current)
 
     def apply(
         self, change: commands_pb2.PutDocument
@@ -64,20 +64,24 @@
     # where the forms differ.
     if first.packed_text and first.packed_text == second.packed_text:
         return True
-    return _read_text(first) == _read_text(second)
+    return unpack_text(first) == unpack_text(second)
 
 
 def _pack(stored: commands_pb2.PutDocument) -> commands_pb2.PutDocument:
     """Return a document with only the compressed form of its text."""
-    packed_text = stored.packed_text
-    if not packed_text and stored.text:
-        packed_text = packing.pack(stored.text)
+    if not stored.text:
+        return stored
+    packed_text = stored.packed_text or packing.pack(stored.text)
     return commands_pb2.PutDocument(
         version=stored.version, packed_text=packed_text
     )
 
 
-def _read_text(stored: commands_pb2.PutDocument) -> bytes:
+def unpack_text(stored: commands_pb2.PutDocument) -> bytes:
+    """Return a document's JSON text; empty if there is none.
+
+    :param stored: the document.
+    """
     if not stored.packed_text:
         return stored.text
     return packing.unpack(stored.packed_text) or b''
--- a/filbertglade/fleet/document.py
+++ b/filbertglade/fleet/document.py
@@ -315,6 +315,16 @@
     return (None if problems else document), problems
 
 
+def read_version(text: bytes) -> tuple[int | None, list[schema.Problem]]:
+    """Check a document, without keeping what was read.
+
+    :param text: the JSON text.
+    :returns: its version, or None, and every problem found.
+    """
+    parsed, problems = read_document(text)
+    return (None if parsed is None else parsed.version), problems
+
+
 def _decode(
     data: object,
 ) -> tuple[RoutingDocument | None, list[schema.Problem]]:
--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import hashlib
 import re
 import typing
 from urllib import parse
@@ -55,6 +56,11 @@
 # Requests are redirected to the leader only if this host has received a
 # message from it within this time, in ms.
 MAX_LEADER_AGE_MS = 1000
+# Longest wait of a request until this leader has renewed its lease, and the
+# interval between two looks, in ms. Many announcements at once, beside the
+# reading of a document, can delay the renewal of a lease past its end.
+MAX_LEASE_WAIT_MS = 500
+LEASE_POLL_MS = 10
 
 
 class Outcome:
@@ -152,8 +158,17 @@
         age_ms = self.voters.leader_age_ms()
         if not leader or age_ms is None or age_ms > MAX_LEADER_AGE_MS:
             return ''
+        return self._find_address(leader)
+
+    @property
+    def leads_itself(self) -> bool:
+        """Whether this host leads, even if its lease has ended."""
+        leader = self.voters.leader
+        return bool(leader) and self._find_address(leader) == self.address
+
+    def _find_address(self, host: str) -> str:
         port = self.address.rpartition(':')[2]
-        return f'{leader.rpartition(":")[0]}:{port}'
+        return f'{host.rpartition(":")[0]}:{port}'
 
 
 class ControlApi:
@@ -181,7 +196,37 @@
         if match is None and path != ROUTING_PATH and not is_evacuation:
             return _respond(404, {'error': 'no such path'})
         if not self._context.voters.is_leader:
+            if self._context.leads_itself:
+                return self._wait_for_lease(request)
             return self._redirect(request.target)
+        return self._handle_leading(request, match, is_evacuation)
+
+    async def _wait_for_lease(
+        self, request: http_server.Request
+    ) -> http_server.Response:
+        """Serve a request once this leader has renewed its lease.
+
+        A leader that has lost its quorum steps down when it finds that the
+        lease has ended, and the wait ends too.
+        """
+        context = self._context
+        context.counters.count('lease_waits')
+        end_ms = clock.now_ms() + MAX_LEASE_WAIT_MS
+        while not context.voters.is_leader:
+            if not context.leads_itself or clock.now_ms() >= end_ms:
+                return self._redirect(request.target)
+            await asyncio.sleep(LEASE_POLL_MS / 1000)
+        answer = self.handle(request)
+        if isinstance(answer, http_server.Response):
+            return answer
+        return await answer
+
+    def _handle_leading(
+        self,
+        request: http_server.Request,
+        match: re.Match[str] | None,
+        is_evacuation: bool,
+    ) -> Answer:
         if is_evacuation:
             return self._evacuations.handle(request)
         if match is not None:
@@ -195,7 +240,7 @@
         if request.method == 'GET':
             return self._documents.read()
         if request.method == 'POST':
-            return self._documents.put(request.body)
+            return self._documents.put(request)
         return _respond(405, {'error': 'only GET and POST are possible'})
 
     def _redirect(self, target: str) -> http_server.Response:
@@ -326,21 +371,26 @@
             return _respond(503, {'error': 'this host no longer leads'})
         return http_server.Response(200, text)
 
-    async def put(self, text: bytes) -> http_server.Response:
+    async def put(self, request: http_server.Request) -> http_server.Response:
         """Commit a document if it is valid.
 
-        :param text: its JSON text.
+        :param request: the request, whose body is the document's JSON text.
+            Its body is released: the text is kept only until it was checked.
         """
         context = self._context
+        digest = await asyncio.to_thread(_find_digest, request.body)
+        size_bytes = len(request.body)
+        if context.documents.is_pending(digest):
+            request.body = b''
         outcome = await context.documents.join(
-            text,
-            lambda checked: self._accept(text, checked),
+            digest,
+            lambda checked: self._accept(request, checked),
             COMMIT_TIMEOUT_MS,
         )
         if outcome is None:
             log.change(
                 'document.unsettled',
-                bytes=len(text),
+                bytes=size_bytes,
                 reason='not committed in time',
             )
             return _respond(503, {'error': 'not committed in time'})
@@ -348,24 +398,29 @@
             await context.wait_for_document(READ_TIMEOUT_MS)
         return _respond(outcome.status, outcome.body)
 
-    async def _accept(self, text: bytes, checked: asyncio.Event) -> Outcome:
+    async def _accept(
+        self, request: http_server.Request, checked: asyncio.Event
+    ) -> Outcome:
         """Check a document and commit it unless its version is outdated.
 
-        :param text: its JSON text.
+        :param request: the request, whose body is taken.
         :param checked: set when the commit begins.
         """
         context = self._context
+        text, request.body = request.body, b''
+        size_bytes = len(text)
         packed_text = await asyncio.to_thread(packing.pack, text)
         started_ms = clock.now_ms()
         held = context.agreed.document.current
         version = held.version
         if packed_text != held.packed_text:
-            parsed, problems = await document.read_in_turn(
-                document.read_document, text
+            found, problems = await document.read_in_turn(
+                document.read_version, text
             )
-            if parsed is None:
-                return _refuse_document(text, problems)
-            version = parsed.version
+            if found is None:
+                return _refuse_document(size_bytes, problems)
+            version = found
+        del text
         parse_ms = clock.now_ms() - started_ms
         if not context.voters.has_required_voters:
             log.change(
@@ -378,10 +433,11 @@
             )
         checked.set()
         started_ms = clock.now_ms()
-        put = commands_pb2.PutDocument(
-            version=version, packed_text=packed_text
+        command = commands_pb2.Command(
+            put_document={'version': version, 'packed_text': packed_text}
         )
-        result = await self._commit(put)
+        del packed_text
+        result = await self._commit(command)
         if isinstance(result, control_failures.SubmitFailure):
             log.change(
                 'document.unsettled', version=version, reason=str(result)
@@ -392,26 +448,27 @@
             version=version,
             in_force=result.version,
             differs=result.differs,
-            bytes=len(text),
+            bytes=size_bytes,
             parse_ms=parse_ms,
             commit_ms=clock.now_ms() - started_ms,
         )
         return Outcome(200, {'version': result.version})
 
     async def _commit(
-        self, put: commands_pb2.PutDocument
+        self, command: commands_pb2.Command
     ) -> commands_pb2.DocumentResult | control_failures.SubmitFailure:
         """Commit a document, or acknowledge it from the agreed state.
 
         What is in the agreed state is committed, and a version that isn't
         higher changes nothing.
+
+        :param command: puts the document.
         """
         context = self._context
+        put = command.put_document
         held = context.agreed.document.current
         if put.version > held.version:
-            result = await context.voters.submit(
-                commands_pb2.Command(put_document=put), ENTRY_TIMEOUT_MS
-            )
+            result = await context.voters.submit(command, ENTRY_TIMEOUT_MS)
             if isinstance(result, control_failures.SubmitFailure):
                 return result
             return result.document
@@ -428,10 +485,16 @@
         )
 
 
-def _refuse_document(text: bytes, problems: list[schema.Problem]) -> Outcome:
+def _find_digest(text: bytes) -> bytes:
+    return hashlib.sha256(text).digest()
+
+
+def _refuse_document(
+    size_bytes: int, problems: list[schema.Problem]
+) -> Outcome:
     log.change(
         'document.refused',
-        bytes=len(text),
+        bytes=size_bytes,
         problems=[str(problem) for problem in problems[:8]],
     )
     return Outcome(
--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -8,6 +8,7 @@
 from filbertglade.control import agreement
 from filbertglade.control import file_storage
 from filbertglade.control import state
+from filbertglade.control.tables import document as document_table
 from filbertglade.control import voters
 from filbertglade import failures
 from filbertglade.fleet import cold_bound
@@ -23,6 +24,7 @@
 from filbertglade.gateway import control_api
 from filbertglade.gateway import http_server
 from filbertglade.inner import channels
+from filbertglade.inner import commands_pb2
 from filbertglade.inner import fleet_grpc
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import logs
@@ -69,6 +71,17 @@
         )
 
 
+def _read_index(
+    stored: commands_pb2.PutDocument,
+) -> document.RoutingIndex | None:
+    """Unpack and index a document; runs off the event loop.
+
+    :param stored: the document.
+    """
+    text = document_table.unpack_text(stored)
+    return document.read_index(stored.version, text)
+
+
 class ControlRole:
     """Agreement, the endpoint registry and the control of groups.
 
@@ -254,12 +267,11 @@
                 self._document_changed.set()
 
     async def _read_document(self) -> None:
-        version = self._agreed.document.current.version
+        stored = self._agreed.document.current
+        version = stored.version
         if version <= self._context.read_version:
             return
-        index = await document.read_in_turn(
-            document.read_index, version, self._agreed.document.read_text()
-        )
+        index = await document.read_in_turn(_read_index, stored)
         if index is not None:
             self._replicas.observed.index = index
             self._view.put_in_force(index)
--- a/filbertglade/gateway/pending_documents.py
+++ b/filbertglade/gateway/pending_documents.py
@@ -1,4 +1,4 @@
-"""Documents that a control host is accepting, by their text."""
+"""Documents that a control host is accepting, by their text's digest."""
 
 import asyncio
 from collections import abc
@@ -19,10 +19,10 @@
     :ivar checked: set once it was checked, and its commit begins.
     """
 
-    __slots__ = ('text', 'checked', 'task')
+    __slots__ = ('digest', 'checked', 'task')
 
-    def __init__(self, text: bytes) -> None:
-        self.text = text
+    def __init__(self, digest: bytes) -> None:
+        self.digest = digest
         self.checked = asyncio.Event()
         self.task: asyncio.Task[Outcome] | None = None
 
@@ -38,13 +38,20 @@
         self._pending: list[_Pending[Outcome]] = []
         self._tasks = tasks.TaskGroup()
 
+    def is_pending(self, digest: bytes) -> bool:
+        """Return whether a document is being accepted.
+
+        :param digest: digest of the document's text.
+        """
+        return self._find(digest) is not None
+
     async def join(
-        self, text: bytes, accept: Accept[Outcome], timeout_ms: int
+        self, digest: bytes, accept: Accept[Outcome], timeout_ms: int
     ) -> Outcome | None:
         """Accept a document, or join its acceptance in progress.
 
-        :param text: the document's text.
-        :param accept: accepts the document, if its text isn't pending; sets
+        :param digest: digest of the document's text.
+        :param accept: accepts the document, if it isn't pending; sets
             the event when its commit begins.
         :param timeout_ms: longest wait for the commit, from when it begins
             or, if that is later, from this call.
@@ -52,9 +59,9 @@
             closing.
         :raises Exception: what ``accept`` raised.
         """
-        pending = self._find(text)
+        pending = self._find(digest)
         if pending is None:
-            pending = _Pending[Outcome](text)
+            pending = _Pending[Outcome](digest)
             self._pending.append(pending)
             pending.task = self._tasks.start(accept(pending.checked))
             pending.task.add_done_callback(
@@ -72,9 +79,9 @@
         """Cancel what is in progress."""
         await self._tasks.close()
 
-    def _find(self, text: bytes) -> _Pending[Outcome] | None:
+    def _find(self, digest: bytes) -> _Pending[Outcome] | None:
         for pending in self._pending:
-            if pending.text == text:
+            if pending.digest == digest:
                 return pending
         return None
 
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -8,6 +8,7 @@
 import typing
 import uuid
 
+from filbertglade.budgets import allocator
 from filbertglade.budgets import process as process_budgets
 from filbertglade import failures
 from filbertglade.fleet import dialects
@@ -162,6 +163,7 @@
             seeds=self._settings.list_seeds(),
             found_cluster=self._settings.control.found_cluster,
         )
+        allocator.map_large_blocks()
         self._tasks.start(self._loop_delay.run())
         self._settings_text = self._path.read_bytes()
         self._signals.install()
