Limit the connections to endpoints

Cause: callers' requests open connections to endpoints, whose number nothing bounded. 115 callers with pipelined requests took 114 more descriptors. With the connections of the other listeners that is more than max_descriptors.

Change: they may take 0.35 of the descriptors.

--- a/filbertglade/budgets/connections.py
+++ b/filbertglade/budgets/connections.py
@@ -7,13 +7,15 @@
 from filbertglade import clock
 
 # Parts of a process's descriptors that the connections of each listener may
-# take. What is left is for connections to control hosts, and files.
+# take, and those to endpoints, which callers' requests cause. What is left is
+# for connections to control hosts, and files.
 LISTENER_SHARES = {
     'callers': 0.45,
     'control': 0.45,
     'inner': 0.25,
     'health': 0.05,
     'metrics': 0.03,
+    'endpoints': 0.35,
 }
 # Part that all listeners of a process may take together. Those of a process
 # that is a control host and an entry host would take more.
@@ -136,7 +138,7 @@
 ) -> int:
     """Return the most connections of a listener.
 
-    :param listener: its name.
+    :param listener: its name; ``endpoints`` for the connections to these.
     :param max_descriptors: the descriptors of the process as set; 0 for the
         limit that the system states.
     :param set_limit: the limit as set; 0 if it follows from them. It can't
--- a/filbertglade/budgets/process.py
+++ b/filbertglade/budgets/process.py
@@ -40,18 +40,23 @@
 
         :param listener: one of :data:`connections.LISTENER_SHARES`.
         """
-        set_limit = self._limits.max_callers if listener == 'callers' else 0
-        limit = connections.ConnectionLimit(
-            connections.find_limit(
-                listener,
-                self._limits.max_descriptors,
-                set_limit,
-                self._listeners,
-            )
-        )
+        limit = connections.ConnectionLimit(self.find_limit(listener))
         self._counters.set_gauge(f'connections_{listener}', limit.__len__)
         return limit
 
+    def find_limit(self, listener: str) -> int:
+        """Return the most connections of a listener, or to endpoints.
+
+        :param listener: one of :data:`connections.LISTENER_SHARES`.
+        """
+        set_limit = self._limits.max_callers if listener == 'callers' else 0
+        return connections.find_limit(
+            listener,
+            self._limits.max_descriptors,
+            set_limit,
+            self._listeners,
+        )
+
 
 def build_default() -> Budgets:
     """Return the budgets of a process without settings."""
--- a/filbertglade/forwarding/attempt.py
+++ b/filbertglade/forwarding/attempt.py
@@ -37,6 +37,8 @@
     ANSWERED = 'answered'
     # Nothing was sent.
     UNREACHABLE = 'unreachable'
+    # Nothing was sent: this process may open no further connection.
+    NO_CONNECTION = 'no-connection'
     # Nothing was sent: meanwhile the endpoint said that it wants nothing.
     WITHDRAWN = 'withdrawn'
     # The endpoint reports that it did not run the request.
@@ -115,6 +117,9 @@
         """
         connection = await self._connect()
         if isinstance(connection, failures.Failure):
+            if connection.reason is upstream.UpstreamReason.LIMIT:
+                self._log_failed(AttemptOutcome.NO_CONNECTION)
+                return AttemptOutcome.NO_CONNECTION
             await self._context.evidence.record(
                 self.clearance, evidence.Sign.UNREACHABLE, str(connection)
             )
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -19,6 +19,7 @@
 from filbertglade.forwarding import stall_detection
 from filbertglade.forwarding import suspicion
 from filbertglade.forwarding import targets
+from filbertglade.forwarding import upstream
 
 # Attempts beyond the route's limit, which only counts those that may have run
 # the request.
@@ -198,6 +199,13 @@
             if tried is attempt.AttemptOutcome.WITHDRAWN:
                 self._is_retry_taken = self._record.send_count > 0
                 continue
+            if tried is attempt.AttemptOutcome.NO_CONNECTION:
+                self._give_up(
+                    outcome,
+                    upstream.UpstreamReason.LIMIT.value,
+                    evidence.OVERLOAD_RETRY_AFTER_S,
+                )
+                return
             outcome = tried
             if outcome is attempt.AttemptOutcome.ANSWERED:
                 return
--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -18,6 +18,7 @@
 
 from filbertglade import clock
 from filbertglade import failures
+from filbertglade.forwarding import connection_slots
 from filbertglade.inner import channels
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
@@ -75,6 +76,8 @@
     REFUSED = 'refused'
     # Nothing was sent.
     UNREACHABLE = 'unreachable'
+    # Nothing was sent: this process has as many connections as it may have.
+    LIMIT = 'no connection is free'
     # The connection broke after sending; the request may have run.
     BROKEN = 'broken'
     MALFORMED = 'malformed'
@@ -132,10 +135,17 @@
 
     :param key: key of the endpoint's incarnation.
     :param stream: the connection's byte stream.
+    :param on_close: called once this process has closed it.
     """
 
-    def __init__(self, key: str, stream: iostream.IOStream) -> None:
+    def __init__(
+        self,
+        key: str,
+        stream: iostream.IOStream,
+        on_close: abc.Callable[[], None] = lambda: None,
+    ) -> None:
         self.key = key
+        self._on_close = on_close
         self.stream = stream
         self.is_reused = False
         self.idle_since_ms = 0
@@ -168,6 +178,7 @@
         """Close the connection."""
         self._is_closed_here = True
         self.stream.close()
+        self._on_close()
 
     def send(self, head: bytes, body: bytes) -> None:
         """Send a request; a failure is reported when the response is read.
@@ -434,16 +445,42 @@
     return DEFAULT_IDLE_MS
 
 
-class UpstreamPool:
+class UpstreamPool(connection_slots.Holder):
     """Idle connections to endpoints, by incarnation.
 
     :param counters: the process's metrics.
+    :param limit: the most connections at a time; 0 for any number.
     """
 
-    def __init__(self, counters: metrics.Metrics) -> None:
+    def __init__(self, counters: metrics.Metrics, limit: int = 0) -> None:
         self._counters = counters
         self._client = tcpclient.TCPClient()
         self._idle: dict[str, collections.deque[Connection]] = {}
+        self._open: set[Connection] = set()
+        self._opening: set[asyncio.Task[iostream.IOStream]] = set()
+        self._slots = connection_slots.ConnectionSlots(limit, self)
+        counters.set_gauge('connections_endpoints', self.count_open)
+
+    def count_open(self) -> int:
+        """Return how many connections are open or being opened."""
+        for connection in [
+            each for each in self._open if each.stream.closed()
+        ]:
+            self._open.discard(connection)
+        return len(self._open) + len(self._opening)
+
+    def close_idle(self) -> bool:
+        """Close the connection that was idle for the longest time.
+
+        :returns: whether there was one.
+        """
+        queues = [idle for idle in self._idle.values() if idle]
+        if not queues:
+            return False
+        oldest = min(queues, key=lambda idle: idle[0].idle_since_ms)
+        self._counters.count('upstream_idle_closed')
+        oldest.popleft().close()
+        return True
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -499,6 +536,7 @@
         idle.append(connection)
         while len(idle) > MAX_IDLE_CONNECTIONS:
             idle.popleft().close()
+        self._slots.notify()
 
     async def connect(
         self, key: str, address: str
@@ -509,12 +547,28 @@
         :param address: the endpoint's address.
         :returns: the connection, or why there is none.
         """
+        end_ms = clock.now_ms() + connection_slots.MAX_WAIT_MS
+        while not self._slots.take():
+            self._counters.count('upstream_waits')
+            left_ms = end_ms - clock.now_ms()
+            if left_ms <= 0 or not await self._slots.wait(left_ms / 1000):
+                return failures.Failure(UpstreamReason.LIMIT, address)
+            fresh = self.take_idle(key, connection_slots.MAX_WAIT_MS)
+            if fresh is not None:
+                return fresh
         host, port = channels.split_address(address)
         self._counters.count('upstream_connections')
+        opening = asyncio.ensure_future(
+            self._client.connect(host, port, timeout=CONNECT_TIMEOUT_MS / 1000)
+        )
+        self._opening.add(opening)
+        opening.add_done_callback(self._end_failed)
         try:
-            stream = await self._client.connect(
-                host, port, timeout=CONNECT_TIMEOUT_MS / 1000
-            )
+            # The library goes on with a connection whose wait is cancelled.
+            stream = await asyncio.shield(opening)
+        except asyncio.CancelledError:
+            opening.add_done_callback(self._close_unused)
+            raise
         except (OSError, TimeoutError, iostream.StreamClosedError) as error:
             detail = f'{address}: {type(error).__name__}: {error}'
             cause = getattr(error, 'real_error', error)
@@ -526,4 +580,18 @@
         stream.socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
         )
-        return Connection(key, stream)
+        connection = Connection(key, stream, self._slots.notify)
+        self._open.add(connection)
+        self._opening.discard(opening)
+        return connection
+
+    def _end_failed(self, opening: asyncio.Task[iostream.IOStream]) -> None:
+        if opening.cancelled() or opening.exception() is not None:
+            self._opening.discard(opening)
+            self._slots.notify()
+
+    def _close_unused(self, opening: asyncio.Task[iostream.IOStream]) -> None:
+        if not opening.cancelled() and opening.exception() is None:
+            opening.result().close()
+            self._opening.discard(opening)
+            self._slots.notify()
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -69,7 +69,9 @@
         self._settings = settings
         self._view = fleet_view
         self._tasks = tasks.TaskGroup()
-        self._pool = upstream.UpstreamPool(counters)
+        self._pool = upstream.UpstreamPool(
+            counters, budgets.find_limit('endpoints')
+        )
         self._evidence = evidence.EndpointEvidence(
             dialect,
             fleet_view,
--- a/filbertglade/settings/gateway.py
+++ b/filbertglade/settings/gateway.py
@@ -237,10 +237,14 @@
         return self.listen.inner.rpartition(':')[2]
 
     def list_listeners(self) -> list[str]:
-        """Return the names of the listeners that clients connect to."""
+        """Return what clients' connections are limited for.
+
+        :returns: the names of the listeners, and ``endpoints`` if callers'
+            requests are forwarded to these.
+        """
         names = ['control', 'inner'] if self.is_control_host else []
         if self.listen.callers is not None:
-            names += ['callers', 'health']
+            names += ['callers', 'health', 'endpoints']
         return [*names, 'metrics']
 
     def list_seeds(self) -> list[str]:
--- a/tests/platform/test_excessive_clients.py
+++ b/tests/platform/test_excessive_clients.py
@@ -108,3 +108,19 @@
         for port, shape, count in CASES
     ]
     await check(limited, clients, record_property)
+
+
+# Guards against connections to endpoints that take what the listeners leave.
+async def test_pipelined_requests_beside_other_listeners(
+    limited, record_property
+):
+    shapes = [
+        ('callers', excessive_clients.send_pipelined_requests, 120),
+        ('health', excessive_clients.send_nothing, 100),
+        ('metrics', excessive_clients.send_nothing, 100),
+    ]
+    clients = [
+        (limited.ports[port], shape, CALLS[port], count)
+        for port, shape, count in shapes
+    ]
+    await check(limited, clients, record_property)
