--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -8,6 +8,7 @@
 import typing
 import uuid
 
+from filbertglade.budgets import allocator
 from filbertglade.budgets import process as process_budgets
 from filbertglade import failures
 from filbertglade.fleet import dialects
@@ -172,6 +173,7 @@
             seeds=self._settings.list_seeds(),
             found_cluster=self._settings.control.found_cluster,
         )
+        allocator.map_large_blocks()
         self._tasks.keep_running(
             'process.measure_loop_delay', self._loop_delay.run, self._counters
         )
