Evacuate and lose a data centre in the soak, whose workers return cold

The soak had one data centre, no evacuations and no cold endpoints. A second one is now evacuated, lost without notice in each storm, and returns; workers that come back are cold. EVAC and FAILBACK are checked on the workers' own records, LOST by the last order, which disks are lost right after.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -21,6 +21,7 @@
 from tests.platform import soak_deployment
 from tests.platform import soak_faults
 from tests.platform import soak_operators
+from tests.platform import soak_places
 from tests.platform import soak_record
 
 # Until all requests are served at first, and again after the last storm:
@@ -59,6 +60,7 @@
         self.operators = soak_operators.Operators(*parts)
         self.faults = soak_faults.Faults(*parts)
         self.faults.change_quickly = self.operators.change_quickly
+        self.places = soak_places.Places(*parts, self.faults)
         self.without = without
         self.faults.has_statements = 'statements' not in without
         if 'endings' in without:
@@ -75,6 +77,7 @@
             for item in (
                 *self.operators.list_tasks(),
                 *self.faults.list_tasks(),
+                self.places.evacuate_repeatedly(),
             )
         ]
         watching = [
@@ -87,7 +90,10 @@
         while self.record.now_s() < end_s:
             remaining_s = end_s - self.record.now_s() - CALM_S
             storm_s = self.faults.rng.uniform(*STORM_S)
-            await self.faults.cause_storm(max(1.0, min(storm_s, remaining_s)))
+            storm_s = max(1.0, min(storm_s, remaining_s))
+            await asyncio.gather(
+                self.faults.cause_storm(storm_s), self.places.lose_once()
+            )
             self.record.log_fault('calm')
             await asyncio.sleep(soak_record.CONTACT_S)
             calm_s = self.record.now_s()
@@ -103,6 +109,7 @@
             self.record.violate('requests fail after the last fault')
             self._check_announcements(calm_s)
         self.operators.is_over = self.faults.is_over = True
+        self.places.over.set()
         await asyncio.gather(*planned)
         await self._lose_disks()
         self.callers.is_over = True
@@ -117,17 +124,22 @@
             await self.operators.send_last()
         except AssertionError:
             self.record.violate('the last document is not accepted')
+        await self.places.order_last()
         await self.faults.lose_disks()
         start_s = self.record.now_s()
         results = await asyncio.gather(
             self.deployment.wait_until(
                 self.operators.is_read_back, soak_record.RECOVERY_S
             ),
+            self.deployment.wait_until(
+                self.places.is_read_back, soak_record.RECOVERY_S
+            ),
             self._wait_until_served(soak_record.RECOVERY_S),
             return_exceptions=True,
         )
         lag_s = self.record.sum_lags(start_s, self.record.now_s())
         names = [f'document {self.operators.accepted} is not read back']
+        names += ['the last evacuation is not read back']
         names.append('requests are not served')
         for name, result in zip(names, results, strict=True):
             if isinstance(result, AssertionError):
@@ -137,7 +149,7 @@
                 )
             elif result is not None:
                 raise result
-        if results != [None, None]:
+        if any(result is not None for result in results):
             self._check_announcements(start_s, is_calm=False)
 
     def _check_announcements(self, start_s, is_calm=True):
@@ -170,6 +182,7 @@
             )
             await worker.start()
             self.deployment.workers.append(worker)
+        await self.places.add_workers()
 
     async def _wait_until_served(self, limit_s=START_S):
         await asyncio.gather(
@@ -204,6 +217,7 @@
         record.check_runs()
         record.check_added()
         record.check_contained()
+        self.places.check()
         for worker in self.deployment.workers:
             worker.end_limit()
             worker.end_life()
@@ -282,6 +296,11 @@
         f'one leaves: {record.judged_leavings}, asked to pause: '
         f'{record.judged_pauses}'
     )
+    print(
+        f'requests judged by EVAC: {result.places.judged_evacuations}, by '
+        f'FAILBACK: {result.places.judged_cold}, data centres lost: '
+        f'{result.places.losses}'
+    )
     lags = sorted((lag_s for _, lag_s in record.lags), reverse=True)
     print(f'own lags: {len(lags)}, longest: {lags[:1]} s')
     print('announcements judged:', record.judged_announcements)
--- a/tests/platform/soak_deployment.py
+++ b/tests/platform/soak_deployment.py
@@ -145,10 +145,16 @@
             )
             for index, (host, _) in enumerate(self.entry_addresses)
         ]
+        # Their settings end with the table of endpoints.
+        for process in self.processes:
+            text = process.path.read_text()
+            process.path.write_text(text + soak_record.COLD_SETTINGS)
         self.client = httpx.AsyncClient(
             timeout=10, limits=httpx.Limits(max_connections=400)
         )
         self.workers = []
+        # Called with each worker that starts or comes back.
+        self.start_listeners = []
 
     @property
     def processes(self):
@@ -291,6 +297,7 @@
     :ivar says_leaving: whether its answers say so.
     :ivar turned_hosts: the hosts whose requests it turns away.
     :ivar told: what it has told each host since its start.
+    :ivar cold_until_s: until when it announces that it is cold.
     """
 
     def __init__(self, running_deployment, record, endpoint_id, service):
@@ -310,6 +317,7 @@
         self.says_leaving = False
         self.turned_hosts = ()
         self.told = {}
+        self.cold_until_s = 0.0
         self._turning_rng = None
         # The reader of each open connection, by its writer, and of each
         # running request, by its id.
@@ -323,10 +331,18 @@
     async def start(self):
         self.started_s = self.record.now_s()
         self.announced_s, self.acknowledged_s = [], []
+        for listener in self.deployment.start_listeners:
+            listener(self)
         await super().start()
 
     async def announce(self):
-        self.announced_s.append(self.record.now_s())
+        now_s = self.record.now_s()
+        self.announced_s.append(now_s)
+        if now_s < self.cold_until_s:
+            cold_ms = int((self.cold_until_s - now_s) * 1000)
+            self.fields['cold_remaining_ms'] = cold_ms
+        else:
+            self.fields.pop('cold_remaining_ms', None)
         is_acknowledged = await super().announce()
         if is_acknowledged:
             self.acknowledged_s.append(self.record.now_s())
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -171,6 +171,21 @@
     def _release(self, processes):
         self._reserved.difference_update(processes)
 
+    def reserve_control(self, process):
+        """Reserve a control host, unless too few would be left."""
+        controls = self.deployment.controls
+        lost = len(self._reserved.intersection(controls))
+        most = self.deployment.sizes.tolerated_losses
+        if process in (*self._reserved, self._refused) or lost >= most:
+            return False
+        self._reserved.add(process)
+        return True
+
+    async def start_again(self, process, disruption):
+        """Start a reserved host that was killed, and release it."""
+        await self._start(process, disruption)
+        self._release([process])
+
     def _signal(self, process, number):
         if process.process.returncode is not None:
             return
--- a/tests/platform/soak_operators.py
+++ b/tests/platform/soak_operators.py
@@ -54,6 +54,8 @@
             for number in range(self.added)
         ]
         data['services'].append({**data['services'][0], 'name': 'batch'})
+        for service in data['services']:
+            service['cold_per_s'] = soak_record.COLD_PER_S
         data['customers'].append(
             {
                 'name': soak_callers.SECOND_CUSTOMER,
--- a/tests/platform/soak_record.py
+++ b/tests/platform/soak_record.py
@@ -80,6 +80,15 @@
 MIN_ANNOUNCED_SHARE = 0.5
 OVERLOAD_BUSY_SHARE = 0.9
 OVERLOAD_LAG_SHARE = 0.15
+# Rule EVAC: evacuation_ms, and max_skew_ms for an unstable control plane.
+EVACUATION_S = 5.0
+MAX_SKEW_S = 6.0
+# Rule FAILBACK: what services state, and the factor and addend of the bound,
+# which the settings have too. A warm worker gets more than twice the bound.
+COLD_PER_S = 2
+COLD_OVERAGE = 1.5
+COLD_SLACK = 1
+COLD_SETTINGS = f'cold_overage = {COLD_OVERAGE}\ncold_slack = {COLD_SLACK}\n'
 # Memory of an entry host in the users' largest deployments, in bytes.
 MEMORY_BYTES = 200_000_000
 
@@ -221,6 +230,8 @@
         self.judged_pauses = 0
         self.judged_announcements = 0
         self.peak_bytes = 0
+        # Called with the worker, id and request of each that reaches a worker.
+        self.arrival_listeners = []
 
     def now_s(self):
         return time.monotonic() - self._start_s
@@ -356,6 +367,8 @@
         told = worker.find_told(request.host)
         told.arrivals.append((self.now_s(), request_id))
         self._check_drained(worker, request_id, request)
+        for listener in self.arrival_listeners:
+            listener(worker, request_id, request)
 
     def register_run(self, worker, headers, path):
         """Check a request that a worker begins to run."""
@@ -478,12 +491,12 @@
             f'{request_id} at {at_s:.3f}'
             for at_s, request_id in told.arrivals
             if answered_s + PAUSE_SLACK_S
-            < at_s - self._find_wait_s(request_id, at_s)
+            < at_s - self.find_wait_s(request_id, at_s)
             and at_s < answered_s + pause_s
             and not self.find_disruptions(host, answered_s, at_s)
         ]
 
-    def _find_wait_s(self, request_id, at_s):
+    def find_wait_s(self, request_id, at_s):
         """Return how long a request may have waited for the soak to read it.
 
         :param at_s: when it was read.
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -31,5 +31,9 @@
     assert record.judged_announcements > 0
     # A request crashed workers, and was contained.
     assert record.killing_runs
+    # The second data centre was evacuated and lost, and returned cold.
+    assert result.places.judged_evacuations > 0, record.faults
+    assert result.places.judged_cold > 0, record.faults
+    assert result.places.losses > 0
     # Endless responses were sent through hosts, which stayed small.
     assert record.peak_bytes > 0
--- a/tests/platform/test_soak_checks.py
+++ b/tests/platform/test_soak_checks.py
@@ -9,6 +9,7 @@
 from tests.platform import soak_callers
 from tests.platform import soak_deployment
 from tests.platform import soak_endings
+from tests.platform import soak_places
 from tests.platform import soak_record
 
 EVENT_BYTES = len(soak_endings.build_event(1, 'i-1'))
@@ -183,7 +184,9 @@
     async def announce(*_):
         return False
 
-    running = types.SimpleNamespace(announce=announce, workers=[])
+    running = types.SimpleNamespace(
+        announce=announce, workers=[], start_listeners=[]
+    )
     worker = soak_deployment.SoakWorker(
         running, soak_record.Record(3), 'i-1', 'api'
     )
@@ -270,3 +273,71 @@
     assert found == ['overload'] * len(record.overloads) + ['violation'] * len(
         record.violations
     )
+
+
+def send_to(endpoint_id, zone, arrivals, prepare):
+    """Return the record and places after requests reached a worker.
+
+    :param prepare: called with the places, the worker and the record first.
+    """
+    record, worker = tell_and_send(())
+    running = types.SimpleNamespace(start_listeners=[])
+    places = soak_places.Places(running, record, 1, None)
+    worker.endpoint_id, worker.fields = endpoint_id, {'zone': zone}
+    record.now_s = lambda: 10.0
+    prepare(places, worker, record)
+    for at_s in arrivals:
+        record.now_s = lambda at_s=at_s: at_s
+        request_id = record.register_request('read', 'entry-0')
+        record.register_arrival(worker, request_id)
+    places.check()
+    return record, places
+
+
+@pytest.mark.parametrize(
+    ('zone', 'at_s', 'disrupted', 'end_s', 'is_right'),
+    [
+        # The evacuation is acknowledged at 10 s.
+        (soak_places.PLACE, 14.9, None, None, True),
+        (soak_places.PLACE, 15.1, None, None, False),
+        ('north', 15.1, None, None, True),
+        (soak_places.PLACE, 15.1, None, 15.0, True),
+        (soak_places.PLACE, 20.9, 'control-1', None, True),
+        (soak_places.PLACE, 21.1, 'control-1', None, False),
+        (soak_places.PLACE, 15.1, 'entry-0', None, True),
+        (soak_places.PLACE, 17.1, 'entry-0', None, False),
+        (soak_places.PLACE, 15.1, 'entry-1', None, False),
+    ],
+)
+def test_evacuated_data_centre(zone, at_s, disrupted, end_s, is_right):
+    def prepare(places, worker, record):
+        places._evacuation = soak_places.Evacuation(10.0)
+        places._evacuation.end_s = end_s
+        if disrupted:
+            disrupt(record, disrupted, 12.0, 13.0)
+
+    record, places = send_to('s-0', zone, [at_s], prepare)
+    assert (record.violations == []) == is_right, record.violations
+    assert places.judged_evacuations == (zone == 'north')
+
+
+@pytest.mark.parametrize(
+    ('name', 'pause_s', 'first_s', 'lag_s', 'is_right'),
+    [
+        # Cold from 10 s to 16 s; 4 requests are allowed in a second.
+        ('i-0-crash1', 0.3, 11.0, 0.0, True),
+        ('i-0-crash1', 0.2, 11.0, 0.0, False),
+        ('i-0-crash1', 0.2, 16.0, 0.0, True),
+        ('i-0-crash1', 0.2, 11.0, 0.5, True),
+        ('i-0', 0.2, 11.0, 0.0, True),
+    ],
+)
+def test_cold_worker(name, pause_s, first_s, lag_s, is_right):
+    def prepare(places, worker, record):
+        places._note_start(worker)
+        if lag_s:
+            record.lags.append((first_s, lag_s))
+
+    arrivals = [first_s + pause_s * number for number in range(5)]
+    record, _ = send_to(name, 'north', arrivals, prepare)
+    assert (record.violations == []) == is_right, record.violations
