Select the better of two targets drawn at random

Change: scheduling.selection = "two_choices". TwoChoicesPolicy draws two targets, weighted by free capacity, and takes the one with the smaller expected time to the first token: from the requests in flight, the learned cost and the observed speed. Exclusions and admission stay as with load: admission keeps the callers' estimates of answers, and hosts report no work. The benchmark keeps the better of two by requests as "two by requests".

--- a/benchmarks/costs.py
+++ b/benchmarks/costs.py
@@ -20,6 +20,7 @@
 from filbertglade.costs import estimator
 from filbertglade.costs import policy
 from filbertglade.costs import tracking
+from filbertglade.costs import two_choices
 from filbertglade.costs import work
 from filbertglade.fleet import document
 from filbertglade.fleet import load_totals
@@ -31,7 +32,13 @@
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import metrics
 
-POLICIES = ('load', 'two choices', 'work, true costs', 'work, learned costs')
+POLICIES = (
+    'load',
+    'two by requests',
+    'two choices',
+    'work, true costs',
+    'work, learned costs',
+)
 # Engines whose times are longer by a factor.
 SLOW_ENGINES = {0: 2.0, 1: 1.5, 2: 1.5}
 WARM_UP_S = 20
@@ -71,7 +78,7 @@
         """
 
 
-class TwoChoices(policy.LoadPolicy):
+class TwoByRequests(policy.LoadPolicy):
     """Takes the less loaded of two targets that are drawn at random."""
 
     def select(
@@ -111,8 +118,12 @@
         self.policy: policy.SelectionPolicy
         if name == 'load':
             self.policy = policy.LoadPolicy('north', self.loads, rng)
+        elif name == 'two by requests':
+            self.policy = TwoByRequests('north', self.loads, rng)
         elif name == 'two choices':
-            self.policy = TwoChoices('north', self.loads, rng)
+            self.policy = two_choices.TwoChoicesPolicy(
+                'north', self.loads, self.costs.speeds, rng
+            )
         else:
             self.policy = policy.CostPolicy(
                 'north', self.loads, self.backlog, self.costs.speeds, rng
--- a/filbertglade/costs/tracking.py
+++ b/filbertglade/costs/tracking.py
@@ -62,6 +62,8 @@
     :param known_backlog: the targets' work.
     :param counters: the process's metrics.
     :param cost_estimator: estimates costs; None to learn them.
+    :param changes_admission: whether admission uses the estimated length of
+        an answer in place of the caller's.
     :ivar estimator: estimates costs.
     :ivar speeds: the targets' speeds.
     """
@@ -71,7 +73,9 @@
         known_backlog: backlog.Backlog,
         counters: metrics.Metrics,
         cost_estimator: estimator.CostEstimator | None = None,
+        changes_admission: bool = True,
     ) -> None:
+        self.changes_admission = changes_admission
         self.estimator = cost_estimator or estimator.LearnedCosts()
         self.speeds = speeds.TargetSpeeds()
         self.backlog = known_backlog
@@ -201,7 +205,7 @@
 ) -> admission.Demand:
     """Return a demand with the request's estimated cost.
 
-    The answer's estimated length also takes the place of the caller's, so
+    The answer's estimated length may also take the place of the caller's, so
     that admission uses the same estimate.
 
     :param demand: the demand.
@@ -224,12 +228,10 @@
         demand.answer_tokens,
     )
     cost = costs.estimator.estimate(features, demand.engine)
-    return dataclasses.replace(
-        demand,
-        answer_tokens=round(cost.answer_tokens),
-        features=features,
-        cost=cost,
-    )
+    demand = dataclasses.replace(demand, features=features, cost=cost)
+    if not costs.changes_admission:
+        return demand
+    return dataclasses.replace(demand, answer_tokens=round(cost.answer_tokens))
 
 
 def describe(
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -10,6 +10,7 @@
 from filbertglade.costs import backlog
 from filbertglade.costs import policy
 from filbertglade.costs import tracking
+from filbertglade.costs import two_choices
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
 from filbertglade.fleet import statements
@@ -128,13 +129,25 @@
         counters: metrics.Metrics,
         rng: random.Random,
     ) -> policy.SelectionPolicy | None:
-        """Return the policy by cost; None to select by load."""
-        if self._settings.scheduling.selection != 'cost':
+        """Return the policy of the settings; None to select by load."""
+        selection = self._settings.scheduling.selection
+        if selection == 'load':
             return None
         reported = backlog.ReportedBacklog(self._view)
-        self._costs = costs = tracking.RequestCosts(reported, counters)
-        fleet_watcher.read_work = reported.take_report
+        is_by_cost = selection == 'cost'
+        self._costs = costs = tracking.RequestCosts(
+            reported, counters, changes_admission=is_by_cost
+        )
         counters.set_gauge('backlog_own_ms', lambda: reported.total_own_ms)
+        if not is_by_cost:
+            # What is reported, and thus what frames tell, stays as by load.
+            return two_choices.TwoChoicesPolicy(
+                self._settings.data_centre,
+                self._evidence.loads,
+                costs.speeds,
+                rng,
+            )
+        fleet_watcher.read_work = reported.take_report
         counters.set_gauge(
             'backlog_all_ms',
             lambda: sum(self._view.remaining_work_ms.values()),
--- a/filbertglade/settings/gateway.py
+++ b/filbertglade/settings/gateway.py
@@ -151,14 +151,15 @@
     """Policies that choose endpoints and admit requests.
 
     :param selection: ``load`` chooses by requests in flight, ``cost`` by the
-        estimated work that endpoints have left.
+        estimated work that endpoints have left, ``two_choices`` the better of
+        two that are drawn at random, by the time to the first token.
     :param admission: ``slots`` admits while a replica has free slots,
         ``urgency`` also by priority, objective and expected room.
     """
 
     __pydantic_config__ = schema.STRICT
 
-    selection: typing.Literal['load', 'cost'] = 'load'
+    selection: typing.Literal['load', 'cost', 'two_choices'] = 'load'
     admission: typing.Literal['slots', 'urgency'] = 'slots'
 
 
--- a/tests/costs/test_tracking.py
+++ b/tests/costs/test_tracking.py
@@ -8,6 +8,7 @@
 from filbertglade.costs import backlog
 from filbertglade.costs import policy
 from filbertglade.costs import tracking
+from filbertglade.costs import two_choices
 from filbertglade.costs import work
 from filbertglade.fleet import dialects
 from filbertglade.fleet import document
@@ -68,10 +69,11 @@
     virtual_time.run(check())
 
 
-# Guards against log fields and reports where requests are selected by load.
-def test_policy_by_load_reports_and_logs_nothing():
+# Guards against log fields where requests are selected by load, against work
+# in reports without the policy by cost, and against other policies than set.
+def test_policies_report_and_log_what_they_use():
     async def check():
-        for selection in ('load', 'cost'):
+        for selection in ('load', 'cost', 'two_choices'):
             fleet_view, counters = view.FleetView(), metrics.Metrics()
             rng = random.Random(1)
             fleet_watcher = watcher.Watcher(
@@ -96,18 +98,27 @@
                 process.build_default(),
             )
             costs = role._context.costs
-            has_costs = selection == 'cost'
+            has_costs = selection != 'load'
             assert (costs is not None) is has_costs
             chosen = role._context.chooser._policy
-            assert isinstance(chosen, policy.CostPolicy) is has_costs
+            assert (
+                type(chosen)
+                is {
+                    'load': policy.LoadPolicy,
+                    'cost': policy.CostPolicy,
+                    'two_choices': two_choices.TwoChoicesPolicy,
+                }[selection]
+            )
             demand = admission.Demand('models', 'big', engine=ENGINE)
             if costs is not None:
                 demand = build_demand(costs)
+                # Admission is as by load except with the policy by cost.
+                assert bool(demand.answer_tokens) is (selection == 'cost')
                 costs.start(TARGET, demand, 0, lambda: 0)
             fields = tracking.describe(costs, TARGET, demand)
             report = fleet_watcher._build_report()
             assert bool(fields) is has_costs
-            assert bool(report.remaining_work_ms) is has_costs
+            assert bool(report.remaining_work_ms) is (selection == 'cost')
             await role.close()
 
     virtual_time.run(check())
