Ask an entry host where a request would go

Cause: why a request goes to a target could only be told after it was sent, from the log.

The request runs through the code of other requests on a copy of the state that this code changes (ForwardingContext.copy_state), so nothing is sent, counted, learned, taken or drawn. Policies get rate() for what they compare; the choice of the service moves from the exchange to RequestDemand, in the same order of random draws.

--- a/filbertglade/cli.py
+++ b/filbertglade/cli.py
@@ -263,6 +263,40 @@
     raise typer.Exit(command.explain_request(request, paths))
 
 
+@app.command()
+def where(
+    method: typing.Annotated[str, typer.Argument(help='As in POST.')],
+    request_url: typing.Annotated[
+        str,
+        typer.Argument(metavar='URL', help='The URL as callers address it.'),
+    ],
+    header: typing.Annotated[
+        list[str] | None,
+        typer.Option(help="A header of the request, as 'Name: value'."),
+    ] = None,
+    tokens: typing.Annotated[
+        int, typer.Option(min=0, help='Tokens of the prompt.')
+    ] = 0,
+    url: typing.Annotated[
+        str,
+        typer.Option(
+            '--url',
+            envvar='FILBERTGLADE_URL',
+            help="The metrics address of a gateway's entry host.",
+        ),
+    ] = DEFAULT_URL,
+    as_json: typing.Annotated[
+        bool, typer.Option('--json', help='Print JSON.')
+    ] = False,
+) -> None:
+    """Ask an entry host where a request would go now, without sending it."""
+    from filbertglade.commands import where as command
+
+    raise typer.Exit(
+        command.ask(url, method, request_url, header or [], tokens, as_json)
+    )
+
+
 @app.command()
 def report(
     paths: typing.Annotated[
--- a/filbertglade/costs/policy.py
+++ b/filbertglade/costs/policy.py
@@ -2,8 +2,10 @@
 
 import abc
 from collections import abc as collections_abc
+import copy
 import dataclasses
 import random
+import typing
 
 from filbertglade.costs import backlog
 from filbertglade.costs import speeds
@@ -23,7 +25,30 @@
 
 
 class SelectionPolicy(abc.ABC):
-    """Selects targets by their load."""
+    """Selects targets by their load.
+
+    :param rng: the process's random number generator.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def copy_with(self, rng: random.Random) -> typing.Self:
+        """Return a copy that draws other random numbers.
+
+        :param rng: its random number generator.
+        """
+        other = copy.copy(self)
+        other._rng = rng
+        return other
+
+    @abc.abstractmethod
+    def rate(self, target: targets.Target, demand: admission.Demand) -> float:
+        """Return what is compared of targets; less is better.
+
+        :param target: the target.
+        :param demand: what the request demands.
+        """
 
     def rate_speed(self, target: targets.Target) -> targets.Target:
         """Return a target with its slowness as this host sees it.
@@ -57,9 +82,9 @@
         load_tracker: loads.LoadTracker,
         rng: random.Random,
     ) -> None:
+        super().__init__(rng)
         self._data_centre = data_centre
         self._loads = load_tracker
-        self._rng = rng
 
     def select(
         self, options: list[targets.Target], demand: admission.Demand
@@ -69,11 +94,16 @@
         :param options: the targets; at least one.
         :param demand: what the request demands.
         """
-        costs = [(self._compute_cost(target), target) for target in options]
+        costs = [(self.rate(target, demand), target) for target in options]
         unreported = self._loads.estimate_unreported(options[0].model)
         return select_by_filling(costs, unreported, self._rng)
 
-    def _compute_cost(self, target: targets.Target) -> float:
+    def rate(self, target: targets.Target, demand: admission.Demand) -> float:
+        """Return what a request costs on a target, in requests in flight.
+
+        :param target: the target.
+        :param demand: what the request demands.
+        """
         load = (self._loads.count_in_flight(target) + 1) * target.slowness
         is_remote = target.data_centre != self._data_centre
         return load + is_remote * CROSS_DATA_CENTRE_REQUESTS
@@ -97,11 +127,11 @@
         target_speeds: speeds.TargetSpeeds,
         rng: random.Random,
     ) -> None:
+        super().__init__(rng)
         self._data_centre = data_centre
         self._loads = load_tracker
         self._backlog = known_backlog
         self._speeds = target_speeds
-        self._rng = rng
 
     def rate_speed(self, target: targets.Target) -> targets.Target:
         """Return a target with its slowness as this host sees it.
@@ -120,9 +150,7 @@
         :param options: the targets; at least one.
         :param demand: what the request demands.
         """
-        costs = [
-            (self.estimate_ms(target, demand), target) for target in options
-        ]
+        costs = [(self.rate(target, demand), target) for target in options]
         unreported_ms = max(
             SPREAD_FACTOR
             * self._backlog.estimate_unreported_ms(options[0].model),
@@ -131,9 +159,7 @@
         )
         return select_by_filling(costs, unreported_ms, self._rng)
 
-    def estimate_ms(
-        self, target: targets.Target, demand: admission.Demand
-    ) -> float:
+    def rate(self, target: targets.Target, demand: admission.Demand) -> float:
         """Estimate what a request costs on a target, in ms of waiting.
 
         It is the time to the target's end of all work with this request, and
--- a/filbertglade/costs/two_choices.py
+++ b/filbertglade/costs/two_choices.py
@@ -37,10 +37,10 @@
         target_speeds: speeds.TargetSpeeds,
         rng: random.Random,
     ) -> None:
+        super().__init__(rng)
         self._data_centre = data_centre
         self._loads = load_tracker
         self._speeds = target_speeds
-        self._rng = rng
 
     def select(
         self, options: list[targets.Target], demand: admission.Demand
@@ -58,11 +58,9 @@
             position = self._rng.choices(range(len(options)), weights)[0]
             weights[position] = 0.0
             drawn.append(options[position])
-        return min(drawn, key=lambda target: self.estimate_ms(target, demand))
+        return min(drawn, key=lambda target: self.rate(target, demand))
 
-    def estimate_ms(
-        self, target: targets.Target, demand: admission.Demand
-    ) -> float:
+    def rate(self, target: targets.Target, demand: admission.Demand) -> float:
         """Estimate the time to a request's first token on a target, in ms.
 
         Without figures of an engine and a learned cost it is a multiple of an
--- a/filbertglade/fleet/cold_view.py
+++ b/filbertglade/fleet/cold_view.py
@@ -1,5 +1,7 @@
 """Cold endpoints and permits as a host receives them from the leader."""
 
+import copy
+
 from filbertglade import clock
 from filbertglade.fleet import cold_bound
 from filbertglade.fleet import cold_permits
@@ -28,6 +30,13 @@
         self._last_frame_ms: int | None = None
         self._ignores_until_ms = 0
 
+    def copy_state(self) -> 'ColdView':
+        """Return a copy; what is looked up there changes nothing here."""
+        other = copy.copy(self)
+        other.cold = dict(self.cold)
+        other._permits = dict(self._permits)
+        return other
+
     def apply_frame(self, frame: fleet_pb2.FleetFrame) -> None:
         """Apply a frame from the leader.
 
--- a/filbertglade/fleet/view.py
+++ b/filbertglade/fleet/view.py
@@ -1,6 +1,7 @@
 """The fleet's state as a node receives it from the leader."""
 
 from collections import abc
+import copy
 
 from filbertglade import clock
 from filbertglade.fleet import cold_view
@@ -62,6 +63,17 @@
         self._listeners: list[abc.Callable[[], None]] = []
         self._document_listeners: list[abc.Callable[[], None]] = []
 
+    def copy_state(self) -> 'FleetView':
+        """Return a copy in which lookups change nothing here.
+
+        It is for use before the next frame: its tables are these.
+        """
+        other = copy.copy(self)
+        other.cold = self.cold.copy_state()
+        other._listeners = []
+        other._document_listeners = []
+        return other
+
     @property
     def version(self) -> int:
         """The version of the document in force; 0 before the first."""
--- a/filbertglade/forwarding/admission_policy.py
+++ b/filbertglade/forwarding/admission_policy.py
@@ -43,6 +43,11 @@
 class AdmissionPolicy(abc.ABC):
     """Decides which replicas may take a request, and how urgent it is."""
 
+    def copy_state(self) -> 'AdmissionPolicy':
+        """Return a copy whose decisions change nothing here."""
+        # Policies without state can't be changed.
+        return self
+
     @abc.abstractmethod
     def find_room(
         self,
--- a/filbertglade/forwarding/allowances.py
+++ b/filbertglade/forwarding/allowances.py
@@ -1,6 +1,7 @@
 """What this host may send to endpoints that name limits."""
 
 import collections
+import copy
 import math
 import random
 
@@ -101,6 +102,26 @@
         self._unreadable: set[str] = set()
         fleet_view.add_listener(self._apply_frame)
 
+    def copy_state(self, rng: random.Random) -> 'Allowances':
+        """Return a copy that reports nothing and changes nothing here.
+
+        :param rng: its random number generator.
+        """
+        other = copy.copy(self)
+        other._leader = copy.copy(self._leader)
+        other._leader.limited_demand = {}
+        other._leader.unused_allowances = {}
+        other._rng = rng
+        other._expiries_ms = {
+            endpoint: expiries_ms.copy()
+            for endpoint, expiries_ms in self._expiries_ms.items()
+        }
+        other._unled = {
+            endpoint: copy.copy(unled)
+            for endpoint, unled in self._unled.items()
+        }
+        return other
+
     def _apply_frame(self) -> None:
         now_ms = clock.now_ms()
         for endpoint, count in self._view.take_allowances().items():
--- a/filbertglade/forwarding/caller_retries.py
+++ b/filbertglade/forwarding/caller_retries.py
@@ -24,6 +24,15 @@
     def __init__(self) -> None:
         self._latest_ms: dict[str, collections.deque[int]] = {}
 
+    def copy_state(self) -> 'DeadlineTracker':
+        """Return a copy; what it records isn't recorded here."""
+        other = DeadlineTracker()
+        other._latest_ms = {
+            route: latest_ms.copy()
+            for route, latest_ms in self._latest_ms.items()
+        }
+        return other
+
     def is_short(self, route: str, deadline_ms: int) -> bool:
         """Record a deadline; return whether it is shorter than first ones are.
 
--- a/filbertglade/forwarding/choice.py
+++ b/filbertglade/forwarding/choice.py
@@ -1,6 +1,7 @@
 """Chooses the endpoint for a request by the load that all nodes report."""
 
 from collections import abc
+import copy
 import random
 
 from filbertglade.costs import policy
@@ -43,6 +44,35 @@
         )
         self._admission = admission_rules or slot_admission.SlotAdmission()
 
+    def copy_state(
+        self,
+        fleet_view: view.FleetView,
+        endpoint_evidence: evidence.EndpointEvidence,
+        admission_rules: admission_policy.AdmissionPolicy,
+        rng: random.Random,
+    ) -> 'Chooser':
+        """Return a copy that chooses as this one would, from copied state.
+
+        :param fleet_view: a copy of the node's view.
+        :param endpoint_evidence: a copy of what endpoints have said and shown.
+        :param admission_rules: a copy of the admission policy.
+        :param rng: the copy's random number generator.
+        """
+        other = copy.copy(self)
+        other._view = fleet_view
+        other._evidence = endpoint_evidence
+        other._policy = self._policy.copy_with(rng)
+        other._admission = admission_rules
+        return other
+
+    def rate(self, target: targets.Target, demand: admission.Demand) -> float:
+        """Return what is compared of targets; less is better.
+
+        :param target: the target.
+        :param demand: what the request demands.
+        """
+        return self._policy.rate(target, demand)
+
     def list_targets(self, service: str, model: str) -> list[targets.Target]:
         """Return the targets that may take a request.
 
@@ -100,6 +130,23 @@
     ) -> targets.Target | evidence.NoTarget:
         if not demand.model:
             return self._policy.select(candidates, demand)
+        room = self.find_room(demand, candidates)
+        if not room.replicas:
+            return evidence.NoTarget(
+                evidence.NoTargetReason.FULL,
+                evidence.OVERLOAD_RETRY_AFTER_S,
+                room.detail,
+            )
+        return self._policy.select(room.replicas, demand)
+
+    def find_room(
+        self, demand: admission.Demand, candidates: list[targets.Target]
+    ) -> admission_policy.Room:
+        """Return the replicas that have room for a request.
+
+        :param demand: what the request demands.
+        :param candidates: the replicas that may be sent it; at least one.
+        """
         # The policy may know a target's speed better than the leader does.
         rated = {
             self._policy.rate_speed(target): target for target in candidates
@@ -109,11 +156,6 @@
             for seen, target in rated.items()
         }
         room = self._admission.find_room(demand, loads)
-        if not room.replicas:
-            return evidence.NoTarget(
-                evidence.NoTargetReason.FULL,
-                evidence.OVERLOAD_RETRY_AFTER_S,
-                room.detail,
-            )
-        options = [rated[seen] for seen in room.replicas]
-        return self._policy.select(options, demand)
+        return admission_policy.Room(
+            [rated[seen] for seen in room.replicas], room.detail
+        )
--- a/filbertglade/forwarding/context.py
+++ b/filbertglade/forwarding/context.py
@@ -1,5 +1,6 @@
 """State that all requests of a node share."""
 
+import copy
 import random
 
 from filbertglade import clock
@@ -85,6 +86,26 @@
         self.started_ms = clock.now_ms()
         self.stopping_since_ms: int | None = None
 
+    def copy_state(self) -> 'ForwardingContext':
+        """Return a copy with which requests can be tried without sending them.
+
+        It decides as this one would decide now, with the same random numbers.
+        What it counts, takes and draws is not counted, taken or drawn here.
+        Nothing may be sent with it.
+        """
+        other = copy.copy(self)
+        other.rng = random.Random()
+        other.rng.setstate(self.rng.getstate())
+        other.view = self.view.copy_state()
+        other.counters = metrics.Metrics()
+        other.evidence = self.evidence.copy_state(other.view, other.rng)
+        other.admission = self.admission.copy_state()
+        other.chooser = self.chooser.copy_state(
+            other.view, other.evidence, other.admission, other.rng
+        )
+        other.deadlines = self.deadlines.copy_state()
+        return other
+
     @property
     def is_stopping(self) -> bool:
         """Whether the process is shutting down."""
--- a/filbertglade/forwarding/evidence.py
+++ b/filbertglade/forwarding/evidence.py
@@ -6,6 +6,7 @@
 """
 
 from collections import abc
+import copy
 import random
 
 from filbertglade import failures
@@ -103,6 +104,23 @@
             self._containment, fleet_view.struck, leader.crashes
         )
 
+    def copy_state(
+        self, fleet_view: view.FleetView, rng: random.Random
+    ) -> 'EndpointEvidence':
+        """Return a copy for lookups, which change nothing here.
+
+        Counts of requests, faults and statements are shared: looking them up
+        doesn't change them.
+
+        :param fleet_view: a copy of the node's view.
+        :param rng: the copy's random number generator.
+        """
+        other = copy.copy(self)
+        other._view = fleet_view
+        other._allowed = self._allowed.copy_state(rng)
+        other._permits = self._permits.copy_state(fleet_view)
+        return other
+
     async def close(self) -> None:
         """Stop looking at endpoints."""
         await self._containment.close()
@@ -192,6 +210,33 @@
             NoTargetReason.LIMITED, min(retry_s, OVERLOAD_RETRY_AFTER_S)
         )
 
+    def find_obstacle(
+        self, demand: admission.Demand, target: targets.Target
+    ) -> str:
+        """Return what forbids to send a request to a target at any load.
+
+        It may use up what has expired: see :meth:`copy_state`.
+
+        :param demand: what the request demands.
+        :param target: the target.
+        :returns: the reason; empty if there is none.
+        """
+        forbidding = self._conditions.find_forbidding(demand, [target])
+        if forbidding is not None:
+            return forbidding.reason.value
+        if self._says_leaving(target) and not self.is_last_resort(target):
+            return 'leaving'
+        if self._faults.is_excluded(target):
+            return 'at fault'
+        pause_ms = self._statements.find_pause_ms(target.key)
+        if pause_ms:
+            return f'wants no requests for {pause_ms} ms'
+        if not self._permits.may_send(target.key):
+            return 'cold, and this host has no permit'
+        if not self._allowed.may_send(target.key):
+            return NoTargetReason.LIMITED.value
+        return ''
+
     def _says_leaving(self, target: targets.Target) -> bool:
         return self._statements.find_leaving_age_ms(target.key) is not None
 
--- a/filbertglade/forwarding/exchange.py
+++ b/filbertglade/forwarding/exchange.py
@@ -121,7 +121,7 @@
         self._demand.read_deadline(route)
         index = shared.view.index
         assert index is not None
-        if not self._choose_service(index, route):
+        if not self._demand.choose_service(index, route):
             self._refusals.refuse(
                 503,
                 'no such service or model',
@@ -139,25 +139,6 @@
             shared.admission.record_arrival(self._demand.build(route))
         await self._run_attempts(route)
 
-    def _choose_service(
-        self, index: document.RoutingIndex, route: document.Route
-    ) -> bool:
-        weights = [item.weight for item in route.weights]
-        chosen = self._context.rng.choices(route.weights, weights)[0]
-        service = index.services.get(chosen.service)
-        if service is None:
-            return False
-        self._record.service = service.name
-        if not service.models:
-            return True
-        names = [shape.name for shape in service.models]
-        model = self._request.headers.get(self._context.dialect.model, '')
-        if not model and len(names) == 1:
-            model = names[0]
-        self._record.model = model
-        self._demand.read_token_counts()
-        return model in names
-
     # Attempts
 
     async def _run_attempts(self, route: document.Route) -> None:
--- a/filbertglade/forwarding/lookup.py
+++ b/filbertglade/forwarding/lookup.py
@@ -73,14 +73,14 @@
 
         :returns: the route, or why the request can't be served.
         """
-        route = self._look_up()
+        route = self.look_up()
         if _lacks_document(route) and self._context.is_starting:
             route = await self._look_up_in_first(route)
         if _depends_on_document(route):
             route = await self._look_up_in_newer(route)
         return route
 
-    def _look_up(self) -> document.Route | failures.Failure:
+    def look_up(self) -> document.Route | failures.Failure:
         """Find the request's route and customer in the document in force.
 
         :returns: the route, or why the request can't be served.
@@ -124,7 +124,7 @@
                 detail = f'{detail}; too many requests wait'
             if not await self._hold(detail, limit_ms):
                 return failures.Failure(LookupReason.NOT_HERE_YET, detail)
-            result = self._look_up()
+            result = self.look_up()
         return result
 
     async def _look_up_in_first(
@@ -145,7 +145,7 @@
             limit_ms = end_ms - clock.now_ms()
             if not await self._hold(str(result), limit_ms):
                 break
-            result = self._look_up()
+            result = self.look_up()
         return result
 
     async def _hold(self, reason: str, limit_ms: int) -> bool:
--- a/filbertglade/forwarding/permits.py
+++ b/filbertglade/forwarding/permits.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import copy
 
 from filbertglade import clock
 from filbertglade.fleet import cold_bound
@@ -40,6 +41,22 @@
         self._expiries_ms: dict[str, collections.deque[int]] = {}
         fleet_view.add_listener(self._apply_frame)
 
+    def copy_state(self, fleet_view: view.FleetView) -> 'Permits':
+        """Return a copy that reports nothing and changes nothing here.
+
+        :param fleet_view: a copy of the node's view.
+        """
+        other = copy.copy(self)
+        other._view = fleet_view
+        other._leader = copy.copy(self._leader)
+        other._leader.limited_demand = {}
+        other._counters = metrics.Metrics()
+        other._expiries_ms = {
+            endpoint: expiries_ms.copy()
+            for endpoint, expiries_ms in self._expiries_ms.items()
+        }
+        return other
+
     def _apply_frame(self) -> None:
         permits = self._view.cold.take_permits()
         if not permits and not self._expiries_ms:
--- a/filbertglade/forwarding/request_demand.py
+++ b/filbertglade/forwarding/request_demand.py
@@ -76,7 +76,32 @@
         text = self._request.headers.get(self._context.dialect.deadline, '')
         return _parse_number(text)
 
-    def read_token_counts(self) -> None:
+    def choose_service(
+        self, index: document.RoutingIndex, route: document.Route
+    ) -> bool:
+        """Choose the service of the request, and read its model.
+
+        :param index: the document in force.
+        :param route: the request's route.
+        :returns: whether there are such a service and model.
+        """
+        weights = [item.weight for item in route.weights]
+        chosen = self._context.rng.choices(route.weights, weights)[0]
+        service = index.services.get(chosen.service)
+        if service is None:
+            return False
+        self._record.service = service.name
+        if not service.models:
+            return True
+        names = [shape.name for shape in service.models]
+        model = self._request.headers.get(self._context.dialect.model, '')
+        if not model and len(names) == 1:
+            model = names[0]
+        self._record.model = model
+        self._read_token_counts()
+        return model in names
+
+    def _read_token_counts(self) -> None:
         """Read the lengths of the prompt and of the response."""
         dialect = self._context.dialect
         headers = self._request.headers
--- a/filbertglade/forwarding/urgency_admission.py
+++ b/filbertglade/forwarding/urgency_admission.py
@@ -9,6 +9,7 @@
 """
 
 from collections import abc
+import copy
 import random
 import typing
 
@@ -87,6 +88,14 @@
         self._budgets: dict[tuple[str, str], fresh_budget.FreshBudget] = {}
         self._forecast = room_forecast.RoomForecast()
 
+    def copy_state(self) -> admission_policy.AdmissionPolicy:
+        """Return a copy whose decisions change nothing here."""
+        other = UrgencyAdmission(self._view, unserved.UnservedDemand())
+        other._capacities = dict(self._capacities)
+        other._budgets = copy.deepcopy(self._budgets)
+        other._forecast = copy.deepcopy(self._forecast)
+        return other
+
     def draw_lot(self, rng: random.Random) -> float:
         """Return the lot of a new request; see the demand.
 
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -160,6 +160,11 @@
             rng,
         )
 
+    @property
+    def shared(self) -> context.ForwardingContext:
+        """State that all requests share."""
+        return self._context
+
     def find_obstacle(self) -> str:
         """Return why this host accepts no callers; empty if it does."""
         if self._context.is_stopping:
--- a/filbertglade/gateway/process.py
+++ b/filbertglade/gateway/process.py
@@ -17,6 +17,7 @@
 from filbertglade.fleet import watcher
 from filbertglade.gateway import entry_role
 from filbertglade.gateway import http_server
+from filbertglade.gateway import where_api
 from filbertglade.inner import channels
 from filbertglade.observability import logs
 from filbertglade.observability import loop_delay
@@ -35,8 +36,6 @@
 # Interval between two checks of the settings file, in ms: it may change
 # without a signal.
 SETTINGS_POLL_INTERVAL_MS = 1000
-# Longest body of a request for metrics, which has none, in bytes.
-MAX_METRICS_BODY_BYTES = 0
 
 Response = http_server.Response
 
@@ -131,9 +130,12 @@
                 self._budgets,
             )
         self._inner_server: inner_server.LimitedServer | None = None
-        self._metrics_server = http_server.HttpServer(
-            self._serve_metrics,
-            MAX_METRICS_BODY_BYTES,
+        self._where = where_api.WhereApi(
+            self._entry_role.shared if self._entry_role is not None else None
+        )
+        self._metrics_server = where_api.OperatorsServer(
+            self._serve_operators,
+            where_api.MAX_BODY_BYTES,
             budgets=self._budgets,
             listener='metrics',
         )
@@ -189,8 +191,13 @@
         log.change('process.started', run=self._run_name)
         return None
 
-    def _serve_metrics(self, request: http_server.Request) -> Response:
-        """Respond with the metrics in the Prometheus text format."""
+    def _serve_operators(self, request: http_server.Request) -> Response:
+        """Respond with the metrics, or where a request would go.
+
+        Metrics are in the Prometheus text format.
+        """
+        if request.path == where_api.PATH:
+            return self._where.handle(request)
         if request.path != '/metrics':
             return Response(404)
         if request.method not in ('GET', 'HEAD'):
--- a/tests/costs/test_policy.py
+++ b/tests/costs/test_policy.py
@@ -153,9 +153,7 @@
         host = Host()
         idle, busy = build_targets(2)
         host.view.in_flight['g-1'] = 4
-        assert host.policy.estimate_ms(busy, DEMAND) > host.policy.estimate_ms(
-            idle, DEMAND
-        )
+        assert host.policy.rate(busy, DEMAND) > host.policy.rate(idle, DEMAND)
 
     run(check)
 
