Compare two_choices over seeds, and show why load is slow

Cause: the table of the policies had one seed and one kind of engines and requests, and nothing told which step of the policy by load makes it slow.

Policies and hosts move to benchmarks/cost_policies.py.

The step is the amount that water-filling distributes: requests of 200 ms, while reports miss 560 ms on average.

--- a/benchmarks/cost_engines.py
+++ b/benchmarks/cost_engines.py
@@ -78,10 +78,12 @@
     """Draws requests whose costs differ by a factor of 100.
 
     :param seed: seed of all random choices.
+    :param hot_part: part of the requests that have the hot key.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, hot_part: float = HOT_PART) -> None:
         self._rng = random.Random(seed)
+        self._hot_part = hot_part
         # A route and a customer tell something of an answer's length.
         self._medians = {
             (route, customer): math.exp(self._rng.gauss(math.log(50), 0.7))
@@ -93,7 +95,7 @@
         """Return the next request."""
         rng = self._rng
         route, customer = rng.randrange(ROUTES), rng.randrange(CUSTOMERS)
-        is_hot = rng.random() < HOT_PART
+        is_hot = rng.random() < self._hot_part
         median = self._medians[route, customer] * (2.0 if is_hot else 1.0)
         tokens = median * math.exp(rng.gauss(0, COST_SPREAD))
         answer = round(min(MOST_TOKENS, max(FEWEST_TOKENS, tokens)))
@@ -120,7 +122,7 @@
         :param engine: the engine's figures.
         """
         times = work.EngineTimes(engine, MODEL)
-        source = Requests(2)
+        source = Requests(2, self._hot_part)
         source._medians = self._medians
         drawn = [source.draw() for _ in range(4000)]
         total = sum(
--- a/benchmarks/costs.py
+++ b/benchmarks/costs.py
@@ -5,42 +5,26 @@
 nothing, so that all policies serve the same requests.
 
     python -m benchmarks.costs --seconds 40
+    python -m benchmarks.costs --steps
 """
 
 import argparse
 import asyncio
 import dataclasses
+import itertools
 import random
+import typing
 
 import async_solipsism
 
 from benchmarks import cost_engines
+from benchmarks import cost_policies
 from filbertglade import clock
-from filbertglade.costs import backlog
-from filbertglade.costs import estimator
-from filbertglade.costs import policy
-from filbertglade.costs import tracking
-from filbertglade.costs import two_choices
-from filbertglade.costs import work
-from filbertglade.fleet import document
 from filbertglade.fleet import load_totals
-from filbertglade.fleet import view
 from filbertglade.fleet import work_reports
-from filbertglade.forwarding import admission
-from filbertglade.forwarding import loads
 from filbertglade.forwarding import targets
 from filbertglade.inner import fleet_pb2
-from filbertglade.observability import metrics
-
-POLICIES = (
-    'load',
-    'two by requests',
-    'two choices',
-    'work, true costs',
-    'work, learned costs',
-)
-# Engines whose times are longer by a factor.
-SLOW_ENGINES = {0: 2.0, 1: 1.5, 2: 1.5}
+
 WARM_UP_S = 20
 FRAME_INTERVAL_MS = 200
 # A frame tells what hosts reported this long ago; with the interval of the
@@ -48,122 +32,68 @@
 MIN_DELAY_MS, MAX_DELAY_MS = 200, 600
 
 
-class TrueCosts(estimator.CostEstimator):
-    """Knows what each request costs."""
-
-    def __init__(self) -> None:
-        self.answer_tokens = 0
-
-    def estimate(
-        self, features: work.Features, engine: document.Engine | None
-    ) -> work.Cost:
-        """Return the cost of the request that is sent now.
-
-        :param features: what is known of it.
-        :param engine: figures of the service's engines.
-        """
-        return work.Cost(features.prompt_tokens, self.answer_tokens)
-
-    def learn(
-        self,
-        features: work.Features,
-        engine: document.Engine | None,
-        observed: float,
-    ) -> None:
-        """Learn nothing.
-
-        :param features: what was known of the request.
-        :param engine: figures of the service's engines.
-        :param observed: its answer's tokens.
-        """
-
-
-class TwoByRequests(policy.LoadPolicy):
-    """Takes the less loaded of two targets that are drawn at random."""
-
-    def select(
-        self, options: list[targets.Target], demand: admission.Demand
-    ) -> targets.Target:
-        """Select one of several targets.
-
-        :param options: the targets.
-        :param demand: what the request demands.
-        """
-        drawn = self._rng.sample(options, 2)
-        return min(drawn, key=self._loads.count_in_flight)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """Engines and requests.
 
+    :param slow_engines: factors on the times of engines that are slower.
+    :param hot_part: part of the requests that have the hot key.
+    """
 
-class Host:
-    """An entry host.
+    slow_engines: dict[int, float]
+    hot_part: float = cost_engines.HOT_PART
 
-    :param name: the policy's name.
-    :param hosts: number of entry hosts.
-    :param seed: seed of its random choices.
-    """
 
-    def __init__(self, name: str, hosts: int, seed: int) -> None:
-        rng = random.Random(seed)
-        self.view = view.FleetView()
-        self.view.entry_nodes = hosts
-        self.in_flight: dict[str, int] = {}
-        self.loads = loads.LoadTracker(self.view, self.in_flight)
-        self.backlog = backlog.ReportedBacklog(self.view)
-        self.true_costs = TrueCosts()
-        is_true = name == 'work, true costs'
-        self.costs = tracking.RequestCosts(
-            self.backlog,
-            metrics.Metrics(),
-            self.true_costs if is_true else estimator.LearnedCosts(),
-        )
-        self.policy: policy.SelectionPolicy
-        if name == 'load':
-            self.policy = policy.LoadPolicy('north', self.loads, rng)
-        elif name == 'two by requests':
-            self.policy = TwoByRequests('north', self.loads, rng)
-        elif name == 'two choices':
-            self.policy = two_choices.TwoChoicesPolicy(
-                'north', self.loads, self.costs.speeds, rng
-            )
-        else:
-            self.policy = policy.CostPolicy(
-                'north', self.loads, self.backlog, self.costs.speeds, rng
-            )
-        self.uses_costs = name.startswith('work')
-        self.reported = work_reports.ReportedWork()
-        self.reported_in_flight: dict[str, int] = {}
-        self.known_work: dict[str, int] = {}
-        self.frame_bytes = 0
+SCENARIOS = {
+    'base': Scenario({0: 2.0, 1: 1.5, 2: 1.5}),
+    # Half of the requests share one long prompt part.
+    'hot key': Scenario({}, 0.5),
+    # Half of the engines are slower, some of them much.
+    'speeds': Scenario(
+        dict.fromkeys(range(10), 1.5) | dict.fromkeys(range(10, 16), 2.5),
+        0.0,
+    ),
+}
 
 
 @dataclasses.dataclass(slots=True)
 class Result:
-    """What was measured with one policy.
+    """What was measured with one policy and one seed.
 
-    :param name: the policy's name.
     :param first_ms: sorted times to the first token.
     :param total_ms: sorted times to the end.
     :param frame_bytes: bytes of the frames to one host in a second.
     """
 
-    name: str
     first_ms: list[int]
     total_ms: list[int]
     frame_bytes: float
 
-    def render(self) -> str:
-        """Return a line of the table."""
-        times = [
-            _find_quantile(self.first_ms, 0.5),
-            _find_quantile(self.first_ms, 0.95),
-            _find_quantile(self.first_ms, 0.99),
-            _find_quantile(self.total_ms, 0.5),
-            _find_quantile(self.total_ms, 0.95),
-        ]
-        cells = ' | '.join(str(item) for item in times)
-        return (
-            f'| {self.name} | {len(self.first_ms)} | {cells} | '
-            f'{self.frame_bytes / 1000:.1f} |'
-        )
+
+def render(name: str, results: list[Result], bound_ms: list[int]) -> str:
+    """Return a line of the table.
+
+    :param name: the policy's name.
+    :param results: its results, one a seed.
+    :param bound_ms: the bound's p95 times to the first token, one a seed;
+        empty if it was not measured.
+    """
+    p95_ms = [_find_quantile(item.first_ms, 0.95) for item in results]
+    columns = [
+        [_find_quantile(item.first_ms, 0.5) for item in results],
+        p95_ms,
+        [_find_quantile(item.first_ms, 0.99) for item in results],
+        [_find_quantile(item.total_ms, 0.95) for item in results],
+    ]
+    cells = [', '.join(map(str, column)) for column in columns]
+    ratios = [
+        f'{taken / bound:.2f}'
+        for taken, bound in zip(p95_ms, bound_ms, strict=False)
+    ]
+    cells.insert(2, ', '.join(ratios))
+    frame_bytes = max(item.frame_bytes for item in results)
+    cells.append(f'{frame_bytes / 1000:.1f}')
+    return f'| {name} | {" | ".join(cells)} |'
 
 
 def _find_quantile(ordered: list[int], part: float) -> int:
@@ -176,15 +106,23 @@
     :param name: the policy's name.
     :param hosts: number of entry hosts.
     :param groups: number of engines.
+    :param scenario: engines and requests.
     :param seed: seed of all random choices.
     """
 
-    def __init__(self, name: str, hosts: int, groups: int, seed: int) -> None:
+    def __init__(
+        self, name: str, hosts: int, groups: int, scenario: Scenario, seed: int
+    ) -> None:
         self.figures = cost_engines.build_engine()
         self.engines = [
-            cost_engines.Engine(self.figures, SLOW_ENGINES.get(position, 1.0))
+            cost_engines.Engine(
+                self.figures, scenario.slow_engines.get(position, 1.0)
+            )
             for position in range(groups)
         ]
+        self._delays_ms = (MIN_DELAY_MS, MAX_DELAY_MS)
+        if name == cost_policies.FRESH_REPORTS:
+            self._delays_ms = (0, 0)
         self.targets = [
             targets.Target(
                 f'i-{position}',
@@ -198,7 +136,9 @@
             )
             for position in range(groups)
         ]
-        self.hosts = [Host(name, hosts, seed + i) for i in range(hosts)]
+        self.hosts = [
+            cost_policies.Host(name, hosts, seed + i) for i in range(hosts)
+        ]
         self._rng = random.Random(seed)
         self._load_totals = load_totals.LoadTotals()
         self._work_totals = load_totals.LoadTotals()
@@ -206,7 +146,9 @@
         self.pending = 0
         self.idle = asyncio.Event()
 
-    async def report(self, host: Host, interval_s: float) -> None:
+    async def report(
+        self, host: cost_policies.Host, interval_s: float
+    ) -> None:
         """Send a host's reports.
 
         :param host: the host.
@@ -238,7 +180,7 @@
             work_version = self._work_totals.version
             for host in self.hosts:
                 host.frame_bytes += frame.ByteSize()
-            delay_ms = self._rng.uniform(MIN_DELAY_MS, MAX_DELAY_MS)
+            delay_ms = self._rng.uniform(*self._delays_ms)
             asyncio.get_running_loop().call_later(
                 delay_ms / 1000, self._deliver, frame
             )
@@ -256,16 +198,7 @@
         """
         host = self._rng.choice(self.hosts)
         request.arrived_ms = clock.now_ms()
-        host.true_costs.answer_tokens = request.answer_tokens
-        cost = host.costs.estimator.estimate(request.features, self.figures)
-        demand = admission.Demand(
-            cost_engines.SERVICE,
-            cost_engines.MODEL,
-            engine=self.figures,
-            prompt_tokens=request.features.prompt_tokens,
-            features=request.features,
-            cost=cost,
-        )
+        demand = cost_policies.build_demand(host, request, self.figures)
         target = host.policy.select(self.targets, demand)
         load = host.loads.count_in_flight(target)
         host.loads.record_start(target)
@@ -292,7 +225,13 @@
 
 
 async def measure(
-    name: str, hosts: int, groups: int, load: float, seconds: int, seed: int
+    name: str,
+    hosts: int,
+    groups: int,
+    load: float,
+    seconds: int,
+    scenario: Scenario,
+    seed: int,
 ) -> Result:
     """Measure one policy.
 
@@ -301,10 +240,11 @@
     :param groups: number of engines.
     :param load: load as a fraction of capacity.
     :param seconds: time that is counted, after the warm-up.
+    :param scenario: engines and requests.
     :param seed: seed of all random choices.
     """
-    bench = Bench(name, hosts, groups, seed)
-    source = cost_engines.Requests(seed)
+    bench = Bench(name, hosts, groups, scenario, seed)
+    source = cost_engines.Requests(seed, scenario.hot_part)
     capacity_per_ms = sum(1 / engine.slowness for engine in bench.engines)
     rate_per_ms = load * capacity_per_ms
     rate_per_ms /= source.find_mean_work_ms(bench.figures)
@@ -327,45 +267,79 @@
     for task in background:
         task.cancel()
     return Result(
-        name,
         sorted(item.first_ms - item.arrived_ms for item in bench.done),
         sorted(item.ended_ms - item.arrived_ms for item in bench.done),
         frame_bytes,
     )
 
 
+def run(
+    names: typing.Sequence[str],
+    hosts: int,
+    load: float,
+    scenario: Scenario,
+    options: argparse.Namespace,
+) -> None:
+    """Measure policies and print their table.
+
+    :param names: the policies.
+    :param hosts: number of entry hosts.
+    :param load: load as a fraction of capacity.
+    :param scenario: engines and requests.
+    :param options: the other options of the command line.
+    """
+    results: dict[str, list[Result]] = {name: [] for name in names}
+    for name, seed in itertools.product(names, options.seeds):
+        with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+            result = runner.run(
+                measure(
+                    name,
+                    hosts,
+                    options.groups,
+                    load,
+                    options.seconds,
+                    scenario,
+                    seed,
+                )
+            )
+        results[name].append(result)
+    bound_ms = [
+        _find_quantile(item.first_ms, 0.95)
+        for item in results.get(cost_policies.BOUND, [])
+    ]
+    for name in names:
+        print(render(name, results[name], bound_ms), flush=True)
+
+
 def main() -> None:
-    """Measure all policies and print the table."""
+    """Measure all policies and print the tables."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seconds', type=int, default=40)
-    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, nargs='+', default=(1, 2, 3))
     parser.add_argument('--hosts', type=int, nargs='+', default=(58, 89))
     parser.add_argument('--groups', type=int, default=32)
     parser.add_argument('--loads', type=float, nargs='+', default=(0.8,))
+    parser.add_argument(
+        '--scenarios', nargs='+', choices=SCENARIOS, default=('base',)
+    )
+    parser.add_argument(
+        '--steps',
+        action='store_true',
+        help='change one step of the policy by load at a time',
+    )
     options = parser.parse_args()
-    for hosts in options.hosts:
-        for load in options.loads:
-            print(f'\n{hosts} hosts, {load} of capacity\n')
-            print(
-                '| policy | requests | first token ms p50 | p95 | p99 | '
-                'end ms p50 | p95 | frames KB/s |'
-            )
-            print('|---|---|---|---|---|---|---|---|')
-            for name in POLICIES:
-                with asyncio.Runner(
-                    loop_factory=async_solipsism.EventLoop
-                ) as runner:
-                    result = runner.run(
-                        measure(
-                            name,
-                            hosts,
-                            options.groups,
-                            load,
-                            options.seconds,
-                            options.seed,
-                        )
-                    )
-                print(result.render(), flush=True)
+    names = cost_policies.STEPS if options.steps else cost_policies.POLICIES
+    for title, hosts, load in itertools.product(
+        options.scenarios, options.hosts, options.loads
+    ):
+        seeds = ', '.join(map(str, options.seeds))
+        print(f'\n{title}, {hosts} hosts, {load} of capacity, seeds {seeds}\n')
+        print(
+            '| policy | first token ms p50 | p95 | to the bound | p99 | '
+            'end ms p95 | frames KB/s |'
+        )
+        print('|---|---|---|---|---|---|---|')
+        run(names, hosts, load, SCENARIOS[title], options)
 
 
 if __name__ == '__main__':
