Redirect endpoints where a relaying control host is busy

Cause: over 64 messages that wait for the leader, a control host answered 503. Endpoints that reach the leader were redirected there before.

Change: over the limit they are redirected (307), as without the setting.

--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -77,6 +77,11 @@
 class LeaderCaller(base_classes.ABC):
     """Sends what endpoints send to this host on to the leader."""
 
+    @property
+    @base_classes.abstractmethod
+    def has_room(self) -> bool:
+        """Whether one more request may wait for the leader's answer."""
+
     @base_classes.abstractmethod
     async def call(
         self, leader: str, request: http_server.Request
@@ -252,6 +257,7 @@
             caller is None
             or not is_endpoint
             or request.method != 'POST'
+            or not caller.has_room
             or not context.find_leader_address()
         ):
             return self._redirect(request.target)
--- a/filbertglade/gateway/relay_role.py
+++ b/filbertglade/gateway/relay_role.py
@@ -19,7 +19,7 @@
 # answered within 0.8 s.
 ANSWER_TIMEOUT_MS = 1000
 # Messages of endpoints that wait for the leader's answer at a time: more than
-# the endpoints of half of the largest fleet send in that time.
+# the 54 endpoints of a data centre. Further ones are redirected to the leader.
 MAX_MESSAGES = 64
 
 
@@ -97,6 +97,11 @@
             status=response.status, body=response.body
         )
 
+    @property
+    def has_room(self) -> bool:
+        """Whether one more request may wait for the leader's answer."""
+        return self._message_count < MAX_MESSAGES
+
     async def call(
         self, leader: str, request: http_server.Request
     ) -> http_server.Response:
@@ -106,9 +111,6 @@
         :param request: the request.
         :returns: the answer, or 503.
         """
-        if self._message_count >= MAX_MESSAGES:
-            self._counters.count('relayed_messages', outcome='refused')
-            return _refuse('too many messages wait for the leader')
         self._message_count += 1
         channel = self._channels.open_channel(leader)
         try:
--- a/tests/gateway/test_relayed_announcements.py
+++ b/tests/gateway/test_relayed_announcements.py
@@ -109,6 +109,25 @@
     play(scene)
 
 
+# Guards against endpoints that are refused at a busy control host although
+# they reach the leader.
+def test_endpoints_are_redirected_by_a_busy_hop():
+    async def scene(deployment, leader, hop, *others):
+        deployment.links.cut('c1', 'c2')
+        waiting = [
+            asyncio.create_task(announce(hop))
+            for _ in range(relay_role.MAX_MESSAGES)
+        ]
+        await asyncio.sleep(0.1)
+        response, _ = await announce(hop)
+        assert response.status == 307
+        answers = await asyncio.gather(*waiting)
+        assert {response.status for response, _ in answers} == {503}
+        assert hop.role.has_room
+
+    play(scene)
+
+
 def test_endpoints_are_redirected_without_the_setting():
     async def scene(deployment, leader, hop, *others):
         hop.context.leader_caller = None
