Test and measure a hop with the hosts of a data centre

Adds a test in virtual time with 29 entry hosts and 54 groups whose loads change: all are served over one hop, with frames younger than 1.1 s and less than 16 KB/s each.

--- a/tests/fleet/partitioned.py
+++ b/tests/fleet/partitioned.py
@@ -126,6 +126,14 @@
         }
         self.entry = Watching(self, ENTRY, True, metrics.Metrics())
 
+    def add_entries(self, count):
+        """Return further entry hosts, which the test starts and closes."""
+        names = [f'{ENTRY}-{number}' for number in range(count)]
+        self.links.ports |= dict.fromkeys(names, 0)
+        return [
+            Watching(self, name, True, metrics.Metrics()) for name in names
+        ]
+
     @property
     def now_s(self):
         return asyncio.get_running_loop().time()
--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -1,6 +1,7 @@
 """Hosts that can't reach the leader use one hop over a control host."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -234,6 +235,38 @@
     play(scene, seed)
 
 
+# Guards against a hop that is too weak for a whole data centre.
+def test_hop_serves_the_hosts_of_a_data_centre():
+    async def scene(deployment):
+        hosts = deployment.add_entries(29)
+        for host, name in itertools.product(hosts, ('c1', 'c3', 'c4', 'c5')):
+            deployment.links.cut(host.name, name)
+        leading = deployment.hosts['c1'].leading
+        for host in hosts:
+            host.watcher.start()
+        add_group(deployment, 54)
+        await asyncio.sleep(2)
+        began_s = deployment.now_s
+        began_bytes = sum(host.watcher._received_bytes for host in hosts)
+        for step in range(200):
+            for number, host in enumerate(hosts):
+                group = f'g-{(step + number) % 54}'
+                host.watcher.in_flight[group] = step % 11 + 1
+            leading.publisher.refresh()
+            await asyncio.sleep(0.05)
+            ages_ms = [host.view.age_ms() for host in hosts]
+            assert max(ages_ms) < watcher.LEADER_TIMEOUT_MS
+        hop = deployment.hosts['c2'].address
+        assert {host.watcher.watched_host for host in hosts} == {hop}
+        assert {len(host.view.replicas) for host in hosts} == {54}
+        received = sum(host.watcher._received_bytes for host in hosts)
+        lasted_s = deployment.now_s - began_s
+        assert (received - began_bytes) / len(hosts) / lasted_s < 16_000
+        await asyncio.gather(*(host.watcher.close() for host in hosts))
+
+    play(scene)
+
+
 def test_messages_to_others_are_not_stamped():
     direct = connected_watcher.ConnectedWatcher(fleet_pb2.WatchReport(), 0)
     frame = fleet_pb2.FleetFrame(is_leader=True)
