Go on searching for the leader after an unexpected error

Cause: a message that ends early raises an AssertionError in the library, which ended the task that watches the leader for good. A hop that is lost in the middle of a message could cause it.

Change: with hops, such an error is logged (leader.watch_failed) and the host searches again. A hop that can't reset its stream in time ends it without another error. A search that finds nothing logs leader.not_found once. A test shows that control hosts on a hop offer none.

--- a/filbertglade/fleet/leader_search.py
+++ b/filbertglade/fleet/leader_search.py
@@ -72,6 +72,7 @@
     :param counters: the process's metrics.
     :param rng: the process's random number generator.
     :ivar control_hosts: the control hosts that an answer named last.
+    :ivar answered_count: hosts that answered the latest search.
     :ivar unanswered: number of searches in a row that no host answered.
     """
 
@@ -85,6 +86,7 @@
         self._counters = counters
         self._rng = rng
         self.control_hosts: list[str] = []
+        self.answered_count = 0
         self.unanswered = 0
         # Hops that failed since a leader was last found.
         self._failed_hops: set[str] = set()
@@ -124,6 +126,7 @@
             route = Route(self._rng.choice(answers.unable))
         else:
             route = None
+        self.answered_count = answers.count
         self.unanswered = 0 if answers.count else self.unanswered + 1
         return route
 
--- a/filbertglade/fleet/relay_server.py
+++ b/filbertglade/fleet/relay_server.py
@@ -6,6 +6,7 @@
 
 import abc
 import asyncio
+import contextlib
 import enum
 
 from grpclib import client
@@ -173,8 +174,9 @@
             )
         # A message may have been sent in part: its receiver must not read
         # it as whole.
-        async with asyncio.timeout(channels.LEAVE_TIMEOUT_MS / 1000):
-            await stream.cancel()
+        with contextlib.suppress(*channels.STREAM_ERRORS):
+            async with asyncio.timeout(channels.LEAVE_TIMEOUT_MS / 1000):
+                await stream.cancel()
 
     def _build_redirection(self) -> fleet_pb2.FleetFrame:
         return fleet_pb2.FleetFrame(
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -255,6 +255,7 @@
                 self._failed_searches += 1
 
     async def _run_search(self, search: leader_search.LeaderSearch) -> None:
+        was_missing = False
         while True:
             route = await search.find(self.list_control_hosts())
             self._control_hosts = search.control_hosts or self._control_hosts
@@ -262,9 +263,19 @@
             if search.unanswered:
                 self._failed_searches += 1
             if route is None:
+                if not was_missing:
+                    log.change(
+                        'leader.not_found', answered=search.answered_count
+                    )
+                was_missing = True
                 await search.pause()
                 continue
-            await self._watch(route.host, route.is_hop)
+            was_missing = False
+            try:
+                await self._watch(route.host, route.is_hop)
+            except Exception as error:
+                # The library raises others for a message that ends early.
+                log.error('leader.watch_failed', host=route.host, error=error)
             await asyncio.sleep(SEARCH_INTERVAL_MS / 1000)
 
     @property
--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -235,6 +235,47 @@
     play(scene, seed)
 
 
+# Guards against information that passes two hops, or goes around in a loop.
+def test_there_is_at_most_one_hop():
+    async def scene(deployment):
+        for name in ('c3', 'c4', 'c5'):
+            deployment.links.cut('c1', name)
+            # Their voters have lost the leader.
+            deployment.hosts[name].voters.leader = ''
+        deployment.links.cut(partitioned.ENTRY, 'c2')
+        await asyncio.sleep(6)
+        for name in ('c3', 'c4', 'c5'):
+            assert deployment.hosts[name].watcher.uses_hop
+            assert not deployment.hosts[name].role.find_leader()
+            assert not deployment.hosts[name].counters.counter(
+                'relayed_frames'
+            )
+        assert deployment.entry.view.last_frame_ms is None
+
+    play(scene)
+
+
+# Guards against a search that ends for good at a message that ends early.
+def test_search_goes_on_after_an_unexpected_error(monkeypatch):
+    parse = watcher.frames.FrameAssembler.add
+    failures = [AssertionError('Received less data than expected')]
+
+    def fail_once(assembler, message):
+        if failures:
+            raise failures.pop()
+        return parse(assembler, message)
+
+    async def scene(deployment):
+        monkeypatch.setattr(watcher.frames.FrameAssembler, 'add', fail_once)
+        await asyncio.sleep(3)
+        assert not failures
+        # Whichever of them read that message.
+        for host in (deployment.entry, *deployment.hosts.values()):
+            assert host.watcher.watched_host
+
+    play(scene)
+
+
 # Guards against a hop that is too weak for a whole data centre.
 def test_hop_serves_the_hosts_of_a_data_centre():
     async def scene(deployment):
