Shorten only the wait for a hop's first frame

Cause: with hops enabled, a host waited 400 ms for the first frame of the leader itself too. A leader that sends its view to many hosts at once needs up to 250 ms before it sends a first one, so a busy one could be left again.

Change: the leader's first frame is waited for 800 ms, as without hops. The gauge uses_hop no longer counts attempts.

--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -33,9 +33,9 @@
 # frame, for links on which connecting takes longer. A machine without power
 # refuses nothing.
 FIRST_CONNECT_TIMEOUT_MS = 200
-# The same for a control host that has just answered a probe, in ms: it needs
-# a way or two to the leader, and others may be tried within 1 s.
-PROBED_FRAME_TIMEOUT_MS = 400
+# The same for a hop that has just answered a probe, in ms: another one may be
+# tried within 1 s. A leader that sends its view to many hosts takes longer.
+HOP_FRAME_TIMEOUT_MS = 400
 # Oldest frame with which this host relays to others, in ms: more than twice
 # the leader's longest interval.
 MAX_HOP_AGE_MS = 600
@@ -117,7 +117,10 @@
         self.watched_host = ''
         self.uses_hop = False
         if search is not None:
-            counters.set_gauge('uses_hop', lambda: int(self.uses_hop))
+            counters.set_gauge(
+                'uses_hop',
+                lambda: int(self.uses_hop and bool(self.watched_host)),
+            )
         # Local clock at the latest message over a hop that was surely young.
         self._fresh_ms = 0
         self._suspicions: list[fleet_pb2.Suspicion] = []
@@ -280,8 +283,8 @@
 
     @property
     def _first_frame_timeout_ms(self) -> int:
-        if self._search is not None and not self._failed_searches:
-            return PROBED_FRAME_TIMEOUT_MS
+        if self.uses_hop and not self._failed_searches:
+            return HOP_FRAME_TIMEOUT_MS
         return FIRST_FRAME_TIMEOUT_MS
 
     @property
