--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -235,6 +235,29 @@
     play(scene, seed)
 
 
+# Guards against a host that takes a leader for reached that it only hears, or
+# that only hears it. The leader notices missing reports after 3 s.
+@pytest.mark.parametrize(
+    ('way', 'noticed_s'), [('passes_replies', LOST_S), ('passes_requests', 3)]
+)
+def test_hop_is_used_where_one_direction_is_cut(way, noticed_s):
+    async def scene(deployment):
+        entry, leader = deployment.entry, deployment.hosts['c1']
+        deployment.links.heal()
+        await deployment.wait_until(lambda: entry.watcher.watched_leader, 2)
+        entry.watcher.in_flight['g-0'] = 3
+        await asyncio.sleep(1)
+        link = deployment.links.link(partitioned.ENTRY, 'c1')
+        setattr(link, way, False)
+        await deployment.wait_for_hop(noticed_s + 1)
+        await asyncio.sleep(6)
+        assert entry.watcher.uses_hop
+        (seen,) = leader.entry_watchers
+        assert dict(seen.report.in_flight) == {'g-0': 3}
+
+    play(scene)
+
+
 # Guards against information that passes two hops, or goes around in a loop.
 def test_there_is_at_most_one_hop():
     async def scene(deployment):
