--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -33,9 +33,9 @@
 # frame, for links on which connecting takes longer. A machine without power
 # refuses nothing.
 FIRST_CONNECT_TIMEOUT_MS = 200
-# The same for a control host that has just answered a probe, in ms: it needs
-# a way or two to the leader, and others may be tried within 1 s.
-PROBED_FRAME_TIMEOUT_MS = 400
+# The same for a hop that has just answered a probe, in ms: another one may be
+# tried within 1 s. A leader that sends its view to many hosts takes longer.
+HOP_FRAME_TIMEOUT_MS = 400
 # Oldest frame with which this host relays to others, in ms: more than twice
 # the leader's longest interval.
 MAX_HOP_AGE_MS = 600
@@ -119,7 +119,10 @@
         self.watched_host = ''
         self.uses_hop = False
         if search is not None:
-            counters.set_gauge('uses_hop', lambda: int(self.uses_hop))
+            counters.set_gauge(
+                'uses_hop',
+                lambda: int(self.uses_hop and bool(self.watched_host)),
+            )
         # Local clock at the latest message over a hop that was surely young.
         self._fresh_ms = 0
         self._suspicions: list[fleet_pb2.Suspicion] = []
@@ -260,6 +263,7 @@
                 self._failed_searches += 1
 
     async def _run_search(self, search: leader_search.LeaderSearch) -> None:
+        was_missing = False
         while True:
             route = await search.find(self.list_control_hosts())
             self._control_hosts = search.control_hosts or self._control_hosts
@@ -267,15 +271,25 @@
             if search.unanswered:
                 self._failed_searches += 1
             if route is None:
+                if not was_missing:
+                    log.change(
+                        'leader.not_found', answered=search.answered_count
+                    )
+                was_missing = True
                 await search.pause()
                 continue
-            await self._watch(route.host, route.is_hop)
+            was_missing = False
+            try:
+                await self._watch(route.host, route.is_hop)
+            except Exception as error:
+                # The library raises others for a message that ends early.
+                log.error('leader.watch_failed', host=route.host, error=error)
             await asyncio.sleep(SEARCH_INTERVAL_MS / 1000)
 
     @property
     def _first_frame_timeout_ms(self) -> int:
-        if self._search is not None and not self._failed_searches:
-            return PROBED_FRAME_TIMEOUT_MS
+        if self.uses_hop and not self._failed_searches:
+            return HOP_FRAME_TIMEOUT_MS
         return FIRST_FRAME_TIMEOUT_MS
 
     @property
--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -1,6 +1,7 @@
 """Hosts that can't reach the leader use one hop over a control host."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -234,6 +235,102 @@
     play(scene, seed)
 
 
+# Guards against a host that takes a leader for reached that it only hears, or
+# that only hears it. The leader notices missing reports after 3 s.
+@pytest.mark.parametrize(
+    ('way', 'noticed_s'), [('passes_replies', LOST_S), ('passes_requests', 3)]
+)
+def test_hop_is_used_where_one_direction_is_cut(way, noticed_s):
+    async def scene(deployment):
+        entry, leader = deployment.entry, deployment.hosts['c1']
+        deployment.links.heal()
+        await deployment.wait_until(lambda: entry.watcher.watched_leader, 2)
+        entry.watcher.in_flight['g-0'] = 3
+        await asyncio.sleep(1)
+        link = deployment.links.link(partitioned.ENTRY, 'c1')
+        setattr(link, way, False)
+        await deployment.wait_for_hop(noticed_s + 1)
+        await asyncio.sleep(6)
+        assert entry.watcher.uses_hop
+        (seen,) = leader.entry_watchers
+        assert dict(seen.report.in_flight) == {'g-0': 3}
+
+    play(scene)
+
+
+# Guards against information that passes two hops, or goes around in a loop.
+def test_there_is_at_most_one_hop():
+    async def scene(deployment):
+        for name in ('c3', 'c4', 'c5'):
+            deployment.links.cut('c1', name)
+            # Their voters have lost the leader.
+            deployment.hosts[name].voters.leader = ''
+        deployment.links.cut(partitioned.ENTRY, 'c2')
+        await asyncio.sleep(6)
+        for name in ('c3', 'c4', 'c5'):
+            assert deployment.hosts[name].watcher.uses_hop
+            assert not deployment.hosts[name].role.find_leader()
+            assert not deployment.hosts[name].counters.counter(
+                'relayed_frames'
+            )
+        assert deployment.entry.view.last_frame_ms is None
+
+    play(scene)
+
+
+# Guards against a search that ends for good at a message that ends early.
+def test_search_goes_on_after_an_unexpected_error(monkeypatch):
+    parse = watcher.frames.FrameAssembler.add
+    failures = [AssertionError('Received less data than expected')]
+
+    def fail_once(assembler, message):
+        if failures:
+            raise failures.pop()
+        return parse(assembler, message)
+
+    async def scene(deployment):
+        monkeypatch.setattr(watcher.frames.FrameAssembler, 'add', fail_once)
+        await asyncio.sleep(3)
+        assert not failures
+        # Whichever of them read that message.
+        for host in (deployment.entry, *deployment.hosts.values()):
+            assert host.watcher.watched_host
+
+    play(scene)
+
+
+# Guards against a hop that is too weak for a whole data centre.
+def test_hop_serves_the_hosts_of_a_data_centre():
+    async def scene(deployment):
+        hosts = deployment.add_entries(29)
+        for host, name in itertools.product(hosts, ('c1', 'c3', 'c4', 'c5')):
+            deployment.links.cut(host.name, name)
+        leading = deployment.hosts['c1'].leading
+        for host in hosts:
+            host.watcher.start()
+        add_group(deployment, 54)
+        await asyncio.sleep(2)
+        began_s = deployment.now_s
+        began_bytes = sum(host.watcher._received_bytes for host in hosts)
+        for step in range(200):
+            for number, host in enumerate(hosts):
+                group = f'g-{(step + number) % 54}'
+                host.watcher.in_flight[group] = step % 11 + 1
+            leading.publisher.refresh()
+            await asyncio.sleep(0.05)
+            ages_ms = [host.view.age_ms() for host in hosts]
+            assert max(ages_ms) < watcher.LEADER_TIMEOUT_MS
+        hop = deployment.hosts['c2'].address
+        assert {host.watcher.watched_host for host in hosts} == {hop}
+        assert {len(host.view.replicas) for host in hosts} == {54}
+        received = sum(host.watcher._received_bytes for host in hosts)
+        lasted_s = deployment.now_s - began_s
+        assert (received - began_bytes) / len(hosts) / lasted_s < 16_000
+        await asyncio.gather(*(host.watcher.close() for host in hosts))
+
+    play(scene)
+
+
 def test_messages_to_others_are_not_stamped():
     direct = connected_watcher.ConnectedWatcher(fleet_pb2.WatchReport(), 0)
     frame = fleet_pb2.FleetFrame(is_leader=True)
