Refuse invalid routing documents while they arrive

Cause: a document was checked only once all of its bytes, up to 32 MB, had arrived.

Change: its length, UTF-8 and JSON structure are checked as it arrives, at most one part behind. The refusal has the 400 and the text of the whole document where that names a place. Hosts that don't lead still redirect.

The test over HTTP timed out before.

--- a/filbertglade/gateway/control_api.py
+++ b/filbertglade/gateway/control_api.py
@@ -21,6 +21,7 @@
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import evacuation_log
 from filbertglade.fleet import registry
+from filbertglade.gateway import body_checks
 from filbertglade.gateway import evacuation_api
 from filbertglade.gateway import http_server
 from filbertglade.gateway import pending_documents
@@ -371,6 +372,35 @@
             return _respond(503, {'error': 'this host no longer leads'})
         return http_server.Response(200, text)
 
+    def find_check(
+        self, method: bytes, target: bytes, length: int
+    ) -> body_checks.BodyCheck | None:
+        """Return the check of a document while it arrives.
+
+        :param method: the request's method.
+        :param target: its path and query.
+        :param length: the length of its body; 0 if it isn't stated.
+        :returns: the check; None for other requests.
+        """
+        is_document = (
+            method == b'POST'
+            and target.partition(b'?')[0] == ROUTING_PATH.encode()
+        )
+        if not is_document:
+            return None
+        return body_checks.DocumentCheck(length, self._build_refusal)
+
+    def _build_refusal(
+        self, size_bytes: int, problems: list[schema.Problem]
+    ) -> bytes | None:
+        """Return the answer to an invalid document.
+
+        :returns: the answer; None if the document is redirected.
+        """
+        if not self._context.voters.is_leader:
+            return None
+        return orjson.dumps(_refuse_document(size_bytes, problems).body)
+
     async def put(self, request: http_server.Request) -> http_server.Response:
         """Commit a document if it is valid.
 
@@ -513,7 +543,11 @@
     :raises OSError: the server can't listen on the address.
     """
     server = http_server.HttpServer(
-        ControlApi(context).handle, MAX_BODY_BYTES, ROUTING_PATH, budgets
+        ControlApi(context).handle,
+        MAX_BODY_BYTES,
+        ROUTING_PATH,
+        budgets,
+        find_check=DocumentApi(context).find_check,
     )
     await server.listen(context.address)
     return server
--- a/filbertglade/gateway/http_bounds.py
+++ b/filbertglade/gateway/http_bounds.py
@@ -13,6 +13,7 @@
 from filbertglade.budgets import process
 from filbertglade.budgets import turns
 from filbertglade import clock
+from filbertglade.gateway import body_checks
 from filbertglade.gateway import http_messages
 
 # Longest body of requests that aren't known to have long ones, in bytes: they
@@ -53,6 +54,8 @@
     :ivar connections: the open connections.
     :ivar handle: serves a request.
     :ivar buffer: what is read next, shared by all connections.
+    :ivar find_check: finds the check of a body that arrives; None if none is
+        checked.
     """
 
     listener: str
@@ -62,6 +65,7 @@
     connections: 'set[BoundedConnection]'
     handle: http_messages.Handler
     buffer: bytearray
+    find_check: body_checks.FindCheck | None
 
     @abc.abstractmethod
     def find_body_limit(self, method: bytes, target: bytes) -> int:
@@ -111,6 +115,7 @@
     def _start_message(self) -> None:
         self._target = b''
         self._body = bytearray()
+        self._check: body_checks.BodyCheck | None = None
         self._head_bytes = 0
         self._is_head_complete = False
         self._framing: list[bytes] = []
@@ -277,11 +282,17 @@
             held_bytes=self._account.held_bytes if self._account else 0,
         )
 
-    def _refuse(self, status: int, reason: str = '') -> None:
+    def _refuse(
+        self, status: int, reason: str = '', body: bytes = b''
+    ) -> None:
         """Answer a request that can't be read, and close the connection.
 
         If others before it are still to be answered, it isn't answered. What
         still arrives is discarded.
+
+        :param status: the status.
+        :param reason: why, for the log; empty if the status says it.
+        :param body: the answer's body; empty for that of the status.
         """
         if self._is_closing:
             return
@@ -289,6 +300,7 @@
         self._is_closing = True
         self._leave_turn()
         self._body = bytearray()
+        self._check = None
         self._head_bytes = 0
         if self._account is not None:
             self._account.evict = None
@@ -296,7 +308,7 @@
         if transport is None or transport.is_closing():
             return
         if self._serving is None and not self._waiting:
-            transport.write(build_refusal(status))
+            transport.write(build_refusal(status, body))
             if transport.can_write_eof():
                 transport.write_eof()
             asyncio.get_running_loop().call_later(
@@ -311,9 +323,13 @@
             self._transport.write(CONTINUE)
 
 
-def build_refusal(status: int) -> bytes:
-    """Return a response that refuses a request and ends its connection."""
-    response = http_messages.Response(status)
+def build_refusal(status: int, body: bytes = b'') -> bytes:
+    """Return a response that refuses a request and ends its connection.
+
+    :param status: the status.
+    :param body: its body; empty for that of the status.
+    """
+    response = http_messages.Response(status, body)
     if status == 503:
         response = http_messages.Response(503, NOT_RUN, RETRY_AFTER)
     return response.write(True, False)
--- a/filbertglade/gateway/http_connection.py
+++ b/filbertglade/gateway/http_connection.py
@@ -44,7 +44,10 @@
             self._parse(data)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
-            self._refuse(cause.status if isinstance(cause, _Refused) else 400)
+            if isinstance(cause, _Refused):
+                self._refuse(cause.status, cause.reason, cause.body)
+            else:
+                self._refuse(400)
             return
         except httptools.HttpParserError:
             self._refuse(400)
@@ -141,9 +144,26 @@
             self._place.begin()
         if self._length > http_bounds.SHORT_BODY_BYTES:
             self._take_turn()
+        find_check = self._server.find_check
+        if find_check is not None:
+            self._check = find_check(
+                self._parser.get_method(), self._target, self._length
+            )
+            self._check_body()
         if not self._waits_for_turn:
             self._send_continue()
 
+    def _check_body(self) -> None:
+        """Refuse a body as soon as what has arrived shows that it's invalid.
+
+        :raises _Refused: it is invalid.
+        """
+        if self._check is None:
+            return
+        refusal = self._check.feed(self._body)
+        if refusal is not None:
+            raise _Refused(400, 'body invalid', refusal)
+
     def _find_body_limit(self) -> int:
         return self._server.find_body_limit(
             self._parser.get_method(), self._target
@@ -160,6 +180,7 @@
             raise _Refused(413)
         if size > http_bounds.SHORT_BODY_BYTES:
             self._take_turn()
+        self._check_body()
 
     def on_message_complete(self) -> None:
         """Serve the request, after those before it."""
@@ -260,11 +281,17 @@
 
 
 class _Refused(Exception):  # noqa: N818
-    """A request that is too large.
+    """A request that is too large, or whose body is invalid.
 
     :param status: the status to answer with.
+    :param reason: why, for the log; empty if the status says it.
+    :param body: the answer's body.
     """
 
-    def __init__(self, status: int) -> None:
+    def __init__(
+        self, status: int, reason: str = '', body: bytes = b''
+    ) -> None:
         super().__init__(status)
         self.status = status
+        self.reason = reason
+        self.body = body
--- a/filbertglade/gateway/http_server.py
+++ b/filbertglade/gateway/http_server.py
@@ -10,6 +10,7 @@
 from filbertglade.budgets import process
 from filbertglade.budgets import turns
 from filbertglade import clock
+from filbertglade.gateway import body_checks
 from filbertglade.gateway import http_bounds
 from filbertglade.gateway import http_connection
 from filbertglade.gateway import http_messages
@@ -37,6 +38,7 @@
         :data:`http_bounds.SHORT_BODY_BYTES`.
     :param budgets: what the process may hold; None for the defaults.
     :param listener: the server's name among the process's listeners.
+    :param find_check: finds the check of a body that arrives.
     """
 
     def __init__(
@@ -46,8 +48,10 @@
         long_body_path: str = '',
         budgets: process.Budgets | None = None,
         listener: str = 'control',
+        find_check: body_checks.FindCheck | None = None,
     ) -> None:
         self.handle = handle
+        self.find_check = find_check
         self._max_body_bytes = max_body_bytes
         self._long_body_path = long_body_path.encode()
         self.connections: set[http_bounds.BoundedConnection] = set()
--- a/tests/gateway/test_control_api.py
+++ b/tests/gateway/test_control_api.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import json
 
 import httpx
 import pytest
 
 from filbertglade.control import failures
 from filbertglade.control import state
+from filbertglade.fleet import document
 from filbertglade.gateway import control_api
 from filbertglade.inner import commands_pb2
 from filbertglade.observability import logs
@@ -227,3 +229,31 @@
         # A document may still be as long.
         host.voters.committing.set()
         assert await host.send(TEXT) == (200, {'version': 7})
+
+
+# Guards against invalid documents that are read to their end.
+@pytest.mark.parametrize('leads', [True, False])
+async def test_an_invalid_document_is_refused_while_it_arrives(leads):
+    async with run_host() as host:
+        host.voters.leader = '127.0.0.2:7'
+        host.voters.leader_age_ms = lambda: 0
+        host.voters.questions = None if leads else 0
+        port = int(host.url.split(':')[2].split('/')[0])
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        text = TEXT.replace(b',', b',,', 1)
+        head = f'POST /v1/routing HTTP/1.1\r\nContent-Length: {len(text)}\r\n'
+        writer.write(f'{head}\r\n'.encode() + text[: len(text) // 2])
+        if not leads:
+            writer.write(text[len(text) // 2 :])
+        async with asyncio.timeout(10):
+            answer = await reader.readuntil(b'\r\n\r\n')
+            length = int(answer.split(b'Content-Length: ')[1].split()[0])
+            body = await reader.readexactly(length)
+        writer.close()
+    if leads:
+        assert answer.startswith(b'HTTP/1.1 400 ')
+        _, problems = document.read_document(text)
+        assert json.loads(body) == {'errors': [str(problems[0])]}
+    else:
+        assert answer.startswith(b'HTTP/1.1 307 ')
+    assert not host.voters.submitted
