Compare with true speeds, and test what two_choices never draws

Cause: with engines of different speed, two_choices was ahead of the bound, so the bound was none.

The test of obstacles runs with two_choices, too, and sends 100 requests past them.

--- a/benchmarks/cost_policies.py
+++ b/benchmarks/cost_policies.py
@@ -6,6 +6,7 @@
 from filbertglade.costs import backlog
 from filbertglade.costs import estimator
 from filbertglade.costs import policy
+from filbertglade.costs import speeds
 from filbertglade.costs import tracking
 from filbertglade.costs import two_choices
 from filbertglade.costs import work
@@ -18,11 +19,14 @@
 from filbertglade.observability import metrics
 
 BOUND = 'work, true costs'
+# The same without what learned speeds add: they include the wait for a slot.
+SPEED_BOUND = 'work, true costs and speeds'
 POLICIES = (
     'load',
     'two by requests',
     'two choices',
     BOUND,
+    SPEED_BOUND,
     'work, learned costs',
 )
 # The policy by load with one step changed.
@@ -72,6 +76,24 @@
         """
 
 
+class TrueSpeeds(speeds.TargetSpeeds):
+    """Knows how fast each target is.
+
+    :param factors: the factors on targets' times, by their keys.
+    """
+
+    def __init__(self, factors: dict[str, float]) -> None:
+        super().__init__()
+        self._known = factors
+
+    def get_factor(self, target: targets.Target) -> float:
+        """Return by which factor a target's times exceed the expected ones.
+
+        :param target: the target.
+        """
+        return self._known[target.key]
+
+
 class TwoByRequests(policy.LoadPolicy):
     """Takes the target with fewer requests of two drawn at random."""
 
@@ -139,10 +161,13 @@
 
     :param name: the policy's name.
     :param hosts: number of entry hosts.
+    :param factors: the factors on targets' times, by their keys.
     :param seed: seed of its random choices.
     """
 
-    def __init__(self, name: str, hosts: int, seed: int) -> None:
+    def __init__(
+        self, name: str, hosts: int, factors: dict[str, float], seed: int
+    ) -> None:
         rng = random.Random(seed)
         self.view = view.FleetView()
         self.view.entry_nodes = hosts
@@ -150,11 +175,14 @@
         self.loads = loads.LoadTracker(self.view, self.in_flight)
         self.backlog = backlog.ReportedBacklog(self.view)
         self.true_costs = TrueCosts()
+        is_known = name in (BOUND, SPEED_BOUND)
         self.costs = tracking.RequestCosts(
             self.backlog,
             metrics.Metrics(),
-            self.true_costs if name == BOUND else estimator.LearnedCosts(),
+            self.true_costs if is_known else estimator.LearnedCosts(),
         )
+        if name == SPEED_BOUND:
+            self.costs.speeds = TrueSpeeds(factors)
         self.policy = self._build_policy(name, rng)
         self.uses_costs = name.startswith('work')
         self.reported = work_reports.ReportedWork()
--- a/benchmarks/costs.py
+++ b/benchmarks/costs.py
@@ -136,8 +136,13 @@
             )
             for position in range(groups)
         ]
+        factors = {
+            target.key: engine.slowness
+            for target, engine in zip(self.targets, self.engines, strict=True)
+        }
         self.hosts = [
-            cost_policies.Host(name, hosts, seed + i) for i in range(hosts)
+            cost_policies.Host(name, hosts, factors, seed + i)
+            for i in range(hosts)
         ]
         self._rng = random.Random(seed)
         self._load_totals = load_totals.LoadTotals()
@@ -327,8 +332,10 @@
         action='store_true',
         help='change one step of the policy by load at a time',
     )
+    parser.add_argument('--policies', nargs='+', help='only some of them')
     options = parser.parse_args()
     names = cost_policies.STEPS if options.steps else cost_policies.POLICIES
+    names = options.policies or names
     for title, hosts, load in itertools.product(
         options.scenarios, options.hosts, options.loads
     ):
--- a/tests/gateway_forwarding/test_where.py
+++ b/tests/gateway_forwarding/test_where.py
@@ -244,7 +244,8 @@
 
 # Guards against explanations that leave out why a target is passed over, and
 # against refusals that are explained by another reason than callers are told.
-def test_each_obstacle_is_named():
+@pytest.mark.parametrize('selection', ['load', 'two_choices'])
+def test_each_obstacle_is_named(selection):
     async def check():
         replicas = [
             build_replica(0, usable=False),
@@ -253,6 +254,7 @@
             *(build_replica(i, slots=9) for i in range(5, 80)),
         ]
         host = Host(
+            selection,
             replicas=replicas,
             in_flight={'g-2': 4},
             evacuated_data_centres=['south'],
@@ -272,6 +274,10 @@
         assert found.target_count == 80
         assert len(found.targets) == where.MAX_TARGETS
         assert found.targets[0].is_chosen
+        # No policy draws what is ruled out.
+        for _ in range(100):
+            await host.send('/tell/x').finish()
+        assert not set(host.shared.pool.keys) & {f'h-{i}@1' for i in range(6)}
 
         host.view.apply_frame(
             fleet_pb2.FleetFrame(
