--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -98,8 +98,9 @@
         del fleet.hosts[host.name]
         new_host = test_seeded_voters.Host(fleet, unused[0])
         fleet.hosts[new_host.name] = new_host
-        self.hosts[self.hosts.index(host)] = new_host
+        # Overlapping faults may stop it once it is listed.
         await new_host.start()
+        self.hosts[self.hosts.index(host)] = new_host
         return new_host
 
 
@@ -318,8 +319,12 @@
 
     async def _stop_and_start(self, hosts, lost=()):
         async with contextlib.AsyncExitStack() as stack:
-            for host in hosts:
+            # In one order: faults may overlap.
+            for host in sorted(hosts, key=lambda host: host.name):
                 await stack.enter_async_context(self.locks[host])
+            # Others may have been replaced for good meanwhile.
+            hosts = [host for host in hosts if host in self.group.hosts]
+            lost = [host for host in lost if host in hosts]
             for host in hosts:
                 await host.stop()
                 host.disk.writes_left = None
--- a/tests/control/test_seeded_voters.py
+++ b/tests/control/test_seeded_voters.py
@@ -20,7 +20,7 @@
 from tests.control import memory_storage
 from tests.control import network
 
-ADDRESSES = tuple(f'10.0.0.{number}:7000' for number in range(1, 8))
+ADDRESSES = tuple(f'10.0.0.{number}:7000' for number in range(1, 12))
 
 
 class JoinServicer(fleet_grpc.FleetBase):
