Give hosts of the tests that start together ports of their own

Cause: the number of the last port was read again after the server had started. Of two hosts that started at once, the first got the second one's port, so that the leader counted one disk under two names.

Result: seed 2083 of the fault sequences left a host that never became a voter; it passes and is kept.

--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -94,9 +94,11 @@
         )
         self.local = commands.local
         self.server = server.Server([self.agreement.servicer, commands])
+        # Other hosts may start at the same time.
         cluster.port += 1
-        await self.server.start('127.0.0.1', cluster.port)
-        cluster.network.ports[self.name] = cluster.port
+        port = cluster.port
+        await self.server.start('127.0.0.1', port)
+        cluster.network.ports[self.name] = port
         return None
 
     def _record(self, command):
--- a/tests/control/test_fault_sequences.py
+++ b/tests/control/test_fault_sequences.py
@@ -9,6 +9,7 @@
 KEPT = {
     24: 'a voter that was removed while it was cut off never asked to join',
     79: 'the same',
+    2083: 'two hosts of the test that started together got one port',
 }
 
 
--- a/tests/control/test_seeded_voters.py
+++ b/tests/control/test_seeded_voters.py
@@ -85,9 +85,11 @@
         self.server = server.Server(
             [self.agreement.servicer, JoinServicer(self)]
         )
+        # Other hosts may start at the same time.
         fleet.port += 1
-        await self.server.start('127.0.0.1', fleet.port)
-        fleet.network.ports[self.name] = fleet.port
+        port = fleet.port
+        await self.server.start('127.0.0.1', port)
+        fleet.network.ports[self.name] = port
         self.join_requests_task = asyncio.get_running_loop().create_task(
             joining.Joiner(
                 self.name, self.agreement, lambda: fleet.hosts, links
