Tell removed voters by requests to them, too

Cause: a removed voter learned of its removal only from hosts that it asked, not from those that asked it.

Change: the first report of a stream to a control host names the newest voters that the sender was told, with their index, and a join request names those of the sender's own table. The host that gets one notes them as it does those in replies. Vote requests don't: a candidate asks only hosts in its tables, and hosts that asked it to join.

Result: without the note of a first report, of a join request, or of the voters in the report, one test of each fails.

--- a/filbertglade/control/agreement.py
+++ b/filbertglade/control/agreement.py
@@ -316,6 +316,16 @@
             or voter.is_removed
         )
 
+    @property
+    def voter_names(self) -> list[str]:
+        """The voters in the table that this host has applied."""
+        return list(self._state.voters.incarnations)
+
+    @property
+    def voters_index(self) -> int:
+        """Index up to which these are known; 0 if there are none."""
+        return self._state.voters_index
+
     def note_voters(
         self, voters_index: int, names: abc.Collection[str], source: str
     ) -> None:
--- a/filbertglade/control/joining.py
+++ b/filbertglade/control/joining.py
@@ -43,6 +43,11 @@
     :param agreed: the agreed state.
     """
     membership.record_join_request(request.name)
+    voters.note_voters(
+        request.voters_index,
+        request.control_hosts,
+        f'join request of {request.name}',
+    )
     return fleet_pb2.EnlistReply(
         leader=voters.leader,
         control_hosts=list_control_hosts(agreed, membership),
@@ -90,7 +95,11 @@
         try:
             async with asyncio.timeout(JOIN_TIMEOUT_MS / 1000):
                 reply = await fleet_grpc.FleetStub(channel).Enlist(
-                    fleet_pb2.EnlistRequest(name=self._name)
+                    fleet_pb2.EnlistRequest(
+                        name=self._name,
+                        control_hosts=self._voters.voter_names,
+                        voters_index=self._voters.voters_index,
+                    )
                 )
         except channels.STREAM_ERRORS:
             # The host is down or not yet started; the next request retries.
--- a/filbertglade/fleet/publisher.py
+++ b/filbertglade/fleet/publisher.py
@@ -211,6 +211,9 @@
         first = await stream.recv_message()
         if first is None:
             return
+        self._voters.note_voters(
+            first.voters_index, first.control_hosts, f'report of {first.node}'
+        )
         if not self._voters.is_leader:
             await stream.send_message(self._build_redirection())
             return
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -97,6 +97,9 @@
         self._rng = rng
         self._tasks = tasks.TaskGroup()
         self._control_hosts: list[str] = []
+        # The newest voters that were named, and the index that came with them.
+        self._voters: abc.Collection[str] = ()
+        self._voters_index = 0
         self._leader = ''
         # Failed searches for the leader since it was last found.
         self._failed_searches = 0
@@ -257,6 +260,8 @@
                 self.cold.start_stream()
                 self._report_known_departures()
                 report = self._build_report()
+                report.voters_index = self._voters_index
+                report.control_hosts.extend(self._voters)
                 async with asyncio.timeout(self._connect_timeout_ms / 1000):
                     await stream.send_request()
                 async with asyncio.timeout(FIRST_FRAME_TIMEOUT_MS / 1000):
@@ -341,6 +346,9 @@
         self, frame: fleet_pb2.FleetFrame, source: str
     ) -> None:
         self._control_hosts = list(frame.control_hosts) or self._control_hosts
+        if frame.voters_index > self._voters_index:
+            self._voters_index = frame.voters_index
+            self._voters = list(frame.control_hosts)
         if self.note_voters is not None:
             self.note_voters(frame.voters_index, frame.control_hosts, source)
 
--- a/tests/control/test_removed_voters.py
+++ b/tests/control/test_removed_voters.py
@@ -163,11 +163,15 @@
     cluster.run(work())
 
 
-# Guards against replies to join requests that don't tell of a removal.
-def test_join_replies_name_the_voters():
+# Guards against replies to join requests that don't tell of a removal, and
+# requests that don't tell the host that is asked.
+def test_join_requests_and_replies_name_the_voters():
     noted = []
     voters = types.SimpleNamespace(
-        must_join=True, note_voters=lambda *voters: noted.append(voters)
+        must_join=True,
+        note_voters=lambda *voters: noted.append(voters),
+        voter_names=['other'],
+        voters_index=1000,
     )
     name = test_seeded_voters.ADDRESSES[6]
 
@@ -183,6 +187,8 @@
             task = asyncio.create_task(joiner.run())
             await asyncio.sleep(0.5)
             task.cancel()
+            for host in fleet.hosts.values():
+                assert host.agreement.status().is_removed
             return fleet.voters()
         finally:
             await fleet.stop()
--- a/tests/fleet/leaders.py
+++ b/tests/fleet/leaders.py
@@ -62,6 +62,8 @@
             takes_callers=True,
             strikes=self._strikes,
             document_version=7 * (self._report_count >= self._gets_at),
+            control_hosts=['c-3'],
+            voters_index=4,
         )
 
     async def send_message(self, frame):
@@ -76,7 +78,13 @@
     """A publisher without the control of groups."""
 
     def __init__(self):
-        self.voters = types.SimpleNamespace(is_leader=True, leader='c-1')
+        # What reports have named as voters.
+        self.noted_voters = []
+        self.voters = types.SimpleNamespace(
+            is_leader=True,
+            leader='c-1',
+            note_voters=lambda *voters: self.noted_voters.append(voters),
+        )
         self.counters = metrics.Metrics()
         self.agreed = state.AgreedState()
         self.registry = registry.Registry(announce_ms=1200)
--- a/tests/fleet/test_publisher.py
+++ b/tests/fleet/test_publisher.py
@@ -255,3 +255,11 @@
     watch(stream)
     (frame, *_) = stream.frames
     assert (list(frame.control_hosts), frame.voters_index) == (['c-1'], 0)
+
+
+# Guards against a removed control host that isn't told of its removal by the
+# hosts that attach to it.
+def test_voters_in_the_first_report_are_noted():
+    leader = watch(leaders.FakeStream())
+    ((index, names, source),) = leader.noted_voters
+    assert (index, list(names), source) == (4, ['c-3'], 'report of n-1')
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -194,7 +194,9 @@
 # Guards against crashes that other hosts never learn of, because the host that
 # saw them reported them to a control host that didn't lead.
 def test_strikes_are_kept_until_a_leader_has_them():
-    redirection = fleet_pb2.FleetFrame(leader=ADDRESS)
+    redirection = fleet_pb2.FleetFrame(
+        leader=ADDRESS, control_hosts=[ADDRESS], voters_index=7
+    )
 
     async def main():
         links = network.Network()
@@ -226,6 +228,10 @@
         return follower.reports, leader.reports
 
     to_follower, to_leader = virtual_time.run(main())
+    # The voters that the follower named are told to the next host.
+    assert to_follower[0].voters_index == 0
+    assert to_leader[0].voters_index == 7
+    assert to_leader[0].control_hosts == [ADDRESS]
     assert len(to_follower[0].strikes) == 1
     # That the leader took it proves no receipt, so each stream carries it.
     assert [len(report.strikes) for report in to_leader][:2] == [1, 1]
