--- a/tests/control/test_seeded_voters.py
+++ b/tests/control/test_seeded_voters.py
@@ -20,7 +20,7 @@
 from tests.control import memory_storage
 from tests.control import network
 
-ADDRESSES = tuple(f'10.0.0.{number}:7000' for number in range(1, 8))
+ADDRESSES = tuple(f'10.0.0.{number}:7000' for number in range(1, 12))
 
 
 class JoinServicer(fleet_grpc.FleetBase):
@@ -85,9 +85,11 @@
         self.server = server.Server(
             [self.agreement.servicer, JoinServicer(self)]
         )
+        # Other hosts may start at the same time.
         fleet.port += 1
-        await self.server.start('127.0.0.1', fleet.port)
-        fleet.network.ports[self.name] = fleet.port
+        port = fleet.port
+        await self.server.start('127.0.0.1', port)
+        fleet.network.ports[self.name] = port
         self.join_requests_task = asyncio.get_running_loop().create_task(
             joining.Joiner(
                 self.name, self.agreement, lambda: fleet.hosts, links
