Split the control hosts' API by what it serves

The routing document is served by document_api, the shared context is in control_context, and four modules use one respond_json. Behaviour is unchanged: tests/gateway, tests/commands and tests/fleet/test_relays.py pass, with one patched constant at its new place.

--- a/filbertglade/gateway/control_role.py
+++ b/filbertglade/gateway/control_role.py
@@ -24,6 +24,7 @@
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
 from filbertglade.gateway import control_api
+from filbertglade.gateway import control_context
 from filbertglade.gateway import http_server
 from filbertglade.gateway import relay_role
 from filbertglade.inner import channels
@@ -177,7 +178,7 @@
         )
         self.documents = document_server.DocumentServer(self._agreed, counters)
         assert settings.listen.control is not None
-        self._context = control_api.ControlContext(
+        self._context = control_context.ControlContext(
             settings.listen.control,
             self._agreed,
             self.voters,
--- a/filbertglade/gateway/evacuation_api.py
+++ b/filbertglade/gateway/evacuation_api.py
@@ -5,10 +5,10 @@
 import typing
 from urllib import parse
 
-import orjson
 
 from filbertglade.control import agreement
 from filbertglade.fleet import evacuation_log
+from filbertglade.gateway import http_messages
 from filbertglade.gateway import http_server
 from filbertglade.replicas import observed_state
 from filbertglade.replicas import unserved_models
@@ -59,25 +59,33 @@
         match = _ORDER_PATH.fullmatch(request.target.partition('?')[0])
         if match is None:
             if request.method != 'GET':
-                return _respond(405, {'error': 'only GET is possible'})
+                return http_messages.respond_json(
+                    405, {'error': 'only GET is possible'}
+                )
             return self._list()
         if request.method != 'POST':
-            return _respond(405, {'error': 'only POST is possible'})
+            return http_messages.respond_json(
+                405, {'error': 'only POST is possible'}
+            )
         name = _read_name(match['name'])
         if not name:
-            return _respond(400, {'error': evacuation_log.NAME_RULE})
+            return http_messages.respond_json(
+                400, {'error': evacuation_log.NAME_RULE}
+            )
         return self._order(name, match['order'] == 'start')
 
     def _list(self) -> http_server.Response:
         if not self._voters.is_leader:
-            return _respond(503, {'error': 'this host no longer leads'})
+            return http_messages.respond_json(
+                503, {'error': 'this host no longer leads'}
+            )
         evacuations = evacuation_log.describe(
             self._recorder.list_evacuations(), self._voters.log_clock_ms()
         )
         unserved = unserved_models.find_unserved(
             unserved_models.list_states(self._observed.list_replicas())
         )
-        return _respond(
+        return http_messages.respond_json(
             200,
             {
                 'evacuations': evacuations,
@@ -88,8 +96,10 @@
     async def _order(self, name: str, is_active: bool) -> http_server.Response:
         reason = await self._recorder.record(name, is_active)
         if reason:
-            return _respond(503, {'error': reason})
-        return _respond(200, {'data_centre': name, 'evacuated': is_active})
+            return http_messages.respond_json(503, {'error': reason})
+        return http_messages.respond_json(
+            200, {'data_centre': name, 'evacuated': is_active}
+        )
 
 
 def _read_name(quoted: str) -> str:
@@ -99,9 +109,3 @@
     except UnicodeDecodeError:
         return ''
     return name if evacuation_log.is_valid_name(name) else ''
-
-
-def _respond(
-    status: int, body: abc.Mapping[str, typing.Any]
-) -> http_server.Response:
-    return http_server.Response(status, orjson.dumps(body))
--- a/filbertglade/gateway/http_messages.py
+++ b/filbertglade/gateway/http_messages.py
@@ -3,6 +3,8 @@
 from collections import abc
 import typing
 
+import orjson
+
 REASONS = {
     100: 'Continue',
     200: 'OK',
@@ -86,3 +88,12 @@
     [Request],
     Response | abc.Coroutine[typing.Any, typing.Any, Response],
 ]
+
+
+def respond_json(status: int, body: abc.Mapping[str, typing.Any]) -> Response:
+    """Return a response with a JSON body.
+
+    :param status: the status.
+    :param body: what the body holds.
+    """
+    return Response(status, orjson.dumps(body))
--- a/filbertglade/gateway/relay_role.py
+++ b/filbertglade/gateway/relay_role.py
@@ -9,6 +9,7 @@
 from filbertglade.fleet import relay_server
 from filbertglade.fleet import watcher
 from filbertglade.gateway import control_api
+from filbertglade.gateway import control_context
 from filbertglade.gateway import http_server
 from filbertglade.inner import channels
 from filbertglade.inner import fleet_grpc
@@ -23,7 +24,7 @@
 MAX_MESSAGES = 64
 
 
-class RelayRole(relay_server.RelaySource, control_api.LeaderCaller):
+class RelayRole(relay_server.RelaySource, control_context.LeaderCaller):
     """Relays to the leader, and answers what is relayed if this host leads.
 
     :param own: this host's inner address.
@@ -38,7 +39,7 @@
     def __init__(
         self,
         own: str,
-        context: control_api.ControlContext,
+        context: control_context.ControlContext,
         voters: agreement.Agreement,
         fleet_watcher: watcher.Watcher,
         fleet_publisher: publisher.Publisher,
--- a/filbertglade/gateway/status_api.py
+++ b/filbertglade/gateway/status_api.py
@@ -1,14 +1,13 @@
 """The call that shows operators a gateway's state, at its leader."""
 
-from collections import abc
 import typing
 
-import orjson
 
 from filbertglade.control import agreement
 from filbertglade.control import state
 from filbertglade.fleet import cold_leading
 from filbertglade.fleet import evacuation_log
+from filbertglade.gateway import http_messages
 from filbertglade.gateway import http_server
 from filbertglade.replicas import observed_state
 from filbertglade.replicas import unserved_models
@@ -43,10 +42,14 @@
         :param request: a request for :data:`PATH`.
         """
         if request.method != 'GET':
-            return _respond(405, {'error': 'only GET is possible'})
+            return http_messages.respond_json(
+                405, {'error': 'only GET is possible'}
+            )
         if not self._voters.is_leader:
-            return _respond(503, {'error': 'this host no longer leads'})
-        return _respond(200, self._render())
+            return http_messages.respond_json(
+                503, {'error': 'this host no longer leads'}
+            )
+        return http_messages.respond_json(200, self._render())
 
     def _render(self) -> dict[str, typing.Any]:
         status = self._voters.status()
@@ -70,9 +73,3 @@
                 else self._cold.describe(self._agreed.replicas.records)
             ),
         }
-
-
-def _respond(
-    status: int, body: abc.Mapping[str, typing.Any]
-) -> http_server.Response:
-    return http_server.Response(status, orjson.dumps(body))
--- a/filbertglade/gateway/where_api.py
+++ b/filbertglade/gateway/where_api.py
@@ -1,8 +1,6 @@
 """The call by which operators ask where a request would go."""
 
-from collections import abc
 import dataclasses
-import typing
 from urllib import parse
 
 import orjson
@@ -11,6 +9,7 @@
 from filbertglade import clock
 from filbertglade.forwarding import context
 from filbertglade.forwarding import where
+from filbertglade.gateway import http_messages
 from filbertglade.gateway import http_server
 from filbertglade import schema
 
@@ -70,9 +69,13 @@
         :param request: a request for the path.
         """
         if request.method != 'POST':
-            return _respond(405, {'error': 'only POST is possible'})
+            return http_messages.respond_json(
+                405, {'error': 'only POST is possible'}
+            )
         if self._context is None:
-            return _respond(404, {'error': 'this host is not an entry host'})
+            return http_messages.respond_json(
+                404, {'error': 'this host is not an entry host'}
+            )
         now_ms = clock.now_ms()
         if (
             self._answered_ms is not None
@@ -86,11 +89,11 @@
         self._answered_ms = now_ms
         question = read_question(request.body, self._context)
         if isinstance(question, str):
-            return _respond(400, {'error': question})
+            return http_messages.respond_json(400, {'error': question})
         found = where.explain(self._context, question)
         if isinstance(found, str):
-            return _respond(404, {'error': found})
-        return _respond(200, dataclasses.asdict(found))
+            return http_messages.respond_json(404, {'error': found})
+        return http_messages.respond_json(200, dataclasses.asdict(found))
 
 
 def read_question(
@@ -126,9 +129,3 @@
 
 def _is_header(name: str, value: str) -> bool:
     return bool(name) and name.isprintable() and value.isprintable()
-
-
-def _respond(
-    status: int, body: abc.Mapping[str, typing.Any]
-) -> http_server.Response:
-    return http_server.Response(status, orjson.dumps(body))
--- a/tests/fleet/partitioned.py
+++ b/tests/fleet/partitioned.py
@@ -15,7 +15,7 @@
 from filbertglade.fleet import relay_server
 from filbertglade.fleet import view
 from filbertglade.fleet import watcher
-from filbertglade.gateway import control_api
+from filbertglade.gateway import control_context
 from filbertglade.gateway import relay_role
 from filbertglade.inner import fleet_grpc
 from filbertglade.observability import metrics
@@ -68,7 +68,7 @@
         self.voters.leader_age_ms = lambda: 0
         # Replaces the group of the publisher that every host has.
         self.leading.replicas.clear()
-        self.context = control_api.ControlContext(
+        self.context = control_context.ControlContext(
             f'{address.partition(":")[0]}:80',
             self.leading.agreed,
             self.voters,
--- a/tests/gateway/test_control_api.py
+++ b/tests/gateway/test_control_api.py
@@ -11,6 +11,8 @@
 from filbertglade.control import state
 from filbertglade.fleet import document
 from filbertglade.gateway import control_api
+from filbertglade.gateway import control_context
+from filbertglade.gateway import document_api
 from filbertglade.inner import commands_pb2
 from filbertglade.observability import logs
 from filbertglade.observability import metrics
@@ -64,7 +66,7 @@
         (port,) = cluster.find_free_ports(1)
         self.agreed = state.AgreedState()
         self.voters = FakeVoters(self.agreed)
-        self.context = control_api.ControlContext(
+        self.context = control_context.ControlContext(
             f'127.0.0.1:{port}',
             self.agreed,
             self.voters,
@@ -134,7 +136,7 @@
 
 # Guards against a further entry for each time-out of a commit that takes long.
 async def test_a_commit_goes_on_after_its_senders_time_out(monkeypatch):
-    monkeypatch.setattr(control_api, 'COMMIT_TIMEOUT_MS', 200)
+    monkeypatch.setattr(document_api, 'COMMIT_TIMEOUT_MS', 200)
     async with run_host() as host:
         assert (await host.send(TEXT))[0] == 503
         assert (await host.send(TEXT))[0] == 503
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -15,6 +15,7 @@
 from filbertglade.fleet import endpoints
 from filbertglade.fleet import registry
 from filbertglade.gateway import control_api
+from filbertglade.gateway import control_context
 from filbertglade.gateway import http_server
 from filbertglade.inner import commands_pb2
 from filbertglade.observability import metrics
@@ -75,7 +76,7 @@
             node.state, node.agreement, metrics.Metrics()
         )
         self.registry = registry.Registry(1200, self.log)
-        context = control_api.ControlContext(
+        context = control_context.ControlContext(
             '127.0.0.1:1',
             node.state,
             node.agreement,
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -9,6 +9,7 @@
 from filbertglade.fleet import departure_log
 from filbertglade.fleet import registry
 from filbertglade.gateway import control_api
+from filbertglade.gateway import control_context
 from filbertglade.gateway import http_server
 from filbertglade.inner import commands_pb2
 from filbertglade.inner import fleet_pb2
@@ -32,7 +33,7 @@
 def open_api(node):
     counters = metrics.Metrics()
     recorder = departure_log.DepartureLog(node.state, node.agreement, counters)
-    context = control_api.ControlContext(
+    context = control_context.ControlContext(
         '127.0.0.1:7000',
         node.state,
         node.agreement,
--- a/tests/gateway/test_status.py
+++ b/tests/gateway/test_status.py
@@ -10,6 +10,7 @@
 from filbertglade.fleet import departure_log
 from filbertglade.fleet import registry
 from filbertglade.gateway import control_api
+from filbertglade.gateway import control_context
 from filbertglade.inner import commands_pb2
 from filbertglade.inner import fleet_pb2
 from filbertglade.observability import metrics
@@ -38,7 +39,7 @@
             dict.fromkeys(('i-1@5', 'i-2@5', 'g-1'), (end_ms, PER_S))
         )
         self.api = control_api.ControlApi(
-            control_api.ControlContext(
+            control_context.ControlContext(
                 '127.0.0.1:7000',
                 node.state,
                 node.agreement,
