Let a soak's worker that stops close connections that it just accepted

asyncio doesn't close a connection that it has accepted, but not yet handed over, when its server is closed. So a worker that stood for a crashed process could leave such a connection open, and a host that looked at its address at this moment took it for running. A real process's connections all end with it.

--- a/tests/platform/soak_deployment.py
+++ b/tests/platform/soak_deployment.py
@@ -34,6 +34,9 @@
 # A worker's wait for an acknowledgement: the users' page on the protocol.
 ACK_TIMEOUT_S = 1.0
 LEAVING_LINE = 'Server-Leaving: 1\r\n'
+# Steps of the event loop in which an accepted connection reaches its handler:
+# asyncio doesn't close one whose server is closed before.
+ACCEPT_STEPS = 5
 # Bounds of the time that a worker names when it turns a request away, in s.
 RETRY_AFTER_S = (0.7, 4.0)
 # Time-out of an operator's call: the bound of the product's own wait for a
@@ -350,6 +353,11 @@
 
     async def stop(self):
         """End the process that this worker stands for."""
+        loop = asyncio.get_running_loop()
+        for listener in self.server.sockets:
+            loop.remove_reader(listener.fileno())
+        for _ in range(ACCEPT_STEPS):
+            await asyncio.sleep(0)
         await self.close()
         for request_id in self._running:
             self.note_end(request_id)
--- a/tests/platform/test_soak_checks.py
+++ b/tests/platform/test_soak_checks.py
@@ -1,7 +1,9 @@
 """The soak's own checks, without processes."""
 
 import asyncio
+import contextlib
 import random
+import socket
 import types
 
 import pytest
@@ -341,3 +343,22 @@
     arrivals = [first_s + pause_s * number for number in range(5)]
     record, _ = send_to(name, 'north', arrivals, prepare)
     assert (record.violations == []) == is_right, record.violations
+
+
+# Guards against a connection that outlives its worker, so that a host takes
+# the worker for running: the system closes all connections of a process.
+@pytest.mark.parametrize('steps', range(6))
+async def test_worker_that_stops_closes_connections_that_it_just_accepted(
+    stating_worker, steps
+):
+    worker = stating_worker
+    host, port = worker.address.split(':')
+    with socket.create_connection((host, int(port))) as connection:
+        connection.setblocking(False)
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        await worker.stop()
+        with contextlib.suppress(ConnectionResetError):
+            async with asyncio.timeout(1.0):
+                loop = asyncio.get_running_loop()
+                assert await loop.sock_recv(connection, 1) == b''
