--- a/filbertglade/control/voters.py
+++ b/filbertglade/control/voters.py
@@ -8,7 +8,7 @@
 from filbertglade.settings import model
 
 # Time after its last join request in which the log is still replicated to a
-# control host, in ms: three times the longest interval between requests.
+# control host, in ms: fifteen times the interval between requests.
 JOIN_REQUEST_EXPIRY_MS = 6000
 # Time without a reply after which a voter may be replaced, in ms. A new leader
 # counts it anew: with its election, and the exchange, it is within the 4 s
