Look again for answers that break while an address is looked at

A response that broke during a look at its endpoint's address joined that look, which had begun before the endpoint crashed; its connection was still open at the end of the look's 50 ms, counted from an earlier moment.

Responses that break during a look share the next one, unless the current one shows that no process listens.

--- a/filbertglade/forwarding/crash_check.py
+++ b/filbertglade/forwarding/crash_check.py
@@ -1,8 +1,10 @@
 """Checks by its address whether an endpoint has crashed."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import enum
+import typing
 
 from filbertglade import clock
 from filbertglade import failures
@@ -58,6 +60,7 @@
     def __init__(self, pool: upstream.UpstreamPool) -> None:
         self._pool = pool
         self._checks: dict[str, asyncio.Task[Look]] = {}
+        self._next_checks: dict[str, asyncio.Task[Look]] = {}
 
     async def look_at(self, target: targets.Target) -> EndpointSign:
         """Find out whether an endpoint still listens.
@@ -69,16 +72,52 @@
     async def look(self, target: targets.Target) -> Look:
         """Look at an endpoint's address.
 
+        A response that breaks during a look can't rely on it: the connection
+        may have been opened before the endpoint crashed. It waits for the next
+        look, together with all others that break until then.
+
         :param target: the endpoint.
         """
-        check = self._checks.get(target.key)
-        if check is None:
-            check = asyncio.get_running_loop().create_task(
-                self._connect(target)
+        key = target.key
+        current = self._checks.get(key)
+        if current is None:
+            current = self._start(self._checks, key, self._connect(target))
+            return await asyncio.shield(current)
+        following = self._next_checks.get(key)
+        if following is None:
+            following = self._start(
+                self._next_checks, key, self._look_after(current, target)
             )
-            self._checks[target.key] = check
-            check.add_done_callback(lambda _: self._checks.pop(target.key))
-        return await asyncio.shield(check)
+        return await asyncio.shield(following)
+
+    def _start(
+        self,
+        checks: dict[str, asyncio.Task[Look]],
+        key: str,
+        work: abc.Coroutine[typing.Any, typing.Any, Look],
+    ) -> asyncio.Task[Look]:
+        check = asyncio.get_running_loop().create_task(work)
+        checks[key] = check
+        check.add_done_callback(lambda _: self._remove(key, check))
+        return check
+
+    def _remove(self, key: str, check: asyncio.Task[Look]) -> None:
+        for checks in (self._checks, self._next_checks):
+            if checks.get(key) is check:
+                del checks[key]
+
+    async def _look_after(
+        self, current: asyncio.Task[Look], target: targets.Target
+    ) -> Look:
+        """Look once the current look has ended, unless it shows the end."""
+        await asyncio.wait([current])
+        # From here on, further responses wait for the look after this one.
+        self._checks[target.key] = self._next_checks.pop(target.key)
+        if current.exception() is None:
+            look = current.result()
+            if look.sign is EndpointSign.ENDED:
+                return look
+        return await self._connect(target)
 
     async def wait_for_end(self, target: targets.Target, look: Look) -> bool:
         """Wait a while for the end of an endpoint that was found to listen.
--- a/tests/gateway_forwarding/test_crash_check.py
+++ b/tests/gateway_forwarding/test_crash_check.py
@@ -91,3 +91,35 @@
     start_s = time.monotonic()
     assert await check.look_within(target, 150) is sign
     assert time.monotonic() - start_s < 1.0
+
+
+class CrashingPool:
+    """Connects to an endpoint that crashes after the first connection."""
+
+    def __init__(self):
+        self.connects = 0
+
+    async def connect(self, key, address):
+        self.connects += 1
+        if self.connects > 1:
+            return failures.Failure(upstream.UpstreamReason.REFUSED, address)
+        await asyncio.sleep(0.05)
+        return failures.Failure(upstream.UpstreamReason.UNREACHABLE, address)
+
+
+# Guards against a broken answer that is taken for complete: a look that had
+# begun before the endpoint crashed found it listening.
+async def test_answer_that_breaks_during_a_look_waits_for_the_next():
+    pool = CrashingPool()
+    check = crash_check.CrashCheck(pool)
+    target = targets.Target('i-1@1', 'i-1', '127.0.0.1:1', 'north', 4)
+    first = asyncio.create_task(check.look_at(target))
+    await asyncio.sleep(0.01)
+    later = [asyncio.create_task(check.look_at(target)) for _ in range(5)]
+    assert await first is crash_check.EndpointSign.UNKNOWN
+    for look in later:
+        assert await look is crash_check.EndpointSign.ENDED
+    # One look for all of them, and nothing is left over.
+    assert pool.connects == 2
+    assert await check.look_at(target) is crash_check.EndpointSign.ENDED
+    assert pool.connects == 3
