Record a test's figures as plain dictionaries

test_long_bodies recorded counters, which pytest-xdist can't send to the main process: the whole run ended with an internal error and without the names of failed tests.

--- a/tests/platform/test_long_bodies.py
+++ b/tests/platform/test_long_bodies.py
@@ -94,7 +94,7 @@
         long = collections.Counter(await sending)
     peak_mb = watch.read_peak_bytes() // 1_000_000
     watch.close()
-    record_property('figures', (peak_mb, long, small))
+    record_property('figures', (peak_mb, dict(long), dict(small)))
     print('figures', peak_mb, long, small)
     assert limited.entries[0].process.returncode is None
     assert 0 < peak_mb < MEMORY_MB
