Revert "Use a third of the retry slack after a start"

Hosts that start for the first time can't tell that from a restart. That restarts can exceed the quota is stated as open.

--- a/filbertglade/forwarding/quota.py
+++ b/filbertglade/forwarding/quota.py
@@ -9,10 +9,6 @@
 # counts only the requests that it received, while the quota bounds the sum
 # over all nodes in any window.
 USED_FRACTION = 0.6
-# Part of its slack that a node uses within its first window. A node that was
-# started again doesn't know which retries it sent before, and the quota counts
-# them: two starts of all nodes within a window keep to 0.6 + 2 * 0.2 of it.
-SLACK_FRACTION_AFTER_START = 1 / 3
 
 
 class _SlidingWindow:
@@ -37,14 +33,11 @@
 class RetryQuota:
     """Counts the requests and retries of each service against the quota.
 
-    It begins with the start of the node.
-
     :param settings: the quota of all nodes together.
     """
 
     def __init__(self, settings: gateway.RetryQuotaSettings) -> None:
         self._settings = settings
-        self._started_ms = clock.now_ms()
         self._requests: dict[str, _SlidingWindow] = {}
         self._retries: dict[str, _SlidingWindow] = {}
 
@@ -65,8 +58,6 @@
         requests = self._get_window(self._requests, service).count()
         retries = self._get_window(self._retries, service).count()
         slack = settings.slack / max(1, entry_nodes)
-        if clock.now_ms() - self._started_ms < settings.window_ms:
-            slack *= SLACK_FRACTION_AFTER_START
         allowed = USED_FRACTION * (settings.ratio * requests + slack)
         return int(allowed - retries)
 
