--- a/filbertglade/costs/two_choices.py
+++ b/filbertglade/costs/two_choices.py
@@ -12,9 +12,8 @@
 # Least free capacity that a target counts as having, as a fraction of its
 # slots. Reports are out of date, and the comparison uses them already: where
 # they also decide who is drawn, hosts with one report draw the same targets.
-# In benchmarks/costs.py at 0.8 of capacity the p95 of the time to the first
-# token of seeds 1 to 3 was 826, 966 and 1160 ms with 0.05; 652, 828 and 796
-# with 0.5; 691, 732 and 803 with 0.75.
+# In benchmarks/costs.py a fraction of 0.05 raised the p95 of the time to the
+# first token by a fifth or more.
 MIN_FREE_FRACTION = 0.75
 # Part of the requests that are sent to the first target drawn. The worst of
 # all targets loses each comparison, so that it would get no request and its
--- a/filbertglade/fleet/relay_server.py
+++ b/filbertglade/fleet/relay_server.py
@@ -210,7 +210,8 @@
                 for part in parts:
                     part.cancel()
                 await asyncio.gather(*parts, return_exceptions=True)
-            # Likewise, and the leader isn't waited for.
+            # A report may have been sent in part. The stream is reset, since
+            # an orderly end would wait for the leader.
             async with asyncio.timeout(channels.LEAVE_TIMEOUT_MS / 1000):
                 await upstream.cancel()
             return next(part for part in parts if part in done).result()
--- a/filbertglade/fleet/watcher.py
+++ b/filbertglade/fleet/watcher.py
@@ -39,8 +39,8 @@
 # Oldest frame with which this host relays to others, in ms: more than twice
 # the leader's longest interval.
 MAX_HOP_AGE_MS = 600
-# Time without a message over a hop that is surely younger than the time-out
-# for the leader after which another one is searched for, in ms.
+# Longest time for which all messages over a hop may be older than the time-out
+# for the leader, in ms. After it another way to the leader is searched for.
 MAX_STALE_MS = 3000
 # Time without a frame after which the leader counts as lost, in ms: four of
 # its longest intervals between frames.
--- a/filbertglade/forwarding/room_forecast.py
+++ b/filbertglade/forwarding/room_forecast.py
@@ -10,11 +10,11 @@
 # Bins that are remembered: three periods of a wave of 20 s.
 KEPT_BINS = 120
 # Periods that are looked for, in bins: 4 to 20 s.
-MIN_PERIOD = 8
-MAX_PERIOD = 40
+MIN_PERIOD_BINS = 8
+MAX_PERIOD_BINS = 40
 # Bins on either side that a bin is averaged with: a host receives few
 # requests in half a second.
-SMOOTHING = 2
+SMOOTHING_BINS = 2
 # Largest mean difference between two periods of a wave, as a fraction of the
 # mean difference from the mean. For random arrivals it is above 1.
 MAX_DIFFERENCE = 0.7
@@ -90,19 +90,23 @@
         counts = list(self._counts)[:-1]
         smoothed = []
         for position in range(len(counts)):
-            near = counts[max(0, position - SMOOTHING) :][: 2 * SMOOTHING + 1]
+            near = counts[max(0, position - SMOOTHING_BINS) :][
+                : 2 * SMOOTHING_BINS + 1
+            ]
             smoothed.append(sum(near) / len(near))
         return smoothed
 
     def _find_period(self) -> int:
         """Return the period of the arrivals in bins; 0 without one."""
         series = self._smoothed
-        if len(series) < 2 * MIN_PERIOD or not any(series):
+        if len(series) < 2 * MIN_PERIOD_BINS or not any(series):
             return 0
         mean = sum(series) / len(series)
         spread = sum(abs(value - mean) for value in series) / len(series)
         best, best_lag = MAX_DIFFERENCE * spread, 0
-        for lag in range(MIN_PERIOD, min(MAX_PERIOD, len(series) // 2) + 1):
+        for lag in range(
+            MIN_PERIOD_BINS, min(MAX_PERIOD_BINS, len(series) // 2) + 1
+        ):
             pairs = list(zip(series[lag:], series, strict=False))
             difference = sum(abs(a - b) for a, b in pairs) / len(pairs)
             if difference < best:
--- a/filbertglade/gateway/http_connection.py
+++ b/filbertglade/gateway/http_connection.py
@@ -212,9 +212,8 @@
     def _serve_waiting(self) -> None:
         """Serve a request unless one runs or its answers aren't taken.
 
-        Others that wait are served in later rounds of the event loop: 40
-        clients that each sent 2,000 requests for the metrics at once kept a
-        process from all other work for more than 5 s at a time.
+        Others that wait are served in later rounds of the event loop, so that
+        a client that sends many at once doesn't block the process.
         """
         if (
             self._waiting
