Test crowds whose bodies are refused, and count unread bytes

Crowds of clients were checked by their process's resident memory alone. The platform's page also counts bytes that have arrived and weren't read. The bound is now resident memory and unread bytes together, at one moment, of accepted connections and of those that wait to be accepted; it stays `memory_mb`.

New shapes: whole bodies that are refused only by their content, clients that connect again as soon as they were refused or go on after answers, bodies that don't wait for 100-continue or stand on GET, lengths that are two or no number, chunk extensions and trailers without end, a body behind a request, answers without end; at a control host that follows, starts, takes documents or stops. Crowds run one by one after all other tests, in `make test` as well.

`MAX_RESIDENT_BYTES` is removed: nothing used it.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	$(BIN)/python -m filbertglade node --settings examples/quick-start.toml
 
 test: $(VENV)/development
-	$(BIN)/python -m pytest --numprocesses $(TEST_WORKERS) --dist loadfile
+	$(BIN)/python -m pytest -m 'not crowd' --numprocesses $(TEST_WORKERS) --dist loadfile
+	$(BIN)/python -m pytest -m crowd
 
 check: $(VENV)/development
 	$(BIN)/ruff format --check .
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -2,6 +2,7 @@
 
 from tests.fleet import documents
 from tests.platform import deployment
+from tests.platform import excessive_clients
 from tests.platform import stating
 
 
@@ -50,3 +51,14 @@
     """The same with one worker."""
     await stating.start_workers(empty_deployment, 1)
     return empty_deployment
+
+
+@pytest.fixture
+async def limited(tmp_path):
+    """A serving deployment with low limits of memory and descriptors."""
+    started = excessive_clients.LimitedDeployment(tmp_path)
+    try:
+        await started.start_serving()
+        yield started
+    finally:
+        await started.close()
--- a/tests/platform/excessive_clients.py
+++ b/tests/platform/excessive_clients.py
@@ -1,23 +1,27 @@
 """Clients that exceed the limits, for tests with real processes."""
 
 import asyncio
+from collections import abc
 import contextlib
-import pathlib
+import dataclasses
+import signal
 import socket
 import struct
 
 import httpx
-import psutil
 
 from tests import cluster
 from tests.fleet import documents
 from tests.platform import deployment
+from tests.platform import process_watch
 
 # Limits of the processes in these tests, far below those of real hosts.
+# The tests check them as bounds.
 MEMORY_MB = 110
 DESCRIPTORS = 256
-# Bounds that the tests check: the settings' own.
-MAX_RESIDENT_BYTES = MEMORY_MB * 1_000_000
+LIMIT_LINES = (
+    f'[limits]\nmemory_mb = {MEMORY_MB}\nmax_descriptors = {DESCRIPTORS}\n'
+)
 # Longest time that clients go on to send, and that they stay open after it.
 SEND_S = 6
 HOLD_S = 0.5
@@ -42,8 +46,12 @@
     """A control host and an entry host with low limits.
 
     :ivar ports: the port of each listener by its name.
+    :ivar follower: a further control host that doesn't lead; None unless
+        :meth:`add_follower` was called.
     """
 
+    follower = None
+
     def __init__(self, folder):
         super().__init__(folder)
         self.entries = self.entries[:1]
@@ -57,10 +65,6 @@
             'inner': int(inner),
             'metrics': metrics_port,
         }
-        limits = (
-            f'[limits]\nmemory_mb = {MEMORY_MB}\n'
-            f'max_descriptors = {DESCRIPTORS}\n'
-        )
         for process in (self.control, *self.entries):
             text = process.path.read_text()
             if process is not self.control:
@@ -69,7 +73,7 @@
                     f'metrics = "127.0.0.1:{metrics_port}"\n[control]\n',
                     1,
                 )
-            process.path.write_text(text + limits)
+            process.path.write_text(text + LIMIT_LINES)
         self.other_client = httpx.AsyncClient(
             timeout=10,
             transport=httpx.AsyncHTTPTransport(local_address=OTHER_HOST),
@@ -77,8 +81,29 @@
 
     async def close(self):
         await self.other_client.aclose()
+        if self.follower is not None:
+            await self.follower.stop(signal.SIGKILL)
         await super().close()
 
+    async def add_follower(self):
+        """Start a further control host, which knows the leader."""
+        (inner,) = cluster.find_free_ports(1)
+        (port,) = cluster.find_free_ports(1)
+        self.ports['follower'] = port
+        folder = self.control.folder
+        self.follower = deployment.Process(
+            folder,
+            'control-2',
+            f'inner = "127.0.0.1:{inner}"\ncontrol = "127.0.0.1:{port}"',
+            f'seeds = ["127.0.0.1:{self.ports["control"]}"]\n'
+            f'tolerated_losses = 0\ndata_folder = "{folder}/data-2"',
+        )
+        self.follower.path.write_text(
+            self.follower.path.read_text() + LIMIT_LINES
+        )
+        await self.follower.start()
+        await self.wait_until(self.follower.has_started)
+
     async def start_serving(self):
         """Start, and wait until a request is answered."""
         await self.start()
@@ -86,6 +111,11 @@
         worker = await self.add_worker(endpoint_id='i-api', slots=64)
 
         async def respond(writer, headers):
+            # Bodies would fill the memory of the test.
+            worker.requests.clear()
+            if 'X-Endless' in headers:
+                await _respond_without_end(writer, worker, headers)
+                return
             text = 'x' * 1_000_000 if 'X-Large' in headers else 'ran'
             writer.write(worker.build_response(headers, text))
             await writer.drain()
@@ -93,10 +123,11 @@
         worker.respond = respond
         await self.wait_until(lambda: self.is_served('/read/x'))
 
-    def find_process(self, port):
-        """Return the process that listens on a port."""
-        is_control = port in ('control', 'inner')
-        return self.control if is_control else self.entries[0]
+    @property
+    def processes(self):
+        """All processes."""
+        all_processes = [self.control, *self.entries, self.follower]
+        return [each for each in all_processes if each is not None]
 
     async def is_other_served(self):
         """Tell whether a request of another caller is answered."""
@@ -126,6 +157,20 @@
         return response.status_code == 200
 
 
+async def _respond_without_end(writer, worker, headers):
+    """Send chunks until the connection is closed."""
+    head = (
+        'HTTP/1.1 200 OK\r\n'
+        f'X-Request-Id: {headers["X-Request-Id"]}\r\n'
+        f'X-Server-Signature: {worker.endpoint_id}.sig\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
+    )
+    writer.write(head.encode())
+    while True:
+        writer.write(CHUNK)
+        await writer.drain()
+
+
 def build_document(version):
     """Return a document's data that permits bodies of 4 MB."""
     data = documents.build(version=version)
@@ -200,6 +245,85 @@
         yield build_head(target, 'X-Large: 1', method='GET')
 
 
+def send_whole_body(target):
+    """A body of the largest size that is no JSON."""
+    yield build_head(target, f'Content-Length: {MAX_BODY_BYTES}')
+    for _ in range(MAX_BODY_BYTES // len(BLOCK)):
+        yield BLOCK
+
+
+def send_invalid_documents(target):
+    """Documents whose JSON is valid and whose content isn't."""
+    blocks = 240
+    first, last = b'{"version":7,"routes":["', b'"]}'
+    length = len(first) + blocks * len(BLOCK) + len(last)
+    for _ in range(5):
+        yield build_head(target, f'Content-Length: {length}')
+        yield first
+        for _ in range(blocks):
+            yield BLOCK
+        yield last
+
+
+def send_expected_body(target):
+    """A body that doesn't wait until it may be sent."""
+    yield build_head(
+        target, 'Expect: 100-continue', f'Content-Length: {MAX_BODY_BYTES}'
+    )
+    for _ in range(MAX_BODY_BYTES // len(BLOCK)):
+        yield BLOCK
+
+
+def send_body_on_get(target):
+    """A body of the largest size where none is expected."""
+    yield build_head(target, f'Content-Length: {MAX_BODY_BYTES}', method='GET')
+    for _ in range(MAX_BODY_BYTES // len(BLOCK)):
+        yield BLOCK
+
+
+def send_two_lengths(target):
+    """A body of two announced lengths."""
+    yield build_head(
+        target, 'Content-Length: 1', f'Content-Length: {MAX_BODY_BYTES}'
+    )
+    for _ in range(MAX_BODY_BYTES // len(BLOCK)):
+        yield BLOCK
+
+
+def send_invalid_length(target):
+    """A body whose announced length is no number."""
+    yield build_head(target, 'Content-Length: many')
+    for _ in range(MAX_BODY_BYTES // len(BLOCK)):
+        yield BLOCK
+
+
+def send_chunk_extension(target):
+    """The extension of a chunk, without end."""
+    yield build_head(target, 'Transfer-Encoding: chunked')
+    yield b'1;'
+    for _ in range(256):
+        yield BLOCK
+
+
+def send_trailers(target):
+    """The trailers of a body, without end."""
+    yield build_head(target, 'Transfer-Encoding: chunked')
+    yield b'1\r\nx\r\n0\r\n'
+    for _ in range(256):
+        yield b'X: %s\r\n' % BLOCK[:1000] * 64
+
+
+def send_body_behind_request(target):
+    """A long body behind a request that is being served."""
+    yield build_head(target, 'X-Large: 1', method='GET')
+    yield from send_whole_body(target)
+
+
+def send_endless_requests(target):
+    """A request whose answer has no end and isn't read."""
+    yield build_head(target, 'X-Endless: 1', method='GET')
+
+
 def send_announced_body(target):
     """A body of 8 GB, as announced."""
     yield build_head(target, 'Content-Length: 8000000000')
@@ -256,70 +380,149 @@
     return head + payload
 
 
-async def send(port, parts, released):
-    """Send what a client sends, and stay open until all are released."""
+@dataclasses.dataclass(slots=True)
+class Crowd:
+    """Clients that send the same at the same time.
+
+    :param port: the port that they connect to.
+    :param shape: yields what one of them sends, part by part.
+    :param target: the target of their requests.
+    :param count: their number.
+    :param reads: whether they read their answers while they send.
+    :param reconnects: whether each connects again and sends everything once
+        more as soon as it was answered.
+    """
+
+    port: int
+    shape: abc.Callable[[str], abc.Iterator[bytes]]
+    target: str
+    count: int
+    reads: bool = False
+    reconnects: bool = False
+
+
+async def _read_all(connection):
+    """Read what arrives until the connection ends."""
+    loop = asyncio.get_running_loop()
+    while await loop.sock_recv(connection, 4096):
+        pass
+
+
+async def _send_once(crowd, connection):
+    """Connect, and send everything."""
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, (CLIENT_HOST, crowd.port))
+    reading = None
+    if crowd.reads:
+        reading = asyncio.create_task(_read_all(connection))
+    try:
+        for part in crowd.shape(crowd.target):
+            await loop.sock_sendall(connection, part)
+    finally:
+        if reading is not None:
+            reading.cancel()
+            with contextlib.suppress(OSError, asyncio.CancelledError):
+                await reading
+
+
+async def _send_until_refused(crowd, connection):
+    """Connect, and send everything or up to the first answer."""
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, (CLIENT_HOST, crowd.port))
+    answered = asyncio.create_task(loop.sock_recv(connection, 4096))
+    try:
+        for part in crowd.shape(crowd.target):
+            sending = asyncio.create_task(loop.sock_sendall(connection, part))
+            try:
+                await asyncio.wait(
+                    (sending, answered), return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                sending.cancel()
+            if answered.done():
+                return
+            await sending
+        await answered
+    finally:
+        answered.cancel()
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            await answered
+
+
+def _open_socket():
     connection = socket.socket()
     connection.setblocking(False)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    loop = asyncio.get_running_loop()
-    with contextlib.closing(connection), contextlib.suppress(OSError):
+    return connection
+
+
+async def send(crowd, released):
+    """Send what a client sends, and stay open until all are released."""
+    with contextlib.ExitStack() as stack:
         try:
             async with asyncio.timeout(SEND_S):
-                await loop.sock_connect(connection, (CLIENT_HOST, port))
-                for part in parts:
-                    await loop.sock_sendall(connection, part)
-        except TimeoutError:
-            # The process doesn't read any more.
+                while crowd.reconnects:
+                    with contextlib.closing(_open_socket()) as connection:
+                        with contextlib.suppress(OSError):
+                            await _send_until_refused(crowd, connection)
+                connection = stack.enter_context(
+                    contextlib.closing(_open_socket())
+                )
+                await _send_once(crowd, connection)
+        except (OSError, TimeoutError):
+            # Refused, or the process doesn't read any more.
             pass
         await released.wait()
 
 
-async def send_all(clients):
+async def send_all(crowds):
     """Let clients send at the same time.
 
-    :param clients: the port, the parts to send and their number, each.
+    :param crowds: the clients.
     """
     released = asyncio.Event()
     sending = [
-        asyncio.create_task(send(port, make(target), released))
-        for port, make, target, count in clients
-        for _ in range(count)
+        asyncio.create_task(send(crowd, released))
+        for crowd in crowds
+        for _ in range(crowd.count)
     ]
     await asyncio.wait(sending, timeout=SEND_S + HOLD_S)
     return released, sending
 
 
-class Watch:
-    """The descriptors of a process while clients send.
+async def check(limited, crowds, record_property, during=None):
+    """Let clients send, then check the processes and the others' requests.
 
-    :param process: the process.
+    :param limited: the deployment.
+    :param crowds: the clients.
+    :param record_property: the fixture.
+    :param during: called while the clients send, if it is given.
     """
-
-    def __init__(self, process):
-        self.pid = process.process.pid
-        self.peak_descriptors = 0
-        self._task = asyncio.create_task(self._run())
-
-    async def _run(self):
-        watched = psutil.Process(self.pid)
-        with contextlib.suppress(psutil.Error):
-            while True:
-                self.peak_descriptors = max(
-                    self.peak_descriptors, watched.num_fds()
-                )
-                await asyncio.sleep(0.05)
-
-    def close(self):
-        """Watch no longer."""
-        self._task.cancel()
-
-    def read_peak_bytes(self):
-        """Return the highest resident memory; 0 if the process has ended."""
-        try:
-            text = pathlib.Path(f'/proc/{self.pid}/status').read_text()
-        except FileNotFoundError:
-            return 0
-        values = dict(
-            line.split(':', 1) for line in text.splitlines() if ':' in line
+    processes = limited.processes
+    watches = [process_watch.Watch(process) for process in processes]
+    meanwhile = asyncio.create_task(during()) if during else None
+    released, sending = await send_all(crowds)
+    if meanwhile is not None:
+        await meanwhile
+    figures = [
+        (
+            process.name,
+            process.process.returncode,
+            watch.read_peak_memory_bytes() // 1_000_000,
+            watch.peak_unread_bytes // 1_000_000,
+            watch.peak_descriptors,
         )
-        return int(values.get('VmHWM', '0 kB').split()[0]) * 1024
+        for process, watch in zip(processes, watches, strict=True)
+    ]
+    for watch in watches:
+        watch.close()
+    released.set()
+    await asyncio.gather(*sending)
+    record_property('figures', figures)
+    print('figures', figures)
+    for _name, code, peak_mb, _unread_mb, descriptors in figures:
+        assert code is None, figures
+        assert peak_mb < MEMORY_MB, figures
+        assert descriptors < DESCRIPTORS, figures
+    await limited.wait_until(limited.is_other_served)
+    await limited.wait_until(lambda: limited.is_document_accepted(4))
--- a/tests/platform/test_excessive_clients.py
+++ b/tests/platform/test_excessive_clients.py
@@ -1,16 +1,16 @@
 """Clients that exceed the limits end no process.
 
 They guard against processes that grow past their machine's memory or
-descriptors. One test runs at a time: ``--dist loadfile`` keeps a file on one
-worker. No times and no shares of served requests are checked.
+descriptors. ``make test`` runs one at a time, apart from all other tests. No
+times and no shares of served requests are checked.
 """
 
-import asyncio
-
 import pytest
 
 from tests.platform import excessive_clients
 
+pytestmark = pytest.mark.crowd
+
 CALLS = {
     'callers': '/write/x',
     'control': '/v1/routing',
@@ -52,44 +52,6 @@
 ]
 
 
-@pytest.fixture
-async def limited(tmp_path):
-    started = excessive_clients.LimitedDeployment(tmp_path)
-    try:
-        await started.start_serving()
-        yield started
-    finally:
-        await started.close()
-
-
-async def check(limited, clients, record_property):
-    """Let clients send, then check the processes and the others' requests."""
-    processes = [limited.control, *limited.entries]
-    watches = [excessive_clients.Watch(process) for process in processes]
-    released, sending = await excessive_clients.send_all(clients)
-    figures = [
-        (
-            process.name,
-            process.process.returncode,
-            watch.read_peak_bytes() // 1_000_000,
-            watch.peak_descriptors,
-        )
-        for process, watch in zip(processes, watches, strict=True)
-    ]
-    for watch in watches:
-        watch.close()
-    released.set()
-    await asyncio.gather(*sending)
-    record_property('figures', figures)
-    print('figures', figures)
-    for _name, code, peak_mb, descriptors in figures:
-        assert code is None, figures
-        assert peak_mb < excessive_clients.MEMORY_MB, figures
-        assert descriptors < excessive_clients.DESCRIPTORS, figures
-    await limited.wait_until(limited.is_other_served)
-    await limited.wait_until(lambda: limited.is_document_accepted(4))
-
-
 @pytest.mark.parametrize(
     ('port', 'shape', 'count'),
     CASES,
@@ -98,16 +60,20 @@
 async def test_clients_over_a_limit_end_no_process(
     limited, port, shape, count, record_property
 ):
-    clients = [(limited.ports[port], shape, CALLS[port], count)]
-    await check(limited, clients, record_property)
+    crowd = excessive_clients.Crowd(
+        limited.ports[port], shape, CALLS[port], count
+    )
+    await excessive_clients.check(limited, [crowd], record_property)
 
 
 async def test_all_excessive_clients_at_once(limited, record_property):
-    clients = [
-        (limited.ports[port], shape, CALLS[port], count // 4)
+    crowds = [
+        excessive_clients.Crowd(
+            limited.ports[port], shape, CALLS[port], count // 4
+        )
         for port, shape, count in CASES
     ]
-    await check(limited, clients, record_property)
+    await excessive_clients.check(limited, crowds, record_property)
 
 
 # Guards against connections to endpoints that take what the listeners leave.
@@ -119,8 +85,8 @@
         ('health', excessive_clients.send_nothing, 100),
         ('metrics', excessive_clients.send_nothing, 100),
     ]
-    clients = [
-        (limited.ports[port], shape, CALLS[port], count)
+    crowds = [
+        excessive_clients.Crowd(limited.ports[port], shape, CALLS[port], count)
         for port, shape, count in shapes
     ]
-    await check(limited, clients, record_property)
+    await excessive_clients.check(limited, crowds, record_property)
--- a/tests/platform/test_large_documents.py
+++ b/tests/platform/test_large_documents.py
@@ -14,7 +14,7 @@
 
 from tests.fleet import documents
 from tests.platform import deployment
-from tests.platform import excessive_clients
+from tests.platform import process_watch
 
 MEMORY_MB = 296
 DOCUMENT_BYTES = 16_500_000
@@ -76,7 +76,7 @@
     control, write, record_property
 ):
     port = int(control.control_url.rpartition(':')[2])
-    watch = excessive_clients.Watch(control.control)
+    watch = process_watch.Watch(control.control)
     # The second replaces one of the same size.
     for version in (4, 5):
         putting = asyncio.create_task(
@@ -89,7 +89,7 @@
         answers += await asyncio.gather(
             *(announce(port, number) for number in range(ANNOUNCEMENTS))
         )
-        peak_mb = watch.read_peak_bytes() // 1_000_000
+        peak_mb = watch.read_peak_memory_bytes() // 1_000_000
         figures = (version, accepted.status_code, peak_mb)
         refused = collections.Counter(
             answer for answer in answers if answer[0] != '200'
--- a/tests/platform/test_long_bodies.py
+++ b/tests/platform/test_long_bodies.py
@@ -14,6 +14,7 @@
 from tests.fleet import documents
 from tests.platform import deployment
 from tests.platform import excessive_clients
+from tests.platform import process_watch
 
 MEMORY_MB = 200
 LONG_BODIES = 60
@@ -70,7 +71,7 @@
 async def test_long_bodies_leave_room_for_small_requests(
     limited, record_property
 ):
-    watch = excessive_clients.Watch(limited.entries[0])
+    watch = process_watch.Watch(limited.entries[0])
     limits = httpx.Limits(max_connections=LONG_BODIES + SMALL_CALLERS)
     small = collections.Counter()
     async with httpx.AsyncClient(timeout=30, limits=limits) as client:
@@ -92,7 +93,7 @@
             *(call_repeatedly() for _ in range(SMALL_CALLERS))
         )
         long = collections.Counter(await sending)
-    peak_mb = watch.read_peak_bytes() // 1_000_000
+    peak_mb = watch.read_peak_memory_bytes() // 1_000_000
     watch.close()
     record_property('figures', (peak_mb, dict(long), dict(small)))
     print('figures', peak_mb, long, small)
