Let the clients of a crowd end when their time is over

A client that connected again could lose the cancellation of its time-out while it waited for the end of its own read, and one whose connection failed at once never let others run.

Shapes, numbers and bounds are unchanged.

--- a/tests/platform/excessive_clients.py
+++ b/tests/platform/excessive_clients.py
@@ -401,6 +401,15 @@
     reconnects: bool = False
 
 
+async def _end(task):
+    """Cancel a task and wait for its end, whatever it raises."""
+    task.cancel()
+    # A cancellation of the caller passes through, unlike one of the task.
+    await asyncio.wait((task,))
+    if not task.cancelled():
+        task.exception()
+
+
 async def _read_all(connection):
     """Read what arrives until the connection ends."""
     loop = asyncio.get_running_loop()
@@ -420,9 +429,7 @@
             await loop.sock_sendall(connection, part)
     finally:
         if reading is not None:
-            reading.cancel()
-            with contextlib.suppress(OSError, asyncio.CancelledError):
-                await reading
+            await _end(reading)
 
 
 async def _send_until_refused(crowd, connection):
@@ -437,16 +444,14 @@
                 await asyncio.wait(
                     (sending, answered), return_when=asyncio.FIRST_COMPLETED
                 )
+                if answered.done():
+                    return
+                await sending
             finally:
-                sending.cancel()
-            if answered.done():
-                return
-            await sending
+                await _end(sending)
         await answered
     finally:
-        answered.cancel()
-        with contextlib.suppress(OSError, asyncio.CancelledError):
-            await answered
+        await _end(answered)
 
 
 def _open_socket():
@@ -465,6 +470,8 @@
                     with contextlib.closing(_open_socket()) as connection:
                         with contextlib.suppress(OSError):
                             await _send_until_refused(crowd, connection)
+                    # A connection that fails at once waits for nothing.
+                    await asyncio.sleep(0)
                 connection = stack.enter_context(
                     contextlib.closing(_open_socket())
                 )
