Free what was read of a connection when its account ends

Callers saw a control host end for lack of memory, though its budget for clients was not used up.

Cause: an account ends with its request or connection, the bytes it stood for only with a garbage collection. A connection and its HTTP parser refer to each other, and its place among the connections refers to both, so a body that had arrived in part stayed. A refusal was kept in a variable of a frame to which its own traceback refers, with the last pieces of the body. A request that ran on after its connection was lost set a callback on the closed account, which kept the connection. And the body of such a request was in no account at all: clients that send a whole body and leave could add one after the other.

Change: a connection that ends drops its body and its parser; the refusal is handed on and not kept; closed accounts and removed places refer to nothing; a request that runs keeps its account until it ends.

--- a/filbertglade/budgets/connections.py
+++ b/filbertglade/budgets/connections.py
@@ -104,6 +104,8 @@
         :param connection: the connection.
         """
         self._open.pop(connection, None)
+        # It refers to the connection's protocol, which refers to it.
+        connection.close = _do_nothing
         if connection in self._closing:
             self._closing.discard(connection)
             if self.on_closed is not None:
@@ -119,6 +121,10 @@
         return min(idle, key=lambda each: (-by_peer[each.peer], each.used_ms))
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def find_descriptors(max_descriptors: int) -> int:
     """Return the descriptors that a process may open.
 
--- a/filbertglade/budgets/memory.py
+++ b/filbertglade/budgets/memory.py
@@ -64,7 +64,8 @@
         """
         self.received_bytes = 0
         self.since_ms = clock.now_ms()
-        self.evict = evict
+        # An account that was closed is no longer evicted.
+        self.evict = evict if self._budget.has_account(self) else None
 
     def resize(self, size_bytes: int) -> bool:
         """Set what is held.
@@ -126,6 +127,13 @@
         self._accounts.add(account)
         return account
 
+    def has_account(self, account: Account) -> bool:
+        """Return whether an account's connection is open.
+
+        :param account: the account.
+        """
+        return account in self._accounts
+
     def close_account(self, account: Account) -> None:
         """Forget a connection.
 
--- a/filbertglade/gateway/http_bounds.py
+++ b/filbertglade/gateway/http_bounds.py
@@ -107,6 +107,7 @@
         self._is_yielding = False
         # Whether the next bytes belong to nothing that is still served.
         self._is_closing = False
+        self._is_lost = False
         self._discarded_bytes = 0
         # Whether the body waits for its turn, or for memory.
         self._has_turn = False
@@ -166,14 +167,22 @@
 
         :param error: why it was lost.
         """
-        self._is_closing = True
+        self._is_closing = self._is_lost = True
         self._waiting.clear()
         self._leave_turn()
         self._server.connections.discard(self)
-        if self._account is not None:
+        if self._account is not None and self._serving is None:
             self._account.close()
+        elif self._account is not None:
+            # The body of the request that runs is still held.
+            self._account.evict = None
+            self._account.resize(self._serving_bytes)
         if self._place is not None:
             self._server.limit.remove(self._place)
+        # What was read of a request ends with its account. The parser refers
+        # to this connection, so both would stay until a garbage collection.
+        self._start_message()
+        del self._parser
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return what the next bytes are read into.
--- a/filbertglade/gateway/http_connection.py
+++ b/filbertglade/gateway/http_connection.py
@@ -43,11 +43,9 @@
         try:
             self._parse(data)
         except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if isinstance(cause, _Refused):
-                self._refuse(cause.status, cause.reason, cause.body)
-            else:
-                self._refuse(400)
+            # Not kept in a variable: its traceback refers to this frame, and
+            # so to what was read, until the next garbage collection.
+            self._refuse_for(error.__context__)
             return
         except httptools.HttpParserError:
             self._refuse(400)
@@ -58,6 +56,16 @@
         self._charge()
         self._check_room()
 
+    def _refuse_for(self, cause: BaseException | None) -> None:
+        """Refuse a request for what the parser's callbacks have raised.
+
+        :param cause: what they have raised.
+        """
+        if isinstance(cause, _Refused):
+            self._refuse(cause.status, cause.reason, cause.body)
+        else:
+            self._refuse(400)
+
     def _end_discarding(self) -> None:
         """Read a refused connection no further."""
         transport = self._transport
@@ -266,6 +274,9 @@
         self._used_ms = clock.now_ms()
         if self._account is not None:
             self._account.begin(self._evict)
+            if self._is_lost:
+                self._account.close()
+                return
         self._send(request, response, keeps_connection)
         self._go_on()
         self._charge()
--- a/tests/budgets/test_memory.py
+++ b/tests/budgets/test_memory.py
@@ -61,6 +61,15 @@
     assert budget.held_bytes == 0
 
 
+# Guards against an account and a connection that refer to each other for
+# ever, as a request that runs outlives its connection.
+async def test_a_closed_account_is_not_evicted():
+    account = build_budget().open_account('a')
+    account.close()
+    account.begin(lambda: None)
+    assert account.evict is None
+
+
 # Guards against a request that was refused although it runs.
 async def test_a_running_request_is_not_evicted():
     budget = build_budget()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import gc
+import weakref
 
 import pytest
 
@@ -64,6 +66,14 @@
         server.close_all_connections()
 
 
+async def wait_until(condition):
+    async with asyncio.timeout(WAIT_S):
+        done = False
+        while not done:
+            await asyncio.sleep(0.01)
+            done = condition()
+
+
 async def read_response(reader):
     """Return the status, the head's lines and the body of a response."""
     async with asyncio.timeout(WAIT_S):
@@ -330,3 +340,50 @@
                 assert head.startswith(b'HTTP/1.1 200 ')
                 await reader.readexactly(len('GET /x '))
         assert largest <= 2
+
+
+@pytest.fixture
+def no_collection():
+    """Only reference counts free memory during the test."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
+
+
+# Guards against bodies that outlive their accounts until the next garbage
+# collection.
+@pytest.mark.parametrize(
+    'text',
+    [
+        build_post('/a', 'x' * MAX_BODY_BYTES)[:-1],
+        build_post('/a', 'x' * (MAX_BODY_BYTES + 1)),
+        build_post('/a', 'x', 'Expect: 100-continue'),
+        b'nonsense\r\n\r\n',
+        b'POST /a HTTP/1.1\r\nContent-Le',
+    ],
+)
+async def test_a_connection_that_has_ended_is_freed_at_once(
+    text, no_collection
+):
+    async with connect() as (served, _, writer):
+        await wait_until(lambda: served.server.connections)
+        ended = weakref.ref(next(iter(served.server.connections)))
+        writer.write(text)
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        writer.close()
+        await wait_until(lambda: ended() is None)
+
+
+# Guards against clients that disconnect while their bodies are still held.
+async def test_the_body_of_a_request_that_runs_is_charged_until_it_ends():
+    async with connect() as (served, _, writer):
+        budget = served.server.budgets.memory
+        writer.write(build_post('/slow', 'x' * MAX_BODY_BYTES))
+        await wait_until(lambda: served.targets)
+        writer.close()
+        await wait_until(lambda: not served.server.connections)
+        assert budget.held_bytes >= MAX_BODY_BYTES
+        served.released.set()
+        await wait_until(lambda: not budget.held_bytes)
