Refuse a document with its first bytes, and free its parts

Callers saw a control host read 4 MB of one letter before it answered 400. The structure of a document was only checked up to the last comma, so a body without one arrived whole; JSON that is no object passed as far as it is JSON.

The error that tells that a part isn't a whole document was the library's exception, kept in a variable of a frame to which its traceback refers. So each part of every document, valid or not, stayed with its frames until a garbage collection.

Change: text without a comma is checked as well, again each time it has doubled; a body that doesn't begin as an object is refused with the answer of a whole one; errors are returned as text and place.

--- a/filbertglade/gateway/body_checks.py
+++ b/filbertglade/gateway/body_checks.py
@@ -3,6 +3,7 @@
 import abc
 import codecs
 from collections import abc as collections_abc
+import dataclasses
 import json
 import re
 
@@ -12,15 +13,17 @@
 from filbertglade import schema
 
 # A string, or the beginning of one whose end hasn't arrived.
-_STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+(?:"|\\?\Z)', re.DOTALL)
+_STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+(?:(")|\\?\Z)', re.DOTALL)
 _BRACKETS = b'{}[]'
 _NO_BRACKETS = bytes(set(range(256)) - set(_BRACKETS))
 # What leads to the same state as a part of a text that ends with a comma, in
 # an object or a list that holds others, and in the innermost one.
 _OUTER = {ord('{'): b'{"":', ord('['): b'['}
 _INNER = {ord('{'): b'{"":0,', ord('['): b'[0,'}
+_SPACES = b' \t\n\r'
 INCOMPLETE = 'unexpected end of data'
 NOT_UTF8 = b'\xff'
+NO_OBJECT = b'[]'
 
 
 class BodyCheck(abc.ABC):
@@ -36,6 +39,21 @@
         """
 
 
+@dataclasses.dataclass(slots=True)
+class JsonError:
+    """Why a text is no JSON.
+
+    It is returned in place of the library's exception, which would keep the
+    text, and with its traceback also the body.
+
+    :param message: the library's message.
+    :param position: where the text is invalid, in characters.
+    """
+
+    message: str
+    position: int
+
+
 Refuse = collections_abc.Callable[[int, list[schema.Problem]], bytes | None]
 # Returns the check of a body by method, target and length; the length is 0 if
 # it isn't stated.
@@ -46,7 +64,8 @@
     """Checks the length, the UTF-8 and the JSON structure of a document.
 
     A part that ends with a comma is read after a short text that leads to
-    the same state as the parts before it, so each part is read once.
+    the same state as the parts before it, so each part is read once. A part
+    without one is read again once it has doubled.
 
     :param length: the body's length in bytes; 0 if it isn't stated.
     :param refuse: returns the answer to a document with problems, given what
@@ -100,31 +119,35 @@
     def _read_structure(self, body: bytearray) -> str:
         rest = bytes(body[self._read_bytes :])
         masked = _STRING.sub(_mask, rest)
-        end = masked.rfind(b',')
-        if end < 0:
-            self._next_bytes = 2 * len(rest)
-            return ''
-        self._next_bytes = len(rest) - end
         lead = b''.join(_OUTER[each] for each in self._open[:-1])
         if self._open:
             lead += _INNER[self._open[-1]]
-        error = _read(lead + rest[: end + 1])
-        # No whole document ends with a comma.
-        assert error is not None
-        if error.msg != INCOMPLETE:
+        end = masked.rfind(b',') + 1
+        if end:
+            self._next_bytes = len(rest) - end + 1
+        else:
+            self._next_bytes = 2 * len(rest)
+        part = rest[: end or len(masked)]
+        error = _read(lead + part)
+        if error is not None and error.message != INCOMPLETE:
             return f'not JSON: {self._place(error, lead, body)}'
+        if not self._read_bytes:
+            text = rest.lstrip(_SPACES)
+            if text and not text.startswith(b'{'):
+                _, problems = document.read_document(NO_OBJECT)
+                return problems[0].message
         self._close_and_open(masked[:end])
-        self._read_bytes += end + 1
+        self._read_bytes += end
         return ''
 
     def _place(
-        self, error: json.JSONDecodeError, lead: bytes, body: bytearray
+        self, error: JsonError, lead: bytes, body: bytearray
     ) -> json.JSONDecodeError:
         """Return an error with its place in the whole body."""
         before = bytes(body[: self._read_bytes]).decode()
         rest = bytes(body[self._read_bytes :]).decode(errors='ignore')
-        position = len(before) + error.pos - len(lead)
-        return json.JSONDecodeError(error.msg, before + rest, position)
+        position = len(before) + error.position - len(lead)
+        return json.JSONDecodeError(error.message, before + rest, position)
 
     def _close_and_open(self, masked: bytes) -> None:
         """Note the brackets that a part closes and opens."""
@@ -141,13 +164,14 @@
 
 
 def _mask(match: re.Match[bytes]) -> bytes:
-    return b'"' * len(match[0])
+    """Return what replaces a string; nothing if its end hasn't arrived."""
+    return b'"' * len(match[0]) if match[1] else b''
 
 
-def _read(text: bytes) -> json.JSONDecodeError | None:
+def _read(text: bytes) -> JsonError | None:
     """Return what is wrong with a JSON text; None if it is valid."""
     try:
         orjson.loads(text)
     except orjson.JSONDecodeError as error:
-        return error
+        return JsonError(error.msg, error.pos)
     return None
--- a/tests/gateway/test_body_checks.py
+++ b/tests/gateway/test_body_checks.py
@@ -1,6 +1,8 @@
 """Documents that are checked while they arrive."""
 
+import gc
 import random
+import weakref
 
 import orjson
 import pytest
@@ -68,3 +70,39 @@
     found, _ = feed(b'{', size)
     _, problems = document.read_document(b' ' * size)
     assert found == [str(each) for each in problems]
+
+
+# Guards against bodies that are read to their end though their first bytes
+# are those of no document.
+@pytest.mark.parametrize(
+    'text',
+    [b'xxx', b' \r\n\tx', b'[[', b'"some text', b'-1', b'{x', b'{"a" 1'],
+)
+def test_what_is_no_object_is_refused_at_once(text):
+    found, arrived = feed(text + b'x' * 1_000_000)
+    assert found
+    assert arrived <= PIECE_BYTES
+
+
+@pytest.mark.parametrize('text', [b'[]', b'1', b'"a"', b'null'])
+def test_a_refusal_of_other_json_is_that_of_the_whole_document(text):
+    found, _ = feed(text)
+    _, problems = document.read_document(text)
+    assert found == [str(each) for each in problems]
+
+
+# Guards against parts of a body that stay until a garbage collection, as the
+# errors of the parts were kept with their frames.
+def test_a_check_is_freed_with_its_body():
+    gc.collect()
+    gc.disable()
+    try:
+        check = body_checks.DocumentCheck(0, lambda size, problems: b'')
+        text = documents.write_routes(7, 100_000)
+        for size in range(1000, len(text), 1000):
+            assert check.feed(bytearray(text[:size])) is None
+        ended = weakref.ref(check)
+        del check
+        assert ended() is None
+    finally:
+        gc.enable()
