Free a caller's connection and body when its request ends

A function that recorded refusals referred to the connection that held it, and so did the connection's place, so each connection of a caller stayed until a garbage collection, with what was read of a body. The body of a request stayed with the objects of its answer: with the collector off, 4 MB of one request were left after 15 callers with bodies of 4 MB.

Change: the connection records its refusals by itself; a request's body is dropped when its task has ended, and that of a caller who leaves at once.

--- a/filbertglade/forwarding/caller_streams.py
+++ b/filbertglade/forwarding/caller_streams.py
@@ -1,7 +1,6 @@
 """Connections of callers, whose unread and unsent bytes are bounded."""
 
 import asyncio
-from collections import abc
 import typing
 
 from tornado import httpserver
@@ -11,6 +10,7 @@
 from filbertglade.budgets import connections
 from filbertglade.budgets import memory
 from filbertglade.budgets import process
+from filbertglade.budgets import refusals
 
 # How much of a refused connection is read and discarded, so that a sender that
 # looks for an answer while it sends reads the refusal and not a reset.
@@ -44,26 +44,26 @@
     _head_bytes = 0
     _max_head_bytes = 0
     _discarded_bytes = 0
-    _record: abc.Callable[[str, int], None]
+    _refusals: refusals.Refusals
 
     def prepare(
         self,
         account: memory.Account,
         connection: connections.Connection,
         limit: connections.ConnectionLimit,
-        record: abc.Callable[[str, int], None],
+        recorder: refusals.Refusals,
     ) -> None:
         """Begin to count what is held.
 
         :param account: the connection's account.
         :param connection: its place among the server's connections.
         :param limit: the server's connections.
-        :param record: called with the reason and the status of a refusal.
+        :param recorder: counts and logs refusals.
         """
         self.account = account
         self.connection = connection
         self._limit = limit
-        self._record = record
+        self._refusals = recorder
         account.resize(CONNECTION_BYTES)
 
     def begin_head(self, max_header_bytes: int) -> None:
@@ -143,6 +143,15 @@
         """
         self._record(reason, 0)
 
+    def _record(self, reason: str, status: int) -> None:
+        self._refusals.record(
+            'callers',
+            reason,
+            self.account.peer,
+            status=status,
+            held_bytes=self.account.held_bytes,
+        )
+
     def _evict_head(self) -> None:
         if self._head_bytes:
             self.refuse_head(503, 'memory')
@@ -207,12 +216,6 @@
             budgets.memory.open_account(peer),
             connection,
             self._limit,
-            lambda reason, status: budgets.refusals.record(
-                'callers',
-                reason,
-                peer,
-                status=status,
-                held_bytes=limited.account.held_bytes,
-            ),
+            budgets.refusals,
         )
         super().handle_stream(stream, address)
--- a/filbertglade/forwarding/server.py
+++ b/filbertglade/forwarding/server.py
@@ -252,6 +252,9 @@
         self._server.in_flight.discard(self)
         # The task's error keeps its frames, and they the response's body.
         self._task = None
+        if self._request is not None:
+            # Whatever still refers to the request, its account has ended.
+            self._request.body = b''
         if task.cancelled():
             return
         error = task.exception()
@@ -263,6 +266,7 @@
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that has disconnected."""
         self._stop_timer()
+        self._chunks = []
         self._server.in_flight.discard(self)
         if self._task is not None:
             self._task.cancel()
--- a/tests/gateway_forwarding/test_caller_server.py
+++ b/tests/gateway_forwarding/test_caller_server.py
@@ -1,10 +1,13 @@
 """The HTTP server for callers, on a loopback connection."""
 
 import asyncio
+import gc
+import weakref
 
 import pytest
 from tornado import httputil
 
+from filbertglade.forwarding import caller_streams
 from filbertglade.forwarding import server
 from tests import cluster
 
@@ -12,6 +15,8 @@
 CLOSE_LIMIT_S = 4 * server.CLOSE_DELAY_S
 # For the server to handle what it has received, on the same event loop.
 SETTLE_S = 0.1
+# For a closed connection to be freed.
+FREED_LIMIT_S = 10
 REQUEST = 'GET /{} HTTP/1.1\r\nHost: desk.example\r\n\r\n'
 
 
@@ -73,3 +78,80 @@
 
     await serve_pipelined(serve, ['first', 'second'])
     assert handled == ['/first']
+
+
+@pytest.fixture
+def no_collection():
+    """Only reference counts free memory during the test."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
+
+
+# Guards against what was read of a connection and outlives its account.
+@pytest.mark.parametrize(
+    'text',
+    [
+        b'GET / HTTP/1.1\r\nHost: h\r\n\r\n',
+        b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\nx',
+        b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\nx',
+        b'GET / HT',
+    ],
+)
+async def test_a_connection_that_has_ended_is_freed_at_once(
+    text, monkeypatch, no_collection
+):
+    opened = []
+    prepare = caller_streams.CallerStream.prepare
+
+    def prepare_and_note(stream, *arguments):
+        opened.append(weakref.ref(stream))
+        prepare(stream, *arguments)
+
+    async def serve(request):
+        request.respond(200, b'body')
+
+    monkeypatch.setattr(
+        caller_streams.CallerStream, 'prepare', prepare_and_note
+    )
+    (port,) = cluster.find_free_ports(1)
+    callers = server.CallerServer(serve, lambda: None)
+    callers.listen(f'127.0.0.1:{port}')
+    _, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(text)
+    await asyncio.sleep(SETTLE_S)
+    writer.close()
+    async with asyncio.timeout(FREED_LIMIT_S):
+        alive = True
+        while alive:
+            await asyncio.sleep(SETTLE_S)
+            alive = any(stream() is not None for stream in opened)
+    assert opened
+    callers.stop()
+    await callers.close()
+
+
+# Guards against bodies that are kept by what refers to their requests.
+async def test_the_body_of_a_request_that_has_ended_is_dropped():
+    served = []
+
+    async def serve(request):
+        served.append((request, request.body))
+        request.respond(200, b'body')
+
+    (port,) = cluster.find_free_ports(1)
+    callers = server.CallerServer(serve, lambda: None)
+    callers.listen(f'127.0.0.1:{port}')
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(
+        b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\ntext'
+    )
+    async with asyncio.timeout(CLOSE_LIMIT_S):
+        await reader.readuntil(b'body')
+    await asyncio.sleep(SETTLE_S)
+    writer.close()
+    ((request, body),) = served
+    assert (body, request.body) == (b'text', b'')
+    callers.stop()
+    await callers.close()
