Give back what an idle connection held that was closed for another

Callers got 503 for memory from an entry host that held next to nothing, after clients had opened more connections than it may have.

Cause: at its limit, the listener closes an idle connection for a new one. It called the method of the stream as the library had made it, before the stream got the class that gives back its account and its place. Each such connection kept 8 KB of the budget.

Change: the place has the method of the final class.

test_caller_server.py: 12 connections with a limit of 4 held 98,304 bytes on in place of 32,768.

--- a/filbertglade/forwarding/caller_streams.py
+++ b/filbertglade/forwarding/caller_streams.py
@@ -212,6 +212,8 @@
         # The library has no setting for the class of its streams.
         stream.__class__ = CallerStream
         limited = typing.cast(CallerStream, stream)
+        # The method of the new class gives back what the connection holds.
+        connection.close = limited.close
         limited.prepare(
             budgets.memory.open_account(peer),
             connection,
--- a/tests/gateway_forwarding/test_caller_server.py
+++ b/tests/gateway_forwarding/test_caller_server.py
@@ -7,8 +7,11 @@
 import pytest
 from tornado import httputil
 
+from filbertglade.budgets import process
 from filbertglade.forwarding import caller_streams
 from filbertglade.forwarding import server
+from filbertglade.observability import metrics
+from filbertglade.settings import gateway
 from tests import cluster
 
 # Longer than the server waits before it closes a connection.
@@ -155,3 +158,31 @@
     assert (body, request.body) == (b'text', b'')
     callers.stop()
     await callers.close()
+
+
+# Guards against idle connections that are closed for others, and charged for
+# ever.
+async def test_a_connection_closed_for_another_holds_nothing():
+    async def serve(request):
+        request.respond(200)
+
+    budgets = process.Budgets(
+        gateway.LimitSettings(max_callers=4), metrics.Metrics()
+    )
+    (port,) = cluster.find_free_ports(1)
+    callers = server.CallerServer(serve, lambda: None, budgets)
+    callers.listen(f'127.0.0.1:{port}')
+    writers = []
+    for _ in range(12):
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writers.append(writer)
+        writer.write(REQUEST.format('x').encode())
+        async with asyncio.timeout(CLOSE_LIMIT_S):
+            await reader.readuntil(b'\r\n\r\n')
+    await asyncio.sleep(SETTLE_S)
+    held_bytes = budgets.memory.held_bytes
+    for writer in writers:
+        writer.close()
+    callers.stop()
+    await callers.close()
+    assert held_bytes == 4 * caller_streams.CONNECTION_BYTES
