Bound the bytes that have arrived and weren't read

The memory of a machine also holds what has arrived for a process. No listener set the size of its receive buffers, so the system let each grow, also those of connections that wait to be accepted and of endpoints whose answers a caller doesn't read. 300 clients that connect again as soon as they are refused left up to 79 MB unread at an entry host whose `memory_mb` is 110.

Change: all connections together may have `limits.unread_mb` unread, by default 0.15 of the memory. That amount, divided by the connections that may be open or waiting and those to endpoints, is the receive buffer of each, set on the listening sockets, which pass it on. No more may wait than a listener may have open, but at least 128. While a long body or message is read, its connection has 128 KB, charged to its account. Metric: receive_buffer_bytes.

--- a/filbertglade/budgets/acceptor.py
+++ b/filbertglade/budgets/acceptor.py
@@ -8,6 +8,7 @@
 from tornado import netutil
 
 from filbertglade.budgets import connections
+from filbertglade.budgets import receive_buffers
 from filbertglade.inner import channels
 from filbertglade.observability import logs
 from filbertglade import tasks
@@ -75,15 +76,20 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_reading = False
 
-    def listen(self, address: str, backlog: int) -> None:
+    def listen(
+        self, address: str, backlog: int, receive_buffer_bytes: int
+    ) -> None:
         """Accept connections.
 
         :param address: ``host:port``.
         :param backlog: connections that wait to be accepted.
+        :param receive_buffer_bytes: the size of a connection's receive buffer.
         :raises OSError: the address can't be listened on.
         """
         host, port = channels.split_address(address)
         self._sockets = netutil.bind_sockets(port, host, backlog=backlog)
+        for listening in self._sockets:
+            receive_buffers.set_size(listening, receive_buffer_bytes)
         self._limit.on_closed = self._resume
         self._resume()
 
--- a/filbertglade/budgets/connections.py
+++ b/filbertglade/budgets/connections.py
@@ -6,6 +6,18 @@
 
 from filbertglade import clock
 
+# Connections of each listener that may wait to be accepted: those of all
+# endpoints at a time at the control listener. No more than it may have open,
+# as those that wait have bytes in their receive buffers too.
+BACKLOGS = {
+    'callers': 1024,
+    'control': 2048,
+    'inner': 512,
+    'health': 2048,
+    'metrics': 2048,
+    'endpoints': 0,
+}
+MIN_BACKLOG = 128
 # Parts of a process's descriptors that the connections of each listener may
 # take, and those to endpoints, which callers' requests cause. What is left is
 # for connections to control hosts, and files.
@@ -121,6 +133,16 @@
         return min(idle, key=lambda each: (-by_peer[each.peer], each.used_ms))
 
 
+def find_backlog(listener: str, limit: int) -> int:
+    """Return how many connections may wait to be accepted.
+
+    :param listener: the listener's name; ``endpoints`` for the connections to
+        these, none of which wait.
+    :param limit: its most open connections.
+    """
+    return min(BACKLOGS[listener], max(limit, MIN_BACKLOG))
+
+
 def _do_nothing() -> None:
     pass
 
--- a/filbertglade/budgets/memory.py
+++ b/filbertglade/budgets/memory.py
@@ -228,8 +228,14 @@
     """
     if held_mb:
         return held_mb * 1_000_000
+    return int(find_memory_bytes(memory_mb) * CLIENT_SHARE)
+
+
+def find_memory_bytes(memory_mb: int) -> int:
+    """Return the memory that a process may use, in bytes.
+
+    :param memory_mb: as set; 0 for the machine's.
+    """
     if memory_mb:
-        memory_bytes = memory_mb * 1_000_000
-    else:
-        memory_bytes = os.sysconf('SC_PAGE_SIZE') * os.sysconf('SC_PHYS_PAGES')
-    return int(memory_bytes * CLIENT_SHARE)
+        return memory_mb * 1_000_000
+    return os.sysconf('SC_PAGE_SIZE') * os.sysconf('SC_PHYS_PAGES')
--- a/filbertglade/budgets/process.py
+++ b/filbertglade/budgets/process.py
@@ -4,6 +4,7 @@
 
 from filbertglade.budgets import connections
 from filbertglade.budgets import memory
+from filbertglade.budgets import receive_buffers
 from filbertglade.budgets import refusals
 from filbertglade.observability import metrics
 from filbertglade.settings import gateway
@@ -18,6 +19,8 @@
     :ivar memory: the memory budget.
     :ivar refusals: counts and logs refusals.
     :ivar min_body_rate: bytes a second below which a long body is slow.
+    :ivar receive_buffer_bytes: the receive buffer of a connection, so that
+        the unread bytes of all connections are bounded.
     """
 
     def __init__(
@@ -34,6 +37,17 @@
         self._limits = limits
         self._counters = counters
         self._listeners = listeners
+        self.receive_buffer_bytes = receive_buffers.find_size(
+            limits.unread_mb,
+            memory.find_memory_bytes(limits.memory_mb),
+            sum(
+                self.find_limit(each) + self.find_backlog(each)
+                for each in listeners
+            ),
+        )
+        counters.set_gauge(
+            'receive_buffer_bytes', lambda: self.receive_buffer_bytes
+        )
 
     def limit_connections(self, listener: str) -> connections.ConnectionLimit:
         """Return the limit of a listener's connections.
@@ -44,6 +58,13 @@
         self._counters.set_gauge(f'connections_{listener}', limit.__len__)
         return limit
 
+    def find_backlog(self, listener: str) -> int:
+        """Return how many connections of a listener may wait.
+
+        :param listener: one of :data:`connections.LISTENER_SHARES`.
+        """
+        return connections.find_backlog(listener, self.find_limit(listener))
+
     def find_limit(self, listener: str) -> int:
         """Return the most connections of a listener, or to endpoints.
 
--- a/filbertglade/forwarding/caller_streams.py
+++ b/filbertglade/forwarding/caller_streams.py
@@ -6,10 +6,12 @@
 from tornado import httpserver
 from tornado import httputil
 from tornado import iostream
+from tornado import netutil
 
 from filbertglade.budgets import connections
 from filbertglade.budgets import memory
 from filbertglade.budgets import process
+from filbertglade.budgets import receive_buffers
 from filbertglade.budgets import refusals
 
 # How much of a refused connection is read and discarded, so that a sender that
@@ -193,6 +195,21 @@
         self._budgets = budgets
         self._limit = budgets.limit_connections('callers')
 
+    def listen_within_budgets(self, port: int, host: str) -> None:
+        """Accept connections.
+
+        :param port: the port.
+        :param host: the address.
+        :raises OSError: the address can't be listened on.
+        """
+        budgets = self._budgets
+        sockets = netutil.bind_sockets(
+            port, host, backlog=budgets.find_backlog('callers')
+        )
+        for listening in sockets:
+            receive_buffers.set_size(listening, budgets.receive_buffer_bytes)
+        self.add_sockets(sockets)
+
     def handle_stream(
         self, stream: iostream.IOStream, address: tuple[typing.Any, ...]
     ) -> None:
--- a/filbertglade/forwarding/server.py
+++ b/filbertglade/forwarding/server.py
@@ -81,7 +81,7 @@
         )
         host, port = channels.split_address(address)
         self._server.set_budgets(self.budgets)
-        self._server.listen(port, host, backlog=1024)
+        self._server.listen_within_budgets(port, host)
 
     def stop(self) -> None:
         """Stop accepting connections."""
--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -16,6 +16,7 @@
 from tornado import iostream
 from tornado import tcpclient
 
+from filbertglade.budgets import receive_buffers
 from filbertglade import clock
 from filbertglade import failures
 from filbertglade.forwarding import connection_slots
@@ -459,10 +460,18 @@
 
     :param counters: the process's metrics.
     :param limit: the most connections at a time; 0 for any number.
+    :param receive_buffer_bytes: the receive buffer of a connection: what an
+        endpoint has sent waits there while its caller doesn't read.
     """
 
-    def __init__(self, counters: metrics.Metrics, limit: int = 0) -> None:
+    def __init__(
+        self,
+        counters: metrics.Metrics,
+        limit: int = 0,
+        receive_buffer_bytes: int = receive_buffers.MAX_BYTES,
+    ) -> None:
         self._counters = counters
+        self._receive_buffer_bytes = receive_buffer_bytes
         self._client = tcpclient.TCPClient()
         self._idle: dict[str, collections.deque[Connection]] = {}
         self._open: set[Connection] = set()
@@ -589,6 +598,7 @@
         stream.socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
         )
+        receive_buffers.set_size(stream.socket, self._receive_buffer_bytes)
         connection = Connection(key, stream, self._slots.notify)
         self._open.add(connection)
         self._opening.discard(opening)
--- a/filbertglade/gateway/entry_role.py
+++ b/filbertglade/gateway/entry_role.py
@@ -72,7 +72,9 @@
         self._counters = counters
         self._tasks = tasks.TaskGroup()
         self._pool = upstream.UpstreamPool(
-            counters, budgets.find_limit('endpoints')
+            counters,
+            budgets.find_limit('endpoints'),
+            budgets.receive_buffer_bytes,
         )
         self._evidence = evidence.EndpointEvidence(
             dialect,
--- a/filbertglade/gateway/http_bounds.py
+++ b/filbertglade/gateway/http_bounds.py
@@ -11,6 +11,7 @@
 from filbertglade.budgets import connections
 from filbertglade.budgets import memory
 from filbertglade.budgets import process
+from filbertglade.budgets import receive_buffers
 from filbertglade.budgets import turns
 from filbertglade import clock
 from filbertglade.gateway import body_checks
@@ -209,6 +210,7 @@
             + len(self._body)
             + self._waiting_bytes
             + self._serving_bytes
+            + (receive_buffers.LONG_BODY_BYTES if self._has_turn else 0)
             + transport.get_write_buffer_size()
         )
         if not fits and not self._is_closing:
@@ -247,18 +249,35 @@
             return
         self._has_turn = self._server.turns.take(self._peer, self)
         self._waits_for_turn = not self._has_turn
+        if self._has_turn:
+            self._widen()
         if self._waits_for_turn and self._transport is not None:
             self._transport.pause_reading()
 
     def _leave_turn(self) -> None:
         if self._has_turn or self._waits_for_turn:
+            if self._has_turn:
+                self._set_receive_buffer(
+                    self._server.budgets.receive_buffer_bytes
+                )
             self._has_turn = self._waits_for_turn = False
             self._server.turns.leave(self._peer, self)
 
+    def _widen(self) -> None:
+        """Let more of the long body that is read now arrive at a time."""
+        self._set_receive_buffer(receive_buffers.LONG_BODY_BYTES)
+
+    def _set_receive_buffer(self, size_bytes: int) -> None:
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            connection = transport.get_extra_info('socket')
+            receive_buffers.set_size(connection, size_bytes)
+
     def start_turn(self) -> None:
         """Go on to read the body."""
         self._has_turn = True
         self._waits_for_turn = False
+        self._widen()
         if self._account is not None:
             self._account.begin(self._evict)
         self._send_continue()
--- a/filbertglade/gateway/http_server.py
+++ b/filbertglade/gateway/http_server.py
@@ -19,8 +19,6 @@
 # the interval between two checks: hosts that lose power close nothing.
 IDLE_TIMEOUT_MS = 120_000
 IDLE_CHECK_INTERVAL_MS = 10_000
-# Connections that wait to be accepted: those of all endpoints at a time.
-BACKLOG = 2048
 MAX_HEAD_BYTES = http_connection.MAX_HEAD_BYTES
 
 Request = http_messages.Request
@@ -69,7 +67,11 @@
         :param address: ``host:port``.
         :raises OSError: the server can't listen on the address.
         """
-        self._acceptor.listen(address, BACKLOG)
+        self._acceptor.listen(
+            address,
+            self.budgets.find_backlog(self.listener),
+            self.budgets.receive_buffer_bytes,
+        )
         self._schedule_idle_check()
 
     def build_protocol(self) -> http_connection.Connection:
--- a/filbertglade/gateway/inner_server.py
+++ b/filbertglade/gateway/inner_server.py
@@ -13,10 +13,9 @@
 from filbertglade.budgets import connections
 from filbertglade.budgets import memory
 from filbertglade.budgets import process
+from filbertglade.budgets import receive_buffers
 from filbertglade.inner import channels
 
-# Connections that wait to be accepted.
-BACKLOG = 512
 # Longest frame that the protocol's settings permit; the library buffers one
 # of any announced length.
 MAX_FRAME_BYTES = 16_384
@@ -50,7 +49,11 @@
         :raises OSError: the server can't listen on the address.
         """
         accepting = acceptor.Acceptor(self, self.limit)
-        accepting.listen(address, BACKLOG)
+        accepting.listen(
+            address,
+            self.budgets.find_backlog('inner'),
+            self.budgets.receive_buffer_bytes,
+        )
         # In place of the library's start(), which uses the loop's own server.
         self._server = accepting
         self._server_closed_fut = asyncio.get_running_loop().create_future()
@@ -197,6 +200,8 @@
         parts = []
         held = 0
         account.begin(self._evict)
+        self._set_receive_buffer(receive_buffers.LONG_BODY_BYTES)
+        account.add(receive_buffers.LONG_BODY_BYTES)
         try:
             while held < size:
                 part = await buffer.read(min(size - held, SLICE_BYTES))
@@ -209,7 +214,14 @@
                     raise exceptions.GRPCError(const.Status.RESOURCE_EXHAUSTED)
             return b''.join(parts)
         finally:
-            account.add(-held)
+            account.add(-held - receive_buffers.LONG_BODY_BYTES)
+            self._set_receive_buffer(self._server.budgets.receive_buffer_bytes)
+
+    def _set_receive_buffer(self, size_bytes: int) -> None:
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            connection = transport.get_extra_info('socket')
+            receive_buffers.set_size(connection, size_bytes)
 
     def _evict(self) -> None:
         self._record('memory')
--- a/filbertglade/settings/gateway.py
+++ b/filbertglade/settings/gateway.py
@@ -172,6 +172,8 @@
         states.
     :param held_mb: memory for what clients send and don't read; 0 for a
         quarter of the memory.
+    :param unread_mb: memory for what has arrived and wasn't read; 0 for 0.15
+        of the memory.
     :param max_callers: callers' connections at a time; 0 for 0.45 of the
         descriptors, or 0.9 if these aren't set.
     :param min_body_rate: bytes a second below which the sender of a long body
@@ -183,6 +185,7 @@
     memory_mb: RoundedAmount = 0
     max_descriptors: RoundedAmount = 0
     held_mb: RoundedAmount = 0
+    unread_mb: RoundedAmount = 0
     max_callers: RoundedAmount = 0
     min_body_rate: RoundedAmount = 16_384
 
