Read callers' long bodies one after the other, not all in part

Callers that sent bodies of 4 MB at once through an entry host of 200 MB got 408 "too slow", 55 to 59 of 60, though the process was what didn't read: above half of the budget, each body was read in turns, and none was complete in time.

Change: a body of 128 KB or more takes a place, in half of the budget, until its request has ended. Those without one aren't read; after 1 to 1.5 s they get 503 with Retry-After, before they were taken. The time for the body counts from the place. The peer with the fewest places is next; while others wait, a body below limits.min_body_rate gets 408. Metrics: long_bodies, long_bodies_waiting, long_bodies_delayed.

test_long_bodies.py asks that senders get 200 or 503 with Retry-After, and that a single body of the largest size, with a length or in chunks, is served.

--- a/filbertglade/budgets/memory.py
+++ b/filbertglade/budgets/memory.py
@@ -1,6 +1,5 @@
 """The memory budget of a process for what it holds for its clients."""
 
-import asyncio
 from collections import abc
 import os
 
@@ -112,9 +111,7 @@
     def __init__(self, limit_bytes: int, counters: metrics.Metrics) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
-        self._counters = counters
         self._accounts: set[Account] = set()
-        self._waiting: set[asyncio.Future[None]] = set()
         counters.set_gauge('client_bytes', lambda: self.held_bytes)
         counters.set_gauge('client_bytes_limit', lambda: self.limit_bytes)
 
@@ -171,24 +168,9 @@
         """
         return self.is_low and account.held_bytes >= LONG_BYTES
 
-    async def wait_for_room(self) -> None:
-        """Wait until messages are read again, or for the longest pause."""
-        self._counters.count('client_reads_paused')
-        future = asyncio.get_running_loop().create_future()
-        self._waiting.add(future)
-        try:
-            await asyncio.wait((future,), timeout=PAUSE_MS / 1000)
-        finally:
-            self._waiting.discard(future)
-
     def _change(self, account: Account, size_bytes: int) -> None:
         self.held_bytes += size_bytes - account.held_bytes
         account.held_bytes = size_bytes
-        if self._waiting and not self.is_low:
-            for future in self._waiting:
-                if not future.done():
-                    future.set_result(None)
-            self._waiting.clear()
 
     def _is_over(self, account: Account) -> bool:
         share = LONG_SHARE if account.held_bytes >= LONG_BYTES else 1.0
@@ -224,7 +206,7 @@
     """Return the budget of a process, in bytes.
 
     :param held_mb: the budget as set; 0 if it follows from the memory.
-    :param memory_mb: the process's memory; 0 for the machine's.
+    :param memory_mb: the process's memory, as in :func:`find_memory_bytes`.
     """
     if held_mb:
         return held_mb * 1_000_000
--- a/filbertglade/budgets/process.py
+++ b/filbertglade/budgets/process.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from filbertglade.budgets import connections
+from filbertglade.budgets import long_bodies
 from filbertglade.budgets import memory
 from filbertglade.budgets import receive_buffers
 from filbertglade.budgets import refusals
@@ -58,6 +59,12 @@
         self._counters.set_gauge(f'connections_{listener}', limit.__len__)
         return limit
 
+    def build_long_bodies(self) -> long_bodies.LongBodies:
+        """Return the places of a listener's long bodies."""
+        return long_bodies.LongBodies(
+            self.memory.limit_bytes, self.min_body_rate, self._counters
+        )
+
     def find_backlog(self, listener: str) -> int:
         """Return how many connections of a listener may wait.
 
--- a/filbertglade/forwarding/caller_streams.py
+++ b/filbertglade/forwarding/caller_streams.py
@@ -1,6 +1,7 @@
 """Connections of callers, whose unread and unsent bytes are bounded."""
 
 import asyncio
+from collections import abc
 import typing
 
 from tornado import httpserver
@@ -36,17 +37,23 @@
     :ivar account: what is held for it.
     :ivar connection: its place among the server's connections.
     :ivar is_refused: whether what arrives is discarded.
+    :ivar on_closed: called once it is closed, if it is set.
     """
 
     account: memory.Account
     connection: connections.Connection
     is_refused = False
+    on_closed: abc.Callable[[], None] | None = None
     _limit: connections.ConnectionLimit
     _is_reading_head = False
     _head_bytes = 0
     _max_head_bytes = 0
     _discarded_bytes = 0
     _refusals: refusals.Refusals
+    _receive_buffer_bytes = receive_buffers.MAX_BYTES
+    _is_wide = False
+    # Stands for the request that is read or handled.
+    _message: object = None
 
     def prepare(
         self,
@@ -54,6 +61,7 @@
         connection: connections.Connection,
         limit: connections.ConnectionLimit,
         recorder: refusals.Refusals,
+        receive_buffer_bytes: int,
     ) -> None:
         """Begin to count what is held.
 
@@ -61,17 +69,20 @@
         :param connection: its place among the server's connections.
         :param limit: the server's connections.
         :param recorder: counts and logs refusals.
+        :param receive_buffer_bytes: the size of its receive buffer.
         """
         self.account = account
         self.connection = connection
         self._limit = limit
         self._refusals = recorder
+        self._receive_buffer_bytes = receive_buffer_bytes
         account.resize(CONNECTION_BYTES)
 
-    def begin_head(self, max_header_bytes: int) -> None:
+    def begin_head(self, max_header_bytes: int) -> object:
         """Expect the head of a request.
 
         :param max_header_bytes: the most that headers may have.
+        :returns: what stands for the request.
         """
         self._is_reading_head = True
         self._head_bytes = 0
@@ -80,6 +91,8 @@
         self.account.resize(CONNECTION_BYTES)
         self.account.begin(self._evict_head)
         self.connection.end()
+        self._message = object()
+        return self._message
 
     def end_head(self, size_bytes: int) -> None:
         """Note that a head has been read.
@@ -91,6 +104,30 @@
         self.account.begin(None)
         self.account.resize(CONNECTION_BYTES + size_bytes)
 
+    def end_message(self, message: object) -> None:
+        """Note that a request has ended.
+
+        :param message: what :meth:`begin_head` has returned for it.
+        """
+        if message is self._message:
+            self.account.resize(CONNECTION_BYTES)
+
+    def widen(self) -> None:
+        """Let more of a long body arrive at a time."""
+        if not self.closed() and not self._is_wide:
+            self._is_wide = True
+            receive_buffers.set_size(
+                self.socket, receive_buffers.LONG_BODY_BYTES
+            )
+            self.account.add(receive_buffers.LONG_BODY_BYTES)
+
+    def narrow(self) -> None:
+        """End what :meth:`widen` began."""
+        if not self.closed() and self._is_wide:
+            self._is_wide = False
+            receive_buffers.set_size(self.socket, self._receive_buffer_bytes)
+            self.account.add(-receive_buffers.LONG_BODY_BYTES)
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read into a buffer; see the library.
 
@@ -135,6 +172,7 @@
         self.is_refused = True
         self._is_reading_head = False
         self.account.evict = None
+        self.narrow()
         self.account.resize(CONNECTION_BYTES)
         asyncio.get_running_loop().call_later(CLOSE_DELAY_S, self.close)
 
@@ -169,6 +207,9 @@
         super().close(exc_info)
         self.account.close()
         self._limit.remove(self.connection)
+        on_closed, self.on_closed = self.on_closed, None
+        if on_closed is not None:
+            on_closed()
 
 
 def build_refusal(status: int) -> bytes:
@@ -236,5 +277,6 @@
             connection,
             self._limit,
             budgets.refusals,
+            budgets.receive_buffer_bytes,
         )
         super().handle_stream(stream, address)
--- a/filbertglade/forwarding/server.py
+++ b/filbertglade/forwarding/server.py
@@ -8,7 +8,10 @@
 
 from tornado import httputil
 
+from filbertglade.budgets import long_bodies
+from filbertglade.budgets import memory
 from filbertglade.budgets import process
+from filbertglade.budgets import turns
 from filbertglade import clock
 from filbertglade.fleet import document
 from filbertglade.forwarding import caller_requests
@@ -44,6 +47,7 @@
     :param budgets: what the process may hold; None for the defaults.
     :param find_customer: returns the customer that a request's headers name.
     :ivar in_flight: requests that are being read or handled.
+    :ivar long_bodies: which long bodies are read.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         self.serve = serve
         self._get_limits = get_limits
         self.budgets = budgets or process.build_default()
+        self.long_bodies = self.budgets.build_long_bodies()
         self.find_customer = find_customer
         self.in_flight: set[_RequestReader] = set()
         self._last_requests: weakref.WeakKeyDictionary[
@@ -107,9 +112,6 @@
         :param request_conn: the connection's interface for this request.
         :returns: the delegate.
         """
-        stream = getattr(request_conn, 'stream', None)
-        if isinstance(stream, caller_streams.CallerStream):
-            stream.begin_head(self.limits.max_header_bytes)
         return _RequestReader(self, server_conn, request_conn)
 
     def accept_request(
@@ -133,7 +135,7 @@
         """
 
 
-class _RequestReader(httputil.HTTPMessageDelegate):
+class _RequestReader(httputil.HTTPMessageDelegate, turns.Reader):
     """Reads one request and owns the task that handles it."""
 
     def __init__(
@@ -151,20 +153,26 @@
         self._is_refused = False
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._place: long_bodies.Place | None = None
+        # Done once the body may be read on, or was refused.
+        self._turn: asyncio.Future[None] | None = None
         self._stream: caller_streams.CallerStream | None = None
         stream = getattr(connection, 'stream', None)
+        self._message: object = None
         if isinstance(stream, caller_streams.CallerStream):
             self._stream = stream
+            self._message = stream.begin_head(server.limits.max_header_bytes)
 
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
-    ) -> None:
+    ) -> abc.Awaitable[None] | None:
         """Check the head of a request.
 
         :param start_line: its start line.
         :param headers: its headers.
+        :returns: what the body waits for; None to read it at once.
         """
         limits = self._server.limits
         request = CallerRequest(
@@ -179,7 +187,7 @@
             self._is_refused = True
             if self._stream is not None:
                 self._stream.discard_rest()
-            return
+            return None
         self._request = request
         self._server.in_flight.add(self)
         size = sum(
@@ -191,18 +199,19 @@
             request.account.begin(self._evict)
         if size + len(request.target) > limits.max_header_bytes:
             self._refuse(431)
-            return
+            return None
         if len(headers.get_list('Host')) != 1:
             self._refuse(400)
-            return
+            return None
         length = headers.get('Content-Length', '')
-        if length.isdecimal() and int(length) > limits.max_body_bytes:
+        size_bytes = int(length) if length.isdecimal() else 0
+        if size_bytes > limits.max_body_bytes:
             self._refuse(413)
-            return
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(
-            limits.header_timeout_ms / 1000, self._refuse, 408
-        )
+            return None
+        self._start_timer()
+        if size_bytes >= memory.LONG_BYTES:
+            return self._take_place(size_bytes)
+        return None
 
     def data_received(self, chunk: bytes) -> abc.Awaitable[None] | None:
         """Buffer a part of the body.
@@ -223,11 +232,68 @@
         account.received_bytes += len(chunk)
         if not account.add(len(chunk)) and not self._is_refused:
             self._evict()
-        budget = self._server.budgets.memory
-        if not self._is_refused and budget.should_pause(account):
-            return budget.wait_for_room()
+        if (
+            self._place is None
+            and not self._is_refused
+            and self._body_bytes >= memory.LONG_BYTES
+        ):
+            return self._take_place(self._server.limits.max_body_bytes)
         return None
 
+    def _take_place(self, size_bytes: int) -> abc.Awaitable[None] | None:
+        """Take a place among the long bodies.
+
+        :param size_bytes: the most that the body may have.
+        :returns: what the body waits for; None if it is read at once.
+        """
+        stream = self._stream
+        if stream is None:
+            return None
+        self._place = self._server.long_bodies.take(
+            stream.account.peer, self, size_bytes
+        )
+        if self._place.is_granted:
+            stream.widen()
+            return None
+        # Its sender isn't slow while it isn't read.
+        self._stop_timer()
+        stream.on_closed = self._leave_place
+        self._turn = asyncio.get_running_loop().create_future()
+        return self._turn
+
+    @property
+    def received_bytes(self) -> int:
+        """What was received of the body so far."""
+        return self._body_bytes
+
+    def start_turn(self) -> None:
+        """Go on to read the body."""
+        self._start_timer()
+        if self._stream is not None:
+            self._stream.widen()
+        self._end_wait()
+
+    def refuse_wait(self) -> None:
+        """Refuse a body that has waited for too long; it hasn't run."""
+        self._refuse(503, 'long bodies')
+
+    def refuse_slow(self) -> None:
+        """Refuse a slow body that others wait for."""
+        self._refuse(408)
+
+    def _end_wait(self) -> None:
+        if self._stream is not None:
+            self._stream.on_closed = None
+        if self._turn is not None and not self._turn.done():
+            self._turn.set_result(None)
+
+    def _leave_place(self) -> None:
+        # The place refers to this reader.
+        place, self._place = self._place, None
+        if place is not None:
+            self._server.long_bodies.leave(place)
+        self._end_wait()
+
     def finish(self) -> None:
         """Start the task for a request that has arrived completely."""
         self._stop_timer()
@@ -239,6 +305,10 @@
             self._stream.account.evict = None
         self._request.body = b''.join(self._chunks)
         self._chunks = []
+        if self._place is not None:
+            self._server.long_bodies.end_reading(self._place, self._body_bytes)
+            if self._stream is not None:
+                self._stream.narrow()
         # Tornado reports the end of the connection only to this callback once
         # the request has been read.
         connection: typing.Any = self._connection
@@ -253,8 +323,11 @@
         # The task's error keeps its frames, and they the response's body.
         self._task = None
         if self._request is not None:
-            # Whatever still refers to the request, its account has ended.
+            # Other objects of the request may refer to it for longer.
             self._request.body = b''
+        if self._stream is not None:
+            self._stream.end_message(self._message)
+        self._leave_place()
         if task.cancelled():
             return
         error = task.exception()
@@ -270,6 +343,8 @@
         self._server.in_flight.discard(self)
         if self._task is not None:
             self._task.cancel()
+        else:
+            self._leave_place()
 
     def _evict(self) -> None:
         """Refuse a request for lack of memory; it hasn't run."""
@@ -296,6 +371,12 @@
         if status == 503:
             headers['Retry-After'] = caller_streams.RETRY_AFTER_S
         request.refuse_unread(status, headers)
+        self._leave_place()
+
+    def _start_timer(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(
+            self._server.limits.header_timeout_ms / 1000, self._refuse, 408
+        )
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
--- /dev/null
+++ b/tests/budgets/test_long_bodies.py
@@ -0,0 +1,121 @@
+"""The places of long bodies, in virtual time."""
+
+import asyncio
+
+import pytest
+
+from filbertglade.budgets import long_bodies
+from filbertglade.budgets import turns
+from filbertglade.observability import metrics
+from tests import virtual_time
+
+LIMIT_BYTES = 20_000_000
+MIN_RATE = 16_384
+# Two of these fit into their part of the budget.
+BODY_BYTES = 4_000_000
+
+
+class Body(turns.Reader):
+    def __init__(self):
+        self.received = 0
+        self.events = []
+
+    @property
+    def received_bytes(self):
+        return self.received
+
+    def start_turn(self):
+        self.events.append('turn')
+
+    def refuse_wait(self):
+        self.events.append('wait')
+
+    def refuse_slow(self):
+        self.events.append('slow')
+
+
+def build():
+    return long_bodies.LongBodies(LIMIT_BYTES, MIN_RATE, metrics.Metrics())
+
+
+# Guards against many bodies of which each is read in part and none at all.
+def test_a_place_is_kept_until_the_request_has_ended():
+    async def run():
+        places = build()
+        bodies = [Body() for _ in range(4)]
+        taken = [places.take('a', body, BODY_BYTES) for body in bodies]
+        assert [place.is_granted for place in taken] == [
+            True,
+            True,
+            False,
+            False,
+        ]
+        places.end_reading(taken[0], BODY_BYTES)
+        assert bodies[2].events == []
+        places.leave(taken[0])
+        assert bodies[2].events == ['turn']
+        assert bodies[3].events == []
+
+    virtual_time.run(run())
+
+
+# Guards against a body in chunks that takes more than it has.
+def test_a_body_without_length_gives_back_what_it_did_not_need():
+    async def run():
+        places = build()
+        chunked, other = Body(), Body()
+        place = places.take('a', chunked, LIMIT_BYTES)
+        assert place.is_granted
+        assert not places.take('a', other, BODY_BYTES).is_granted
+        places.end_reading(place, 200_000)
+        assert other.events == ['turn']
+
+    virtual_time.run(run())
+
+
+# Guards against a sender of many bodies before whom others don't come.
+def test_the_peer_with_the_fewest_places_is_next():
+    async def run():
+        places = build()
+        bodies = [Body() for _ in range(6)]
+        taken = [places.take('a', body, BODY_BYTES) for body in bodies]
+        other = Body()
+        places.take('b', other, BODY_BYTES)
+        places.leave(taken[0])
+        assert other.events == ['turn']
+
+    virtual_time.run(run())
+
+
+# Guards against bodies that wait until their requests are of no use.
+def test_a_body_that_waits_for_too_long_is_refused():
+    async def run():
+        places = build()
+        readers = [Body() for _ in range(3)]
+        for reader in readers:
+            places.take('a', reader, BODY_BYTES)
+        for _ in range(40):
+            for reader in readers[:2]:
+                reader.received += 100_000
+            await asyncio.sleep(0.1)
+        assert readers[2].events == ['wait']
+        assert readers[0].events == readers[1].events == []
+
+    virtual_time.run(run())
+
+
+# Guards against slow senders that keep all others out.
+@pytest.mark.parametrize('others', [0, 1])
+def test_a_slow_body_is_refused_only_if_others_wait(others):
+    async def run():
+        places = build()
+        slow, read = Body(), Body()
+        places.take('a', slow, BODY_BYTES)
+        places.end_reading(places.take('a', read, BODY_BYTES), BODY_BYTES)
+        for _ in range(others):
+            places.take('a', Body(), BODY_BYTES)
+        await asyncio.sleep(0.6)
+        assert slow.events == ['slow'] * others
+        assert read.events == []
+
+    virtual_time.run(run())
--- a/tests/platform/test_long_bodies.py
+++ b/tests/platform/test_long_bodies.py
@@ -50,7 +50,10 @@
 
 
 async def send(client, limited, method, path, content=b''):
-    """Return the status of a request; 0 if its connection broke."""
+    """Return the status of a request and its Retry-After.
+
+    The status is 0 if the connection broke.
+    """
     try:
         response = await client.request(
             method,
@@ -64,8 +67,8 @@
             },
         )
     except httpx.TransportError:
-        return 0
-    return response.status_code
+        return 0, ''
+    return response.status_code, response.headers.get('Retry-After', '')
 
 
 async def test_long_bodies_leave_room_for_small_requests(
@@ -84,10 +87,12 @@
 
         async def call_repeatedly():
             while not sending.done():
-                small[await send(client, limited, 'GET', '/read/x')] += 1
-                small[
-                    await send(client, limited, 'POST', '/write/x', b'small')
-                ] += 1
+                status, _ = await send(client, limited, 'GET', '/read/x')
+                small[status] += 1
+                status, _ = await send(
+                    client, limited, 'POST', '/write/x', b'small'
+                )
+                small[status] += 1
 
         await asyncio.gather(
             *(call_repeatedly() for _ in range(SMALL_CALLERS))
@@ -100,3 +105,21 @@
     assert limited.entries[0].process.returncode is None
     assert 0 < peak_mb < MEMORY_MB
     assert set(small) == {200}
+    # A sender that wasn't read isn't slow.
+    assert set(long) <= {(200, ''), (503, '1')}
+
+
+async def yield_body():
+    for start in range(0, len(BODY), 65_536):
+        yield BODY[start : start + 65_536]
+
+
+# Guards against a limit for many senders that refuses a single one.
+@pytest.mark.parametrize('has_length', [True, False])
+async def test_a_single_body_of_the_largest_size_is_served(
+    limited, has_length
+):
+    async with httpx.AsyncClient(timeout=30) as client:
+        content = BODY if has_length else yield_body()
+        answer = await send(client, limited, 'POST', '/write/x', content)
+    assert answer == (200, '')
