Let a sender that isn't at fault read its refusal

A sender that got 503 for lack of memory or of a place saw a broken connection in its stead: at most 256 KB of its body were discarded, for 0.5 s, then the connection was closed with bytes unread, which resets it. Most senders look for an answer only once they have sent all.

Change: after 503, the whole body is discarded, up to the longest that the request may have, for at most 5 s. After other refusals all stays as it was.

--- a/filbertglade/forwarding/caller_requests.py
+++ b/filbertglade/forwarding/caller_requests.py
@@ -228,12 +228,17 @@
         self.finish()
 
     def refuse_unread(
-        self, status: int, headers: abc.Mapping[str, str]
+        self,
+        status: int,
+        headers: abc.Mapping[str, str],
+        body_bytes: int = 0,
     ) -> None:
         """Refuse a request whose body hasn't been read, nor will be.
 
         :param status: the status.
         :param headers: further headers.
+        :param body_bytes: the most that the body of a caller may have that
+            isn't at fault; 0 for another.
         """
         self.closes_connection = True
         stream = getattr(self._connection, 'stream', None)
@@ -251,7 +256,7 @@
         line = httputil.ResponseStartLine('HTTP/1.1', status, reason)
         written = self._connection.write_headers(line, all_headers)
         asyncio.ensure_future(written).add_done_callback(_retrieve_exception)
-        stream.discard_rest()
+        stream.discard_rest(body_bytes)
 
 
 def _build_head(
--- a/filbertglade/forwarding/caller_streams.py
+++ b/filbertglade/forwarding/caller_streams.py
@@ -20,6 +20,9 @@
 MAX_DISCARDED_BYTES = 262_144
 # Time for a caller to read a response before its connection is closed.
 CLOSE_DELAY_S = 0.5
+# The same for a caller that isn't at fault: many send their whole body before
+# they look for an answer. All of it is discarded.
+LONG_CLOSE_DELAY_S = 5.0
 # Bytes read at a time. Each connection buffers up to two of these besides what
 # its account holds.
 CHUNK_BYTES = 16_384
@@ -49,6 +52,7 @@
     _head_bytes = 0
     _max_head_bytes = 0
     _discarded_bytes = 0
+    _max_discarded_bytes = MAX_DISCARDED_BYTES
     _refusals: refusals.Refusals
     _receive_buffer_bytes = receive_buffers.MAX_BYTES
     _is_wide = False
@@ -141,7 +145,7 @@
             return count
         if self.is_refused:
             self._discarded_bytes += count
-            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            if self._discarded_bytes > self._max_discarded_bytes:
                 self.close()
             return None
         if self._is_reading_head:
@@ -167,14 +171,20 @@
             self.write(build_refusal(status))
         self.discard_rest()
 
-    def discard_rest(self) -> None:
-        """Discard what arrives, and close once the caller could read."""
+    def discard_rest(self, body_bytes: int = 0) -> None:
+        """Discard what arrives, and close once the caller could read.
+
+        :param body_bytes: the most that the body of a caller may have that
+            isn't at fault; 0 for another.
+        """
+        self._max_discarded_bytes = max(body_bytes, MAX_DISCARDED_BYTES)
+        delay_s = LONG_CLOSE_DELAY_S if body_bytes else CLOSE_DELAY_S
         self.is_refused = True
         self._is_reading_head = False
         self.account.evict = None
         self.narrow()
         self.account.resize(CONNECTION_BYTES)
-        asyncio.get_running_loop().call_later(CLOSE_DELAY_S, self.close)
+        asyncio.get_running_loop().call_later(delay_s, self.close)
 
     def record_closing(self, reason: str) -> None:
         """Record that the connection is closed without an answer.
--- a/filbertglade/forwarding/server.py
+++ b/filbertglade/forwarding/server.py
@@ -368,9 +368,11 @@
         if account is not None:
             account.evict = None
         headers = {}
+        body_bytes = 0
         if status == 503:
             headers['Retry-After'] = caller_streams.RETRY_AFTER_S
-        request.refuse_unread(status, headers)
+            body_bytes = self._server.limits.max_body_bytes
+        request.refuse_unread(status, headers, body_bytes)
         self._leave_place()
 
     def _start_timer(self) -> None:
--- a/filbertglade/gateway/http_bounds.py
+++ b/filbertglade/gateway/http_bounds.py
@@ -30,6 +30,9 @@
 # that its sender reads the refusal and not a reset.
 MAX_DISCARDED_BYTES = 262_144
 CLOSE_DELAY_S = 0.5
+# The same for a sender that isn't at fault: many send their whole body before
+# they look for an answer. All of it is discarded.
+LONG_CLOSE_DELAY_S = 5.0
 # Interval between two looks for room, in s.
 ROOM_POLL_S = 0.1
 # When a sender refused for lack of memory or descriptors may come back, in s.
@@ -110,6 +113,7 @@
         self._is_closing = False
         self._is_lost = False
         self._discarded_bytes = 0
+        self._max_discarded_bytes = MAX_DISCARDED_BYTES
         # Whether the body waits for its turn, or for memory.
         self._has_turn = False
         self._waits_for_turn = False
@@ -326,6 +330,12 @@
         """
         if self._is_closing:
             return
+        delay_s = CLOSE_DELAY_S
+        if status == 503 and self._is_head_complete:
+            delay_s = LONG_CLOSE_DELAY_S
+            self._max_discarded_bytes = self._server.find_body_limit(
+                self._parser.get_method(), self._target
+            )
         self._record(reason or REASONS.get(status, 'unreadable'), status)
         self._is_closing = True
         self._leave_turn()
@@ -341,9 +351,7 @@
             transport.write(build_refusal(status, body))
             if transport.can_write_eof():
                 transport.write_eof()
-            asyncio.get_running_loop().call_later(
-                CLOSE_DELAY_S, transport.abort
-            )
+            asyncio.get_running_loop().call_later(delay_s, transport.abort)
         self._update_reading()
         self._charge()
 
--- a/filbertglade/gateway/http_connection.py
+++ b/filbertglade/gateway/http_connection.py
@@ -32,7 +32,7 @@
         """
         if self._is_closing:
             self._discarded_bytes += nbytes
-            if self._discarded_bytes > http_bounds.MAX_DISCARDED_BYTES:
+            if self._discarded_bytes > self._max_discarded_bytes:
                 self._end_discarding()
             return
         data = bytes(memoryview(self._server.buffer)[:nbytes])
