Refuse announced lengths of thousands of digits with an answer

A request whose Content-Length has more than 4,300 digits got no answer, and its connection was closed: Python refuses to read such numbers, and the exception left the reader. The same on the product's own nodes (by reading).

Change: one function reads at most the 19 first digits of a length.

test_caller_server.py: the length of 5,000 digits failed on (ValueError, no answer), and gets 413 now.

--- a/filbertglade/entry/bounds.py
+++ b/filbertglade/entry/bounds.py
@@ -9,6 +9,7 @@
 from tornado import web
 
 from filbertglade.entry import read_timeouts
+from filbertglade import http_lengths
 from filbertglade.requests import outcomes
 from filbertglade.settings import model
 
@@ -89,8 +90,8 @@
         if size > limits.header_bytes:
             self._refuse(HEADERS_TOO_LARGE, 'the headers are too large')
             return None
-        length = headers.get('Content-Length', '')
-        if length.isdecimal() and int(length) > limits.body_bytes:
+        length = http_lengths.read_length(headers.get('Content-Length', ''))
+        if length > limits.body_bytes:
             self._refuse(PAYLOAD_TOO_LARGE, 'the body is too large')
             return None
         self._timeout = self._start_timeout(self._refuse_slow_body)
--- a/filbertglade/forwarding/server.py
+++ b/filbertglade/forwarding/server.py
@@ -16,6 +16,7 @@
 from filbertglade.fleet import document
 from filbertglade.forwarding import caller_requests
 from filbertglade.forwarding import caller_streams
+from filbertglade import http_lengths
 from filbertglade.inner import channels
 from filbertglade.observability import logs
 
@@ -203,8 +204,9 @@
         if len(headers.get_list('Host')) != 1:
             self._refuse(400)
             return None
-        length = headers.get('Content-Length', '')
-        size_bytes = int(length) if length.isdecimal() else 0
+        size_bytes = http_lengths.read_length(
+            headers.get('Content-Length', '')
+        )
         if size_bytes > limits.max_body_bytes:
             self._refuse(413)
             return None
--- a/tests/gateway_forwarding/test_caller_server.py
+++ b/tests/gateway_forwarding/test_caller_server.py
@@ -160,6 +160,28 @@
     await callers.close()
 
 
+# Guards against a length that ends the connection without an answer.
+@pytest.mark.parametrize('digits', [19, 20, 5000])
+async def test_a_length_of_many_digits_is_refused(digits):
+    async def serve(request):
+        request.respond(200)
+
+    (port,) = cluster.find_free_ports(1)
+    callers = server.CallerServer(serve, lambda: None)
+    callers.listen(f'127.0.0.1:{port}')
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    length = b'9' * digits
+    writer.write(
+        b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %s\r\n\r\n' % length
+    )
+    async with asyncio.timeout(CLOSE_LIMIT_S):
+        line = await reader.readline()
+    writer.close()
+    assert line.startswith(b'HTTP/1.1 413')
+    callers.stop()
+    await callers.close()
+
+
 # Guards against idle connections that are closed for others, and charged for
 # ever.
 async def test_a_connection_closed_for_another_holds_nothing():
