Give a process without limits.memory_mb a default

A process whose settings state no memory held a quarter of the whole machine's for its clients: 1,748 MB were seen. It isn't alone on its machine.

Change: without memory_mb the memory is 512 MB, or half of the machine's if that is less, so clients may have 128 MB. test_memory.py; the new case failed before.

--- a/filbertglade/budgets/memory.py
+++ b/filbertglade/budgets/memory.py
@@ -6,6 +6,8 @@
 from filbertglade import clock
 from filbertglade.observability import metrics
 
+# Memory of a process whose settings state none. Others share its machine.
+DEFAULT_MEMORY_MB = 512
 # Part of the memory limit that clients may take. The rest is for the program,
 # the state and the documents, for copies made while bodies are joined, and
 # for fragmentation.
@@ -216,8 +218,10 @@
 def find_memory_bytes(memory_mb: int) -> int:
     """Return the memory that a process may use, in bytes.
 
-    :param memory_mb: as set; 0 for the machine's.
+    :param memory_mb: as set; 0 for the default, or half of the machine's
+        memory if that is less.
     """
     if memory_mb:
         return memory_mb * 1_000_000
-    return os.sysconf('SC_PAGE_SIZE') * os.sysconf('SC_PHYS_PAGES')
+    machine_bytes = os.sysconf('SC_PAGE_SIZE') * os.sysconf('SC_PHYS_PAGES')
+    return min(DEFAULT_MEMORY_MB * 1_000_000, machine_bytes // 2)
--- a/filbertglade/settings/gateway.py
+++ b/filbertglade/settings/gateway.py
@@ -167,7 +167,8 @@
 class LimitSettings:
     """Limits of the machine for this process.
 
-    :param memory_mb: memory; 0 if the process may use any amount.
+    :param memory_mb: memory; 0 for 512 MB, or half of the machine's memory if
+        that is less.
     :param max_descriptors: open descriptors; 0 for the limit that the system
         states.
     :param held_mb: memory for what clients send and don't read; 0 for a
--- a/tests/budgets/test_memory.py
+++ b/tests/budgets/test_memory.py
@@ -70,6 +70,14 @@
     assert account.evict is None
 
 
+# Guards against a process that takes a part of a large machine's memory.
+def test_memory_that_is_not_set_has_a_default():
+    default_bytes = memory.DEFAULT_MEMORY_MB * 1_000_000
+    assert memory.find_memory_bytes(0) <= default_bytes
+    assert memory.find_memory_bytes(2048) == 2_048_000_000
+    assert memory.find_limit_bytes(0, 0) <= default_bytes / 4
+
+
 # Guards against a request that was refused although it runs.
 async def test_a_running_request_is_not_evicted():
     budget = build_budget()
