Judge a long body only once it was read for some time

A body whose place had just been granted could get 408 at the next look, a few ms later: nothing of it had arrived since the grant, as its sender had waited.

Change: a body is judged 0.4 s after its place was granted or after the latest look, by its rate since then. The new case of test_long_bodies.py failed before.

--- a/filbertglade/budgets/long_bodies.py
+++ b/filbertglade/budgets/long_bodies.py
@@ -13,6 +13,8 @@
 MAX_WAIT_MS = 1000
 # Interval between two looks at the bodies that are read, in ms.
 CHECK_INTERVAL_MS = 500
+# Time for which a body is read before it can be slow, in ms.
+MIN_READING_MS = 400
 
 
 class Place:
@@ -23,8 +25,10 @@
     :param size_bytes: the most that the body may have.
     :ivar is_granted: whether the body may be read.
     :ivar is_reading: whether it hasn't arrived completely.
-    :ivar seen_bytes: what had arrived at the latest look.
-    :ivar since_s: when the place was asked for, by the loop's clock.
+    :ivar seen_bytes: what had arrived at the latest look, or when the place
+        was granted.
+    :ivar seen_s: when that was, by the loop's clock.
+    :ivar since_s: when the place was asked for.
     """
 
     __slots__ = (
@@ -34,6 +38,7 @@
         'is_granted',
         'is_reading',
         'seen_bytes',
+        'seen_s',
         'since_s',
     )
 
@@ -46,6 +51,7 @@
         self.is_granted = False
         self.is_reading = True
         self.seen_bytes = 0
+        self.seen_s = since_s
         self.since_s = since_s
 
 
@@ -121,7 +127,7 @@
 
     def _grant(self, place: Place) -> None:
         place.is_granted = True
-        place.seen_bytes = place.reader.received_bytes
+        _see(place)
         self._granted.add(place)
 
     def _grant_waiting(self) -> None:
@@ -141,7 +147,7 @@
 
     def _start_looks(self) -> None:
         for place in self._granted:
-            place.seen_bytes = place.reader.received_bytes
+            _see(place)
         self._schedule()
 
     def _schedule(self) -> None:
@@ -161,9 +167,17 @@
         if not self._waiting:
             return
         self._schedule()
-        least_bytes = self._min_rate * CHECK_INTERVAL_MS / 1000
         for place in [each for each in self._granted if each.is_reading]:
+            age_s = asyncio.get_running_loop().time() - place.seen_s
+            if age_s < MIN_READING_MS / 1000:
+                continue
             received_bytes = place.reader.received_bytes - place.seen_bytes
-            place.seen_bytes = place.reader.received_bytes
-            if received_bytes < least_bytes:
+            _see(place)
+            if received_bytes < self._min_rate * age_s:
                 place.reader.refuse_slow()
+
+
+def _see(place: Place) -> None:
+    """Note what has arrived of a body."""
+    place.seen_bytes = place.reader.received_bytes
+    place.seen_s = asyncio.get_running_loop().time()
--- a/tests/budgets/test_long_bodies.py
+++ b/tests/budgets/test_long_bodies.py
@@ -119,3 +119,24 @@
         assert read.events == []
 
     virtual_time.run(run())
+
+
+# Guards against a body that is called slow as soon as it may be read.
+def test_a_body_is_judged_once_it_was_read_for_some_time():
+    async def run():
+        places = build()
+        first, second = Body(), Body()
+        taken = places.take('a', first, BODY_BYTES)
+        places.end_reading(taken, BODY_BYTES)
+        places.end_reading(places.take('a', Body(), BODY_BYTES), BODY_BYTES)
+        places.take('a', second, BODY_BYTES)
+        places.take('a', Body(), BODY_BYTES)
+        await asyncio.sleep(0.49)
+        places.leave(taken)
+        assert second.events == ['turn']
+        await asyncio.sleep(0.4)
+        assert second.events == ['turn']
+        await asyncio.sleep(0.6)
+        assert second.events == ['turn', 'slow']
+
+    virtual_time.run(run())
