Send a long body without a second copy

An entry host held each long body twice while it was sent to an endpoint: it was joined with the head. The budget counts it once, so with all places taken the copies came to as much as the bodies (half of the budget).

--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -16,6 +16,7 @@
 from tornado import iostream
 from tornado import tcpclient
 
+from filbertglade.budgets import memory
 from filbertglade.budgets import receive_buffers
 from filbertglade import clock
 from filbertglade import failures
@@ -189,7 +190,16 @@
         :param body: its body.
         """
         self._head = None
-        self._written = asyncio.ensure_future(self.stream.write(head + body))
+        if len(body) >= memory.LONG_BYTES:
+            # Joined with the head, it would be held twice.
+            self._start_writing(head)
+            if not self.stream.closed():
+                self._start_writing(body)
+        else:
+            self._start_writing(head + body)
+
+    def _start_writing(self, data: bytes) -> None:
+        self._written = asyncio.ensure_future(self.stream.write(data))
         self._written.add_done_callback(_retrieve_exception)
 
     @property
--- a/tests/gateway_forwarding/test_upstream.py
+++ b/tests/gateway_forwarding/test_upstream.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from filbertglade.budgets import memory
 from filbertglade import failures
 from filbertglade.forwarding import upstream
 from filbertglade.observability import metrics
@@ -266,3 +267,31 @@
 async def test_an_address_without_a_listener_refuses(pool):
     failure = await pool.connect('e', '127.0.0.1:9')
     assert failure.reason is upstream.UpstreamReason.REFUSED
+
+
+class RecordingStream:
+    """Records what is written, which is done at once."""
+
+    def __init__(self):
+        self.written = []
+
+    def closed(self):
+        return False
+
+    def write(self, data):
+        self.written.append(data)
+        future = asyncio.get_running_loop().create_future()
+        future.set_result(None)
+        return future
+
+
+# Guards against long bodies that are held twice while they are sent.
+@pytest.mark.parametrize('size', [0, 10, 4_194_304])
+async def test_a_long_body_is_not_copied(size):
+    stream = RecordingStream()
+    body = b'x' * size
+    connection = upstream.Connection('k', stream)
+    connection.send(b'head', body)
+    assert b''.join(stream.written) == b'head' + body
+    assert connection.is_written
+    assert size < memory.LONG_BYTES or stream.written[-1] is body
