Count 4,096 connections for the buffers where no limit is set

Without limits.max_descriptors the system's own limit was counted, which may be a million: each connection got the smallest receive buffer, 4 KB, also those to endpoints, whose long answers the round trips would slow.

--- a/filbertglade/budgets/process.py
+++ b/filbertglade/budgets/process.py
@@ -41,15 +41,21 @@
         self.receive_buffer_bytes = receive_buffers.find_size(
             limits.unread_mb,
             memory.find_memory_bytes(limits.memory_mb),
-            sum(
-                self.find_limit(each) + self.find_backlog(each)
-                for each in listeners
-            ),
+            self._count_connections(),
         )
         counters.set_gauge(
             'receive_buffer_bytes', lambda: self.receive_buffer_bytes
         )
 
+    def _count_connections(self) -> int:
+        """Return the most connections, with those that wait."""
+        if not self._limits.max_descriptors:
+            return receive_buffers.UNSET_CONNECTIONS
+        return sum(
+            self.find_limit(each) + self.find_backlog(each)
+            for each in self._listeners
+        )
+
     def limit_connections(self, listener: str) -> connections.ConnectionLimit:
         """Return the limit of a listener's connections.
 
--- a/filbertglade/budgets/receive_buffers.py
+++ b/filbertglade/budgets/receive_buffers.py
@@ -7,6 +7,8 @@
 # The system lets a connection have up to this many times the size that was
 # asked for.
 SYSTEM_FACTOR = 1.5
+# Connections counted if the settings state no limit of descriptors.
+UNSET_CONNECTIONS = 4096
 MIN_BYTES = 4096
 MAX_BYTES = 65_536
 # The size for a connection whose long body is read, so that the sender isn't
--- a/tests/budgets/test_receive_buffers.py
+++ b/tests/budgets/test_receive_buffers.py
@@ -36,6 +36,15 @@
     assert unread_bytes <= most_bytes
 
 
+# Guards against answers that are slowed by the round trips, as the system's
+# own limit of descriptors may be a million.
+def test_buffers_without_a_limit_of_descriptors_are_not_the_smallest():
+    budgets = process.Budgets(
+        gateway.LimitSettings(), metrics.Metrics(), LISTENERS
+    )
+    assert budgets.receive_buffer_bytes >= 2 * receive_buffers.MIN_BYTES
+
+
 # Guards against connections whose buffers the system lets grow, also of those
 # that wait to be accepted.
 @pytest.mark.parametrize('is_accepted', [True, False])
