Set receive buffers only where they don't stall the sender

Cause: the buffers of connections to endpoints were set after they had been opened. A buffer below 16 KB on an open connection makes the system advertise windows that stall the sender: 8 MB over loopback with 12 KB took over 3 s, with the same size set before the connection 0.016 s. A connection whose buffer was made small again after a long body stalled likewise (100 KB in 0.64 to 1.05 s).

Change: sockets to endpoints get their size before they connect. A connection on which a long body has come keeps its wider buffer, now of 64 KB, and is charged for what that may hold until it ends. Sizes are whole KB.

--- a/filbertglade/budgets/receive_buffers.py
+++ b/filbertglade/budgets/receive_buffers.py
@@ -10,10 +10,13 @@
 # Connections counted if the settings state no limit of descriptors.
 UNSET_CONNECTIONS = 4096
 MIN_BYTES = 4096
-MAX_BYTES = 65_536
-# The size for a connection whose long body is read, so that the sender isn't
-# slowed by the round trips.
-LONG_BODY_BYTES = 131_072
+MAX_BYTES = 32_768
+# The size for a connection on which a long body has come, so that the sender
+# isn't slowed by the round trips. It stays: a buffer that shrinks on an open
+# connection makes the system advertise a window that stalls the sender.
+WIDE_BYTES = 65_536
+# What such a connection may have unread, charged to its account until its end.
+WIDE_CHARGE_BYTES = 131_072
 
 
 def find_size(unread_mb: int, memory_bytes: int, connections: int) -> int:
@@ -28,13 +31,16 @@
     """
     unread_bytes = unread_mb * 1_000_000 or memory_bytes * UNREAD_SHARE
     size_bytes = int(unread_bytes / SYSTEM_FACTOR / max(connections, 1))
+    # In whole units, which the system's factor doesn't round up.
+    size_bytes -= size_bytes % 1024
     return min(max(size_bytes, MIN_BYTES), MAX_BYTES)
 
 
 def set_size(connection: socket.socket, size_bytes: int) -> None:
     """Set the receive buffer of a connection, or of those to be accepted.
 
-    :param connection: the connection, or the listening socket.
+    :param connection: the listening socket, a socket that isn't connected
+        yet, or a connection whose buffer grows.
     :param size_bytes: the size, in bytes.
     :raises OSError: the connection is closed.
     """
--- a/filbertglade/forwarding/caller_streams.py
+++ b/filbertglade/forwarding/caller_streams.py
@@ -54,7 +54,6 @@
     _discarded_bytes = 0
     _max_discarded_bytes = MAX_DISCARDED_BYTES
     _refusals: refusals.Refusals
-    _receive_buffer_bytes = receive_buffers.MAX_BYTES
     _is_wide = False
     # Stands for the request that is read or handled.
     _message: object = None
@@ -65,7 +64,6 @@
         connection: connections.Connection,
         limit: connections.ConnectionLimit,
         recorder: refusals.Refusals,
-        receive_buffer_bytes: int,
     ) -> None:
         """Begin to count what is held.
 
@@ -73,13 +71,11 @@
         :param connection: its place among the server's connections.
         :param limit: the server's connections.
         :param recorder: counts and logs refusals.
-        :param receive_buffer_bytes: the size of its receive buffer.
         """
         self.account = account
         self.connection = connection
         self._limit = limit
         self._refusals = recorder
-        self._receive_buffer_bytes = receive_buffer_bytes
         account.resize(CONNECTION_BYTES)
 
     def begin_head(self, max_header_bytes: int) -> object:
@@ -92,7 +88,7 @@
         self._head_bytes = 0
         # The end of a head is looked for each time the buffer has doubled.
         self._max_head_bytes = 2 * (max_header_bytes + CHUNK_BYTES)
-        self.account.resize(CONNECTION_BYTES)
+        self.account.resize(self._base_bytes)
         self.account.begin(self._evict_head)
         self.connection.end()
         self._message = object()
@@ -106,7 +102,7 @@
         self._is_reading_head = False
         self.connection.begin()
         self.account.begin(None)
-        self.account.resize(CONNECTION_BYTES + size_bytes)
+        self.account.resize(self._base_bytes + size_bytes)
 
     def end_message(self, message: object) -> None:
         """Note that a request has ended.
@@ -114,23 +110,20 @@
         :param message: what :meth:`begin_head` has returned for it.
         """
         if message is self._message:
-            self.account.resize(CONNECTION_BYTES)
+            self.account.resize(self._base_bytes)
 
     def widen(self) -> None:
-        """Let more of a long body arrive at a time."""
+        """Let more arrive at a time, from the first long body on."""
         if not self.closed() and not self._is_wide:
             self._is_wide = True
-            receive_buffers.set_size(
-                self.socket, receive_buffers.LONG_BODY_BYTES
-            )
-            self.account.add(receive_buffers.LONG_BODY_BYTES)
-
-    def narrow(self) -> None:
-        """End what :meth:`widen` began."""
-        if not self.closed() and self._is_wide:
-            self._is_wide = False
-            receive_buffers.set_size(self.socket, self._receive_buffer_bytes)
-            self.account.add(-receive_buffers.LONG_BODY_BYTES)
+            receive_buffers.set_size(self.socket, receive_buffers.WIDE_BYTES)
+            self.account.add(receive_buffers.WIDE_CHARGE_BYTES)
+
+    @property
+    def _base_bytes(self) -> int:
+        """What the open connection takes without a request."""
+        wide_bytes = receive_buffers.WIDE_CHARGE_BYTES if self._is_wide else 0
+        return CONNECTION_BYTES + wide_bytes
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read into a buffer; see the library.
@@ -182,8 +175,7 @@
         self.is_refused = True
         self._is_reading_head = False
         self.account.evict = None
-        self.narrow()
-        self.account.resize(CONNECTION_BYTES)
+        self.account.resize(self._base_bytes)
         asyncio.get_running_loop().call_later(delay_s, self.close)
 
     def record_closing(self, reason: str) -> None:
@@ -287,6 +279,5 @@
             connection,
             self._limit,
             budgets.refusals,
-            budgets.receive_buffer_bytes,
         )
         super().handle_stream(stream, address)
--- a/filbertglade/forwarding/server.py
+++ b/filbertglade/forwarding/server.py
@@ -309,8 +309,6 @@
         self._chunks = []
         if self._place is not None:
             self._server.long_bodies.end_reading(self._place, self._body_bytes)
-            if self._stream is not None:
-                self._stream.narrow()
         # Tornado reports the end of the connection only to this callback once
         # the request has been read.
         connection: typing.Any = self._connection
--- a/filbertglade/forwarding/upstream.py
+++ b/filbertglade/forwarding/upstream.py
@@ -465,6 +465,36 @@
     return DEFAULT_IDLE_MS
 
 
+class _BoundedClient(tcpclient.TCPClient):
+    """Opens connections with receive buffers of one size.
+
+    :param receive_buffer_bytes: the size, which is in force only if it is set
+        before the connection is opened.
+    """
+
+    def __init__(self, receive_buffer_bytes: int) -> None:
+        super().__init__()
+        self._receive_buffer_bytes = receive_buffer_bytes
+
+    def _create_stream(
+        self,
+        max_buffer_size: int | None,
+        af: socket.AddressFamily,
+        addr: tuple[typing.Any, ...],
+        source_ip: str | None = None,
+        source_port: int | None = None,
+    ) -> tuple[iostream.IOStream, 'asyncio.Future[iostream.IOStream]']:
+        # The library has no setting for options of the socket.
+        opened = socket.socket(af)
+        try:
+            receive_buffers.set_size(opened, self._receive_buffer_bytes)
+            stream = iostream.IOStream(opened, max_buffer_size=max_buffer_size)
+        except BaseException:
+            opened.close()
+            raise
+        return stream, stream.connect(addr)
+
+
 class UpstreamPool(connection_slots.Holder):
     """Idle connections to endpoints, by incarnation.
 
@@ -481,8 +511,7 @@
         receive_buffer_bytes: int = receive_buffers.MAX_BYTES,
     ) -> None:
         self._counters = counters
-        self._receive_buffer_bytes = receive_buffer_bytes
-        self._client = tcpclient.TCPClient()
+        self._client = _BoundedClient(receive_buffer_bytes)
         self._idle: dict[str, collections.deque[Connection]] = {}
         self._open: set[Connection] = set()
         self._opening: set[asyncio.Task[iostream.IOStream]] = set()
@@ -608,7 +637,6 @@
         stream.socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
         )
-        receive_buffers.set_size(stream.socket, self._receive_buffer_bytes)
         connection = Connection(key, stream, self._slots.notify)
         self._open.add(connection)
         self._opening.discard(opening)
--- a/filbertglade/gateway/http_bounds.py
+++ b/filbertglade/gateway/http_bounds.py
@@ -116,6 +116,8 @@
         self._max_discarded_bytes = MAX_DISCARDED_BYTES
         # Whether the body waits for its turn, or for memory.
         self._has_turn = False
+        # Whether its receive buffer is that of long bodies.
+        self._is_wide = False
         self._waits_for_turn = False
         self._waits_for_room = False
         self._start_message()
@@ -214,7 +216,7 @@
             + len(self._body)
             + self._waiting_bytes
             + self._serving_bytes
-            + (receive_buffers.LONG_BODY_BYTES if self._has_turn else 0)
+            + (receive_buffers.WIDE_CHARGE_BYTES if self._is_wide else 0)
             + transport.get_write_buffer_size()
         )
         if not fits and not self._is_closing:
@@ -260,22 +262,17 @@
 
     def _leave_turn(self) -> None:
         if self._has_turn or self._waits_for_turn:
-            if self._has_turn:
-                self._set_receive_buffer(
-                    self._server.budgets.receive_buffer_bytes
-                )
             self._has_turn = self._waits_for_turn = False
             self._server.turns.leave(self._peer, self)
 
     def _widen(self) -> None:
-        """Let more of the long body that is read now arrive at a time."""
-        self._set_receive_buffer(receive_buffers.LONG_BODY_BYTES)
-
-    def _set_receive_buffer(self, size_bytes: int) -> None:
+        """Let more arrive at a time, from the first long body on."""
         transport = self._transport
-        if transport is not None and not transport.is_closing():
-            connection = transport.get_extra_info('socket')
-            receive_buffers.set_size(connection, size_bytes)
+        if self._is_wide or transport is None or transport.is_closing():
+            return
+        self._is_wide = True
+        connection = transport.get_extra_info('socket')
+        receive_buffers.set_size(connection, receive_buffers.WIDE_BYTES)
 
     def start_turn(self) -> None:
         """Go on to read the body."""
--- a/filbertglade/gateway/inner_server.py
+++ b/filbertglade/gateway/inner_server.py
@@ -84,6 +84,7 @@
     _place: connections.Connection | None = None
     _transport: asyncio.Transport | None = None
     _peer = ''
+    _is_wide = False
     # Bytes left of the preface or of the frame that is being read, and what
     # was read of the next one's head.
     _left_bytes = PREFACE_BYTES
@@ -200,8 +201,7 @@
         parts = []
         held = 0
         account.begin(self._evict)
-        self._set_receive_buffer(receive_buffers.LONG_BODY_BYTES)
-        account.add(receive_buffers.LONG_BODY_BYTES)
+        self._widen(account)
         try:
             while held < size:
                 part = await buffer.read(min(size - held, SLICE_BYTES))
@@ -214,14 +214,17 @@
                     raise exceptions.GRPCError(const.Status.RESOURCE_EXHAUSTED)
             return b''.join(parts)
         finally:
-            account.add(-held - receive_buffers.LONG_BODY_BYTES)
-            self._set_receive_buffer(self._server.budgets.receive_buffer_bytes)
+            account.add(-held)
 
-    def _set_receive_buffer(self, size_bytes: int) -> None:
+    def _widen(self, account: memory.Account) -> None:
+        """Let more arrive at a time, from the first long message on."""
         transport = self._transport
-        if transport is not None and not transport.is_closing():
-            connection = transport.get_extra_info('socket')
-            receive_buffers.set_size(connection, size_bytes)
+        if self._is_wide or transport is None or transport.is_closing():
+            return
+        self._is_wide = True
+        connection = transport.get_extra_info('socket')
+        receive_buffers.set_size(connection, receive_buffers.WIDE_BYTES)
+        account.add(receive_buffers.WIDE_CHARGE_BYTES)
 
     def _evict(self) -> None:
         self._record('memory')
