--- a/tests/budgets/test_long_bodies.py
+++ b/tests/budgets/test_long_bodies.py
@@ -5,8 +5,8 @@
 import pytest
 
 from filbertglade.budgets import long_bodies
-from filbertglade.budgets import turns
 from filbertglade.observability import metrics
+from tests.budgets import readers
 from tests import virtual_time
 
 LIMIT_BYTES = 20_000_000
@@ -15,25 +15,6 @@
 BODY_BYTES = 4_000_000
 
 
-class Body(turns.Reader):
-    def __init__(self):
-        self.received = 0
-        self.events = []
-
-    @property
-    def received_bytes(self):
-        return self.received
-
-    def start_turn(self):
-        self.events.append('turn')
-
-    def refuse_wait(self):
-        self.events.append('wait')
-
-    def refuse_slow(self):
-        self.events.append('slow')
-
-
 def build():
     return long_bodies.LongBodies(LIMIT_BYTES, MIN_RATE, metrics.Metrics())
 
@@ -42,7 +23,7 @@
 def test_a_place_is_kept_until_the_request_has_ended():
     async def run():
         places = build()
-        bodies = [Body() for _ in range(4)]
+        bodies = [readers.RecordingReader() for _ in range(4)]
         taken = [places.take('a', body, BODY_BYTES) for body in bodies]
         assert [place.is_granted for place in taken] == [
             True,
@@ -63,7 +44,7 @@
 def test_a_body_without_length_gives_back_what_it_did_not_need():
     async def run():
         places = build()
-        chunked, other = Body(), Body()
+        chunked, other = readers.RecordingReader(), readers.RecordingReader()
         place = places.take('a', chunked, LIMIT_BYTES)
         assert place.is_granted
         assert not places.take('a', other, BODY_BYTES).is_granted
@@ -77,9 +58,9 @@
 def test_the_peer_with_the_fewest_places_is_next():
     async def run():
         places = build()
-        bodies = [Body() for _ in range(6)]
+        bodies = [readers.RecordingReader() for _ in range(6)]
         taken = [places.take('a', body, BODY_BYTES) for body in bodies]
-        other = Body()
+        other = readers.RecordingReader()
         places.take('b', other, BODY_BYTES)
         places.leave(taken[0])
         assert other.events == ['turn']
@@ -91,15 +72,15 @@
 def test_a_body_that_waits_for_too_long_is_refused():
     async def run():
         places = build()
-        readers = [Body() for _ in range(3)]
-        for reader in readers:
-            places.take('a', reader, BODY_BYTES)
+        bodies = [readers.RecordingReader() for _ in range(3)]
+        for body in bodies:
+            places.take('a', body, BODY_BYTES)
         for _ in range(40):
-            for reader in readers[:2]:
-                reader.received += 100_000
+            for body in bodies[:2]:
+                body.received += 100_000
             await asyncio.sleep(0.1)
-        assert readers[2].events == ['wait']
-        assert readers[0].events == readers[1].events == []
+        assert bodies[2].events == ['wait']
+        assert bodies[0].events == bodies[1].events == []
 
     virtual_time.run(run())
 
@@ -109,11 +90,11 @@
 def test_a_slow_body_is_refused_only_if_others_wait(others):
     async def run():
         places = build()
-        slow, read = Body(), Body()
+        slow, read = readers.RecordingReader(), readers.RecordingReader()
         places.take('a', slow, BODY_BYTES)
         places.end_reading(places.take('a', read, BODY_BYTES), BODY_BYTES)
         for _ in range(others):
-            places.take('a', Body(), BODY_BYTES)
+            places.take('a', readers.RecordingReader(), BODY_BYTES)
         await asyncio.sleep(0.6)
         assert slow.events == ['slow'] * others
         assert read.events == []
@@ -125,12 +106,14 @@
 def test_a_body_is_judged_once_it_was_read_for_some_time():
     async def run():
         places = build()
-        first, second = Body(), Body()
+        first, second = readers.RecordingReader(), readers.RecordingReader()
         taken = places.take('a', first, BODY_BYTES)
         places.end_reading(taken, BODY_BYTES)
-        places.end_reading(places.take('a', Body(), BODY_BYTES), BODY_BYTES)
+        places.end_reading(
+            places.take('a', readers.RecordingReader(), BODY_BYTES), BODY_BYTES
+        )
         places.take('a', second, BODY_BYTES)
-        places.take('a', Body(), BODY_BYTES)
+        places.take('a', readers.RecordingReader(), BODY_BYTES)
         await asyncio.sleep(0.49)
         places.leave(taken)
         assert second.events == ['turn']
--- a/tests/budgets/test_memory.py
+++ b/tests/budgets/test_memory.py
@@ -6,6 +6,7 @@
 from filbertglade.budgets import memory
 from filbertglade.budgets import turns
 from filbertglade.observability import metrics
+from tests.budgets import readers
 from tests import virtual_time
 
 LIMIT_BYTES = 10_000_000
@@ -105,30 +106,15 @@
     assert len(limit) == 3
 
 
-class Body(turns.Reader):
-    def __init__(self):
-        self.received = 0
-        self.events = []
-
-    @property
-    def received_bytes(self):
-        return self.received
-
-    def start_turn(self):
-        self.events.append('turn')
-
-    def refuse_wait(self):
-        self.events.append('wait')
-
-    def refuse_slow(self):
-        self.events.append('slow')
-
-
 # Guards against a broken connection that delays its operator's resend.
 def test_a_body_that_stopped_gives_its_turn_up():
     async def run():
         queue = turns.Turns(16_384)
-        stopped, resent, other = Body(), Body(), Body()
+        stopped, resent, other = (
+            readers.RecordingReader(),
+            readers.RecordingReader(),
+            readers.RecordingReader(),
+        )
         assert queue.take('a', stopped)
         assert not queue.take('a', resent)
         assert queue.take('b', other)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures and collection rules for all tests."""
 
+import gc
 import os
 import pathlib
 
@@ -77,3 +78,12 @@
     lines.clear()
     yield lines
     eliot.remove_destination(lines.append)
+
+
+@pytest.fixture
+def no_collection():
+    """Only reference counts free memory during the test."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
--- a/tests/gateway/test_body_checks.py
+++ b/tests/gateway/test_body_checks.py
@@ -1,6 +1,5 @@
 """Documents that are checked while they arrive."""
 
-import gc
 import random
 import weakref
 
@@ -93,16 +92,11 @@
 
 # Guards against parts of a body that stay until a garbage collection, as the
 # errors of the parts were kept with their frames.
-def test_a_check_is_freed_with_its_body():
-    gc.collect()
-    gc.disable()
-    try:
-        check = body_checks.DocumentCheck(0, lambda size, problems: b'')
-        text = documents.write_routes(7, 100_000)
-        for size in range(1000, len(text), 1000):
-            assert check.feed(bytearray(text[:size])) is None
-        ended = weakref.ref(check)
-        del check
-        assert ended() is None
-    finally:
-        gc.enable()
+def test_a_check_is_freed_with_its_body(no_collection):
+    check = body_checks.DocumentCheck(0, lambda size, problems: b'')
+    text = documents.write_routes(7, 100_000)
+    for size in range(1000, len(text), 1000):
+        assert check.feed(bytearray(text[:size])) is None
+    ended = weakref.ref(check)
+    del check
+    assert ended() is None
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import gc
 import weakref
 
 import pytest
@@ -342,15 +341,6 @@
         assert largest <= 2
 
 
-@pytest.fixture
-def no_collection():
-    """Only reference counts free memory during the test."""
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
-
-
 # Guards against bodies that outlive their accounts until the next garbage
 # collection.
 @pytest.mark.parametrize(
--- a/tests/gateway_forwarding/test_caller_server.py
+++ b/tests/gateway_forwarding/test_caller_server.py
@@ -1,7 +1,6 @@
 """The HTTP server for callers, on a loopback connection."""
 
 import asyncio
-import gc
 import weakref
 
 import pytest
@@ -83,15 +82,6 @@
     assert handled == ['/first']
 
 
-@pytest.fixture
-def no_collection():
-    """Only reference counts free memory during the test."""
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
-
-
 # Guards against what was read of a connection and outlives its account.
 @pytest.mark.parametrize(
     'text',
