--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")"
 python3 -m py_compile support_3.py
-for case in 1[1-5]/case.py; do
-    [ ! -e "$case" ] || python3 -m py_compile "$case"
+for file in 1[1-5]/*.py; do
+    [ ! -e "$file" ] || python3 -m py_compile "$file"
 done
